--- /dev/null
+++ b/crates/bulrushusher_admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! An agent's decisions on its places: grants, queue, time-to-live, drain.
--- /dev/null
+++ b/crates/bulrushusher_agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent: only gate to its engine or plain service.
--- /dev/null
+++ b/crates/bulrushusher_agent/src/main.rs
@@ -0,0 +1,2 @@
+//! The agent: only gate to its engine or plain service.
+fn main() {}
--- /dev/null
+++ b/crates/bulrushusher_config/src/lib.rs
@@ -0,0 +1,1 @@
+//! INI settings, checked at start.
--- /dev/null
+++ b/crates/bulrushusher_ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! bulrushctl: the operators' command.
--- /dev/null
+++ b/crates/bulrushusher_ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! bulrushctl: the operators' command.
+fn main() {}
--- /dev/null
+++ b/crates/bulrushusher_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry: callers' HTTP, operators' RPC, choice of runners.
--- /dev/null
+++ b/crates/bulrushusher_entry/src/main.rs
@@ -0,0 +1,2 @@
+//! The entry: callers' HTTP, operators' RPC, choice of runners.
+fn main() {}
--- /dev/null
+++ b/crates/bulrushusher_http/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small HTTP client and NDJSON stream reader used at process edges.
--- /dev/null
+++ b/crates/bulrushusher_once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once records: home, executor and bar by ballot.
--- /dev/null
+++ b/crates/bulrushusher_operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operators' RPC: generated schema types and conversions.
--- /dev/null
+++ b/crates/bulrushusher_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/bulrushusher_report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Histograms, class figures, burn and metrics.
--- /dev/null
+++ b/crates/bulrushusher_routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! An entry's decisions: pairing, affinity, limits, retry budget.
--- /dev/null
+++ b/crates/bulrushusher_standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Stand-ins for the store, engines, plain services and the VM list; a load tool.
+fn main() {}
--- /dev/null
+++ b/crates/bulrushusher_world/src/link.rs
@@ -0,0 +1,28 @@
+//! Links between data centres, over which KV cache moves.
+
+use bulrushusher_time::Millis;
+use serde::{Deserialize, Serialize};
+
+/// A rate-limited link.
+///
+/// ```
+/// use bulrushusher_world::Link;
+/// use bulrushusher_time::Millis;
+/// let link = Link { bytes_per_second: 2_000_000_000, latency: Millis(1) };
+/// assert_eq!(link.transfer_time(200_000_000), Millis(101));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Link {
+    /// Rate in bytes a second; at least 1.
+    pub bytes_per_second: u64,
+    /// One-way latency.
+    pub latency: Millis,
+}
+
+impl Link {
+    /// Time for `bytes` to cross an idle link.
+    pub fn transfer_time(&self, bytes: u64) -> Millis {
+        let ms = bytes.saturating_mul(1000).div_ceil(self.bytes_per_second.max(1));
+        self.latency.plus(Millis(ms))
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Router for separate prefill and decode pools.
