--- /dev/null
+++ b/crates/bulrushusher_admission/src/gate.rs
@@ -0,0 +1,260 @@
+//! The gate: a bounded number of places, a bounded queue ordered by urgency, grants that lapse.
+
+use std::collections::{BTreeMap, HashMap};
+
+use bulrushusher_time::Millis;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::Refusal;
+
+/// Names one request for a place, for as long as it waits. Chosen by the caller of the gate.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AskId(pub u64);
+
+/// Names one grant, never used twice by one gate.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ReservationId(pub u64);
+
+/// Bounds of a gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GateConfig {
+    /// Requests that may hold a place at once.
+    pub places: usize,
+    /// Requests that may wait for a place.
+    pub queue_bound: usize,
+    /// How long a grant waits for its order.
+    pub time_to_live: Millis,
+}
+
+impl Default for GateConfig {
+    fn default() -> GateConfig {
+        GateConfig { places: 20, queue_bound: 512, time_to_live: Millis(2_000) }
+    }
+}
+
+/// A request for a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// Who asks.
+    pub id: AskId,
+    /// When the work should have started; the earliest is served first.
+    pub start_by: Millis,
+    /// When the asker stops waiting.
+    pub give_up: Millis,
+}
+
+/// A place held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The reservation to name in the order.
+    pub id: ReservationId,
+    /// When it lapses unless started, on the gate's clock.
+    pub lapses: Millis,
+}
+
+/// What the agent has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GateAction {
+    /// Tell the asker that it has a place.
+    Grant(AskId, Grant),
+    /// Tell the asker that it has none.
+    Refuse(AskId, Refusal),
+    /// A grant lapsed before its order came; its place is free again.
+    Lapsed(ReservationId),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Held {
+    Waiting { lapses: Millis },
+    Started,
+}
+
+/// Decides who holds a place.
+///
+/// ```
+/// use bulrushusher_admission::{Ask, AskId, Gate, GateAction, GateConfig};
+/// use bulrushusher_time::Millis;
+/// let mut gate = Gate::new(GateConfig { places: 1, ..GateConfig::default() });
+/// let ask = |n| Ask { id: AskId(n), start_by: Millis(100), give_up: Millis(50) };
+/// let actions = gate.ask(ask(1), Millis(0));
+/// assert!(matches!(actions[0], GateAction::Grant(AskId(1), _)));
+/// assert!(gate.ask(ask(2), Millis(0)).is_empty(), "the second waits");
+/// assert!(matches!(gate.tick(Millis(50))[0], GateAction::Refuse(AskId(2), _)));
+/// ```
+#[derive(Debug)]
+pub struct Gate {
+    cfg: GateConfig,
+    held: HashMap<ReservationId, Held>,
+    queue: BTreeMap<(Millis, u64), Ask>,
+    next_reservation: u64,
+    next_arrival: u64,
+    leaving: bool,
+    hold_ms: f64,
+    started_at: HashMap<ReservationId, Millis>,
+}
+
+impl Gate {
+    /// A gate with all places free.
+    pub fn new(cfg: GateConfig) -> Gate {
+        Gate {
+            cfg,
+            held: HashMap::new(),
+            queue: BTreeMap::new(),
+            next_reservation: 1,
+            next_arrival: 0,
+            leaving: false,
+            hold_ms: 100.0,
+            started_at: HashMap::new(),
+        }
+    }
+
+    /// Takes a request for a place: grants, queues or refuses it.
+    pub fn ask(&mut self, ask: Ask, now: Millis) -> Vec<GateAction> {
+        if self.leaving {
+            return vec![GateAction::Refuse(ask.id, Refusal::Leaving)];
+        }
+        if self.queue.len() >= self.cfg.queue_bound {
+            return vec![GateAction::Refuse(ask.id, self.full())];
+        }
+        let arrival = self.next_arrival;
+        self.next_arrival += 1;
+        self.queue.insert((ask.start_by, arrival), ask);
+        let mut actions = self.tick(now);
+        if self.queue.contains_key(&(ask.start_by, arrival)) && ask.give_up <= now {
+            self.queue.remove(&(ask.start_by, arrival));
+            actions.push(GateAction::Refuse(ask.id, self.full()));
+        }
+        actions
+    }
+
+    /// The asker is gone; frees what it had asked for, waiting or granted but not started.
+    pub fn withdraw(&mut self, ask: AskId, now: Millis) -> Vec<GateAction> {
+        self.queue.retain(|_, waiting| waiting.id != ask);
+        self.tick(now)
+    }
+
+    /// The order for a grant came.
+    ///
+    /// # Errors
+    /// [`Refusal::NoReservation`] when the grant lapsed, was used already or never was.
+    pub fn start(&mut self, id: ReservationId, now: Millis) -> Result<(), Refusal> {
+        match self.held.get_mut(&id) {
+            Some(held @ Held::Waiting { .. }) => {
+                if matches!(held, Held::Waiting { lapses } if *lapses <= now) {
+                    return Err(Refusal::NoReservation);
+                }
+                *held = Held::Started;
+                self.started_at.insert(id, now);
+                Ok(())
+            }
+            Some(Held::Started) | None => Err(Refusal::NoReservation),
+        }
+    }
+
+    /// The work of a grant ended, or the asker gave the grant back.
+    pub fn finish(&mut self, id: ReservationId, now: Millis) -> Vec<GateAction> {
+        if let Some(started) = self.started_at.remove(&id) {
+            self.learn_hold(now.since(started));
+        }
+        self.held.remove(&id);
+        self.tick(now)
+    }
+
+    /// Lapses old grants, refuses those who waited long enough, grants free places.
+    pub fn tick(&mut self, now: Millis) -> Vec<GateAction> {
+        let mut actions = self.lapse(now);
+        self.refuse_late(now, &mut actions);
+        self.grant_free(now, &mut actions);
+        actions
+    }
+
+    /// Takes no new work from now on (or takes it again). Those who wait are refused.
+    pub fn set_leaving(&mut self, leaving: bool) -> Vec<GateAction> {
+        self.leaving = leaving;
+        if !leaving {
+            return Vec::new();
+        }
+        let waiting = std::mem::take(&mut self.queue);
+        waiting.into_values().map(|ask| GateAction::Refuse(ask.id, Refusal::Leaving)).collect()
+    }
+
+    /// True when the gate takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Places held, started or not.
+    pub fn used(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Places held and started.
+    pub fn started(&self) -> usize {
+        self.started_at.len()
+    }
+
+    /// Places in all.
+    pub fn places(&self) -> usize {
+        self.cfg.places
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// The expected wait of a request that comes now, from the mean time a place was held.
+    pub fn expected_wait(&self) -> Millis {
+        if self.held.len() < self.cfg.places {
+            return Millis(0);
+        }
+        let turns = (self.queue.len() + 1) as f64 / self.cfg.places.max(1) as f64;
+        Millis((self.hold_ms * turns) as u64)
+    }
+
+    fn learn_hold(&mut self, length: Millis) {
+        const WEIGHT: f64 = 0.1;
+        self.hold_ms += WEIGHT * (length.0 as f64 - self.hold_ms);
+    }
+
+    fn full(&self) -> Refusal {
+        Refusal::Full { retry_after: Millis(self.expected_wait().0.max(1)) }
+    }
+
+    fn lapse(&mut self, now: Millis) -> Vec<GateAction> {
+        let is_old = |held: &Held| matches!(held, Held::Waiting { lapses } if *lapses <= now);
+        let mut old: Vec<ReservationId> =
+            self.held.iter().filter(|(_, held)| is_old(held)).map(|(id, _)| *id).collect();
+        old.sort_unstable();
+        for id in &old {
+            self.held.remove(id);
+        }
+        old.into_iter().map(GateAction::Lapsed).collect()
+    }
+
+    fn refuse_late(&mut self, now: Millis, actions: &mut Vec<GateAction>) {
+        let full = self.full();
+        self.queue.retain(|_, ask| {
+            if ask.give_up > now {
+                return true;
+            }
+            actions.push(GateAction::Refuse(ask.id, full.clone()));
+            false
+        });
+    }
+
+    fn grant_free(&mut self, now: Millis, actions: &mut Vec<GateAction>) {
+        while self.held.len() < self.cfg.places {
+            let Some((_, ask)) = self.queue.pop_first() else { return };
+            let id = ReservationId(self.next_reservation);
+            self.next_reservation += 1;
+            let lapses = now.plus(self.cfg.time_to_live);
+            self.held.insert(id, Held::Waiting { lapses });
+            actions.push(GateAction::Grant(ask.id, Grant { id, lapses }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/bulrushusher_once/src/home.rs
@@ -0,0 +1,196 @@
+//! What an agent knows as the home of keys: which executor each was given to.
+
+use std::collections::{HashMap, VecDeque};
+
+use bulrushusher_time::Millis;
+use bulrushusher_world::{EndpointName, RequestKey};
+use serde::{Deserialize, Serialize};
+
+use crate::{KeyAge, Vouch, home_of, key_time};
+
+/// Earlier endpoint lists remembered while some home has not acknowledged the next one.
+const MAX_EARLIER_LISTS: usize = 16;
+
+/// Bounds of a home's table.
+#[derive(Clone, Copy, Debug)]
+pub struct HomeConfig {
+    /// Records held at once; one more is refused.
+    pub max_records: usize,
+    /// When this home vouches for a key that it has no record of.
+    pub vouch: Vouch,
+}
+
+/// The home's answer to a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimReply {
+    /// The claim is recorded; the executor may run the key at ballot [`crate::Ballot::Home`].
+    Recorded,
+    /// The key belongs to another executor; attach there.
+    Held(EndpointName),
+    /// This home cannot vouch for the key; bar it.
+    InDoubt,
+    /// This agent is not the key's home by the list that it holds, of that revision.
+    OtherList {
+        /// Revision of the list held here.
+        revision: u64,
+    },
+    /// The key is older than the retry horizon; it was not run by this claim.
+    TooOld,
+    /// The table is full; not recorded.
+    TableFull,
+}
+
+/// One revision of the endpoint list of a service, as far as homes go.
+#[derive(Clone, Debug, Default)]
+struct List {
+    revision: u64,
+    endpoints: Vec<EndpointName>,
+}
+
+/// An earlier list, and the agents in it that have not acknowledged a later one.
+#[derive(Clone, Debug)]
+struct EarlierList {
+    list: List,
+    unacknowledged: Vec<EndpointName>,
+}
+
+/// Which executor each key was given to.
+#[derive(Debug)]
+pub struct HomeTable {
+    cfg: HomeConfig,
+    me: EndpointName,
+    list: List,
+    earlier: Vec<EarlierList>,
+    records: HashMap<RequestKey, EndpointName>,
+    by_age: VecDeque<(Millis, RequestKey)>,
+}
+
+impl HomeTable {
+    /// An empty table of the agent `me`, which knows no list yet and so is nobody's home.
+    pub fn new(me: EndpointName, cfg: HomeConfig) -> HomeTable {
+        HomeTable {
+            cfg,
+            me,
+            list: List::default(),
+            earlier: Vec::new(),
+            records: HashMap::new(),
+            by_age: VecDeque::new(),
+        }
+    }
+
+    /// A list of the service's endpoints came. Lower or equal revisions are ignored.
+    ///
+    /// Keys that come to this home by the change are in doubt until every agent of the list before
+    /// has acknowledged this revision or a later one; see [`HomeTable::acknowledged`].
+    pub fn set_list(&mut self, revision: u64, endpoints: Vec<EndpointName>, now: Millis) {
+        if revision <= self.list.revision {
+            return;
+        }
+        let next = List { revision, endpoints };
+        let before = std::mem::replace(&mut self.list, next);
+        if before.revision == 0 {
+            return;
+        }
+        let others = before.endpoints.iter().filter(|name| **name != self.me).cloned().collect();
+        self.earlier.push(EarlierList { list: before, unacknowledged: others });
+        if self.earlier.len() > MAX_EARLIER_LISTS {
+            // Too much to remember: stop vouching for anything older than now.
+            self.earlier.clear();
+            self.cfg.vouch.since = now;
+        }
+    }
+
+    /// `agent` holds the list of `revision`, or is gone for longer than the VM list's lag.
+    pub fn acknowledged(&mut self, agent: &EndpointName, revision: u64) {
+        for earlier in &mut self.earlier {
+            if earlier.list.revision < revision {
+                earlier.unacknowledged.retain(|name| name != agent);
+            }
+        }
+        self.earlier.retain(|earlier| !earlier.unacknowledged.is_empty());
+    }
+
+    /// Agents that have still to acknowledge the present list.
+    pub fn unacknowledged(&self) -> Vec<EndpointName> {
+        let mut names: Vec<EndpointName> =
+            self.earlier.iter().flat_map(|earlier| earlier.unacknowledged.clone()).collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    /// The revision of the list held; 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.list.revision
+    }
+
+    /// An entry that holds the list of `revision` wants `executor` to run `key`.
+    pub fn claim(
+        &mut self,
+        key: &RequestKey,
+        executor: &EndpointName,
+        revision: u64,
+        now: Millis,
+    ) -> ClaimReply {
+        self.drop_old(now);
+        if let Some(held) = self.records.get(key) {
+            return if held == executor {
+                ClaimReply::Recorded
+            } else {
+                ClaimReply::Held(held.clone())
+            };
+        }
+        let is_home = home_of(key, &self.list.endpoints) == Some(&self.me);
+        if revision != self.list.revision || !is_home {
+            return ClaimReply::OtherList { revision: self.list.revision };
+        }
+        if self.may_be_known_elsewhere(key) {
+            return ClaimReply::InDoubt;
+        }
+        match self.cfg.vouch.age(key_time(key), now) {
+            KeyAge::InDoubt => ClaimReply::InDoubt,
+            KeyAge::TooOld => ClaimReply::TooOld,
+            KeyAge::Vouched => self.record(key, executor, now),
+        }
+    }
+
+    /// Records held now.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// True when no record is held.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn may_be_known_elsewhere(&self, key: &RequestKey) -> bool {
+        let other_home = |earlier: &EarlierList| {
+            home_of(key, &earlier.list.endpoints)
+                .is_some_and(|home| earlier.unacknowledged.contains(home))
+        };
+        self.earlier.iter().any(other_home)
+    }
+
+    fn record(&mut self, key: &RequestKey, executor: &EndpointName, now: Millis) -> ClaimReply {
+        if self.records.len() >= self.cfg.max_records {
+            return ClaimReply::TableFull;
+        }
+        self.records.insert(key.clone(), executor.clone());
+        self.by_age.push_back((now, key.clone()));
+        ClaimReply::Recorded
+    }
+
+    fn drop_old(&mut self, now: Millis) {
+        let life = self.cfg.vouch.record_life();
+        while let Some((made, _)) = self.by_age.front() {
+            if now.since(*made) <= life {
+                return;
+            }
+            if let Some((_, key)) = self.by_age.pop_front() {
+                self.records.remove(&key);
+            }
+        }
+    }
+}
--- a/crates/bulrushusher_once/src/lib.rs
+++ b/crates/bulrushusher_once/src/lib.rs
@@ -1,1 +1,33 @@
-//! At-most-once records: home, executor and bar by ballot.
+//! At-most-once records, with no store on the request path.
+//!
+//! Three parts, none of which does I/O:
+//! - the *executor* ([`ExecutorTable`]), kept by every agent: what ran here, and which ballots are
+//!   barred;
+//! - the *home* ([`HomeTable`]), kept by every agent for the keys whose first place in rendezvous
+//!   order it is: which executor a key was given to;
+//! - the *bar* ([`BarRound`]), run by an entry when a home cannot vouch: a higher ballot at every
+//!   agent that may have run the key.
+//!
+//! What a run is: a decode, or a call of a plain service.
+
+mod ballot;
+mod bar;
+mod executor;
+mod home;
+mod rendezvous;
+mod vouch;
+
+pub use ballot::Ballot;
+pub use bar::{BarRound, BarVerdict};
+pub use executor::{BarReply, ExecutorConfig, ExecutorTable, OrderReply, Ran};
+pub use home::{ClaimReply, HomeConfig, HomeTable};
+pub use rendezvous::{home_of, rank};
+pub use vouch::{KeyAge, Vouch, key_time};
+
+/// The common types in one `use`.
+pub mod prelude {
+    pub use crate::{
+        Ballot, BarReply, BarRound, BarVerdict, ClaimReply, ExecutorConfig, ExecutorTable,
+        HomeConfig, HomeTable, OrderReply, Ran, Vouch,
+    };
+}
--- /dev/null
+++ b/crates/bulrushusher_standin/src/load.rs
@@ -0,0 +1,1 @@
+//! Open-loop seeded load.
--- /dev/null
+++ b/crates/bulrushusher_wire/src/control.rs
@@ -0,0 +1,151 @@
+//! Control calls from an entry to an agent.
+
+use bulrushusher_admission::{Refusal, ReservationId};
+use bulrushusher_once::{Ballot, BarReply, ClaimReply};
+use bulrushusher_time::Millis;
+use bulrushusher_world::{Endpoint, EndpointName, EntryName, RequestKey};
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use serde::{Deserialize, Serialize};
+
+/// Load of an agent, sent along with its replies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentLoad {
+    /// Places held.
+    pub used: u32,
+    /// Places in all.
+    pub places: u32,
+    /// Requests that wait for a place.
+    pub waiting: u32,
+    /// Expected wait of a request that comes now.
+    pub expected_wait: Millis,
+}
+
+/// Asks for a place.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReserveAsk {
+    /// Who asks, for logs.
+    pub entry: EntryName,
+    /// The work should start within this time from now.
+    pub start_within: Millis,
+    /// How long the asker waits for a place.
+    pub wait: Millis,
+}
+
+/// A place held.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Reserved {
+    /// Which reservation to name in the order.
+    pub id: ReservationId,
+    /// Which life of the agent granted it.
+    pub incarnation: u64,
+    /// How long it is held for its order, on the agent's clock.
+    pub time_to_live: Millis,
+}
+
+/// The answer to [`ReserveAsk`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReserveReply {
+    /// The place, or why there is none.
+    pub outcome: Result<Reserved, Refusal>,
+    /// The agent's load after this call.
+    pub load: AgentLoad,
+}
+
+/// Asks a key's home to give the key to an executor.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClaimAsk {
+    /// The key.
+    pub key: RequestKey,
+    /// The endpoint that shall run it.
+    pub executor: EndpointName,
+    /// The entry's revision of the endpoint list.
+    pub revision: u64,
+}
+
+/// Asks an agent to refuse lower ballots for a key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BarAsk {
+    /// The key.
+    pub key: RequestKey,
+    /// The ballot.
+    pub ballot: Ballot,
+}
+
+/// The answer to [`BarAsk`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BarAnswer {
+    /// What the agent knows.
+    pub reply: BarReply,
+    /// The agent's revision of the endpoint list.
+    pub revision: u64,
+    /// Which life of the agent answers.
+    pub incarnation: u64,
+}
+
+/// Tells an agent that an entry no longer wants a key's answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CancelAsk {
+    /// The key.
+    pub key: RequestKey,
+    /// The stream that is given up, as named in its order.
+    pub stream: String,
+}
+
+/// The endpoint list in force, sent by an entry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListPush {
+    /// Its revision.
+    pub revision: u64,
+    /// Every endpoint of the deployment.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// What an agent tells of itself.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct AgentStatus {
+    /// Its endpoint.
+    pub endpoint: EndpointName,
+    /// Which life of the agent answers.
+    pub incarnation: u64,
+    /// Its revision of the endpoint list.
+    pub revision: u64,
+    /// True when it takes no new work.
+    pub leaving: bool,
+    /// Its load.
+    pub load: AgentLoad,
+    /// What its engine reports of its own load, late: running and waiting.
+    pub engine_load: (u32, u32),
+}
+
+/// Control calls that every agent serves.
+#[rpc(server, client, namespace = "agent")]
+pub trait AgentControl {
+    /// Asks for a place; answers when it is granted or refused.
+    #[method(name = "reserve")]
+    async fn reserve(&self, ask: ReserveAsk) -> RpcResult<ReserveReply>;
+
+    /// Gives a place back.
+    #[method(name = "release")]
+    async fn release(&self, id: ReservationId) -> RpcResult<()>;
+
+    /// Asks the key's home to give it to an executor.
+    #[method(name = "claim")]
+    async fn claim(&self, ask: ClaimAsk) -> RpcResult<ClaimReply>;
+
+    /// Bars keys.
+    #[method(name = "bar")]
+    async fn bar(&self, asks: Vec<BarAsk>) -> RpcResult<Vec<BarAnswer>>;
+
+    /// Gives up a stream; true when it was open here.
+    #[method(name = "cancel")]
+    async fn cancel(&self, ask: CancelAsk) -> RpcResult<bool>;
+
+    /// Hands over the endpoint list; answers the revision held after it.
+    #[method(name = "set_list")]
+    async fn set_list(&self, push: ListPush) -> RpcResult<u64>;
+
+    /// Tells the agent's state.
+    #[method(name = "status")]
+    async fn status(&self) -> RpcResult<AgentStatus>;
+}
