--- /dev/null
+++ b/crates/bulrushusher_agent/src/call.rs
@@ -0,0 +1,51 @@
+//! One call of a plain service. A call that was sent is never sent again.
+
+use std::time::Duration;
+
+use bulrushusher_http::HttpError;
+use bulrushusher_once::Ran;
+use bulrushusher_wire::{CallOrder, RunOrder};
+
+use crate::LOG;
+use crate::agent::Shared;
+use crate::answer::{Answer, Ending};
+
+/// The header that carries the request's key to the service.
+const KEY_HEADER: &str = "x-request-key";
+/// The longest time a service may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Calls the service for an order that was taken.
+pub(crate) async fn run(shared: &Shared, order: &RunOrder, work: &CallOrder, answer: &Answer) {
+    let called = shared
+        .http
+        .call(
+            shared.cfg.target,
+            &work.method,
+            &work.path,
+            &[("content-type", &work.content_type), (KEY_HEADER, order.key.as_str())],
+            work.body.clone().into(),
+            CALL_TIMEOUT,
+        )
+        .await;
+    match called {
+        Ok(reply) => {
+            let content_type = reply.header("content-type").to_owned();
+            let ending = Ending::Service { status: reply.status, content_type, body: reply.body };
+            answer.end(ending);
+            shared.keys.finish(&order.key, answer.bytes());
+        }
+        Err(e) if e.is_unsent() => {
+            log::warn!("{LOG} the service did not take {}: {e}", order.key);
+            shared.keys.not_begun(&order.key, &order.ballot);
+            answer.end(Ending::KvGone);
+        }
+        Err(e) => lost(shared, order, answer, &e),
+    }
+}
+
+fn lost(shared: &Shared, order: &RunOrder, answer: &Answer, error: &HttpError) {
+    log::warn!("{LOG} the service's answer to {} was lost: {error}", order.key);
+    shared.keys.end(&order.key, Ran::Failed);
+    answer.end(Ending::Failed { cause: error.to_string() });
+}
--- /dev/null
+++ b/crates/bulrushusher_agent/src/control.rs
@@ -0,0 +1,58 @@
+//! The control listener.
+
+use std::sync::Arc;
+
+use bulrushusher_admission::ReservationId;
+use bulrushusher_once::ClaimReply;
+use bulrushusher_wire::{
+    AgentControlServer, AgentStatus, BarAnswer, BarAsk, CancelAsk, ClaimAsk, ListPush, ReserveAsk,
+    ReserveReply, Reserved,
+};
+use jsonrpsee::core::{RpcResult, async_trait};
+
+use crate::LOG;
+use crate::agent::Shared;
+
+/// Serves the control calls.
+pub(crate) struct Control(pub(crate) Arc<Shared>);
+
+#[async_trait]
+impl AgentControlServer for Control {
+    async fn reserve(&self, ask: ReserveAsk) -> RpcResult<ReserveReply> {
+        let shared = &self.0;
+        let granted = shared.desk.reserve(ask.start_within, ask.wait).await;
+        let reserved = |grant: bulrushusher_admission::Grant| Reserved {
+            id: grant.id,
+            incarnation: shared.incarnation,
+            time_to_live: shared.cfg.gate.time_to_live,
+        };
+        Ok(ReserveReply { outcome: granted.map(reserved), load: shared.desk.load() })
+    }
+
+    async fn release(&self, id: ReservationId) -> RpcResult<()> {
+        self.0.desk.finish(id);
+        Ok(())
+    }
+
+    async fn claim(&self, ask: ClaimAsk) -> RpcResult<ClaimReply> {
+        Ok(self.0.keys.claim(&ask))
+    }
+
+    async fn bar(&self, asks: Vec<BarAsk>) -> RpcResult<Vec<BarAnswer>> {
+        Ok(asks.iter().map(|ask| self.0.keys.bar(ask)).collect())
+    }
+
+    async fn cancel(&self, ask: CancelAsk) -> RpcResult<bool> {
+        Ok(self.0.keys.give_up(&ask.key, &ask.stream))
+    }
+
+    async fn set_list(&self, push: ListPush) -> RpcResult<u64> {
+        self.0.take_list(push);
+        Ok(self.0.keys.revision())
+    }
+
+    async fn status(&self) -> RpcResult<AgentStatus> {
+        log::trace!("{LOG} status asked");
+        Ok(self.0.status())
+    }
+}
--- /dev/null
+++ b/crates/bulrushusher_agent/src/desk.rs
@@ -0,0 +1,148 @@
+//! The desk: the gate with its clock, and the askers who wait for its answers.
+
+use std::collections::HashMap;
+
+use bulrushusher_admission::{
+    Ask, AskId, Gate, GateAction, GateConfig, Grant, Refusal, ReservationId,
+};
+use bulrushusher_time::{Clock, Millis};
+use bulrushusher_wire::AgentLoad;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::LOG;
+
+type Answer = Result<Grant, Refusal>;
+
+#[derive(Debug)]
+struct Inner {
+    gate: Gate,
+    askers: HashMap<AskId, oneshot::Sender<Answer>>,
+    next_ask: u64,
+}
+
+/// The gate, shared by the agent's tasks.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    clock: Clock,
+    inner: Mutex<Inner>,
+}
+
+impl Desk {
+    pub(crate) fn new(cfg: GateConfig, clock: Clock) -> Desk {
+        let inner = Inner { gate: Gate::new(cfg), askers: HashMap::new(), next_ask: 1 };
+        Desk { clock, inner: Mutex::new(inner) }
+    }
+
+    /// Waits for a place. Dropping the future withdraws the request.
+    pub(crate) async fn reserve(&self, start_within: Millis, wait: Millis) -> Answer {
+        let (id, rx) = self.ask(start_within, wait);
+        let mut waiting = Waiting { desk: self, id: Some(id) };
+        let answer = rx.await.unwrap_or(Err(Refusal::Leaving));
+        waiting.id = None;
+        answer
+    }
+
+    fn ask(&self, start_within: Millis, wait: Millis) -> (AskId, oneshot::Receiver<Answer>) {
+        let now = self.clock.now();
+        let (tx, rx) = oneshot::channel();
+        let mut inner = self.inner.lock();
+        let id = AskId(inner.next_ask);
+        inner.next_ask += 1;
+        inner.askers.insert(id, tx);
+        let ask = Ask { id, start_by: now.plus(start_within), give_up: now.plus(wait) };
+        let actions = inner.gate.ask(ask, now);
+        inner.carry_out(actions, now);
+        (id, rx)
+    }
+
+    /// The order for a reservation came.
+    pub(crate) fn start(&self, id: ReservationId) -> Result<(), Refusal> {
+        self.inner.lock().gate.start(id, self.clock.now())
+    }
+
+    /// The work of a reservation ended, or it was given back.
+    pub(crate) fn finish(&self, id: ReservationId) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let actions = inner.gate.finish(id, now);
+        inner.carry_out(actions, now);
+    }
+
+    /// Lets time pass for the gate.
+    pub(crate) fn tick(&self) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let actions = inner.gate.tick(now);
+        inner.carry_out(actions, now);
+    }
+
+    pub(crate) fn set_leaving(&self, leaving: bool) {
+        let now = self.clock.now();
+        let mut inner = self.inner.lock();
+        let actions = inner.gate.set_leaving(leaving);
+        inner.carry_out(actions, now);
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.inner.lock().gate.is_leaving()
+    }
+
+    /// Places held, started or not.
+    pub(crate) fn used(&self) -> usize {
+        self.inner.lock().gate.used()
+    }
+
+    pub(crate) fn load(&self) -> AgentLoad {
+        let inner = self.inner.lock();
+        AgentLoad {
+            used: inner.gate.used() as u32,
+            places: inner.gate.places() as u32,
+            waiting: inner.gate.waiting() as u32,
+            expected_wait: inner.gate.expected_wait(),
+        }
+    }
+}
+
+impl Inner {
+    fn carry_out(&mut self, actions: Vec<GateAction>, now: Millis) {
+        for action in actions {
+            match action {
+                GateAction::Grant(ask, grant) => self.answer(ask, Ok(grant), now),
+                GateAction::Refuse(ask, refusal) => self.answer(ask, Err(refusal), now),
+                GateAction::Lapsed(id) => {
+                    log::info!("{LOG} reservation {id} lapsed without an order, place freed");
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, ask: AskId, answer: Answer, now: Millis) {
+        let granted = answer.as_ref().ok().map(|grant| grant.id);
+        let Some(asker) = self.askers.remove(&ask) else { return };
+        let undelivered = asker.send(answer).is_err();
+        if let Some(id) = granted
+            && undelivered
+        {
+            let actions = self.gate.finish(id, now);
+            self.carry_out(actions, now);
+        }
+    }
+}
+
+/// Withdraws the request of an asker who went away.
+struct Waiting<'a> {
+    desk: &'a Desk,
+    id: Option<AskId>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let Some(id) = self.id else { return };
+        let now = self.desk.clock.now();
+        let mut inner = self.desk.inner.lock();
+        inner.askers.remove(&id);
+        let actions = inner.gate.withdraw(id, now);
+        inner.carry_out(actions, now);
+    }
+}
--- a/crates/bulrushusher_config/src/lib.rs
+++ b/crates/bulrushusher_config/src/lib.rs
@@ -1,1 +1,10 @@
-//! INI settings, checked at start.
+//! Settings in INI, each declared once with its unit, range and default, and checked at start.
+//!
+//! A program declares a table of [`Setting`]s; [`Values::load`] reads a file against it and names
+//! file, section, key and remedy for the first thing that is wrong.
+
+mod program;
+mod settings;
+
+pub use program::{EXIT_BAD_SETTINGS, Program, init_logs};
+pub use settings::{ConfigError, Kind, Setting, Values, reference};
--- /dev/null
+++ b/crates/bulrushusher_config/src/settings.rs
@@ -0,0 +1,298 @@
+//! Declared settings and their values.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use derive_more::{Display, Error};
+use ini::Ini;
+
+/// What a setting may be.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// Any text that is not empty.
+    Text,
+    /// `IP:port`.
+    Address,
+    /// A whole number of milliseconds in a range.
+    Millis(u64, u64),
+    /// A whole number in a range.
+    Count(u64, u64),
+    /// A number in a range.
+    Real(f64, f64),
+    /// `yes` or `no`.
+    Flag,
+    /// One of some words.
+    Choice(&'static [&'static str]),
+}
+
+impl Kind {
+    /// The unit and range, as shown to people.
+    pub fn range(self) -> String {
+        match self {
+            Kind::Text => "text".to_owned(),
+            Kind::Address => "IP:port, such as 127.0.0.1:7001".to_owned(),
+            Kind::Millis(low, high) => format!("{low} to {high} milliseconds"),
+            Kind::Count(low, high) => format!("a whole number from {low} to {high}"),
+            Kind::Real(low, high) => format!("a number from {low} to {high}"),
+            Kind::Flag => "`yes` or `no`".to_owned(),
+            Kind::Choice(words) => format!("one of {}", words.join(", ")),
+        }
+    }
+
+    fn accepts(self, text: &str) -> bool {
+        match self {
+            Kind::Text => !text.is_empty(),
+            Kind::Address => text.parse::<SocketAddr>().is_ok(),
+            Kind::Millis(low, high) | Kind::Count(low, high) => {
+                text.parse().is_ok_and(|n: u64| (low..=high).contains(&n))
+            }
+            Kind::Real(low, high) => text.parse().is_ok_and(|n: f64| (low..=high).contains(&n)),
+            Kind::Flag => matches!(text, "yes" | "no"),
+            Kind::Choice(words) => words.contains(&text),
+        }
+    }
+}
+
+/// One setting of a program.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Section of the file.
+    pub section: &'static str,
+    /// Key in the section.
+    pub key: &'static str,
+    /// What it may be.
+    pub kind: Kind,
+    /// Its value when the file has none; `None` when the file must have one.
+    pub default: Option<&'static str>,
+    /// What it does.
+    pub help: &'static str,
+}
+
+/// Why settings were not accepted.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum ConfigError {
+    /// The file cannot be read or is not INI.
+    #[display("{file}: {cause}; give a readable INI file")]
+    File {
+        /// The file.
+        file: String,
+        /// What went wrong.
+        cause: String,
+    },
+    /// The file has a key that the program does not know.
+    #[display("{file}: [{section}] {key} is not a setting; remove it or see --print-settings")]
+    UnknownKey {
+        /// The file.
+        file: String,
+        /// Section in it.
+        section: String,
+        /// Key in the section.
+        key: String,
+    },
+    /// The file lacks a key that has no default.
+    #[display("{file}: [{section}] {key} is missing; give {range}")]
+    Missing {
+        /// The file.
+        file: String,
+        /// Section in it.
+        section: String,
+        /// Key in the section.
+        key: String,
+        /// What it may be.
+        range: String,
+    },
+    /// A value is out of its range.
+    #[display("{file}: [{section}] {key} is `{value}`; give {range}")]
+    BadValue {
+        /// The file.
+        file: String,
+        /// Section in it.
+        section: String,
+        /// Key in the section.
+        key: String,
+        /// What the file says.
+        value: String,
+        /// What it may be.
+        range: String,
+    },
+}
+
+/// Checked values of all settings of a program.
+#[derive(Clone, Debug, Default)]
+pub struct Values {
+    file: String,
+    values: BTreeMap<(&'static str, &'static str), String>,
+}
+
+impl Values {
+    /// Reads a file against the declared settings.
+    ///
+    /// # Errors
+    /// [`ConfigError`] for the first thing that is wrong.
+    pub fn load(file: &Path, settings: &[Setting]) -> Result<Values, ConfigError> {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file)
+            .map_err(|e| ConfigError::File { file: name.clone(), cause: e.to_string() })?;
+        Values::parse(&name, &text, settings)
+    }
+
+    /// Reads INI text against the declared settings; `file` is only for messages.
+    ///
+    /// ```
+    /// use bulrushusher_config::{Kind, Setting, Values};
+    /// use bulrushusher_time::Millis;
+    /// const SETTINGS: &[Setting] = &[Setting {
+    ///     section: "gate", key: "time_to_live_ms", kind: Kind::Millis(1, 60_000),
+    ///     default: Some("2000"), help: "How long a grant waits for its order.",
+    /// }];
+    /// let values = Values::parse("a.ini", "[gate]\ntime_to_live_ms = 400\n", SETTINGS).unwrap();
+    /// assert_eq!(values.millis("gate", "time_to_live_ms"), Millis(400));
+    /// let error = Values::parse("a.ini", "[gate]\ntime_to_live_ms = 0\n", SETTINGS).unwrap_err();
+    /// assert_eq!(
+    ///     error.to_string(),
+    ///     "a.ini: [gate] time_to_live_ms is `0`; give 1 to 60000 milliseconds"
+    /// );
+    /// ```
+    ///
+    /// # Errors
+    /// As [`Values::load`].
+    pub fn parse(file: &str, text: &str, settings: &[Setting]) -> Result<Values, ConfigError> {
+        let ini = Ini::load_from_str(text)
+            .map_err(|e| ConfigError::File { file: file.to_owned(), cause: e.to_string() })?;
+        check_known(file, &ini, settings)?;
+        let mut values = BTreeMap::new();
+        for setting in settings {
+            let given = ini.get_from(Some(setting.section), setting.key);
+            let value = check_value(file, setting, given)?;
+            values.insert((setting.section, setting.key), value);
+        }
+        Ok(Values { file: file.to_owned(), values })
+    }
+
+    /// The value as text.
+    ///
+    /// # Panics
+    /// When the setting was not declared: a mistake in the program.
+    pub fn text(&self, section: &str, key: &str) -> &str {
+        let found = self.values.iter().find(|((s, k), _)| *s == section && *k == key);
+        match found {
+            Some((_, value)) => value,
+            None => panic!("[{section}] {key} is not a declared setting"),
+        }
+    }
+
+    /// The value as an address.
+    ///
+    /// # Panics
+    /// When the setting was not declared as one: a mistake in the program.
+    pub fn address(&self, section: &str, key: &str) -> SocketAddr {
+        self.parsed(section, key)
+    }
+
+    /// The value as a length of time.
+    ///
+    /// # Panics
+    /// When the setting was not declared as one: a mistake in the program.
+    pub fn millis(&self, section: &str, key: &str) -> bulrushusher_time::Millis {
+        bulrushusher_time::Millis(self.parsed(section, key))
+    }
+
+    /// The value as a whole number.
+    ///
+    /// # Panics
+    /// When the setting was not declared as one: a mistake in the program.
+    pub fn count(&self, section: &str, key: &str) -> usize {
+        self.parsed(section, key)
+    }
+
+    /// The value as a number.
+    ///
+    /// # Panics
+    /// When the setting was not declared as one: a mistake in the program.
+    pub fn real(&self, section: &str, key: &str) -> f64 {
+        self.parsed(section, key)
+    }
+
+    /// The value as a flag.
+    ///
+    /// # Panics
+    /// When the setting was not declared: a mistake in the program.
+    pub fn flag(&self, section: &str, key: &str) -> bool {
+        self.text(section, key) == "yes"
+    }
+
+    /// The value made into a checked type of the world, such as a name.
+    ///
+    /// # Errors
+    /// [`ConfigError::BadValue`] with what the type says.
+    pub fn checked<'a, T>(&'a self, section: &str, key: &str) -> Result<T, ConfigError>
+    where
+        T: TryFrom<&'a str>,
+        T::Error: std::fmt::Display,
+    {
+        let value = self.text(section, key);
+        T::try_from(value).map_err(|e| ConfigError::BadValue {
+            file: self.file.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            value: value.to_owned(),
+            range: e.to_string(),
+        })
+    }
+
+    fn parsed<T: std::str::FromStr>(&self, section: &str, key: &str) -> T {
+        match self.text(section, key).parse() {
+            Ok(value) => value,
+            Err(_) => panic!("[{section}] {key} was declared as another kind"),
+        }
+    }
+}
+
+fn check_known(file: &str, ini: &Ini, settings: &[Setting]) -> Result<(), ConfigError> {
+    for (section, properties) in ini.iter() {
+        let section = section.unwrap_or("");
+        for (key, _) in properties.iter() {
+            if !settings.iter().any(|s| s.section == section && s.key == key) {
+                return Err(ConfigError::UnknownKey {
+                    file: file.to_owned(),
+                    section: section.to_owned(),
+                    key: key.to_owned(),
+                });
+            }
+        }
+    }
+    Ok(())
+}
+
+fn check_value(file: &str, setting: &Setting, given: Option<&str>) -> Result<String, ConfigError> {
+    let section = setting.section.to_owned();
+    let (file, key, range) = (file.to_owned(), setting.key.to_owned(), setting.kind.range());
+    let Some(value) = given.or(setting.default) else {
+        return Err(ConfigError::Missing { file, section, key, range });
+    };
+    if !setting.kind.accepts(value) {
+        let value = value.to_owned();
+        return Err(ConfigError::BadValue { file, section, key, value, range });
+    }
+    Ok(value.to_owned())
+}
+
+/// The reference of a program's settings, as a Markdown table.
+pub fn reference(settings: &[Setting]) -> String {
+    let mut text = String::from("| section | key | value | default | what it does |\n");
+    text.push_str("| --- | --- | --- | --- | --- |\n");
+    for s in settings {
+        let default = s.default.map_or("none, must be given".to_owned(), |d| format!("`{d}`"));
+        let row = format!(
+            "| {} | `{}` | {} | {} | {} |\n",
+            s.section,
+            s.key,
+            s.kind.range(),
+            default,
+            s.help
+        );
+        text.push_str(&row);
+    }
+    text
+}
--- /dev/null
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -0,0 +1,255 @@
+//! The entry's shared state, start and shutdown.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+
+use arc_swap::ArcSwap;
+use bulrushusher_http::{Served, bind, serve};
+use bulrushusher_operator::v1::operator_server::OperatorServer;
+use bulrushusher_platform::StoreClient;
+use bulrushusher_report::EntryMetrics;
+use bulrushusher_routing::{AccountLimits, LoadHint, PairingTable, RetryBudget};
+use bulrushusher_time::{Clock, Millis};
+use bulrushusher_wire::{AgentLoad, ApiError, ErrorCode};
+use bulrushusher_world::EndpointName;
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinHandle;
+use tonic::transport::server::TcpIncoming;
+
+use crate::agents::Agents;
+use crate::configuration::{self, Configuration};
+use crate::operator::OperatorService;
+use crate::request::Job;
+use crate::{EntryConfig, LOG, api};
+
+/// When to come back to an entry that shuts down or is full: another one is behind the balancer.
+const ELSEWHERE: Millis = Millis(1_000);
+const DRAIN_TICK: Millis = Millis(20);
+
+/// What the entry's tasks share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) cfg: EntryConfig,
+    pub(crate) clock: Clock,
+    /// Which life of this entry; part of its ballots.
+    pub(crate) incarnation: u64,
+    pub(crate) table: Mutex<PairingTable>,
+    pub(crate) limits: Mutex<AccountLimits>,
+    pub(crate) retries: Mutex<RetryBudget>,
+    pub(crate) configuration: ArcSwap<Configuration>,
+    /// Held while the configuration is changed.
+    pub(crate) configuring: Mutex<()>,
+    pub(crate) list_changed: Notify,
+    pub(crate) agents: Agents,
+    pub(crate) store: StoreClient,
+    metrics: EntryMetrics,
+    store_up: AtomicBool,
+    in_flight: AtomicUsize,
+    closing: AtomicBool,
+    next_name: AtomicU64,
+    rng: Mutex<ChaCha8Rng>,
+}
+
+impl Shared {
+    fn new(cfg: EntryConfig) -> Shared {
+        let incarnation = uuid::Uuid::now_v7().as_u128() as u64;
+        Shared {
+            clock: Clock::system(),
+            incarnation,
+            table: Mutex::new(PairingTable::new(cfg.pairing)),
+            limits: Mutex::new(AccountLimits::new(cfg.limits)),
+            retries: Mutex::new(RetryBudget::new(cfg.retries)),
+            configuration: ArcSwap::default(),
+            configuring: Mutex::new(()),
+            list_changed: Notify::new(),
+            agents: Agents::new(cfg.silent.duration()),
+            store: StoreClient::new(cfg.store),
+            metrics: EntryMetrics::new(cfg.name.as_str()),
+            store_up: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
+            next_name: AtomicU64::new(1),
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(cfg.pairing.seed)),
+            cfg,
+        }
+    }
+
+    /// Refuses a request at the door when this entry is closing or full.
+    pub(crate) fn admit(&self) -> Result<(), ApiError> {
+        if self.closing.load(Ordering::SeqCst) {
+            let message = "this entry shuts down";
+            return Err(ApiError::not_run(ErrorCode::ShuttingDown, message).after(ELSEWHERE));
+        }
+        if self.in_flight() >= self.cfg.max_in_flight {
+            let message = "this entry has all the requests it can hold";
+            return Err(ApiError::not_run(ErrorCode::Overloaded, message).after(ELSEWHERE));
+        }
+        Ok(())
+    }
+
+    /// Counts a request against its account's limit.
+    pub(crate) fn admit_account(&self, cfg: &Configuration, job: &Job) -> Result<(), ApiError> {
+        let account = job.account.as_ref().and_then(|name| cfg.account(name));
+        let Some(account) = account else { return Ok(()) };
+        let admitted = self.limits.lock().admit(account, self.clock.now());
+        admitted.map_err(|over| {
+            let message = over.to_string();
+            ApiError::not_run(ErrorCode::AccountLimit, message).after(over.retry_after)
+        })
+    }
+
+    /// Counts a request as in flight until the guard is dropped.
+    pub(crate) fn begin(self: &Arc<Shared>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        self.metrics.accepted();
+        InFlight(Arc::clone(self))
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn note_error(&self, job: &Job, e: &ApiError) {
+        self.metrics.refused(&e.code.to_string());
+        log::info!("{LOG} {} of class {} ends with {e} ({})", job.key, job.class.name, e.run);
+    }
+
+    pub(crate) fn metrics_text(&self) -> String {
+        self.metrics.text()
+    }
+
+    /// An agent told its load.
+    pub(crate) fn hear(&self, endpoint: &EndpointName, load: AgentLoad) {
+        let hint = LoadHint {
+            used: load.used,
+            places: load.places,
+            waiting: load.waiting,
+            expected_wait: load.expected_wait,
+            heard: self.clock.now(),
+            ..LoadHint::default()
+        };
+        self.table.lock().hear(endpoint, hint);
+    }
+
+    /// A name that no other stream or run of any entry has.
+    pub(crate) fn unique(&self) -> String {
+        let n = self.next_name.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{n}", self.cfg.name, self.incarnation)
+    }
+
+    pub(crate) fn random_below(&self, bound: u64) -> u64 {
+        self.rng.lock().random_range(0..bound)
+    }
+
+    pub(crate) fn set_store_up(&self, up: bool) {
+        self.store_up.store(up, Ordering::SeqCst);
+    }
+
+    pub(crate) fn is_store_up(&self) -> bool {
+        self.store_up.load(Ordering::SeqCst)
+    }
+}
+
+/// Counts a request as in flight.
+pub(crate) struct InFlight(Arc<Shared>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// What an entry tells of itself to the one who embeds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntryFigures {
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// Revision of the configuration in force.
+    pub revision: u64,
+    /// Whether the store answered last time.
+    pub store_up: bool,
+}
+
+/// A running entry. Dropping it does not stop its tasks; see [`Entry::shut_down`].
+#[derive(Debug)]
+pub struct Entry {
+    /// Where callers' HTTP is taken.
+    pub callers: SocketAddr,
+    /// Where operators' RPC is taken.
+    pub operators: SocketAddr,
+    shared: Arc<Shared>,
+    served: Served,
+    stop_operators: Option<oneshot::Sender<()>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Entry {
+    /// Starts listening, and follows the store.
+    ///
+    /// # Errors
+    /// What the system says, such as "address in use".
+    pub async fn start(cfg: EntryConfig) -> std::io::Result<Entry> {
+        let shared = Arc::new(Shared::new(cfg));
+        let served = serve(shared.cfg.callers, api::routes(Arc::clone(&shared)))?;
+        let listener = bind(shared.cfg.operators)?;
+        let operators = listener.local_addr()?;
+        let (stop_operators, stopped) = oneshot::channel::<()>();
+        let rpc = tonic::transport::Server::builder()
+            .add_service(OperatorServer::new(OperatorService::new(Arc::clone(&shared))))
+            .serve_with_incoming_shutdown(TcpIncoming::from(listener), async move {
+                stopped.await.ok();
+            });
+        let rpc = async move {
+            if let Err(e) = rpc.await {
+                log::error!("{LOG} operators' RPC stopped: {e}");
+            }
+        };
+        let tasks = vec![
+            tokio::spawn(rpc),
+            tokio::spawn(configuration::store_loop(Arc::clone(&shared))),
+            tokio::spawn(configuration::agent_loop(Arc::clone(&shared))),
+        ];
+        let name = &shared.cfg.name;
+        log::info!("{LOG} {name} takes callers on {}, operators on {operators}", served.addr);
+        let callers = served.addr;
+        Ok(Entry { callers, operators, shared, served, stop_operators: Some(stop_operators), tasks })
+    }
+
+    /// What the entry tells of itself.
+    pub fn figures(&self) -> EntryFigures {
+        EntryFigures {
+            in_flight: self.shared.in_flight(),
+            revision: self.shared.configuration.load().snapshot.revision,
+            store_up: self.shared.is_store_up(),
+        }
+    }
+
+    /// Accepts nothing new, lets what is in flight finish, then stops.
+    pub async fn shut_down(mut self) {
+        let name = self.shared.cfg.name.clone();
+        log::info!("{LOG} {name} shuts down, {} in flight", self.shared.in_flight());
+        self.shared.closing.store(true, Ordering::SeqCst);
+        let drain = self.shared.cfg.drain.duration();
+        let shared = Arc::clone(&self.shared);
+        let drained = async move {
+            while shared.in_flight() > 0 {
+                tokio::time::sleep(DRAIN_TICK.duration()).await;
+            }
+        };
+        if tokio::time::timeout(drain, drained).await.is_err() {
+            log::warn!("{LOG} the drain bound is over, {} cut off", self.shared.in_flight());
+        }
+        tokio::time::timeout(drain, self.served.stop()).await.ok();
+        if let Some(stop) = self.stop_operators.take() {
+            stop.send(()).ok();
+        }
+        for task in &self.tasks {
+            task.abort();
+        }
+        log::info!("{LOG} {name} stopped");
+    }
+}
--- /dev/null
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -0,0 +1,229 @@
+//! The part of a request that must happen at most once: who runs the key, and what became of it.
+
+use std::sync::Arc;
+
+use bulrushusher_once::{Ballot, Ran};
+use bulrushusher_time::Millis;
+use bulrushusher_wire::{ApiError, NotTaken, RunOrder, Work};
+use bulrushusher_world::{Endpoint, EndpointName};
+
+use crate::entry::Shared;
+use crate::guards::{HeldPlace, OpenStream};
+use crate::request::{Job, mint_key};
+use crate::run_stream::{Part, PartSender, RunReader, StreamEnd};
+use crate::settle::{self, Settled, answer_gone, unknown};
+
+/// How long a key that was given to another executor may take to begin there before it is barred.
+const BEGIN_WAIT: Millis = Millis(4_000);
+/// One wait at an agent for a key to begin.
+const ATTACH_WAIT: Millis = Millis(1_000);
+
+/// Whether a request needs another attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// It is answered, or its caller is gone.
+    Done,
+    /// It certainly did not run, or may run again: try again.
+    Again,
+}
+
+/// Who may run the key, and at which ballot.
+#[derive(Clone, Debug)]
+struct Assignment {
+    ballot: Ballot,
+    executor: EndpointName,
+}
+
+/// One request's way to its answer.
+pub(crate) struct Execution<'a> {
+    pub(crate) shared: &'a Arc<Shared>,
+    pub(crate) job: Job,
+    tx: &'a PartSender,
+    /// True when the caller sees nothing before the answer is whole, so that it may start again.
+    restartable: bool,
+    passed: u32,
+    assignment: Option<Assignment>,
+    /// A ballot that was cleared for any one executor not yet chosen.
+    cleared: Option<Ballot>,
+}
+
+impl<'a> Execution<'a> {
+    pub(crate) fn new(
+        shared: &'a Arc<Shared>,
+        job: Job,
+        tx: &'a PartSender,
+        restartable: bool,
+    ) -> Execution<'a> {
+        Execution { shared, job, tx, restartable, passed: 0, assignment: None, cleared: None }
+    }
+
+    /// The only endpoint that may run the key now, if it was given to one.
+    pub(crate) fn only(&self) -> Option<EndpointName> {
+        self.assignment.as_ref().map(|assignment| assignment.executor.clone())
+    }
+
+    /// The endpoint that must not run the key: its home.
+    pub(crate) fn home(&self) -> Option<EndpointName> {
+        if !self.job.shared_key {
+            return None;
+        }
+        settle::home(self.shared, &self.job).map(|home| home.name)
+    }
+
+    /// Makes sure that `executor` may run the key. [`Step::Again`] means that it may; when the key
+    /// is another's, the answer is taken from there.
+    pub(crate) async fn assign(&mut self, executor: &EndpointName) -> Result<Assigned, ApiError> {
+        if !self.job.shared_key {
+            return Ok(Assigned::Run(Ballot::Home));
+        }
+        if let Some(held) = &self.assignment {
+            return Ok(Assigned::Run(held.ballot.clone()));
+        }
+        let settled = match self.cleared.take() {
+            Some(ballot) => Settled::Run(ballot),
+            None => settle::settle(self.shared, &self.job, executor).await?,
+        };
+        match settled {
+            Settled::Run(ballot) => {
+                let (held, executor) = (ballot.clone(), executor.clone());
+                self.assignment = Some(Assignment { ballot: held, executor });
+                Ok(Assigned::Run(ballot))
+            }
+            Settled::Attach { executor, ran } => {
+                self.take_from(&executor, ran).await.map(Assigned::Elsewhere)
+            }
+        }
+    }
+
+    /// The assigned executor cannot be had any more: bar the key.
+    pub(crate) async fn reassign(&mut self) -> Result<Step, ApiError> {
+        let above = self.assignment.take().map_or(Ballot::Home, |held| held.ballot);
+        self.bar(above).await
+    }
+
+    async fn bar(&mut self, above: Ballot) -> Result<Step, ApiError> {
+        self.assignment = None;
+        self.cleared = None;
+        match settle::bar(self.shared, &self.job, above).await? {
+            Settled::Run(ballot) => {
+                self.cleared = Some(ballot);
+                Ok(Step::Again)
+            }
+            Settled::Attach { executor, ran } => Box::pin(self.take_from(&executor, ran)).await,
+        }
+    }
+
+    /// Takes the answer from the executor that the key belongs to.
+    async fn take_from(&mut self, executor: &EndpointName, ran: bool) -> Result<Step, ApiError> {
+        let Some(endpoint) = self.shared.configuration.load().endpoint(executor) else {
+            return self.bar(Ballot::Home).await;
+        };
+        let until = self.shared.clock.now().plus(BEGIN_WAIT);
+        loop {
+            let mut open = OpenStream::new(self.shared, &endpoint, &self.job.key);
+            let mut reader = self.reader(&endpoint);
+            let end = reader.attach(&mut open, ATTACH_WAIT).await;
+            self.passed = reader.passed;
+            let not_here = matches!(end, StreamEnd::NotTaken(NotTaken::NotHere));
+            if not_here && ran {
+                return Err(unknown("the endpoint that ran it has forgotten it"));
+            }
+            if not_here && self.shared.clock.now() < until {
+                continue;
+            }
+            if not_here || (matches!(end, StreamEnd::Lost) && !ran) {
+                return self.bar(Ballot::Home).await;
+            }
+            return self.conclude(end, &Ballot::Home).await;
+        }
+    }
+
+    /// Orders the work at the place held, and reads its answer.
+    pub(crate) async fn order(
+        &mut self,
+        place: &mut HeldPlace,
+        ballot: Ballot,
+        work: Work,
+    ) -> Result<Step, ApiError> {
+        let endpoint = place.chosen.endpoint.clone();
+        let mut open = OpenStream::new(self.shared, &endpoint, &self.job.key);
+        let order = RunOrder {
+            reservation: place.reserved.id,
+            incarnation: place.reserved.incarnation,
+            key: self.job.key.clone(),
+            shared_key: self.job.shared_key,
+            ballot: ballot.clone(),
+            stream: open.name.clone(),
+            work,
+        };
+        place.ordered();
+        let mut reader = self.reader(&endpoint);
+        let end = reader.run(&order, &mut open).await;
+        self.passed = reader.passed;
+        self.conclude(end, &ballot).await
+    }
+
+    fn reader<'b>(&'b self, endpoint: &'b Endpoint) -> RunReader<'b> {
+        RunReader {
+            shared: self.shared,
+            endpoint,
+            key: &self.job.key,
+            tx: self.tx,
+            passed: self.passed,
+        }
+    }
+
+    /// What the end of a stream means for the request.
+    async fn conclude(&mut self, end: StreamEnd, ballot: &Ballot) -> Result<Step, ApiError> {
+        match end {
+            StreamEnd::Whole | StreamEnd::CallerGone => Ok(Step::Done),
+            StreamEnd::NothingRan | StreamEnd::NotTaken(NotTaken::Refused { .. }) => {
+                Ok(Step::Again)
+            }
+            StreamEnd::NotTaken(NotTaken::Barred { ballot: held }) => {
+                Box::pin(self.bar(held.max(ballot.clone()))).await
+            }
+            StreamEnd::NotTaken(NotTaken::InDoubt) if self.job.shared_key => {
+                Box::pin(self.bar(ballot.clone())).await
+            }
+            StreamEnd::NotTaken(NotTaken::InDoubt | NotTaken::TooOld) if !self.job.shared_key => {
+                self.job.key = mint_key()?;
+                Ok(Step::Again)
+            }
+            StreamEnd::NotTaken(NotTaken::TooOld) => Err(settle::too_old()),
+            StreamEnd::NotTaken(NotTaken::RanWithoutAnswer { ran }) => self.lost(Some(ran)).await,
+            StreamEnd::Failed(ran) => self.lost(Some(ran)).await,
+            StreamEnd::NotTaken(NotTaken::NotHere | NotTaken::InDoubt) | StreamEnd::Lost => {
+                self.lost(None).await
+            }
+        }
+    }
+
+    /// It ran, or may have run, and there is no answer: an idempotent request starts again where
+    /// its caller has seen nothing yet.
+    async fn lost(&mut self, ran: Option<Ran>) -> Result<Step, ApiError> {
+        let unseen = self.passed == 0 || self.restartable;
+        if !self.job.is_idempotent() || !unseen {
+            return Err(ran.map_or_else(|| unknown("its endpoint is gone"), answer_gone));
+        }
+        if self.passed > 0 {
+            self.tx.send(Ok(Part::Restart)).await.ok();
+            self.passed = 0;
+        }
+        if self.job.shared_key {
+            let above = self.assignment.take().map_or(Ballot::Home, |held| held.ballot);
+            return Box::pin(self.bar(above)).await;
+        }
+        self.job.key = mint_key()?;
+        Ok(Step::Again)
+    }
+}
+
+/// What became of asking for the right to run a key.
+#[derive(Debug)]
+pub(crate) enum Assigned {
+    /// The executor may run it, at this ballot.
+    Run(Ballot),
+    /// It was another's.
+    Elsewhere(Step),
+}
--- /dev/null
+++ b/crates/bulrushusher_entry/src/guards.rs
@@ -0,0 +1,79 @@
+//! What must be given back when a request ends, however it ends.
+
+use std::sync::Arc;
+
+use bulrushusher_routing::Chosen;
+use bulrushusher_wire::{CancelAsk, Reserved};
+use bulrushusher_world::{Endpoint, RequestKey};
+
+use crate::entry::Shared;
+
+/// A place held at an agent; released when dropped, unless its order was sent.
+pub(crate) struct HeldPlace {
+    shared: Arc<Shared>,
+    pub(crate) chosen: Chosen,
+    pub(crate) reserved: Reserved,
+    ordered: bool,
+}
+
+impl HeldPlace {
+    pub(crate) fn new(shared: &Arc<Shared>, chosen: Chosen, reserved: Reserved) -> HeldPlace {
+        shared.table.lock().sent(&chosen);
+        HeldPlace { shared: Arc::clone(shared), chosen, reserved, ordered: false }
+    }
+
+    /// The order for the place was sent: the agent frees it from now on.
+    pub(crate) fn ordered(&mut self) {
+        self.ordered = true;
+    }
+}
+
+impl Drop for HeldPlace {
+    fn drop(&mut self) {
+        self.shared.table.lock().done(&self.chosen);
+        if self.ordered {
+            return;
+        }
+        let (shared, id) = (Arc::clone(&self.shared), self.reserved.id);
+        let endpoint = self.chosen.endpoint.clone();
+        tokio::spawn(async move { shared.agents.release(&endpoint, id).await });
+    }
+}
+
+/// A stream open at an agent; given up when dropped before its end.
+pub(crate) struct OpenStream {
+    shared: Arc<Shared>,
+    endpoint: Endpoint,
+    key: RequestKey,
+    pub(crate) name: String,
+    ended: bool,
+}
+
+impl OpenStream {
+    pub(crate) fn new(shared: &Arc<Shared>, endpoint: &Endpoint, key: &RequestKey) -> OpenStream {
+        OpenStream {
+            shared: Arc::clone(shared),
+            endpoint: endpoint.clone(),
+            key: key.clone(),
+            name: shared.unique(),
+            ended: false,
+        }
+    }
+
+    /// The stream came to its end.
+    pub(crate) fn ended(&mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let shared = Arc::clone(&self.shared);
+        let endpoint = self.endpoint.clone();
+        let ask = CancelAsk { key: self.key.clone(), stream: self.name.clone() };
+        tokio::spawn(async move { shared.agents.cancel(&endpoint, ask).await });
+    }
+}
--- /dev/null
+++ b/crates/bulrushusher_entry/src/request.rs
@@ -0,0 +1,218 @@
+//! A caller's request, read and checked. Nothing is reserved anywhere before this has passed.
+
+use bulrushusher_time::Millis;
+use bulrushusher_wire::{ApiError, ErrorCode};
+use bulrushusher_world::{
+    ClassName, ClientAccountName, DeliverableClass, Patience, Repeat, RequestKey, ServiceName,
+};
+use serde::Deserialize;
+use uuid::Uuid;
+use warp::http::HeaderMap;
+
+use crate::configuration::Configuration;
+
+/// Header with the caller's idempotency key.
+pub const KEY_HEADER: &str = "idempotency-key";
+/// Header with the deliverable class.
+pub const CLASS_HEADER: &str = "x-bulrush-class";
+/// Header with the client account.
+pub const ACCOUNT_HEADER: &str = "x-bulrush-account";
+/// Header with the longest time to the whole answer, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-bulrush-deadline-ms";
+
+/// Tokens generated when the caller does not say.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+/// The most tokens a caller may ask for.
+const MAX_MAX_TOKENS: u32 = 65_536;
+
+/// What every request has in common.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    /// Its key.
+    pub(crate) key: RequestKey,
+    /// True when the caller chose the key, so that others may send it too.
+    pub(crate) shared_key: bool,
+    /// Its class.
+    pub(crate) class: DeliverableClass,
+    /// The account that sent it.
+    pub(crate) account: Option<ClientAccountName>,
+    /// The service that serves it.
+    pub(crate) service: ServiceName,
+    /// When it came.
+    pub(crate) arrived: Millis,
+    /// When it must have been answered.
+    pub(crate) deadline: Millis,
+}
+
+impl Job {
+    /// Time left, or the error of a request whose time is over before it ran.
+    pub(crate) fn time_left(&self, now: Millis) -> Result<Millis, ApiError> {
+        match self.deadline.since(now) {
+            Millis(0) => Err(ApiError::not_run(
+                ErrorCode::Deadline,
+                "the deadline came before the request could run",
+            )
+            .after(Millis(1_000))),
+            left => Ok(left),
+        }
+    }
+
+    /// True when it may run again after it may have run.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.class.repeat == Repeat::Idempotent
+    }
+
+    /// How urgent it is: the time from now within which its work should start.
+    pub(crate) fn start_within(&self, now: Millis) -> Millis {
+        /// Patient work is put after interactive work that comes up to this much later.
+        const PATIENT_ALLOWANCE: u64 = 2;
+        let aim = match self.class.patience {
+            Patience::Interactive => self.class.ttft,
+            Patience::Patient => Millis(self.class.ttft.0.saturating_mul(PATIENT_ALLOWANCE)),
+        };
+        self.arrived.plus(aim).since(now)
+    }
+}
+
+/// A prompt to complete.
+#[derive(Clone, Debug)]
+pub(crate) struct PromptJob {
+    pub(crate) job: Job,
+    pub(crate) prompt: String,
+    pub(crate) max_tokens: u32,
+    pub(crate) stream: bool,
+    pub(crate) chat: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    model: String,
+    prompt: String,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: Vec<ChatMessage>,
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    role: String,
+    content: String,
+}
+
+fn bad_json(e: &serde_json::Error) -> ApiError {
+    ApiError::not_run(ErrorCode::BadJson, e.to_string())
+}
+
+/// Reads a body of `/v1/completions` or `/v1/chat/completions`.
+pub(crate) fn read_prompt(
+    cfg: &Configuration,
+    headers: &HeaderMap,
+    body: &[u8],
+    chat: bool,
+    now: Millis,
+) -> Result<PromptJob, ApiError> {
+    let (model, prompt, max_tokens, stream) = if chat {
+        let body: ChatBody = serde_json::from_slice(body).map_err(|e| bad_json(&e))?;
+        let lines = body.messages.iter().map(|m| format!("{}: {}\n", m.role, m.content));
+        (body.model, lines.collect(), body.max_tokens, body.stream)
+    } else {
+        let body: CompletionBody = serde_json::from_slice(body).map_err(|e| bad_json(&e))?;
+        (body.model, body.prompt, body.max_tokens, body.stream)
+    };
+    let max_tokens = max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+    if max_tokens == 0 || max_tokens > MAX_MAX_TOKENS {
+        let message = format!("max_tokens is {max_tokens}; give 1 to {MAX_MAX_TOKENS}");
+        return Err(ApiError::not_run(ErrorCode::BadJson, message));
+    }
+    let service = ServiceName::try_from(model.as_str())
+        .map_err(|e| ApiError::not_run(ErrorCode::UnknownModel, e.to_string()))?;
+    if !cfg.serves_prompts(&service) {
+        let message = format!("no endpoints serve the model {service}");
+        return Err(ApiError::not_run(ErrorCode::UnknownModel, message));
+    }
+    let job = read_job(cfg, headers, service, now)?;
+    Ok(PromptJob { job, prompt, max_tokens, stream, chat })
+}
+
+/// Reads the headers of a request for `service`.
+pub(crate) fn read_job(
+    cfg: &Configuration,
+    headers: &HeaderMap,
+    service: ServiceName,
+    now: Millis,
+) -> Result<Job, ApiError> {
+    let class = match text_header(headers, CLASS_HEADER)? {
+        Some(text) => named_class(cfg, &service, text, now)?,
+        None => cfg.default_class(&service, now),
+    };
+    let account = match text_header(headers, ACCOUNT_HEADER)? {
+        Some(text) => Some(named_account(cfg, text)?),
+        None => None,
+    };
+    let (key, shared_key) = match text_header(headers, KEY_HEADER)? {
+        Some(text) => (RequestKey::try_from(text).map_err(|e| bad_header(KEY_HEADER, e))?, true),
+        None => (mint_key()?, false),
+    };
+    let longest = match text_header(headers, DEADLINE_HEADER)? {
+        Some(text) => read_deadline(text)?.min(class.deadline),
+        None => class.deadline,
+    };
+    Ok(Job { key, shared_key, class, account, service, arrived: now, deadline: now.plus(longest) })
+}
+
+/// A new key that nobody else knows.
+pub(crate) fn mint_key() -> Result<RequestKey, ApiError> {
+    RequestKey::try_from(Uuid::now_v7().to_string())
+        .map_err(|e| ApiError::not_run(ErrorCode::Internal, e.to_string()))
+}
+
+fn bad_header(name: &str, problem: impl std::fmt::Display) -> ApiError {
+    ApiError::not_run(ErrorCode::BadHeader, format!("{name}: {problem}"))
+}
+
+fn text_header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, ApiError> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    value.to_str().map(Some).map_err(|_| bad_header(name, "give visible ASCII characters"))
+}
+
+fn read_deadline(text: &str) -> Result<Millis, ApiError> {
+    match text.parse() {
+        Ok(ms) if ms > 0 => Ok(Millis(ms)),
+        Ok(_) | Err(_) => {
+            Err(bad_header(DEADLINE_HEADER, format!("`{text}` is not a number of ms above 0")))
+        }
+    }
+}
+
+fn named_class(
+    cfg: &Configuration,
+    service: &ServiceName,
+    text: &str,
+    now: Millis,
+) -> Result<DeliverableClass, ApiError> {
+    let name = ClassName::try_from(text).map_err(|e| bad_header(CLASS_HEADER, e))?;
+    cfg.class(service, &name, now).ok_or_else(|| {
+        let message = format!("no closing open for {service} has the class {name}");
+        ApiError::not_run(ErrorCode::UnknownClass, message)
+    })
+}
+
+fn named_account(cfg: &Configuration, text: &str) -> Result<ClientAccountName, ApiError> {
+    let name = ClientAccountName::try_from(text).map_err(|e| bad_header(ACCOUNT_HEADER, e))?;
+    match cfg.account(&name) {
+        Some(_) => Ok(name),
+        None => {
+            let message = format!("client account {name} is not configured");
+            Err(ApiError::not_run(ErrorCode::UnknownAccount, message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/bulrushusher_entry/src/run_stream.rs
@@ -0,0 +1,205 @@
+//! Reading a run's stream to its end, over as many connections as it takes.
+
+use std::sync::Arc;
+
+use bulrushusher_http::{HttpError, LineStream};
+use bulrushusher_once::Ran;
+use bulrushusher_time::Millis;
+use bulrushusher_wire::{AttachOrder, Frame, NotTaken, RunOrder};
+use bulrushusher_world::{Endpoint, RequestKey};
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+use crate::LOG;
+use crate::entry::Shared;
+use crate::guards::OpenStream;
+
+/// Pause before a lost stream is asked for again.
+const RESUME_PAUSE: Millis = Millis(100);
+/// How long an agent is asked to wait for a key to begin when a stream is resumed.
+const RESUME_WAIT: Millis = Millis(300);
+
+/// A part of an answer, on its way to the caller.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Part {
+    /// The next token.
+    Token(String),
+    /// A service's whole answer.
+    Whole { status: u16, content_type: String, body: Bytes },
+    /// What was sent so far is void; the answer starts again. Never sent to a streaming caller.
+    Restart,
+    /// All was sent.
+    End,
+}
+
+/// Where the parts of an answer go.
+pub(crate) type PartSender = mpsc::Sender<Result<Part, bulrushusher_wire::ApiError>>;
+
+/// How a stream ended.
+#[derive(Debug)]
+pub(crate) enum StreamEnd {
+    /// The whole answer was passed on.
+    Whole,
+    /// The agent did not take the order.
+    NotTaken(NotTaken),
+    /// Nothing ran: the KV cache or the service was gone.
+    NothingRan,
+    /// It ran and there is no whole answer.
+    Failed(Ran),
+    /// The agent does not answer any more, or has forgotten.
+    Lost,
+    /// The caller went away.
+    CallerGone,
+}
+
+/// Reads one key's answer from one agent.
+pub(crate) struct RunReader<'a> {
+    pub(crate) shared: &'a Arc<Shared>,
+    pub(crate) endpoint: &'a Endpoint,
+    pub(crate) key: &'a RequestKey,
+    pub(crate) tx: &'a PartSender,
+    /// Tokens passed on so far.
+    pub(crate) passed: u32,
+}
+
+/// Why one connection ended before the stream did.
+enum Interrupted {
+    Ended(StreamEnd),
+    Connection(HttpError),
+}
+
+impl From<HttpError> for Interrupted {
+    fn from(e: HttpError) -> Interrupted {
+        Interrupted::Connection(e)
+    }
+}
+
+impl RunReader<'_> {
+    /// Sends an order and reads its stream to the end.
+    pub(crate) async fn run(&mut self, order: &RunOrder, open: &mut OpenStream) -> StreamEnd {
+        match self.shared.agents.run(self.endpoint, order).await {
+            Ok(stream) => self.read(stream, open).await,
+            Err(e) if e.is_unsent() => StreamEnd::NothingRan,
+            Err(e) => {
+                log::info!("{LOG} order for {} has no answer: {e}", self.key);
+                // Long enough for an order that is still on its way to arrive or to be too late.
+                self.resume(open, self.shared.cfg.resume).await
+            }
+        }
+    }
+
+    /// Attaches to a key that runs or ran at the agent, and reads its stream to the end.
+    pub(crate) async fn attach(&mut self, open: &mut OpenStream, wait: Millis) -> StreamEnd {
+        match self.connect(open, wait).await {
+            Ok(stream) => self.read(stream, open).await,
+            Err(_) => self.resume(open, self.shared.cfg.resume).await,
+        }
+    }
+
+    async fn connect(&self, open: &mut OpenStream, wait: Millis) -> Result<LineStream, HttpError> {
+        let order = AttachOrder {
+            key: self.key.clone(),
+            stream: open.name.clone(),
+            from: self.passed,
+            wait_ms: wait.0,
+        };
+        self.shared.agents.attach(self.endpoint, &order).await
+    }
+
+    async fn read(&mut self, stream: LineStream, open: &mut OpenStream) -> StreamEnd {
+        match self.pass_on(stream).await {
+            Interrupted::Ended(end) => ended(end, open),
+            Interrupted::Connection(e) => {
+                log::info!("{LOG} stream of {} is resumed: {e}", self.key);
+                self.resume(open, self.shared.cfg.resume).await
+            }
+        }
+    }
+
+    /// Asks for the rest of the answer on new connections until the bound is over.
+    async fn resume(&mut self, open: &mut OpenStream, bound: Millis) -> StreamEnd {
+        let mut until = self.shared.clock.now().plus(bound);
+        while self.shared.clock.now() < until {
+            if self.tx.is_closed() {
+                return StreamEnd::CallerGone;
+            }
+            let had = self.passed;
+            if let Ok(stream) = self.connect(open, RESUME_WAIT).await {
+                match self.pass_on(stream).await {
+                    Interrupted::Ended(StreamEnd::NotTaken(NotTaken::NotHere)) => {}
+                    Interrupted::Ended(end) => return ended(end, open),
+                    Interrupted::Connection(_) if self.passed > had => {
+                        until = self.shared.clock.now().plus(bound);
+                    }
+                    Interrupted::Connection(_) => {}
+                }
+            }
+            tokio::time::sleep(RESUME_PAUSE.duration()).await;
+        }
+        StreamEnd::Lost
+    }
+
+    /// Passes frames on until the stream or its connection ends.
+    async fn pass_on(&mut self, mut stream: LineStream) -> Interrupted {
+        loop {
+            match self.next_part(&mut stream).await {
+                Ok(Some(part)) => {
+                    let is_end = matches!(part, Part::End | Part::Whole { .. });
+                    if self.tx.send(Ok(part)).await.is_err() {
+                        return Interrupted::Ended(StreamEnd::CallerGone);
+                    }
+                    if is_end {
+                        return Interrupted::Ended(StreamEnd::Whole);
+                    }
+                }
+                Ok(None) => {}
+                Err(interrupted) => return interrupted,
+            }
+        }
+    }
+
+    async fn next_part(&mut self, stream: &mut LineStream) -> Result<Option<Part>, Interrupted> {
+        let Some(frame) = stream.message::<Frame>().await? else {
+            let peer = self.endpoint.stream.to_string();
+            let cause = "the stream ended early".to_owned();
+            return Err(HttpError::Broken { peer, cause }.into());
+        };
+        match frame {
+            Frame::Beat => Ok(None),
+            Frame::Token { n, text } if n == self.passed => {
+                self.passed += 1;
+                Ok(Some(Part::Token(text)))
+            }
+            // Passed on already, on an earlier connection.
+            Frame::Token { n, .. } if n < self.passed => Ok(None),
+            Frame::End { tokens } if tokens == self.passed => Ok(Some(Part::End)),
+            Frame::Answer { status, content_type, len } => {
+                let body = stream.raw(len as usize).await?;
+                Ok(Some(Part::Whole { status, content_type, body }))
+            }
+            Frame::NotTaken(why) => Err(Interrupted::Ended(StreamEnd::NotTaken(why))),
+            Frame::KvGone => Err(Interrupted::Ended(StreamEnd::NothingRan)),
+            Frame::Failed { .. } => Err(Interrupted::Ended(StreamEnd::Failed(Ran::Failed))),
+            Frame::Token { .. }
+            | Frame::End { .. }
+            | Frame::Prefilled { .. }
+            | Frame::Exported
+            | Frame::Evicted => {
+                let peer = self.endpoint.stream.to_string();
+                let cause = "a frame is out of order".to_owned();
+                Err(HttpError::Codec { peer, cause }.into())
+            }
+        }
+    }
+}
+
+fn ended(end: StreamEnd, open: &mut OpenStream) -> StreamEnd {
+    match end {
+        StreamEnd::CallerGone | StreamEnd::Lost => {}
+        StreamEnd::Whole
+        | StreamEnd::NotTaken(_)
+        | StreamEnd::NothingRan
+        | StreamEnd::Failed(_) => open.ended(),
+    }
+    end
+}
--- a/crates/bulrushusher_http/src/client.rs
+++ b/crates/bulrushusher_http/src/client.rs
@@ -18,6 +18,8 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const POOL_IDLE: Duration = Duration::from_secs(30);
+/// The longest silence between two lines of an opened stream.
+const LINE_IDLE: Duration = Duration::from_secs(12);
 const MAX_ERROR_BODY: usize = 2 << 20;
 
 /// A whole answer.
@@ -31,6 +33,13 @@
     pub body: Bytes,
 }
 
+impl HttpReply {
+    /// A header as text; empty when it is missing or not text.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+}
+
 /// An HTTP/1.1 client with pooled connections. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -78,6 +87,22 @@
         }
     }
 
+    /// Makes a request of its parts and sends it as [`HttpClient::send`] does.
+    ///
+    /// # Errors
+    /// As [`HttpClient::send`]; [`HttpError::Codec`] for parts that make no request.
+    pub async fn call(
+        &self,
+        peer: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<HttpReply, HttpError> {
+        self.send(peer, parts_request(peer, method, path, headers, body)?, timeout).await
+    }
+
     /// Posts `message` as JSON and reads a JSON answer.
     ///
     /// # Errors
@@ -133,6 +158,29 @@
         Err(status_error(peer, status, &body))
     }
 
+    /// Makes a request of its parts and reads a success as lines. The head may take as long as it
+    /// takes; `LINE_IDLE` bounds the wait for each line.
+    ///
+    /// # Errors
+    /// As [`HttpClient::stream`].
+    pub async fn open(
+        &self,
+        peer: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: String,
+    ) -> Result<LineStream, HttpError> {
+        let req = parts_request(peer, method, path, headers, body.into())?;
+        let reply = self.begin(peer, req).await?;
+        if reply.status().is_success() {
+            return Ok(LineStream::new(peer, reply.into_body(), LINE_IDLE));
+        }
+        let status = reply.status();
+        let body = collect(peer, reply.into_body()).await?;
+        Err(status_error(peer, status, &body))
+    }
+
     async fn begin(
         &self,
         peer: SocketAddr,
@@ -163,6 +211,21 @@
         .map_err(|e| HttpError::Codec { peer: peer.to_string(), cause: e.to_string() })
 }
 
+fn parts_request(
+    peer: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, HttpError> {
+    let mut req = Request::builder().method(method).uri(format!("http://{peer}{path}"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    req.body(Full::new(body))
+        .map_err(|e| HttpError::Codec { peer: peer.to_string(), cause: e.to_string() })
+}
+
 fn json_request<T: Serialize>(
     peer: SocketAddr,
     path: &str,
--- a/crates/bulrushusher_http/src/lib.rs
+++ b/crates/bulrushusher_http/src/lib.rs
@@ -11,7 +11,7 @@
 pub use client::{HttpClient, HttpReply};
 pub use error::HttpError;
 pub use lines::LineStream;
-pub use listen::{bind, nodelay};
+pub use listen::{bind, nodelay, terminated};
 pub use serve::{
     Served, get_route, json_line, json_reply, json_status, post_route, reject_json, serve, stream_reply,
 };
--- a/crates/bulrushusher_http/src/listen.rs
+++ b/crates/bulrushusher_http/src/listen.rs
@@ -28,3 +28,15 @@
     stream.set_nodelay(true)?;
     Ok(stream)
 }
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+/// When the signal cannot be listened for.
+pub async fn terminated() -> std::io::Result<()> {
+    let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    tokio::select! {
+        _ = term.recv() => Ok(()),
+        interrupted = tokio::signal::ctrl_c() => interrupted,
+    }
+}
--- a/crates/bulrushusher_once/src/bar.rs
+++ b/crates/bulrushusher_once/src/bar.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_world::EndpointName;
 
-use crate::{Ballot, BarReply, Ran};
+use crate::{Ballot, BarReply, HomeBar, Ran};
 
 /// What a finished round tells.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,16 +23,32 @@
     TableFull,
 }
 
+/// What one agent answered to a bar.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// What it knows as an executor.
+    pub reply: BarReply,
+    /// What it knows as a home.
+    pub home: HomeBar,
+    /// The revision of the endpoint list that it holds.
+    pub revision: u64,
+}
+
 /// One round of a bar. Feed it each agent's reply; ask it for the verdict.
 ///
+/// The key's home does not execute it, so an unreachable home does not stop the round, as long as
+/// nothing hints that another list or another attempt was at work: every other agent holds the same
+/// list, none was barred before, and the key is younger than the list.
+///
 /// ```
-/// use bulrushusher_once::{Ballot, BarReply, BarRound, BarVerdict};
+/// use bulrushusher_once::{Ballot, BarReply, BarRound, BarVerdict, Heard, HomeBar};
 /// use bulrushusher_world::{EndpointName, EntryName};
 /// let entry = EntryName::try_from("entry-1").unwrap();
 /// let d1 = EndpointName::try_from("d1").unwrap();
-/// let mut round = BarRound::new(Ballot::Home.next(&entry, 1), 4, [d1.clone()]);
+/// let mut round = BarRound::new(Ballot::Home.next(&entry, 1), 4, [d1.clone()], None);
 /// assert_eq!(round.verdict(), None);
-/// round.reply(&d1, BarReply::Clean, 4);
+/// let reply = BarReply::Clean { earlier: None };
+/// round.reply(&d1, Heard { reply, home: HomeBar::NotGiven, revision: 4 });
 /// assert_eq!(round.verdict(), Some(BarVerdict::Clear));
 /// ```
 #[derive(Debug)]
@@ -40,29 +56,39 @@
     ballot: Ballot,
     revision: u64,
     awaited: BTreeSet<EndpointName>,
+    idle_home: Option<EndpointName>,
+    home_lost: bool,
+    hints: bool,
     ran: Option<(EndpointName, Ran)>,
+    given: BTreeSet<EndpointName>,
+    lost: BTreeSet<EndpointName>,
     higher: Option<Ballot>,
     later_list: Option<u64>,
-    unknown: bool,
     table_full: bool,
 }
 
 impl BarRound {
     /// A round at `ballot`, by the list of `revision`, that awaits every agent in `agents`: all
-    /// that may have run the key within the retry horizon.
+    /// that may have run the key within the retry horizon. `idle_home` is the key's home, where the
+    /// key is younger than the list and another endpoint could have run it; else `None`.
     pub fn new(
         ballot: Ballot,
         revision: u64,
         agents: impl IntoIterator<Item = EndpointName>,
+        idle_home: Option<EndpointName>,
     ) -> BarRound {
         BarRound {
             ballot,
             revision,
             awaited: agents.into_iter().collect(),
+            idle_home,
+            home_lost: false,
+            hints: false,
             ran: None,
+            given: BTreeSet::new(),
+            lost: BTreeSet::new(),
             higher: None,
             later_list: None,
-            unknown: false,
             table_full: false,
         }
     }
@@ -72,45 +98,60 @@
         &self.ballot
     }
 
-    /// An agent that holds the list of `revision` answered. A second answer is ignored.
-    pub fn reply(&mut self, agent: &EndpointName, reply: BarReply, revision: u64) {
+    /// An agent answered. A second answer is ignored.
+    pub fn reply(&mut self, agent: &EndpointName, heard: Heard) {
         if !self.awaited.remove(agent) {
             return;
         }
-        if revision > self.revision {
-            self.later_list = self.later_list.max(Some(revision));
+        if heard.revision != self.revision {
+            self.hints = true;
         }
-        match reply {
-            BarReply::Clean => {}
-            BarReply::Ran(ran) => self.ran = Some((agent.clone(), ran)),
-            BarReply::CannotSay => self.unknown = true,
+        if heard.revision > self.revision {
+            self.later_list = self.later_list.max(Some(heard.revision));
+        }
+        if let HomeBar::Given(executor) = heard.home {
+            self.given.insert(executor);
+        }
+        match heard.reply {
+            BarReply::Clean { earlier } => self.hints |= earlier.is_some(),
+            BarReply::Ran(ran) => self.note_run(agent, ran),
+            BarReply::CannotSay => drop(self.lost.insert(agent.clone())),
             BarReply::Higher(ballot) => self.higher = self.higher.take().max(Some(ballot)),
             BarReply::TableFull => self.table_full = true,
         }
     }
 
-    /// An agent could not be reached within the bound. It may have run the key.
+    /// An agent could not be reached within the bound.
     pub fn unreachable(&mut self, agent: &EndpointName) {
-        if self.awaited.remove(agent) {
-            self.unknown = true;
+        if !self.awaited.remove(agent) {
+            return;
+        }
+        if self.idle_home.as_ref() == Some(agent) {
+            self.home_lost = true;
+        } else {
+            self.lost.insert(agent.clone());
         }
     }
 
-    /// What is known once all have answered, and as soon as one says that the key ran.
+    /// What is known once all have answered, and as soon as one has an answer to attach to.
     pub fn verdict(&self) -> Option<BarVerdict> {
-        if let Some((agent, ran)) = &self.ran {
-            return Some(BarVerdict::Ran(agent.clone(), *ran));
+        let ran = self.ran.clone().map(|(agent, ran)| BarVerdict::Ran(agent, ran));
+        if let Some(BarVerdict::Ran(_, Ran::Running | Ran::Finished)) = ran {
+            return ran;
         }
         if !self.awaited.is_empty() {
             return None;
         }
+        if ran.is_some() {
+            return ran;
+        }
         if let Some(revision) = self.later_list {
             return Some(BarVerdict::OldList(revision));
         }
         if let Some(ballot) = &self.higher {
             return Some(BarVerdict::Higher(ballot.clone()));
         }
-        if self.unknown {
+        if !self.lost.is_empty() || (self.home_lost && self.home_may_have_run()) {
             return Some(BarVerdict::Unknown);
         }
         if self.table_full {
@@ -118,4 +159,18 @@
         }
         Some(BarVerdict::Clear)
     }
+
+    /// Keeps the most useful of several runs: one with an answer. (Several are possible only for
+    /// keys that may run again.)
+    fn note_run(&mut self, agent: &EndpointName, ran: Ran) {
+        let has_answer = |ran: Ran| matches!(ran, Ran::Running | Ran::Finished);
+        if self.ran.as_ref().is_none_or(|(_, held)| !has_answer(*held)) {
+            self.ran = Some((agent.clone(), ran));
+        }
+    }
+
+    fn home_may_have_run(&self) -> bool {
+        let given_to_home = self.idle_home.as_ref().is_some_and(|home| self.given.contains(home));
+        self.hints || given_to_home
+    }
 }
--- a/crates/bulrushusher_once/src/executor.rs
+++ b/crates/bulrushusher_once/src/executor.rs
@@ -63,7 +63,11 @@
 #[serde(rename_all = "snake_case")]
 pub enum BarReply {
     /// Never ran here, and will not at a lower ballot.
-    Clean,
+    Clean {
+        /// The lower ballot that was promised before, if any: its owner may have run the key
+        /// elsewhere.
+        earlier: Option<Ballot>,
+    },
     /// Ran or runs here.
     Ran(Ran),
     /// Will not run at a lower ballot from now on, but may have run before this agent's memory.
@@ -107,6 +111,7 @@
     by_age: VecDeque<(Millis, RequestKey)>,
     answers: VecDeque<RequestKey>,
     answer_bytes: usize,
+    dropped: Vec<RequestKey>,
 }
 
 impl ExecutorTable {
@@ -118,6 +123,7 @@
             by_age: VecDeque::new(),
             answers: VecDeque::new(),
             answer_bytes: 0,
+            dropped: Vec::new(),
         }
     }
 
@@ -155,28 +161,46 @@
                 BarReply::Higher(held.clone())
             }
             Some(State::Barred { ballot: held, vouched }) => {
-                *held = ballot.clone();
-                if *vouched { BarReply::Clean } else { BarReply::CannotSay }
+                let before = std::mem::replace(held, ballot.clone());
+                let earlier = (before != *ballot).then_some(before);
+                if *vouched { BarReply::Clean { earlier } } else { BarReply::CannotSay }
             }
             None => self.bar_unseen(key, ballot, now),
         }
     }
 
-    /// A running key finished with an answer of `bytes`. Returns the keys whose answers must be
-    /// dropped to keep the bound.
-    pub fn finish(&mut self, key: &RequestKey, bytes: usize) -> Vec<RequestKey> {
+    /// A running key finished with an answer of `bytes`. The oldest answers are dropped to keep
+    /// the bound; see [`ExecutorTable::take_dropped`].
+    pub fn finish(&mut self, key: &RequestKey, bytes: usize) {
         if !self.set_ran(key, Ran::Finished, bytes) {
-            return Vec::new();
+            return;
         }
         self.answers.push_back(key.clone());
         self.answer_bytes += bytes;
-        let mut dropped = Vec::new();
         while self.answer_bytes > self.cfg.max_answer_bytes {
-            let Some(oldest) = self.answers.pop_front() else { break };
+            let Some(oldest) = self.answers.pop_front() else { return };
             self.forget_answer(&oldest);
-            dropped.push(oldest);
+            self.dropped.push(oldest);
+        }
+    }
+
+    /// Keys whose answers need not be held any more, since the last call.
+    pub fn take_dropped(&mut self) -> Vec<RequestKey> {
+        std::mem::take(&mut self.dropped)
+    }
+
+    /// A key recorded as running certainly did not begin: it may be ordered again. The ballot it
+    /// was ordered at stays promised.
+    pub fn not_begun(&mut self, key: &RequestKey, ballot: &Ballot) {
+        let Some(record) = self.records.get_mut(key) else { return };
+        if !matches!(record.state, State::Ran { ran: Ran::Running, .. }) {
+            return;
+        }
+        if *ballot == Ballot::Home {
+            self.records.remove(key);
+        } else {
+            record.state = State::Barred { ballot: ballot.clone(), vouched: true };
         }
-        dropped
     }
 
     /// A running key ended without an answer: [`Ran::Cancelled`] or [`Ran::Failed`].
@@ -217,7 +241,7 @@
         }
         let vouched = self.cfg.vouch.age(key_time(key), now) == KeyAge::Vouched;
         self.insert(key, State::Barred { ballot: ballot.clone(), vouched }, now);
-        if vouched { BarReply::Clean } else { BarReply::CannotSay }
+        if vouched { BarReply::Clean { earlier: None } } else { BarReply::CannotSay }
     }
 
     fn run(&mut self, key: &RequestKey, now: Millis) -> OrderReply {
@@ -281,6 +305,7 @@
         self.forget_answer(key);
         self.records.remove(key);
         self.answers.retain(|held| held != key);
+        self.dropped.push(key.clone());
     }
 
     fn insert_again(&mut self, key: &RequestKey, now: Millis) {
--- a/crates/bulrushusher_once/src/home.rs
+++ b/crates/bulrushusher_once/src/home.rs
@@ -4,6 +4,7 @@
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::{EndpointName, RequestKey};
+use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
 use crate::{KeyAge, Vouch, home_of, key_time};
@@ -41,6 +42,21 @@
     TableFull,
 }
 
+/// What a barred home tells.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HomeBar {
+    /// The key was given to that executor before.
+    Given(EndpointName),
+    /// The key was not given to anyone by this home, and will not be.
+    NotGiven,
+}
+
+/// The table is at its bound.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("the table of keys is full; come back later")]
+pub struct TableFull;
+
 /// One revision of the endpoint list of a service, as far as homes go.
 #[derive(Clone, Debug, Default)]
 struct List {
@@ -55,14 +71,35 @@
     unacknowledged: Vec<EndpointName>,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Claim {
+    /// The key was given to that executor.
+    Given(EndpointName),
+    /// The key was barred before it was given to anyone.
+    Barred,
+}
+
 /// Which executor each key was given to.
+///
+/// ```
+/// use bulrushusher_once::{ClaimReply, HomeConfig, HomeTable, Vouch};
+/// use bulrushusher_time::Millis;
+/// use bulrushusher_world::{EndpointName, RequestKey};
+/// let name = |text| EndpointName::try_from(text).unwrap();
+/// let vouch = Vouch { since: Millis(0), skew: Millis(10), horizon: Millis(1_000) };
+/// let mut home = HomeTable::new(name("d1"), HomeConfig { max_records: 10, vouch });
+/// home.set_list(1, vec![name("d1")], Millis(0));
+/// let key = RequestKey::try_from("order-7").unwrap();
+/// assert_eq!(home.claim(&key, &name("d2"), 1, Millis(5_000)), ClaimReply::Recorded);
+/// assert_eq!(home.claim(&key, &name("d3"), 1, Millis(5_001)), ClaimReply::Held(name("d2")));
+/// ```
 #[derive(Debug)]
 pub struct HomeTable {
     cfg: HomeConfig,
     me: EndpointName,
     list: List,
     earlier: Vec<EarlierList>,
-    records: HashMap<RequestKey, EndpointName>,
+    records: HashMap<RequestKey, Claim>,
     by_age: VecDeque<(Millis, RequestKey)>,
 }
 
@@ -134,12 +171,11 @@
         now: Millis,
     ) -> ClaimReply {
         self.drop_old(now);
-        if let Some(held) = self.records.get(key) {
-            return if held == executor {
-                ClaimReply::Recorded
-            } else {
-                ClaimReply::Held(held.clone())
-            };
+        match self.records.get(key) {
+            Some(Claim::Given(held)) if held == executor => return ClaimReply::Recorded,
+            Some(Claim::Given(held)) => return ClaimReply::Held(held.clone()),
+            Some(Claim::Barred) => return ClaimReply::InDoubt,
+            None => {}
         }
         let is_home = home_of(key, &self.list.endpoints) == Some(&self.me);
         if revision != self.list.revision || !is_home {
@@ -151,7 +187,24 @@
         match self.cfg.vouch.age(key_time(key), now) {
             KeyAge::InDoubt => ClaimReply::InDoubt,
             KeyAge::TooOld => ClaimReply::TooOld,
-            KeyAge::Vouched => self.record(key, executor, now),
+            KeyAge::Vouched => match self.record(key, Claim::Given(executor.clone()), now) {
+                true => ClaimReply::Recorded,
+                false => ClaimReply::TableFull,
+            },
+        }
+    }
+
+    /// A key is barred: from now on it is given to nobody by a claim.
+    ///
+    /// # Errors
+    /// [`TableFull`] when that cannot be put on record.
+    pub fn bar(&mut self, key: &RequestKey, now: Millis) -> Result<HomeBar, TableFull> {
+        self.drop_old(now);
+        match self.records.get(key).cloned() {
+            Some(Claim::Given(executor)) => Ok(HomeBar::Given(executor)),
+            Some(Claim::Barred) => Ok(HomeBar::NotGiven),
+            None if self.record(key, Claim::Barred, now) => Ok(HomeBar::NotGiven),
+            None => Err(TableFull),
         }
     }
 
@@ -173,13 +226,14 @@
         self.earlier.iter().any(other_home)
     }
 
-    fn record(&mut self, key: &RequestKey, executor: &EndpointName, now: Millis) -> ClaimReply {
+    /// Puts `claim` on record; false when the table is full.
+    fn record(&mut self, key: &RequestKey, claim: Claim, now: Millis) -> bool {
         if self.records.len() >= self.cfg.max_records {
-            return ClaimReply::TableFull;
+            return false;
         }
-        self.records.insert(key.clone(), executor.clone());
+        self.records.insert(key.clone(), claim);
         self.by_age.push_back((now, key.clone()));
-        ClaimReply::Recorded
+        true
     }
 
     fn drop_old(&mut self, now: Millis) {
--- a/crates/bulrushusher_once/src/lib.rs
+++ b/crates/bulrushusher_once/src/lib.rs
@@ -18,9 +18,9 @@
 mod vouch;
 
 pub use ballot::Ballot;
-pub use bar::{BarRound, BarVerdict};
+pub use bar::{BarRound, BarVerdict, Heard};
 pub use executor::{BarReply, ExecutorConfig, ExecutorTable, OrderReply, Ran};
-pub use home::{ClaimReply, HomeConfig, HomeTable};
+pub use home::{ClaimReply, HomeBar, HomeConfig, HomeTable, TableFull};
 pub use rendezvous::{home_of, rank};
 pub use vouch::{KeyAge, Vouch, key_time};
 
--- a/crates/bulrushusher_routing/src/lib.rs
+++ b/crates/bulrushusher_routing/src/lib.rs
@@ -1,1 +1,29 @@
-//! An entry's decisions: pairing, affinity, limits, retry budget.
+//! An entry's decisions: which runners, when to refuse early, limits, retry budgets.
+//!
+//! Nothing here does I/O or reads a clock; randomness is seeded from outside. An entry feeds a
+//! [`PairingTable`] with the endpoints in force and what it hears of their load, and asks it for a
+//! pair of runners per request.
+
+mod limits;
+mod load;
+mod pairing;
+mod policy;
+mod prefix;
+mod retry;
+
+pub use limits::{AccountLimits, LimitsConfig, OverLimit};
+pub use load::LoadHint;
+pub use pairing::{
+    Chosen, NotPlaced, Pairing, PairingConfig, PairingTable, PromptRequest, ServiceRequest,
+};
+pub use policy::Policy;
+pub use prefix::{PrefixConfig, PrefixIndex};
+pub use retry::{RetryBudget, RetryConfig};
+
+/// The common types in one `use`.
+pub mod prelude {
+    pub use crate::{
+        AccountLimits, LimitsConfig, LoadHint, NotPlaced, Pairing, PairingConfig, PairingTable,
+        Policy, PromptRequest, RetryBudget, RetryConfig, ServiceRequest,
+    };
+}
--- /dev/null
+++ b/crates/bulrushusher_routing/src/pairing.rs
@@ -0,0 +1,363 @@
+//! Which runners a request goes to.
+
+use std::collections::HashMap;
+
+use bulrushusher_time::Millis;
+use bulrushusher_world::{Endpoint, EndpointName, Role, ServiceName};
+use derive_more::{Display, Error};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{LoadHint, Policy, PrefixConfig, PrefixIndex};
+
+/// How runners are chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct PairingConfig {
+    /// The policy.
+    pub policy: Policy,
+    /// Runners looked at per choice.
+    pub choices: usize,
+    /// Half-life of what was heard of a runner's load.
+    pub hint_half_life: Millis,
+    /// A runner with the prefix cached is taken while its load is at most this much above the best
+    /// other choice, in requests per place.
+    pub affinity_slack: f64,
+    /// Fewest cached blocks for which a runner is preferred.
+    pub affinity_min_blocks: usize,
+    /// Bounds of the prefix index.
+    pub prefix: PrefixConfig,
+    /// Seed of the choices.
+    pub seed: u64,
+}
+
+impl Default for PairingConfig {
+    fn default() -> PairingConfig {
+        PairingConfig {
+            policy: Policy::Paired,
+            choices: 4,
+            hint_half_life: Millis(2_000),
+            affinity_slack: 0.5,
+            affinity_min_blocks: 1,
+            prefix: PrefixConfig::default(),
+            seed: 1,
+        }
+    }
+}
+
+/// A prompt to place.
+#[derive(Clone, Debug)]
+pub struct PromptRequest<'a> {
+    /// The service, which is the model's pool.
+    pub service: &'a ServiceName,
+    /// Chained hashes of the prompt's whole blocks.
+    pub blocks: &'a [u64],
+    /// Endpoints that must not be chosen: the key's home, and those that just refused.
+    pub excluded: &'a [EndpointName],
+}
+
+/// A plain service call to place.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Endpoints that must not be chosen.
+    pub excluded: &'a [EndpointName],
+}
+
+/// A runner chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chosen {
+    /// The runner.
+    pub endpoint: Endpoint,
+    /// Where the table holds it; for [`PairingTable::sent`] and [`PairingTable::done`].
+    pub slot: usize,
+}
+
+/// A pair of runners.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pairing {
+    /// Computes the prompt.
+    pub prefill: Chosen,
+    /// Generates the tokens.
+    pub decode: Chosen,
+}
+
+/// Why no runner was chosen. Nothing was run.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum NotPlaced {
+    /// The service has no endpoint at all.
+    #[display("service {service} has no endpoint; configure one, the request was not run")]
+    UnknownService {
+        /// The service.
+        service: ServiceName,
+    },
+    /// Every endpoint of that role is leaving or excluded.
+    #[display("no {role} endpoint of {service} takes work now; come back, the request was not run")]
+    NoneAvailable {
+        /// The service.
+        service: ServiceName,
+        /// The role.
+        role: Role,
+    },
+}
+
+#[derive(Debug)]
+struct Slot {
+    endpoint: Endpoint,
+    hint: LoadHint,
+    listed: bool,
+}
+
+/// The endpoints in force, what is believed of their load, and the choice among them.
+///
+/// ```
+/// use bulrushusher_routing::{PairingConfig, PairingTable, ServiceRequest};
+/// use bulrushusher_time::Millis;
+/// use bulrushusher_world::{Endpoint, RawEndpoint, ServiceName};
+/// let raw = RawEndpoint {
+///     name: "pass-1".into(), service: "pass-desk".into(), role: "service".into(),
+///     data_centre: "chag".into(), control: "127.0.0.1:1".into(), stream: "127.0.0.1:2".into(),
+///     ..RawEndpoint::default()
+/// };
+/// let mut table = PairingTable::new(PairingConfig::default());
+/// table.set_endpoints(vec![Endpoint::try_from(raw).unwrap()]);
+/// let service = ServiceName::try_from("pass-desk").unwrap();
+/// let req = ServiceRequest { service: &service, excluded: &[] };
+/// assert_eq!(table.choose_service(&req, Millis(0)).unwrap().endpoint.name.as_str(), "pass-1");
+/// ```
+#[derive(Debug)]
+pub struct PairingTable {
+    cfg: PairingConfig,
+    slots: Vec<Slot>,
+    by_name: HashMap<EndpointName, usize>,
+    pools: HashMap<(ServiceName, Role), Vec<usize>>,
+    turns: HashMap<(ServiceName, Role), usize>,
+    prefixes: PrefixIndex,
+    rng: ChaCha8Rng,
+}
+
+impl PairingTable {
+    /// A table without endpoints.
+    pub fn new(cfg: PairingConfig) -> PairingTable {
+        PairingTable {
+            cfg,
+            slots: Vec::new(),
+            by_name: HashMap::new(),
+            pools: HashMap::new(),
+            turns: HashMap::new(),
+            prefixes: PrefixIndex::new(cfg.prefix),
+            rng: ChaCha8Rng::seed_from_u64(cfg.seed),
+        }
+    }
+
+    /// The endpoints in force. What is known of the load of those that stay is kept.
+    pub fn set_endpoints(&mut self, endpoints: Vec<Endpoint>) {
+        for slot in &mut self.slots {
+            slot.listed = false;
+        }
+        for endpoint in endpoints {
+            match self.by_name.get(&endpoint.name) {
+                Some(at) => {
+                    self.slots[*at].endpoint = endpoint;
+                    self.slots[*at].listed = true;
+                }
+                None => {
+                    self.by_name.insert(endpoint.name.clone(), self.slots.len());
+                    let hint = LoadHint::default();
+                    self.slots.push(Slot { endpoint, hint, listed: true });
+                }
+            }
+        }
+        self.rebuild_pools();
+    }
+
+    /// True when the service has any endpoint of that role, leaving or not.
+    pub fn has(&self, service: &ServiceName, role: Role) -> bool {
+        let of = |slot: &Slot| slot.endpoint.service == *service && slot.endpoint.role == role;
+        self.slots.iter().any(|slot| slot.listed && of(slot))
+    }
+
+    /// Every endpoint listed, with its load hint.
+    pub fn endpoints(&self) -> impl Iterator<Item = (&Endpoint, &LoadHint)> {
+        let listed = self.slots.iter().filter(|slot| slot.listed);
+        listed.map(|slot| (&slot.endpoint, &slot.hint))
+    }
+
+    /// Places a prompt.
+    ///
+    /// # Errors
+    /// [`NotPlaced`] when a pool is missing or takes no work.
+    pub fn choose(&mut self, req: &PromptRequest, now: Millis) -> Result<Pairing, NotPlaced> {
+        let prefill = self.choose_prefill(req, now)?;
+        let decode = self.choose_decode(req, now)?;
+        Ok(Pairing { prefill, decode })
+    }
+
+    /// Chooses the runner that computes a prompt.
+    ///
+    /// # Errors
+    /// As [`PairingTable::choose`].
+    pub fn choose_prefill(
+        &mut self,
+        req: &PromptRequest,
+        now: Millis,
+    ) -> Result<Chosen, NotPlaced> {
+        let best = self.pick(req.service, Role::Prefill, req.excluded, now)?;
+        let at = match self.cfg.policy {
+            Policy::RoundRobin | Policy::LeastLoaded => best,
+            Policy::PrefillFirst | Policy::Paired => self.with_affinity(req, best, now),
+        };
+        Ok(self.chosen(at))
+    }
+
+    /// Chooses the runner that generates the tokens.
+    ///
+    /// # Errors
+    /// As [`PairingTable::choose`].
+    pub fn choose_decode(&mut self, req: &PromptRequest, now: Millis) -> Result<Chosen, NotPlaced> {
+        let at = self.pick(req.service, Role::Decode, req.excluded, now)?;
+        Ok(self.chosen(at))
+    }
+
+    /// Places a plain service call.
+    ///
+    /// # Errors
+    /// As [`PairingTable::choose`].
+    pub fn choose_service(
+        &mut self,
+        req: &ServiceRequest,
+        now: Millis,
+    ) -> Result<Chosen, NotPlaced> {
+        let at = self.pick(req.service, Role::Service, req.excluded, now)?;
+        Ok(self.chosen(at))
+    }
+
+    /// A runner told its load; `hint.own` and `hint.own_since` are ignored.
+    pub fn hear(&mut self, endpoint: &EndpointName, hint: LoadHint) {
+        let Some(at) = self.by_name.get(endpoint) else { return };
+        let held = &mut self.slots[*at].hint;
+        *held = LoadHint { own: held.own, own_since: 0, engine_load: held.engine_load, ..hint };
+    }
+
+    /// A runner told what its engine reports.
+    pub fn hear_engine(&mut self, endpoint: &EndpointName, engine_load: u32) {
+        if let Some(at) = self.by_name.get(endpoint) {
+            self.slots[*at].hint.engine_load = engine_load;
+        }
+    }
+
+    /// A request was sent to a chosen runner.
+    pub fn sent(&mut self, chosen: &Chosen) {
+        let hint = &mut self.slots[chosen.slot].hint;
+        hint.own += 1;
+        hint.own_since += 1;
+    }
+
+    /// A request sent to a chosen runner is over there.
+    pub fn done(&mut self, chosen: &Chosen) {
+        let hint = &mut self.slots[chosen.slot].hint;
+        hint.own = hint.own.saturating_sub(1);
+        hint.own_since = hint.own_since.saturating_sub(1);
+    }
+
+    /// A runner computed a prompt's blocks.
+    pub fn computed(&mut self, chosen: &Chosen, blocks: &[u64]) {
+        self.prefixes.note(blocks, chosen.slot);
+    }
+
+    fn rebuild_pools(&mut self) {
+        self.pools.clear();
+        for (at, slot) in self.slots.iter().enumerate() {
+            if slot.listed && !slot.endpoint.leaving {
+                let pool = (slot.endpoint.service.clone(), slot.endpoint.role);
+                self.pools.entry(pool).or_default().push(at);
+            }
+        }
+    }
+
+    fn chosen(&self, at: usize) -> Chosen {
+        Chosen { endpoint: self.slots[at].endpoint.clone(), slot: at }
+    }
+
+    fn pick(
+        &mut self,
+        service: &ServiceName,
+        role: Role,
+        excluded: &[EndpointName],
+        now: Millis,
+    ) -> Result<usize, NotPlaced> {
+        let key = (service.clone(), role);
+        let pool = match self.pools.get(&key) {
+            Some(pool) => pool,
+            None if self.has(service, role) => &Vec::new(),
+            None => return Err(NotPlaced::UnknownService { service: service.clone() }),
+        };
+        let allowed = |at: &usize| !excluded.contains(&self.slots[*at].endpoint.name);
+        let none = NotPlaced::NoneAvailable { service: service.clone(), role };
+        if !pool.iter().any(allowed) {
+            return Err(none);
+        }
+        let picked = match self.cfg.policy {
+            Policy::RoundRobin => {
+                let turn = self.turns.entry(key).or_default();
+                let order = (0..pool.len()).map(|step| pool[(*turn + step) % pool.len()]);
+                let picked = order.into_iter().find(allowed);
+                *turn += 1;
+                picked
+            }
+            Policy::LeastLoaded => {
+                let load = |at: &usize| self.slots[*at].hint.engine_load;
+                pool.iter().copied().filter(allowed).min_by_key(load)
+            }
+            Policy::PrefillFirst | Policy::Paired => {
+                let fullness =
+                    |at: usize| self.slots[at].hint.fullness(now, self.cfg.hint_half_life);
+                few_choices(pool, self.cfg.choices, &mut self.rng)
+                    .filter(allowed)
+                    .map(|at| (fullness(at), at))
+                    .min_by(|a, b| a.0.total_cmp(&b.0))
+                    .map(|(_, at)| at)
+                    .or_else(|| pool.iter().copied().find(allowed))
+            }
+        };
+        picked.ok_or(none)
+    }
+
+    /// The runner with the prompt's prefix cached, unless it is loaded too far beyond `best`.
+    fn with_affinity(&self, req: &PromptRequest, best: usize, now: Millis) -> usize {
+        let Some((at, length)) = self.prefixes.find(req.blocks) else { return best };
+        let slot = &self.slots[at];
+        let usable = slot.listed
+            && !slot.endpoint.leaving
+            && slot.endpoint.role == Role::Prefill
+            && slot.endpoint.service == *req.service
+            && !req.excluded.contains(&slot.endpoint.name);
+        if !usable || length < self.cfg.affinity_min_blocks {
+            return best;
+        }
+        let fullness = |at: usize| self.slots[at].hint.fullness(now, self.cfg.hint_half_life);
+        let allowed = fullness(best) + self.cfg.affinity_slack;
+        if fullness(at) <= allowed { at } else { best }
+    }
+}
+
+/// A few members of a pool: all when there are no more than `choices`, else a random run of
+/// distinct ones starting anywhere, with a random stride.
+fn few_choices(
+    pool: &[usize],
+    choices: usize,
+    rng: &mut ChaCha8Rng,
+) -> impl Iterator<Item = usize> {
+    let len = pool.len();
+    let count = choices.max(1).min(len);
+    let start = rng.random_range(0..len);
+    let stride = if len > 1 { rng.random_range(1..len) } else { 1 };
+    let mut seen: Vec<usize> = Vec::with_capacity(count);
+    for step in 0..count {
+        let at = pool[(start + step * stride) % len];
+        if !seen.contains(&at) {
+            seen.push(at);
+        }
+    }
+    seen.into_iter()
+}
--- /dev/null
+++ b/crates/bulrushusher_routing/src/prefix.rs
@@ -0,0 +1,65 @@
+//! Which runner is likely to have a prompt's prefix cached. Only a hint, and bounded.
+
+use std::collections::{HashMap, VecDeque};
+
+/// Bounds of the index.
+#[derive(Clone, Copy, Debug)]
+pub struct PrefixConfig {
+    /// Blocks remembered; the oldest go first.
+    pub max_blocks: usize,
+}
+
+impl Default for PrefixConfig {
+    fn default() -> PrefixConfig {
+        PrefixConfig { max_blocks: 16_384 }
+    }
+}
+
+/// Remembers which runner computed a block last.
+///
+/// ```
+/// use bulrushusher_routing::{PrefixConfig, PrefixIndex};
+/// let mut index = PrefixIndex::new(PrefixConfig::default());
+/// index.note(&[1, 2, 3], 7);
+/// assert_eq!(index.find(&[1, 2, 9]), Some((7, 2)));
+/// assert_eq!(index.find(&[9]), None);
+/// ```
+#[derive(Debug)]
+pub struct PrefixIndex {
+    cfg: PrefixConfig,
+    runners: HashMap<u64, usize>,
+    order: VecDeque<u64>,
+}
+
+impl PrefixIndex {
+    /// An empty index.
+    pub fn new(cfg: PrefixConfig) -> PrefixIndex {
+        PrefixIndex { cfg, runners: HashMap::new(), order: VecDeque::new() }
+    }
+
+    /// The runner that computed the longest known prefix of `blocks`, and its length in blocks.
+    /// Blocks are chained hashes: each covers all before it.
+    pub fn find(&self, blocks: &[u64]) -> Option<(usize, usize)> {
+        let known = blocks.iter().rposition(|block| self.runners.contains_key(block))?;
+        Some((self.runners[&blocks[known]], known + 1))
+    }
+
+    /// `runner` computed `blocks`.
+    pub fn note(&mut self, blocks: &[u64], runner: usize) {
+        for block in blocks {
+            if self.runners.insert(*block, runner).is_none() {
+                self.order.push_back(*block);
+            }
+        }
+        while self.order.len() > self.cfg.max_blocks {
+            let Some(oldest) = self.order.pop_front() else { return };
+            self.runners.remove(&oldest);
+        }
+    }
+
+    /// Forgets everything, as the numbering of the runners changed.
+    pub fn clear(&mut self) {
+        self.runners.clear();
+        self.order.clear();
+    }
+}
--- a/crates/bulrushusher_standin/src/lib.rs
+++ b/crates/bulrushusher_standin/src/lib.rs
@@ -4,7 +4,7 @@
 //! HTTP/JSON. The engine and the service keep their own count of runs per request key, independent
 //! of the router's code: that count is the oracle of the tests.
 
-pub mod deployment;
+pub mod caller;
 pub mod engine;
 pub mod load;
 pub mod prompt;
--- a/crates/bulrushusher_wire/src/control.rs
+++ b/crates/bulrushusher_wire/src/control.rs
@@ -1,7 +1,7 @@
 //! Control calls from an entry to an agent.
 
 use bulrushusher_admission::{Refusal, ReservationId};
-use bulrushusher_once::{Ballot, BarReply, ClaimReply};
+use bulrushusher_once::{Ballot, BarReply, ClaimReply, HomeBar};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{Endpoint, EndpointName, EntryName, RequestKey};
 use jsonrpsee::core::RpcResult;
@@ -75,8 +75,10 @@
 /// The answer to [`BarAsk`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct BarAnswer {
-    /// What the agent knows.
+    /// What the agent knows as an executor.
     pub reply: BarReply,
+    /// What the agent knows as a home.
+    pub home: HomeBar,
     /// The agent's revision of the endpoint list.
     pub revision: u64,
     /// Which life of the agent answers.
--- a/crates/bulrushusher_wire/src/frame.rs
+++ b/crates/bulrushusher_wire/src/frame.rs
@@ -73,6 +73,8 @@
     pub incarnation: u64,
     /// The request's key.
     pub key: RequestKey,
+    /// True when the caller chose the key, so that others may send it too.
+    pub shared_key: bool,
     /// The attempt's ballot.
     pub ballot: Ballot,
     /// Unique name of the stream that this order opens.
--- /dev/null
+++ b/tools/bulrushusher_testbed/src/bed.rs
@@ -0,0 +1,467 @@
+//! A running deployment: store, runners, agents, entries.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bulrushusher_admission::GateConfig;
+use bulrushusher_agent::{Agent, AgentConfig};
+use bulrushusher_entry::{Entry, EntryConfig};
+use bulrushusher_operator::v1;
+use bulrushusher_operator::v1::operator_client::OperatorClient;
+use bulrushusher_routing::{LimitsConfig, PairingConfig, Policy, RetryConfig};
+use bulrushusher_standin::engine::{Counts, Faults};
+use bulrushusher_standin::{Engine, EngineConfig, PlainService, Relay, Store};
+use bulrushusher_time::{Clock, Millis};
+use bulrushusher_world::{Role, WorldError};
+use derive_more::{Display, Error, From};
+use tonic::transport::Channel;
+
+use crate::deployment::{ClassPlan, Deployment};
+use crate::node::Node;
+
+/// Why a deployment could not be started or used.
+#[derive(Debug, Display, Error, From)]
+pub enum BedError {
+    /// The system refused something.
+    #[display("the system refused: {_0}")]
+    System(std::io::Error),
+    /// An operator call failed.
+    #[display("an operator call failed: {_0}")]
+    Operator(tonic::Status),
+    /// An entry could not be reached.
+    #[display("an entry could not be reached: {_0}")]
+    Transport(tonic::transport::Error),
+    /// A name or field is not valid.
+    #[display("{_0}")]
+    World(WorldError),
+    /// The configuration was not in force in time.
+    #[display("the configuration was not in force everywhere in time")]
+    #[from(ignore)]
+    NotInForce,
+}
+
+/// How long the configuration may take to be in force before a run is given up.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(10);
+const POLL: Duration = Duration::from_millis(20);
+/// Prompts in work, leaving or next in line at one prefill engine.
+const PREFILL_PLACES: usize = 3;
+
+/// Any port on loopback.
+pub fn loopback() -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0)
+}
+
+#[derive(Debug)]
+enum Target {
+    Engine(Engine),
+    Plain(PlainService),
+}
+
+/// One endpoint: its runner, its agent, and the relays before the agent.
+#[derive(Debug)]
+pub struct Runner {
+    /// Its name.
+    pub name: String,
+    /// Its role.
+    pub role: Role,
+    target_node: Node,
+    target: Option<Target>,
+    target_addr: SocketAddr,
+    agent_node: Node,
+    agent_cfg: AgentConfig,
+    control_relay: Relay,
+    stream_relay: Relay,
+    data_centre: String,
+    engine_cfg: EngineConfig,
+    /// What earlier lives of the runner counted.
+    past: Vec<Counts>,
+}
+
+impl Runner {
+    /// Kills the runner (not its agent). Its own records are kept.
+    pub fn kill_target(&mut self) {
+        if let Some(mut counts) = self.target.take().map(|target| target.counts()) {
+            counts.held_places = 0;
+            counts.held_kv = 0;
+            self.past.push(counts);
+        }
+        self.target_node.kill();
+    }
+
+    /// Starts the runner again at its address, with empty memory.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub async fn restart_target(&mut self) -> Result<(), BedError> {
+        self.target_node = Node::new("engine")?;
+        let (addr, cfg) = (self.target_addr, self.engine_cfg.clone());
+        let engine = self.target_node.run(async move { Engine::start(addr, cfg) }).await?;
+        self.target = Some(Target::Engine(engine));
+        Ok(())
+    }
+
+    /// Kills the agent.
+    pub fn kill_agent(&mut self) {
+        self.agent_node.kill();
+    }
+
+    /// Starts the agent again at its addresses, with empty memory.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub async fn restart_agent(&mut self) -> Result<(), BedError> {
+        self.agent_node = Node::new("agent")?;
+        let cfg = self.agent_cfg.clone();
+        let agent = self.agent_node.run(async move { Agent::start(cfg).await }).await?;
+        drop(agent);
+        Ok(())
+    }
+
+    /// Open connections to the agent go silent for good; new ones work.
+    pub fn silence(&self) {
+        self.control_relay.silence_open_connections();
+        self.stream_relay.silence_open_connections();
+    }
+
+    /// Switches the engine's faults.
+    pub fn set_faults(&self, faults: Faults) {
+        if let Some(Target::Engine(engine)) = &self.target {
+            engine.set_faults(faults);
+        }
+    }
+
+    /// The runner's own records, over all its lives.
+    pub fn counts(&self) -> Vec<Counts> {
+        self.past.iter().cloned().chain(self.target.as_ref().map(Target::counts)).collect()
+    }
+}
+
+impl Target {
+    fn counts(&self) -> Counts {
+        match self {
+            Target::Engine(engine) => engine.counts(),
+            Target::Plain(service) => service.counts(),
+        }
+    }
+}
+
+/// An entry with its node.
+#[derive(Debug)]
+pub struct EntryNode {
+    node: Node,
+    cfg: EntryConfig,
+    entry: Option<Entry>,
+}
+
+impl EntryNode {
+    /// Kills the entry.
+    pub fn kill(&mut self) {
+        self.entry = None;
+        self.node.kill();
+    }
+
+    /// Starts the entry again at its addresses, with empty memory.
+    ///
+    /// # Errors
+    /// What the system says.
+    pub async fn restart(&mut self) -> Result<(), BedError> {
+        self.node = Node::new("entry")?;
+        let cfg = self.cfg.clone();
+        self.entry = Some(self.node.run(async move { Entry::start(cfg).await }).await?);
+        Ok(())
+    }
+
+    /// Pauses the entry.
+    pub fn pause(&self, length: Duration) {
+        self.node.pause(length);
+    }
+
+    /// Shuts the entry down gracefully.
+    pub async fn shut_down(&mut self) {
+        if let Some(entry) = self.entry.take() {
+            self.node.run(entry.shut_down()).await;
+        }
+    }
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Bed {
+    /// What it plays.
+    pub deployment: Deployment,
+    /// The store.
+    pub store: Arc<Store>,
+    /// Every endpoint.
+    pub runners: Vec<Runner>,
+    /// Every entry.
+    pub entries: Vec<EntryNode>,
+    _store_node: Node,
+}
+
+impl Bed {
+    /// Starts every process of a deployment and configures it by operators' RPC.
+    ///
+    /// # Errors
+    /// [`BedError`].
+    pub async fn start(
+        deployment: Deployment,
+        policy: Policy,
+        seed: u64,
+    ) -> Result<Bed, BedError> {
+        let store_node = Node::new("store")?;
+        let store = Arc::new(store_node.run(async { Store::start(loopback()) }).await?);
+        let mut runners = Vec::new();
+        let pools = [
+            (Role::Prefill, deployment.prefills),
+            (Role::Decode, deployment.decodes),
+            (Role::Service, deployment.services),
+        ];
+        for (role, count) in pools {
+            for number in 0..count {
+                runners.push(start_runner(&deployment, role, number, seed).await?);
+            }
+        }
+        let mut entries = Vec::new();
+        for number in 0..deployment.entries {
+            let cfg = entry_config(&deployment, store.addr, number, policy, seed)?;
+            entries.push(start_entry(cfg).await?);
+        }
+        let bed = Bed { deployment, store, runners, entries, _store_node: store_node };
+        bed.configure().await?;
+        Ok(bed)
+    }
+
+    /// Where callers reach the entries.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.cfg.callers).collect()
+    }
+
+    /// An operator's connection to entry number `n`.
+    ///
+    /// # Errors
+    /// [`BedError::Transport`] when it does not answer.
+    pub async fn operator(&self, n: usize) -> Result<OperatorClient<Channel>, BedError> {
+        let addr = self.entries[n].cfg.operators;
+        Ok(OperatorClient::connect(format!("http://{addr}")).await?)
+    }
+
+    /// Runners of a role.
+    pub fn of_role(&self, role: Role) -> Vec<usize> {
+        let wanted = |(at, runner): (usize, &Runner)| (runner.role == role).then_some(at);
+        self.runners.iter().enumerate().filter_map(wanted).collect()
+    }
+
+    async fn configure(&self) -> Result<(), BedError> {
+        let mut operator = self.operator(0).await?;
+        let mut revision = 0;
+        let closing = closing_message(&self.deployment);
+        let put = v1::PutClosingRequest { closing: Some(closing), expected_version: 0 };
+        operator.put_closing(put).await?;
+        for number in 0..self.deployment.accounts {
+            let name = format!("account-{number}");
+            let account =
+                v1::Account { name, version: 0, requests_per_second: 1_000.0, burst: 2_000 };
+            let put = v1::PutAccountRequest { account: Some(account), expected_version: 0 };
+            operator.put_account(put).await?;
+        }
+        for runner in &self.runners {
+            let endpoint = self.endpoint_message(runner);
+            let put = v1::PutEndpointRequest { endpoint: Some(endpoint), expected_version: 0 };
+            revision = operator.put_endpoint(put).await?.into_inner().revision;
+        }
+        self.wait_in_force(revision).await
+    }
+
+    fn endpoint_message(&self, runner: &Runner) -> v1::Endpoint {
+        let service = match runner.role {
+            Role::Service => self.deployment.service,
+            Role::Prefill | Role::Decode => self.deployment.model,
+        };
+        v1::Endpoint {
+            name: runner.name.clone(),
+            version: 0,
+            service: service.to_owned(),
+            role: runner.role.to_string(),
+            data_centre: runner.data_centre.clone(),
+            control: runner.control_relay.addr.to_string(),
+            stream: runner.stream_relay.addr.to_string(),
+            checks_fencing: false,
+            leaving: false,
+        }
+    }
+
+    /// Waits until every entry has the revision in force and has heard from every endpoint.
+    ///
+    /// # Errors
+    /// [`BedError::NotInForce`] when that takes too long.
+    pub async fn wait_in_force(&self, revision: u64) -> Result<(), BedError> {
+        let end = tokio::time::Instant::now() + IN_FORCE_BOUND;
+        for number in 0..self.entries.len() {
+            let mut operator = self.operator(number).await?;
+            loop {
+                let status = operator.status(v1::StatusRequest {}).await?.into_inner();
+                let heard = status.endpoints.iter().all(|e| e.heard_ms_ago != u64::MAX);
+                let known = status.endpoints.len() == self.runners.len();
+                if status.revision >= revision && heard && known {
+                    break;
+                }
+                if tokio::time::Instant::now() > end {
+                    return Err(BedError::NotInForce);
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// The runners' own records, over all their lives.
+    pub fn counts(&self) -> Vec<Counts> {
+        self.runners.iter().flat_map(Runner::counts).collect()
+    }
+
+    /// Engine memory held now, by the engines' own records: decode places and prefill results.
+    pub fn held(&self) -> usize {
+        let held = |counts: &Counts| counts.held_places + counts.held_kv;
+        self.counts().iter().map(held).sum()
+    }
+}
+
+fn closing_message(deployment: &Deployment) -> v1::Closing {
+    const WEEK: u64 = 7 * 24 * 3_600_000;
+    let now = Clock::system().now();
+    let class = |plan: &ClassPlan| v1::DeliverableClass {
+        name: plan.name.to_owned(),
+        patience: plan.patience.to_string(),
+        repeat: plan.repeat.to_string(),
+        ttft_ms: plan.ttft.0,
+        per_token_ms: plan.per_token.0,
+        deadline_ms: plan.deadline.0,
+    };
+    v1::Closing {
+        name: deployment.closing.to_owned(),
+        version: 0,
+        starts_unix_ms: now.0 - WEEK,
+        ends_unix_ms: now.0 + WEEK,
+        services: vec![deployment.model.to_owned(), deployment.service.to_owned()],
+        classes: vec![class(&deployment.prompts), class(&deployment.calls)],
+        goodput_weight: deployment.goodput_weight,
+        waste_weight: deployment.waste_weight,
+    }
+}
+
+async fn start_runner(
+    deployment: &Deployment,
+    role: Role,
+    number: usize,
+    seed: u64,
+) -> Result<Runner, BedError> {
+    let data_centre = deployment.data_centres[number % deployment.data_centres.len()];
+    let name = format!("{data_centre}-{role}-{number}");
+    let target_node = Node::new("runner")?;
+    let engine_cfg =
+        EngineConfig { seed: seed.wrapping_add(number as u64), ..deployment.engine.clone() };
+    let target = match role {
+        Role::Prefill | Role::Decode => {
+            let cfg = engine_cfg.clone();
+            Target::Engine(target_node.run(async move { Engine::start(loopback(), cfg) }).await?)
+        }
+        Role::Service => {
+            let cfg = deployment.plain.clone();
+            let start = async move { PlainService::start(loopback(), cfg) };
+            Target::Plain(target_node.run(start).await?)
+        }
+    };
+    let target_addr = match &target {
+        Target::Engine(engine) => engine.addr,
+        Target::Plain(service) => service.addr,
+    };
+    let (service, places) = match role {
+        Role::Prefill => (deployment.model, PREFILL_PLACES),
+        Role::Decode => (deployment.model, deployment.engine.places),
+        Role::Service => (deployment.service, deployment.plain.places),
+    };
+    let mut agent_cfg = AgentConfig {
+        name: name.as_str().try_into().map_err(WorldError::from)?,
+        service: service.try_into().map_err(WorldError::from)?,
+        role,
+        data_centre: data_centre.try_into().map_err(WorldError::from)?,
+        control: loopback(),
+        stream: loopback(),
+        target: target_addr,
+        gate: GateConfig { places, ..GateConfig::default() },
+        horizon: Millis(600_000),
+        skew: Millis(200),
+        max_keys: 100_000,
+        max_answer_bytes: 32 << 20,
+        beat: Millis(200),
+        silent: Millis(1_000),
+        orphan: Millis(3_000),
+        drain: Millis(60_000),
+    };
+    let agent_node = Node::new("agent")?;
+    let cfg = agent_cfg.clone();
+    let agent = agent_node.run(async move { Agent::start(cfg).await }).await?;
+    agent_cfg.control = agent.control;
+    agent_cfg.stream = agent.stream;
+    let (control, stream) = (agent.control, agent.stream);
+    // The relays outlive the agent's lives, so they run beside the runner's relays, not on its node.
+    let control_relay = Relay::start(loopback(), control)?;
+    let stream_relay = Relay::start(loopback(), stream)?;
+    Ok(Runner {
+        name,
+        role,
+        target_node,
+        target: Some(target),
+        target_addr,
+        agent_node,
+        agent_cfg,
+        control_relay,
+        stream_relay,
+        data_centre: data_centre.to_owned(),
+        engine_cfg,
+        past: Vec::new(),
+    })
+}
+
+fn entry_config(
+    deployment: &Deployment,
+    store: SocketAddr,
+    number: usize,
+    policy: Policy,
+    seed: u64,
+) -> Result<EntryConfig, BedError> {
+    let data_centre = deployment.data_centres[number % deployment.data_centres.len()];
+    let name = format!("{data_centre}-entry-{number}");
+    Ok(EntryConfig {
+        name: name.as_str().try_into().map_err(WorldError::from)?,
+        data_centre: data_centre.try_into().map_err(WorldError::from)?,
+        callers: loopback(),
+        operators: loopback(),
+        store,
+        max_body: 8 << 20,
+        max_in_flight: 20_000,
+        drain: Millis(60_000),
+        pairing: PairingConfig {
+            policy,
+            seed: seed.wrapping_add(number as u64),
+            ..PairingConfig::default()
+        },
+        limits: LimitsConfig { entries: deployment.entries as u32, ..LimitsConfig::default() },
+        retries: RetryConfig::default(),
+        silent: Millis(1_000),
+        resume: Millis(6_000),
+        horizon: Millis(600_000),
+        skew: Millis(200),
+    })
+}
+
+async fn start_entry(cfg: EntryConfig) -> Result<EntryNode, BedError> {
+    let mut started = EntryNode { node: Node::new("entry")?, cfg, entry: None };
+    let cfg = started.cfg.clone();
+    let entry = started.node.run(async move { Entry::start(cfg).await }).await?;
+    started.cfg.callers = entry.callers;
+    started.cfg.operators = entry.operators;
+    started.entry = Some(entry);
+    Ok(started)
+}
