--- a/crates/bulrushusher_agent/src/agent.rs
+++ b/crates/bulrushusher_agent/src/agent.rs
@@ -65,7 +65,7 @@
     }
 }
 
-/// A running agent. Dropping it does not stop its tasks; see [`Agent::shut_down`].
+/// A running agent. Dropping it stops listening at once; see [`Agent::shut_down`].
 #[derive(Debug)]
 pub struct Agent {
     /// Where control calls are taken.
--- a/crates/bulrushusher_entry/src/entry.rs
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -174,7 +174,7 @@
     pub store_up: bool,
 }
 
-/// A running entry. Dropping it does not stop its tasks; see [`Entry::shut_down`].
+/// A running entry. Dropping it stops listening at once; see [`Entry::shut_down`].
 #[derive(Debug)]
 pub struct Entry {
     /// Where callers' HTTP is taken.
--- a/tools/bulrushusher_testbed/src/bed.rs
+++ b/tools/bulrushusher_testbed/src/bed.rs
@@ -69,6 +69,7 @@
     target: Option<Target>,
     target_addr: SocketAddr,
     agent_node: Node,
+    agent: Option<Agent>,
     agent_cfg: AgentConfig,
     control_relay: Relay,
     stream_relay: Relay,
@@ -81,12 +82,12 @@
 impl Runner {
     /// Kills the runner (not its agent). Its own records are kept.
     pub fn kill_target(&mut self) {
+        self.target_node.kill();
         if let Some(mut counts) = self.target.take().map(|target| target.counts()) {
             counts.held_places = 0;
             counts.held_kv = 0;
             self.past.push(counts);
         }
-        self.target_node.kill();
     }
 
     /// Starts the runner again at its address, with empty memory.
@@ -104,6 +105,7 @@
     /// Kills the agent.
     pub fn kill_agent(&mut self) {
         self.agent_node.kill();
+        self.agent = None;
     }
 
     /// Starts the agent again at its addresses, with empty memory.
@@ -113,8 +115,7 @@
     pub async fn restart_agent(&mut self) -> Result<(), BedError> {
         self.agent_node = Node::new("agent")?;
         let cfg = self.agent_cfg.clone();
-        let agent = self.agent_node.run(async move { Agent::start(cfg).await }).await?;
-        drop(agent);
+        self.agent = Some(self.agent_node.run(async move { Agent::start(cfg).await }).await?);
         Ok(())
     }
 
@@ -157,8 +158,8 @@
 impl EntryNode {
     /// Kills the entry.
     pub fn kill(&mut self) {
-        self.entry = None;
         self.node.kill();
+        self.entry = None;
     }
 
     /// Starts the entry again at its addresses, with empty memory.
@@ -405,7 +406,7 @@
     agent_cfg.control = agent.control;
     agent_cfg.stream = agent.stream;
     let (control, stream) = (agent.control, agent.stream);
-    // The relays outlive the agent's lives, so they run beside the runner's relays, not on its node.
+    // The relays outlive the agent's lives, so they do not run on its node.
     let control_relay = Relay::start(loopback(), control)?;
     let stream_relay = Relay::start(loopback(), stream)?;
     Ok(Runner {
@@ -415,6 +416,7 @@
         target: Some(target),
         target_addr,
         agent_node,
+        agent: Some(agent),
         agent_cfg,
         control_relay,
         stream_relay,
--- a/tools/bulrushusher_testbed/src/run.rs
+++ b/tools/bulrushusher_testbed/src/run.rs
@@ -6,7 +6,7 @@
 use bulrushusher_report::{ClassFigures, Targets};
 use bulrushusher_routing::Policy;
 use bulrushusher_standin::caller::{Call, Caller, Outcome};
-use bulrushusher_standin::load::{Planned, plan};
+use bulrushusher_standin::load::{Planned, fresh_key, plan};
 use bulrushusher_time::Millis;
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
@@ -23,6 +23,8 @@
 /// than the agents' orphan bound.
 const RELEASE_BOUND: Duration = Duration::from_secs(8);
 const RELEASE_POLL: Duration = Duration::from_millis(100);
+/// Pause between the start of the deployment and the load; more than the agents' clock skew.
+const SETTLE: Duration = Duration::from_millis(400);
 /// How long after the load ends the last requests may take.
 const TAIL_BOUND: Duration = Duration::from_secs(150);
 
@@ -69,6 +71,8 @@
 ) -> Result<(Report, u64), BedError> {
     let Plan { seed, length, load, policy, ref faults } = *plan_of_run;
     let mut bed = Bed::start(deployment.clone(), policy, seed).await?;
+    // Keys minted within the clock skew of the agents' start would be in doubt.
+    sleep(SETTLE).await;
     let flows = deployment.flows(load);
     let mut planned = plan(&flows, length, seed);
     if faults.contains(&Fault::ClientCancel) {
@@ -149,8 +153,10 @@
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ 0xd0);
         let start = Instant::now();
         let mut open = JoinSet::new();
-        for (number, request) in planned.into_iter().enumerate() {
+        for (number, mut request) in planned.into_iter().enumerate() {
             sleep_until(start + request.at.duration()).await;
+            // The key carries the time of its sending.
+            request.call.key = request.call.key.map(|_| fresh_key());
             let is_twin = self.duplicates && rng.random_bool(DUPLICATE_SHARE);
             if is_twin && request.call.key.is_some() {
                 open.spawn(self.clone().send(request.flow, request.call.clone(), number + 1));
