--- a/crates/bulrushusher_admission/tests/gate.rs
+++ b/crates/bulrushusher_admission/tests/gate.rs
@@ -58,7 +58,10 @@
     gate.ask(ask(3, 0), Millis(0));
     let refused = gate.set_leaving(true);
     assert_eq!(refused, vec![GateAction::Refuse(AskId(3), Refusal::Leaving)]);
-    assert_eq!(gate.ask(ask(4, 0), Millis(1)), vec![GateAction::Refuse(AskId(4), Refusal::Leaving)]);
+    assert_eq!(
+        gate.ask(ask(4, 0), Millis(1)),
+        vec![GateAction::Refuse(AskId(4), Refusal::Leaving)]
+    );
     assert_eq!(gate.started(), 1);
 }
 
--- a/crates/bulrushusher_agent/src/agent.rs
+++ b/crates/bulrushusher_agent/src/agent.rs
@@ -109,7 +109,11 @@
             tokio::spawn(load_loop(Arc::clone(&shared))),
             tokio::spawn(peer_loop(Arc::clone(&shared))),
         ];
-        log::info!("{LOG} {} takes control on {control}, streams on {}", shared.cfg.name, served.addr);
+        log::info!(
+            "{LOG} {} takes control on {control}, streams on {}",
+            shared.cfg.name,
+            served.addr
+        );
         Ok(Agent { control, stream: served.addr, shared, served, rpc, tasks })
     }
 
@@ -120,7 +124,11 @@
 
     /// Takes no new work, lets what is in flight finish, then stops.
     pub async fn shut_down(self) {
-        log::info!("{LOG} {} shuts down, {} in flight", self.shared.cfg.name, self.shared.desk.used());
+        log::info!(
+            "{LOG} {} shuts down, {} in flight",
+            self.shared.cfg.name,
+            self.shared.desk.used()
+        );
         self.shared.desk.set_leaving(true);
         let drained = async {
             while self.shared.desk.used() > 0 {
--- a/crates/bulrushusher_agent/src/answer.rs
+++ b/crates/bulrushusher_agent/src/answer.rs
@@ -64,7 +64,6 @@
         self.inner.lock().bytes
     }
 
-
     pub(crate) fn attach(&self, stream: &str) {
         let mut inner = self.inner.lock();
         inner.streams.insert(stream.to_owned());
--- a/crates/bulrushusher_agent/src/call.rs
+++ b/crates/bulrushusher_agent/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bulrushusher_http::HttpError;
+use bulrushusher_http::{HttpError, RequestParts};
 use bulrushusher_once::Ran;
 use bulrushusher_wire::{CallOrder, RunOrder};
 
@@ -17,17 +17,14 @@
 
 /// Calls the service for an order that was taken.
 pub(crate) async fn run(shared: &Shared, order: &RunOrder, work: &CallOrder, answer: &Answer) {
-    let called = shared
-        .http
-        .call(
-            shared.cfg.target,
-            &work.method,
-            &work.path,
-            &[("content-type", &work.content_type), (KEY_HEADER, order.key.as_str())],
-            work.body.clone().into(),
-            CALL_TIMEOUT,
-        )
-        .await;
+    let headers = [("content-type", work.content_type.as_str()), (KEY_HEADER, order.key.as_str())];
+    let parts = RequestParts {
+        method: &work.method,
+        path: &work.path,
+        headers: &headers,
+        body: work.body.clone().into(),
+    };
+    let called = shared.http.call(shared.cfg.target, parts, CALL_TIMEOUT).await;
     match called {
         Ok(reply) => {
             let content_type = reply.header("content-type").to_owned();
--- a/crates/bulrushusher_agent/src/streams.rs
+++ b/crates/bulrushusher_agent/src/streams.rs
@@ -3,8 +3,8 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 
-use bulrushusher_http::{get_route, json_line, json_reply, post_route, reject_json, stream_reply};
 use bulrushusher_admission::Refusal;
+use bulrushusher_http::{get_route, json_line, json_reply, post_route, reject_json, stream_reply};
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{AttachOrder, Frame, NotTaken, PrefillRun, RunOrder};
 use bytes::Bytes;
--- a/crates/bulrushusher_config/src/program.rs
+++ b/crates/bulrushusher_config/src/program.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Arg, ArgAction, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 
 use crate::{ConfigError, Setting, Values, reference};
 
@@ -46,7 +46,15 @@
     /// Reads the command line and the settings, and makes the daemon's configuration of them.
     /// Ends the process where the command line asks for that or something is wrong.
     pub fn configure<T>(&self, make: fn(&Values) -> Result<T, ConfigError>) -> T {
-        let matches = self.command().get_matches();
+        self.configure_from(&self.command().get_matches(), make)
+    }
+
+    /// As [`Program::configure`], with a command line that was read already.
+    pub fn configure_from<T>(
+        &self,
+        matches: &ArgMatches,
+        make: fn(&Values) -> Result<T, ConfigError>,
+    ) -> T {
         if matches.get_flag("print-settings") {
             print!("{}", reference(self.settings));
             std::process::exit(0);
--- /dev/null
+++ b/crates/bulrushusher_ctl/src/cli.rs
@@ -0,0 +1,351 @@
+//! The command line, and what each command does.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bulrushusher_operator::v1;
+use bulrushusher_operator::v1::operator_client::OperatorClient;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use tokio::time::{Instant, sleep};
+use tonic::transport::Channel;
+
+use crate::CtlError;
+use crate::apply::{Desired, read_desired};
+use crate::show::{self, Output, Rows};
+
+type Client = OperatorClient<Channel>;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const WAIT_POLL: Duration = Duration::from_millis(50);
+
+fn named(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).arg(Arg::new("name").required(true).help("Name of the object"))
+}
+
+fn object(kind: &'static str, about: &'static str) -> Command {
+    let version = Arg::new("version")
+        .long("version")
+        .required(true)
+        .value_parser(value_parser!(u64))
+        .help("The version you saw; a different one held is a conflict");
+    Command::new(kind)
+        .about(about)
+        .subcommand_required(true)
+        .subcommand(Command::new("list").about("Lists all"))
+        .subcommand(named("get", "Shows one"))
+        .subcommand(named("delete", "Deletes one").arg(version))
+}
+
+/// The command line.
+pub fn command() -> Command {
+    let entry = Arg::new("entry")
+        .long("entry")
+        .global(true)
+        .action(ArgAction::Append)
+        .default_value("127.0.0.1:7200")
+        .help("Operators' address of an entry; may be repeated for `wait`");
+    let output = Arg::new("output")
+        .long("output")
+        .global(true)
+        .value_parser(["table", "json"])
+        .default_value("table")
+        .help("How replies are shown");
+    let file = Arg::new("file")
+        .short('f')
+        .long("file")
+        .required(true)
+        .value_name("FILE.ini")
+        .value_parser(value_parser!(PathBuf))
+        .help("Objects to apply");
+    let dry = Arg::new("dry-run")
+        .long("dry-run")
+        .action(ArgAction::SetTrue)
+        .help("Show what would change");
+    let revision = Arg::new("revision")
+        .long("revision")
+        .required(true)
+        .value_parser(value_parser!(u64))
+        .help("Revision to wait for");
+    let seconds = Arg::new("seconds")
+        .long("seconds")
+        .default_value("10")
+        .value_parser(value_parser!(u64))
+        .help("How long to wait");
+    Command::new("bulrushctl")
+        .about("Drives the router: closings, endpoints, client accounts")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(
+            "Exit codes: 0 done, 1 refused, 2 bad command line or file, 3 conflicting update, \
+             4 entry or store not reached, or wait not met",
+        )
+        .subcommand_required(true)
+        .args([entry, output])
+        .subcommand(object("closing", "Closings"))
+        .subcommand(object("endpoint", "Endpoints"))
+        .subcommand(object("account", "Client accounts"))
+        .subcommand(Command::new("apply").about("Creates or updates objects").args([file, dry]))
+        .subcommand(named("drain", "An endpoint gets no new work; what is in flight finishes"))
+        .subcommand(named("undrain", "An endpoint gets work again"))
+        .subcommand(Command::new("status").about("What an entry has in force and sees"))
+        .subcommand(
+            Command::new("wait")
+                .about("Waits for a revision to be in force")
+                .args([revision, seconds]),
+        )
+}
+
+/// Does what the command line says; returns what to print.
+///
+/// # Errors
+/// [`CtlError`], with its exit code.
+pub async fn execute(matches: &ArgMatches) -> Result<String, CtlError> {
+    let output = match matches.get_one::<String>("output").map(String::as_str) {
+        Some("json") => Output::Json,
+        _ => Output::Table,
+    };
+    let entries: Vec<String> = matches.get_many("entry").unwrap_or_default().cloned().collect();
+    let first = entries.first().cloned().unwrap_or_default();
+    let rows = match matches.subcommand() {
+        Some(("wait", args)) => return wait(&entries, args).await,
+        Some(("closing", args)) => closing(&mut connect(&first).await?, args).await?,
+        Some(("endpoint", args)) => endpoint(&mut connect(&first).await?, args).await?,
+        Some(("account", args)) => account(&mut connect(&first).await?, args).await?,
+        Some(("apply", args)) => return apply(&first, args, output).await,
+        Some((verb @ ("drain" | "undrain"), args)) => {
+            let req = v1::DrainRequest { name: name_of(args), drain: verb == "drain" };
+            let reply = connect(&first).await?.drain_endpoint(req).await?;
+            show::put("endpoint", &name_of(args), reply.into_inner())
+        }
+        Some(("status", _)) => return status(&first, output).await,
+        _ => return Ok(String::new()),
+    };
+    Ok(rows.show(output))
+}
+
+async fn connect(entry: &str) -> Result<Client, CtlError> {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{entry}"))?;
+    let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).timeout(CALL_TIMEOUT);
+    Ok(OperatorClient::new(endpoint.connect().await?))
+}
+
+fn name_of(args: &ArgMatches) -> String {
+    args.get_one::<String>("name").cloned().unwrap_or_default()
+}
+
+fn get_request(args: &ArgMatches) -> v1::GetRequest {
+    v1::GetRequest { name: name_of(args) }
+}
+
+fn delete_request(args: &ArgMatches) -> v1::DeleteRequest {
+    let expected_version = args.get_one::<u64>("version").copied().unwrap_or(0);
+    v1::DeleteRequest { name: name_of(args), expected_version }
+}
+
+async fn closing(client: &mut Client, args: &ArgMatches) -> Result<Rows, CtlError> {
+    Ok(match args.subcommand() {
+        Some(("get", args)) => {
+            show::closings(&[client.get_closing(get_request(args)).await?.into_inner()])
+        }
+        Some(("delete", args)) => {
+            let reply = client.delete_closing(delete_request(args)).await?;
+            show::put("closing", &name_of(args), reply.into_inner())
+        }
+        _ => {
+            let reply = client.list_closings(v1::ListRequest {}).await?;
+            show::closings(&reply.into_inner().closings)
+        }
+    })
+}
+
+async fn endpoint(client: &mut Client, args: &ArgMatches) -> Result<Rows, CtlError> {
+    Ok(match args.subcommand() {
+        Some(("get", args)) => {
+            show::endpoints(&[client.get_endpoint(get_request(args)).await?.into_inner()])
+        }
+        Some(("delete", args)) => {
+            let reply = client.delete_endpoint(delete_request(args)).await?;
+            show::put("endpoint", &name_of(args), reply.into_inner())
+        }
+        _ => {
+            let reply = client.list_endpoints(v1::ListRequest {}).await?;
+            show::endpoints(&reply.into_inner().endpoints)
+        }
+    })
+}
+
+async fn account(client: &mut Client, args: &ArgMatches) -> Result<Rows, CtlError> {
+    Ok(match args.subcommand() {
+        Some(("get", args)) => {
+            show::accounts(&[client.get_account(get_request(args)).await?.into_inner()])
+        }
+        Some(("delete", args)) => {
+            let reply = client.delete_account(delete_request(args)).await?;
+            show::put("account", &name_of(args), reply.into_inner())
+        }
+        _ => {
+            let reply = client.list_accounts(v1::ListRequest {}).await?;
+            show::accounts(&reply.into_inner().accounts)
+        }
+    })
+}
+
+async fn status(entry: &str, output: Output) -> Result<String, CtlError> {
+    let status = connect(entry).await?.status(v1::StatusRequest {}).await?.into_inner();
+    let rows = show::status(&status).show(output);
+    if output == Output::Json {
+        return Ok(rows);
+    }
+    Ok(format!(
+        "entry {}, revision {}, store {}, {} in flight\n{rows}",
+        status.entry,
+        status.revision,
+        if status.store_up { "up" } else { "down" },
+        status.in_flight
+    ))
+}
+
+async fn wait(entries: &[String], args: &ArgMatches) -> Result<String, CtlError> {
+    let revision = args.get_one::<u64>("revision").copied().unwrap_or(0);
+    let seconds = args.get_one::<u64>("seconds").copied().unwrap_or(0);
+    let end = Instant::now() + Duration::from_secs(seconds);
+    for entry in entries {
+        let mut client = connect(entry).await?;
+        loop {
+            let held = client.status(v1::StatusRequest {}).await?.into_inner().revision;
+            if held >= revision {
+                break;
+            }
+            if Instant::now() > end {
+                return Err(CtlError::NotInForce { revision, entry: entry.clone(), held });
+            }
+            sleep(WAIT_POLL).await;
+        }
+    }
+    Ok(format!("revision {revision} is in force at {}\n", entries.join(", ")))
+}
+
+/// One object of an applied file against what is held.
+enum Change {
+    Create,
+    Update(u64),
+    Same,
+}
+
+fn change<T: PartialEq>(held: Option<(u64, T)>, wanted: &T) -> Change {
+    match held {
+        None => Change::Create,
+        Some((_, held)) if held == *wanted => Change::Same,
+        Some((version, _)) => Change::Update(version),
+    }
+}
+
+impl Change {
+    fn verb(&self) -> &'static str {
+        match self {
+            Change::Create => "create",
+            Change::Update(_) => "update",
+            Change::Same => "same",
+        }
+    }
+
+    /// The version to expect when writing; `None` when there is nothing to write.
+    fn expected_version(&self) -> Option<u64> {
+        match self {
+            Change::Create => Some(0),
+            Change::Update(version) => Some(*version),
+            Change::Same => None,
+        }
+    }
+}
+
+async fn apply(entry: &str, args: &ArgMatches, output: Output) -> Result<String, CtlError> {
+    let file = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
+    let desired = read_desired(&file)?;
+    let mut client = connect(entry).await?;
+    let dry = args.get_flag("dry-run");
+    let mut rows =
+        Rows { heading: vec!["kind", "name", "change", "version", "revision"], rows: Vec::new() };
+    apply_closings(&mut client, &desired, dry, &mut rows).await?;
+    apply_endpoints(&mut client, &desired, dry, &mut rows).await?;
+    apply_accounts(&mut client, &desired, dry, &mut rows).await?;
+    Ok(rows.show(output))
+}
+
+fn note(rows: &mut Rows, kind: &str, name: &str, change: &Change, reply: Option<v1::PutReply>) {
+    let version = reply.map(|reply| reply.version);
+    let revision = reply.map(|reply| reply.revision);
+    rows.rows.push(vec![
+        kind.into(),
+        name.into(),
+        change.verb().into(),
+        version.into(),
+        revision.into(),
+    ]);
+}
+
+async fn apply_closings(
+    client: &mut Client,
+    desired: &Desired,
+    dry: bool,
+    rows: &mut Rows,
+) -> Result<(), CtlError> {
+    let held = client.list_closings(v1::ListRequest {}).await?.into_inner().closings;
+    for wanted in &desired.closings {
+        let same = held.iter().find(|held| held.name == wanted.name);
+        let same = same.map(|held| (held.version, v1::Closing { version: 0, ..held.clone() }));
+        let change = change(same, wanted);
+        let mut reply = None;
+        if let (Some(expected_version), false) = (change.expected_version(), dry) {
+            let closing = Some(wanted.clone());
+            let req = v1::PutClosingRequest { closing, expected_version };
+            reply = Some(client.put_closing(req).await?.into_inner());
+        }
+        note(rows, "closing", &wanted.name, &change, reply);
+    }
+    Ok(())
+}
+
+async fn apply_endpoints(
+    client: &mut Client,
+    desired: &Desired,
+    dry: bool,
+    rows: &mut Rows,
+) -> Result<(), CtlError> {
+    let held = client.list_endpoints(v1::ListRequest {}).await?.into_inner().endpoints;
+    for wanted in &desired.endpoints {
+        let same = held.iter().find(|held| held.name == wanted.name);
+        let same = same.map(|held| (held.version, v1::Endpoint { version: 0, ..held.clone() }));
+        let change = change(same, wanted);
+        let mut reply = None;
+        if let (Some(expected_version), false) = (change.expected_version(), dry) {
+            let endpoint = Some(wanted.clone());
+            let req = v1::PutEndpointRequest { endpoint, expected_version };
+            reply = Some(client.put_endpoint(req).await?.into_inner());
+        }
+        note(rows, "endpoint", &wanted.name, &change, reply);
+    }
+    Ok(())
+}
+
+async fn apply_accounts(
+    client: &mut Client,
+    desired: &Desired,
+    dry: bool,
+    rows: &mut Rows,
+) -> Result<(), CtlError> {
+    let held = client.list_accounts(v1::ListRequest {}).await?.into_inner().accounts;
+    for wanted in &desired.accounts {
+        let same = held.iter().find(|held| held.name == wanted.name);
+        let same = same.map(|held| (held.version, v1::Account { version: 0, ..held.clone() }));
+        let change = change(same, wanted);
+        let mut reply = None;
+        if let (Some(expected_version), false) = (change.expected_version(), dry) {
+            let account = Some(wanted.clone());
+            let req = v1::PutAccountRequest { account, expected_version };
+            reply = Some(client.put_account(req).await?.into_inner());
+        }
+        note(rows, "account", &wanted.name, &change, reply);
+    }
+    Ok(())
+}
--- a/crates/bulrushusher_ctl/src/lib.rs
+++ b/crates/bulrushusher_ctl/src/lib.rs
@@ -1,1 +1,10 @@
-//! bulrushctl: the operators' command.
+//! `bulrushctl`: the operators' command. See [`command`] for its command line.
+
+mod apply;
+mod cli;
+mod error;
+mod show;
+
+pub use apply::{Desired, read_desired};
+pub use cli::{command, execute};
+pub use error::{CtlError, EXIT_CONFLICT, EXIT_FAILED, EXIT_UNREACHABLE, EXIT_USAGE};
--- a/crates/bulrushusher_entry/src/entry.rs
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -216,7 +216,14 @@
         let name = &shared.cfg.name;
         log::info!("{LOG} {name} takes callers on {}, operators on {operators}", served.addr);
         let callers = served.addr;
-        Ok(Entry { callers, operators, shared, served, stop_operators: Some(stop_operators), tasks })
+        Ok(Entry {
+            callers,
+            operators,
+            shared,
+            served,
+            stop_operators: Some(stop_operators),
+            tasks,
+        })
     }
 
     /// What the entry tells of itself.
--- a/crates/bulrushusher_entry/src/place.rs
+++ b/crates/bulrushusher_entry/src/place.rs
@@ -126,7 +126,9 @@
     match want.role {
         Role::Prefill => table.choose_prefill(&prompt, now),
         Role::Decode => table.choose_decode(&prompt, now),
-        Role::Service => table.choose_service(&ServiceRequest { service, excluded: &excluded }, now),
+        Role::Service => {
+            table.choose_service(&ServiceRequest { service, excluded: &excluded }, now)
+        }
     }
 }
 
--- a/crates/bulrushusher_entry/src/settle.rs
+++ b/crates/bulrushusher_entry/src/settle.rs
@@ -3,9 +3,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_once::{
-    Ballot, BarRound, BarVerdict, ClaimReply, Heard, Ran, home_of, key_time,
-};
+use bulrushusher_once::{Ballot, BarRound, BarVerdict, ClaimReply, Heard, Ran, home_of, key_time};
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{ApiError, BarAsk, ClaimAsk, ErrorCode, RunState};
 use bulrushusher_world::{Endpoint, EndpointName};
@@ -59,11 +57,10 @@
         Some(ClaimReply::Recorded) => Ok(Settled::Run(Ballot::Home)),
         Some(ClaimReply::Held(executor)) => Ok(Settled::Attach { executor, ran: false }),
         Some(ClaimReply::TooOld) => Err(too_old()),
-        Some(ClaimReply::TableFull) => Err(ApiError::not_run(
-            ErrorCode::Overloaded,
-            "the table of keys is full",
-        )
-        .after(UNSETTLED_RETRY)),
+        Some(ClaimReply::TableFull) => {
+            Err(ApiError::not_run(ErrorCode::Overloaded, "the table of keys is full")
+                .after(UNSETTLED_RETRY))
+        }
         Some(ClaimReply::InDoubt | ClaimReply::OtherList { .. }) | None => {
             bar(shared, job, Ballot::Home).await
         }
--- a/crates/bulrushusher_http/src/client.rs
+++ b/crates/bulrushusher_http/src/client.rs
@@ -40,6 +40,19 @@
     }
 }
 
+/// The parts of a request.
+#[derive(Clone, Debug)]
+pub struct RequestParts<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// Headers.
+    pub headers: &'a [(&'a str, &'a str)],
+    /// The whole body.
+    pub body: Bytes,
+}
+
 /// An HTTP/1.1 client with pooled connections. Cheap to clone.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -94,13 +107,10 @@
     pub async fn call(
         &self,
         peer: SocketAddr,
-        method: &str,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: Bytes,
+        parts: RequestParts<'_>,
         timeout: Duration,
     ) -> Result<HttpReply, HttpError> {
-        self.send(peer, parts_request(peer, method, path, headers, body)?, timeout).await
+        self.send(peer, parts_request(peer, parts)?, timeout).await
     }
 
     /// Posts `message` as JSON and reads a JSON answer.
@@ -154,7 +164,8 @@
         }
         let status = reply.status();
         let body = tokio::time::timeout(idle, collect(peer, reply.into_body())).await;
-        let body = body.map_err(|_| HttpError::Silent { peer: peer.to_string(), after: idle })??;
+        let body =
+            body.map_err(|_| HttpError::Silent { peer: peer.to_string(), after: idle })??;
         Err(status_error(peer, status, &body))
     }
 
@@ -166,12 +177,9 @@
     pub async fn open(
         &self,
         peer: SocketAddr,
-        method: &str,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: String,
+        parts: RequestParts<'_>,
     ) -> Result<LineStream, HttpError> {
-        let req = parts_request(peer, method, path, headers, body.into())?;
+        let req = parts_request(peer, parts)?;
         let reply = self.begin(peer, req).await?;
         if reply.status().is_success() {
             return Ok(LineStream::new(peer, reply.into_body(), LINE_IDLE));
@@ -213,16 +221,14 @@
 
 fn parts_request(
     peer: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: Bytes,
+    parts: RequestParts<'_>,
 ) -> Result<Request<Full<Bytes>>, HttpError> {
-    let mut req = Request::builder().method(method).uri(format!("http://{peer}{path}"));
-    for (name, value) in headers {
+    let uri = format!("http://{peer}{}", parts.path);
+    let mut req = Request::builder().method(parts.method).uri(uri);
+    for (name, value) in parts.headers {
         req = req.header(*name, *value);
     }
-    req.body(Full::new(body))
+    req.body(Full::new(parts.body))
         .map_err(|e| HttpError::Codec { peer: peer.to_string(), cause: e.to_string() })
 }
 
--- a/crates/bulrushusher_http/src/lib.rs
+++ b/crates/bulrushusher_http/src/lib.rs
@@ -8,10 +8,11 @@
 mod listen;
 mod serve;
 
-pub use client::{HttpClient, HttpReply};
+pub use client::{HttpClient, HttpReply, RequestParts};
 pub use error::HttpError;
 pub use lines::LineStream;
 pub use listen::{bind, nodelay, terminated};
 pub use serve::{
-    Served, get_route, json_line, json_reply, json_status, post_route, reject_json, serve, stream_reply,
+    Served, get_route, json_line, json_reply, json_status, post_route, reject_json, serve,
+    stream_reply,
 };
--- a/crates/bulrushusher_operator/src/lib.rs
+++ b/crates/bulrushusher_operator/src/lib.rs
@@ -5,7 +5,13 @@
 pub mod convert;
 
 /// The schema's messages, client and server.
-#[expect(missing_docs, unused_qualifications, clippy::all, reason = "generated from the schema, which has the comments")]
+#[expect(
+    missing_docs,
+    unused_qualifications,
+    clippy::allow_attributes,
+    clippy::allow_attributes_without_reason,
+    reason = "generated from the schema, which has the comments"
+)]
 pub mod v1 {
     include!("generated/bulrushusher.operator.v1.rs");
 }
--- a/crates/bulrushusher_standin/src/caller.rs
+++ b/crates/bulrushusher_standin/src/caller.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bulrushusher_http::{HttpClient, HttpError, HttpReply, LineStream};
+use bulrushusher_http::{HttpClient, HttpError, HttpReply, LineStream, RequestParts};
 use bulrushusher_time::Millis;
 use serde::Deserialize;
 use serde_json::json;
@@ -164,7 +164,13 @@
         let body =
             json!({"model": model, "prompt": prompt, "max_tokens": max_tokens, "stream": true});
         let headers = headers(call);
-        let sent = self.http.open(entry, "POST", "/v1/completions", &headers, body.to_string());
+        let parts = RequestParts {
+            method: "POST",
+            path: "/v1/completions",
+            headers: &headers,
+            body: body.to_string().into(),
+        };
+        let sent = self.http.open(entry, parts);
         let opened = tokio::time::timeout(HEAD_WAIT, sent).await;
         match opened {
             Err(_) => Attempt::Again("no answer began".to_owned()),
@@ -181,7 +187,9 @@
         let url = format!("/services/{service}/{path}");
         let headers = headers(call);
         let body = format!("#{}", call.mark);
-        let sent = self.http.call(entry, "POST", &url, &headers, body.into(), HEAD_WAIT);
+        let parts =
+            RequestParts { method: "POST", path: &url, headers: &headers, body: body.into() };
+        let sent = self.http.call(entry, parts, HEAD_WAIT);
         let reply = match call.cancel_after {
             None => sent.await,
             Some(ms) => {
--- a/crates/bulrushusher_standin/src/engine/decode.rs
+++ b/crates/bulrushusher_standin/src/engine/decode.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bulrushusher_http::{HttpClient, json_line};
+use bytes::Bytes;
 use tokio::sync::{Notify, mpsc};
 
 use super::state::{EngineState, Sequence};
--- a/crates/bulrushusher_standin/src/engine/prefill.rs
+++ b/crates/bulrushusher_standin/src/engine/prefill.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bulrushusher_http::json_line;
+use bytes::Bytes;
 use tokio::sync::{mpsc, watch};
 
 use super::state::{EngineState, Fate, KvResult};
--- a/crates/bulrushusher_standin/src/lib.rs
+++ b/crates/bulrushusher_standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod prompt;
 pub mod relay;
 pub mod service;
+pub mod settings;
 pub mod store;
 pub mod vm_list;
 
--- a/crates/bulrushusher_standin/src/load.rs
+++ b/crates/bulrushusher_standin/src/load.rs
@@ -72,7 +72,8 @@
 pub fn plan(flows: &[Flow], length: Millis, seed: u64) -> Vec<Planned> {
     let mut planned: Vec<Planned> = Vec::new();
     for (number, flow) in flows.iter().enumerate() {
-        let mut rng = ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64));
+        let mut rng =
+            ChaCha8Rng::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64));
         let mut at_ms = 0.0;
         loop {
             at_ms += exponential(&mut rng, flow.rate) * 1000.0;
--- a/crates/bulrushusher_standin/src/service.rs
+++ b/crates/bulrushusher_standin/src/service.rs
@@ -125,10 +125,8 @@
     state.keys.lock().entry(key.to_owned()).or_default().runs += 1;
     let text = String::from_utf8_lossy(&body).into_owned();
     let marked = if text.contains('#') { text } else { query.replace("mark=", "#") };
-    let answer = ServiceAnswer {
-        mark: prompt::mark(&marked).to_owned(),
-        path: path.as_str().to_owned(),
-    };
+    let answer =
+        ServiceAnswer { mark: prompt::mark(&marked).to_owned(), path: path.as_str().to_owned() };
     // A task of its own: a call once begun goes on when the caller goes away.
     let work = tokio::spawn(async move {
         let permit = state.places.acquire().await;
--- a/crates/bulrushusher_time/src/lib.rs
+++ b/crates/bulrushusher_time/src/lib.rs
@@ -20,7 +20,18 @@
 /// assert_eq!(Millis(50).since(Millis(250)), Millis(0));
 /// ```
 #[derive(
-    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[display("{_0} ms")]
 #[serde(transparent)]
--- a/crates/bulrushusher_wire/src/lib.rs
+++ b/crates/bulrushusher_wire/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use api_error::{ApiError, ErrorBody, ErrorCode, ErrorDetail, RunState};
 pub use control::{
-    AgentControlClient, AgentControlServer, AgentLoad, AgentStatus, BarAsk, BarAnswer, CancelAsk,
+    AgentControlClient, AgentControlServer, AgentLoad, AgentStatus, BarAnswer, BarAsk, CancelAsk,
     ClaimAsk, ListPush, ReserveAsk, ReserveReply, Reserved,
 };
 pub use frame::{
--- a/crates/bulrushusher_world/src/closing.rs
+++ b/crates/bulrushusher_world/src/closing.rs
@@ -10,7 +10,9 @@
 const MAX_ITEMS: usize = 64;
 
 /// Whether somebody waits in front of a screen.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Patience {
     /// Somebody waits; served first within its targets.
--- a/crates/bulrushusher_world/src/endpoint.rs
+++ b/crates/bulrushusher_world/src/endpoint.rs
@@ -29,9 +29,7 @@
             "prefill" => Ok(Role::Prefill),
             "decode" => Ok(Role::Decode),
             "service" => Ok(Role::Service),
-            other => {
-                Err(WorldError::field("role", other, "give `prefill`, `decode` or `service`"))
-            }
+            other => Err(WorldError::field("role", other, "give `prefill`, `decode` or `service`")),
         }
     }
 }
--- a/crates/bulrushusher_world/tests/checks.rs
+++ b/crates/bulrushusher_world/tests/checks.rs
@@ -2,6 +2,8 @@
 
 use bulrushusher_world::{Closing, Endpoint, RawClosing, RawDeliverableClass, RawEndpoint};
 
+type Spoil = fn(&mut RawClosing);
+
 fn class(name: &str) -> RawDeliverableClass {
     RawDeliverableClass {
         name: name.into(),
@@ -34,7 +36,7 @@
 
 #[test]
 fn bad_closings_name_the_field() {
-    let cases: [(&str, fn(&mut RawClosing)); 6] = [
+    let cases: [(&str, Spoil); 6] = [
         ("ends_unix_ms", |c| c.ends_unix_ms = 1),
         ("services", |c| c.services.clear()),
         ("classes", |c| c.classes.push(class("rationale"))),
--- a/examples/closing.rs
+++ b/examples/closing.rs
@@ -31,7 +31,11 @@
         .arg(seed.value_parser(value_parser!(u64)).help("Seed of load, choices and stand-ins"))
         .arg(seconds.value_parser(value_parser!(u64).range(1..)).help("Length of the load"))
         .arg(load.value_parser(value_parser!(f64)).help("1.0 is the estimated capacity"))
-        .arg(policy.value_parser(parse_policy).help("round-robin, least-loaded, prefill-first, paired"))
+        .arg(
+            policy
+                .value_parser(parse_policy)
+                .help("round-robin, least-loaded, prefill-first, paired"),
+        )
         .arg(fault.value_parser(parse_fault).help("Fault to bring about; may be repeated"))
         .arg(json.help("Print one JSON object as the last line"))
 }
@@ -80,7 +84,8 @@
 
 async fn show_progress(progress: Arc<Mutex<Progress>>) {
     let style = ProgressStyle::with_template("{elapsed} {bar:40} {pos}/{len} answered {msg}");
-    let bar = ProgressBar::new(0).with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let bar =
+        ProgressBar::new(0).with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
     loop {
         let now = *progress.lock();
         bar.set_length(now.planned);
--- a/tools/bulrushusher_testbed/src/bed.rs
+++ b/tools/bulrushusher_testbed/src/bed.rs
@@ -205,11 +205,7 @@
     ///
     /// # Errors
     /// [`BedError`].
-    pub async fn start(
-        deployment: Deployment,
-        policy: Policy,
-        seed: u64,
-    ) -> Result<Bed, BedError> {
+    pub async fn start(deployment: Deployment, policy: Policy, seed: u64) -> Result<Bed, BedError> {
         let store_node = Node::new("store")?;
         let store = Arc::new(store_node.run(async { Store::start(loopback()) }).await?);
         let mut runners = Vec::new();
--- a/tools/bulrushusher_testbed/src/outcome.rs
+++ b/tools/bulrushusher_testbed/src/outcome.rs
@@ -176,8 +176,7 @@
     /// When there is no report.
     pub fn join(reports: Vec<(Report, u64)>) -> Report {
         let prefilled: u64 = reports.iter().map(|(_, tokens)| tokens).sum();
-        let wasted: f64 =
-            reports.iter().map(|(r, tokens)| r.wasted_prefill * *tokens as f64).sum();
+        let wasted: f64 = reports.iter().map(|(r, tokens)| r.wasted_prefill * *tokens as f64).sum();
         let mut reports = reports.into_iter().map(|(report, _)| report);
         let mut joined = reports.next().expect("at least one report");
         for report in reports {
@@ -197,8 +196,13 @@
         let mut table = Table::new();
         table.load_preset(presets::UTF8_FULL_CONDENSED);
         table.set_header([
-            "class", "accepted", "answered", "goodput/s", "TTFT p50/p95/p99 ms",
-            "per token p50/p95/p99 ms", "burn",
+            "class",
+            "accepted",
+            "answered",
+            "goodput/s",
+            "TTFT p50/p95/p99 ms",
+            "per token p50/p95/p99 ms",
+            "burn",
         ]);
         for class in &self.classes {
             let (t, p) = (&class.ttft_ms, &class.per_token_ms);
