A connection gone silent costs no answer: pools replaced, lost orders settled

Cause: an order or control call sent on a pooled connection that had gone silent was asked after on further pooled connections, just as silent; each cost a timeout, and the order's fate was given up as unknown although its executor lived. Ruled out: the engine (its counts show the order never came). Change: the first silence of an agent gives up all its pooled connections; an order without an answer is settled by one attach that revokes its reservation, so that "not here" from the same life of the agent is certain. Interactive requests wait at most 300 ms at one agent before they ask elsewhere.

--- a/crates/bulrushusher_agent/src/keys.rs
+++ b/crates/bulrushusher_agent/src/keys.rs
@@ -100,27 +100,30 @@
     }
 
     /// Finds the answer of a key that runs or ran here, waiting up to `wait` for it to begin.
+    /// `give_up` is called when it has not; an order that comes later finds it done.
     pub(crate) async fn attach(
         &self,
         key: &RequestKey,
         wait: Millis,
+        give_up: impl FnOnce(),
     ) -> Result<Arc<Answer>, NotTaken> {
         let end = tokio::time::Instant::now() + wait.duration();
         loop {
             let begun = self.begun.notified();
-            if let Some(found) = self.look(key) {
+            if let Some(found) = self.inner.lock().look(key) {
                 return found;
             }
             if tokio::time::timeout_at(end, begun).await.is_err() {
-                return Err(NotTaken::NotHere);
+                break;
             }
         }
-    }
-
-    fn look(&self, key: &RequestKey) -> Option<Result<Arc<Answer>, NotTaken>> {
         let inner = self.inner.lock();
-        let ran = inner.executor.look(key)?;
-        Some(inner.answer(key, ran))
+        if let Some(found) = inner.look(key) {
+            return found;
+        }
+        give_up();
+        drop(inner);
+        Err(NotTaken::NotHere { incarnation: self.incarnation })
     }
 
     /// A run finished with an answer of `bytes`.
@@ -211,6 +214,11 @@
         self.peers.len() > 1 && home_of(key, &self.peers) == Some(me)
     }
 
+    fn look(&self, key: &RequestKey) -> Option<Result<Arc<Answer>, NotTaken>> {
+        let ran = self.executor.look(key)?;
+        Some(self.answer(key, ran))
+    }
+
     fn answer(&self, key: &RequestKey, ran: Ran) -> Result<Arc<Answer>, NotTaken> {
         let held = self.answers.get(key).cloned();
         match (ran, held) {
--- a/crates/bulrushusher_agent/src/streams.rs
+++ b/crates/bulrushusher_agent/src/streams.rs
@@ -79,7 +79,12 @@
 }
 
 async fn attach(shared: Arc<Shared>, order: AttachOrder) -> Response {
-    match shared.keys.attach(&order.key, Millis(order.wait_ms)).await {
+    let give_up = || {
+        if let Some(reservation) = order.revoke {
+            shared.desk.finish(reservation);
+        }
+    };
+    match shared.keys.attach(&order.key, Millis(order.wait_ms), give_up).await {
         Ok(answer) => {
             answer.attach(&order.stream);
             follow(shared, answer, order.stream, order.from as usize)
--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -124,7 +124,7 @@
             let mut reader = self.reader(&endpoint);
             let end = reader.attach(&mut open, ATTACH_WAIT).await;
             self.passed = reader.passed;
-            let not_here = matches!(end, StreamEnd::NotTaken(NotTaken::NotHere));
+            let not_here = matches!(end, StreamEnd::NotTaken(NotTaken::NotHere { .. }));
             if not_here && ran {
                 return Err(unknown("the endpoint that ran it has forgotten it"));
             }
@@ -170,6 +170,7 @@
             key: &self.job.key,
             tx: self.tx,
             passed: self.passed,
+            incarnation: None,
         }
     }
 
@@ -193,7 +194,7 @@
             StreamEnd::NotTaken(NotTaken::TooOld) => Err(settle::too_old()),
             StreamEnd::NotTaken(NotTaken::RanWithoutAnswer { ran }) => self.lost(Some(ran)).await,
             StreamEnd::Failed(ran) => self.lost(Some(ran)).await,
-            StreamEnd::NotTaken(NotTaken::NotHere | NotTaken::InDoubt) | StreamEnd::Lost => {
+            StreamEnd::NotTaken(NotTaken::NotHere { .. } | NotTaken::InDoubt) | StreamEnd::Lost => {
                 self.lost(None).await
             }
         }
--- a/crates/bulrushusher_entry/src/place.rs
+++ b/crates/bulrushusher_entry/src/place.rs
@@ -14,8 +14,10 @@
 use crate::request::Job;
 
 /// The longest single wait at one agent; afterwards the request asks again, there or elsewhere,
-/// with the same urgency.
-const WAIT_STEP: Millis = Millis(2_000);
+/// with the same urgency. Also how long a connection that has gone silent goes unnoticed.
+const WAIT_STEP: Millis = Millis(1_000);
+/// The same for interactive requests, which cannot wait for long.
+const INTERACTIVE_WAIT_STEP: Millis = Millis(300);
 /// Pause before the pool is asked again when every member refused.
 const POOL_PAUSE: Millis = Millis(50);
 /// When to come back when no endpoint takes work.
@@ -86,7 +88,11 @@
                 continue;
             }
         };
-        let wait = want.until.since(now).min(WAIT_STEP);
+        let step = match want.job.class.patience {
+            Patience::Interactive => INTERACTIVE_WAIT_STEP,
+            Patience::Patient => WAIT_STEP,
+        };
+        let wait = want.until.since(now).min(step);
         let start_within = want.job.start_within(now);
         let ask = ReserveAsk { entry: shared.cfg.name.clone(), start_within, wait };
         let Some(reply) = shared.agents.reserve(&chosen.endpoint, ask).await else {
--- a/crates/bulrushusher_entry/src/run_stream.rs
+++ b/crates/bulrushusher_entry/src/run_stream.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bulrushusher_admission::ReservationId;
 use bulrushusher_http::{HttpError, LineStream};
 use bulrushusher_once::Ran;
 use bulrushusher_time::Millis;
@@ -60,6 +61,8 @@
     pub(crate) tx: &'a PartSender,
     /// Tokens passed on so far.
     pub(crate) passed: u32,
+    /// Which life of the agent has the key, where that is known.
+    pub(crate) incarnation: Option<u64>,
 }
 
 /// Why one connection ended before the stream did.
@@ -77,27 +80,54 @@
 impl RunReader<'_> {
     /// Sends an order and reads its stream to the end.
     pub(crate) async fn run(&mut self, order: &RunOrder, open: &mut OpenStream) -> StreamEnd {
+        self.incarnation = Some(order.incarnation);
         match self.shared.agents.run(self.endpoint, order).await {
             Ok(stream) => self.read(stream, open).await,
             Err(e) if e.is_unsent() => StreamEnd::NothingRan,
             Err(e) => {
                 log::info!("{LOG} order for {} has no answer: {e}", self.key);
-                // Long enough for an order that is still on its way to arrive or to be too late.
-                self.resume(open, self.shared.cfg.resume).await
+                self.find_out(order, open).await
             }
         }
     }
 
+    /// Finds out whether an order without an answer was taken, and makes sure that it is not taken
+    /// any more if not.
+    async fn find_out(&mut self, order: &RunOrder, open: &mut OpenStream) -> StreamEnd {
+        let until = self.shared.clock.now().plus(self.shared.cfg.resume);
+        while self.shared.clock.now() < until && !self.tx.is_closed() {
+            if let Ok(stream) = self.connect(open, Millis(0), Some(order.reservation)).await {
+                match self.read(stream, open).await {
+                    StreamEnd::NotTaken(NotTaken::NotHere { incarnation })
+                        if incarnation == order.incarnation =>
+                    {
+                        return StreamEnd::NothingRan;
+                    }
+                    StreamEnd::NotTaken(NotTaken::NotHere { .. }) => return StreamEnd::Lost,
+                    end => return end,
+                }
+            }
+            tokio::time::sleep(RESUME_PAUSE.duration()).await;
+        }
+        StreamEnd::Lost
+    }
+
     /// Attaches to a key that runs or ran at the agent, and reads its stream to the end.
     pub(crate) async fn attach(&mut self, open: &mut OpenStream, wait: Millis) -> StreamEnd {
-        match self.connect(open, wait).await {
+        match self.connect(open, wait, None).await {
             Ok(stream) => self.read(stream, open).await,
             Err(_) => self.resume(open, self.shared.cfg.resume).await,
         }
     }
 
-    async fn connect(&self, open: &mut OpenStream, wait: Millis) -> Result<LineStream, HttpError> {
+    async fn connect(
+        &self,
+        open: &OpenStream,
+        wait: Millis,
+        revoke: Option<ReservationId>,
+    ) -> Result<LineStream, HttpError> {
         let order = AttachOrder {
+            revoke,
             key: self.key.clone(),
             stream: open.name.clone(),
             from: self.passed,
@@ -111,6 +141,9 @@
             Interrupted::Ended(end) => ended(end, open),
             Interrupted::Connection(e) => {
                 log::info!("{LOG} stream of {} is resumed: {e}", self.key);
+                if matches!(e, HttpError::Silent { .. }) {
+                    self.shared.agents.went_silent(self.endpoint);
+                }
                 self.resume(open, self.shared.cfg.resume).await
             }
         }
@@ -124,9 +157,13 @@
                 return StreamEnd::CallerGone;
             }
             let had = self.passed;
-            if let Ok(stream) = self.connect(open, RESUME_WAIT).await {
+            if let Ok(stream) = self.connect(open, RESUME_WAIT, None).await {
                 match self.pass_on(stream).await {
-                    Interrupted::Ended(StreamEnd::NotTaken(NotTaken::NotHere)) => {}
+                    Interrupted::Ended(StreamEnd::NotTaken(NotTaken::NotHere { incarnation })) => {
+                        if self.incarnation.is_some_and(|known| known != incarnation) {
+                            return StreamEnd::Lost;
+                        }
+                    }
                     Interrupted::Ended(end) => return ended(end, open),
                     Interrupted::Connection(_) if self.passed > had => {
                         until = self.shared.clock.now().plus(bound);
--- a/crates/bulrushusher_wire/src/frame.rs
+++ b/crates/bulrushusher_wire/src/frame.rs
@@ -94,6 +94,9 @@
     pub from: u32,
     /// How long to wait for the key to begin, in milliseconds.
     pub wait_ms: u64,
+    /// A reservation whose order may be on its way: when the key has not begun by the end of the
+    /// wait, the reservation is given up, so that a late order is refused.
+    pub revoke: Option<ReservationId>,
 }
 
 /// Why an order opened no stream.
@@ -124,9 +127,12 @@
     /// The key is older than the retry horizon; it was not run by this order.
     #[display("the key is older than the retry horizon, not run by this order")]
     TooOld,
-    /// The key did not begin here in the time to wait.
+    /// The key did not begin here in the time to wait, as far as this life of the agent goes.
     #[display("the key has not begun here")]
-    NotHere,
+    NotHere {
+        /// Which life of the agent answers.
+        incarnation: u64,
+    },
 }
 
 /// One line of a stream.
