A stalled import and a young agent are told from a lost run

Cause 1: the agent gave a decode up as lost when the engine was silent for 1 s, though it was still importing the KV cache and later said that it was gone. The head of a decode may now take 6 s. Cause 2: an agent that restarted refused older keys only after their prefill; it now refuses the reservation.

--- a/crates/bulrushusher_admission/src/refusal.rs
+++ b/crates/bulrushusher_admission/src/refusal.rs
@@ -32,6 +32,9 @@
         /// The highest number seen.
         held: u64,
     },
+    /// The agent remembers too little to vouch that the key never ran there.
+    #[display("this agent cannot vouch for the key; choose another, the request was not run")]
+    CannotVouch,
     /// A table of the agent is at its bound.
     #[display("the table of {table} is full; come back later, the request was not run")]
     TableFull {
--- a/crates/bulrushusher_agent/src/control.rs
+++ b/crates/bulrushusher_agent/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_admission::ReservationId;
+use bulrushusher_admission::{Refusal, ReservationId};
 use bulrushusher_once::ClaimReply;
 use bulrushusher_wire::{
     AgentControlServer, AgentStatus, BarAnswer, BarAsk, CancelAsk, ClaimAsk, ListPush, ReserveAsk,
@@ -20,7 +20,11 @@
 impl AgentControlServer for Control {
     async fn reserve(&self, ask: ReserveAsk) -> RpcResult<ReserveReply> {
         let shared = &self.0;
-        let granted = shared.desk.reserve(ask.start_within, ask.wait).await;
+        let in_doubt = ask.key.as_ref().is_some_and(|key| shared.keys.is_in_doubt(key));
+        let granted = match in_doubt {
+            true => Err(Refusal::CannotVouch),
+            false => shared.desk.reserve(ask.start_within, ask.wait).await,
+        };
         let reserved = |grant: bulrushusher_admission::Grant| Reserved {
             id: grant.id,
             incarnation: shared.incarnation,
--- a/crates/bulrushusher_agent/src/engine.rs
+++ b/crates/bulrushusher_agent/src/engine.rs
@@ -6,6 +6,8 @@
 use bulrushusher_http::{HttpClient, HttpError, LineStream};
 use serde::{Deserialize, Serialize};
 
+/// The longest time the engine may take to import a KV cache, or to say that it is gone.
+const IMPORT_BOUND: Duration = Duration::from_millis(6_000);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// A message of a prefill stream.
@@ -110,7 +112,9 @@
     ) -> Result<LineStream, HttpError> {
         let kv = KvSource { engine: work.kv.engine, kv: work.kv.kv };
         let call = DecodeCall { run, key, kv, max_tokens: work.max_tokens };
-        self.http.stream(self.engine, "/decode", &call, self.silent).await
+        // The answer begins when the KV cache has come, or is known to be gone.
+        let opened = self.http.stream(self.engine, "/decode", &call, IMPORT_BOUND).await?;
+        Ok(opened.with_idle(self.silent))
     }
 
     pub(crate) async fn resume(&self, run: &str, from: usize) -> Result<LineStream, HttpError> {
--- a/crates/bulrushusher_agent/src/keys.rs
+++ b/crates/bulrushusher_agent/src/keys.rs
@@ -99,6 +99,11 @@
         }
     }
 
+    /// Whether this agent could not vouch for a key if it were ordered now.
+    pub(crate) fn is_in_doubt(&self, key: &RequestKey) -> bool {
+        self.inner.lock().executor.is_in_doubt(key, self.clock.now())
+    }
+
     /// Finds the answer of a key that runs or ran here, waiting up to `wait` for it to begin.
     /// `give_up` is called when it has not; an order that comes later finds it done.
     pub(crate) async fn attach(
--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -70,6 +70,12 @@
         settle::home(self.shared, &self.job).map(|home| home.name)
     }
 
+    /// True when the key will run at the ballot of its home, so that its executor must vouch for it.
+    pub(crate) fn wants_vouching(&self) -> bool {
+        self.cleared.is_none()
+            && self.assignment.as_ref().is_none_or(|held| held.ballot == Ballot::Home)
+    }
+
     /// Makes sure that `executor` may run the key. [`Step::Again`] means that it may; when the key
     /// is another's, the answer is taken from there.
     pub(crate) async fn assign(&mut self, executor: &EndpointName) -> Result<Assigned, ApiError> {
@@ -101,6 +107,16 @@
         self.bar(above).await
     }
 
+    /// No executor vouches for the key: a new one is as good where nobody else knows it, and a
+    /// shared one is barred.
+    pub(crate) async fn in_doubt(&mut self) -> Result<Step, ApiError> {
+        if self.job.shared_key {
+            return self.bar(Ballot::Home).await;
+        }
+        self.job.key = mint_key()?;
+        Ok(Step::Again)
+    }
+
     async fn bar(&mut self, above: Ballot) -> Result<Step, ApiError> {
         self.assignment = None;
         self.cleared = None;
@@ -188,8 +204,7 @@
                 Box::pin(self.bar(ballot.clone())).await
             }
             StreamEnd::NotTaken(NotTaken::InDoubt | NotTaken::TooOld) if !self.job.shared_key => {
-                self.job.key = mint_key()?;
-                Ok(Step::Again)
+                Box::pin(self.in_doubt()).await
             }
             StreamEnd::NotTaken(NotTaken::TooOld) => Err(settle::too_old()),
             StreamEnd::NotTaken(NotTaken::RanWithoutAnswer { ran }) => self.lost(Some(ran)).await,
--- a/crates/bulrushusher_entry/src/place.rs
+++ b/crates/bulrushusher_entry/src/place.rs
@@ -33,6 +33,9 @@
     pub(crate) home: Option<&'a EndpointName>,
     /// The only endpoint that may be taken, where the key belongs to one already.
     pub(crate) only: Option<&'a EndpointName>,
+    /// True when the key shall run there at the ballot of its home, so that the endpoint must
+    /// vouch for it.
+    pub(crate) vouched: bool,
     /// When to stop asking.
     pub(crate) until: Millis,
 }
@@ -44,6 +47,8 @@
     Busy { retry_after: Millis },
     /// The one endpoint that may be taken is leaving or does not answer.
     OnlyGone,
+    /// No endpoint remembers far enough back to vouch for the key.
+    NoneVouches,
     /// There is nothing to ask.
     NotPlaced(NotPlaced),
 }
@@ -59,6 +64,10 @@
                 ApiError::not_run(ErrorCode::NoEndpoint, "the key's endpoint does not answer")
                     .after(NO_ENDPOINT_RETRY)
             }
+            NoPlace::NoneVouches => {
+                ApiError::not_run(ErrorCode::NoEndpoint, "no endpoint can vouch for the key")
+                    .after(NO_ENDPOINT_RETRY)
+            }
             NoPlace::NotPlaced(e @ NotPlaced::UnknownService { .. }) => {
                 ApiError::not_run(ErrorCode::UnknownService, e.to_string())
             }
@@ -72,6 +81,7 @@
 /// Asks for a place until one is had or the time is over.
 pub(crate) async fn get(shared: &Arc<Shared>, want: Want<'_>) -> Result<HeldPlace, NoPlace> {
     let mut refused: Vec<EndpointName> = Vec::new();
+    let mut unvouched = 0;
     let mut busy = Millis(1_000);
     loop {
         let now = shared.clock.now();
@@ -79,8 +89,10 @@
             Ok(chosen) => chosen,
             Err(e) if refused.is_empty() => return Err(NoPlace::NotPlaced(e)),
             Err(_) if want.only.is_some() => return Err(NoPlace::OnlyGone),
+            Err(_) if unvouched == refused.len() => return Err(NoPlace::NoneVouches),
             Err(_) => {
                 refused.clear();
+                unvouched = 0;
                 tokio::time::sleep(POOL_PAUSE.duration()).await;
                 if want.until <= shared.clock.now() {
                     return Err(NoPlace::Busy { retry_after: busy });
@@ -94,7 +106,8 @@
         };
         let wait = want.until.since(now).min(step);
         let start_within = want.job.start_within(now);
-        let ask = ReserveAsk { entry: shared.cfg.name.clone(), start_within, wait };
+        let key = want.vouched.then(|| want.job.key.clone());
+        let ask = ReserveAsk { entry: shared.cfg.name.clone(), start_within, wait, key };
         let Some(reply) = shared.agents.reserve(&chosen.endpoint, ask).await else {
             log::info!("{LOG} {} did not answer, another is chosen", chosen.endpoint.name);
             refused.push(chosen.endpoint.name.clone());
@@ -109,7 +122,10 @@
                     return Err(NoPlace::Busy { retry_after });
                 }
             }
-            Err(_) => refused.push(chosen.endpoint.name.clone()),
+            Err(refusal) => {
+                unvouched += usize::from(refusal == Refusal::CannotVouch);
+                refused.push(chosen.endpoint.name.clone());
+            }
         }
     }
 }
--- a/crates/bulrushusher_entry/src/prompt_task.rs
+++ b/crates/bulrushusher_entry/src/prompt_task.rs
@@ -86,12 +86,26 @@
     let job = execution.job.clone();
     let until = place::give_up_at(&job);
     let home = execution.home();
-    let want = Want { role: Role::Prefill, job: &job, blocks, home: None, only: None, until };
+    let want = Want {
+        role: Role::Prefill,
+        job: &job,
+        blocks,
+        home: None,
+        only: None,
+        vouched: false,
+        until,
+    };
     let mut prefill = place::get(shared, want).await.map_err(NoPlace::into_error)?;
     let decode_first = shared.cfg.pairing.policy.reserves_decode_first();
 
     let only = execution.only();
-    let want = Want { role: Role::Decode, home: home.as_ref(), only: only.as_ref(), ..want };
+    let want = Want {
+        role: Role::Decode,
+        home: home.as_ref(),
+        only: only.as_ref(),
+        vouched: execution.wants_vouching(),
+        ..want
+    };
     let mut decode = None;
     if decode_first || job.shared_key {
         // The prefill place is held for some time only; give it back before it lapses.
@@ -100,6 +114,7 @@
         match place::get(shared, Want { until, ..want }).await {
             Ok(place) => decode = Some(place),
             Err(NoPlace::OnlyGone) => return execution.reassign().await,
+            Err(NoPlace::NoneVouches) => return execution.in_doubt().await,
             Err(NoPlace::Busy { .. }) => return Ok(Step::Again),
             Err(e) => return Err(e.into_error()),
         }
--- a/crates/bulrushusher_entry/src/service_task.rs
+++ b/crates/bulrushusher_entry/src/service_task.rs
@@ -59,11 +59,13 @@
         blocks: &[],
         home: home.as_ref(),
         only: only.as_ref(),
+        vouched: execution.wants_vouching(),
         until: place::give_up_at(&job),
     };
     let mut place = match place::get(shared, want).await {
         Ok(place) => place,
         Err(NoPlace::OnlyGone) => return execution.reassign().await,
+        Err(NoPlace::NoneVouches) => return execution.in_doubt().await,
         Err(e) => return Err(e.into_error()),
     };
     match execution.assign(&place.chosen.endpoint.name).await? {
--- a/crates/bulrushusher_http/src/lines.rs
+++ b/crates/bulrushusher_http/src/lines.rs
@@ -27,6 +27,13 @@
         LineStream { peer, body, buf: BytesMut::new(), idle }
     }
 
+    /// The same stream with another bound on silence.
+    #[must_use]
+    pub fn with_idle(mut self, idle: Duration) -> LineStream {
+        self.idle = idle;
+        self
+    }
+
     /// The next line without its end; `None` at the end of the body.
     ///
     /// # Errors
--- a/crates/bulrushusher_once/src/executor.rs
+++ b/crates/bulrushusher_once/src/executor.rs
@@ -144,6 +144,12 @@
         }
     }
 
+    /// Whether an order for `key` at [`Ballot::Home`] would be refused for want of memory.
+    pub fn is_in_doubt(&self, key: &RequestKey, now: Millis) -> bool {
+        let unseen = !self.records.contains_key(key);
+        unseen && self.cfg.vouch.age(key_time(key), now) == KeyAge::InDoubt
+    }
+
     /// What is known of `key`, without changing anything; `None` when it never ran here.
     pub fn look(&self, key: &RequestKey) -> Option<Ran> {
         match self.records.get(key)?.state {
--- a/crates/bulrushusher_wire/src/control.rs
+++ b/crates/bulrushusher_wire/src/control.rs
@@ -30,6 +30,9 @@
     pub start_within: Millis,
     /// How long the asker waits for a place.
     pub wait: Millis,
+    /// The key that shall run there at the ballot of its home; `None` for a prefill, and for a key
+    /// that was barred.
+    pub key: Option<RequestKey>,
 }
 
 /// A place held.
