Settlement of a key as a decision type; per-service lists with known gaps

Lists are per service and say what they came directly after; endpoints taken out stay known for the retry horizon, and bars carry the list's revision.

--- a/crates/bulrushusher_agent/src/agent.rs
+++ b/crates/bulrushusher_agent/src/agent.rs
@@ -53,14 +53,19 @@
         }
     }
 
-    /// Takes a later endpoint list.
+    /// Takes a later endpoint list. An endpoint that is not in it any more is leaving.
     pub(crate) fn take_list(&self, push: ListPush) {
-        let Some(leaving) = self.keys.set_list(&push) else { return };
+        if push.service != self.cfg.service || !self.keys.set_list(push.list) {
+            return;
+        }
+        let me = push.endpoints.iter().find(|endpoint| endpoint.name == self.cfg.name);
+        let leaving = me.is_none_or(|endpoint| endpoint.leaving);
         if leaving != self.desk.is_leaving() {
             log::info!("{LOG} {} is leaving: {leaving}", self.cfg.name);
             self.desk.set_leaving(leaving);
         }
-        let addresses = push.endpoints.iter().map(|e| (e.name.clone(), e.control)).collect();
+        let known = push.endpoints.iter().chain(&push.departed);
+        let addresses = known.map(|endpoint| (endpoint.name.clone(), endpoint.control)).collect();
         self.peers.store(Arc::new(addresses));
     }
 }
--- a/crates/bulrushusher_agent/src/keys.rs
+++ b/crates/bulrushusher_agent/src/keys.rs
@@ -4,12 +4,11 @@
 use std::sync::Arc;
 
 use bulrushusher_once::{
-    Ballot, BarReply, ClaimReply, ExecutorConfig, ExecutorTable, HomeBar, HomeConfig, HomeTable,
-    OrderReply, Ran, Vouch, home_of,
+    Ballot, ClaimReply, KeyRecords, OrderReply, Ran, RecordsConfig, ServiceList, Vouch,
 };
 use bulrushusher_time::{Clock, Millis};
-use bulrushusher_wire::{BarAnswer, BarAsk, ClaimAsk, ListPush, NotTaken, RunOrder};
-use bulrushusher_world::{EndpointName, RequestKey, Role};
+use bulrushusher_wire::{BarAnswer, BarAsk, ClaimAsk, NotTaken, RunOrder};
+use bulrushusher_world::{EndpointName, RequestKey};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -18,10 +17,8 @@
 
 #[derive(Debug)]
 struct Inner {
-    executor: ExecutorTable,
-    home: HomeTable,
+    records: KeyRecords,
     answers: HashMap<RequestKey, Arc<Answer>>,
-    peers: Vec<EndpointName>,
 }
 
 /// What an order comes to.
@@ -35,7 +32,6 @@
 /// The records, shared by the agent's tasks.
 #[derive(Debug)]
 pub(crate) struct Keys {
-    me: EndpointName,
     clock: Clock,
     incarnation: u64,
     inner: Mutex<Inner>,
@@ -45,16 +41,14 @@
 impl Keys {
     pub(crate) fn new(cfg: &AgentConfig, clock: Clock, incarnation: u64) -> Keys {
         let vouch = Vouch { since: clock.now(), skew: cfg.skew, horizon: cfg.horizon };
-        let executor = ExecutorTable::new(ExecutorConfig {
-            max_records: cfg.max_keys,
+        let records = RecordsConfig {
+            max_keys: cfg.max_keys,
             max_answer_bytes: cfg.max_answer_bytes,
             vouch,
-        });
-        let home = HomeConfig { max_records: cfg.max_keys, vouch };
-        let home = HomeTable::new(cfg.name.clone(), home);
-        let inner = Inner { executor, home, answers: HashMap::new(), peers: Vec::new() };
+        };
+        let records = KeyRecords::new(cfg.name.clone(), records);
+        let inner = Inner { records, answers: HashMap::new() };
         Keys {
-            me: cfg.name.clone(),
             clock,
             incarnation,
             inner: Mutex::new(inner),
@@ -71,13 +65,10 @@
     ) -> Result<Taken, NotTaken> {
         let now = self.clock.now();
         let mut inner = self.inner.lock();
-        if order.shared_key && inner.is_home(&self.me, &order.key) {
-            return Err(NotTaken::InDoubt);
-        }
-        match inner.executor.order(&order.key, &order.ballot, now) {
+        match inner.records.order(&order.key, order.shared_key, &order.ballot, now) {
             OrderReply::Run => {
                 if let Err(refused) = start() {
-                    inner.executor.not_begun(&order.key, &order.ballot);
+                    inner.records.not_begun(&order.key, &order.ballot);
                     return Err(refused);
                 }
                 let answer = Arc::new(Answer::default());
@@ -101,7 +92,7 @@
 
     /// Whether this agent could not vouch for a key if it were ordered now.
     pub(crate) fn is_in_doubt(&self, key: &RequestKey) -> bool {
-        self.inner.lock().executor.is_in_doubt(key, self.clock.now())
+        self.inner.lock().records.is_in_doubt(key, self.clock.now())
     }
 
     /// Finds the answer of a key that runs or ran here, waiting up to `wait` for it to begin.
@@ -134,76 +125,56 @@
     /// A run finished with an answer of `bytes`.
     pub(crate) fn finish(&self, key: &RequestKey, bytes: usize) {
         let mut inner = self.inner.lock();
-        inner.executor.finish(key, bytes);
+        inner.records.finish(key, bytes);
         inner.drop_answers();
     }
 
     /// A run began and ended without an answer.
     pub(crate) fn end(&self, key: &RequestKey, ran: Ran) {
-        self.inner.lock().executor.end(key, ran);
+        self.inner.lock().records.end(key, ran);
     }
 
     /// A run certainly did not begin.
     pub(crate) fn not_begun(&self, key: &RequestKey, ballot: &Ballot) {
         let mut inner = self.inner.lock();
-        inner.executor.not_begun(key, ballot);
+        inner.records.not_begun(key, ballot);
         inner.answers.remove(key);
     }
 
     pub(crate) fn claim(&self, ask: &ClaimAsk) -> ClaimReply {
         let now = self.clock.now();
-        self.inner.lock().home.claim(&ask.key, &ask.executor, ask.revision, now)
+        self.inner.lock().records.claim(&ask.key, &ask.executor, ask.revision, now)
     }
 
     pub(crate) fn bar(&self, ask: &BarAsk) -> BarAnswer {
         let now = self.clock.now();
-        let mut inner = self.inner.lock();
-        let (reply, home) = match inner.home.bar(&ask.key, now) {
-            Ok(home) => (inner.executor.bar(&ask.key, &ask.ballot, now), home),
-            Err(_) => (BarReply::TableFull, HomeBar::NotGiven),
-        };
-        log::debug!("{LOG} key {} barred at {}: {reply:?}", ask.key, ask.ballot);
-        BarAnswer { reply, home, revision: inner.home.revision(), incarnation: self.incarnation }
+        let heard = self.inner.lock().records.bar(&ask.key, &ask.ballot, ask.revision, now);
+        log::debug!("{LOG} key {} barred at {}: {heard:?}", ask.key, ask.ballot);
+        BarAnswer { reply: heard.reply, home: heard.home, revision: heard.revision }
     }
 
-    /// Takes a later endpoint list; true when this endpoint is marked as leaving in it.
-    pub(crate) fn set_list(&self, push: &ListPush) -> Option<bool> {
+    /// Takes a later endpoint list; false when it is not later.
+    pub(crate) fn set_list(&self, list: ServiceList) -> bool {
         let now = self.clock.now();
-        let mut inner = self.inner.lock();
-        if push.revision <= inner.home.revision() {
-            return None;
-        }
-        let me = push.endpoints.iter().find(|endpoint| endpoint.name == self.me)?;
-        let homes = |e: &&bulrushusher_world::Endpoint| {
-            e.service == me.service && matches!(e.role, Role::Decode | Role::Service)
-        };
-        let peers: Vec<EndpointName> =
-            push.endpoints.iter().filter(homes).map(|endpoint| endpoint.name.clone()).collect();
-        if peers.contains(&self.me) && !inner.peers.contains(&self.me) {
-            inner.executor.joined(now);
-        }
-        inner.home.set_list(push.revision, peers.clone(), now);
-        inner.peers = peers;
-        Some(me.leaving)
+        self.inner.lock().records.set_list(list, now)
     }
 
     /// Agents that have still to acknowledge the present list.
     pub(crate) fn unacknowledged(&self) -> Vec<EndpointName> {
-        self.inner.lock().home.unacknowledged()
+        self.inner.lock().records.unacknowledged()
     }
 
     pub(crate) fn acknowledged(&self, agent: &EndpointName, revision: u64) {
-        self.inner.lock().home.acknowledged(agent, revision);
+        self.inner.lock().records.acknowledged(agent, revision);
     }
 
     pub(crate) fn revision(&self) -> u64 {
-        self.inner.lock().home.revision()
+        self.inner.lock().records.revision()
     }
 
     /// Keys on record as executor and as home, and bytes of answers kept.
     pub(crate) fn sizes(&self) -> (usize, usize, usize) {
-        let inner = self.inner.lock();
-        (inner.executor.len(), inner.home.len(), inner.executor.answer_bytes())
+        self.inner.lock().records.sizes()
     }
 
     /// Gives up a stream of a key; true when it was attached here.
@@ -214,13 +185,8 @@
 }
 
 impl Inner {
-    /// True when this agent is the key's home and others could run it.
-    fn is_home(&self, me: &EndpointName, key: &RequestKey) -> bool {
-        self.peers.len() > 1 && home_of(key, &self.peers) == Some(me)
-    }
-
     fn look(&self, key: &RequestKey) -> Option<Result<Arc<Answer>, NotTaken>> {
-        let ran = self.executor.look(key)?;
+        let ran = self.records.look(key)?;
         Some(self.answer(key, ran))
     }
 
@@ -233,7 +199,7 @@
     }
 
     fn drop_answers(&mut self) {
-        for key in self.executor.take_dropped() {
+        for key in self.records.take_dropped() {
             self.answers.remove(&key);
         }
     }
--- a/crates/bulrushusher_entry/src/configuration.rs
+++ b/crates/bulrushusher_entry/src/configuration.rs
@@ -1,10 +1,11 @@
 //! The configuration in force at this entry, and the loops that keep it so.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use bulrushusher_platform::{Snapshot, StoredObject};
+use bulrushusher_once::{ListView, ServiceList};
+use bulrushusher_platform::{ListRevision, Snapshot, StoredObject};
 use bulrushusher_time::Millis;
 use bulrushusher_wire::ListPush;
 use bulrushusher_world::{
@@ -23,8 +24,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Configuration {
     pub(crate) snapshot: Snapshot,
-    /// When this entry learned the present endpoint list.
-    pub(crate) list_learned: Millis,
+    /// When this entry learned the present endpoint list of each service.
+    pub(crate) lists_learned: BTreeMap<ServiceName, Millis>,
 }
 
 impl Configuration {
@@ -42,15 +43,59 @@
         self.snapshot.endpoints().any(|(_, e)| e.service == *service && e.role == role)
     }
 
-    /// The endpoints that may run keys of a service: every one that decodes or serves calls.
-    pub(crate) fn executors(&self, service: &ServiceName) -> Vec<Endpoint> {
-        let runs = |e: &Endpoint| matches!(e.role, Role::Decode | Role::Service);
+    /// The endpoint list of a service, as far as running keys goes.
+    pub(crate) fn list_view(
+        &self,
+        service: &ServiceName,
+        now: Millis,
+        horizon: Millis,
+    ) -> ListView {
+        let ServiceList { revision, executors, departed, .. } = self.list(service, now, horizon);
+        let learned = self.lists_learned.get(service).copied().unwrap_or_default();
+        ListView { revision, executors, departed, learned }
+    }
+
+    fn list(&self, service: &ServiceName, now: Millis, horizon: Millis) -> ServiceList {
+        let runs = |e: &&Endpoint| matches!(e.role, Role::Decode | Role::Service);
+        let names = |endpoints: Vec<&Endpoint>| {
+            endpoints.into_iter().filter(runs).map(|e| e.name.clone()).collect()
+        };
+        let ListRevision { revision, previous } = self.snapshot.list_revision(service);
+        ServiceList {
+            revision,
+            previous,
+            executors: names(self.present(service)),
+            departed: names(self.departed(service, now, horizon)),
+        }
+    }
+
+    fn present(&self, service: &ServiceName) -> Vec<&Endpoint> {
         let all = self.snapshot.endpoints().map(|(_, endpoint)| endpoint);
-        all.filter(|e| e.service == *service && runs(e)).cloned().collect()
+        all.filter(|endpoint| endpoint.service == *service).collect()
     }
 
-    pub(crate) fn endpoint(&self, name: &EndpointName) -> Option<Endpoint> {
-        self.snapshot.endpoints().map(|(_, e)| e).find(|e| e.name == *name).cloned()
+    fn departed(&self, service: &ServiceName, now: Millis, horizon: Millis) -> Vec<&Endpoint> {
+        let recent = self.snapshot.departed().filter(|(_, at)| now.since(*at) <= horizon);
+        let all = recent.map(|(endpoint, _)| endpoint);
+        all.filter(|endpoint| endpoint.service == *service).collect()
+    }
+
+    /// What the agents of a service must know of its list.
+    fn push(&self, service: &ServiceName, now: Millis, horizon: Millis) -> ListPush {
+        let owned = |endpoints: Vec<&Endpoint>| endpoints.into_iter().cloned().collect();
+        ListPush {
+            service: service.clone(),
+            list: self.list(service, now, horizon),
+            endpoints: owned(self.present(service)),
+            departed: owned(self.departed(service, now, horizon)),
+        }
+    }
+
+    /// An endpoint of that name, present or departed.
+    pub(crate) fn known_endpoint(&self, name: &EndpointName) -> Option<Endpoint> {
+        let departed = self.snapshot.departed().map(|(endpoint, _)| endpoint);
+        let mut all = self.snapshot.endpoints().map(|(_, endpoint)| endpoint).chain(departed);
+        all.find(|endpoint| endpoint.name == *name).cloned()
     }
 
     /// A class by name, of a closing that is open for the service.
@@ -90,25 +135,38 @@
     let _one_at_a_time = shared.configuring.lock();
     let held = shared.configuration.load_full();
     let mut snapshot = held.snapshot.clone();
-    let mut changed = false;
-    for object in objects {
+    let mut in_order: Vec<&StoredObject> = objects.iter().collect();
+    in_order.sort_by_key(|object| object.revision);
+    let mut changed = 0;
+    for object in in_order {
         match snapshot.apply(object) {
-            Ok(applied) => changed |= applied,
+            Ok(applied) => changed += usize::from(applied),
             Err(e) => log::error!("{LOG} {} is not valid and was left out: {e}", object.key),
         }
     }
-    if !changed {
+    if changed == 0 {
         return false;
     }
-    let list_changed = snapshot.endpoints_revision > held.snapshot.endpoints_revision;
-    let list_learned = if list_changed { shared.clock.now() } else { held.list_learned };
+    if changed > 1 {
+        // The lists in between were never in force here; others may have seen them.
+        snapshot.note_gap();
+    }
+    let now = shared.clock.now();
+    let mut lists_learned = held.lists_learned.clone();
+    let mut list_changed = false;
+    for (service, list) in snapshot.lists() {
+        if list.revision > held.snapshot.list_revision(service).revision {
+            lists_learned.insert(service.clone(), now);
+            list_changed = true;
+        }
+    }
     if list_changed {
         let endpoints = snapshot.endpoints().map(|(_, endpoint)| endpoint.clone()).collect();
         shared.table.lock().set_endpoints(endpoints);
         shared.list_changed.notify_one();
     }
     log::info!("{LOG} configuration of revision {} is in force", snapshot.revision);
-    shared.configuration.store(Arc::new(Configuration { snapshot, list_learned }));
+    shared.configuration.store(Arc::new(Configuration { snapshot, lists_learned }));
     true
 }
 
@@ -138,38 +196,56 @@
     }
 }
 
-/// Hands the endpoint list to the agents that do not hold it, and hears their load.
+/// Hands the endpoint lists to the agents that do not hold them, and hears their load.
 pub(crate) async fn agent_loop(shared: Arc<Shared>) {
     let mut held: HashMap<EndpointName, u64> = HashMap::new();
     loop {
         let _ = tokio::time::timeout(AGENT_TICK, shared.list_changed.notified()).await;
         let configuration = shared.configuration.load_full();
-        let revision = configuration.snapshot.endpoints_revision;
-        let endpoints: Vec<Endpoint> =
-            configuration.snapshot.endpoints().map(|(_, endpoint)| endpoint.clone()).collect();
-        let behind: Vec<Endpoint> =
-            endpoints.iter().filter(|e| held.get(&e.name) != Some(&revision)).cloned().collect();
-        let pushes = behind.iter().map(|endpoint| {
-            let push = ListPush { revision, endpoints: endpoints.clone() };
-            shared.agents.set_list(endpoint, push)
-        });
-        let pushed = join_all(pushes).await;
-        for (endpoint, answer) in behind.iter().zip(pushed) {
+        push_lists(&shared, &configuration, &mut held).await;
+        hear_agents(&shared, &configuration, &mut held).await;
+    }
+}
+
+async fn push_lists(
+    shared: &Shared,
+    configuration: &Configuration,
+    held: &mut HashMap<EndpointName, u64>,
+) {
+    let (now, horizon) = (shared.clock.now(), shared.cfg.horizon);
+    for (service, list) in configuration.snapshot.lists() {
+        let push = configuration.push(service, now, horizon);
+        let behind: Vec<&Endpoint> = push
+            .endpoints
+            .iter()
+            .chain(&push.departed)
+            .filter(|endpoint| held.get(&endpoint.name) != Some(&list.revision))
+            .collect();
+        let pushed = behind.iter().map(|endpoint| shared.agents.set_list(endpoint, push.clone()));
+        for (endpoint, answer) in behind.iter().zip(join_all(pushed).await) {
             if let Some(revision) = answer {
                 held.insert(endpoint.name.clone(), revision);
             }
         }
-        let heard = join_all(endpoints.iter().map(|e| shared.agents.status(e))).await;
-        for (endpoint, status) in endpoints.iter().zip(heard) {
-            match status {
-                Some(status) => {
-                    shared.hear(&endpoint.name, status.load);
-                    let (running, waiting) = status.engine_load;
-                    shared.table.lock().hear_engine(&endpoint.name, running + waiting);
-                    held.insert(endpoint.name.clone(), status.revision);
-                }
-                None => drop(held.remove(&endpoint.name)),
+    }
+}
+
+async fn hear_agents(
+    shared: &Shared,
+    configuration: &Configuration,
+    held: &mut HashMap<EndpointName, u64>,
+) {
+    let endpoints: Vec<&Endpoint> = configuration.snapshot.endpoints().map(|(_, e)| e).collect();
+    let heard = join_all(endpoints.iter().map(|e| shared.agents.status(e))).await;
+    for (endpoint, status) in endpoints.iter().zip(heard) {
+        match status {
+            Some(status) => {
+                shared.hear(&endpoint.name, status.load);
+                let (running, waiting) = status.engine_load;
+                shared.table.lock().hear_engine(&endpoint.name, running + waiting);
+                held.insert(endpoint.name.clone(), status.revision);
             }
+            None => drop(held.remove(&endpoint.name)),
         }
     }
 }
--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_once::{Ballot, Ran};
+use bulrushusher_once::{Ballot, Ran, Settled};
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{ApiError, NotTaken, RunOrder, Work};
 use bulrushusher_world::{Endpoint, EndpointName};
@@ -11,7 +11,7 @@
 use crate::guards::{HeldPlace, OpenStream};
 use crate::request::{Job, mint_key};
 use crate::run_stream::{Part, PartSender, RunReader, StreamEnd};
-use crate::settle::{self, Settled, answer_gone, unknown};
+use crate::settle::{self, answer_gone, unknown};
 
 /// How long a key that was given to another executor may take to begin there before it is barred.
 const BEGIN_WAIT: Millis = Millis(4_000);
@@ -67,7 +67,7 @@
         if !self.job.shared_key {
             return None;
         }
-        settle::home(self.shared, &self.job).map(|home| home.name)
+        settle::view(self.shared, &self.job).home(&self.job.key).cloned()
     }
 
     /// True when the key will run at the ballot of its home, so that its executor must vouch for it.
@@ -87,7 +87,7 @@
         }
         let settled = match self.cleared.take() {
             Some(ballot) => Settled::Run(ballot),
-            None => settle::settle(self.shared, &self.job, executor).await?,
+            None => settle::claim(self.shared, &self.job, executor).await?,
         };
         match settled {
             Settled::Run(ballot) => {
@@ -98,6 +98,7 @@
             Settled::Attach { executor, ran } => {
                 self.take_from(&executor, ran).await.map(Assigned::Elsewhere)
             }
+            Settled::Not(_) => Err(unknown("the key was not settled")),
         }
     }
 
@@ -126,12 +127,13 @@
                 Ok(Step::Again)
             }
             Settled::Attach { executor, ran } => Box::pin(self.take_from(&executor, ran)).await,
+            Settled::Not(_) => Err(unknown("the key was not settled")),
         }
     }
 
     /// Takes the answer from the executor that the key belongs to.
     async fn take_from(&mut self, executor: &EndpointName, ran: bool) -> Result<Step, ApiError> {
-        let Some(endpoint) = self.shared.configuration.load().endpoint(executor) else {
+        let Some(endpoint) = self.shared.configuration.load().known_endpoint(executor) else {
             return self.bar(Ballot::Home).await;
         };
         let until = self.shared.clock.now().plus(BEGIN_WAIT);
--- a/crates/bulrushusher_entry/src/operator.rs
+++ b/crates/bulrushusher_entry/src/operator.rs
@@ -119,7 +119,14 @@
         let req = req.into_inner();
         let endpoint = req.endpoint.ok_or_else(|| missing("endpoint"))?;
         let endpoint = convert::endpoint_from(endpoint).map_err(invalid)?;
-        self.put(Kind::Endpoint, endpoint.name.as_str(), req.expected_version, &endpoint).await
+        let name = endpoint.name.as_str();
+        // A name that was taken out can be created again.
+        let mut expected_version = req.expected_version;
+        let cfg = self.shared.configuration.load_full();
+        if expected_version == 0 && cfg.snapshot.departed().any(|(e, _)| e.name.as_str() == name) {
+            expected_version = cfg.snapshot.endpoint_version(name);
+        }
+        self.put(Kind::Endpoint, name, expected_version, &endpoint).await
     }
 
     async fn get_endpoint(&self, req: Request<v1::GetRequest>) -> Reply<v1::Endpoint> {
@@ -137,8 +144,16 @@
         Ok(Response::new(v1::ListEndpointsReply { endpoints: endpoints.collect() }))
     }
 
+    /// Takes an endpoint out of the list. Its object stays, marked as removed: keys that it ran may
+    /// be sent again.
     async fn delete_endpoint(&self, req: Request<v1::DeleteRequest>) -> Reply<v1::PutReply> {
-        self.delete(Kind::Endpoint, req.into_inner()).await
+        let req = req.into_inner();
+        let cfg = self.shared.configuration.load_full();
+        let found = cfg.snapshot.endpoints().find(|(_, e)| e.name.as_str() == req.name);
+        let (_, held) = found.ok_or_else(|| not_found(Kind::Endpoint, &req.name))?;
+        let removed = Some(self.shared.clock.now());
+        let endpoint = bulrushusher_world::Endpoint { leaving: true, removed, ..held.clone() };
+        self.put(Kind::Endpoint, &req.name, req.expected_version, &endpoint).await
     }
 
     async fn drain_endpoint(&self, req: Request<v1::DrainRequest>) -> Reply<v1::PutReply> {
--- a/crates/bulrushusher_once/src/bar.rs
+++ b/crates/bulrushusher_once/src/bar.rs
@@ -98,6 +98,11 @@
         &self.ballot
     }
 
+    /// Agents that have not answered yet.
+    pub fn awaited(&self) -> impl Iterator<Item = &EndpointName> {
+        self.awaited.iter()
+    }
+
     /// An agent answered. A second answer is ignored.
     pub fn reply(&mut self, agent: &EndpointName, heard: Heard) {
         if !self.awaited.remove(agent) {
--- a/crates/bulrushusher_once/src/home.rs
+++ b/crates/bulrushusher_once/src/home.rs
@@ -57,18 +57,31 @@
 #[display("the table of keys is full; come back later")]
 pub struct TableFull;
 
-/// One revision of the endpoint list of a service, as far as homes go.
-#[derive(Clone, Debug, Default)]
-struct List {
-    revision: u64,
-    endpoints: Vec<EndpointName>,
+/// A revision of the endpoint list of a service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceList {
+    /// Its revision.
+    pub revision: u64,
+    /// The revision that it came directly after, where the sender knows that there was none in
+    /// between; else 0.
+    pub previous: u64,
+    /// Endpoints that may run keys.
+    pub executors: Vec<EndpointName>,
+    /// Endpoints that were in the list within the retry horizon and are not any more.
+    pub departed: Vec<EndpointName>,
 }
 
-/// An earlier list, and the agents in it that have not acknowledged a later one.
+/// Homes of earlier lists that may still vouch, as they have not acknowledged a later one.
 #[derive(Clone, Debug)]
-struct EarlierList {
-    list: List,
+struct EarlierHomes {
+    /// The list before.
+    executors: Vec<EndpointName>,
+    /// Its members that have still to acknowledge a list of at least `revision`.
     unacknowledged: Vec<EndpointName>,
+    /// Agents that may be the home of any key by lists that this agent never saw.
+    unknown: Vec<EndpointName>,
+    /// The revision to acknowledge.
+    revision: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -82,13 +95,14 @@
 /// Which executor each key was given to.
 ///
 /// ```
-/// use bulrushusher_once::{ClaimReply, HomeConfig, HomeTable, Vouch};
+/// use bulrushusher_once::{ClaimReply, HomeConfig, HomeTable, ServiceList, Vouch};
 /// use bulrushusher_time::Millis;
 /// use bulrushusher_world::{EndpointName, RequestKey};
 /// let name = |text| EndpointName::try_from(text).unwrap();
 /// let vouch = Vouch { since: Millis(0), skew: Millis(10), horizon: Millis(1_000) };
 /// let mut home = HomeTable::new(name("d1"), HomeConfig { max_records: 10, vouch });
-/// home.set_list(1, vec![name("d1")], Millis(0));
+/// let list = ServiceList { revision: 1, executors: vec![name("d1")], ..ServiceList::default() };
+/// home.set_list(list, Millis(0));
 /// let key = RequestKey::try_from("order-7").unwrap();
 /// assert_eq!(home.claim(&key, &name("d2"), 1, Millis(5_000)), ClaimReply::Recorded);
 /// assert_eq!(home.claim(&key, &name("d3"), 1, Millis(5_001)), ClaimReply::Held(name("d2")));
@@ -97,8 +111,8 @@
 pub struct HomeTable {
     cfg: HomeConfig,
     me: EndpointName,
-    list: List,
-    earlier: Vec<EarlierList>,
+    list: ServiceList,
+    earlier: Vec<EarlierHomes>,
     records: HashMap<RequestKey, Claim>,
     by_age: VecDeque<(Millis, RequestKey)>,
 }
@@ -109,7 +123,7 @@
         HomeTable {
             cfg,
             me,
-            list: List::default(),
+            list: ServiceList::default(),
             earlier: Vec::new(),
             records: HashMap::new(),
             by_age: VecDeque::new(),
@@ -118,45 +132,71 @@
 
     /// A list of the service's endpoints came. Lower or equal revisions are ignored.
     ///
-    /// Keys that come to this home by the change are in doubt until every agent of the list before
-    /// has acknowledged this revision or a later one; see [`HomeTable::acknowledged`].
-    pub fn set_list(&mut self, revision: u64, endpoints: Vec<EndpointName>, now: Millis) {
-        if revision <= self.list.revision {
+    /// A key that had another home by the list before is in doubt until that home has acknowledged
+    /// this list or a later one. Where this agent did not see the list before, every key is in
+    /// doubt until every other agent has; see [`HomeTable::acknowledged`].
+    pub fn set_list(&mut self, list: ServiceList, now: Millis) {
+        if list.revision <= self.list.revision {
             return;
         }
-        let next = List { revision, endpoints };
-        let before = std::mem::replace(&mut self.list, next);
-        if before.revision == 0 {
-            return;
+        let others = |names: &[EndpointName]| -> Vec<EndpointName> {
+            names.iter().filter(|name| **name != self.me).cloned().collect()
+        };
+        let saw_before = list.previous == self.list.revision && list.previous != 0;
+        let before = if saw_before { self.list.executors.clone() } else { Vec::new() };
+        let mut unknown = others(&list.departed);
+        if !saw_before {
+            unknown.extend(others(&list.executors));
         }
-        let others = before.endpoints.iter().filter(|name| **name != self.me).cloned().collect();
-        self.earlier.push(EarlierList { list: before, unacknowledged: others });
+        unknown.retain(|name| !before.contains(name));
+        self.earlier.push(EarlierHomes {
+            unacknowledged: others(&before),
+            executors: before,
+            unknown,
+            revision: list.revision,
+        });
+        self.list = list;
         if self.earlier.len() > MAX_EARLIER_LISTS {
-            // Too much to remember: stop vouching for anything older than now.
-            self.earlier.clear();
-            self.cfg.vouch.since = now;
+            self.forget_lists(now);
         }
+        self.drop_acknowledged();
     }
 
     /// `agent` holds the list of `revision`, or is gone for longer than the VM list's lag.
     pub fn acknowledged(&mut self, agent: &EndpointName, revision: u64) {
         for earlier in &mut self.earlier {
-            if earlier.list.revision < revision {
+            if revision >= earlier.revision {
                 earlier.unacknowledged.retain(|name| name != agent);
+                earlier.unknown.retain(|name| name != agent);
             }
         }
-        self.earlier.retain(|earlier| !earlier.unacknowledged.is_empty());
+        self.drop_acknowledged();
     }
 
     /// Agents that have still to acknowledge the present list.
     pub fn unacknowledged(&self) -> Vec<EndpointName> {
-        let mut names: Vec<EndpointName> =
-            self.earlier.iter().flat_map(|earlier| earlier.unacknowledged.clone()).collect();
+        let open = self.earlier.iter().flat_map(|e| e.unacknowledged.iter().chain(&e.unknown));
+        let mut names: Vec<EndpointName> = open.cloned().collect();
         names.sort();
         names.dedup();
         names
     }
 
+    /// Too many lists to tell apart: every key is in doubt until all agents in them have
+    /// acknowledged the last.
+    fn forget_lists(&mut self, now: Millis) {
+        let unknown = self.unacknowledged();
+        let revision = self.list.revision;
+        let forgotten =
+            EarlierHomes { executors: Vec::new(), unacknowledged: Vec::new(), unknown, revision };
+        self.earlier = vec![forgotten];
+        self.cfg.vouch.since = self.cfg.vouch.since.max(now);
+    }
+
+    fn drop_acknowledged(&mut self) {
+        self.earlier.retain(|e| !e.unacknowledged.is_empty() || !e.unknown.is_empty());
+    }
+
     /// The revision of the list held; 0 for none.
     pub fn revision(&self) -> u64 {
         self.list.revision
@@ -177,7 +217,7 @@
             Some(Claim::Barred) => return ClaimReply::InDoubt,
             None => {}
         }
-        let is_home = home_of(key, &self.list.endpoints) == Some(&self.me);
+        let is_home = home_of(key, &self.list.executors) == Some(&self.me);
         if revision != self.list.revision || !is_home {
             return ClaimReply::OtherList { revision: self.list.revision };
         }
@@ -219,9 +259,10 @@
     }
 
     fn may_be_known_elsewhere(&self, key: &RequestKey) -> bool {
-        let other_home = |earlier: &EarlierList| {
-            home_of(key, &earlier.list.endpoints)
-                .is_some_and(|home| earlier.unacknowledged.contains(home))
+        let other_home = |earlier: &EarlierHomes| {
+            let home = home_of(key, &earlier.executors);
+            !earlier.unknown.is_empty()
+                || home.is_some_and(|home| earlier.unacknowledged.contains(home))
         };
         self.earlier.iter().any(other_home)
     }
--- a/crates/bulrushusher_once/src/lib.rs
+++ b/crates/bulrushusher_once/src/lib.rs
@@ -14,20 +14,25 @@
 mod bar;
 mod executor;
 mod home;
+mod records;
 mod rendezvous;
+mod settlement;
 mod vouch;
 
 pub use ballot::Ballot;
 pub use bar::{BarRound, BarVerdict, Heard};
 pub use executor::{BarReply, ExecutorConfig, ExecutorTable, OrderReply, Ran};
-pub use home::{ClaimReply, HomeBar, HomeConfig, HomeTable, TableFull};
+pub use home::{ClaimReply, HomeBar, HomeConfig, HomeTable, ServiceList, TableFull};
+pub use records::{KeyRecords, RecordsConfig};
 pub use rendezvous::{home_of, rank};
+pub use settlement::{ListView, SettleAction, SettleAsk, Settled, Settlement, Unsettled};
 pub use vouch::{KeyAge, Vouch, key_time};
 
 /// The common types in one `use`.
 pub mod prelude {
     pub use crate::{
         Ballot, BarReply, BarRound, BarVerdict, ClaimReply, ExecutorConfig, ExecutorTable,
-        HomeConfig, HomeTable, OrderReply, Ran, Vouch,
+        HomeConfig, HomeTable, KeyRecords, ListView, OrderReply, Ran, RecordsConfig, SettleAction,
+        SettleAsk, Settled, Settlement, Vouch,
     };
 }
--- a/crates/bulrushusher_operator/src/convert.rs
+++ b/crates/bulrushusher_operator/src/convert.rs
@@ -74,6 +74,7 @@
         stream: message.stream,
         checks_fencing: message.checks_fencing,
         leaving: message.leaving,
+        removed_unix_ms: None,
     })
 }
 
--- a/crates/bulrushusher_platform/src/lib.rs
+++ b/crates/bulrushusher_platform/src/lib.rs
@@ -7,4 +7,4 @@
 mod objects;
 
 pub use client::{PutOutcome, StoreCalls, StoreClient, StoreError};
-pub use objects::{Held, Kind, Snapshot, StoredObject};
+pub use objects::{Held, Kind, ListRevision, Snapshot, StoredObject};
--- a/crates/bulrushusher_platform/src/objects.rs
+++ b/crates/bulrushusher_platform/src/objects.rs
@@ -2,7 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use bulrushusher_world::{ClientAccount, Closing, Endpoint};
+use bulrushusher_time::Millis;
+use bulrushusher_world::{ClientAccount, Closing, Endpoint, ServiceName};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -51,6 +52,15 @@
     pub value: Option<T>,
 }
 
+/// The revision of a service's endpoint list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListRevision {
+    /// The highest revision of an endpoint object of the service.
+    pub revision: u64,
+    /// The revision before, when it is certain that there was none in between; else 0.
+    pub previous: u64,
+}
+
 /// The configuration that a process has in force. Versions only rise; tombstones are kept, so that
 /// an old copy of a deleted object cannot come back.
 ///
@@ -70,8 +80,7 @@
 pub struct Snapshot {
     /// The highest revision applied.
     pub revision: u64,
-    /// The highest revision of an endpoint object applied: the revision of the endpoint list.
-    pub endpoints_revision: u64,
+    lists: BTreeMap<ServiceName, ListRevision>,
     closings: BTreeMap<String, Held<Closing>>,
     endpoints: BTreeMap<String, Held<Endpoint>>,
     accounts: BTreeMap<String, Held<ClientAccount>>,
@@ -86,19 +95,52 @@
         let Some((kind, name)) = object.key.split_once('/') else { return Ok(false) };
         let changed = match kind {
             "closing" => apply_to(&mut self.closings, name, object)?,
-            "endpoint" => apply_to(&mut self.endpoints, name, object)?,
+            "endpoint" => self.apply_endpoint(name, object)?,
             "account" => apply_to(&mut self.accounts, name, object)?,
             _ => false,
         };
         if changed {
             self.revision = self.revision.max(object.revision);
         }
-        if changed && kind == "endpoint" {
-            self.endpoints_revision = self.endpoints_revision.max(object.revision);
-        }
         Ok(changed)
     }
 
+    fn apply_endpoint(
+        &mut self,
+        name: &str,
+        object: &StoredObject,
+    ) -> Result<bool, serde_json::Error> {
+        let before = self.endpoint_version(name);
+        if !apply_to(&mut self.endpoints, name, object)? {
+            return Ok(false);
+        }
+        let held = self.endpoints.get(name).and_then(|held| held.value.as_ref());
+        let Some(service) = held.map(|endpoint| endpoint.service.clone()) else { return Ok(true) };
+        let list = self.lists.entry(service).or_default();
+        // A version left out may have been another list, which others have seen.
+        let next_in_order = object.version == before + 1 && object.revision > list.revision;
+        list.previous = if next_in_order { list.revision } else { 0 };
+        list.revision = list.revision.max(object.revision);
+        Ok(true)
+    }
+
+    /// The revision of the endpoint list of a service; zeros for a service without endpoints.
+    pub fn list_revision(&self, service: &ServiceName) -> ListRevision {
+        self.lists.get(service).copied().unwrap_or_default()
+    }
+
+    /// Services that have or had endpoints, with the revisions of their lists.
+    pub fn lists(&self) -> impl Iterator<Item = (&ServiceName, ListRevision)> {
+        self.lists.iter().map(|(service, list)| (service, *list))
+    }
+
+    /// Notes that changes may have been missed: the next list comes directly after none.
+    pub fn note_gap(&mut self) {
+        for list in self.lists.values_mut() {
+            list.previous = 0;
+        }
+    }
+
     /// The closings in force.
     pub fn closings(&self) -> impl Iterator<Item = (u64, &Closing)> {
         live(&self.closings)
@@ -106,7 +148,17 @@
 
     /// The endpoints in force.
     pub fn endpoints(&self) -> impl Iterator<Item = (u64, &Endpoint)> {
-        live(&self.endpoints)
+        live(&self.endpoints).filter(|(_, endpoint)| endpoint.removed.is_none())
+    }
+
+    /// Endpoints that were taken out of the list, with the time.
+    pub fn departed(&self) -> impl Iterator<Item = (&Endpoint, Millis)> {
+        live(&self.endpoints).filter_map(|(_, endpoint)| Some((endpoint, endpoint.removed?)))
+    }
+
+    /// The version that an endpoint's object has, also when it was taken out; 0 for none.
+    pub fn endpoint_version(&self, name: &str) -> u64 {
+        self.endpoints.get(name).map_or(0, |held| held.version)
     }
 
     /// The client accounts in force.
--- a/crates/bulrushusher_wire/src/control.rs
+++ b/crates/bulrushusher_wire/src/control.rs
@@ -1,9 +1,9 @@
 //! Control calls from an entry to an agent.
 
 use bulrushusher_admission::{Refusal, ReservationId};
-use bulrushusher_once::{Ballot, BarReply, ClaimReply, HomeBar};
+use bulrushusher_once::{Ballot, BarReply, ClaimReply, HomeBar, ServiceList};
 use bulrushusher_time::Millis;
-use bulrushusher_world::{Endpoint, EndpointName, EntryName, RequestKey};
+use bulrushusher_world::{Endpoint, EndpointName, EntryName, RequestKey, ServiceName};
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
@@ -73,6 +73,8 @@
     pub key: RequestKey,
     /// The ballot.
     pub ballot: Ballot,
+    /// The entry's revision of the endpoint list.
+    pub revision: u64,
 }
 
 /// The answer to [`BarAsk`].
@@ -82,10 +84,8 @@
     pub reply: BarReply,
     /// What the agent knows as a home.
     pub home: HomeBar,
-    /// The agent's revision of the endpoint list.
+    /// The highest revision of the endpoint list that the agent holds or heard of in a bar.
     pub revision: u64,
-    /// Which life of the agent answers.
-    pub incarnation: u64,
 }
 
 /// Tells an agent that an entry no longer wants a key's answer.
@@ -97,13 +97,17 @@
     pub stream: String,
 }
 
-/// The endpoint list in force, sent by an entry.
+/// The endpoint list of a service in force, sent by an entry to that service's agents.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ListPush {
-    /// Its revision.
-    pub revision: u64,
-    /// Every endpoint of the deployment.
+    /// The service.
+    pub service: ServiceName,
+    /// The list, as far as running keys goes.
+    pub list: ServiceList,
+    /// The service's endpoints, of every role.
     pub endpoints: Vec<Endpoint>,
+    /// Endpoints taken out of the list within the retry horizon.
+    pub departed: Vec<Endpoint>,
 }
 
 /// What an agent tells of itself.
--- a/crates/bulrushusher_world/src/endpoint.rs
+++ b/crates/bulrushusher_world/src/endpoint.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bulrushusher_time::Millis;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -64,6 +65,9 @@
     pub fencing: Fencing,
     /// True when it must get no new work.
     pub leaving: bool,
+    /// When it was taken out of the list, Unix time; `None` while it is in. It is remembered
+    /// because it may have run keys that are sent again.
+    pub removed: Option<Millis>,
 }
 
 /// An endpoint as operators write it; see [`Endpoint`] for the fields.
@@ -78,6 +82,8 @@
     pub stream: String,
     pub checks_fencing: bool,
     pub leaving: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub removed_unix_ms: Option<u64>,
 }
 
 fn address(field: &'static str, text: &str) -> Result<SocketAddr, WorldError> {
@@ -96,6 +102,7 @@
             stream: address("stream", &raw.stream)?,
             fencing: if raw.checks_fencing { Fencing::Checked } else { Fencing::Ignored },
             leaving: raw.leaving,
+            removed: raw.removed_unix_ms.map(Millis),
         })
     }
 }
@@ -111,6 +118,7 @@
             stream: e.stream.to_string(),
             checks_fencing: e.fencing == Fencing::Checked,
             leaving: e.leaving,
+            removed_unix_ms: e.removed.map(|at| at.0),
         }
     }
 }
