Fuzzing of at-most-once finds three faults, each mended

A world of 4 agents, 3 entries, late and lost messages, restarts, list changes and skewed clocks around the decision types; the oracle counts runs per key. 1. A ballot now names its settlement. 2. Keys were made with random bits, so a failure could not be replayed.

--- a/crates/bulrushusher_agent/src/keys.rs
+++ b/crates/bulrushusher_agent/src/keys.rs
@@ -41,19 +41,11 @@
 impl Keys {
     pub(crate) fn new(cfg: &AgentConfig, clock: Clock, incarnation: u64) -> Keys {
         let vouch = Vouch { since: clock.now(), skew: cfg.skew, horizon: cfg.horizon };
-        let records = RecordsConfig {
-            max_keys: cfg.max_keys,
-            max_answer_bytes: cfg.max_answer_bytes,
-            vouch,
-        };
+        let records =
+            RecordsConfig { max_keys: cfg.max_keys, max_answer_bytes: cfg.max_answer_bytes, vouch };
         let records = KeyRecords::new(cfg.name.clone(), records);
         let inner = Inner { records, answers: HashMap::new() };
-        Keys {
-            clock,
-            incarnation,
-            inner: Mutex::new(inner),
-            begun: Notify::new(),
-        }
+        Keys { clock, incarnation, inner: Mutex::new(inner), begun: Notify::new() }
     }
 
     /// An order to run a key came. `start` takes its place at the gate, and is called only when the
@@ -165,7 +157,7 @@
     }
 
     pub(crate) fn acknowledged(&self, agent: &EndpointName, revision: u64) {
-        self.inner.lock().records.acknowledged(agent, revision);
+        self.inner.lock().records.acknowledged(agent, revision, self.clock.now());
     }
 
     pub(crate) fn revision(&self) -> u64 {
--- a/crates/bulrushusher_entry/src/entry.rs
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use bulrushusher_http::{Served, bind, serve};
+use bulrushusher_once::Owner;
 use bulrushusher_operator::v1::operator_server::OperatorServer;
 use bulrushusher_platform::StoreClient;
 use bulrushusher_report::EntryMetrics;
@@ -141,6 +142,15 @@
         format!("{}-{:x}-{n}", self.cfg.name, self.incarnation)
     }
 
+    /// An owner of ballots that no other settlement has.
+    pub(crate) fn next_owner(&self) -> Owner {
+        Owner {
+            entry: self.cfg.name.clone(),
+            incarnation: self.incarnation,
+            attempt: self.next_name.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
     pub(crate) fn random_below(&self, bound: u64) -> u64 {
         self.rng.lock().random_range(0..bound)
     }
--- a/crates/bulrushusher_entry/src/settle.rs
+++ b/crates/bulrushusher_entry/src/settle.rs
@@ -29,8 +29,7 @@
     SettleAsk {
         key: job.key.clone(),
         idempotent: job.is_idempotent(),
-        entry: shared.cfg.name.clone(),
-        incarnation: shared.incarnation,
+        owner: shared.next_owner(),
         skew: shared.cfg.skew,
     }
 }
--- a/crates/bulrushusher_once/src/ballot.rs
+++ b/crates/bulrushusher_once/src/ballot.rs
@@ -7,11 +7,12 @@
 /// The rank of one attempt to run a key. Higher ballots bar lower ones.
 ///
 /// ```
-/// use bulrushusher_once::Ballot;
+/// use bulrushusher_once::{Ballot, Owner};
 /// use bulrushusher_world::EntryName;
 /// let entry = EntryName::try_from("entry-1").unwrap();
-/// let first = Ballot::Home.next(&entry, 7);
-/// assert!(Ballot::Home < first && first < first.next(&entry, 7));
+/// let owner = Owner { entry, incarnation: 7, attempt: 1 };
+/// let first = Ballot::Home.next(&owner);
+/// assert!(Ballot::Home < first && first < first.next(&owner));
 /// ```
 #[derive(
     Clone, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -23,25 +24,36 @@
     #[display("home")]
     Home,
     /// An attempt after a bar.
-    #[display("{number}/{entry}/{incarnation}")]
+    #[display("{number}/{owner}")]
     Barred {
         /// Rises with each bar.
         number: u32,
-        /// The entry that barred.
-        entry: EntryName,
-        /// Which life of that entry; unique to each start.
-        incarnation: u64,
+        /// Who barred.
+        owner: Owner,
     },
 }
 
+/// Who owns a ballot. No two settlements have the same owner, not even two of one entry for one
+/// key: each would take the other's promises for its own.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[display("{entry}/{incarnation:x}/{attempt}")]
+pub struct Owner {
+    /// The entry.
+    pub entry: EntryName,
+    /// Which life of that entry; unique to each start.
+    pub incarnation: u64,
+    /// Which settlement of that life.
+    pub attempt: u64,
+}
+
 impl Ballot {
-    /// The next higher ballot, owned by `entry` in its life `incarnation`.
+    /// The next higher ballot, owned by `owner`.
     #[must_use]
-    pub fn next(&self, entry: &EntryName, incarnation: u64) -> Ballot {
+    pub fn next(&self, owner: &Owner) -> Ballot {
         let held = match self {
             Ballot::Home => 0,
             Ballot::Barred { number, .. } => *number,
         };
-        Ballot::Barred { number: held.saturating_add(1), entry: entry.clone(), incarnation }
+        Ballot::Barred { number: held.saturating_add(1), owner: owner.clone() }
     }
 }
--- a/crates/bulrushusher_once/src/bar.rs
+++ b/crates/bulrushusher_once/src/bar.rs
@@ -41,11 +41,12 @@
 /// list, none was barred before, and the key is younger than the list.
 ///
 /// ```
-/// use bulrushusher_once::{Ballot, BarReply, BarRound, BarVerdict, Heard, HomeBar};
+/// use bulrushusher_once::{Ballot, BarReply, BarRound, BarVerdict, Heard, HomeBar, Owner};
 /// use bulrushusher_world::{EndpointName, EntryName};
 /// let entry = EntryName::try_from("entry-1").unwrap();
 /// let d1 = EndpointName::try_from("d1").unwrap();
-/// let mut round = BarRound::new(Ballot::Home.next(&entry, 1), 4, [d1.clone()], None);
+/// let owner = Owner { entry, incarnation: 1, attempt: 1 };
+/// let mut round = BarRound::new(Ballot::Home.next(&owner), 4, [d1.clone()], None);
 /// assert_eq!(round.verdict(), None);
 /// let reply = BarReply::Clean { earlier: None };
 /// round.reply(&d1, Heard { reply, home: HomeBar::NotGiven, revision: 4 });
--- a/crates/bulrushusher_once/src/home.rs
+++ b/crates/bulrushusher_once/src/home.rs
@@ -1,6 +1,6 @@
 //! What an agent knows as the home of keys: which executor each was given to.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::{EndpointName, RequestKey};
@@ -71,17 +71,38 @@
     pub departed: Vec<EndpointName>,
 }
 
-/// Homes of earlier lists that may still vouch, as they have not acknowledged a later one.
+/// Agents that may have given keys away by a list before `revision`, each with the time at which it
+/// acknowledged that revision or a later one. Until then it may still give keys away; what it gave
+/// away before is on its record only.
 #[derive(Clone, Debug)]
 struct EarlierHomes {
-    /// The list before.
-    executors: Vec<EndpointName>,
-    /// Its members that have still to acknowledge a list of at least `revision`.
-    unacknowledged: Vec<EndpointName>,
-    /// Agents that may be the home of any key by lists that this agent never saw.
-    unknown: Vec<EndpointName>,
-    /// The revision to acknowledge.
     revision: u64,
+    /// The list before, with what its members acknowledged.
+    executors: BTreeMap<EndpointName, Option<Millis>>,
+    /// Agents that may be the home of any key by lists that this agent never saw.
+    unknown: BTreeMap<EndpointName, Option<Millis>>,
+}
+
+impl EarlierHomes {
+    fn all(&self) -> impl Iterator<Item = (&EndpointName, &Option<Millis>)> {
+        self.executors.iter().chain(&self.unknown)
+    }
+
+    /// When all that may have given `key` away had acknowledged; `None` while some have not.
+    fn closed_for(&self, key: &RequestKey, me: &EndpointName) -> Option<Millis> {
+        let home = home_of(key, self.executors.keys()).filter(|home| *home != me);
+        let by_home = match home {
+            Some(home) => self.executors[home]?,
+            None => Millis(0),
+        };
+        let by_unknown: Option<Vec<Millis>> = self.unknown.values().copied().collect();
+        by_unknown?.into_iter().chain([by_home]).max()
+    }
+
+    /// True when nothing given away by these lists can be sent again.
+    fn is_over(&self, now: Millis, life: Millis) -> bool {
+        self.all().all(|(_, at)| at.is_some_and(|at| now.since(at) > life))
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -133,70 +154,61 @@
     /// A list of the service's endpoints came. Lower or equal revisions are ignored.
     ///
     /// A key that had another home by the list before is in doubt until that home has acknowledged
-    /// this list or a later one. Where this agent did not see the list before, every key is in
+    /// this list or a later one, and for good when it is older than that. Where this agent did not see the list before, every key is in
     /// doubt until every other agent has; see [`HomeTable::acknowledged`].
     pub fn set_list(&mut self, list: ServiceList, now: Millis) {
         if list.revision <= self.list.revision {
             return;
         }
-        let others = |names: &[EndpointName]| -> Vec<EndpointName> {
-            names.iter().filter(|name| **name != self.me).cloned().collect()
-        };
         let saw_before = list.previous == self.list.revision && list.previous != 0;
-        let before = if saw_before { self.list.executors.clone() } else { Vec::new() };
-        let mut unknown = others(&list.departed);
+        let before = if saw_before { self.list.executors.as_slice() } else { &[] };
+        let mut unknown = list.departed.clone();
         if !saw_before {
-            unknown.extend(others(&list.executors));
+            unknown.extend(list.executors.iter().cloned());
         }
-        unknown.retain(|name| !before.contains(name));
+        unknown.retain(|name| *name != self.me && !before.contains(name));
         self.earlier.push(EarlierHomes {
-            unacknowledged: others(&before),
-            executors: before,
-            unknown,
             revision: list.revision,
+            executors: before.iter().map(|name| (name.clone(), None)).collect(),
+            unknown: unknown.into_iter().map(|name| (name, None)).collect(),
         });
         self.list = list;
+        let (me, revision) = (self.me.clone(), self.list.revision);
+        self.acknowledged(&me, revision, now);
         if self.earlier.len() > MAX_EARLIER_LISTS {
             self.forget_lists(now);
         }
-        self.drop_acknowledged();
     }
 
     /// `agent` holds the list of `revision`, or is gone for longer than the VM list's lag.
-    pub fn acknowledged(&mut self, agent: &EndpointName, revision: u64) {
-        for earlier in &mut self.earlier {
-            if revision >= earlier.revision {
-                earlier.unacknowledged.retain(|name| name != agent);
-                earlier.unknown.retain(|name| name != agent);
+    pub fn acknowledged(&mut self, agent: &EndpointName, revision: u64, now: Millis) {
+        for earlier in self.earlier.iter_mut().filter(|earlier| earlier.revision <= revision) {
+            for held in [earlier.executors.get_mut(agent), earlier.unknown.get_mut(agent)] {
+                if let Some(at) = held {
+                    at.get_or_insert(now);
+                }
             }
         }
-        self.drop_acknowledged();
+        let life = self.cfg.vouch.record_life();
+        self.earlier.retain(|earlier| !earlier.is_over(now, life));
     }
 
     /// Agents that have still to acknowledge the present list.
     pub fn unacknowledged(&self) -> Vec<EndpointName> {
-        let open = self.earlier.iter().flat_map(|e| e.unacknowledged.iter().chain(&e.unknown));
-        let mut names: Vec<EndpointName> = open.cloned().collect();
-        names.sort();
-        names.dedup();
-        names
+        let all = self.earlier.iter().flat_map(EarlierHomes::all);
+        let open: BTreeSet<_> = all.filter(|(_, at)| at.is_none()).map(|(name, _)| name).collect();
+        open.into_iter().cloned().collect()
     }
 
     /// Too many lists to tell apart: every key is in doubt until all agents in them have
-    /// acknowledged the last.
+    /// acknowledged the last, and every key that is older than now.
     fn forget_lists(&mut self, now: Millis) {
-        let unknown = self.unacknowledged();
+        let unknown = self.unacknowledged().into_iter().map(|name| (name, None)).collect();
         let revision = self.list.revision;
-        let forgotten =
-            EarlierHomes { executors: Vec::new(), unacknowledged: Vec::new(), unknown, revision };
-        self.earlier = vec![forgotten];
+        self.earlier = vec![EarlierHomes { revision, executors: BTreeMap::new(), unknown }];
         self.cfg.vouch.since = self.cfg.vouch.since.max(now);
     }
 
-    fn drop_acknowledged(&mut self) {
-        self.earlier.retain(|e| !e.unacknowledged.is_empty() || !e.unknown.is_empty());
-    }
-
     /// The revision of the list held; 0 for none.
     pub fn revision(&self) -> u64 {
         self.list.revision
@@ -221,10 +233,9 @@
         if revision != self.list.revision || !is_home {
             return ClaimReply::OtherList { revision: self.list.revision };
         }
-        if self.may_be_known_elsewhere(key) {
-            return ClaimReply::InDoubt;
-        }
-        match self.cfg.vouch.age(key_time(key), now) {
+        let Some(since) = self.vouches_since(key) else { return ClaimReply::InDoubt };
+        let vouch = Vouch { since, ..self.cfg.vouch };
+        match vouch.age(key_time(key), now) {
             KeyAge::InDoubt => ClaimReply::InDoubt,
             KeyAge::TooOld => ClaimReply::TooOld,
             KeyAge::Vouched => match self.record(key, Claim::Given(executor.clone()), now) {
@@ -258,13 +269,11 @@
         self.records.is_empty()
     }
 
-    fn may_be_known_elsewhere(&self, key: &RequestKey) -> bool {
-        let other_home = |earlier: &EarlierHomes| {
-            let home = home_of(key, &earlier.executors);
-            !earlier.unknown.is_empty()
-                || home.is_some_and(|home| earlier.unacknowledged.contains(home))
-        };
-        self.earlier.iter().any(other_home)
+    /// Since when this home alone gives `key` away; `None` while another may.
+    fn vouches_since(&self, key: &RequestKey) -> Option<Millis> {
+        let closed = self.earlier.iter().map(|earlier| earlier.closed_for(key, &self.me));
+        let closed: Option<Vec<Millis>> = closed.collect();
+        closed?.into_iter().chain([self.cfg.vouch.since]).max()
     }
 
     /// Puts `claim` on record; false when the table is full.
--- a/crates/bulrushusher_once/src/lib.rs
+++ b/crates/bulrushusher_once/src/lib.rs
@@ -19,7 +19,7 @@
 mod settlement;
 mod vouch;
 
-pub use ballot::Ballot;
+pub use ballot::{Ballot, Owner};
 pub use bar::{BarRound, BarVerdict, Heard};
 pub use executor::{BarReply, ExecutorConfig, ExecutorTable, OrderReply, Ran};
 pub use home::{ClaimReply, HomeBar, HomeConfig, HomeTable, ServiceList, TableFull};
@@ -32,7 +32,7 @@
 pub mod prelude {
     pub use crate::{
         Ballot, BarReply, BarRound, BarVerdict, ClaimReply, ExecutorConfig, ExecutorTable,
-        HomeConfig, HomeTable, KeyRecords, ListView, OrderReply, Ran, RecordsConfig, SettleAction,
-        SettleAsk, Settled, Settlement, Vouch,
+        HomeConfig, HomeTable, KeyRecords, ListView, OrderReply, Owner, Ran, RecordsConfig,
+        SettleAction, SettleAsk, Settled, Settlement, Vouch,
     };
 }
--- a/crates/bulrushusher_once/src/records.rs
+++ b/crates/bulrushusher_once/src/records.rs
@@ -103,13 +103,7 @@
     }
 
     /// An entry that holds the list of `revision` bars `key`.
-    pub fn bar(
-        &mut self,
-        key: &RequestKey,
-        ballot: &Ballot,
-        revision: u64,
-        now: Millis,
-    ) -> Heard {
+    pub fn bar(&mut self, key: &RequestKey, ballot: &Ballot, revision: u64, now: Millis) -> Heard {
         self.heard_revision = self.heard_revision.max(revision);
         let (reply, home) = match self.home.bar(key, now) {
             Ok(home) => (self.executor.bar(key, ballot, now), home),
@@ -149,8 +143,8 @@
     }
 
     /// `agent` holds the list of `revision`.
-    pub fn acknowledged(&mut self, agent: &EndpointName, revision: u64) {
-        self.home.acknowledged(agent, revision);
+    pub fn acknowledged(&mut self, agent: &EndpointName, revision: u64, now: Millis) {
+        self.home.acknowledged(agent, revision, now);
     }
 
     /// The revision of the list held; 0 for none.
--- a/crates/bulrushusher_once/src/settlement.rs
+++ b/crates/bulrushusher_once/src/settlement.rs
@@ -2,9 +2,9 @@
 //! vouch. Does no I/O: the entry carries out each [`SettleAction`] and reports what came back.
 
 use bulrushusher_time::Millis;
-use bulrushusher_world::{EndpointName, EntryName, RequestKey};
+use bulrushusher_world::{EndpointName, RequestKey};
 
-use crate::{Ballot, BarRound, BarVerdict, ClaimReply, Heard, Ran, home_of, key_time};
+use crate::{Ballot, BarRound, BarVerdict, ClaimReply, Heard, Owner, Ran, home_of, key_time};
 
 /// Rounds of a bar before a request gives way to the others that want the same key.
 const MAX_ROUNDS: u32 = 8;
@@ -39,10 +39,8 @@
     pub key: RequestKey,
     /// True when it may run more than once.
     pub idempotent: bool,
-    /// The entry that asks.
-    pub entry: EntryName,
-    /// Which life of that entry.
-    pub incarnation: u64,
+    /// Who asks; a new one for each settlement.
+    pub owner: Owner,
     /// Largest difference between two clocks.
     pub skew: Millis,
 }
@@ -117,15 +115,18 @@
 /// One request's settlement of its key.
 ///
 /// ```
-/// use bulrushusher_once::{Ballot, ClaimReply, ListView, SettleAction, SettleAsk, Settled, Settlement};
+/// use bulrushusher_once::{
+///     Ballot, ClaimReply, ListView, Owner, SettleAction, SettleAsk, Settled, Settlement,
+/// };
 /// use bulrushusher_time::Millis;
 /// use bulrushusher_world::{EndpointName, EntryName, RequestKey};
 /// let name = |text| EndpointName::try_from(text).unwrap();
 /// let ask = SettleAsk {
 ///     key: RequestKey::try_from("order-7").unwrap(),
 ///     idempotent: false,
-///     entry: EntryName::try_from("entry-1").unwrap(),
-///     incarnation: 1,
+///     owner: Owner {
+///         entry: EntryName::try_from("entry-1").unwrap(), incarnation: 1, attempt: 1,
+///     },
 ///     skew: Millis(10),
 /// };
 /// let view = ListView { revision: 3, executors: vec![name("d1")], ..ListView::default() };
@@ -228,10 +229,10 @@
             self.state = State::Done(Settled::Not(Unsettled::Contended));
             return;
         }
-        let ballot = above.next(&self.ask.entry, self.ask.incarnation);
+        let ballot = above.next(&self.ask.owner);
         let view = &self.view;
-        let younger_than_list = key_time(&self.ask.key)
-            .is_some_and(|time| time > view.learned.plus(self.ask.skew));
+        let younger_than_list =
+            key_time(&self.ask.key).is_some_and(|time| time > view.learned.plus(self.ask.skew));
         let idle_home = view.home(&self.ask.key).filter(|_| younger_than_list).cloned();
         let agents = view.executors.iter().chain(&view.departed).cloned();
         self.state = State::Barring(BarRound::new(ballot, view.revision, agents, idle_home));
--- a/crates/bulrushusher_once/tests/model/mod.rs
+++ b/crates/bulrushusher_once/tests/model/mod.rs
@@ -7,13 +7,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bulrushusher_once::{
-    Ballot, ClaimReply, Heard, KeyRecords, ListView, OrderReply, Ran, RecordsConfig, ServiceList,
-    SettleAction, SettleAsk, Settled, Settlement, Vouch,
+    Ballot, ClaimReply, Heard, KeyRecords, ListView, OrderReply, Owner, Ran, RecordsConfig,
+    ServiceList, SettleAction, SettleAsk, Settled, Settlement, Vouch,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{EndpointName, EntryName, RequestKey};
 use proptest::prelude::*;
-use uuid::{NoContext, Timestamp, Uuid};
 
 pub const AGENTS: usize = 4;
 pub const ENTRIES: usize = 3;
@@ -26,33 +25,72 @@
 /// One thing that happens. Numbers are taken modulo what there is.
 #[derive(Clone, Debug)]
 pub enum Step {
-    NewKey { skew: u64, timeless: bool },
-    Start { entry: usize, key: usize, executor: usize },
+    NewKey {
+        skew: u64,
+        timeless: bool,
+        random: u64,
+    },
+    Start {
+        entry: usize,
+        key: usize,
+        executor: usize,
+    },
     /// A message arrives; its answer comes back, or not.
-    Deliver { message: usize, answered: bool },
+    Deliver {
+        message: usize,
+        answered: bool,
+    },
     /// A message's sender stops waiting; the message may still arrive.
-    GiveUp { message: usize },
-    Drop { message: usize },
+    GiveUp {
+        message: usize,
+    },
+    Drop {
+        message: usize,
+    },
     /// A settled attempt orders its run; or a pausing one goes on.
-    GoOn { attempt: usize, executor: usize },
+    GoOn {
+        attempt: usize,
+        executor: usize,
+    },
     /// An attempt without an answer to its order finds out.
-    FindOut { attempt: usize },
-    RestartAgent { agent: usize },
-    RestartEntry { entry: usize },
+    FindOut {
+        attempt: usize,
+    },
+    RestartAgent {
+        agent: usize,
+    },
+    RestartEntry {
+        entry: usize,
+    },
     /// The members of the list change.
-    NewList { members: usize },
-    EntryLearns { entry: usize, skip: bool },
-    AgentLearns { agent: usize, skip: bool },
-    AskPeers { agent: usize },
-    Finish { agent: usize, whole: bool },
-    Pass { ms: u64 },
+    NewList {
+        members: usize,
+    },
+    EntryLearns {
+        entry: usize,
+        skip: bool,
+    },
+    AgentLearns {
+        agent: usize,
+        skip: bool,
+    },
+    AskPeers {
+        agent: usize,
+    },
+    Finish {
+        agent: usize,
+        whole: bool,
+    },
+    Pass {
+        ms: u64,
+    },
 }
 
 pub fn step() -> impl Strategy<Value = Step> {
     let which = 0..64_usize;
     prop_oneof![
-        2 => (0..=2 * SKEW, prop::bool::weighted(0.1))
-            .prop_map(|(skew, timeless)| Step::NewKey { skew, timeless }),
+        2 => (0..=2 * SKEW, prop::bool::weighted(0.1), any::<u64>())
+            .prop_map(|(skew, timeless, random)| Step::NewKey { skew, timeless, random }),
         6 => (which.clone(), which.clone(), which.clone())
             .prop_map(|(entry, key, executor)| Step::Start { entry, key, executor }),
         24 => (which.clone(), prop::bool::weighted(0.85))
@@ -76,7 +114,6 @@
 }
 
 struct Agent {
-    name: EndpointName,
     records: KeyRecords,
     incarnation: u64,
     clock_ahead: u64,
@@ -111,7 +148,11 @@
     Settling(Box<Settlement>),
     /// Settled to run; holds a place at the executor asked for.
     MayRun(Ballot),
-    Ordered { agent: usize, reservation: u64, incarnation: u64 },
+    Ordered {
+        agent: usize,
+        reservation: u64,
+        incarnation: u64,
+    },
     ToldNotRun,
     /// Answered, told "unknown", attached elsewhere, or its entry died.
     Over,
@@ -148,6 +189,8 @@
     runs: BTreeMap<usize, Vec<usize>>,
     next: u64,
     pub violation: Option<String>,
+    /// Prints each step and what came of it.
+    tracing: bool,
     /// How often something of note happened, to see that the fuzzing reaches it.
     pub seen: BTreeMap<&'static str, u64>,
 }
@@ -170,6 +213,7 @@
             runs: BTreeMap::new(),
             next: 1,
             violation: None,
+            tracing: std::env::var_os("BULRUSH_FUZZ_TRACE").is_some(),
             seen: BTreeMap::new(),
         };
         for n in 0..AGENTS {
@@ -198,7 +242,6 @@
         let vouch = Vouch { since, skew: Millis(SKEW), horizon: Millis(HORIZON) };
         let cfg = RecordsConfig { max_keys: 100, max_answer_bytes: 1_000, vouch };
         Agent {
-            name: agent_name(n),
             records: KeyRecords::new(agent_name(n), cfg),
             incarnation: self.next,
             clock_ahead,
@@ -207,13 +250,22 @@
         }
     }
 
+    fn trace(&self, what: impl FnOnce() -> String) {
+        if self.tracing {
+            println!("fuzz:    {}", what());
+        }
+    }
+
     fn note(&mut self, what: &'static str) {
         *self.seen.entry(what).or_default() += 1;
     }
 
     pub fn apply(&mut self, step: &Step) {
+        if self.tracing {
+            println!("fuzz: at {}: {step:?}", self.now);
+        }
         match *step {
-            Step::NewKey { skew, timeless } => self.new_key(skew, timeless),
+            Step::NewKey { skew, timeless, random } => self.new_key(skew, timeless, random),
             Step::Start { entry, key, executor } => self.start(entry, key, executor),
             Step::Deliver { message, answered } => self.deliver(message, answered),
             Step::GiveUp { message } => self.give_up(message, false),
@@ -250,15 +302,16 @@
         }
     }
 
-    fn new_key(&mut self, skew: u64, timeless: bool) {
+    fn new_key(&mut self, skew: u64, timeless: bool, random: u64) {
         if self.keys.len() >= MAX_KEYS {
             return;
         }
+        let mut tail = [0; 10];
+        tail[..8].copy_from_slice(&random.to_be_bytes());
         let time = self.now.0 + skew - SKEW;
-        let stamp = Timestamp::from_unix(NoContext, time / 1000, ((time % 1000) * 1_000_000) as u32);
         let text = match timeless {
-            true => format!("order-{}", self.keys.len()),
-            false => Uuid::new_v7(stamp).to_string(),
+            true => format!("order-{random}-{}", self.keys.len()),
+            false => uuid::Builder::from_unix_timestamp_millis(time, &tail).into_uuid().to_string(),
         };
         let key = RequestKey::try_from(text).expect("a valid key");
         self.keys.push(Key { key, born: self.now, timeless });
@@ -316,8 +369,11 @@
         let ask = SettleAsk {
             key: name,
             idempotent: false,
-            entry: self.entries[entry].name.clone(),
-            incarnation: self.entries[entry].incarnation,
+            owner: Owner {
+                entry: self.entries[entry].name.clone(),
+                incarnation: self.entries[entry].incarnation,
+                attempt: self.attempts.len() as u64,
+            },
             skew: Millis(SKEW),
         };
         let settlement = match in_doubt {
@@ -357,7 +413,11 @@
             }
             SettleAction::Pause => {}
             SettleAction::Done(Settled::Run(ballot)) => {
-                self.note(if ballot == Ballot::Home { "settled by home" } else { "settled by bar" });
+                self.note(if ballot == Ballot::Home {
+                    "settled by home"
+                } else {
+                    "settled by bar"
+                });
                 self.attempts[attempt].state = State::MayRun(ballot);
             }
             SettleAction::Done(Settled::Attach { .. }) => {
@@ -379,15 +439,17 @@
         let now = self.agent_now(message.agent);
         let key = self.keys[self.attempts[message.attempt].key].key.clone();
         let heard = answered && message.awaited;
+        self.trace(|| format!("{message:?}"));
         match message.body.clone() {
             Body::Claim { executor, revision } => {
                 let records = &mut self.agents[message.agent].records;
                 let reply = records.claim(&key, &executor, revision, now);
+                self.trace(|| format!("{reply:?}"));
                 self.claimed(message.attempt, heard.then_some(reply));
             }
             Body::Bar { ballot, revision } => {
-                let heard_of =
-                    self.agents[message.agent].records.bar(&key, &ballot, revision, now);
+                let heard_of = self.agents[message.agent].records.bar(&key, &ballot, revision, now);
+                self.trace(|| format!("{heard_of:?}"));
                 let answer = heard.then_some(heard_of);
                 if heard || message.awaited {
                     self.heard(message.attempt, message.agent, &ballot, answer);
@@ -593,7 +655,8 @@
     fn ask_peers(&mut self, agent: usize) {
         for peer in self.agents[agent].records.unacknowledged() {
             let revision = self.agents[World::index(&peer)].records.revision();
-            self.agents[agent].records.acknowledged(&peer, revision);
+            let now = self.agent_now(agent);
+            self.agents[agent].records.acknowledged(&peer, revision, now);
         }
     }
 
