--- /dev/null
+++ b/crates/bulrushusher_ctl/tests/cli.rs
@@ -0,0 +1,38 @@
+//! The command line: exit codes, and files that are checked before anything is sent.
+
+use std::process::Command;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_bulrushctl");
+const SAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../assets/quickstart/closing.ini");
+/// Nothing listens there.
+const NOBODY: &str = "127.0.0.1:9";
+
+fn run(args: &[&str]) -> (Option<i32>, String) {
+    let output = Command::new(PROGRAM).args(args).output().expect("it starts");
+    (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+#[test]
+fn an_entry_that_is_not_there_is_exit_code_4() {
+    let (code, message) = run(&["--entry", NOBODY, "status"]);
+    assert_eq!(code, Some(4), "{message}");
+    assert!(message.contains("check --entry"), "{message}");
+}
+
+#[test]
+fn the_sample_closing_is_read() {
+    let desired = bulrushusher_ctl::read_desired(SAMPLE.as_ref()).expect("the sample is valid");
+    assert_eq!(desired.closings[0].classes.len(), 2);
+    assert_eq!((desired.endpoints.len(), desired.accounts.len()), (3, 1));
+}
+
+#[test]
+fn a_bad_file_is_exit_code_2_and_names_the_section() {
+    let file = std::env::temp_dir().join(format!("bulrushctl-{}.ini", std::process::id()));
+    std::fs::write(&file, "[account studio-7]\nburst = 4\n").expect("the file is written");
+    let path = file.display().to_string();
+    let (code, message) = run(&["--entry", NOBODY, "apply", "-f", &path]);
+    std::fs::remove_file(&file).expect("the file is removed");
+    assert_eq!(code, Some(2));
+    assert!(message.contains("[account studio-7] requests_per_second is missing"), "{message}");
+}
--- a/crates/bulrushusher_once/src/home.rs
+++ b/crates/bulrushusher_once/src/home.rs
@@ -183,10 +183,9 @@
     /// `agent` holds the list of `revision`, or is gone for longer than the VM list's lag.
     pub fn acknowledged(&mut self, agent: &EndpointName, revision: u64, now: Millis) {
         for earlier in self.earlier.iter_mut().filter(|earlier| earlier.revision <= revision) {
-            for held in [earlier.executors.get_mut(agent), earlier.unknown.get_mut(agent)] {
-                if let Some(at) = held {
-                    at.get_or_insert(now);
-                }
+            let held = [earlier.executors.get_mut(agent), earlier.unknown.get_mut(agent)];
+            for at in held.into_iter().flatten() {
+                at.get_or_insert(now);
             }
         }
         let life = self.cfg.vouch.record_life();
