Heartbeats name the open streams: an entry gone silently holds no engine memory

Cause: an agent took a connection that looks open for a reader, so the runs of an entry that vanished without closing anything went on to their end. Entries now name the streams they read in the heartbeat that also fetches the load; an agent cancels a run that nobody was known to read for its orphan bound.

--- a/crates/bulrushusher_agent/src/agent.rs
+++ b/crates/bulrushusher_agent/src/agent.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use bulrushusher_http::{HttpClient, Served, bind, serve};
 use bulrushusher_time::Clock;
-use bulrushusher_wire::{AgentControlClient, AgentControlServer, AgentStatus, ListPush};
+use bulrushusher_wire::{AgentControlClient, AgentControlServer, AgentStatus, Heartbeat, ListPush};
 use bulrushusher_world::{EndpointName, Role};
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
@@ -207,7 +207,7 @@
             let url = format!("http://{addr}");
             let client = HttpClientBuilder::default().request_timeout(PEER_TIMEOUT).build(url);
             let Ok(client) = client else { continue };
-            if let Ok(status) = client.status().await {
+            if let Ok(status) = client.heartbeat(Heartbeat::default()).await {
                 shared.keys.acknowledged(&name, status.revision);
             }
         }
--- a/crates/bulrushusher_agent/src/answer.rs
+++ b/crates/bulrushusher_agent/src/answer.rs
@@ -1,11 +1,12 @@
 //! The answer of one run: what came so far, who is attached, how it ended.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use bulrushusher_wire::Frame;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// How a run ended.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,7 +26,10 @@
     tokens: Vec<String>,
     bytes: usize,
     ending: Option<Ending>,
-    streams: BTreeSet<String>,
+    /// When each open stream was last known to be read.
+    streams: BTreeMap<String, Instant>,
+    /// When a stream was last known to be read.
+    last_read: Option<Instant>,
     given_up: bool,
 }
 
@@ -65,12 +69,24 @@
     }
 
     pub(crate) fn attach(&self, stream: &str) {
+        let now = Instant::now();
         let mut inner = self.inner.lock();
-        inner.streams.insert(stream.to_owned());
+        inner.streams.insert(stream.to_owned(), now);
+        inner.last_read = Some(now);
         drop(inner);
         self.streams_changed.notify_waiters();
     }
 
+    /// An entry still reads a stream.
+    pub(crate) fn keep_alive(&self, stream: &str) {
+        let now = Instant::now();
+        let mut inner = self.inner.lock();
+        if let Some(at) = inner.streams.get_mut(stream) {
+            *at = now;
+            inner.last_read = Some(now);
+        }
+    }
+
     /// A stream broke. Its reader may come back.
     pub(crate) fn detach(&self, stream: &str) {
         self.inner.lock().streams.remove(stream);
@@ -80,7 +96,7 @@
     /// A stream was given up. When it was the last one, the run is wanted by nobody.
     pub(crate) fn give_up(&self, stream: &str) -> bool {
         let mut inner = self.inner.lock();
-        let known = inner.streams.remove(stream);
+        let known = inner.streams.remove(stream).is_some();
         inner.given_up |= known && inner.streams.is_empty();
         drop(inner);
         self.streams_changed.notify_waiters();
@@ -92,8 +108,9 @@
         inner.given_up && inner.streams.is_empty()
     }
 
-    pub(crate) fn is_attached(&self) -> bool {
-        !self.inner.lock().streams.is_empty()
+    /// When a stream was last known to be read; `None` before the first one.
+    pub(crate) fn last_read(&self) -> Option<Instant> {
+        self.inner.lock().last_read
     }
 
     /// What a stream that has `from` tokens lacks: frames, the raw bytes behind the last one, and
--- a/crates/bulrushusher_agent/src/config.rs
+++ b/crates/bulrushusher_agent/src/config.rs
@@ -74,8 +74,8 @@
         "streams",
         "orphan_ms",
         Kind::Millis(50, 60_000),
-        Some("5000"),
-        "How long a run goes on with nobody attached.",
+        Some("10000"),
+        "How long a run goes on with no entry known to read it.",
     ),
     setting(
         "streams",
@@ -124,7 +124,7 @@
     pub beat: Millis,
     /// Silence of the engine after which the connection is replaced.
     pub silent: Millis,
-    /// How long a run goes on with nobody attached.
+    /// How long a run goes on with no entry known to read it.
     pub orphan: Millis,
     /// How long a graceful shutdown waits for what is in flight.
     pub drain: Millis,
--- a/crates/bulrushusher_agent/src/control.rs
+++ b/crates/bulrushusher_agent/src/control.rs
@@ -5,12 +5,11 @@
 use bulrushusher_admission::{Refusal, ReservationId};
 use bulrushusher_once::ClaimReply;
 use bulrushusher_wire::{
-    AgentControlServer, AgentStatus, BarAnswer, BarAsk, CancelAsk, ClaimAsk, ListPush, ReserveAsk,
-    ReserveReply, Reserved,
+    AgentControlServer, AgentStatus, BarAnswer, BarAsk, CancelAsk, ClaimAsk, Heartbeat, ListPush,
+    ReserveAsk, ReserveReply, Reserved,
 };
 use jsonrpsee::core::{RpcResult, async_trait};
 
-use crate::LOG;
 use crate::agent::Shared;
 
 /// Serves the control calls.
@@ -55,8 +54,8 @@
         Ok(self.0.keys.revision())
     }
 
-    async fn status(&self) -> RpcResult<AgentStatus> {
-        log::trace!("{LOG} status asked");
+    async fn heartbeat(&self, beat: Heartbeat) -> RpcResult<AgentStatus> {
+        self.0.keys.keep_alive(&beat.streams);
         Ok(self.0.status())
     }
 }
--- a/crates/bulrushusher_agent/src/keys.rs
+++ b/crates/bulrushusher_agent/src/keys.rs
@@ -7,7 +7,7 @@
     Ballot, ClaimReply, KeyRecords, OrderReply, Ran, RecordsConfig, ServiceList, Vouch,
 };
 use bulrushusher_time::{Clock, Millis};
-use bulrushusher_wire::{BarAnswer, BarAsk, ClaimAsk, NotTaken, RunOrder};
+use bulrushusher_wire::{BarAnswer, BarAsk, ClaimAsk, NotTaken, OpenStreamName, RunOrder};
 use bulrushusher_world::{EndpointName, RequestKey};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -169,6 +169,16 @@
         self.inner.lock().records.sizes()
     }
 
+    /// An entry still reads these streams.
+    pub(crate) fn keep_alive(&self, streams: &[OpenStreamName]) {
+        let inner = self.inner.lock();
+        for open in streams {
+            if let Some(answer) = inner.answers.get(&open.key) {
+                answer.keep_alive(&open.stream);
+            }
+        }
+    }
+
     /// Gives up a stream of a key; true when it was attached here.
     pub(crate) fn give_up(&self, key: &RequestKey, stream: &str) -> bool {
         let answer = self.inner.lock().answers.get(key).cloned();
--- a/crates/bulrushusher_agent/src/runner.rs
+++ b/crates/bulrushusher_agent/src/runner.rs
@@ -70,23 +70,23 @@
     }
 }
 
-/// Returns once the run was given up, or nobody was attached for the orphan bound.
+/// Returns once the run was given up, or nobody was known to read it for the orphan bound: also
+/// when a connection looks open and its other end is gone.
 async fn unwanted(shared: &Shared, answer: &Answer) {
-    let mut alone_since = Instant::now();
+    let orphan = shared.cfg.orphan.duration();
+    let begun = Instant::now();
     loop {
         let changed = answer.streams_changed.notified();
         if answer.is_given_up() {
             return;
         }
-        if answer.is_attached() {
-            changed.await;
-            alone_since = Instant::now();
-            continue;
-        }
-        let left = shared.cfg.orphan.duration().saturating_sub(alone_since.elapsed());
-        if timeout(left, changed).await.is_err() {
+        let last_read = answer.last_read().unwrap_or(begun);
+        let left = orphan.saturating_sub(last_read.elapsed());
+        if left.is_zero() {
             return;
         }
+        // Whichever comes first: a stream that opens or closes, or the bound as it is now.
+        let _ = timeout(left, changed).await;
     }
 }
 
--- a/crates/bulrushusher_entry/src/agents.rs
+++ b/crates/bulrushusher_entry/src/agents.rs
@@ -10,8 +10,8 @@
 use bulrushusher_http::{HttpClient, HttpError, LineStream};
 use bulrushusher_once::ClaimReply;
 use bulrushusher_wire::{
-    AgentControlClient, AgentStatus, AttachOrder, BarAnswer, BarAsk, CancelAsk, ClaimAsk, ListPush,
-    PrefillRun, ReserveAsk, ReserveReply, RunOrder,
+    AgentControlClient, AgentStatus, AttachOrder, BarAnswer, BarAsk, CancelAsk, ClaimAsk,
+    Heartbeat, ListPush, PrefillRun, ReserveAsk, ReserveReply, RunOrder,
 };
 use bulrushusher_world::Endpoint;
 use jsonrpsee::http_client::{HttpClient as RpcClient, HttpClientBuilder};
@@ -152,8 +152,12 @@
         self.call(endpoint, CALL_TIMEOUT, |rpc| async move { rpc.set_list(push).await }).await
     }
 
-    pub(crate) async fn status(&self, endpoint: &Endpoint) -> Option<AgentStatus> {
-        self.call(endpoint, CALL_TIMEOUT, |rpc| async move { rpc.status().await }).await
+    pub(crate) async fn heartbeat(
+        &self,
+        endpoint: &Endpoint,
+        beat: Heartbeat,
+    ) -> Option<AgentStatus> {
+        self.call(endpoint, CALL_TIMEOUT, |rpc| async move { rpc.heartbeat(beat).await }).await
     }
 
     pub(crate) async fn prefill(
--- a/crates/bulrushusher_entry/src/configuration.rs
+++ b/crates/bulrushusher_entry/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The configuration in force at this entry, and the loops that keep it so.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,13 +12,11 @@
     ClassName, ClientAccount, ClientAccountName, DeliverableClass, Endpoint, EndpointName,
     Patience, Repeat, Role, ServiceName,
 };
-use futures_util::future::join_all;
 
 use crate::LOG;
 use crate::entry::Shared;
 
 const STORE_PAUSE: Duration = Duration::from_millis(250);
-const AGENT_TICK: Duration = Duration::from_millis(250);
 
 /// A snapshot of the store, with what requests ask of it.
 #[derive(Debug, Default)]
@@ -81,7 +79,7 @@
     }
 
     /// What the agents of a service must know of its list.
-    fn push(&self, service: &ServiceName, now: Millis, horizon: Millis) -> ListPush {
+    pub(crate) fn push(&self, service: &ServiceName, now: Millis, horizon: Millis) -> ListPush {
         let owned = |endpoints: Vec<&Endpoint>| endpoints.into_iter().cloned().collect();
         ListPush {
             service: service.clone(),
@@ -195,57 +193,3 @@
         }
     }
 }
-
-/// Hands the endpoint lists to the agents that do not hold them, and hears their load.
-pub(crate) async fn agent_loop(shared: Arc<Shared>) {
-    let mut held: HashMap<EndpointName, u64> = HashMap::new();
-    loop {
-        let _ = tokio::time::timeout(AGENT_TICK, shared.list_changed.notified()).await;
-        let configuration = shared.configuration.load_full();
-        push_lists(&shared, &configuration, &mut held).await;
-        hear_agents(&shared, &configuration, &mut held).await;
-    }
-}
-
-async fn push_lists(
-    shared: &Shared,
-    configuration: &Configuration,
-    held: &mut HashMap<EndpointName, u64>,
-) {
-    let (now, horizon) = (shared.clock.now(), shared.cfg.horizon);
-    for (service, list) in configuration.snapshot.lists() {
-        let push = configuration.push(service, now, horizon);
-        let behind: Vec<&Endpoint> = push
-            .endpoints
-            .iter()
-            .chain(&push.departed)
-            .filter(|endpoint| held.get(&endpoint.name) != Some(&list.revision))
-            .collect();
-        let pushed = behind.iter().map(|endpoint| shared.agents.set_list(endpoint, push.clone()));
-        for (endpoint, answer) in behind.iter().zip(join_all(pushed).await) {
-            if let Some(revision) = answer {
-                held.insert(endpoint.name.clone(), revision);
-            }
-        }
-    }
-}
-
-async fn hear_agents(
-    shared: &Shared,
-    configuration: &Configuration,
-    held: &mut HashMap<EndpointName, u64>,
-) {
-    let endpoints: Vec<&Endpoint> = configuration.snapshot.endpoints().map(|(_, e)| e).collect();
-    let heard = join_all(endpoints.iter().map(|e| shared.agents.status(e))).await;
-    for (endpoint, status) in endpoints.iter().zip(heard) {
-        match status {
-            Some(status) => {
-                shared.hear(&endpoint.name, status.load);
-                let (running, waiting) = status.engine_load;
-                shared.table.lock().hear_engine(&endpoint.name, running + waiting);
-                held.insert(endpoint.name.clone(), status.revision);
-            }
-            None => drop(held.remove(&endpoint.name)),
-        }
-    }
-}
--- a/crates/bulrushusher_entry/src/entry.rs
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -23,9 +23,10 @@
 
 use crate::agents::Agents;
 use crate::configuration::{self, Configuration};
+use crate::guards::Streams;
 use crate::operator::OperatorService;
 use crate::request::Job;
-use crate::{EntryConfig, LOG, api};
+use crate::{EntryConfig, LOG, agent_view, api};
 
 /// When to come back to an entry that shuts down or is full: another one is behind the balancer.
 const ELSEWHERE: Millis = Millis(1_000);
@@ -46,6 +47,7 @@
     pub(crate) configuring: Mutex<()>,
     pub(crate) list_changed: Notify,
     pub(crate) agents: Agents,
+    pub(crate) streams: Streams,
     pub(crate) store: StoreClient,
     metrics: EntryMetrics,
     store_up: AtomicBool,
@@ -68,6 +70,7 @@
             configuring: Mutex::new(()),
             list_changed: Notify::new(),
             agents: Agents::new(cfg.silent.duration()),
+            streams: Streams::default(),
             store: StoreClient::new(cfg.store),
             metrics: EntryMetrics::new(cfg.name.as_str()),
             store_up: AtomicBool::new(false),
@@ -221,7 +224,7 @@
         let tasks = vec![
             tokio::spawn(rpc),
             tokio::spawn(configuration::store_loop(Arc::clone(&shared))),
-            tokio::spawn(configuration::agent_loop(Arc::clone(&shared))),
+            tokio::spawn(agent_view::agent_loop(Arc::clone(&shared))),
         ];
         let name = &shared.cfg.name;
         log::info!("{LOG} {name} takes callers on {}, operators on {operators}", served.addr);
--- a/crates/bulrushusher_entry/src/guards.rs
+++ b/crates/bulrushusher_entry/src/guards.rs
@@ -1,10 +1,12 @@
 //! What must be given back when a request ends, however it ends.
 
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use bulrushusher_routing::Chosen;
-use bulrushusher_wire::{CancelAsk, Reserved};
-use bulrushusher_world::{Endpoint, RequestKey};
+use bulrushusher_wire::{CancelAsk, Heartbeat, OpenStreamName, Reserved};
+use bulrushusher_world::{Endpoint, EndpointName, RequestKey};
+use parking_lot::Mutex;
 
 use crate::entry::Shared;
 
@@ -18,7 +20,7 @@
 
 impl HeldPlace {
     pub(crate) fn new(shared: &Arc<Shared>, chosen: Chosen, reserved: Reserved) -> HeldPlace {
-        shared.table.lock().sent(&chosen);
+        shared.table.lock().sent(&chosen, shared.clock.now());
         HeldPlace { shared: Arc::clone(shared), chosen, reserved, ordered: false }
     }
 
@@ -40,6 +42,40 @@
     }
 }
 
+/// The streams that this entry reads, per endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct Streams {
+    open: Mutex<HashMap<EndpointName, BTreeMap<String, RequestKey>>>,
+}
+
+impl Streams {
+    fn opened(&self, endpoint: &Endpoint, key: &RequestKey, stream: &str) {
+        let mut open = self.open.lock();
+        let streams = open.entry(endpoint.name.clone()).or_default();
+        streams.insert(stream.to_owned(), key.clone());
+    }
+
+    fn closed(&self, endpoint: &Endpoint, stream: &str) {
+        let mut open = self.open.lock();
+        let Some(streams) = open.get_mut(&endpoint.name) else { return };
+        streams.remove(stream);
+        if streams.is_empty() {
+            open.remove(&endpoint.name);
+        }
+    }
+
+    /// The heartbeat for an endpoint.
+    pub(crate) fn heartbeat(&self, endpoint: &EndpointName) -> Heartbeat {
+        let open = self.open.lock();
+        let streams = open.get(endpoint).into_iter().flatten();
+        let name = |(stream, key): (&String, &RequestKey)| OpenStreamName {
+            key: key.clone(),
+            stream: stream.clone(),
+        };
+        Heartbeat { streams: streams.map(name).collect() }
+    }
+}
+
 /// A stream open at an agent; given up when dropped before its end.
 pub(crate) struct OpenStream {
     shared: Arc<Shared>,
@@ -51,11 +87,13 @@
 
 impl OpenStream {
     pub(crate) fn new(shared: &Arc<Shared>, endpoint: &Endpoint, key: &RequestKey) -> OpenStream {
+        let name = shared.unique();
+        shared.streams.opened(endpoint, key, &name);
         OpenStream {
             shared: Arc::clone(shared),
             endpoint: endpoint.clone(),
             key: key.clone(),
-            name: shared.unique(),
+            name,
             ended: false,
         }
     }
@@ -68,6 +106,7 @@
 
 impl Drop for OpenStream {
     fn drop(&mut self) {
+        self.shared.streams.closed(&self.endpoint, &self.name);
         if self.ended {
             return;
         }
--- a/crates/bulrushusher_entry/src/lib.rs
+++ b/crates/bulrushusher_entry/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Lock order: `table` before `limits` before `retries`; none is held across an await.
 
+mod agent_view;
 mod agents;
 mod api;
 mod config;
--- a/crates/bulrushusher_routing/src/pairing.rs
+++ b/crates/bulrushusher_routing/src/pairing.rs
@@ -106,6 +106,7 @@
     endpoint: Endpoint,
     hint: LoadHint,
     listed: bool,
+    last_sent: Millis,
 }
 
 /// The endpoints in force, what is believed of their load, and the choice among them.
@@ -164,7 +165,8 @@
                 None => {
                     self.by_name.insert(endpoint.name.clone(), self.slots.len());
                     let hint = LoadHint::default();
-                    self.slots.push(Slot { endpoint, hint, listed: true });
+                    let last_sent = Millis(0);
+                    self.slots.push(Slot { endpoint, hint, listed: true, last_sent });
                 }
             }
         }
@@ -246,8 +248,16 @@
         }
     }
 
+    /// True when a request was sent to the runner lately, or is there now.
+    pub fn was_used(&self, endpoint: &EndpointName, now: Millis) -> bool {
+        const LATELY: Millis = Millis(10_000);
+        let slot = self.by_name.get(endpoint).map(|at| &self.slots[*at]);
+        slot.is_some_and(|slot| slot.hint.own > 0 || now.since(slot.last_sent) < LATELY)
+    }
+
     /// A request was sent to a chosen runner.
-    pub fn sent(&mut self, chosen: &Chosen) {
+    pub fn sent(&mut self, chosen: &Chosen, now: Millis) {
+        self.slots[chosen.slot].last_sent = now;
         let hint = &mut self.slots[chosen.slot].hint;
         hint.own += 1;
         hint.own_since += 1;
--- a/crates/bulrushusher_wire/src/control.rs
+++ b/crates/bulrushusher_wire/src/control.rs
@@ -110,6 +110,23 @@
     pub departed: Vec<Endpoint>,
 }
 
+/// A stream that an entry reads at an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenStreamName {
+    /// The key whose answer it carries.
+    pub key: RequestKey,
+    /// Its name, as in the order that opened it.
+    pub stream: String,
+}
+
+/// A heartbeat of an entry: the streams that it still reads at the agent. A stream that is not
+/// named for the agent's orphan bound counts as gone, whatever its connection looks like.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The streams.
+    pub streams: Vec<OpenStreamName>,
+}
+
 /// What an agent tells of itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct AgentStatus {
@@ -154,7 +171,7 @@
     #[method(name = "set_list")]
     async fn set_list(&self, push: ListPush) -> RpcResult<u64>;
 
-    /// Tells the agent's state.
-    #[method(name = "status")]
-    async fn status(&self) -> RpcResult<AgentStatus>;
+    /// Takes an entry's heartbeat; tells the agent's state.
+    #[method(name = "heartbeat")]
+    async fn heartbeat(&self, beat: Heartbeat) -> RpcResult<AgentStatus>;
 }
--- a/crates/bulrushusher_wire/src/lib.rs
+++ b/crates/bulrushusher_wire/src/lib.rs
@@ -10,7 +10,7 @@
 pub use api_error::{ApiError, ErrorBody, ErrorCode, ErrorDetail, RunState};
 pub use control::{
     AgentControlClient, AgentControlServer, AgentLoad, AgentStatus, BarAnswer, BarAsk, CancelAsk,
-    ClaimAsk, ListPush, ReserveAsk, ReserveReply, Reserved,
+    ClaimAsk, Heartbeat, ListPush, OpenStreamName, ReserveAsk, ReserveReply, Reserved,
 };
 pub use frame::{
     AttachOrder, CallOrder, DecodeRun, Frame, KvHandle, NotTaken, PrefillRun, RunOrder, Work,
--- a/tools/bulrushusher_testbed/src/bed.rs
+++ b/tools/bulrushusher_testbed/src/bed.rs
@@ -393,7 +393,7 @@
         max_answer_bytes: 32 << 20,
         beat: Millis(200),
         silent: Millis(1_000),
-        orphan: Millis(3_000),
+        orphan: deployment.orphan,
         drain: Millis(60_000),
     };
     let agent_node = Node::new("agent")?;
--- a/tools/bulrushusher_testbed/src/deployment.rs
+++ b/tools/bulrushusher_testbed/src/deployment.rs
@@ -5,6 +5,9 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{Patience, Repeat};
 
+/// The agents' orphan bound: longer than the longest pause that a run is put under.
+const ORPHAN: Millis = Millis(8_000);
+
 /// A class with its flow of requests.
 #[derive(Clone, Debug)]
 pub struct ClassPlan {
@@ -57,6 +60,8 @@
     pub waste_weight: f64,
     /// Client accounts that send.
     pub accounts: usize,
+    /// How long an agent lets a run go on with no entry known to read it.
+    pub orphan: Millis,
 }
 
 impl Deployment {
@@ -99,6 +104,7 @@
             goodput_weight: 2.0,
             waste_weight: 1.0,
             accounts: 30,
+            orphan: ORPHAN,
         }
     }
 
@@ -141,6 +147,7 @@
             goodput_weight: 1.0,
             waste_weight: 2.0,
             accounts: 12,
+            orphan: ORPHAN,
         }
     }
 
--- a/tools/bulrushusher_testbed/src/run.rs
+++ b/tools/bulrushusher_testbed/src/run.rs
@@ -21,7 +21,7 @@
 
 /// How long memory may stay held after the last request, before it counts as held for good. More
 /// than the agents' orphan bound.
-const RELEASE_BOUND: Duration = Duration::from_secs(8);
+const RELEASE_BOUND: Duration = Duration::from_secs(12);
 const RELEASE_POLL: Duration = Duration::from_millis(100);
 /// Pause between the start of the deployment and the load; more than the agents' clock skew.
 const SETTLE: Duration = Duration::from_millis(400);
