--- a/crates/bulrushusher_agent/src/engine.rs
+++ b/crates/bulrushusher_agent/src/engine.rs
@@ -99,7 +99,8 @@
             run: &order.run,
             key: order.key.as_str(),
             prompt: &order.prompt,
-            priority: order.priority,
+            // Granted first, computed first: the decode place that waits for it was taken then.
+            priority: order.reservation.0,
         };
         self.http.stream(self.engine, "/prefill", &call, self.silent).await
     }
--- a/crates/bulrushusher_entry/src/prompt_task.rs
+++ b/crates/bulrushusher_entry/src/prompt_task.rs
@@ -156,7 +156,6 @@
         key: job.key.clone(),
         run: shared.unique(),
         prompt: prompt.prompt.clone(),
-        priority: job.start_within(shared.clock.now()).0,
     };
     place.ordered();
     let endpoint = &place.chosen.endpoint;
--- a/crates/bulrushusher_wire/src/frame.rs
+++ b/crates/bulrushusher_wire/src/frame.rs
@@ -19,8 +19,6 @@
     pub run: String,
     /// The prompt.
     pub prompt: String,
-    /// Lower goes first in the engine.
-    pub priority: u64,
 }
 
 /// Where a KV cache is held.
