What has missed its target yields to what can still meet its own

Cause: beyond capacity the queue was served in order of arrival, so that every request waited until just after its target (summary p50 2473 ms, p95 4395 ms against 3000 ms at load 1.3). A late request now waits at the urgency of half its deadline, so that it is still served; a fifth of the target is kept for the work itself.

--- a/crates/bulrushusher_admission/src/gate.rs
+++ b/crates/bulrushusher_admission/src/gate.rs
@@ -41,8 +41,11 @@
 pub struct Ask {
     /// Who asks.
     pub id: AskId,
-    /// When the work should have started; the earliest is served first.
+    /// When the work should have started to meet its target; the earliest is served first.
     pub start_by: Millis,
+    /// The same once `start_by` has passed: the target is missed, and what can still meet its own
+    /// goes first. Not before `start_by`.
+    pub late_by: Millis,
     /// When the asker stops waiting.
     pub give_up: Millis,
 }
@@ -79,7 +82,9 @@
 /// use bulrushusher_admission::{Ask, AskId, Gate, GateAction, GateConfig};
 /// use bulrushusher_time::Millis;
 /// let mut gate = Gate::new(GateConfig { places: 1, ..GateConfig::default() });
-/// let ask = |n| Ask { id: AskId(n), start_by: Millis(100), give_up: Millis(50) };
+/// let ask = |n| Ask {
+///     id: AskId(n), start_by: Millis(100), late_by: Millis(500), give_up: Millis(50),
+/// };
 /// let actions = gate.ask(ask(1), Millis(0));
 /// assert!(matches!(actions[0], GateAction::Grant(AskId(1), _)));
 /// assert!(gate.ask(ask(2), Millis(0)).is_empty(), "the second waits");
@@ -123,11 +128,10 @@
         let arrival = self.next_arrival;
         self.next_arrival += 1;
         self.queue.insert((ask.start_by, arrival), ask);
-        let mut actions = self.tick(now);
-        if self.queue.contains_key(&(ask.start_by, arrival)) && ask.give_up <= now {
-            self.queue.remove(&(ask.start_by, arrival));
-            actions.push(GateAction::Refuse(ask.id, self.full()));
-        }
+        let mut actions = self.lapse(now);
+        self.yield_late(now);
+        self.grant_free(now, &mut actions);
+        self.refuse_late(now, &mut actions);
         actions
     }
 
@@ -168,6 +172,7 @@
     pub fn tick(&mut self, now: Millis) -> Vec<GateAction> {
         let mut actions = self.lapse(now);
         self.refuse_late(now, &mut actions);
+        self.yield_late(now);
         self.grant_free(now, &mut actions);
         actions
     }
@@ -247,6 +252,18 @@
         });
     }
 
+    /// Puts those whose target is missed behind those who can still meet theirs.
+    fn yield_late(&mut self, now: Millis) {
+        while let Some(entry) = self.queue.first_entry() {
+            let ((by, arrival), ask) = (*entry.key(), *entry.get());
+            if by >= now || by >= ask.late_by {
+                return;
+            }
+            entry.remove();
+            self.queue.insert((ask.late_by, arrival), ask);
+        }
+    }
+
     fn grant_free(&mut self, now: Millis, actions: &mut Vec<GateAction>) {
         while self.held.len() < self.cfg.places {
             let Some((_, ask)) = self.queue.pop_first() else { return };
--- a/crates/bulrushusher_admission/tests/gate.rs
+++ b/crates/bulrushusher_admission/tests/gate.rs
@@ -10,7 +10,8 @@
 const CFG: GateConfig = GateConfig { places: 2, queue_bound: 4, time_to_live: Millis(100) };
 
 fn ask(id: u64, start_by: u64) -> Ask {
-    Ask { id: AskId(id), start_by: Millis(start_by), give_up: Millis(1_000) }
+    let (start_by, late_by) = (Millis(start_by), Millis(start_by + 2_000));
+    Ask { id: AskId(id), start_by, late_by, give_up: Millis(1_000) }
 }
 
 fn granted(actions: &[GateAction]) -> Vec<(AskId, Grant)> {
@@ -32,6 +33,20 @@
     assert_eq!(next[0].0, AskId(4));
 }
 
+#[test]
+fn what_missed_its_target_yields_to_what_can_meet_its_own() {
+    let mut gate = Gate::new(CFG);
+    let first = granted(&gate.ask(ask(1, 900), Millis(0)))[0].1;
+    let second = granted(&gate.ask(ask(2, 900), Millis(0)))[0].1;
+    gate.start(first.id, Millis(0)).unwrap();
+    gate.start(second.id, Millis(0)).unwrap();
+    gate.ask(ask(3, 100), Millis(0));
+    gate.ask(ask(4, 600), Millis(0));
+    // At 500, ask 3 is late: ask 4 goes first, then ask 3.
+    assert_eq!(granted(&gate.finish(first.id, Millis(500)))[0].0, AskId(4));
+    assert_eq!(granted(&gate.finish(second.id, Millis(500)))[0].0, AskId(3));
+}
+
 #[test]
 fn an_order_after_the_time_to_live_is_refused() {
     let mut gate = Gate::new(CFG);
@@ -117,7 +132,8 @@
                     next += 1;
                     open.insert(id);
                     let give_up = now.plus(Millis(wait));
-                    gate.ask(Ask { id, start_by: Millis(start_by), give_up }, now)
+                    let (start_by, late_by) = (Millis(start_by), Millis(start_by + 200));
+                    gate.ask(Ask { id, start_by, late_by, give_up }, now)
                 }
                 Step::Start(n) => {
                     if let Some(grant) = grants.get(n) {
--- a/crates/bulrushusher_agent/src/control.rs
+++ b/crates/bulrushusher_agent/src/control.rs
@@ -22,7 +22,7 @@
         let in_doubt = ask.key.as_ref().is_some_and(|key| shared.keys.is_in_doubt(key));
         let granted = match in_doubt {
             true => Err(Refusal::CannotVouch),
-            false => shared.desk.reserve(ask.start_within, ask.wait).await,
+            false => shared.desk.reserve(&ask).await,
         };
         let reserved = |grant: bulrushusher_admission::Grant| Reserved {
             id: grant.id,
--- a/crates/bulrushusher_agent/src/desk.rs
+++ b/crates/bulrushusher_agent/src/desk.rs
@@ -6,7 +6,7 @@
     Ask, AskId, Gate, GateAction, GateConfig, Grant, Refusal, ReservationId,
 };
 use bulrushusher_time::{Clock, Millis};
-use bulrushusher_wire::AgentLoad;
+use bulrushusher_wire::{AgentLoad, ReserveAsk};
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
 
@@ -35,22 +35,24 @@
     }
 
     /// Waits for a place. Dropping the future withdraws the request.
-    pub(crate) async fn reserve(&self, start_within: Millis, wait: Millis) -> Answer {
-        let (id, rx) = self.ask(start_within, wait);
+    pub(crate) async fn reserve(&self, ask: &ReserveAsk) -> Answer {
+        let (id, rx) = self.ask(ask);
         let mut waiting = Waiting { desk: self, id: Some(id) };
         let answer = rx.await.unwrap_or(Err(Refusal::Leaving));
         waiting.id = None;
         answer
     }
 
-    fn ask(&self, start_within: Millis, wait: Millis) -> (AskId, oneshot::Receiver<Answer>) {
+    fn ask(&self, ask: &ReserveAsk) -> (AskId, oneshot::Receiver<Answer>) {
         let now = self.clock.now();
         let (tx, rx) = oneshot::channel();
         let mut inner = self.inner.lock();
         let id = AskId(inner.next_ask);
         inner.next_ask += 1;
         inner.askers.insert(id, tx);
-        let ask = Ask { id, start_by: now.plus(start_within), give_up: now.plus(wait) };
+        let start_by = now.plus(ask.start_within);
+        let late_by = now.plus(ask.late_within).max(start_by);
+        let ask = Ask { id, start_by, late_by, give_up: now.plus(ask.wait) };
         let actions = inner.gate.ask(ask, now);
         inner.carry_out(actions, now);
         (id, rx)
--- a/crates/bulrushusher_entry/src/place.rs
+++ b/crates/bulrushusher_entry/src/place.rs
@@ -105,9 +105,13 @@
             Patience::Patient => WAIT_STEP,
         };
         let wait = want.until.since(now).min(step);
-        let start_within = want.job.start_within(now);
-        let key = want.vouched.then(|| want.job.key.clone());
-        let ask = ReserveAsk { entry: shared.cfg.name.clone(), start_within, wait, key };
+        let ask = ReserveAsk {
+            entry: shared.cfg.name.clone(),
+            start_within: want.job.start_within(now),
+            late_within: want.job.late_within(now),
+            wait,
+            key: want.vouched.then(|| want.job.key.clone()),
+        };
         let Some(reply) = shared.agents.reserve(&chosen.endpoint, ask).await else {
             log::info!("{LOG} {} did not answer, another is chosen", chosen.endpoint.name);
             refused.push(chosen.endpoint.name.clone());
--- a/crates/bulrushusher_entry/src/request.rs
+++ b/crates/bulrushusher_entry/src/request.rs
@@ -3,7 +3,7 @@
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{ApiError, ErrorCode};
 use bulrushusher_world::{
-    ClassName, ClientAccountName, DeliverableClass, Patience, Repeat, RequestKey, ServiceName,
+    ClassName, ClientAccountName, DeliverableClass, Repeat, RequestKey, ServiceName,
 };
 use serde::Deserialize;
 use uuid::Uuid;
@@ -62,15 +62,20 @@
         self.class.repeat == Repeat::Idempotent
     }
 
-    /// How urgent it is: the time from now within which its work should start.
+    /// The time from now within which its work should start to meet its target; 0 when that is
+    /// missed.
     pub(crate) fn start_within(&self, now: Millis) -> Millis {
-        /// Patient work is put after interactive work that comes up to this much later.
-        const PATIENT_ALLOWANCE: u64 = 2;
-        let aim = match self.class.patience {
-            Patience::Interactive => self.class.ttft,
-            Patience::Patient => Millis(self.class.ttft.0.saturating_mul(PATIENT_ALLOWANCE)),
-        };
-        self.arrived.plus(aim).since(now)
+        /// Share of the target that may be spent waiting, in percent; the rest is for the work.
+        const WAIT_PERCENT: u64 = 80;
+        let wait = self.class.ttft.0.saturating_mul(WAIT_PERCENT) / 100;
+        self.arrived.plus(Millis(wait)).since(now)
+    }
+
+    /// The time from now within which its work should start when its target is missed: the later
+    /// half of its deadline is kept for what is served late, so that nothing patient starves.
+    pub(crate) fn late_within(&self, now: Millis) -> Millis {
+        let half = Millis(self.deadline.since(self.arrived).0 / 2);
+        self.arrived.plus(half).since(now)
     }
 }
 
--- a/crates/bulrushusher_wire/src/control.rs
+++ b/crates/bulrushusher_wire/src/control.rs
@@ -26,8 +26,10 @@
 pub struct ReserveAsk {
     /// Who asks, for logs.
     pub entry: EntryName,
-    /// The work should start within this time from now.
+    /// The work should start within this time from now to meet its target; 0 when it is missed.
     pub start_within: Millis,
+    /// The work should start within this time from now even when its target is missed.
+    pub late_within: Millis,
     /// How long the asker waits for a place.
     pub wait: Millis,
     /// The key that shall run there at the ballot of its home; `None` for a prefill, and for a key
