--- /dev/null
+++ b/tools/bulrushusher_experiment/src/table.rs
@@ -0,0 +1,61 @@
+//! The table: one row per load and policy, over all seeds.
+
+use bulrushusher_routing::Policy;
+
+use crate::Point;
+
+/// Loads in the points, in order.
+pub fn loads(points: &[Point]) -> Vec<f64> {
+    let mut loads: Vec<f64> = points.iter().map(|point| point.load).collect();
+    loads.sort_by(f64::total_cmp);
+    loads.dedup();
+    loads
+}
+
+/// Values of the points of a load and policy.
+pub fn values(points: &[Point], load: f64, policy: Policy, of: impl Fn(&Point) -> f64) -> Vec<f64> {
+    let here = points.iter().filter(|p| p.load == load && p.policy == policy);
+    here.map(of).collect()
+}
+
+/// Mean of some values; 0 for none.
+pub fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+fn spread(values: &[f64]) -> String {
+    let low = values.iter().copied().fold(f64::INFINITY, f64::min);
+    let high = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    format!("{:.1} ({low:.1} to {high:.1})", mean(values))
+}
+
+/// The table in Markdown: mean and range over the seeds.
+pub fn markdown(points: &[Point]) -> String {
+    let mut text = String::from(
+        "| load | policy | runs | prompt goodput /s | wasted prefill % | calls in target % | \
+         unanswered | promises broken |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for load in loads(points) {
+        for policy in Policy::ALL {
+            let of = |value: fn(&Point) -> f64| values(points, load, policy, value);
+            let goodput = of(|p| p.prompt_goodput);
+            if goodput.is_empty() {
+                continue;
+            }
+            let unanswered: f64 =
+                of(|p| (p.report.totals.accepted - p.report.totals.answered) as f64).iter().sum();
+            let broken: f64 =
+                of(|p| p.report.totals.promises().iter().map(|(_, n)| *n as f64).sum())
+                    .iter()
+                    .sum();
+            text.push_str(&format!(
+                "| {load} | {policy} | {} | {} | {} | {} | {unanswered} | {broken} |\n",
+                goodput.len(),
+                spread(&goodput),
+                spread(&of(|p| p.report.wasted_prefill * 100.0)),
+                spread(&of(|p| p.calls_in_target * 100.0)),
+            ));
+        }
+    }
+    text
+}
