--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_once::{Ballot, Ran, Settled};
 use bulrushusher_time::Millis;
-use bulrushusher_wire::{ApiError, NotTaken, RunOrder, Work};
+use bulrushusher_wire::{ApiError, NotTaken, RunOrder, RunState, Work};
 use bulrushusher_world::{Endpoint, EndpointName};
 
 use crate::entry::Shared;
@@ -45,6 +45,8 @@
     assignment: Option<Assignment>,
     /// A ballot that was cleared for any one executor not yet chosen.
     cleared: Option<Ballot>,
+    /// True once an earlier attempt may have run, so that "not run" must not be told any more.
+    may_have_run: bool,
 }
 
 impl<'a> Execution<'a> {
@@ -54,7 +56,26 @@
         tx: &'a PartSender,
         restartable: bool,
     ) -> Execution<'a> {
-        Execution { shared, job, tx, restartable, passed: 0, assignment: None, cleared: None }
+        Execution {
+            shared,
+            job,
+            tx,
+            restartable,
+            passed: 0,
+            assignment: None,
+            cleared: None,
+            may_have_run: false,
+        }
+    }
+
+    /// An error as the caller may be told it: what may have run is not told as "not run".
+    pub(crate) fn told(&self, e: ApiError) -> ApiError {
+        match e.run {
+            RunState::NotRun if self.may_have_run => {
+                ApiError { run: RunState::OutcomeUnknown, ..e }
+            }
+            RunState::NotRun | RunState::Ran | RunState::OutcomeUnknown => e,
+        }
     }
 
     /// The only endpoint that may run the key now, if it was given to one.
@@ -123,6 +144,8 @@
         self.cleared = None;
         match settle::bar(self.shared, &self.job, above).await? {
             Settled::Run(ballot) => {
+                // An idempotent key is cleared also where it may have run before.
+                self.may_have_run |= self.job.is_idempotent();
                 self.cleared = Some(ballot);
                 Ok(Step::Again)
             }
@@ -224,6 +247,7 @@
         if !self.job.is_idempotent() || !unseen {
             return Err(ran.map_or_else(|| unknown("its endpoint is gone"), answer_gone));
         }
+        self.may_have_run = true;
         if self.passed > 0 {
             self.tx.send(Ok(Part::Restart)).await.ok();
             self.passed = 0;
--- a/crates/bulrushusher_entry/src/prompt_task.rs
+++ b/crates/bulrushusher_entry/src/prompt_task.rs
@@ -56,9 +56,19 @@
     let blocks = blocks(&prompt.prompt);
     let mut execution = Execution::new(shared, prompt.job.clone(), tx, !prompt.stream);
     shared.retries.lock().earn();
+    let tried = attempts(shared, prompt, &blocks, &mut execution).await;
+    tried.map_err(|e| execution.told(e))
+}
+
+async fn attempts(
+    shared: &Arc<Shared>,
+    prompt: &PromptJob,
+    blocks: &[u64],
+    execution: &mut Execution<'_>,
+) -> Result<(), ApiError> {
     loop {
         execution.job.time_left(shared.clock.now())?;
-        if attempt(shared, prompt, &blocks, &mut execution).await? == Step::Done {
+        if attempt(shared, prompt, blocks, execution).await? == Step::Done {
             return Ok(());
         }
         spend_retry(shared, &execution.job)?;
--- a/crates/bulrushusher_entry/src/service_task.rs
+++ b/crates/bulrushusher_entry/src/service_task.rs
@@ -37,9 +37,18 @@
 ) -> Result<(), ApiError> {
     let mut execution = Execution::new(shared, job.clone(), tx, true);
     shared.retries.lock().earn();
+    let tried = attempts(shared, call, &mut execution).await;
+    tried.map_err(|e| execution.told(e))
+}
+
+async fn attempts(
+    shared: &Arc<Shared>,
+    call: &CallOrder,
+    execution: &mut Execution<'_>,
+) -> Result<(), ApiError> {
     loop {
         execution.job.time_left(shared.clock.now())?;
-        if attempt(shared, call, &mut execution).await? == Step::Done {
+        if attempt(shared, call, execution).await? == Step::Done {
             return Ok(());
         }
         spend_retry(shared, &execution.job)?;
--- a/crates/bulrushusher_once/tests/rules.rs
+++ b/crates/bulrushusher_once/tests/rules.rs
@@ -45,12 +45,8 @@
 }
 
 fn settlement(key: &RequestKey, view: &ServiceList, attempt: u64) -> Settlement {
-    let ask = SettleAsk {
-        key: key.clone(),
-        idempotent: false,
-        owner: owner(attempt),
-        skew: Millis(10),
-    };
+    let ask =
+        SettleAsk { key: key.clone(), idempotent: false, owner: owner(attempt), skew: Millis(10) };
     let view = ListView {
         revision: view.revision,
         executors: view.executors.clone(),
--- a/tools/bulrushusher_experiment/src/main.rs
+++ b/tools/bulrushusher_experiment/src/main.rs
@@ -143,6 +143,9 @@
                     point.report.wasted_prefill * 100.0,
                     point.report.totals.kept(),
                 );
+                if !point.report.totals.kept() {
+                    eprintln!("experiment:   {:?} {:?}", point.report.totals, point.report.causes);
+                }
                 points.push(point);
             }
             Ok(Err(e)) => eprintln!("experiment: a run failed: {e}"),
--- /dev/null
+++ b/tools/bulrushusher_slopes/src/state.rs
@@ -0,0 +1,245 @@
+//! Memory and time of the decision types. Memory is the growth of this process's resident set while
+//! the state is made, so each is made large enough to be seen.
+
+use std::time::Instant;
+
+use bulrushusher_admission::{Ask, AskId, Gate, GateConfig};
+use bulrushusher_once::{
+    Ballot, ExecutorConfig, ExecutorTable, HomeConfig, HomeTable, ServiceList, Vouch,
+};
+use bulrushusher_platform::{Snapshot, StoredObject};
+use bulrushusher_routing::{
+    AccountLimits, LimitsConfig, LoadHint, PairingConfig, PairingTable, PromptRequest,
+};
+use bulrushusher_time::Millis;
+use bulrushusher_world::{
+    ClientAccount, Endpoint, EndpointName, RawClientAccount, RawEndpoint, RequestKey, ServiceName,
+};
+
+use crate::fit::Slope;
+
+const PAGE: f64 = 4_096.0;
+const MODELS: usize = 33;
+const NOW: Millis = Millis(1_000_000);
+const VOUCH: Vouch = Vouch { since: Millis(0), skew: Millis(100), horizon: Millis(600_000) };
+
+/// All slopes of state and time.
+pub fn all() -> Vec<Slope> {
+    vec![
+        choose_time(),
+        pairing_bytes(),
+        account_bytes(),
+        snapshot_bytes(),
+        snapshot_time(),
+        gate_time(),
+        executor_bytes(),
+        executor_time(),
+        home_bytes(),
+    ]
+}
+
+fn resident() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|n| n.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE
+}
+
+/// Bytes that the process grows by while `make` makes something.
+fn bytes<T>(make: impl FnOnce() -> T) -> f64 {
+    let before = resident();
+    let made = make();
+    let after = resident();
+    drop(made);
+    (after - before).max(0.0)
+}
+
+/// Mean nanoseconds of `work`.
+fn nanos(rounds: usize, mut work: impl FnMut(usize)) -> f64 {
+    let start = Instant::now();
+    for round in 0..rounds {
+        work(round);
+    }
+    start.elapsed().as_nanos() as f64 / rounds as f64
+}
+
+fn slope(
+    what: &'static str,
+    unit: &'static str,
+    per: &'static str,
+    sizes: [usize; 4],
+    measure: impl Fn(usize) -> f64,
+) -> Slope {
+    let points = sizes.into_iter().map(|size| (size as f64, measure(size))).collect();
+    Slope { what, unit, per, points }
+}
+
+pub(crate) fn endpoint(number: usize) -> Endpoint {
+    let role = if number.is_multiple_of(2) { "prefill" } else { "decode" };
+    let raw = RawEndpoint {
+        name: format!("tt-trnava-{role}-{number}"),
+        service: format!("model-{}", number / 2 % MODELS),
+        role: role.to_owned(),
+        data_centre: format!("dc-{}", number % 7),
+        control: format!("10.1.{}.{}:7110", number / 250, number % 250),
+        stream: format!("10.1.{}.{}:7111", number / 250, number % 250),
+        ..RawEndpoint::default()
+    };
+    Endpoint::try_from(raw).expect("a valid endpoint")
+}
+
+fn pairing(runners: usize) -> PairingTable {
+    let mut table = PairingTable::new(PairingConfig::default());
+    let endpoints: Vec<Endpoint> = (0..runners).map(endpoint).collect();
+    table.set_endpoints(endpoints.clone());
+    for endpoint in &endpoints {
+        let hint = LoadHint { used: 3, places: 20, heard: NOW, ..LoadHint::default() };
+        table.hear(&endpoint.name, hint);
+    }
+    table
+}
+
+fn choose_time() -> Slope {
+    slope("one placement", "ns", "runner", [10, 100, 1_000, 2_700], |runners| {
+        let mut table = pairing(runners);
+        let models = MODELS.min(runners / 2);
+        let services: Vec<ServiceName> = (0..models)
+            .map(|n| ServiceName::try_from(format!("model-{n}")).expect("a valid name"))
+            .collect();
+        nanos(20_000, |round| {
+            let service = &services[round % services.len()];
+            let req = PromptRequest { service, blocks: &[1, 2, 3], excluded: &[] };
+            std::hint::black_box(table.choose(&req, NOW)).ok();
+        })
+    })
+}
+
+fn pairing_bytes() -> Slope {
+    slope("pairing table", "bytes", "runner", [2_700, 27_000, 54_000, 108_000], |runners| {
+        bytes(|| pairing(runners))
+    })
+}
+
+fn account(number: usize) -> ClientAccount {
+    let name = format!("account-{number}");
+    let raw = RawClientAccount { name, requests_per_second: 5.0, burst: 10 };
+    ClientAccount::try_from(raw).expect("a valid account")
+}
+
+fn account_bytes() -> Slope {
+    slope("account limits", "bytes", "account", [13_000, 52_000, 104_000, 208_000], |accounts| {
+        bytes(|| {
+            let cfg = LimitsConfig { max_accounts: accounts, entries: 380 };
+            let mut limits = AccountLimits::new(cfg);
+            for number in 0..accounts {
+                limits.admit(&account(number), NOW).ok();
+            }
+            limits
+        })
+    })
+}
+
+fn account_object(number: usize, revision: u64) -> StoredObject {
+    StoredObject {
+        key: format!("account/account-{number}"),
+        version: revision,
+        revision,
+        mark: String::new(),
+        value: serde_json::to_value(account(number)).expect("accounts have a JSON form"),
+    }
+}
+
+fn snapshot(accounts: usize) -> Snapshot {
+    let mut snapshot = Snapshot::default();
+    for number in 0..accounts {
+        snapshot.apply(&account_object(number, 1)).expect("valid objects");
+    }
+    snapshot
+}
+
+fn snapshot_bytes() -> Slope {
+    slope("configuration", "bytes", "object", [13_000, 26_000, 52_000, 104_000], |accounts| {
+        bytes(|| snapshot(accounts))
+    })
+}
+
+fn snapshot_time() -> Slope {
+    slope("one change", "ns", "object held", [1_000, 4_000, 13_000, 26_000], |accounts| {
+        let held = snapshot(accounts);
+        nanos(40, |round| {
+            // As the entry does it: a copy is changed and put in place.
+            let mut next = held.clone();
+            next.apply(&account_object(round, 2)).expect("a valid object");
+            std::hint::black_box(&next);
+        })
+    })
+}
+
+fn gate_time() -> Slope {
+    slope("ask, start, finish", "ns", "request waiting", [0, 100, 250, 500], |waiting| {
+        let cfg = GateConfig { places: 1, queue_bound: 1_000, time_to_live: Millis(60_000_000) };
+        let mut gate = Gate::new(cfg);
+        let ask = |n: usize| Ask {
+            id: AskId(n as u64),
+            start_by: NOW.plus(Millis(n as u64)),
+            late_by: NOW.plus(Millis(10_000_000)),
+            give_up: Millis::MAX,
+        };
+        let mut granted = Vec::new();
+        for n in 0..=waiting {
+            granted.extend(gate.ask(ask(n), NOW));
+        }
+        nanos(20_000, |round| {
+            granted.extend(gate.ask(ask(waiting + 1 + round), NOW));
+            if let Some(bulrushusher_admission::GateAction::Grant(_, grant)) = granted.pop() {
+                gate.start(grant.id, NOW).expect("a fresh grant");
+                granted.extend(gate.finish(grant.id, NOW));
+            }
+        })
+    })
+}
+
+fn key(number: usize) -> RequestKey {
+    RequestKey::try_from(format!("01a237f0-596f-7233-bc46-{number:012x}")).expect("a valid key")
+}
+
+fn executor(records: usize) -> ExecutorTable {
+    let cfg =
+        ExecutorConfig { max_records: records + 1, max_answer_bytes: usize::MAX, vouch: VOUCH };
+    let mut table = ExecutorTable::new(cfg);
+    for number in 0..records {
+        table.order(&key(number), &Ballot::Home, NOW);
+        table.finish(&key(number), 0);
+    }
+    table
+}
+
+const RECORDS: [usize; 4] = [20_000, 50_000, 100_000, 200_000];
+
+fn executor_bytes() -> Slope {
+    slope("executor records", "bytes", "record", RECORDS, |records| bytes(|| executor(records)))
+}
+
+fn executor_time() -> Slope {
+    slope("one order", "ns", "record held", [1_000, 10_000, 50_000, 100_000], |records| {
+        let mut table = executor(records);
+        nanos(20_000, |round| {
+            std::hint::black_box(table.order(&key(round % records), &Ballot::Home, NOW));
+        })
+    })
+}
+
+fn home_bytes() -> Slope {
+    slope("home records", "bytes", "record", RECORDS, |records| {
+        bytes(|| {
+            let me = EndpointName::try_from("d1").expect("a valid name");
+            let cfg = HomeConfig { max_records: records, vouch: VOUCH };
+            let mut home = HomeTable::new(me.clone(), cfg);
+            let executors = vec![me.clone()];
+            home.set_list(ServiceList { revision: 1, executors, ..ServiceList::default() }, NOW);
+            for number in 0..records {
+                home.claim(&key(number), &me, 1, NOW);
+            }
+            home
+        })
+    })
+}
--- /dev/null
+++ b/tools/bulrushusher_testbed/tests/settings.rs
@@ -0,0 +1,29 @@
+//! The settings page says what the programs check.
+//!
+//! After a change: `BULRUSH_WRITE_SETTINGS=1 cargo test -p bulrushusher_testbed --test settings`.
+
+use bulrushusher_config::{Program, reference};
+
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/SETTINGS.md");
+const HEAD: &str = "# Settings\n\nEvery program reads an INI file (`--config FILE.ini`) and checks \
+every key at start, with its unit and\nrange; an unknown key is refused too. `--check-config` only \
+checks. This page is written from the\ndeclarations in the code, and a test compares the two.\n";
+
+fn page() -> String {
+    let programs: [Program; 3] = [
+        bulrushusher_entry::PROGRAM,
+        bulrushusher_agent::PROGRAM,
+        bulrushusher_standin::settings::PROGRAM,
+    ];
+    let part = |p: Program| format!("\n## {}\n\n{}\n\n{}", p.name, p.about, reference(p.settings));
+    HEAD.to_owned() + &programs.into_iter().map(part).collect::<String>()
+}
+
+#[test]
+fn the_settings_page_is_that_of_the_code() {
+    if std::env::var_os("BULRUSH_WRITE_SETTINGS").is_some() {
+        std::fs::write(PAGE, page()).expect("the page is written");
+    }
+    let written = std::fs::read_to_string(PAGE).expect("the page is there");
+    assert!(written == page(), "docs/SETTINGS.md is behind the code; see this test's first lines");
+}
