A pool that refuses is asked again after a growing pause

Cause: with every endpoint of a pool unreachable each waiting request asked all of them again every 50 ms: 670,000 calls in 45 s, seen when the experiment ran out of file descriptors (three runs at once in one process; its own fault: one run at a time now, and a relay ends with its deployment). The pause now doubles from 50 ms to 1 s with jitter.

--- a/crates/bulrushusher_entry/src/agents.rs
+++ b/crates/bulrushusher_entry/src/agents.rs
@@ -79,7 +79,11 @@
     {
         let rpc = self.connections(endpoint)?.rpc;
         match tokio::time::timeout(bound, call(rpc)).await {
-            Ok(answer) => answer.ok(),
+            Ok(Ok(answer)) => Some(answer),
+            Ok(Err(e)) => {
+                log::info!("{LOG} a call to {} failed: {e}", endpoint.name);
+                None
+            }
             Err(_) => {
                 self.distrust(endpoint);
                 None
--- a/crates/bulrushusher_entry/src/place.rs
+++ b/crates/bulrushusher_entry/src/place.rs
@@ -18,8 +18,10 @@
 const WAIT_STEP: Millis = Millis(1_000);
 /// The same for interactive requests, which cannot wait for long.
 const INTERACTIVE_WAIT_STEP: Millis = Millis(300);
-/// Pause before the pool is asked again when every member refused.
-const POOL_PAUSE: Millis = Millis(50);
+/// First pause before the pool is asked again when every member refused or did not answer; it
+/// doubles each time, up to the longest.
+const FIRST_PAUSE: Millis = Millis(50);
+const LONGEST_PAUSE: Millis = Millis(1_000);
 /// When to come back when no endpoint takes work.
 const NO_ENDPOINT_RETRY: Millis = Millis(2_000);
 
@@ -82,6 +84,7 @@
 pub(crate) async fn get(shared: &Arc<Shared>, want: Want<'_>) -> Result<HeldPlace, NoPlace> {
     let mut refused: Vec<EndpointName> = Vec::new();
     let mut unvouched = 0;
+    let mut pause = FIRST_PAUSE;
     let mut busy = Millis(1_000);
     loop {
         let now = shared.clock.now();
@@ -93,7 +96,9 @@
             Err(_) => {
                 refused.clear();
                 unvouched = 0;
-                tokio::time::sleep(POOL_PAUSE.duration()).await;
+                let jitter = shared.random_below(pause.0 / 2 + 1);
+                tokio::time::sleep(pause.plus(Millis(jitter)).duration()).await;
+                pause = pause.plus(pause).min(LONGEST_PAUSE);
                 if want.until <= shared.clock.now() {
                     return Err(NoPlace::Busy { retry_after: busy });
                 }
--- a/crates/bulrushusher_standin/src/relay.rs
+++ b/crates/bulrushusher_standin/src/relay.rs
@@ -2,14 +2,18 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bulrushusher_http::{bind, nodelay};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 const BUFFER: usize = 16 * 1024;
+/// Pause after a connection could not be accepted, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 /// A running relay in front of `target`.
 #[derive(Debug)]
@@ -31,9 +35,20 @@
         let epoch = Arc::new(watch::Sender::new(0));
         let silenced = Arc::clone(&epoch);
         let task = tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                near.set_nodelay(true).ok();
-                tokio::spawn(carry(near, target, silenced.subscribe()));
+            // Dropped with this task, and every connection with it.
+            let mut open = JoinSet::new();
+            loop {
+                match listener.accept().await {
+                    Ok((near, _)) => {
+                        near.set_nodelay(true).ok();
+                        open.spawn(carry(near, target, silenced.subscribe()));
+                    }
+                    Err(e) => {
+                        log::error!("standin: relay to {target} cannot accept: {e}");
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                    }
+                }
+                while open.try_join_next().is_some() {}
             }
         });
         Ok(Relay { addr, epoch, task })
@@ -43,9 +58,10 @@
     pub fn silence_open_connections(&self) {
         self.epoch.send_modify(|epoch| *epoch += 1);
     }
+}
 
-    /// Stops listening.
-    pub fn abort(&self) {
+impl Drop for Relay {
+    fn drop(&mut self) {
         self.task.abort();
     }
 }
--- a/tools/bulrushusher_slopes/src/state.rs
+++ b/tools/bulrushusher_slopes/src/state.rs
@@ -47,10 +47,9 @@
 /// Bytes that the process grows by while `make` makes something.
 fn bytes<T>(make: impl FnOnce() -> T) -> f64 {
     let before = resident();
-    let made = make();
-    let after = resident();
-    drop(made);
-    (after - before).max(0.0)
+    // Kept for good: freed memory would be taken again by the next one, unseen.
+    std::mem::forget(make());
+    (resident() - before).max(0.0)
 }
 
 /// Mean nanoseconds of `work`.
@@ -73,6 +72,10 @@
     Slope { what, unit, per, points }
 }
 
+fn address(number: usize, port: u16) -> String {
+    format!("10.{}.{}.{}:{port}", number / 62_500, number / 250 % 250, number % 250)
+}
+
 pub(crate) fn endpoint(number: usize) -> Endpoint {
     let role = if number.is_multiple_of(2) { "prefill" } else { "decode" };
     let raw = RawEndpoint {
@@ -80,8 +83,8 @@
         service: format!("model-{}", number / 2 % MODELS),
         role: role.to_owned(),
         data_centre: format!("dc-{}", number % 7),
-        control: format!("10.1.{}.{}:7110", number / 250, number % 250),
-        stream: format!("10.1.{}.{}:7111", number / 250, number % 250),
+        control: address(number, 7_110),
+        stream: address(number, 7_111),
         ..RawEndpoint::default()
     };
     Endpoint::try_from(raw).expect("a valid endpoint")
