--- a/crates/bulrushusher_ctl/src/cli.rs
+++ b/crates/bulrushusher_ctl/src/cli.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use bulrushusher_config::{Kind, Setting, Values, setting};
 use bulrushusher_operator::v1;
 use bulrushusher_operator::v1::operator_client::OperatorClient;
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
@@ -19,6 +20,20 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 const WAIT_POLL: Duration = Duration::from_millis(50);
 
+const OUTPUTS: [&str; 2] = ["table", "json"];
+
+/// The settings of `bulrushctl`; the command line goes before them.
+pub const SETTINGS: &[Setting] = &[
+    setting(
+        "operator",
+        "entry",
+        Kind::Address,
+        Some("127.0.0.1:7200"),
+        "Operators' address of an entry.",
+    ),
+    setting("operator", "output", Kind::Choice(&OUTPUTS), Some("table"), "How replies are shown."),
+];
+
 fn named(name: &'static str, about: &'static str) -> Command {
     Command::new(name).about(about).arg(Arg::new("name").required(true).help("Name of the object"))
 }
@@ -39,18 +54,25 @@
 
 /// The command line.
 pub fn command() -> Command {
-    let entry = Arg::new("entry")
-        .long("entry")
-        .global(true)
-        .action(ArgAction::Append)
-        .default_value("127.0.0.1:7200")
-        .help("Operators' address of an entry; may be repeated for `wait`");
+    let entry = Arg::new("entry").long("entry").global(true).action(ArgAction::Append).help(
+        "Operators' address of an entry, instead of the settings'; may be repeated for `wait`",
+    );
     let output = Arg::new("output")
         .long("output")
         .global(true)
-        .value_parser(["table", "json"])
-        .default_value("table")
-        .help("How replies are shown");
+        .value_parser(OUTPUTS)
+        .help("How replies are shown, instead of the settings' way");
+    let config = Arg::new("config")
+        .long("config")
+        .global(true)
+        .value_name("FILE.ini")
+        .value_parser(value_parser!(PathBuf))
+        .help("Settings file");
+    let check = Arg::new("check-config")
+        .long("check-config")
+        .action(ArgAction::SetTrue)
+        .requires("config")
+        .help("Check the settings and exit: 0 when good, 2 when bad");
     let file = Arg::new("file")
         .short('f')
         .long("file")
@@ -79,8 +101,7 @@
             "Exit codes: 0 done, 1 refused, 2 bad command line or file, 3 conflicting update, \
              4 entry or store not reached, or wait not met",
         )
-        .subcommand_required(true)
-        .args([entry, output])
+        .args([entry, output, config, check])
         .subcommand(object("closing", "Closings"))
         .subcommand(object("endpoint", "Endpoints"))
         .subcommand(object("account", "Client accounts"))
@@ -100,11 +121,10 @@
 /// # Errors
 /// [`CtlError`], with its exit code.
 pub async fn execute(matches: &ArgMatches) -> Result<String, CtlError> {
-    let output = match matches.get_one::<String>("output").map(String::as_str) {
-        Some("json") => Output::Json,
-        _ => Output::Table,
-    };
-    let entries: Vec<String> = matches.get_many("entry").unwrap_or_default().cloned().collect();
+    let (entries, output) = settings(matches)?;
+    if matches.get_flag("check-config") {
+        return Ok("bulrushctl: the settings are good\n".to_owned());
+    }
     let first = entries.first().cloned().unwrap_or_default();
     let rows = match matches.subcommand() {
         Some(("wait", args)) => return wait(&entries, args).await,
@@ -118,11 +138,30 @@
             show::put("endpoint", &name_of(args), reply.into_inner())
         }
         Some(("status", _)) => return status(&first, output).await,
-        _ => return Ok(String::new()),
+        _ => return Err(CtlError::NoCommand),
     };
     Ok(rows.show(output))
 }
 
+/// The entries to speak to and how to show replies: as the command line says, else the settings.
+fn settings(matches: &ArgMatches) -> Result<(Vec<String>, Output), CtlError> {
+    let values = match matches.get_one::<PathBuf>("config") {
+        Some(file) => Values::load(file, SETTINGS)?,
+        None => Values::parse("defaults", "", SETTINGS)?,
+    };
+    let given: Vec<String> = matches.get_many("entry").unwrap_or_default().cloned().collect();
+    let entries = match given.is_empty() {
+        true => vec![values.text("operator", "entry").to_owned()],
+        false => given,
+    };
+    let shown = matches.get_one::<String>("output").map(String::as_str);
+    let output = match shown.unwrap_or(values.text("operator", "output")) {
+        "json" => Output::Json,
+        _ => Output::Table,
+    };
+    Ok((entries, output))
+}
+
 async fn connect(entry: &str) -> Result<Client, CtlError> {
     let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{entry}"))?;
     let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).timeout(CALL_TIMEOUT);
--- a/crates/bulrushusher_ctl/src/error.rs
+++ b/crates/bulrushusher_ctl/src/error.rs
@@ -1,5 +1,6 @@
 //! What can go wrong, and the exit codes.
 
+use bulrushusher_config::ConfigError;
 use derive_more::{Display, Error, From};
 use tonic::{Code, Status};
 
@@ -21,6 +22,13 @@
     /// The entry cannot be reached.
     #[display("the entry cannot be reached; check --entry ({_0})")]
     Unreachable(tonic::transport::Error),
+    /// The settings are not valid.
+    #[display("{_0}")]
+    Settings(ConfigError),
+    /// The command line asks for nothing.
+    #[from(ignore)]
+    #[display("no command is given; see --help")]
+    NoCommand,
     /// A file is not valid.
     #[from(ignore)]
     #[display("{file}: {cause}")]
@@ -47,7 +55,7 @@
     /// The exit code that goes with the error.
     pub fn exit_code(&self) -> u8 {
         match self {
-            CtlError::File { .. } => EXIT_USAGE,
+            CtlError::File { .. } | CtlError::Settings(_) | CtlError::NoCommand => EXIT_USAGE,
             CtlError::Unreachable(_) | CtlError::NotInForce { .. } => EXIT_UNREACHABLE,
             CtlError::Refused(status) => match status.code() {
                 Code::Aborted => EXIT_CONFLICT,
--- a/crates/bulrushusher_ctl/src/lib.rs
+++ b/crates/bulrushusher_ctl/src/lib.rs
@@ -6,5 +6,5 @@
 mod show;
 
 pub use apply::{Desired, read_desired};
-pub use cli::{command, execute};
+pub use cli::{SETTINGS, command, execute};
 pub use error::{CtlError, EXIT_CONFLICT, EXIT_FAILED, EXIT_UNREACHABLE, EXIT_USAGE};
--- a/crates/bulrushusher_ctl/tests/cli.rs
+++ b/crates/bulrushusher_ctl/tests/cli.rs
@@ -36,3 +36,18 @@
     assert_eq!(code, Some(2));
     assert!(message.contains("[account studio-7] requests_per_second is missing"), "{message}");
 }
+
+#[test]
+fn settings_are_checked() {
+    let file = std::env::temp_dir().join(format!("bulrushctl-{}-s.ini", std::process::id()));
+    let path = file.display().to_string();
+    let check = |text: &str| {
+        std::fs::write(&file, text).expect("the file is written");
+        run(&["--config", &path, "--check-config"])
+    };
+    assert_eq!(check("[operator]\nentry = 127.0.0.1:7200\n").0, Some(0));
+    let (code, message) = check("[operator]\nentry = here\n");
+    std::fs::remove_file(&file).expect("the file is removed");
+    assert_eq!(code, Some(2));
+    assert!(message.contains("[operator] entry is `here`; give IP:port"), "{message}");
+}
--- a/tools/bulrushusher_testbed/tests/settings.rs
+++ b/tools/bulrushusher_testbed/tests/settings.rs
@@ -10,10 +10,16 @@
 checks. This page is written from the\ndeclarations in the code, and a test compares the two.\n";
 
 fn page() -> String {
-    let programs: [Program; 3] = [
+    let ctl = Program {
+        name: "bulrushctl",
+        about: "The operators' command; its command line goes before its settings",
+        settings: bulrushusher_ctl::SETTINGS,
+    };
+    let programs: [Program; 4] = [
         bulrushusher_entry::PROGRAM,
         bulrushusher_agent::PROGRAM,
         bulrushusher_standin::settings::PROGRAM,
+        ctl,
     ];
     let part = |p: Program| format!("\n## {}\n\n{}\n\n{}", p.name, p.about, reference(p.settings));
     HEAD.to_owned() + &programs.into_iter().map(part).collect::<String>()
