--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -97,8 +97,8 @@
             && self.assignment.as_ref().is_none_or(|held| held.ballot == Ballot::Home)
     }
 
-    /// Makes sure that `executor` may run the key. [`Step::Again`] means that it may; when the key
-    /// is another's, the answer is taken from there.
+    /// Makes sure that `executor` may run the key; when the key is another's, the answer is taken
+    /// from there.
     pub(crate) async fn assign(&mut self, executor: &EndpointName) -> Result<Assigned, ApiError> {
         if !self.job.shared_key {
             return Ok(Assigned::Run(Ballot::Home));
