Deployments under test run one at a time; interactive requests pause less

Ten deployments ran at once in one test process, so that the light load was none, and the growing pause of the round before left an interactive request three tries in its two seconds. Ruled out: a broken promise (all counters 0). Deployments in these tests now run one at a time, asserting the same; the pause of interactive requests ends at 200 ms.

--- a/crates/bulrushusher_entry/src/place.rs
+++ b/crates/bulrushusher_entry/src/place.rs
@@ -22,6 +22,8 @@
 /// doubles each time, up to the longest.
 const FIRST_PAUSE: Millis = Millis(50);
 const LONGEST_PAUSE: Millis = Millis(1_000);
+/// The same for interactive requests.
+const INTERACTIVE_LONGEST_PAUSE: Millis = Millis(200);
 /// When to come back when no endpoint takes work.
 const NO_ENDPOINT_RETRY: Millis = Millis(2_000);
 
@@ -98,7 +100,11 @@
                 unvouched = 0;
                 let jitter = shared.random_below(pause.0 / 2 + 1);
                 tokio::time::sleep(pause.plus(Millis(jitter)).duration()).await;
-                pause = pause.plus(pause).min(LONGEST_PAUSE);
+                let longest = match want.job.class.patience {
+                    Patience::Interactive => INTERACTIVE_LONGEST_PAUSE,
+                    Patience::Patient => LONGEST_PAUSE,
+                };
+                pause = pause.plus(pause).min(longest);
                 if want.until <= shared.clock.now() {
                     return Err(NoPlace::Busy { retry_after: busy });
                 }
--- a/tools/bulrushusher_testbed/tests/faults.rs
+++ b/tools/bulrushusher_testbed/tests/faults.rs
@@ -9,8 +9,14 @@
 use bulrushusher_standin::load::fresh_key;
 use bulrushusher_testbed::{Bed, Deployment, Fault, Plan, Report, run};
 use bulrushusher_time::Millis;
+use tokio::sync::Mutex;
+
+/// One deployment at a time: ten at once would take each other's processor, and a light load would
+/// be none.
+static ALONE: Mutex<()> = Mutex::const_new(());
 
 async fn under(fault: Fault) -> Report {
+    let _alone = ALONE.lock().await;
     let (policy, faults) = (Policy::Paired, vec![fault]);
     let plan = Plan { seed: 9, length: Millis(3_000), load: 0.3, policy, faults };
     let (report, _) = run(Deployment::naladnik(), &plan, Arc::default()).await.unwrap();
@@ -77,6 +83,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_gone_silently_leaves_no_engine_memory_held() {
     const FOREVER: usize = 50_000;
+    let _alone = ALONE.lock().await;
     let deployment = Deployment { orphan: Millis(1_500), ..Deployment::naladnik() };
     let mut bed = Bed::start(deployment, Policy::Paired, 3).await.unwrap();
     tokio::time::sleep(Duration::from_millis(400)).await;
