--- a/crates/bulrushusher_entry/src/agent_view.rs
+++ b/crates/bulrushusher_entry/src/agent_view.rs
@@ -46,12 +46,15 @@
 ) {
     let (now, horizon) = (shared.clock.now(), shared.cfg.horizon);
     for (service, list) in configuration.snapshot.lists() {
-        let push = configuration.push(service, now, horizon);
         let lacks = |endpoint: &&Endpoint| {
             views.get(&endpoint.name).is_none_or(|view| view.revision < list.revision)
         };
-        let known = push.endpoints.iter().chain(&push.departed);
-        let behind: Vec<&Endpoint> = known.filter(lacks).collect();
+        let behind = configuration.known(service, now, horizon);
+        let behind: Vec<&Endpoint> = behind.into_iter().filter(lacks).collect();
+        if behind.is_empty() {
+            continue;
+        }
+        let push = configuration.push(service, now, horizon);
         let pushed = behind.iter().map(|endpoint| shared.agents.set_list(endpoint, push.clone()));
         for (endpoint, answer) in behind.iter().zip(join_all(pushed).await) {
             if let Some(revision) = answer {
--- a/crates/bulrushusher_entry/src/configuration.rs
+++ b/crates/bulrushusher_entry/src/configuration.rs
@@ -78,6 +78,18 @@
         all.filter(|endpoint| endpoint.service == *service).collect()
     }
 
+    /// Endpoints of a service, present and departed: all that must know its list.
+    pub(crate) fn known(
+        &self,
+        service: &ServiceName,
+        now: Millis,
+        horizon: Millis,
+    ) -> Vec<&Endpoint> {
+        let mut known = self.present(service);
+        known.extend(self.departed(service, now, horizon));
+        known
+    }
+
     /// What the agents of a service must know of its list.
     pub(crate) fn push(&self, service: &ServiceName, now: Millis, horizon: Millis) -> ListPush {
         let owned = |endpoints: Vec<&Endpoint>| endpoints.into_iter().cloned().collect();
@@ -91,9 +103,7 @@
 
     /// An endpoint of that name, present or departed.
     pub(crate) fn known_endpoint(&self, name: &EndpointName) -> Option<Endpoint> {
-        let departed = self.snapshot.departed().map(|(endpoint, _)| endpoint);
-        let mut all = self.snapshot.endpoints().map(|(_, endpoint)| endpoint).chain(departed);
-        all.find(|endpoint| endpoint.name == *name).cloned()
+        self.snapshot.known_endpoint(name.as_str()).map(|(_, endpoint)| endpoint.clone())
     }
 
     /// A class by name, of a closing that is open for the service.
@@ -109,7 +119,7 @@
     }
 
     /// The class of requests that name none: somebody may wait, and it may not run twice.
-    pub(crate) fn default_class(&self, _service: &ServiceName, _now: Millis) -> DeliverableClass {
+    pub(crate) fn default_class() -> DeliverableClass {
         const TTFT: Millis = Millis(600);
         const PER_TOKEN: Millis = Millis(71);
         const DEADLINE: Millis = Millis(60_000);
@@ -124,7 +134,7 @@
     }
 
     pub(crate) fn account(&self, name: &ClientAccountName) -> Option<&ClientAccount> {
-        self.snapshot.account(name.as_str())
+        self.snapshot.account(name.as_str()).map(|(_, account)| account)
     }
 }
 
--- a/crates/bulrushusher_entry/src/operator.rs
+++ b/crates/bulrushusher_entry/src/operator.rs
@@ -99,7 +99,7 @@
     async fn get_closing(&self, req: Request<v1::GetRequest>) -> Reply<v1::Closing> {
         let name = req.into_inner().name;
         let cfg = self.shared.configuration.load();
-        let found = cfg.snapshot.closings().find(|(_, closing)| closing.name.as_str() == name);
+        let found = cfg.snapshot.closing(&name);
         let (version, closing) = found.ok_or_else(|| not_found(Kind::Closing, &name))?;
         Ok(Response::new(convert::closing_to(closing, version)))
     }
@@ -121,18 +121,18 @@
         let endpoint = convert::endpoint_from(endpoint).map_err(invalid)?;
         let name = endpoint.name.as_str();
         // A name that was taken out can be created again.
-        let mut expected_version = req.expected_version;
         let cfg = self.shared.configuration.load_full();
-        if expected_version == 0 && cfg.snapshot.departed().any(|(e, _)| e.name.as_str() == name) {
-            expected_version = cfg.snapshot.endpoint_version(name);
-        }
+        let expected_version = match cfg.snapshot.known_endpoint(name) {
+            Some((version, held)) if held.removed.is_some() && req.expected_version == 0 => version,
+            Some(_) | None => req.expected_version,
+        };
         self.put(Kind::Endpoint, name, expected_version, &endpoint).await
     }
 
     async fn get_endpoint(&self, req: Request<v1::GetRequest>) -> Reply<v1::Endpoint> {
         let name = req.into_inner().name;
         let cfg = self.shared.configuration.load();
-        let found = cfg.snapshot.endpoints().find(|(_, endpoint)| endpoint.name.as_str() == name);
+        let found = cfg.snapshot.endpoint(&name);
         let (version, endpoint) = found.ok_or_else(|| not_found(Kind::Endpoint, &name))?;
         Ok(Response::new(convert::endpoint_to(endpoint, version)))
     }
@@ -149,7 +149,7 @@
     async fn delete_endpoint(&self, req: Request<v1::DeleteRequest>) -> Reply<v1::PutReply> {
         let req = req.into_inner();
         let cfg = self.shared.configuration.load_full();
-        let found = cfg.snapshot.endpoints().find(|(_, e)| e.name.as_str() == req.name);
+        let found = cfg.snapshot.endpoint(&req.name);
         let (_, held) = found.ok_or_else(|| not_found(Kind::Endpoint, &req.name))?;
         let removed = Some(self.shared.clock.now());
         let endpoint = bulrushusher_world::Endpoint { leaving: true, removed, ..held.clone() };
@@ -159,7 +159,7 @@
     async fn drain_endpoint(&self, req: Request<v1::DrainRequest>) -> Reply<v1::PutReply> {
         let req = req.into_inner();
         let cfg = self.shared.configuration.load_full();
-        let found = cfg.snapshot.endpoints().find(|(_, e)| e.name.as_str() == req.name);
+        let found = cfg.snapshot.endpoint(&req.name);
         let (version, held) = found.ok_or_else(|| not_found(Kind::Endpoint, &req.name))?;
         let endpoint = bulrushusher_world::Endpoint { leaving: req.drain, ..held.clone() };
         self.put(Kind::Endpoint, &req.name, version, &endpoint).await
@@ -175,7 +175,7 @@
     async fn get_account(&self, req: Request<v1::GetRequest>) -> Reply<v1::Account> {
         let name = req.into_inner().name;
         let cfg = self.shared.configuration.load();
-        let found = cfg.snapshot.accounts().find(|(_, account)| account.name.as_str() == name);
+        let found = cfg.snapshot.account(&name);
         let (version, account) = found.ok_or_else(|| not_found(Kind::Account, &name))?;
         Ok(Response::new(convert::account_to(account, version)))
     }
--- a/crates/bulrushusher_entry/src/place.rs
+++ b/crates/bulrushusher_entry/src/place.rs
@@ -13,20 +13,30 @@
 use crate::guards::HeldPlace;
 use crate::request::Job;
 
-/// The longest single wait at one agent; afterwards the request asks again, there or elsewhere,
-/// with the same urgency. Also how long a connection that has gone silent goes unnoticed.
-const WAIT_STEP: Millis = Millis(1_000);
-/// The same for interactive requests, which cannot wait for long.
-const INTERACTIVE_WAIT_STEP: Millis = Millis(300);
 /// First pause before the pool is asked again when every member refused or did not answer; it
 /// doubles each time, up to the longest.
 const FIRST_PAUSE: Millis = Millis(50);
-const LONGEST_PAUSE: Millis = Millis(1_000);
-/// The same for interactive requests.
-const INTERACTIVE_LONGEST_PAUSE: Millis = Millis(200);
 /// When to come back when no endpoint takes work.
 const NO_ENDPOINT_RETRY: Millis = Millis(2_000);
 
+/// How long a request waits between two decisions.
+struct Waits {
+    /// The longest single wait at one agent; afterwards the request asks again, there or elsewhere,
+    /// with the same urgency. Also how long a connection that has gone silent goes unnoticed.
+    step: Millis,
+    /// The longest pause before the pool is asked again.
+    longest_pause: Millis,
+}
+
+impl Waits {
+    fn of(patience: Patience) -> Waits {
+        match patience {
+            Patience::Interactive => Waits { step: Millis(300), longest_pause: Millis(200) },
+            Patience::Patient => Waits { step: Millis(1_000), longest_pause: Millis(1_000) },
+        }
+    }
+}
+
 /// What a place is wanted for.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Want<'a> {
@@ -84,6 +94,7 @@
 
 /// Asks for a place until one is had or the time is over.
 pub(crate) async fn get(shared: &Arc<Shared>, want: Want<'_>) -> Result<HeldPlace, NoPlace> {
+    let waits = Waits::of(want.job.class.patience);
     let mut refused: Vec<EndpointName> = Vec::new();
     let mut unvouched = 0;
     let mut pause = FIRST_PAUSE;
@@ -100,22 +111,14 @@
                 unvouched = 0;
                 let jitter = shared.random_below(pause.0 / 2 + 1);
                 tokio::time::sleep(pause.plus(Millis(jitter)).duration()).await;
-                let longest = match want.job.class.patience {
-                    Patience::Interactive => INTERACTIVE_LONGEST_PAUSE,
-                    Patience::Patient => LONGEST_PAUSE,
-                };
-                pause = pause.plus(pause).min(longest);
+                pause = pause.plus(pause).min(waits.longest_pause);
                 if want.until <= shared.clock.now() {
                     return Err(NoPlace::Busy { retry_after: busy });
                 }
                 continue;
             }
         };
-        let step = match want.job.class.patience {
-            Patience::Interactive => INTERACTIVE_WAIT_STEP,
-            Patience::Patient => WAIT_STEP,
-        };
-        let wait = want.until.since(now).min(step);
+        let wait = want.until.since(now).min(waits.step);
         let ask = ReserveAsk {
             entry: shared.cfg.name.clone(),
             start_within: want.job.start_within(now),
--- a/crates/bulrushusher_entry/src/request.rs
+++ b/crates/bulrushusher_entry/src/request.rs
@@ -157,7 +157,7 @@
 ) -> Result<Job, ApiError> {
     let class = match text_header(headers, CLASS_HEADER)? {
         Some(text) => named_class(cfg, &service, text, now)?,
-        None => cfg.default_class(&service, now),
+        None => Configuration::default_class(),
     };
     let account = match text_header(headers, ACCOUNT_HEADER)? {
         Some(text) => Some(named_account(cfg, text)?),
--- a/crates/bulrushusher_once/src/home.rs
+++ b/crates/bulrushusher_once/src/home.rs
@@ -151,14 +151,15 @@
         }
     }
 
-    /// A list of the service's endpoints came. Lower or equal revisions are ignored.
+    /// A list of the service's endpoints came. Lower or equal revisions are ignored; false then.
     ///
     /// A key that had another home by the list before is in doubt until that home has acknowledged
-    /// this list or a later one, and for good when it is older than that. Where this agent did not see the list before, every key is in
-    /// doubt until every other agent has; see [`HomeTable::acknowledged`].
-    pub fn set_list(&mut self, list: ServiceList, now: Millis) {
+    /// this list or a later one, and for good when it is older than that. Where this agent did not
+    /// see the list before, every key is in doubt until every other agent has; see
+    /// [`HomeTable::acknowledged`].
+    pub fn set_list(&mut self, list: ServiceList, now: Millis) -> bool {
         if list.revision <= self.list.revision {
-            return;
+            return false;
         }
         let saw_before = list.previous == self.list.revision && list.previous != 0;
         let before = if saw_before { self.list.executors.as_slice() } else { &[] };
@@ -178,6 +179,7 @@
         if self.earlier.len() > MAX_EARLIER_LISTS {
             self.forget_lists(now);
         }
+        true
     }
 
     /// `agent` holds the list of `revision`, or is gone for longer than the VM list's lag.
--- a/crates/bulrushusher_once/src/records.rs
+++ b/crates/bulrushusher_once/src/records.rs
@@ -60,14 +60,14 @@
 
     /// The list of this service's endpoints. Lower or equal revisions are ignored; false then.
     pub fn set_list(&mut self, list: ServiceList, now: Millis) -> bool {
-        if list.revision <= self.home.revision() {
+        let executors = list.executors.clone();
+        if !self.home.set_list(list, now) {
             return false;
         }
-        if list.executors.contains(&self.me) && !self.executors.contains(&self.me) {
+        if executors.contains(&self.me) && !self.executors.contains(&self.me) {
             self.executor.joined(now);
         }
-        self.executors = list.executors.clone();
-        self.home.set_list(list, now);
+        self.executors = executors;
         true
     }
 
--- a/crates/bulrushusher_platform/src/objects.rs
+++ b/crates/bulrushusher_platform/src/objects.rs
@@ -110,7 +110,7 @@
         name: &str,
         object: &StoredObject,
     ) -> Result<bool, serde_json::Error> {
-        let before = self.endpoint_version(name);
+        let before = self.endpoints.get(name).map_or(0, |held| held.version);
         if !apply_to(&mut self.endpoints, name, object)? {
             return Ok(false);
         }
@@ -156,22 +156,37 @@
         live(&self.endpoints).filter_map(|(_, endpoint)| Some((endpoint, endpoint.removed?)))
     }
 
-    /// The version that an endpoint's object has, also when it was taken out; 0 for none.
-    pub fn endpoint_version(&self, name: &str) -> u64 {
-        self.endpoints.get(name).map_or(0, |held| held.version)
-    }
-
     /// The client accounts in force.
     pub fn accounts(&self) -> impl Iterator<Item = (u64, &ClientAccount)> {
         live(&self.accounts)
     }
 
-    /// The account of that name.
-    pub fn account(&self, name: &str) -> Option<&ClientAccount> {
-        self.accounts.get(name)?.value.as_ref()
+    /// The closing of that name, with its version.
+    pub fn closing(&self, name: &str) -> Option<(u64, &Closing)> {
+        held(&self.closings, name)
+    }
+
+    /// The endpoint of that name, with its version, also when it was taken out of the list.
+    pub fn known_endpoint(&self, name: &str) -> Option<(u64, &Endpoint)> {
+        held(&self.endpoints, name)
+    }
+
+    /// The endpoint of that name, with its version.
+    pub fn endpoint(&self, name: &str) -> Option<(u64, &Endpoint)> {
+        self.known_endpoint(name).filter(|(_, endpoint)| endpoint.removed.is_none())
+    }
+
+    /// The account of that name, with its version.
+    pub fn account(&self, name: &str) -> Option<(u64, &ClientAccount)> {
+        held(&self.accounts, name)
     }
 }
 
+fn held<'a, T>(objects: &'a BTreeMap<String, Held<T>>, name: &str) -> Option<(u64, &'a T)> {
+    let held = objects.get(name)?;
+    Some((held.version, held.value.as_ref()?))
+}
+
 fn live<T>(objects: &BTreeMap<String, Held<T>>) -> impl Iterator<Item = (u64, &T)> {
     objects.values().filter_map(|held| Some((held.version, held.value.as_ref()?)))
 }
