The ratio of prefill and decode runners follows a standing share, by fenced orders

Cause: decode memory is what bursts lack; prefill runners were used to a third. Each order is preceded by a conditional write of the duty's record, whose new revision is the fencing token; a gateway that did not write last waits until the record has stood unchanged for twice the lease. No heartbeats.

Ruled out: a lease that is renewed (calls for nothing: orders are rare); orders while the list still fills up (a first try ordered at a list of 8 of 12).

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -17,6 +17,7 @@
 mod route;
 mod runner;
 mod shutdown;
+mod stages;
 mod waiting;
 
 pub use choose::{Candidate, PlainPick, pick_for_call, pick_for_prefill, rank_for_decode};
@@ -34,6 +35,7 @@
 };
 pub use runner::{Runner, Stage};
 pub use shutdown::{Shutdown, ShutdownConfig};
+pub use stages::{DutyConfig, StageChange, StageDuty, StagesConfig, next_stage_change};
 pub use waiting::{Rank, WaitingConfig, WaitingLine};
 
 /// The common types in one `use`.
--- a/crates/bulrushusher_forward/src/load.rs
+++ b/crates/bulrushusher_forward/src/load.rs
@@ -127,12 +127,21 @@
                 load.paused_until = now.plus(Millis(pause));
             }
             CallResult::Answered(_) | CallResult::Failed | CallResult::NotRun => {
+                // An answer ends only a pause for silence: a runner that changes its stage still
+                // ends what it had.
+                if load.unreachable_in_row > 0 {
+                    load.paused_until = now;
+                }
                 load.unreachable_in_row = 0;
-                load.paused_until = now;
             }
         }
     }
 
+    /// The runner takes no work until then.
+    pub fn pause(&mut self, id: &RunnerId, until: Millis) {
+        self.loads.entry(id.clone()).or_default().paused_until = until;
+    }
+
     /// Forgets a runner that is gone.
     pub fn forget(&mut self, id: &RunnerId) {
         self.loads.remove(id);
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -246,20 +246,20 @@
     },
 }
 
-/// A lease on a duty, as the store holds it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LeaseRecord {
-    /// Who holds it; empty after it was given back.
-    pub holder: String,
-    /// Revision of its last change: the fencing token of its holder.
+/// An object of the router's own, as the store holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Record {
+    /// What was written.
+    pub value: serde_json::Value,
+    /// Revision of its last change.
     pub revision: u64,
 }
 
-/// What became of a conditional write of a lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum LeaseWrite {
-    /// It took effect.
-    Written(LeaseRecord),
+/// What became of a conditional write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordWrite {
+    /// It took effect, at that revision.
+    Written(u64),
     /// Another write came first.
     Conflict,
 }
@@ -283,19 +283,19 @@
         slack: Millis,
     ) -> impl Future<Output = Result<News, StoreFailure>> + Send;
 
-    /// Reads the lease of a duty; `None` when nobody ever held it.
-    fn read_lease(
+    /// Reads a record of the router's own; `None` when nobody ever wrote it.
+    fn read_record(
         &self,
-        duty: &str,
+        name: &str,
         timeout: Millis,
-    ) -> impl Future<Output = Result<Option<LeaseRecord>, StoreFailure>> + Send;
+    ) -> impl Future<Output = Result<Option<Record>, StoreFailure>> + Send;
 
-    /// Writes the lease of a duty if its revision is still `expected` (`None`: not there yet).
-    fn write_lease(
+    /// Writes a record if its revision is still `expected` (`None`: not there yet).
+    fn write_record(
         &self,
-        duty: &str,
-        holder: &str,
+        name: &str,
+        value: serde_json::Value,
         expected: Option<u64>,
         timeout: Millis,
-    ) -> impl Future<Output = Result<LeaseWrite, StoreFailure>> + Send;
+    ) -> impl Future<Output = Result<RecordWrite, StoreFailure>> + Send;
 }
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::front::Front;
 use crate::knowledge::Knowledge;
 use crate::lifecycle::Lifecycle;
+use crate::orders::StageKeeper;
 use crate::pool::RunnerPool;
 use crate::probes::{self, Probe};
 use crate::router::Router;
@@ -59,6 +60,7 @@
     let mut tasks = JoinSet::new();
     parts.spawn_probes(&cfg, &mut tasks)?;
     parts.spawn_feeds(&store, &mut tasks);
+    tasks.spawn(parts.stage_keeper(store).keep());
     let server = Arc::new(Server::new(parts.front.clone(), clock));
     let sweeper = server.clone();
     tasks.spawn(async move { sweeper.sweep().await });
@@ -109,6 +111,18 @@
         Ok(())
     }
 
+    fn stage_keeper<S: PlatformStore>(&self, store: S) -> StageKeeper<D, S> {
+        let router = &self.front.router;
+        StageKeeper {
+            dialect: router.dialect.clone(),
+            store,
+            exchanger: router.exchanger.clone(),
+            knowledge: self.knowledge.clone(),
+            lifecycle: self.lifecycle.clone(),
+            metrics: self.metrics.clone(),
+        }
+    }
+
     fn spawn_feeds<S: PlatformStore>(&self, store: &S, tasks: &mut JoinSet<()>) {
         for topic in [Topic::Configuration, Topic::Runners] {
             let feed = Feed {
--- a/crates/bulrushusher_gateway/src/generation.rs
+++ b/crates/bulrushusher_gateway/src/generation.rs
@@ -21,6 +21,10 @@
 /// Readings of one prompt that are tried while its memory is held.
 const MOST_READS: usize = 2;
 
+/// A prefill runner that did not read a prompt is full or changes its stage; it is left alone for
+/// the time of a few prompts.
+const REFUSED_READ_PAUSE: Millis = Millis(300);
+
 /// A stream that goes on elsewhere waits this long for memory: callers leave after a pause of some
 /// four targets.
 const RESUME_WAIT: Millis = Millis(1_500);
@@ -251,6 +255,10 @@
     };
     let detail = read.as_ref().err().map_or("", |(_, cause)| cause.as_str());
     note(cx, fwd, &runner, "read", began, (result, detail));
+    if result == CallResult::NotRun {
+        let until = cx.now().plus(REFUSED_READ_PAUSE);
+        cx.knowledge.with_runners(|runners, _| runners.loads.pause(&runner.id, until));
+    }
     let handle = read.ok()?;
     let took = cx.now().since(began);
     cx.knowledge.with_pace(&fwd.service, |pace| pace.note_read(tokens, took));
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use bulrushusher_config::{ConfigError, Kind, Setting, Values, setting};
-use bulrushusher_forward::{HoldConfig, LoadConfig, MembersConfig, ShutdownConfig, WaitingConfig};
+use bulrushusher_forward::{
+    HoldConfig, LoadConfig, MembersConfig, ShutdownConfig, StagesConfig, WaitingConfig,
+};
 use bulrushusher_routing::RetryConfig;
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, VmName};
@@ -107,6 +109,13 @@
         Some("2.0"),
         "Output tokens held for each one that the caller expects.",
     ),
+    setting(
+        "stages",
+        "prefill_share",
+        Kind::Real(0.0, 0.9),
+        Some("0.17"),
+        "Share of a service's model runners that read prompts; 0 leaves stages as they are.",
+    ),
 ];
 
 /// The gateway's configuration.
@@ -146,6 +155,8 @@
     pub return_spread: f64,
     /// How much memory is held.
     pub holds: HoldConfig,
+    /// The wanted ratio of prefill and decode runners.
+    pub stages: StagesConfig,
     /// How results at runners are weighed.
     pub loads: LoadConfig,
     /// Bounds of the knowledge of runners.
@@ -203,6 +214,10 @@
             return_after: values.millis("waiting", "return_after_ms"),
             return_spread: values.real("waiting", "return_spread"),
             holds: HoldConfig { per_expected_output: values.real("holds", "per_expected_output") },
+            stages: StagesConfig {
+                prefill_share: values.real("stages", "prefill_share"),
+                ..StagesConfig::default()
+            },
             loads: LoadConfig::default(),
             members: MembersConfig::default(),
         })
