A run goes only to a runner that still takes work, under a lease that still holds

A reading is now bounded by the lease, and the runner is looked at again before the run is sent; the prompt that was read gets other memory if there is some.

Ruled out: late news of the leaving runner (all five gateways had it 5 ms after the store), a queue at the connection (the request left 1 ms after the reading).

--- a/crates/bulrushusher_gateway/src/generation.rs
+++ b/crates/bulrushusher_gateway/src/generation.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_forward::{AttemptEnd, AttemptPlan, CallResult, NextStep, Runner, Stage};
 use bulrushusher_time::Millis;
-use bulrushusher_world::{DataCentreName, RunnerId};
+use bulrushusher_world::RunnerId;
 use bytes::Bytes;
 use hyper::Response;
 use hyper::http::response;
@@ -25,6 +25,10 @@
 /// the time of a few prompts.
 const REFUSED_READ_PAUSE: Millis = Millis(300);
 
+/// A prompt that was read waits this long for other memory: runners keep a KV cache that nobody
+/// takes for about half a second.
+const PLACE_AGAIN: Millis = Millis(250);
+
 /// A stream that goes on elsewhere waits this long for memory: callers leave after a pause of some
 /// four targets.
 const RESUME_WAIT: Millis = Millis(1_500);
@@ -99,13 +103,27 @@
     if !cx.knowledge.is_split(&fwd.service) {
         return begin_whole(cx, fwd, resume_after, tried).await;
     }
-    let Some(held) = place(cx, fwd, tried, until).await else {
-        return Err(NoRun::Unplaced("no decode memory is free"));
-    };
-    let kv = read_prompt(cx, fwd, resume_after, &held.runner.data_centre).await?;
+    let mut held = place_or_refuse(cx, fwd, tried, until).await?;
+    let kv = read_prompt(cx, fwd, resume_after, &held).await?;
+    if !held.is_good(cx.now()) {
+        // The runner began to leave, or the lease is over: it must not get the run.
+        log::info!("place: again id={} runner={}", fwd.arrival.id, held.runner.id);
+        let until = cx.now().plus(PLACE_AGAIN).min(fwd.ends);
+        held = place_or_refuse(cx, fwd, tried, until).await?;
+    }
     begin_split(cx, fwd, resume_after, tried, held, kv).await
 }
 
+async fn place_or_refuse<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    tried: &[RunnerId],
+    until: Millis,
+) -> Result<HeldMemory<D>, NoRun> {
+    let held = place(cx, fwd, tried, until).await;
+    held.ok_or(NoRun::Unplaced("no decode memory is free"))
+}
+
 /// A stream of a service whose runners do all of it.
 async fn begin_whole<D: Dialect>(
     cx: &Arc<Router<D>>,
@@ -216,18 +234,23 @@
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
     resume_after: Option<u64>,
-    near: &DataCentreName,
+    held: &HeldMemory<D>,
 ) -> Result<Option<KeptKv<D>>, NoRun> {
+    let near = &held.runner.data_centre;
     let mut tried = Vec::new();
     for read in 0..MOST_READS {
         let Some(runner) = cx.knowledge.pick_for_prefill(&fwd.service, &tried, near) else {
             break;
         };
+        if read > 0 && !held.is_good(cx.now()) {
+            return Err(NoRun::Unplaced("the prompt was not read in time"));
+        }
         tried.push(runner.id.clone());
         if read > 0 && !cx.knowledge.take_retry(&fwd.service) {
             return Err(NoRun::Unplaced("the prompt was not read"));
         }
-        if let Some(kv) = read_prompt_at(cx, fwd, resume_after, runner).await {
+        let longest = held.time_left(cx.now());
+        if let Some(kv) = read_prompt_at(cx, fwd, resume_after, runner, longest).await {
             return Ok(Some(kv));
         }
     }
@@ -242,12 +265,13 @@
     fwd: &Forwarded,
     resume_after: Option<u64>,
     runner: Runner,
+    longest: Millis,
 ) -> Option<KeptKv<D>> {
     let began = cx.now();
     let tokens = fwd.arrival.size.map_or(0, |size| size.prompt);
     let _ticket = LoadTicket::begin(&cx.knowledge, &runner.id, tokens);
-    let longest = cx.knowledge.with_pace(&fwd.service, |pace| pace.longest_read(tokens));
-    let within = longest.min(fwd.left(began));
+    let usual = cx.knowledge.with_pace(&fwd.service, |pace| pace.longest_read(tokens));
+    let within = usual.min(longest).min(fwd.left(began));
     let read = read_answer(cx, fwd, resume_after, &runner, within).await;
     let result = match &read {
         Ok(_) => CallResult::Answered(Millis(0)),
--- a/crates/bulrushusher_gateway/src/holds.rs
+++ b/crates/bulrushusher_gateway/src/holds.rs
@@ -22,31 +22,55 @@
     /// Name of the lease; `None` when the runner gives none, or when it was used.
     pub lease: Option<Arc<str>>,
     tokens: u64,
+    until: Millis,
     knowledge: Arc<Knowledge>,
     exchanger: Exchanger<D>,
     dialect: D,
 }
 
+/// What is held, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HoldTerms {
+    pub tokens: u64,
+    pub ttl: Millis,
+}
+
+/// The run must reach the runner this long before the lease is over.
+const LEASE_MARGIN: Millis = Millis(50);
+
 impl<D: Dialect> HeldMemory<D> {
     pub(crate) fn new(
         runner: Runner,
         lease: Option<Arc<str>>,
-        tokens: u64,
+        terms: HoldTerms,
         knowledge: &Arc<Knowledge>,
         exchanger: &Exchanger<D>,
         dialect: &D,
     ) -> HeldMemory<D> {
+        let HoldTerms { tokens, ttl } = terms;
         knowledge.with_runners(|runners, _| runners.loads.hold(&runner.id, tokens));
         HeldMemory {
             runner,
             lease,
             tokens,
+            until: knowledge.now().plus(ttl).since(LEASE_MARGIN),
             knowledge: knowledge.clone(),
             exchanger: exchanger.clone(),
             dialect: dialect.clone(),
         }
     }
 
+    /// Time left until the run must have reached the runner.
+    pub(crate) fn time_left(&self, now: Millis) -> Millis {
+        self.until.since(now)
+    }
+
+    /// True while the run may be sent: the lease holds, and the runner still takes new work.
+    pub(crate) fn is_good(&self, now: Millis) -> bool {
+        let leased = self.lease.is_none() || now < self.until;
+        leased && self.knowledge.takes_work(&self.runner.id)
+    }
+
     /// The run has the memory now.
     pub(crate) fn mark_used(&mut self) {
         self.lease = None;
--- a/crates/bulrushusher_gateway/src/knowledge.rs
+++ b/crates/bulrushusher_gateway/src/knowledge.rs
@@ -143,6 +143,13 @@
         })
     }
 
+    /// True while the runner may get new work.
+    pub(crate) fn takes_work(&self, runner: &RunnerId) -> bool {
+        self.with_runners(|runners, now| {
+            runners.members.get(runner, now).is_some_and(|runner| !runner.leaving)
+        })
+    }
+
     /// Number of usable runners of a stage.
     pub(crate) fn count_stage(&self, service: &ServiceName, stage: Stage) -> usize {
         self.with_runners(|runners, now| {
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -9,7 +9,7 @@
 
 use crate::dialect::Dialect;
 use crate::exchange::ExchangeError;
-use crate::holds::{HeldMemory, SIDE_CALL_TIMEOUT};
+use crate::holds::{HeldMemory, HoldTerms, SIDE_CALL_TIMEOUT};
 use crate::knowledge::Knowledge;
 use crate::router::{Forwarded, Router};
 
@@ -80,7 +80,9 @@
     let call = cx.dialect.take_hold(&runner.id, tokens, ttl);
     let answer = cx.exchanger.side_call(&runner, call, SIDE_CALL_TIMEOUT).await;
     let (asked, word) = match answer {
-        Ok((head, body)) => read_answer(cx, runner.clone(), tokens, head.status, &body),
+        Ok((head, body)) => {
+            read_answer(cx, runner.clone(), HoldTerms { tokens, ttl }, head.status, &body)
+        }
         Err(e) => {
             note_unreachable(cx, &runner.id, &e);
             (Asked::Unreachable, "unreachable")
@@ -100,12 +102,12 @@
 fn read_answer<D: Dialect>(
     cx: &Router<D>,
     runner: Runner,
-    tokens: u64,
+    terms: HoldTerms,
     status: StatusCode,
     body: &[u8],
 ) -> (Asked<D>, &'static str) {
     let hold = |runner, lease| {
-        HeldMemory::new(runner, lease, tokens, &cx.knowledge, &cx.exchanger, &cx.dialect)
+        HeldMemory::new(runner, lease, terms, &cx.knowledge, &cx.exchanger, &cx.dialect)
     };
     match (status, cx.dialect.hold_name(body)) {
         (StatusCode::OK, Some(lease)) => (Asked::Held(hold(runner, Some(lease))), "held"),
