--- a/crates/bulrushusher_forward/src/choose.rs
+++ b/crates/bulrushusher_forward/src/choose.rs
@@ -37,9 +37,7 @@
 pub fn pick_for_call(cx: Candidate<'_>, pick: PlainPick<'_>) -> Option<Runner> {
     let fresh = |r: &&Runner| !pick.tried.contains(&r.id);
     let usable: Vec<&Runner> = cx.members.usable(cx.service, cx.now).filter(fresh).collect();
-    let awake = usable.iter().filter(|r| !cx.loads.is_paused(&r.id, cx.now));
-    let awake: Vec<&Runner> = awake.copied().collect();
-    let from = if awake.is_empty() { usable } else { awake };
+    let from = awake_if_any(cx, usable);
     let cost = |r: &Runner| {
         let near = if r.data_centre == *pick.near { NEAR_BONUS } else { 1.0 };
         cx.loads.get(&r.id).expected_ms(r.slots) * near
@@ -54,8 +52,7 @@
     tried: &[RunnerId],
     draw: f64,
 ) -> Option<Runner> {
-    let of_stage = staged(cx, Stage::Prefill);
-    let from: Vec<&Runner> = of_stage.into_iter().filter(|r| !tried.contains(&r.id)).collect();
+    let from = staged(cx, Stage::Prefill, tried);
     let cost = |r: &Runner| {
         let waiting = cx.loads.get(&r.id).prompt_tokens as f64;
         let far = if r.data_centre == *near { 0.0 } else { FAR_PREFILL_TOKENS };
@@ -71,22 +68,24 @@
 /// Decode runners in the order in which to ask them for memory: those that did not refuse a
 /// moment ago first, then by what this process holds there.
 pub fn rank_for_decode(cx: Candidate<'_>, tried: &[RunnerId], draw: f64) -> Vec<Runner> {
-    let of_stage = staged(cx, Stage::Decode);
-    let mut from: Vec<&Runner> = of_stage
-        .into_iter()
-        .filter(|r| !tried.contains(&r.id) && !cx.loads.is_full(&r.id, cx.now))
-        .collect();
+    let mut from = staged(cx, Stage::Decode, tried);
+    from.retain(|r| !cx.loads.is_full(&r.id, cx.now));
     from.sort_by(|a, b| a.id.cmp(&b.id));
     rotate(&mut from, draw);
     from.sort_by_key(|r| cx.loads.get(&r.id).held_tokens);
     from.into_iter().cloned().collect()
 }
 
-fn staged(cx: Candidate<'_>, stage: Stage) -> Vec<&Runner> {
-    cx.members
-        .usable(cx.service, cx.now)
-        .filter(|r| r.stage == Some(stage) && !cx.loads.is_paused(&r.id, cx.now))
-        .collect()
+fn staged<'a>(cx: Candidate<'a>, stage: Stage, tried: &[RunnerId]) -> Vec<&'a Runner> {
+    let of_stage = cx.members.usable(cx.service, cx.now).filter(|r| r.stage == Some(stage));
+    awake_if_any(cx, of_stage.filter(|r| !tried.contains(&r.id)).collect())
+}
+
+/// Without the runners that were unreachable a moment ago, unless there are no others.
+fn awake_if_any<'a>(cx: Candidate<'_>, usable: Vec<&'a Runner>) -> Vec<&'a Runner> {
+    let awake = usable.iter().filter(|r| !cx.loads.is_paused(&r.id, cx.now));
+    let awake: Vec<&Runner> = awake.copied().collect();
+    if awake.is_empty() { usable } else { awake }
 }
 
 fn lowest<'a>(from: &[&'a Runner], draw: f64, cost: impl Fn(&Runner) -> f64) -> Option<&'a Runner> {
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderMap};
 use tokio::sync::mpsc::{self, Sender};
 
 use crate::answer::pass_on_stream;
@@ -149,6 +150,7 @@
     let Run { runner, reply, _held, _ticket, .. } = run;
     let head = reply.head;
     let mut body = reply.body;
+    let has_events = is_event_stream(&head.headers);
     loop {
         let left = fwd.left(cx.now());
         let patience = match plan.may_run_again() {
@@ -173,14 +175,24 @@
             }
             Ok(None) => return RunEnd::Broken("it ended inside an event".to_owned()),
         };
-        if !pass(progress, &bytes, tx).await {
+        let passed = match has_events {
+            true => pass_events(progress, &bytes, tx).await,
+            false => tx.send(Ok(bytes)).await.is_ok(),
+        };
+        if !passed {
             return RunEnd::CallerGone;
         }
     }
 }
 
+/// Only events can be cut at their ends; anything else is passed as it comes.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
 /// Passes the events that are whole; false when the caller is gone.
-async fn pass(progress: &mut Progress, bytes: &Bytes, tx: &Sender<StreamPart>) -> bool {
+async fn pass_events(progress: &mut Progress, bytes: &Bytes, tx: &Sender<StreamPart>) -> bool {
     let events = progress.splitter.push(bytes);
     progress.last_event = events.last_id.or(progress.last_event);
     events.bytes.is_empty() || tx.send(Ok(events.bytes)).await.is_ok()
