Prompts are read where they are read in time, without making others late

What: the line at a prefill runner is the tokens of all gateways there; the time a token takes is learned from readings that had no line. A decode runner reads a prompt itself when the line would make it late, where its other runs do not pause for too long by that; and whenever a cache was not to be had.

--- a/crates/bulrushusher_forward/src/load.rs
+++ b/crates/bulrushusher_forward/src/load.rs
@@ -87,6 +87,11 @@
         load.prompt_tokens = load.prompt_tokens.saturating_sub(prompt_tokens);
     }
 
+    /// Prompt tokens that are to be read at a runner.
+    pub fn prompt_tokens(&self, id: &RunnerId) -> u64 {
+        self.get(id).prompt_tokens
+    }
+
     /// Prompt tokens that are to be read, by runner.
     pub fn reads(&self) -> Vec<(RunnerId, u64)> {
         let reading = self.loads.iter().filter(|(_, load)| load.prompt_tokens > 0);
--- a/crates/bulrushusher_forward/src/pace.rs
+++ b/crates/bulrushusher_forward/src/pace.rs
@@ -22,15 +22,16 @@
 }
 
 impl Default for PaceConfig {
-    /// First guesses are those of a large model on two accelerators. A reading waits behind at most
-    /// a few others where load is even, hence four times and a quarter second.
+    /// First guesses are those of a large model on two accelerators. What waits at a runner is
+    /// known from all gateways but for the last milliseconds, hence two and a half times and a
+    /// fifth of a second.
     fn default() -> PaceConfig {
         PaceConfig {
             first_read_ms_per_token: 0.02,
             first_tokens_per_ms: 1.4,
             first_generation: Millis(5_000),
-            read_margin: 4.0,
-            read_slack: Millis(250),
+            read_margin: 2.5,
+            read_slack: Millis(200),
             newest_weight: 0.1,
         }
     }
@@ -42,12 +43,12 @@
 /// use bulrushusher_forward::{Pace, PaceConfig};
 /// use bulrushusher_time::Millis;
 /// let mut pace = Pace::new(PaceConfig::default());
-/// assert_eq!(pace.longest_read(5_000), Millis(650));
+/// assert_eq!(pace.longest_read(5_000), Millis(450));
 /// for _ in 0..50 {
 ///     pace.note_read(5_000, Millis(200));
 ///     pace.note_generation(Millis(3_000), 4_000, 4_000);
 /// }
-/// assert!(pace.longest_read(5_000) > Millis(1_000));
+/// assert!(pace.longest_read(5_000) > Millis(650));
 /// assert!(pace.expected_generation() < Millis(4_500));
 /// ```
 #[derive(Clone, Debug)]
@@ -74,7 +75,7 @@
         }
     }
 
-    /// A prompt was read.
+    /// A prompt was read at a runner that had no other.
     pub fn note_read(&mut self, tokens: u64, took: Millis) {
         if tokens > 0 {
             let seen = took.0 as f64 / tokens as f64;
@@ -103,7 +104,12 @@
         self.lengths
     }
 
-    /// Time after which the reading of a prompt counts as lost.
+    /// Time that an idle prefill runner takes for a prompt token, in ms.
+    pub fn read_ms_per_token(&self) -> f64 {
+        self.read_ms_per_token
+    }
+
+    /// Time after which a reading counts as lost that ends when `tokens` were read.
     pub fn longest_read(&self, tokens: u64) -> Millis {
         let expected = tokens as f64 * self.read_ms_per_token;
         Millis((expected * self.cfg.read_margin) as u64).plus(self.cfg.read_slack)
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -30,6 +30,9 @@
     /// True once it generates; before, memory is held and the prompt is read.
     #[serde(rename = "b")]
     pub begun: bool,
+    /// True when its runner reads the prompt itself.
+    #[serde(rename = "h")]
+    pub reads_itself: bool,
 }
 
 /// What one gateway tells its peers.
@@ -93,6 +96,20 @@
         RunNumber(self.next)
     }
 
+    /// The run's runner reads the prompt itself.
+    pub fn reads_itself(&mut self, run: RunNumber) {
+        if let Some(note) = self.own.get_mut(&run) {
+            note.reads_itself = true;
+        }
+    }
+
+    /// Prompts that a decode runner reads itself now.
+    pub fn reads_by(&self, runner: &RunnerId, now: Millis) -> usize {
+        let theirs = self.heard(now).flat_map(|heard| &heard.report.runs);
+        let reads = |note: &&RunNote| note.reads_itself && !note.begun && note.runner == *runner;
+        self.own.values().chain(theirs).filter(reads).count()
+    }
+
     /// The run has begun, or has made that many tokens.
     pub fn progress(&mut self, run: RunNumber, made: u64) {
         if let Some(note) = self.own.get_mut(&run) {
--- a/crates/bulrushusher_gateway/src/generation.rs
+++ b/crates/bulrushusher_gateway/src/generation.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, AttemptPlan, CallResult, NextStep, Runner, Stage};
+use bulrushusher_forward::{AttemptEnd, AttemptPlan, CallResult, NextStep, Runner};
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
 use bytes::Bytes;
@@ -16,15 +16,9 @@
 use crate::holds::{HeldMemory, KeptKv};
 use crate::placement::place;
 use crate::pump;
+use crate::reading::read_prompt;
 use crate::router::{AttemptNote, Forwarded, LoadTicket, Router};
 
-/// Readings of one prompt that are tried while its memory is held.
-const MOST_READS: usize = 2;
-
-/// A prefill runner that did not read a prompt is full or changes its stage; it is left alone for
-/// the time of a few prompts.
-const REFUSED_READ_PAUSE: Millis = Millis(300);
-
 /// A prompt that was read waits this long for other memory: runners keep a KV cache that nobody
 /// takes for about half a second.
 const PLACE_AGAIN: Millis = Millis(250);
@@ -54,6 +48,17 @@
     Unplaced(&'static str),
 }
 
+/// What was tried for a request so far.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tries {
+    /// The last event that the caller has.
+    pub resume_after: Option<u64>,
+    /// Decode runners that did not answer.
+    pub decodes: Vec<RunnerId>,
+    /// True when a prompt that was read elsewhere was not to be had.
+    pub read_at_decode: bool,
+}
+
 /// Serves a generation up to the head of its stream; a task of its own carries the rest.
 ///
 /// # Errors
@@ -66,9 +71,9 @@
     let late = fwd.is_late();
     let wait = cx.knowledge.with_line(&fwd.service, |l| l.longest_wait(late, fwd.route.target));
     let until = fwd.received.plus(wait).min(fwd.ends);
-    let mut tried = Vec::new();
+    let mut tries = Tries { resume_after: fwd.arrival.resume_after, ..Tries::default() };
     loop {
-        let run = begin_run(cx, fwd, fwd.arrival.resume_after, &mut tried, until).await;
+        let run = begin_run(cx, fwd, &mut tries, until).await;
         let (end, reason, failed) = match run {
             Ok(run) => return Ok(pump::start(cx.clone(), fwd.clone(), plan, run)),
             Err(NoRun::Unplaced(reason)) => {
@@ -96,22 +101,21 @@
 pub(crate) async fn begin_run<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
-    resume_after: Option<u64>,
-    tried: &mut Vec<RunnerId>,
+    tries: &mut Tries,
     until: Millis,
 ) -> Result<Run<D>, NoRun> {
     if !cx.knowledge.is_split(&fwd.service) {
-        return begin_whole(cx, fwd, resume_after, tried).await;
+        return begin_whole(cx, fwd, tries).await;
     }
-    let mut held = place_or_refuse(cx, fwd, tried, until).await?;
-    let kv = read_prompt(cx, fwd, resume_after, &held).await?;
+    let mut held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
+    let kv = read_prompt(cx, fwd, tries, &held).await?;
     if !held.is_good(cx.now()) {
         // The runner began to leave, or the lease is over: it must not get the run.
         log::info!("place: again id={} runner={}", fwd.arrival.id, held.runner.id);
         let until = cx.now().plus(PLACE_AGAIN).min(fwd.ends);
-        held = place_or_refuse(cx, fwd, tried, until).await?;
+        held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
     }
-    begin_split(cx, fwd, resume_after, tried, held, kv).await
+    begin_split(cx, fwd, tries, held, kv).await
 }
 
 async fn place_or_refuse<D: Dialect>(
@@ -128,22 +132,20 @@
 async fn begin_whole<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
-    resume_after: Option<u64>,
-    tried: &mut Vec<RunnerId>,
+    tries: &mut Tries,
 ) -> Result<Run<D>, NoRun> {
     let near = cx.knowledge.cfg().data_centre.clone();
-    let Some(runner) = cx.knowledge.pick_for_call(&fwd.service, tried, &near) else {
+    let Some(runner) = cx.knowledge.pick_for_call(&fwd.service, &tries.decodes, &near) else {
         return Err(NoRun::Unplaced("no runner is left"));
     };
-    tried.push(runner.id.clone());
-    run_at(cx, fwd, resume_after, runner, None, Step::Whole).await
+    tries.decodes.push(runner.id.clone());
+    run_at(cx, fwd, tries.resume_after, runner, None, Step::Whole).await
 }
 
 async fn begin_split<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
-    resume_after: Option<u64>,
-    tried: &mut Vec<RunnerId>,
+    tries: &mut Tries,
     held: HeldMemory<D>,
     mut kv: Option<KeptKv<D>>,
 ) -> Result<Run<D>, NoRun> {
@@ -151,17 +153,22 @@
     let lease = held.lease.clone();
     let cache = kv.as_ref().map(|kv| kv.cache.clone());
     let step = Step::Generate { kv: cache.as_ref(), hold: lease.as_deref() };
-    let run = run_at(cx, fwd, resume_after, runner.clone(), Some(held), step).await;
+    let run = run_at(cx, fwd, tries.resume_after, runner.clone(), Some(held), step).await;
     match &run {
         Ok(_) => {
             if let Some(kv) = &mut kv {
                 kv.mark_taken();
             }
         }
-        // The memory was refused although it was held, or the KV cache was gone: the runner itself
-        // is as good as before. Only one that does not answer is left out.
-        Err(NoRun::Ended(AttemptEnd::NotRun, _)) => {}
-        Err(_) => tried.push(runner.id),
+        // Memory was held, so the KV cache was not to be had: its runner loses them, and the next
+        // decode runner reads the prompt itself.
+        Err(NoRun::Ended(AttemptEnd::NotRun, _)) => {
+            if let Some(kv) = &kv {
+                cx.knowledge.note_call(kv.runner(), CallResult::Unreachable);
+                tries.read_at_decode = true;
+            }
+        }
+        Err(_) => tries.decodes.push(runner.id),
     }
     run
 }
@@ -228,92 +235,6 @@
     }
 }
 
-/// Has a prefill runner read the prompt. `None` when there is no prefill runner at all: the decode
-/// runner reads the prompt itself then.
-async fn read_prompt<D: Dialect>(
-    cx: &Arc<Router<D>>,
-    fwd: &Forwarded,
-    resume_after: Option<u64>,
-    held: &HeldMemory<D>,
-) -> Result<Option<KeptKv<D>>, NoRun> {
-    let near = &held.runner.data_centre;
-    let mut tried = Vec::new();
-    for read in 0..MOST_READS {
-        let Some(runner) = cx.knowledge.pick_for_prefill(&fwd.service, &tried, near) else {
-            break;
-        };
-        if read > 0 && !held.is_good(cx.now()) {
-            return Err(NoRun::Unplaced("the prompt was not read in time"));
-        }
-        tried.push(runner.id.clone());
-        if read > 0 && !cx.knowledge.take_retry(&fwd.service) {
-            return Err(NoRun::Unplaced("the prompt was not read"));
-        }
-        let longest = held.time_left(cx.now());
-        if let Some(kv) = read_prompt_at(cx, fwd, resume_after, runner, longest).await {
-            return Ok(Some(kv));
-        }
-    }
-    match cx.knowledge.count_stage(&fwd.service, Stage::Prefill) {
-        0 => Ok(None),
-        _ => Err(NoRun::Unplaced("the prompt was not read")),
-    }
-}
-
-async fn read_prompt_at<D: Dialect>(
-    cx: &Arc<Router<D>>,
-    fwd: &Forwarded,
-    resume_after: Option<u64>,
-    runner: Runner,
-    longest: Millis,
-) -> Option<KeptKv<D>> {
-    let began = cx.now();
-    let tokens = fwd.arrival.size.map_or(0, |size| size.prompt);
-    let _ticket = LoadTicket::begin(&cx.knowledge, &runner.id, tokens);
-    let usual = cx.knowledge.with_pace(&fwd.service, |pace| pace.longest_read(tokens));
-    let within = usual.min(longest).min(fwd.left(began));
-    let read = read_answer(cx, fwd, resume_after, &runner, within).await;
-    let result = match &read {
-        Ok(_) => CallResult::Answered(Millis(0)),
-        Err((result, _)) => *result,
-    };
-    let detail = read.as_ref().err().map_or("", |(_, cause)| cause.as_str());
-    note(cx, fwd, &runner, "read", began, (result, detail));
-    if result == CallResult::NotRun {
-        let until = cx.now().plus(REFUSED_READ_PAUSE);
-        cx.knowledge.with_runners(|runners, _| runners.loads.pause(&runner.id, until));
-    }
-    let handle = read.ok()?;
-    let took = cx.now().since(began);
-    cx.knowledge.with_pace(&fwd.service, |pace| pace.note_read(tokens, took));
-    Some(KeptKv::new(runner, handle, &cx.exchanger, &cx.dialect))
-}
-
-async fn read_answer<D: Dialect>(
-    cx: &Router<D>,
-    fwd: &Forwarded,
-    resume_after: Option<u64>,
-    runner: &Runner,
-    within: Millis,
-) -> Result<Arc<str>, (CallResult, String)> {
-    let lost = |e: ExchangeError| (CallResult::Unreachable, e.to_string());
-    let reply =
-        cx.attempt(fwd, runner, resume_after, Step::ReadPrompt, within).await.map_err(lost)?;
-    let marks = reply.marks.clone();
-    let (head, body) = cx.exchanger.read_whole(runner, reply, within).await.map_err(lost)?;
-    if marks.wrong_runner {
-        cx.forget_runner(&runner.id, "another runner has its address");
-    }
-    if marks.not_run || marks.wrong_runner {
-        return Err((CallResult::NotRun, format!("status {}", head.status.as_u16())));
-    }
-    if !head.status.is_success() {
-        return Err((CallResult::Failed, format!("status {}", head.status.as_u16())));
-    }
-    let unreadable = || (CallResult::Failed, "the answer names no cache".to_owned());
-    cx.dialect.kv_handle(&body).ok_or_else(unreadable)
-}
-
 /// How a step went, without the runner and the time it began.
 type Went<'a> = (CallResult, &'a str);
 
--- a/crates/bulrushusher_gateway/src/holds.rs
+++ b/crates/bulrushusher_gateway/src/holds.rs
@@ -6,6 +6,7 @@
 
 use bulrushusher_forward::{RunNote, RunNumber, Runner};
 use bulrushusher_time::Millis;
+use bulrushusher_world::RunnerId;
 use tokio::runtime::Handle;
 
 use crate::dialect::{Dialect, KvCache, SideCall};
@@ -77,6 +78,11 @@
         self.progress(0);
     }
 
+    /// The runner reads the prompt itself.
+    pub(crate) fn reads_itself(&self) {
+        self.knowledge.run_reads_itself(self.run);
+    }
+
     /// The run has made that many tokens.
     pub(crate) fn progress(&self, made: u64) {
         self.knowledge.run_progress(self.run, made);
@@ -116,6 +122,11 @@
         KeptKv { cache, runner, taken: false, exchanger, dialect }
     }
 
+    /// Where it is kept.
+    pub(crate) fn runner(&self) -> &RunnerId {
+        &self.runner.id
+    }
+
     /// A decode runner has it now.
     pub(crate) fn mark_taken(&mut self) {
         self.taken = true;
--- a/crates/bulrushusher_gateway/src/knowledge.rs
+++ b/crates/bulrushusher_gateway/src/knowledge.rs
@@ -10,8 +10,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_forward::{
     AttemptEnd, AttemptPlan, CallResult, Candidate, Members, NextStep, Pace, PaceConfig, PlainPick,
-    Rank, Route, RoutingConfig, Runner, RunnerLoads, Stage, UsualPatience, WaitingLine,
-    pick_for_call, pick_for_prefill, rank_for_decode,
+    Rank, Route, RoutingConfig, Runner, RunnerLoads, UsualPatience, WaitingLine, pick_for_call,
+    pick_for_prefill, rank_for_decode,
 };
 use bulrushusher_forward::{
     GatewayReport, PeersConfig, RunNote, RunNumber, RunShape, Runs, peak_memory,
@@ -224,13 +224,43 @@
         })
     }
 
-    /// Number of usable runners of a stage.
-    pub(crate) fn count_stage(&self, service: &ServiceName, stage: Stage) -> usize {
+    /// The runner gets no work for that long.
+    pub(crate) fn pause(&self, runner: &RunnerId, length: Millis) {
+        self.with_runners(|runners, now| runners.loads.pause(runner, now.plus(length)));
+    }
+
+    /// Prompt tokens that wait at a prefill runner, over all gateways.
+    pub(crate) fn tokens_at_prefill(&self, runner: &RunnerId) -> u64 {
         self.with_runners(|runners, now| {
-            runners.members.usable(service, now).filter(|r| r.stage == Some(stage)).count()
+            runners.loads.prompt_tokens(runner) + self.runs.lock().reads_of_peers(runner, now)
         })
     }
 
+    /// Runs at a decode runner, over all gateways.
+    pub(crate) fn runs_at(&self, runner: &RunnerId) -> usize {
+        let now = self.now();
+        self.runs.lock().at(runner, 0.0, now).len()
+    }
+
+    /// Tokens in one event of the service's engine.
+    pub(crate) fn tokens_per_event(&self, service: &ServiceName) -> u64 {
+        let routing = self.routing();
+        let engine = routing.as_ref().and_then(|routing| routing.service(service)?.engine);
+        engine.map_or(1, |engine| engine.tokens_per_event)
+    }
+
+    /// Prompts that a decode runner reads itself now, over all gateways.
+    pub(crate) fn reads_by_decode(&self, runner: &RunnerId) -> usize {
+        let now = self.now();
+        self.runs.lock().reads_by(runner, now)
+    }
+
+    /// The runner of a run reads its prompt itself.
+    pub(crate) fn run_reads_itself(&self, run: RunNumber) {
+        self.runs.lock().reads_itself(run);
+        self.report_due.notify_one();
+    }
+
     /// Takes in how a call to a runner went.
     pub(crate) fn note_call(&self, runner: &RunnerId, result: CallResult) {
         self.with_runners(|runners, now| runners.loads.note(runner, result, now));
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod pool;
 mod probes;
 mod pump;
+mod reading;
 mod router;
 mod server;
 mod settings;
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -98,6 +98,7 @@
         expected: size.map_or(1, |size| size.expected()),
         most: size.map_or(1, |size| size.most_output),
         begun: false,
+        reads_itself: false,
     }
 }
 
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -13,7 +13,7 @@
 use crate::answer::pass_on_stream;
 use crate::body::{CutOff, ReplyBody, StreamPart};
 use crate::dialect::Dialect;
-use crate::generation::{Run, begin_run, resume_until};
+use crate::generation::{NoRun, Run, Tries, begin_run, resume_until};
 use crate::router::{Forwarded, Router};
 
 /// Parts that wait for a slow caller; the runner is slowed down beyond.
@@ -86,7 +86,7 @@
     tx: Sender<StreamPart>,
 ) {
     let mut progress = Progress::new(fwd.arrival.resume_after);
-    let mut tried = vec![run.runner.id.clone()];
+    let mut tries = Tries { decodes: vec![run.runner.id.clone()], ..Tries::default() };
     loop {
         let runner = run.runner.id.clone();
         let began = run.began;
@@ -111,7 +111,7 @@
         match end {
             RunEnd::Whole => {
                 let expected = fwd.arrival.size.map_or(0, |size| size.expected());
-                let made = last * tokens_per_event(cx, fwd);
+                let made = last * cx.knowledge.tokens_per_event(&fwd.service);
                 cx.knowledge
                     .with_pace(&fwd.service, |pace| pace.note_generation(took, expected, made));
                 return;
@@ -120,7 +120,7 @@
             RunEnd::TimeOver => break,
             RunEnd::Broken(_) => {}
         }
-        match go_on(cx, fwd, &mut plan, &mut progress, &mut tried, &tx).await {
+        match go_on(cx, fwd, &mut plan, &mut progress, &mut tries, &tx).await {
             Some(next) => run = next,
             None => break,
         }
@@ -135,7 +135,7 @@
     fwd: &Forwarded,
     plan: &mut AttemptPlan,
     progress: &mut Progress,
-    tried: &mut Vec<bulrushusher_world::RunnerId>,
+    tries: &mut Tries,
     tx: &Sender<StreamPart>,
 ) -> Option<Run<D>> {
     let mut end = AttemptEnd::Unknown;
@@ -146,17 +146,18 @@
         }
         progress.splitter = EventSplitter::default();
         let until = resume_until(fwd, cx.now());
-        let next = begin_run(cx, fwd, progress.last_event, tried, until);
+        tries.resume_after = progress.last_event;
+        let next = begin_run(cx, fwd, tries, until);
         let next = tokio::select! {
             next = next => next,
             () = tx.closed() => return None,
         };
         match next {
             Ok(run) => {
-                tried.push(run.runner.id.clone());
+                tries.decodes.push(run.runner.id.clone());
                 return Some(run);
             }
-            Err(crate::generation::NoRun::Ended(ended, _)) => end = ended,
+            Err(NoRun::Ended(ended, _)) => end = ended,
             Err(_) => return None,
         }
     }
@@ -171,7 +172,7 @@
     tx: &Sender<StreamPart>,
 ) -> RunEnd {
     let Run { runner, reply, held, _ticket, .. } = run;
-    let per_event = tokens_per_event(cx, fwd);
+    let per_event = cx.knowledge.tokens_per_event(&fwd.service);
     let head = reply.head;
     let mut body = reply.body;
     let has_events = is_event_stream(&head.headers);
@@ -213,13 +214,6 @@
     }
 }
 
-/// Tokens in one event of the service's engine.
-fn tokens_per_event<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> u64 {
-    let routing = cx.knowledge.routing();
-    let engine = routing.as_ref().and_then(|routing| routing.service(&fwd.service)?.engine);
-    engine.map_or(1, |engine| engine.tokens_per_event)
-}
-
 /// Only events can be cut at their ends; anything else is passed as it comes.
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -0,0 +1,134 @@
+//! Has the prompt of a generation read, while memory for its run is held.
+
+use std::sync::Arc;
+
+use bulrushusher_forward::{CallResult, ReadChoice, ReadConfig, Reader, Runner, choose_reader};
+use bulrushusher_time::Millis;
+
+use crate::dialect::{Dialect, Step};
+use crate::exchange::ExchangeError;
+use crate::generation::{NoRun, Tries};
+use crate::holds::{HeldMemory, KeptKv};
+use crate::router::{AttemptNote, Forwarded, LoadTicket, Router};
+
+/// Readings of one prompt that are tried while its memory is held.
+const MOST_READS: usize = 2;
+
+/// A prefill runner that did not read a prompt is full or changes its stage; it is left alone for
+/// the time of a few prompts.
+const REFUSED_READ_PAUSE: Millis = Millis(300);
+
+/// Has a prefill runner read the prompt. `None` when the decode runner is to read it itself.
+pub(crate) async fn read_prompt<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &Forwarded,
+    tries: &Tries,
+    held: &HeldMemory<D>,
+) -> Result<Option<KeptKv<D>>, NoRun> {
+    if tries.read_at_decode {
+        held.reads_itself();
+        return Ok(None);
+    }
+    let mut tried = Vec::new();
+    for read in 0..MOST_READS {
+        let near = &held.runner.data_centre;
+        let runner = cx.knowledge.pick_for_prefill(&fwd.service, &tried, near);
+        let Some(runner) = runner.filter(|runner| reader(cx, fwd, held, runner) == Reader::Prefill)
+        else {
+            held.reads_itself();
+            return Ok(None);
+        };
+        if read > 0 && !held.is_good(cx.now()) {
+            return Err(NoRun::Unplaced("the prompt was not read in time"));
+        }
+        tried.push(runner.id.clone());
+        if read > 0 && !cx.knowledge.take_retry(&fwd.service) {
+            return Err(NoRun::Unplaced("the prompt was not read"));
+        }
+        let longest = held.time_left(cx.now());
+        if let Some(kv) = read_at(cx, fwd, tries.resume_after, runner, longest).await {
+            return Ok(Some(kv));
+        }
+    }
+    Err(NoRun::Unplaced("the prompt was not read"))
+}
+
+fn reader<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    held: &HeldMemory<D>,
+    prefill: &Runner,
+) -> Reader {
+    let tokens = fwd.prompt_tokens();
+    let (rate, event_gap) = cx.knowledge.with_pace(&fwd.service, |pace| {
+        let gap = cx.knowledge.tokens_per_event(&fwd.service) as f64 / pace.tokens_per_ms();
+        (pace.read_ms_per_token(), Millis(gap as u64))
+    });
+    let choice = ReadChoice {
+        tokens,
+        runs_at_decode: cx.knowledge.runs_at(&held.runner.id).saturating_sub(1),
+        event_gap,
+        gap_target: fwd.route.gap_target,
+        ahead: Some(cx.knowledge.tokens_at_prefill(&prefill.id)),
+        read_by_decode: cx.knowledge.reads_by_decode(&held.runner.id),
+        left_on_time: fwd.left_on_time(cx.now()),
+    };
+    let reader = choose_reader(choice, rate, ReadConfig::default());
+    log::debug!("read: id={} reader={reader:?} choice={choice:?}", fwd.arrival.id);
+    reader
+}
+
+async fn read_at<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &Forwarded,
+    resume_after: Option<u64>,
+    runner: Runner,
+    longest: Millis,
+) -> Option<KeptKv<D>> {
+    let began = cx.now();
+    let tokens = fwd.prompt_tokens();
+    let ahead = cx.knowledge.tokens_at_prefill(&runner.id);
+    let _ticket = LoadTicket::begin(&cx.knowledge, &runner.id, tokens);
+    let usual = cx.knowledge.with_pace(&fwd.service, |pace| pace.longest_read(ahead + tokens));
+    let within = usual.min(longest).min(fwd.left(began));
+    let read = read_answer(cx, fwd, resume_after, &runner, within).await;
+    let (result, detail) = match &read {
+        Ok(_) => (CallResult::Answered(Millis(0)), ""),
+        Err((result, cause)) => (*result, cause.as_str()),
+    };
+    cx.note_attempt(fwd, AttemptNote { runner: &runner.id, step: "read", began, result, detail });
+    if result == CallResult::NotRun {
+        cx.knowledge.pause(&runner.id, REFUSED_READ_PAUSE);
+    }
+    let handle = read.ok()?;
+    if ahead == 0 {
+        let took = cx.now().since(began);
+        cx.knowledge.with_pace(&fwd.service, |pace| pace.note_read(tokens, took));
+    }
+    Some(KeptKv::new(runner, handle, &cx.exchanger, &cx.dialect))
+}
+
+async fn read_answer<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    resume_after: Option<u64>,
+    runner: &Runner,
+    within: Millis,
+) -> Result<Arc<str>, (CallResult, String)> {
+    let lost = |e: ExchangeError| (CallResult::Unreachable, e.to_string());
+    let reply =
+        cx.attempt(fwd, runner, resume_after, Step::ReadPrompt, within).await.map_err(lost)?;
+    let marks = reply.marks.clone();
+    let (head, body) = cx.exchanger.read_whole(runner, reply, within).await.map_err(lost)?;
+    if marks.wrong_runner {
+        cx.forget_runner(&runner.id, "another runner has its address");
+    }
+    if marks.not_run || marks.wrong_runner {
+        return Err((CallResult::NotRun, format!("status {}", head.status.as_u16())));
+    }
+    if !head.status.is_success() {
+        return Err((CallResult::Failed, format!("status {}", head.status.as_u16())));
+    }
+    let unreadable = || (CallResult::Failed, "the answer names no cache".to_owned());
+    cx.dialect.kv_handle(&body).ok_or_else(unreadable)
+}
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -47,6 +47,17 @@
         self.elapsed_before >= self.route.target
     }
 
+    /// Tokens of the prompt; 0 when the request does not say.
+    pub(crate) fn prompt_tokens(&self) -> u64 {
+        self.arrival.size.map_or(0, |size| size.prompt)
+    }
+
+    /// Time left to the response-time target.
+    pub(crate) fn left_on_time(&self, now: Millis) -> Millis {
+        let used = now.since(self.received).plus(self.elapsed_before);
+        self.route.target.since(used)
+    }
+
     /// Time left at `now`.
     pub(crate) fn left(&self, now: Millis) -> Millis {
         self.ends.since(now)
