What follows a failed reading is a repeat; no memory for a prompt nobody can read

Readings were sent into its line although they could not end within the lease on memory; after 1.95 s each the decode runner read the prompt itself, which nothing charged to the budget of repeats: a hundred arrivals beyond the first in ten seconds. Besides, two decode runners that had been ordered to change took nothing for ten seconds, only the gateway that gave the orders knew, and a request asked the same one up to three times.

Ruled out: the share of each gateway (57 of 101 if all spent it; sends after "not run" were charged).

What: everything after a reading in vain takes from the budget; memory is asked for only if somebody can read the prompt in time; gateways tell each other which runners change; a decode runner that refused is left out for that request.

--- a/crates/bulrushusher_forward/src/choose.rs
+++ b/crates/bulrushusher_forward/src/choose.rs
@@ -3,7 +3,7 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 
-use crate::{Members, Runner, RunnerLoads, Stage};
+use crate::{Members, Runner, RunnerLoads, Runs, Stage};
 
 /// What a choice looks at.
 #[derive(Clone, Copy, Debug)]
@@ -14,6 +14,8 @@
     pub loads: &'a RunnerLoads,
     /// The service to serve.
     pub service: &'a ServiceName,
+    /// Runners that change their stage now, as peers tell.
+    pub runs: Option<&'a Runs>,
     /// The present time.
     pub now: Millis,
 }
@@ -86,7 +88,9 @@
 }
 
 fn staged<'a>(cx: Candidate<'a>, stage: Stage, tried: &[RunnerId]) -> Vec<&'a Runner> {
+    let changes = |r: &Runner| cx.runs.is_some_and(|runs| runs.is_changing(&r.id, cx.now));
     let of_stage = cx.members.usable(cx.service, cx.now).filter(|r| r.stage == Some(stage));
+    let of_stage = of_stage.filter(|r| !changes(r));
     awake_if_any(cx, of_stage.filter(|r| !tried.contains(&r.id)).collect())
 }
 
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -30,7 +30,7 @@
 pub use members::{Members, MembersConfig};
 pub use memory::{HoldConfig, tokens_to_hold};
 pub use pace::{Pace, PaceConfig};
-pub use reading::{ReadChoice, ReadConfig, Reader, choose_reader};
+pub use reading::{ReadChoice, ReadConfig, Reader, can_be_read, choose_reader};
 pub use repeat::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep};
 pub use request::{PromptSize, RequestId};
 pub use returns::{ReturnConfig, UsualPatience};
--- a/crates/bulrushusher_forward/src/reading.rs
+++ b/crates/bulrushusher_forward/src/reading.rs
@@ -81,17 +81,59 @@
 /// assert_eq!(choose(ReadChoice { ahead: None, read_by_decode: 5, ..choice }), Reader::Decode);
 /// ```
 pub fn choose_reader(choice: ReadChoice, ms_per_token: f64, cfg: ReadConfig) -> Reader {
-    let Some(ahead) = choice.ahead else { return Reader::Decode };
-    let own = choice.tokens as f64 * ms_per_token;
-    let at_prefill = ahead as f64 * ms_per_token + own;
-    let at_decode = own * cfg.decode_factor;
+    let Some(at_prefill) = choice.at_prefill(ms_per_token) else { return Reader::Decode };
+    let at_decode = choice.tokens as f64 * ms_per_token * cfg.decode_factor;
     let left = choice.left_on_time.since(cfg.first_event).0 as f64;
     let is_late = at_prefill > left && at_decode < at_prefill;
-    let pause = at_decode + choice.event_gap.0 as f64;
-    let is_short = pause <= choice.gap_target.0 as f64 * cfg.pause_share;
-    let disturbs_none = choice.runs_at_decode == 0 || is_short;
-    match is_late && disturbs_none && choice.read_by_decode < cfg.most_by_decode {
+    match is_late && choice.decode_may_read(ms_per_token, cfg) {
         true => Reader::Decode,
         false => Reader::Prefill,
     }
 }
+
+/// True when somebody can read the prompt within `longest`. Memory held for one that nobody can
+/// read in time is lost to others, and so is the part that was read.
+///
+/// ```
+/// use bulrushusher_forward::{ReadChoice, ReadConfig, can_be_read};
+/// use bulrushusher_time::Millis;
+/// let choice = ReadChoice {
+///     tokens: 9_000,
+///     ahead: Some(90_000),
+///     read_by_decode: 0,
+///     runs_at_decode: 7,
+///     event_gap: Millis(50),
+///     gap_target: Millis(300),
+///     left_on_time: Millis(800),
+/// };
+/// let can = |choice| can_be_read(choice, 0.02, Millis(1_200), ReadConfig::default());
+/// assert!(!can(choice), "two seconds at the prefill runner, and too long a pause elsewhere");
+/// assert!(can(ReadChoice { ahead: Some(20_000), ..choice }));
+/// assert!(can(ReadChoice { tokens: 2_000, ..choice }), "the decode runner reads it");
+/// ```
+pub fn can_be_read(
+    choice: ReadChoice,
+    ms_per_token: f64,
+    longest: Millis,
+    cfg: ReadConfig,
+) -> bool {
+    let at_prefill = choice.at_prefill(ms_per_token);
+    let in_time = at_prefill.is_none_or(|ms| ms <= longest.0 as f64);
+    in_time || choice.decode_may_read(ms_per_token, cfg)
+}
+
+impl ReadChoice {
+    /// Time until the prefill runner has read the prompt, in ms.
+    fn at_prefill(&self, ms_per_token: f64) -> Option<f64> {
+        self.ahead.map(|ahead| (ahead + self.tokens) as f64 * ms_per_token)
+    }
+
+    /// True when the decode runner may read the prompt without making its other runs late.
+    fn decode_may_read(&self, ms_per_token: f64, cfg: ReadConfig) -> bool {
+        let reading = self.tokens as f64 * ms_per_token * cfg.decode_factor;
+        let pause = reading + self.event_gap.0 as f64;
+        let is_short = pause <= self.gap_target.0 as f64 * cfg.pause_share;
+        let disturbs_none = self.runs_at_decode == 0 || is_short;
+        disturbs_none && self.read_by_decode < cfg.most_by_decode
+    }
+}
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -48,6 +48,9 @@
     pub runs: Vec<RunNote>,
     /// Prompt tokens that it has at prefill runners.
     pub reads: Vec<(RunnerId, u64)>,
+    /// Runners that change their stage by its orders, or by others' that it knows of.
+    #[serde(default)]
+    pub changing: Vec<RunnerId>,
 }
 
 /// Bounds of what is believed of peers.
@@ -159,6 +162,11 @@
             .sum()
     }
 
+    /// True while a peer knows that the runner changes its stage.
+    pub fn is_changing(&self, runner: &RunnerId, now: Millis) -> bool {
+        self.heard(now).any(|heard| heard.report.changing.contains(runner))
+    }
+
     /// The runs at a runner. Those of peers are taken further by the time since their report.
     pub fn at(&self, runner: &RunnerId, tokens_per_ms: f64, now: Millis) -> Vec<RunShape> {
         let own = self.own.values().filter(|note| note.runner == *runner);
--- a/crates/bulrushusher_gateway/src/generation.rs
+++ b/crates/bulrushusher_gateway/src/generation.rs
@@ -57,6 +57,8 @@
     pub decodes: Vec<RunnerId>,
     /// True when a prompt that was read elsewhere was not to be had.
     pub read_at_decode: bool,
+    /// True when a prefill runner has read the prompt once: another time is a repeat.
+    pub was_read: bool,
 }
 
 /// Serves a generation up to the head of its stream; a task of its own carries the rest.
@@ -162,11 +164,13 @@
         }
         // Memory was held, so the KV cache was not to be had: its runner loses them, and the next
         // decode runner reads the prompt itself.
+        // Or the decode runner takes nothing: it is not asked again for this request either.
         Err(NoRun::Ended(AttemptEnd::NotRun, _)) => {
             if let Some(kv) = &kv {
                 cx.knowledge.note_call(kv.runner(), CallResult::Unreachable);
                 tries.read_at_decode = true;
             }
+            tries.decodes.push(runner.id);
         }
         Err(_) => tries.decodes.push(runner.id),
     }
--- a/crates/bulrushusher_gateway/src/knowledge.rs
+++ b/crates/bulrushusher_gateway/src/knowledge.rs
@@ -1,7 +1,7 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then
-//! paces, then runs. No lock is held
+//! paces, then runs, then changing. No lock is held
 //! across an await.
 
 use std::collections::HashMap;
@@ -45,6 +45,8 @@
     paces: Mutex<HashMap<ServiceName, Pace>>,
     patience: Mutex<UsualPatience>,
     runs: Mutex<Runs>,
+    /// Runners whose stage changes, by service.
+    changing: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Notified when peers should hear of something new.
     pub report_due: Notify,
     draws: Mutex<ChaCha8Rng>,
@@ -64,6 +66,7 @@
             paces: Mutex::default(),
             patience: Mutex::default(),
             runs: Mutex::new(Runs::new(PeersConfig::default())),
+            changing: Mutex::default(),
             report_due: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         }
@@ -136,7 +139,8 @@
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
             let elsewhere = |id: &RunnerId| runs.reads_of_peers(id, now);
-            pick_for_prefill(runners.candidates(service, now), near, tried, draw, elsewhere)
+            let cx = Candidate { runs: Some(&runs), ..runners.candidates(service, now) };
+            pick_for_prefill(cx, near, tried, draw, elsewhere)
         })
     }
 
@@ -161,7 +165,8 @@
                 let peak = peak_memory(&shapes, &lengths, rate, forecast);
                 (is_empty || peak <= room).then_some(peak)
             };
-            rank_for_decode(runners.candidates(service, now), tried, draw, peak)
+            let cx = Candidate { runs: Some(&runs), ..runners.candidates(service, now) };
+            rank_for_decode(cx, tried, draw, peak)
         })
     }
 
@@ -190,6 +195,14 @@
         self.report_due.notify_one();
     }
 
+    /// Runners of a service whose stage changes, as far as this gateway knows; peers are told.
+    pub(crate) fn set_changing(&self, service: &ServiceName, runners: Vec<RunnerId>) {
+        let old = self.changing.lock().insert(service.clone(), runners.clone());
+        if old.unwrap_or_default() != runners {
+            self.report_due.notify_one();
+        }
+    }
+
     /// Takes in a peer's report.
     pub(crate) fn hear_peer(&self, peer: &str, report: GatewayReport) {
         let now = self.now();
@@ -207,7 +220,8 @@
         let reads = self.with_runners(|runners, _| runners.loads.reads());
         let waiting = self.lines.lock().values().map(WaitingLine::on_time).sum::<usize>();
         let runs = self.runs.lock().own().cloned().collect();
-        GatewayReport { life, number, waiting: waiting as u32, runs, reads }
+        let changing = self.changing.lock().values().flatten().cloned().collect();
+        GatewayReport { life, number, waiting: waiting as u32, runs, reads, changing }
     }
 
     /// True when the service's runners each do one half of a generation.
@@ -326,6 +340,6 @@
 
 impl Runners {
     fn candidates<'a>(&'a self, service: &'a ServiceName, now: Millis) -> Candidate<'a> {
-        Candidate { members: &self.members, loads: &self.loads, service, now }
+        Candidate { members: &self.members, loads: &self.loads, service, runs: None, now }
     }
 }
--- a/crates/bulrushusher_gateway/src/orders.rs
+++ b/crates/bulrushusher_gateway/src/orders.rs
@@ -97,6 +97,8 @@
             for service in self.services() {
                 let duty = duties.entry(service.clone()).or_insert_with(|| self.new_duty());
                 self.look(&service, duty).await;
+                let changing = duty.ordered.keys().cloned().collect();
+                self.knowledge.set_changing(&service, changing);
             }
         }
     }
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -11,6 +11,7 @@
 use crate::exchange::ExchangeError;
 use crate::holds::{HeldMemory, HoldTerms, SIDE_CALL_TIMEOUT};
 use crate::knowledge::Knowledge;
+use crate::reading::can_be_read_soon;
 use crate::router::{Forwarded, Router};
 
 /// Pause before a waiting request asks again: a fifth of the time between two ends of generations
@@ -56,7 +57,8 @@
     let shape = shape_of(fwd);
     loop {
         let may_ask = cx.knowledge.with_line(&line.service, |l| l.may_ask(&line.rank));
-        if may_ask && !(late && cx.knowledge.peers_have_waiting()) {
+        let yields = late && cx.knowledge.peers_have_waiting();
+        if may_ask && !yields && can_be_read_soon(cx, fwd) {
             let ranked = cx.knowledge.rank_for_decode(&fwd.service, tried, shape);
             for runner in ranked.into_iter().take(ASKED_AT_ONCE) {
                 if let Asked::Held(held) = ask(cx, fwd, runner, tokens).await {
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, ReadChoice, ReadConfig, Reader, Runner, choose_reader};
+use bulrushusher_forward::{
+    CallResult, ReadChoice, ReadConfig, Reader, Runner, can_be_read, choose_reader,
+};
 use bulrushusher_time::Millis;
 
 use crate::dialect::{Dialect, Step};
@@ -14,6 +16,10 @@
 /// Readings of one prompt that are tried while its memory is held.
 const MOST_READS: usize = 2;
 
+/// Longest reading that memory is held for: a lease lasts two seconds, and the line at a prefill
+/// runner may grow by other gateways' prompts meanwhile.
+const LATE_READ: Millis = Millis(1_200);
+
 /// A prefill runner that did not read a prompt is full or changes its stage; it is left alone for
 /// the time of a few prompts.
 const REFUSED_READ_PAUSE: Millis = Millis(300);
@@ -22,15 +28,22 @@
 pub(crate) async fn read_prompt<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
-    tries: &Tries,
+    tries: &mut Tries,
     held: &HeldMemory<D>,
 ) -> Result<Option<KeptKv<D>>, NoRun> {
     if tries.read_at_decode {
         held.reads_itself();
         return Ok(None);
     }
+    if tries.was_read && !cx.knowledge.take_retry(&fwd.service) {
+        return Err(NoRun::Unplaced("the prompt may not be read again now"));
+    }
     let mut tried = Vec::new();
     for read in 0..MOST_READS {
+        // What was sent to one runner in vain counts as a repeat, whoever goes on.
+        if read > 0 && !cx.knowledge.take_retry(&fwd.service) {
+            return Err(NoRun::Unplaced("the prompt was not read"));
+        }
         let near = &held.runner.data_centre;
         let runner = cx.knowledge.pick_for_prefill(&fwd.service, &tried, near);
         let Some(runner) = runner.filter(|runner| reader(cx, fwd, held, runner) == Reader::Prefill)
@@ -42,11 +55,9 @@
             return Err(NoRun::Unplaced("the prompt was not read in time"));
         }
         tried.push(runner.id.clone());
-        if read > 0 && !cx.knowledge.take_retry(&fwd.service) {
-            return Err(NoRun::Unplaced("the prompt was not read"));
-        }
         let longest = held.time_left(cx.now());
         if let Some(kv) = read_at(cx, fwd, tries.resume_after, runner, longest).await {
+            tries.was_read = true;
             return Ok(Some(kv));
         }
     }
@@ -59,13 +70,9 @@
     held: &HeldMemory<D>,
     prefill: &Runner,
 ) -> Reader {
-    let tokens = fwd.prompt_tokens();
-    let (rate, event_gap) = cx.knowledge.with_pace(&fwd.service, |pace| {
-        let gap = cx.knowledge.tokens_per_event(&fwd.service) as f64 / pace.tokens_per_ms();
-        (pace.read_ms_per_token(), Millis(gap as u64))
-    });
+    let (rate, event_gap) = paces(cx, fwd);
     let choice = ReadChoice {
-        tokens,
+        tokens: fwd.prompt_tokens(),
         runs_at_decode: cx.knowledge.runs_at(&held.runner.id).saturating_sub(1),
         event_gap,
         gap_target: fwd.route.gap_target,
@@ -78,6 +85,34 @@
     reader
 }
 
+/// Time of a prompt token at a prefill runner in ms, and time between two events of a run.
+fn paces<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> (f64, Millis) {
+    let per_event = cx.knowledge.tokens_per_event(&fwd.service) as f64;
+    cx.knowledge.with_pace(&fwd.service, |pace| {
+        (pace.read_ms_per_token(), Millis((per_event / pace.tokens_per_ms()) as u64))
+    })
+}
+
+/// True when somebody could read the prompt soon enough for a run that is placed now.
+pub(crate) fn can_be_read_soon<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> bool {
+    let near = &cx.knowledge.cfg().data_centre;
+    let prefill = cx.knowledge.pick_for_prefill(&fwd.service, &[], near);
+    let (rate, event_gap) = paces(cx, fwd);
+    let choice = ReadChoice {
+        tokens: fwd.prompt_tokens(),
+        ahead: prefill.map(|prefill| cx.knowledge.tokens_at_prefill(&prefill.id)),
+        read_by_decode: 0,
+        // Which decode runner it will be is not known yet; at a busy pool it has other runs.
+        runs_at_decode: 1,
+        event_gap,
+        gap_target: fwd.route.gap_target,
+        left_on_time: fwd.left_on_time(cx.now()),
+    };
+    let left = choice.left_on_time;
+    let longest = if left > Millis(0) { left } else { LATE_READ };
+    can_be_read(choice, rate, longest.min(LATE_READ), ReadConfig::default())
+}
+
 async fn read_at<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -368,8 +368,13 @@
     /// The decode engine that the run may go to, if its own word agrees.
     fn find_memory(&mut self, n: usize, now: Millis) -> Option<usize> {
         let Caller { arrival, gateway, .. } = self.callers[n];
-        let candidate =
-            Candidate { members: &self.members, loads: &self.loads, service: &self.service, now };
+        let candidate = Candidate {
+            members: &self.members,
+            loads: &self.loads,
+            service: &self.service,
+            runs: None,
+            now,
+        };
         let gateway = &self.gateways[gateway];
         let rate = gateway.pace.tokens_per_ms();
         let lengths = gateway.pace.lengths();
@@ -441,6 +446,7 @@
                 waiting: teller.line.on_time() as u32,
                 runs: teller.runs.own().cloned().collect(),
                 reads: Vec::new(),
+                changing: Vec::new(),
             };
             for to in (0..self.gateways.len()).filter(|to| *to != from) {
                 self.gateways[to].runs.hear(&format!("g{from}"), report.clone(), now);
