--- a/crates/bulrushusher_forward/src/forecast.rs
+++ b/crates/bulrushusher_forward/src/forecast.rs
@@ -19,7 +19,7 @@
 }
 
 impl RunShape {
-    fn in_memory(&self) -> f64 {
+    fn size(&self) -> f64 {
         self.prompt + self.made
     }
 }
@@ -146,7 +146,7 @@
         let mut variance = 0.0;
         for run in runs {
             let alive = model.survival(run, more);
-            let memory = run.in_memory() + more;
+            let memory = run.size() + more;
             mean += alive * memory;
             variance += alive * (1.0 - alive) * memory * memory;
         }
--- a/crates/bulrushusher_forward/src/route.rs
+++ b/crates/bulrushusher_forward/src/route.rs
@@ -52,7 +52,7 @@
     /// The host that callers name.
     pub host: Arc<str>,
     /// Start of the paths that take this route.
-    pub path_prefix: Arc<str>,
+    pub path_start: Arc<str>,
     /// What may be repeated.
     pub kind: RouteKind,
     /// Where its requests go; not empty.
@@ -64,7 +64,7 @@
     /// The longest pause between two events that is still on time; zero where not given.
     pub gap_target: Millis,
     /// Most runners that one request may run on.
-    pub max_attempts: u32,
+    pub most_runners: u32,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
 }
@@ -153,13 +153,13 @@
 /// let route = Route {
 ///     name: "thumbs".try_into().unwrap(),
 ///     host: "boards.example".into(),
-///     path_prefix: "/thumbs/".into(),
+///     path_start: "/thumbs/".into(),
 ///     kind: RouteKind::Idempotent,
 ///     services: vec![WeightedService { service, weight: 1 }],
 ///     timeout: Millis(1_500),
 ///     target: Millis(300),
 ///     gap_target: Millis(0),
-///     max_attempts: 2,
+///     most_runners: 2,
 ///     priority: 2,
 /// };
 /// let limits = CallerLimits {
@@ -200,7 +200,7 @@
             by_host.entry(host).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_start.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
         Ok(RoutingConfig { version, limits, routes: by_host, services })
@@ -210,7 +210,7 @@
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let host = host.to_ascii_lowercase();
         let routes = self.routes.get(host.as_str())?;
-        routes.iter().find(|route| path.starts_with(&*route.path_prefix))
+        routes.iter().find(|route| path.starts_with(&*route.path_start))
     }
 
     /// The service of that name.
@@ -233,8 +233,8 @@
     if !route.services.iter().any(|s| s.weight > 0) {
         return Err(RoutingError::NoService { route: route.name.clone() });
     }
-    if !route.path_prefix.starts_with('/') {
-        let prefix = route.path_prefix.to_string();
+    if !route.path_start.starts_with('/') {
+        let prefix = route.path_start.to_string();
         return Err(RoutingError::Prefix { route: route.name.clone(), prefix });
     }
     Ok(())
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -158,7 +158,7 @@
     fn refusal_headers(&self, arrival: &Arrival) -> HeaderMap;
 
     /// Name of the KV cache in a runner's answer to [`Step::ReadPrompt`].
-    fn kv_handle(&self, body: &[u8]) -> Option<Arc<str>>;
+    fn cache_name(&self, body: &[u8]) -> Option<Arc<str>>;
 
     /// Frees a KV cache.
     fn free_kv(&self, runner: &RunnerId, handle: &str) -> SideCall;
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -32,4 +32,4 @@
 
 pub use body::CutOff;
 pub use gateway::{ReadSettings, run};
-pub use settings::{GatewayConfig, SETTINGS};
+pub use settings::{GatewayConfig, PROGRAM};
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -165,5 +165,5 @@
         return Err((CallResult::Failed, format!("status {}", head.status.as_u16())));
     }
     let unreadable = || (CallResult::Failed, "the answer names no cache".to_owned());
-    cx.dialect.kv_handle(&body).ok_or_else(unreadable)
+    cx.dialect.cache_name(&body).ok_or_else(unreadable)
 }
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use bulrushusher_config::{ConfigError, Kind, Setting, Values, setting};
+use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
     ForecastConfig, HoldConfig, LoadConfig, MembersConfig, ShutdownConfig, StagesConfig,
     WaitingConfig,
@@ -11,8 +11,14 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, VmName};
 
-/// Every setting of the gateway.
-pub const SETTINGS: &[Setting] = &[
+/// The gateway's program.
+pub const PROGRAM: Program = Program {
+    name: "bulrush-gateway",
+    about: "Forwards callers' requests to runners that check who they are",
+    settings: SETTINGS,
+};
+
+const SETTINGS: &[Setting] = &[
     setting("gateway", "name", Kind::Text, None, "Name of the VM, unique in the deployment."),
     setting("gateway", "data_centre", Kind::Text, None, "Data centre it stands in."),
     setting("gateway", "callers", Kind::Address, None, "Where callers' HTTP is taken."),
@@ -50,7 +56,7 @@
     ),
     setting(
         "bounds",
-        "grace_s",
+        "shutdown_grace_s",
         Kind::Real(0.5, 3_600.0),
         Some("8"),
         "Seconds between the signal to stop and the kill.",
@@ -71,7 +77,7 @@
     ),
     setting(
         "bounds",
-        "lease_ms",
+        "order_spacing_ms",
         Kind::Millis(300, 600_000),
         Some("3000"),
         "Time that must pass between orders of two holders of a duty.",
@@ -204,7 +210,7 @@
     /// # Errors
     /// [`ConfigError`] names the setting and what to give instead.
     pub fn from_values(values: &Values) -> Result<GatewayConfig, ConfigError> {
-        let grace = Millis((values.real("bounds", "grace_s") * 1_000.0) as u64);
+        let grace = Millis((values.real("bounds", "shutdown_grace_s") * 1_000.0) as u64);
         Ok(GatewayConfig {
             name: values.checked("gateway", "name")?,
             data_centre: values.checked("gateway", "data_centre")?,
@@ -217,7 +223,7 @@
             max_buffered_bytes: values.count("gateway", "max_buffered_bytes"),
             log_lines_per_second: values.count("gateway", "log_lines_per_second"),
             configuration_in_force: values.millis("bounds", "configuration_in_force_ms"),
-            lease: values.millis("bounds", "lease_ms"),
+            lease: values.millis("bounds", "order_spacing_ms"),
             retries: RetryConfig {
                 per_request: values.real("bounds", "retry_share") * RETRY_SHARE_USED,
                 max_saved: values.real("bounds", "retry_burst") * RETRY_BURST_USED,
--- a/tools/bulrushusher_testbed/tests/settings.rs
+++ b/tools/bulrushusher_testbed/tests/settings.rs
@@ -15,9 +15,10 @@
         about: "The operators' command; its command line goes before its settings",
         settings: bulrushusher_ctl::SETTINGS,
     };
-    let programs: [Program; 4] = [
+    let programs: [Program; 5] = [
         bulrushusher_entry::PROGRAM,
         bulrushusher_agent::PROGRAM,
+        bulrushusher_gateway::PROGRAM,
         bulrushusher_standin::settings::PROGRAM,
         ctl,
     ];
