--- a/crates/bulrushusher_gateway/src/knowledge.rs
+++ b/crates/bulrushusher_gateway/src/knowledge.rs
@@ -10,8 +10,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_forward::{
     AttemptEnd, AttemptPlan, CallResult, Candidate, Members, NextStep, Pace, PaceConfig, PlainPick,
-    Rank, Route, RoutingConfig, Runner, RunnerLoads, UsualPatience, WaitingLine, pick_for_call,
-    pick_for_prefill, rank_for_decode,
+    Rank, Route, RoutingConfig, Runner, RunnerLoads, Stage, UsualPatience, WaitingLine,
+    pick_for_call, pick_for_prefill, rank_for_decode,
 };
 use bulrushusher_forward::{
     GatewayReport, PeersConfig, RunNote, RunNumber, RunShape, Runs, peak_memory,
@@ -170,6 +170,27 @@
         })
     }
 
+    /// What decided that a run got no memory, for the log: the lowest forecast among the decode
+    /// runners, what may be forecast at most, how many runners and peers that rests on.
+    pub(crate) fn memory_outlook(&self, service: &ServiceName, run: RunShape) -> Outlook {
+        let (rate, lengths) = self.with_pace(service, |p| (p.tokens_per_ms(), p.lengths()));
+        let forecast = self.cfg.load().forecast;
+        let room = self.room(service) as u64;
+        self.with_runners(|runners, now| {
+            let runs = self.runs.lock();
+            let peak = |runner: &Runner| {
+                let mut shapes = runs.at(&runner.id, rate, now);
+                shapes.push(run);
+                peak_memory(&shapes, &lengths, rate, forecast) as u64
+            };
+            let decodes = runners.members.usable(service, now);
+            let peaks: Vec<u64> =
+                decodes.filter(|r| r.stage == Some(Stage::Decode)).map(peak).collect();
+            let lowest = peaks.iter().copied().min().unwrap_or(0);
+            Outlook { runners: peaks.len(), lowest, room, peers: runs.peers(now) }
+        })
+    }
+
     /// Memory of a runner that may be forecast to be used, in tokens.
     fn room(&self, service: &ServiceName) -> f64 {
         let routing = self.routing();
@@ -338,6 +359,15 @@
     }
 }
 
+/// What a forecast rests on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outlook {
+    pub runners: usize,
+    pub lowest: u64,
+    pub room: u64,
+    pub peers: usize,
+}
+
 impl Runners {
     fn candidates<'a>(&'a self, service: &'a ServiceName, now: Millis) -> Candidate<'a> {
         Candidate { members: &self.members, loads: &self.loads, service, runs: None, now }
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -67,6 +67,7 @@
             }
         }
         if cx.now().plus(ASK_AGAIN) > until {
+            log_given_up(cx, fwd, shape);
             return None;
         }
         tokio::time::sleep(ASK_AGAIN.duration()).await;
@@ -78,6 +79,23 @@
     fwd.arrival.size.as_ref().map_or(1, |size| tokens_to_hold(size, 0, holds))
 }
 
+fn log_given_up<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, shape: RunShape) {
+    let outlook = cx.knowledge.memory_outlook(&fwd.service, shape);
+    log::info!(
+        "place: given up id={} late={} waited_ms={} decode_runners={} lowest_forecast={} room={} \
+         peers_heard={} prompt_can_be_read={} waiting_here={}",
+        fwd.arrival.id,
+        fwd.is_late(),
+        cx.now().since(fwd.received).0,
+        outlook.runners,
+        outlook.lowest,
+        outlook.room,
+        outlook.peers,
+        can_be_read_soon(cx, fwd),
+        cx.knowledge.waiting(),
+    );
+}
+
 /// The run as it will be forecast. Nothing is known of a generation that states no size.
 fn shape_of(fwd: &Forwarded) -> RunShape {
     let Some(size) = &fwd.arrival.size else {
