Read as a newcomer: one direction of imports, what is known split by topic

What: generation, pump and reading imported each other; a run's types, its beginning, its stream and what may follow it are modules of their own now, each importing only what lies below. What an exchange's failure means for an attempt stood twice. What is known of memory has a module of its own.

--- /dev/null
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -0,0 +1,173 @@
+//! Begins a run: memory at a decode runner first, then the prompt at a prefill runner, then the run.
+
+use std::sync::Arc;
+
+use bulrushusher_forward::{AttemptEnd, CallResult, Runner};
+use bulrushusher_time::Millis;
+use bulrushusher_world::RunnerId;
+
+use crate::dialect::{Dialect, Step};
+use crate::exchange::Reply;
+use crate::holds::{HeldMemory, KeptKv};
+use crate::placement::place;
+use crate::reading::read_prompt;
+use crate::router::{AttemptNote, Forwarded, LoadTicket, Router};
+use crate::run::{NoRun, Run, Tries, longest_silence};
+
+/// A prompt that was read waits this long for other memory: runners keep a KV cache that nobody
+/// takes for about half a second.
+const PLACE_AGAIN: Millis = Millis(250);
+
+/// Begins a run after the last event that the caller has.
+pub(crate) async fn begin_run<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &Forwarded,
+    tries: &mut Tries,
+    until: Millis,
+) -> Result<Run<D>, NoRun> {
+    if !cx.knowledge.is_split(&fwd.service) {
+        return begin_whole(cx, fwd, tries).await;
+    }
+    let mut held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
+    let kv = read_prompt(cx, fwd, tries, &held).await?;
+    if !held.is_good(cx.now()) {
+        // The runner began to leave, or the lease is over: it must not get the run.
+        log::info!("place: again id={} runner={}", fwd.arrival.id, held.runner.id);
+        let until = cx.now().plus(PLACE_AGAIN).min(fwd.ends);
+        held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
+    }
+    begin_split(cx, fwd, tries, held, kv).await
+}
+
+async fn place_or_refuse<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    tried: &[RunnerId],
+    until: Millis,
+) -> Result<HeldMemory<D>, NoRun> {
+    let held = place(cx, fwd, tried, until).await;
+    held.ok_or(NoRun::Unplaced("no decode memory is free"))
+}
+
+/// A stream of a service whose runners do all of it.
+async fn begin_whole<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &Forwarded,
+    tries: &mut Tries,
+) -> Result<Run<D>, NoRun> {
+    let near = cx.knowledge.cfg().data_centre.clone();
+    let Some(runner) = cx.knowledge.pick_for_call(&fwd.service, &tries.decodes, &near) else {
+        return Err(NoRun::Unplaced("no runner is left"));
+    };
+    tries.decodes.push(runner.id.clone());
+    run_at(cx, fwd, tries.resume_after, runner, None, Step::Whole).await
+}
+
+async fn begin_split<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &Forwarded,
+    tries: &mut Tries,
+    held: HeldMemory<D>,
+    mut kv: Option<KeptKv<D>>,
+) -> Result<Run<D>, NoRun> {
+    let runner = held.runner.clone();
+    let lease = held.lease.clone();
+    let cache = kv.as_ref().map(|kv| kv.cache.clone());
+    let step = Step::Generate { kv: cache.as_ref(), hold: lease.as_deref() };
+    let run = run_at(cx, fwd, tries.resume_after, runner.clone(), Some(held), step).await;
+    match &run {
+        Ok(_) => {
+            if let Some(kv) = &mut kv {
+                kv.mark_taken();
+            }
+        }
+        // Memory was held, so the KV cache was not to be had: its runner loses them, and the next
+        // decode runner reads the prompt itself.
+        // Or the decode runner takes nothing: it is not asked again for this request either.
+        Err(NoRun::Ended(AttemptEnd::NotRun, _)) => {
+            if let Some(kv) = &kv {
+                cx.knowledge.note_call(kv.runner(), CallResult::Unreachable);
+                tries.read_at_decode = true;
+            }
+            tries.decodes.push(runner.id);
+        }
+        Err(_) => tries.decodes.push(runner.id),
+    }
+    run
+}
+
+async fn run_at<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &Forwarded,
+    resume_after: Option<u64>,
+    runner: Runner,
+    mut held: Option<HeldMemory<D>>,
+    step: Step<'_>,
+) -> Result<Run<D>, NoRun> {
+    let began = cx.now();
+    let ticket = LoadTicket::begin(&cx.knowledge, &runner.id, 0);
+    let within = match fwd.route.kind.may_repeat() {
+        true => longest_silence(fwd).min(fwd.left(began)),
+        false => fwd.left(began),
+    };
+    let sent = cx.attempt(fwd, &runner, resume_after, step, within).await;
+    let no_run = match sent {
+        Ok(reply) if reply.head.status.is_success() && reply.marks.sealed => {
+            if let Some(held) = &mut held {
+                held.mark_used();
+            }
+            note(cx, fwd, &runner, "generate", began, (CallResult::Answered(Millis(0)), ""));
+            return Ok(Run { runner, reply, began, held, _ticket: ticket });
+        }
+        Ok(reply) => refused(cx, fwd, &runner, reply).await,
+        Err(e) => {
+            let went = (CallResult::Unreachable, &*e.to_string());
+            note(cx, fwd, &runner, "generate", began, went);
+            return Err(NoRun::Ended(e.attempt_end(), "no decode runner answered"));
+        }
+    };
+    let (result, detail) = match &no_run {
+        NoRun::Ended(AttemptEnd::NotRun, reason) => (CallResult::NotRun, *reason),
+        NoRun::Ended(_, reason) => (CallResult::Unreachable, *reason),
+        NoRun::Failed(..) => (CallResult::Failed, "failed"),
+        NoRun::Unplaced(reason) => (CallResult::NotRun, *reason),
+    };
+    note(cx, fwd, &runner, "generate", began, (result, detail));
+    Err(no_run)
+}
+
+/// Reads an answer that is no stream.
+async fn refused<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    runner: &Runner,
+    reply: Reply,
+) -> NoRun {
+    let marks = reply.marks.clone();
+    if marks.wrong_runner {
+        cx.forget_runner(&runner.id, "another runner has its address");
+    }
+    let within = fwd.left(cx.now());
+    let whole = cx.exchanger.read_whole(runner, reply, within).await;
+    if marks.not_run || marks.wrong_runner {
+        return NoRun::Ended(AttemptEnd::NotRun, "the decode runner did not take it");
+    }
+    match whole {
+        Ok((head, body)) if !head.status.is_success() => NoRun::Failed(head, body),
+        _ => NoRun::Ended(AttemptEnd::Unknown, "the decode runner's answer cannot be used"),
+    }
+}
+
+/// How a step went, without the runner and the time it began.
+type Went<'a> = (CallResult, &'a str);
+
+fn note<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    runner: &Runner,
+    step: &'static str,
+    began: Millis,
+    (result, detail): Went<'_>,
+) {
+    cx.note_attempt(fwd, AttemptNote { runner: &runner.id, step, began, result, detail });
+}
--- a/crates/bulrushusher_gateway/src/call.rs
+++ b/crates/bulrushusher_gateway/src/call.rs
@@ -146,9 +146,5 @@
 }
 
 fn without(e: ExchangeError) -> Ended {
-    let end = match e {
-        ExchangeError::Unsent { .. } => AttemptEnd::Unsent,
-        ExchangeError::NoAnswer { .. } | ExchangeError::Foreign => AttemptEnd::Unknown,
-    };
-    Ended::Without(end, e.to_string())
+    Ended::Without(e.attempt_end(), e.to_string())
 }
--- a/crates/bulrushusher_gateway/src/exchange.rs
+++ b/crates/bulrushusher_gateway/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{RequestId, Runner};
+use bulrushusher_forward::{AttemptEnd, RequestId, Runner};
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -32,6 +32,16 @@
     Foreign,
 }
 
+impl ExchangeError {
+    /// What it means for the attempt.
+    pub(crate) fn attempt_end(&self) -> AttemptEnd {
+        match self {
+            ExchangeError::Unsent { .. } => AttemptEnd::Unsent,
+            ExchangeError::NoAnswer { .. } | ExchangeError::Foreign => AttemptEnd::Unknown,
+        }
+    }
+}
+
 /// The head of an answer, with the connection that its body comes on.
 #[derive(Debug)]
 pub(crate) struct Reply {
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -0,0 +1,160 @@
+//! What is known of memory at decode runners and of prompts at prefill runners, over all gateways.
+
+use bulrushusher_forward::{
+    Candidate, GatewayReport, RunNote, RunNumber, RunShape, Runner, Stage, WaitingLine, asks_now,
+    peak_memory, rank_for_decode,
+};
+use bulrushusher_world::{RunnerId, ServiceName};
+
+use super::Knowledge;
+
+/// What a forecast rests on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outlook {
+    pub runners: usize,
+    pub lowest: u64,
+    pub room: u64,
+    pub peers: usize,
+}
+
+impl Knowledge {
+    /// Decode runners with room for the run, as far as can be forecast, in the order in which to
+    /// ask them for memory.
+    pub(crate) fn rank_for_decode(
+        &self,
+        service: &ServiceName,
+        tried: &[RunnerId],
+        run: RunShape,
+    ) -> Vec<Runner> {
+        let draw = self.draw();
+        let room = self.room(service);
+        let (rate, lengths) = self.with_pace(service, |p| (p.tokens_per_ms(), p.lengths()));
+        let forecast = self.cfg.load().forecast;
+        self.with_runners(|runners, now| {
+            let runs = self.runs.lock();
+            let peak = |runner: &Runner| {
+                let mut shapes = runs.at(&runner.id, rate, now);
+                let is_empty = shapes.is_empty();
+                shapes.push(run);
+                let peak = peak_memory(&shapes, &lengths, rate, forecast);
+                (is_empty || peak <= room).then_some(peak)
+            };
+            let cx = Candidate { runs: Some(&runs), ..runners.candidates(service, now) };
+            rank_for_decode(cx, tried, draw, peak)
+        })
+    }
+
+    /// What decided that a run got no memory, for the log: the lowest forecast among the decode
+    /// runners, what may be forecast at most, how many runners and peers that rests on.
+    pub(crate) fn memory_outlook(&self, service: &ServiceName, run: RunShape) -> Outlook {
+        let (rate, lengths) = self.with_pace(service, |p| (p.tokens_per_ms(), p.lengths()));
+        let forecast = self.cfg.load().forecast;
+        let room = self.room(service) as u64;
+        self.with_runners(|runners, now| {
+            let runs = self.runs.lock();
+            let peak = |runner: &Runner| {
+                let mut shapes = runs.at(&runner.id, rate, now);
+                shapes.push(run);
+                peak_memory(&shapes, &lengths, rate, forecast) as u64
+            };
+            let decodes = runners.members.usable(service, now);
+            let peaks: Vec<u64> =
+                decodes.filter(|r| r.stage == Some(Stage::Decode)).map(peak).collect();
+            let lowest = peaks.iter().copied().min().unwrap_or(0);
+            Outlook { runners: peaks.len(), lowest, room, peers: runs.peers(now) }
+        })
+    }
+
+    /// Memory of a runner that may be forecast to be used, in tokens.
+    fn room(&self, service: &ServiceName) -> f64 {
+        let routing = self.routing();
+        let engine = routing.as_ref().and_then(|routing| routing.service(service)?.engine);
+        let memory = engine.map_or(f64::INFINITY, |engine| engine.memory_tokens as f64);
+        memory * self.cfg.load().forecast.fill
+    }
+
+    /// Memory for a run is held.
+    pub(crate) fn hold_run(&self, note: RunNote) -> RunNumber {
+        self.report_due.notify_one();
+        self.runs.lock().hold(note)
+    }
+
+    /// A run has begun, or has made that many tokens; peers reckon its growth themselves.
+    pub(crate) fn run_progress(&self, run: RunNumber, made: u64) {
+        self.runs.lock().progress(run, made);
+    }
+
+    /// A run is over.
+    pub(crate) fn end_run(&self, run: RunNumber) {
+        self.runs.lock().end(run);
+        self.report_due.notify_one();
+    }
+
+    /// Runners of a service whose stage changes, as far as this gateway knows; peers are told.
+    pub(crate) fn set_changing(&self, service: &ServiceName, runners: Vec<RunnerId>) {
+        let old = self.changing.lock().insert(service.clone(), runners.clone());
+        if old.unwrap_or_default() != runners {
+            self.report_due.notify_one();
+        }
+    }
+
+    /// Takes in a peer's report.
+    pub(crate) fn hear_peer(&self, peer: &str, report: GatewayReport) {
+        let now = self.now();
+        self.runs.lock().hear(peer, report, now);
+    }
+
+    /// True while a peer has a generation in line that can still be on time.
+    pub(crate) fn peers_have_waiting(&self) -> bool {
+        let now = self.now();
+        self.runs.lock().waiting_at_peers(now) > 0
+    }
+
+    /// True when this gateway may ask for memory now, with regard to peers that wait for it too.
+    pub(crate) fn asks_now(&self) -> bool {
+        let now = self.now();
+        let others = self.runs.lock().peers_that_wait(now);
+        asks_now(self.draw(), others)
+    }
+
+    /// What peers are told.
+    pub(crate) fn report(&self, life: u64, number: u64) -> GatewayReport {
+        let reads = self.with_runners(|runners, _| runners.loads.reads());
+        let waiting = self.lines.lock().values().map(WaitingLine::on_time).sum::<usize>();
+        let runs = self.runs.lock().own().cloned().collect();
+        let changing = self.changing.lock().values().flatten().cloned().collect();
+        GatewayReport { life, number, waiting: waiting as u32, runs, reads, changing }
+    }
+
+    /// Prompt tokens that wait at a prefill runner, over all gateways.
+    pub(crate) fn tokens_at_prefill(&self, runner: &RunnerId) -> u64 {
+        self.with_runners(|runners, now| {
+            runners.loads.prompt_tokens(runner) + self.runs.lock().reads_of_peers(runner, now)
+        })
+    }
+
+    /// Runs at a decode runner, over all gateways.
+    pub(crate) fn runs_at(&self, runner: &RunnerId) -> usize {
+        let now = self.now();
+        self.runs.lock().at(runner, 0.0, now).len()
+    }
+
+    /// Tokens in one event of the service's engine.
+    pub(crate) fn tokens_per_event(&self, service: &ServiceName) -> u64 {
+        let routing = self.routing();
+        let engine = routing.as_ref().and_then(|routing| routing.service(service)?.engine);
+        engine.map_or(1, |engine| engine.tokens_per_event)
+    }
+
+    /// Prompts that a decode runner reads itself now, over all gateways.
+    pub(crate) fn reads_by_decode(&self, runner: &RunnerId) -> usize {
+        let now = self.now();
+        self.runs.lock().reads_by(runner, now)
+    }
+
+    /// The runner of a run reads its prompt itself.
+    pub(crate) fn run_reads_itself(&self, run: RunNumber) {
+        self.runs.lock().reads_itself(run);
+        self.report_due.notify_one();
+    }
+}
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -1,12 +1,16 @@
 //! The gateway: forwards callers' requests to runners that check who they are themselves.
 //!
-//! `gateway` starts the parts: `server` takes connections, `front` turns a request into a
-//! forwarded one, `call` and `generation` carry it out by way of `exchange` and `pool`, `feed`
-//! follows the store into `knowledge`, `orders` keeps the ratio of prefill and decode runners, `peers`
-//! speaks with the other gateways. The decisions are those of `bulrushusher_forward`. What the
-//! platform speaks comes in by the traits of [`dialect`]; nothing here knows its names.
+//! `gateway` starts the parts. `server` takes connections and `front` turns a request into a
+//! forwarded one. `call` carries out plain calls; `generation` has a run begun (`begin`, with
+//! `placement` and `reading`) and its stream carried (`pump`). All reach runners by `exchange` and
+//! `pool`. `feed` follows the store into `knowledge`, `orders` keeps the ratio of prefill and decode
+//! runners, `peers` speaks with the other gateways.
+//!
+//! The decisions are those of `bulrushusher_forward`. What the platform speaks comes in by the
+//! traits of [`dialect`]; nothing here knows its names.
 
 mod answer;
+mod begin;
 mod body;
 mod call;
 mod connection;
@@ -27,6 +31,7 @@
 mod pump;
 mod reading;
 mod router;
+mod run;
 mod server;
 mod settings;
 
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -11,20 +11,18 @@
 use tokio::sync::mpsc::{self, Sender};
 
 use crate::answer::pass_on_stream;
+use crate::begin::begin_run;
 use crate::body::{CutOff, ReplyBody, StreamPart};
 use crate::dialect::Dialect;
-use crate::generation::{NoRun, Run, Tries, begin_run, resume_until};
 use crate::router::{Forwarded, Router};
+use crate::run::{NoRun, Run, Tries, longest_silence};
 
 /// Parts that wait for a slow caller; the runner is slowed down beyond.
 const WAITING_PARTS: usize = 16;
 
-/// Silence after which a run that may go on elsewhere is given up, in targets for the pause between
-/// events. A run that was preempted is read in again well within it.
-const SILENT_GAPS: u64 = 5;
-
-/// The same where the route has no such target, or a very short one.
-const LEAST_SILENCE: Millis = Millis(1_200);
+/// A stream that goes on elsewhere waits this long for memory: callers leave after a pause of some
+/// four targets.
+const RESUME_WAIT: Millis = Millis(1_500);
 
 /// How a run ended.
 enum RunEnd {
@@ -60,11 +58,6 @@
     }
 }
 
-/// Silence after which a run that may go on elsewhere is given up.
-pub(crate) fn longest_silence(fwd: &Forwarded) -> Millis {
-    Millis(fwd.route.gap_target.0 * SILENT_GAPS).max(LEAST_SILENCE)
-}
-
 /// Starts carrying the stream of `run`; returns the answer to the caller.
 pub(crate) fn start<D: Dialect>(
     cx: Arc<Router<D>>,
@@ -214,6 +207,11 @@
     }
 }
 
+/// How long a resumed run may look for memory from `now`.
+fn resume_until(fwd: &Forwarded, now: Millis) -> Millis {
+    now.plus(RESUME_WAIT).min(fwd.ends)
+}
+
 /// Only events can be cut at their ends; anything else is passed as it comes.
 fn is_event_stream(headers: &HeaderMap) -> bool {
     let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -9,9 +9,9 @@
 
 use crate::dialect::{Dialect, Step};
 use crate::exchange::ExchangeError;
-use crate::generation::{NoRun, Tries};
 use crate::holds::{HeldMemory, KeptKv};
 use crate::router::{AttemptNote, Forwarded, LoadTicket, Router};
+use crate::run::{NoRun, Tries};
 
 /// Readings of one prompt that are tried while its memory is held.
 const MOST_READS: usize = 2;
