A slow store is read in the end; settings that change without a signal are taken

What: the time for a list doubles while lists fail, up to eightfold; the file is looked at every five seconds.

Ruled out: a longer time from the start, as a silent connection must be found out within the time that a configuration may take.

--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/feed.rs
@@ -25,6 +25,10 @@
 const FIRST_PAUSE: Millis = Millis(60);
 const LONGEST_PAUSE: Millis = Millis(400);
 
+/// How often the time for a list is doubled while lists fail: a silent connection is found out
+/// soon, and a store that is slow for everybody still answers in the end.
+const MOST_DOUBLINGS: u32 = 3;
+
 /// Keeps a gateway's knowledge up to date with one topic of the store.
 #[derive(Debug)]
 pub(crate) struct Feed<S> {
@@ -39,25 +43,26 @@
     /// Follows until dropped.
     pub(crate) async fn follow(self) {
         let mut pause = FIRST_PAUSE;
-        let mut failing = false;
+        let mut failures = 0;
         loop {
-            match self.store.list(self.topic, self.slack()).await {
+            let timeout = Millis(self.slack().0 << failures.min(MOST_DOUBLINGS));
+            match self.store.list(self.topic, timeout).await {
                 Ok(news) => {
                     self.note_call("listed");
-                    if failing {
+                    if failures > 0 {
                         log::info!("store: regained topic={}", self.topic);
                     }
-                    (failing, pause) = (false, FIRST_PAUSE);
+                    (failures, pause) = (0, FIRST_PAUSE);
                     let revision = news.revision;
                     self.apply_list(news);
                     self.watch_from(revision).await;
                 }
                 Err(e) => {
                     self.note_call("failed");
-                    if !failing {
+                    if failures == 0 {
                         log::warn!("store: lost topic={} cause=\"{e}\"", self.topic);
                     }
-                    failing = true;
+                    failures += 1;
                     self.pause(&mut pause).await;
                 }
             }
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -28,6 +28,9 @@
 /// Connections that wait to be accepted; a burst's worth, as a full queue costs callers a second.
 const BACKLOG: u32 = 1_024;
 
+/// How often the settings file is looked at for changes that came without a signal.
+const LOOK_AT_SETTINGS: Millis = Millis(5_000);
+
 /// Left between the last answer and the kill, for the process to end by itself.
 const EXIT_MARGIN: Millis = Millis(150);
 
@@ -162,20 +165,32 @@
     socket.listen(BACKLOG)
 }
 
-/// Waits for SIGTERM or SIGINT; SIGHUP reads the settings anew meanwhile.
+/// Waits for SIGTERM or SIGINT. Meanwhile the settings are read anew at SIGHUP, and now and then, as
+/// the file may change without a signal.
 async fn until_stopped(knowledge: &Knowledge, reread: ReadSettings) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
+    let mut look = tokio::time::interval(LOOK_AT_SETTINGS.duration());
+    look.tick().await;
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
             _ = hangup.recv() => reload(knowledge, reread),
+            _ = look.tick() => reload_if_changed(knowledge, reread),
         }
     }
 }
 
+/// Takes the settings if they are good and others than those in use.
+fn reload_if_changed(knowledge: &Knowledge, reread: ReadSettings) {
+    let Ok(cfg) = reread() else { return };
+    if format!("{cfg:?}") != format!("{:?}", knowledge.cfg()) {
+        reload(knowledge, reread);
+    }
+}
+
 /// Takes the new settings; addresses and names stay until the next start.
 fn reload(knowledge: &Knowledge, reread: ReadSettings) {
     match reread() {
