A silent store is asked again on other connections while the first is waited for

After a silent outage a gateway then waited up to 3.2 s on a silent connection, though the store was back.

That serves the slow store as well.

--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/feed.rs
@@ -8,6 +8,8 @@
 
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 
 use crate::dialect::{Change, News, PlatformStore, StoreFailure, Topic};
 use crate::knowledge::Knowledge;
@@ -25,9 +27,9 @@
 const FIRST_PAUSE: Millis = Millis(60);
 const LONGEST_PAUSE: Millis = Millis(400);
 
-/// How often the time for a list is doubled while lists fail: a silent connection is found out
-/// soon, and a store that is slow for everybody still answers in the end.
-const MOST_DOUBLINGS: u32 = 3;
+/// Lists that are waited for at the same time. A connection that stays silent is found out soon by
+/// asking again on another one, and a store that is slow for everybody still answers the first.
+const LISTS_AT_ONCE: u32 = 8;
 
 /// Keeps a gateway's knowledge up to date with one topic of the store.
 #[derive(Debug)]
@@ -43,32 +45,50 @@
     /// Follows until dropped.
     pub(crate) async fn follow(self) {
         let mut pause = FIRST_PAUSE;
-        let mut failures = 0;
+        let mut lost = false;
         loop {
-            let timeout = Millis(self.slack().0 << failures.min(MOST_DOUBLINGS));
-            match self.store.list(self.topic, timeout).await {
+            match self.list(&mut lost).await {
                 Ok(news) => {
                     self.note_call("listed");
-                    if failures > 0 {
+                    if lost {
                         log::info!("store: regained topic={}", self.topic);
                     }
-                    (failures, pause) = (0, FIRST_PAUSE);
+                    (lost, pause) = (false, FIRST_PAUSE);
                     let revision = news.revision;
                     self.apply_list(news);
                     self.watch_from(revision).await;
                 }
                 Err(e) => {
                     self.note_call("failed");
-                    if failures == 0 {
-                        log::warn!("store: lost topic={} cause=\"{e}\"", self.topic);
-                    }
-                    failures += 1;
+                    self.note_lost(&mut lost, &e.to_string());
                     self.pause(&mut pause).await;
                 }
             }
         }
     }
 
+    /// Lists the topic. While there is no answer it is asked again, each time on a connection of its
+    /// own; the first answer counts.
+    async fn list(&self, lost: &mut bool) -> Result<News, StoreFailure> {
+        let again = self.slack();
+        let longest = Millis(again.0 * u64::from(LISTS_AT_ONCE));
+        let mut asked = FuturesUnordered::new();
+        loop {
+            asked.push(self.store.list(self.topic, longest));
+            match tokio::time::timeout(again.duration(), asked.next()).await {
+                Ok(Some(answer)) => return answer,
+                Ok(None) | Err(_) => self.note_lost(lost, "it is slow or silent"),
+            }
+        }
+    }
+
+    fn note_lost(&self, lost: &mut bool, cause: &str) {
+        if !*lost {
+            log::warn!("store: lost topic={} cause=\"{cause}\"", self.topic);
+        }
+        *lost = true;
+    }
+
     /// Waits for changes until that fails.
     async fn watch_from(&self, mut revision: u64) {
         let wait = self.share(WAIT_SHARE);
