--- a/crates/bulrushusher_config/src/settings.rs
+++ b/crates/bulrushusher_config/src/settings.rs
@@ -148,7 +148,8 @@
         Values::parse(&name, &text, settings)
     }
 
-    /// Reads INI text against the declared settings; `file` is only for messages.
+    /// Reads INI text against the declared settings; `file` is only for messages. A setting that is
+    /// left empty counts as not given.
     ///
     /// ```
     /// use bulrushusher_config::{Kind, Setting, Values, setting};
@@ -279,6 +280,8 @@
 fn check_value(file: &str, setting: &Setting, given: Option<&str>) -> Result<String, ConfigError> {
     let section = setting.section.to_owned();
     let (file, key, range) = (file.to_owned(), setting.key.to_owned(), setting.kind.range());
+    // A template leaves a value empty where the deployment has none for it.
+    let given = given.filter(|value| !value.is_empty());
     let Some(value) = given.or(setting.default) else {
         return Err(ConfigError::Missing { file, section, key, range });
     };
