--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -131,9 +131,11 @@
         self.own.values()
     }
 
-    /// Takes in a peer's report; false when a later one was heard already.
+    /// Takes in a peer's report; false when a later one was heard already. After a silence any
+    /// report counts: a peer that starts again with its clock set back has a lower `life` than
+    /// before, and would not be heard for as long as it was set back.
     pub fn hear(&mut self, peer: &str, report: GatewayReport, now: Millis) -> bool {
-        if let Some(heard) = self.peers.get(peer) {
+        if let Some(heard) = self.peers.get(peer).filter(|heard| self.is_fresh(heard, now)) {
             let known = (heard.report.life, heard.report.number);
             if (report.life, report.number) <= known {
                 return false;
@@ -185,8 +187,11 @@
     }
 
     fn heard(&self, now: Millis) -> impl Iterator<Item = &Heard> {
-        let most = self.cfg.forget_after;
-        self.peers.values().filter(move |heard| now.since(heard.at) < most)
+        self.peers.values().filter(move |heard| self.is_fresh(heard, now))
+    }
+
+    fn is_fresh(&self, heard: &Heard, now: Millis) -> bool {
+        now.since(heard.at) < self.cfg.forget_after
     }
 }
 
