--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -24,6 +24,10 @@
 
 mod memory;
 
+/// Fewest parts that the shared burst of repeats is split into. A gateway that starts again has a
+/// full part, and one that hears no peer does not know how many there are.
+const LEAST_RETRY_SHARERS: usize = 10;
+
 /// Runners and what this gateway has there.
 #[derive(Debug)]
 pub(crate) struct Runners {
@@ -187,9 +191,12 @@
     }
 
     fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let gateways = self.runs.lock().peers(self.now()) + 1;
+        let cfg = self.cfg.load().retries.part(gateways.max(LEAST_RETRY_SHARERS));
         let mut budgets = self.budgets.lock();
-        let cfg = self.cfg.load().retries;
-        f(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg)))
+        let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg));
+        budget.reconfigure(cfg);
+        f(budget)
     }
 
     /// Joins the line of a service.
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -167,7 +167,7 @@
     pub configuration_in_force: Millis,
     /// Least time between orders of two holders of a duty.
     pub lease: Millis,
-    /// Retry budget of each service at this gateway.
+    /// Retry budget of each service; what may be saved up is shared by all gateways.
     pub retries: RetryConfig,
     /// Bounds of a graceful shutdown.
     pub shutdown: ShutdownConfig,
@@ -193,10 +193,6 @@
 /// last window count only as long as they are in it.
 const RETRY_SHARE_USED: f64 = 0.75;
 
-/// Part of the shared burst that one gateway may spend: ten of them may do so in one window, and
-/// a gateway that starts again has a full budget.
-const RETRY_BURST_USED: f64 = 0.1;
-
 /// A balancer asks once a second and takes a VM out after two misses; half a second is for the
 /// connections that are on their way then.
 const ACCEPT_AFTER_SIGNAL: Millis = Millis(2_500);
@@ -231,7 +227,7 @@
             lease: values.millis("bounds", "order_spacing_ms"),
             retries: RetryConfig {
                 per_request: values.real("bounds", "retry_share") * RETRY_SHARE_USED,
-                max_saved: values.real("bounds", "retry_burst") * RETRY_BURST_USED,
+                max_saved: values.real("bounds", "retry_burst"),
             },
             shutdown: ShutdownConfig {
                 grace,
--- a/crates/bulrushusher_routing/src/retry.rs
+++ b/crates/bulrushusher_routing/src/retry.rs
@@ -15,6 +15,23 @@
     }
 }
 
+impl RetryConfig {
+    /// What each of `sharers` processes may save up, so that they stay within the whole when all
+    /// spend it at once. Each may save up one repeat at least, or it could never make any.
+    ///
+    /// ```
+    /// use bulrushusher_routing::RetryConfig;
+    /// let whole = RetryConfig { per_request: 0.2, max_saved: 54.0 };
+    /// assert_eq!(whole.part(27).max_saved, 2.0);
+    /// assert_eq!(whole.part(27).per_request, 0.2, "each earns by its own requests");
+    /// ```
+    #[must_use]
+    pub fn part(self, sharers: usize) -> RetryConfig {
+        let part = self.max_saved / sharers.max(1) as f64;
+        RetryConfig { max_saved: part.max(1.0), ..self }
+    }
+}
+
 /// Retries that may still be made.
 ///
 /// ```
@@ -38,6 +55,12 @@
         RetryBudget { cfg, saved: cfg.max_saved }
     }
 
+    /// Takes other bounds; what was saved beyond them is lost.
+    pub fn reconfigure(&mut self, cfg: RetryConfig) {
+        self.cfg = cfg;
+        self.saved = self.saved.min(cfg.max_saved);
+    }
+
     /// A first attempt was made.
     pub fn earn(&mut self) {
         self.saved = (self.saved + self.cfg.per_request).min(self.cfg.max_saved);
