--- a/crates/bulrushusher_routing/src/retry.rs
+++ b/crates/bulrushusher_routing/src/retry.rs
@@ -17,7 +17,8 @@
 
 impl RetryConfig {
     /// What each of `sharers` processes may save up, so that they stay within the whole when all
-    /// spend it at once. Each may save up one repeat at least, or it could never make any.
+    /// spend it at once. Each may save up one repeat at least, if the whole allows any, or it could
+    /// never make one.
     ///
     /// ```
     /// use bulrushusher_routing::RetryConfig;
@@ -28,7 +29,7 @@
     #[must_use]
     pub fn part(self, sharers: usize) -> RetryConfig {
         let part = self.max_saved / sharers.max(1) as f64;
-        RetryConfig { max_saved: part.max(1.0), ..self }
+        RetryConfig { max_saved: part.max(self.max_saved.min(1.0)), ..self }
     }
 }
 
--- a/crates/bulrushusher_routing/tests/retry.rs
+++ b/crates/bulrushusher_routing/tests/retry.rs
@@ -39,3 +39,9 @@
     budget.reconfigure(whole.part(10));
     assert_eq!(spend_all(&mut budget), 5);
 }
+
+#[test]
+fn where_no_repeat_is_allowed_no_process_makes_one() {
+    let whole = RetryConfig { per_request: 0.0, max_saved: 0.0 };
+    assert_eq!(spend_all(&mut RetryBudget::new(whole.part(10))), 0);
+}
