--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -44,6 +44,9 @@
     pub number: u64,
     /// Its generations that wait for memory and can still be on time.
     pub waiting: u32,
+    /// Those that wait and are late already.
+    #[serde(default)]
+    pub waiting_late: u32,
     /// Its runs.
     pub runs: Vec<RunNote>,
     /// Prompt tokens that it has at prefill runners.
@@ -155,9 +158,10 @@
         self.heard(now).map(|heard| heard.report.waiting).sum()
     }
 
-    /// Peers at which generations wait that can still be on time.
+    /// Peers at which generations wait, be they late or not.
     pub fn peers_that_wait(&self, now: Millis) -> usize {
-        self.heard(now).filter(|heard| heard.report.waiting > 0).count()
+        let waits = |report: &GatewayReport| report.waiting + report.waiting_late > 0;
+        self.heard(now).filter(|heard| waits(&heard.report)).count()
     }
 
     /// Prompt tokens that peers have at a prefill runner.
--- a/crates/bulrushusher_forward/src/waiting.rs
+++ b/crates/bulrushusher_forward/src/waiting.rs
@@ -26,19 +26,22 @@
     }
 }
 
-/// Whether a gateway asks for memory now, while generations wait at `others` too.
+/// Whether a gateway asks for memory now, while generations wait at `others` too and `open` runners
+/// seem to have room.
 ///
 /// Memory that comes free is seen by all of them at once. If all took it, the runner's memory would
 /// be given away several times before their reports crossed; so each asks with its share of the
-/// chance, and on the whole one does at a time. `draw` is random in `0.0..1.0`.
+/// chance, and on the whole one asks at each open runner. `draw` is random in `0.0..1.0`.
 ///
 /// ```
 /// use bulrushusher_forward::asks_now;
-/// assert!(asks_now(0.9, 0), "nobody else waits");
-/// assert!(!asks_now(0.9, 4) && asks_now(0.1, 4));
+/// assert!(asks_now(0.9, 0, 1), "nobody else waits");
+/// assert!(!asks_now(0.9, 4, 1) && asks_now(0.1, 4, 1));
+/// assert!(asks_now(0.9, 4, 5), "there is one for each");
+/// assert!(!asks_now(0.0, 0, 0), "there is nothing to ask for");
 /// ```
-pub fn asks_now(draw: f64, others: usize) -> bool {
-    draw * (others as f64 + 1.0) < 1.0
+pub fn asks_now(draw: f64, others: usize, open: usize) -> bool {
+    draw * (others as f64 + 1.0) < open as f64
 }
 
 /// Place in the line: lower goes first.
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -110,20 +110,29 @@
         self.runs.lock().waiting_at_peers(now) > 0
     }
 
-    /// True when this gateway may ask for memory now, with regard to peers that wait for it too.
-    pub(crate) fn asks_now(&self) -> bool {
+    /// True when this gateway may ask one of `open` runners for memory now, with regard to peers
+    /// that wait for it too.
+    pub(crate) fn asks_now(&self, open: usize) -> bool {
         let now = self.now();
         let others = self.runs.lock().peers_that_wait(now);
-        asks_now(self.draw(), others)
+        asks_now(self.draw(), others, open)
+    }
+
+    /// Generations that wait here: those that can still be on time, and the late ones.
+    fn waiting_by_chance(&self) -> (u32, u32) {
+        let lines = self.lines.lock();
+        let all: usize = lines.values().map(WaitingLine::len).sum();
+        let on_time: usize = lines.values().map(WaitingLine::on_time).sum();
+        (on_time as u32, (all - on_time) as u32)
     }
 
     /// What peers are told.
     pub(crate) fn report(&self, life: u64, number: u64) -> GatewayReport {
         let reads = self.with_runners(|runners, _| runners.loads.reads());
-        let waiting = self.lines.lock().values().map(WaitingLine::on_time).sum::<usize>();
+        let (waiting, waiting_late) = self.waiting_by_chance();
         let runs = self.runs.lock().own().cloned().collect();
         let changing = self.changing.lock().values().flatten().cloned().collect();
-        GatewayReport { life, number, waiting: waiting as u32, runs, reads, changing }
+        GatewayReport { life, number, waiting, waiting_late, runs, reads, changing }
     }
 
     /// Prompt tokens that wait at a prefill runner, over all gateways.
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -202,7 +202,27 @@
     /// Joins the line of a service.
     pub(crate) fn join_line(&self, service: &ServiceName, late: bool, priority: u8) -> Rank {
         let now = self.now();
-        self.with_line(service, |line| line.join(late, priority, now))
+        self.change_line(service, |line| line.join(late, priority, now))
+    }
+
+    /// Leaves the line of a service.
+    pub(crate) fn leave_line(&self, service: &ServiceName, rank: &Rank) {
+        self.change_line(service, |line| line.leave(rank));
+    }
+
+    /// Changes a line, and lets peers know when it begins or ceases to wait: they take turns with
+    /// those that do.
+    fn change_line<T>(&self, service: &ServiceName, f: impl FnOnce(&mut WaitingLine) -> T) -> T {
+        let kinds = |line: &WaitingLine| (line.on_time() > 0, line.len() > line.on_time());
+        let (done, changed) = self.with_line(service, |line| {
+            let before = kinds(line);
+            let done = f(line);
+            (done, before != kinds(line))
+        });
+        if changed {
+            self.report_due.notify_one();
+        }
+        done
     }
 
     pub(crate) fn with_line<T>(
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -33,7 +33,7 @@
 
 impl Drop for InLine {
     fn drop(&mut self) {
-        self.knowledge.with_line(&self.service, |line| line.leave(&self.rank));
+        self.knowledge.leave_line(&self.service, &self.rank);
     }
 }
 
@@ -58,9 +58,10 @@
     loop {
         let may_ask = cx.knowledge.with_line(&line.service, |l| l.may_ask(&line.rank));
         let yields = late && cx.knowledge.peers_have_waiting();
-        if may_ask && !yields && cx.knowledge.asks_now() && can_be_read_soon(cx, fwd) {
-            let ranked = cx.knowledge.rank_for_decode(&fwd.service, tried, shape);
-            for runner in ranked.into_iter().take(ASKED_AT_ONCE) {
+        if may_ask && !yields && can_be_read_soon(cx, fwd) {
+            let open = cx.knowledge.rank_for_decode(&fwd.service, tried, shape);
+            let asked = if cx.knowledge.asks_now(open.len()) { ASKED_AT_ONCE } else { 0 };
+            for runner in open.into_iter().take(asked) {
                 if let Asked::Held(held) = ask(cx, fwd, runner, tokens).await {
                     return Some(held);
                 }
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -1,5 +1,6 @@
 //! Plays callers on gateways and engines, with the router's own decisions.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use bulrushusher_forward::{
@@ -19,11 +20,18 @@
 /// Length of a step.
 const STEP: Millis = Millis(5);
 
+/// Pause before a waiting request asks for memory again, as at a gateway, in whole steps.
+const ASK_AGAIN: Millis = Millis(10);
+
 /// The response-time target, the target for pauses, and the patience of callers.
 const TARGET: Millis = Millis(900);
 const GAP_TARGET: Millis = Millis(300);
 const PATIENCE: Millis = Millis(14_000);
 
+/// Reports go out eight milliseconds apart at the most, and take some more to be sent to all peers
+/// over a link of 10 Mbit/s and to be read there.
+const REPORT_LAG: Millis = Millis(15);
+
 /// How memory is given to runs.
 #[derive(Clone, Copy, Debug)]
 pub enum Admission {
@@ -55,6 +63,8 @@
     pub returns: ReturnConfig,
     /// True when gateways tell each other their runs.
     pub peers_speak: bool,
+    /// Time until a gateway's report has been taken in by the others.
+    pub report_lag: Millis,
     /// A decode engine that is lost, and when.
     pub loses: Option<Millis>,
 }
@@ -70,6 +80,7 @@
             waiting: WaitingConfig::default(),
             returns: ReturnConfig { after: Millis(4_000), spread: 0.2 },
             peers_speak: true,
+            report_lag: REPORT_LAG,
             loses: None,
         }
     }
@@ -79,7 +90,7 @@
 #[derive(Clone, Copy, Debug)]
 enum State {
     Away { until: Millis },
-    Waiting { rank: Rank, until: Millis },
+    Waiting { rank: Rank, until: Millis, ask_at: Millis },
     Read { decode: usize, run: RunNumber },
     Running { decode: usize, run: RunNumber },
     Over,
@@ -115,9 +126,18 @@
     callers: Vec<Caller>,
     next_order: u64,
     rng: ChaCha8Rng,
+    /// Reports on their way, oldest first.
+    reports: VecDeque<Sent>,
     outcome: Outcome,
 }
 
+/// A report on its way to all other gateways.
+struct Sent {
+    at: Millis,
+    from: usize,
+    report: GatewayReport,
+}
+
 /// Plays the callers until all are served, refused or gone.
 pub fn play(fleet: &Fleet, callers: &[Arrival], seed: u64) -> Outcome {
     let mut played = Played::new(fleet, callers, seed);
@@ -170,6 +190,7 @@
             outcome: Outcome { callers: callers.len(), ..Outcome::default() },
             callers,
             next_order: 0,
+            reports: VecDeque::new(),
             rng,
         }
     }
@@ -315,8 +336,14 @@
                 self.release(n);
                 self.leave(n);
             }
-            State::Waiting { rank, until } => self.wait(n, rank, until, now),
-            State::Away { .. } | State::Read { .. } | State::Running { .. } | State::Over => {}
+            State::Waiting { rank, until, ask_at } if ask_at <= now => {
+                self.wait(n, rank, until, now);
+            }
+            State::Away { .. }
+            | State::Waiting { .. }
+            | State::Read { .. }
+            | State::Running { .. }
+            | State::Over => {}
         }
     }
 
@@ -330,7 +357,7 @@
         let line = &mut self.gateways[self.callers[n].gateway].line;
         let rank = line.join(late, 1, now);
         let until = now.plus(line.longest_wait(late, TARGET));
-        self.callers[n].state = State::Waiting { rank, until };
+        self.callers[n].state = State::Waiting { rank, until, ask_at: now };
     }
 
     fn wait(&mut self, n: usize, rank: Rank, until: Millis, now: Millis) {
@@ -338,9 +365,8 @@
         let late_behind = rank.late && self.gateways[gateway].runs.waiting_at_peers(now) > 0;
         let others = self.gateways[gateway].runs.peers_that_wait(now);
         if self.gateways[gateway].line.may_ask(&rank)
-            && asks_now(self.rng.random(), others)
             && !late_behind
-            && let Some(decode) = self.find_memory(n, now)
+            && let Some(decode) = self.find_memory(n, others, now)
         {
             self.gateways[gateway].line.leave(&rank);
             self.hold(n, decode);
@@ -349,7 +375,9 @@
         if until <= now {
             self.gateways[gateway].line.leave(&rank);
             self.refuse(n, now);
+            return;
         }
+        self.callers[n].state = State::Waiting { rank, until, ask_at: now.plus(ASK_AGAIN) };
     }
 
     fn refuse(&mut self, n: usize, now: Millis) {
@@ -368,7 +396,7 @@
     }
 
     /// The decode engine that the run may go to, if its own word agrees.
-    fn find_memory(&mut self, n: usize, now: Millis) -> Option<usize> {
+    fn find_memory(&mut self, n: usize, others: usize, now: Millis) -> Option<usize> {
         let Caller { arrival, gateway, .. } = self.callers[n];
         let candidate = Candidate {
             members: &self.members,
@@ -391,6 +419,9 @@
             }
         };
         let ranked = rank_for_decode(candidate, &[], self.rng.random(), peak);
+        if !asks_now(self.rng.random(), others, ranked.len()) {
+            return None;
+        }
         let places = ranked.iter().filter_map(|r| self.ids.iter().position(|id| *id == r.id));
         let places: Vec<usize> = places.collect();
         places.into_iter().find(|decode| self.has_room(*decode, &arrival))
@@ -439,6 +470,14 @@
     }
 
     fn tell_peers(&mut self, now: Millis) {
+        while let Some(sent) =
+            self.reports.pop_front_if(|s| now.since(s.at) >= self.fleet.report_lag)
+        {
+            for to in (0..self.gateways.len()).filter(|to| *to != sent.from) {
+                let name = format!("g{}", sent.from);
+                self.gateways[to].runs.hear(&name, sent.report.clone(), now);
+            }
+        }
         for from in 0..self.gateways.len() {
             self.gateways[from].reports += 1;
             let teller = &self.gateways[from];
@@ -446,13 +485,12 @@
                 life: 1,
                 number: teller.reports,
                 waiting: teller.line.on_time() as u32,
+                waiting_late: (teller.line.len() - teller.line.on_time()) as u32,
                 runs: teller.runs.own().cloned().collect(),
                 reads: Vec::new(),
                 changing: Vec::new(),
             };
-            for to in (0..self.gateways.len()).filter(|to| *to != from) {
-                self.gateways[to].runs.hear(&format!("g{from}"), report.clone(), now);
-            }
+            self.reports.push_back(Sent { at: now, from, report });
         }
     }
 
