--- a/crates/bulrushusher_forward/src/shutdown.rs
+++ b/crates/bulrushusher_forward/src/shutdown.rs
@@ -13,6 +13,9 @@
     pub margin: Millis,
 }
 
+/// Time before the kill in which answers are written, and the process ends: ten times what it takes.
+const LAST_ANSWERS: Millis = Millis(300);
+
 /// A shutdown that began.
 ///
 /// ```
@@ -45,6 +48,12 @@
         now.since(self.began) < self.cfg.accept_for
     }
 
+    /// When requests that still have no answer are given up: an answer that says so reaches the
+    /// caller, which a connection that is cut does not.
+    pub fn last_answers(&self) -> Millis {
+        self.kill().since(LAST_ANSWERS)
+    }
+
     /// When the process will be killed.
     pub fn kill(&self) -> Millis {
         self.began.plus(self.cfg.grace)
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/front.rs
@@ -154,13 +154,22 @@
             routing.version,
         );
         self.router.knowledge.earn_retry(&fwd.service);
-        let outcome = match fwd.route.kind {
-            RouteKind::Stream { .. } => generate(&self.router, &fwd).await,
-            RouteKind::Idempotent | RouteKind::NonIdempotent => call(&self.router, &fwd).await,
+        let outcome = tokio::select! {
+            outcome = self.send_on(&fwd) => outcome,
+            () = self.lifecycle.last_answers(&self.router.knowledge.clock) => {
+                Err(Refusal::OutcomeUnknown("the gateway stops before a runner has answered"))
+            }
         };
         (kind, outcome)
     }
 
+    async fn send_on(&self, fwd: &Forwarded) -> Result<Response<ReplyBody>, Refusal> {
+        match fwd.route.kind {
+            RouteKind::Stream { .. } => generate(&self.router, fwd).await,
+            RouteKind::Idempotent | RouteKind::NonIdempotent => call(&self.router, fwd).await,
+        }
+    }
+
     fn route(
         &self,
         routing: &RoutingConfig,
--- a/crates/bulrushusher_gateway/src/lifecycle.rs
+++ b/crates/bulrushusher_gateway/src/lifecycle.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{Shutdown, ShutdownConfig};
-use bulrushusher_time::Millis;
+use bulrushusher_time::{Clock, Millis};
 use tokio::sync::watch;
 
 /// Shared by everything that acts differently once a signal to stop has come.
@@ -28,6 +28,16 @@
         self.tx.borrow().is_some()
     }
 
+    /// Waits until the gateway is stopping and requests without an answer are to be given up.
+    pub(crate) async fn last_answers(&self, clock: &Clock) {
+        let mut rx = self.tx.subscribe();
+        let stopping = rx.wait_for(Option::is_some).await.ok().and_then(|shutdown| *shutdown);
+        // The sender lives as long as this.
+        let Some(shutdown) = stopping else { return };
+        let left = shutdown.last_answers().since(clock.now());
+        tokio::time::sleep(left.duration()).await;
+    }
+
     pub(crate) fn shutdown(&self) -> Option<Shutdown> {
         *self.tx.borrow()
     }
--- a/crates/bulrushusher_standin/src/lib.rs
+++ b/crates/bulrushusher_standin/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod vm_list;
 
 pub use engine::{Engine, EngineConfig};
-pub use relay::Relay;
+pub use relay::{Relay, RelayFault};
 pub use service::{PlainService, ServiceConfig};
 pub use store::Store;
 pub use vm_list::VmList;
