--- a/crates/bulrushusher_forward/src/choose.rs
+++ b/crates/bulrushusher_forward/src/choose.rs
@@ -1,5 +1,7 @@
 //! Which runner gets a request.
 
+use std::collections::BTreeSet;
+
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 
@@ -16,6 +18,8 @@
     pub service: &'a ServiceName,
     /// Runners that change their stage now, as peers tell.
     pub runs: Option<&'a Runs>,
+    /// Runners that fail too many runs; they are passed over while there are others.
+    pub failing: Option<&'a BTreeSet<RunnerId>>,
     /// The present time.
     pub now: Millis,
 }
@@ -104,9 +108,11 @@
     awake_if_any(cx, of_stage.filter(|r| !tried.contains(&r.id)).collect())
 }
 
-/// Without the runners that were unreachable a moment ago, unless there are no others.
+/// Without the runners that were unreachable a moment ago or fail too many runs, unless there are no
+/// others.
 fn awake_if_any<'a>(cx: Candidate<'_>, usable: Vec<&'a Runner>) -> Vec<&'a Runner> {
-    let awake = usable.iter().filter(|r| !cx.loads.is_paused(&r.id, cx.now));
+    let fails = |r: &Runner| cx.failing.is_some_and(|failing| failing.contains(&r.id));
+    let awake = usable.iter().filter(|r| !cx.loads.is_paused(&r.id, cx.now) && !fails(r));
     let awake: Vec<&Runner> = awake.copied().collect();
     if awake.is_empty() { usable } else { awake }
 }
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -1,13 +1,13 @@
 //! The runs at decode runners: this gateway's own, and those that its peers tell of.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
 use serde::{Deserialize, Serialize};
 
-use crate::RunShape;
+use crate::{RunCounts, RunShape};
 
 /// One run, as gateways tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -54,6 +54,9 @@
     /// Runners that change their stage by its orders, or by others' that it knows of.
     #[serde(default)]
     pub changing: Vec<RunnerId>,
+    /// How runs ended at runners that fail some.
+    #[serde(default)]
+    pub failing: Vec<RunCounts>,
 }
 
 /// Bounds of what is believed of peers.
@@ -178,6 +181,18 @@
         self.heard(now).any(|heard| heard.report.changing.contains(runner))
     }
 
+    /// How runs ended at runners that fail some, summed over all peers.
+    pub fn failing_at_peers(&self, now: Millis) -> BTreeMap<RunnerId, RunCounts> {
+        let mut sums: BTreeMap<RunnerId, RunCounts> = BTreeMap::new();
+        for told in self.heard(now).flat_map(|heard| &heard.report.failing) {
+            let empty = || RunCounts { runner: told.runner.clone(), good: 0.0, bad: 0.0 };
+            let sum = sums.entry(told.runner.clone()).or_insert_with(empty);
+            sum.good += told.good;
+            sum.bad += told.bad;
+        }
+        sums
+    }
+
     /// The runs at a runner. Those of peers are taken further by the time since their report.
     pub fn at(&self, runner: &RunnerId, tokens_per_ms: f64, now: Millis) -> Vec<RunShape> {
         let own = self.own.values().filter(|note| note.runner == *runner);
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -282,7 +282,14 @@
             }
             let loads = RunnerLoads::new(LoadConfig::default());
             let service = service();
-            let cx = Candidate { members: &members, loads: &loads, service: &service, runs: None, now };
+            let cx = Candidate {
+                members: &members,
+                loads: &loads,
+                service: &service,
+                runs: None,
+                failing: None,
+                now,
+            };
             let near = "dc-1".try_into().unwrap();
             let picked = pick_for_call(cx, PlainPick { tried: &[], near: &near, draw });
             if let Some(picked) = &picked {
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -110,7 +110,8 @@
         true => longest_silence(fwd).min(fwd.left(began)),
         false => fwd.left(began),
     };
-    let sent = cx.attempt(fwd, &runner, resume_after, step, within).await;
+    let sending = cx.attempt(fwd, &runner, resume_after, step, within);
+    let sent = note_silence(cx, fwd, &runner, sending).await;
     let no_run = match sent {
         Ok(reply) if reply.head.status.is_success() && reply.marks.sealed => {
             if let Some(held) = &mut held {
@@ -123,6 +124,7 @@
         Err(e) => {
             let went = (CallResult::Unreachable, &*e.to_string());
             note(cx, fwd, &runner, "generate", began, went);
+            cx.knowledge.note_run_end(&runner.id, false);
             return Err(NoRun::Ended(e.attempt_end(), "no decode runner answered"));
         }
     };
@@ -133,9 +135,31 @@
         NoRun::Unplaced(reason) => (CallResult::NotRun, *reason),
     };
     note(cx, fwd, &runner, "generate", began, (result, detail));
+    if matches!(result, CallResult::Failed | CallResult::Unreachable) {
+        cx.knowledge.note_run_end(&runner.id, false);
+    }
     Err(no_run)
 }
 
+/// Waits for an answer, and counts a runner that stays silent for too long as failing while the
+/// caller still waits: others need not meet it too.
+async fn note_silence<D: Dialect, T>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    runner: &Runner,
+    sending: impl Future<Output = T>,
+) -> T {
+    let mut sending = std::pin::pin!(sending);
+    let silence = longest_silence(fwd).duration();
+    match tokio::time::timeout(silence, &mut sending).await {
+        Ok(sent) => sent,
+        Err(_) => {
+            cx.knowledge.note_run_end(&runner.id, false);
+            sending.await
+        }
+    }
+}
+
 /// Reads an answer that is no stream.
 async fn refused<D: Dialect>(
     cx: &Router<D>,
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/knowledge/health.rs
@@ -0,0 +1,62 @@
+//! Which runners fail runs, over all gateways.
+
+use std::collections::BTreeSet;
+
+use bulrushusher_forward::{RunCounts, Runs};
+use bulrushusher_time::Millis;
+use bulrushusher_world::{RunnerId, ServiceName};
+
+use super::{Knowledge, Runners};
+
+impl Knowledge {
+    /// A run or a reading at the runner ended well, or did not.
+    pub(crate) fn note_run_end(&self, runner: &RunnerId, good: bool) {
+        let now = self.now();
+        let at_peers = self.runs.lock().failing_at_peers(now);
+        let mut health = self.health.lock();
+        let fails = |health: &bulrushusher_forward::RunnerHealth| {
+            health.is_failing(runner, at_peers.get(runner), now)
+        };
+        let before = fails(&health);
+        health.note(runner, good, now);
+        if !before && fails(&health) {
+            log::info!("runners: passed over id={runner} cause=\"it fails too many runs\"");
+        }
+        if !good {
+            self.report_due.notify_one();
+        }
+    }
+
+    /// Forgets how runs ended at a runner that is gone.
+    pub(crate) fn forget_run_ends(&self, runner: &RunnerId) {
+        self.health.lock().forget(runner);
+    }
+
+    /// Runners of the service that fail too many runs. Empty when that is true of so many that the
+    /// cause must be another one.
+    pub(super) fn failing(
+        &self,
+        runners: &Runners,
+        runs: &Runs,
+        service: &ServiceName,
+        now: Millis,
+    ) -> BTreeSet<RunnerId> {
+        let at_peers = runs.failing_at_peers(now);
+        let health = self.health.lock();
+        let usable = || runners.members.usable(service, now);
+        let fails = |id: &RunnerId| health.is_failing(id, at_peers.get(id), now);
+        let failing: BTreeSet<RunnerId> =
+            usable().filter(|r| fails(&r.id)).map(|r| r.id.clone()).collect();
+        match failing.len() > health.most_passed_over(usable().count()) {
+            true => BTreeSet::new(),
+            false => failing,
+        }
+    }
+
+    /// What peers are told of runners that fail.
+    pub(super) fn failing_told(&self) -> Vec<RunCounts> {
+        let now = self.now();
+        let at_peers = self.runs.lock().failing_at_peers(now).into_keys().collect();
+        self.health.lock().told(&at_peers, now)
+    }
+}
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -39,7 +39,12 @@
                 let peak = peak_memory(&shapes, &lengths, rate, forecast);
                 (is_empty || peak <= room).then_some(peak)
             };
-            let cx = Candidate { runs: Some(&runs), ..runners.candidates(service, now) };
+            let failing = self.failing(runners, &runs, service, now);
+            let cx = Candidate {
+                runs: Some(&runs),
+                failing: Some(&failing),
+                ..runners.candidates(service, now)
+            };
             rank_for_decode(cx, tried, draw, peak)
         })
     }
@@ -131,8 +136,9 @@
         let reads = self.with_runners(|runners, _| runners.loads.reads());
         let (waiting, waiting_late) = self.waiting_by_chance();
         let runs = self.runs.lock().own().cloned().collect();
-        let changing = self.changing.lock().values().flatten().cloned().collect();
-        GatewayReport { life, number, waiting, waiting_late, runs, reads, changing }
+        let changing: Vec<RunnerId> = self.changing.lock().values().flatten().cloned().collect();
+        let failing = self.failing_told();
+        GatewayReport { life, number, waiting, waiting_late, runs, reads, changing, failing }
     }
 
     /// Prompt tokens that wait at a prefill runner, over all gateways.
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -1,16 +1,16 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then paces, then
-//! runs, then changing. No lock is held across an await.
+//! runs, then health, then changing. No lock is held across an await.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_forward::{
-    AttemptEnd, AttemptPlan, CallResult, Candidate, Members, NextStep, Pace, PaceConfig,
-    PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner, RunnerLoads, Runs, UsualPatience,
-    WaitingLine, pick_for_call, pick_for_prefill,
+    AttemptEnd, AttemptPlan, CallResult, Candidate, HealthConfig, Members, NextStep, Pace,
+    PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner, RunnerHealth,
+    RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::RetryBudget;
 use bulrushusher_time::{Clock, Millis};
@@ -22,6 +22,7 @@
 
 use crate::settings::GatewayConfig;
 
+mod health;
 mod memory;
 
 /// Fewest parts that the shared burst of repeats is split into. A gateway that starts again has a
@@ -47,6 +48,7 @@
     paces: Mutex<HashMap<ServiceName, Pace>>,
     patience: Mutex<UsualPatience>,
     runs: Mutex<Runs>,
+    health: Mutex<RunnerHealth>,
     /// Runners whose stage changes, by service.
     changing: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Notified when peers should hear of something new.
@@ -68,6 +70,7 @@
             paces: Mutex::default(),
             patience: Mutex::default(),
             runs: Mutex::new(Runs::new(PeersConfig::default())),
+            health: Mutex::new(RunnerHealth::new(HealthConfig::default())),
             changing: Mutex::default(),
             report_due: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -140,8 +143,13 @@
         let draw = self.draw();
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
+            let failing = self.failing(runners, &runs, service, now);
             let elsewhere = |id: &RunnerId| runs.reads_of_peers(id, now);
-            let cx = Candidate { runs: Some(&runs), ..runners.candidates(service, now) };
+            let cx = Candidate {
+                runs: Some(&runs),
+                failing: Some(&failing),
+                ..runners.candidates(service, now)
+            };
             pick_for_prefill(cx, near, tried, draw, elsewhere)
         })
     }
@@ -254,6 +262,13 @@
 
 impl Runners {
     fn candidates<'a>(&'a self, service: &'a ServiceName, now: Millis) -> Candidate<'a> {
-        Candidate { members: &self.members, loads: &self.loads, service, runs: None, now }
+        Candidate {
+            members: &self.members,
+            loads: &self.loads,
+            service,
+            runs: None,
+            failing: None,
+            now,
+        }
     }
 }
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -103,6 +103,7 @@
         cx.metrics.attempt("stream", word, took.0 as f64);
         match end {
             RunEnd::Whole => {
+                cx.knowledge.note_run_end(&runner, true);
                 let expected = fwd.arrival.size.map_or(0, |size| size.expected());
                 let made = last * cx.knowledge.tokens_per_event(&fwd.service);
                 cx.knowledge
@@ -111,7 +112,7 @@
             }
             RunEnd::CallerGone => return,
             RunEnd::TimeOver => break,
-            RunEnd::Broken(_) => {}
+            RunEnd::Broken(_) => cx.knowledge.note_run_end(&runner, false),
         }
         match go_on(cx, fwd, &mut plan, &mut progress, &mut tries, &tx).await {
             Some(next) => run = next,
@@ -169,19 +170,24 @@
     let head = reply.head;
     let mut body = reply.body;
     let has_events = is_event_stream(&head.headers);
+    let mut was_silent = false;
     loop {
         let left = fwd.left(cx.now());
-        let patience = match plan.may_run_again() {
-            true => longest_silence(fwd).min(left),
-            false => left,
-        };
+        let patience = if was_silent { left } else { longest_silence(fwd).min(left) };
         let frame = tokio::select! {
             frame = tokio::time::timeout(patience.duration(), body.frame()) => frame,
             () = tx.closed() => return RunEnd::CallerGone,
         };
         let bytes = match frame {
             Err(_) if patience == left => return RunEnd::TimeOver,
-            Err(_) => return RunEnd::Broken(format!("silent for {patience}")),
+            Err(_) if plan.may_run_again() => {
+                return RunEnd::Broken(format!("silent for {patience}"));
+            }
+            Err(_) => {
+                cx.knowledge.note_run_end(&runner.id, false);
+                was_silent = true;
+                continue;
+            }
             Ok(Some(Err(e))) => return RunEnd::Broken(e.to_string()),
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(bytes) => bytes,
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -132,8 +132,12 @@
         Err((result, cause)) => (*result, cause.as_str()),
     };
     cx.note_attempt(fwd, AttemptNote { runner: &runner.id, step: "read", began, result, detail });
-    if result == CallResult::NotRun {
-        cx.knowledge.pause(&runner.id, REFUSED_READ_PAUSE);
+    match result {
+        CallResult::NotRun => cx.knowledge.pause(&runner.id, REFUSED_READ_PAUSE),
+        CallResult::Answered(_) => cx.knowledge.note_run_end(&runner.id, true),
+        CallResult::Failed => cx.knowledge.note_run_end(&runner.id, false),
+        // A line that is too long looks the same; the pause after it is enough.
+        CallResult::Unreachable => {}
     }
     let handle = read.ok()?;
     if ahead == 0 {
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -120,6 +120,7 @@
             runners.members.forget(runner);
             runners.loads.forget(runner);
         });
+        self.knowledge.forget_run_ends(runner);
         self.exchanger.pool().forget(runner);
     }
 }
--- a/crates/bulrushusher_model/src/engines.rs
+++ b/crates/bulrushusher_model/src/engines.rs
@@ -35,6 +35,19 @@
     }
 }
 
+impl EngineFigures {
+    /// An engine that takes that many times as long for a step.
+    #[must_use]
+    pub fn slower(self, times: f64) -> EngineFigures {
+        EngineFigures {
+            step_ms: self.step_ms * times,
+            step_ms_per_run: self.step_ms_per_run * times,
+            step_ms_per_thousand: self.step_ms_per_thousand * times,
+            ..self
+        }
+    }
+}
+
 /// A run at a decode engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
--- a/crates/bulrushusher_model/src/lib.rs
+++ b/crates/bulrushusher_model/src/lib.rs
@@ -5,14 +5,16 @@
 //! steps of a few milliseconds. It measures what callers see, and is no substitute for the real
 //! programs: transfers take no time, and messages between gateways take one step.
 
+mod bound;
 mod engines;
 mod load;
 mod outcome;
 mod patterns;
 mod play;
 
+pub use bound::most_on_time;
 pub use engines::{DecodeEngine, EngineFigures, PrefillEngine};
 pub use load::{Arrival, Burst, Load, arrivals};
-pub use outcome::Outcome;
+pub use outcome::{DATA_CENTRES, Outcome};
 pub use patterns::Pattern;
 pub use play::{Admission, Fleet, play};
--- a/crates/bulrushusher_model/src/main.rs
+++ b/crates/bulrushusher_model/src/main.rs
@@ -1,7 +1,7 @@
 //! `bulrush-model`: plays patterns of load on the model and prints a table.
 
 use bulrushusher_forward::ForecastConfig;
-use bulrushusher_model::{Admission, Fleet, Outcome, Pattern, arrivals, play};
+use bulrushusher_model::{Admission, Fleet, Outcome, Pattern, arrivals, most_on_time, play};
 use clap::{Arg, Command, value_parser};
 use comfy_table::Table;
 
@@ -22,19 +22,22 @@
         "memory",
         "callers",
         "on time",
+        "of the most",
         "late",
         "refused",
+        "failed",
         "twice",
         "left",
         "preempted",
         "wasted tokens",
         "large served",
+        "worst centre",
         "memory used",
     ]);
     for pattern in Pattern::ALL {
         for (name, fleet) in policies() {
-            let outcome = play_seeds(pattern, fleet, seeds);
-            table.add_row(row(pattern, name, &outcome));
+            let (outcome, most) = play_seeds(pattern, fleet, seeds);
+            table.add_row(row(pattern, name, &outcome, most));
         }
     }
     println!("{table}");
@@ -52,28 +55,35 @@
     ]
 }
 
-fn play_seeds(pattern: Pattern, fleet: Fleet, seeds: u64) -> Outcome {
+/// Plays a pattern; returns also the most that could have been on time.
+fn play_seeds(pattern: Pattern, fleet: Fleet, seeds: u64) -> (Outcome, usize) {
     let mut sum = Outcome::default();
+    let mut most = 0;
     for seed in 1..=seeds {
-        sum += play(&pattern.fleet(fleet), &arrivals(&pattern.load(), seed), seed);
+        let (fleet, callers) = (pattern.fleet(fleet), arrivals(&pattern.load(), seed));
+        sum += play(&fleet, &callers, seed);
+        most += most_on_time(&fleet, &callers);
     }
-    sum
+    (sum, most)
 }
 
-fn row(pattern: Pattern, name: &str, outcome: &Outcome) -> Vec<String> {
+fn row(pattern: Pattern, name: &str, outcome: &Outcome, most: usize) -> Vec<String> {
     let percent = |share: f64| format!("{:.1}%", share * 100.0);
     vec![
         pattern.to_string(),
         name.to_owned(),
         outcome.callers.to_string(),
         percent(outcome.goodput()),
+        percent(outcome.on_time as f64 / most.max(1) as f64),
         outcome.late.to_string(),
         outcome.refused.to_string(),
+        outcome.failed.to_string(),
         outcome.refused_twice.to_string(),
         outcome.left.to_string(),
         outcome.preempted.to_string(),
         format!("{:.0}", outcome.wasted_tokens),
         percent(outcome.large_served_share()),
+        percent(outcome.lowest_goodput_of_a_centre()),
         percent(outcome.memory_use()),
     ]
 }
--- a/crates/bulrushusher_model/src/outcome.rs
+++ b/crates/bulrushusher_model/src/outcome.rs
@@ -2,6 +2,9 @@
 
 use std::ops::AddAssign;
 
+/// Data centres that gateways stand in, in turn.
+pub const DATA_CENTRES: usize = 4;
+
 /// Counts of one or more plays.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Outcome {
@@ -15,6 +18,12 @@
     pub refused: usize,
     /// Of these, refused when they came back.
     pub refused_twice: usize,
+    /// Failed by an engine.
+    pub failed: usize,
+    /// Callers of each data centre.
+    pub callers_by_centre: [usize; DATA_CENTRES],
+    /// Of these, served on time.
+    pub on_time_by_centre: [usize; DATA_CENTRES],
     /// Left before they were served.
     pub left: usize,
     /// Runs that were preempted.
@@ -42,6 +51,14 @@
         (self.on_time + self.late) as f64 / self.callers.max(1) as f64
     }
 
+    /// Lowest share served on time in a data centre.
+    pub fn lowest_goodput_of_a_centre(&self) -> f64 {
+        let centres = self.on_time_by_centre.iter().zip(self.callers_by_centre);
+        let shares =
+            centres.filter(|(_, all)| *all > 0).map(|(on_time, all)| *on_time as f64 / all as f64);
+        shares.fold(1.0, f64::min)
+    }
+
     /// Share of the largest callers that were served.
     pub fn large_served_share(&self) -> f64 {
         self.large_served as f64 / self.large.max(1) as f64
@@ -60,6 +77,11 @@
         self.late += other.late;
         self.refused += other.refused;
         self.refused_twice += other.refused_twice;
+        self.failed += other.failed;
+        for centre in 0..DATA_CENTRES {
+            self.callers_by_centre[centre] += other.callers_by_centre[centre];
+            self.on_time_by_centre[centre] += other.on_time_by_centre[centre];
+        }
         self.left += other.left;
         self.preempted += other.preempted;
         self.wasted_tokens += other.wasted_tokens;
--- a/crates/bulrushusher_model/src/patterns.rs
+++ b/crates/bulrushusher_model/src/patterns.rs
@@ -27,6 +27,13 @@
     /// A decode engine lost in the middle of a double burst.
     #[display("engine lost")]
     EngineLost,
+    /// A decode engine that fails half of its runs, with its health check good, at the usual rate
+    /// and a half.
+    #[display("grey engine")]
+    GreyEngine,
+    /// A decode engine that takes three times as long as the others, in a double burst.
+    #[display("slow engine")]
+    SlowEngine,
     /// A third of the refused callers come back at once in a double burst, whatever they are told.
     #[display("retry abuse")]
     RetryAbuse,
@@ -37,13 +44,15 @@
 
 impl Pattern {
     /// All patterns.
-    pub const ALL: [Pattern; 8] = [
+    pub const ALL: [Pattern; 10] = [
         Pattern::SteadyWave,
         Pattern::DoubleBurst,
         Pattern::Overload,
         Pattern::LongPrompts,
         Pattern::LongAnswers,
         Pattern::EngineLost,
+        Pattern::GreyEngine,
+        Pattern::SlowEngine,
         Pattern::RetryAbuse,
         Pattern::LeavingCallers,
     ];
@@ -54,7 +63,10 @@
         let bursts = double_burst();
         match self {
             Pattern::SteadyWave => usual,
-            Pattern::DoubleBurst | Pattern::EngineLost => Load { bursts, ..usual },
+            Pattern::GreyEngine => Load { per_second: usual.per_second * 1.5, ..usual },
+            Pattern::DoubleBurst | Pattern::EngineLost | Pattern::SlowEngine => {
+                Load { bursts, ..usual }
+            }
             Pattern::Overload => Load { per_second: usual.per_second * 4.0, ..usual },
             Pattern::LongPrompts => Load { prompt: usual.prompt * 2.0, bursts, ..usual },
             Pattern::LongAnswers => {
@@ -69,6 +81,8 @@
     pub fn fleet(self, fleet: Fleet) -> Fleet {
         match self {
             Pattern::EngineLost => Fleet { loses: Some(Millis(18_000)), ..fleet },
+            Pattern::GreyEngine => Fleet { grey: 0.5, ..fleet },
+            Pattern::SlowEngine => Fleet { slow: 3.0, ..fleet },
             _ => fleet,
         }
     }
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -1,12 +1,13 @@
 //! Plays callers on gateways and engines, with the router's own decisions.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
 use bulrushusher_forward::{
-    Candidate, ForecastConfig, GatewayReport, LoadConfig, Members, MembersConfig, Pace, PaceConfig,
-    PeersConfig, Rank, ReturnConfig, RunNote, RunNumber, RunShape, Runner, RunnerLoads, Runs,
-    Stage, WaitingConfig, WaitingLine, asks_now, peak_memory, rank_for_decode,
+    Candidate, ForecastConfig, GatewayReport, HealthConfig, LoadConfig, Members, MembersConfig,
+    Pace, PaceConfig, PeersConfig, Rank, ReturnConfig, RunNote, RunNumber, RunShape, Runner,
+    RunnerHealth, RunnerLoads, Runs, Stage, WaitingConfig, WaitingLine, asks_now, peak_memory,
+    rank_for_decode,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
@@ -15,7 +16,7 @@
 
 use crate::engines::{DecodeEngine, EngineFigures, PrefillEngine, Reading, Run};
 use crate::load::Arrival;
-use crate::outcome::Outcome;
+use crate::outcome::{DATA_CENTRES, Outcome};
 
 /// Length of a step.
 const STEP: Millis = Millis(5);
@@ -24,7 +25,7 @@
 const ASK_AGAIN: Millis = Millis(10);
 
 /// The response-time target, the target for pauses, and the patience of callers.
-const TARGET: Millis = Millis(900);
+pub(crate) const TARGET: Millis = Millis(900);
 const GAP_TARGET: Millis = Millis(300);
 const PATIENCE: Millis = Millis(14_000);
 
@@ -32,6 +33,10 @@
 /// over a link of 10 Mbit/s and to be read there.
 const REPORT_LAG: Millis = Millis(15);
 
+/// The decode engine that fails runs, and the one that is slow, where a fleet has them.
+const GREY: usize = 1;
+const SLOW: usize = 2;
+
 /// How memory is given to runs.
 #[derive(Clone, Copy, Debug)]
 pub enum Admission {
@@ -67,6 +72,12 @@
     pub report_lag: Millis,
     /// A decode engine that is lost, and when.
     pub loses: Option<Millis>,
+    /// Share of its runs that one decode engine fails, while it grants memory as always.
+    pub grey: f64,
+    /// How many times as long as the others another decode engine takes.
+    pub slow: f64,
+    /// True when gateways pass over engines that fail their runs.
+    pub heeds_failures: bool,
 }
 
 impl Default for Fleet {
@@ -82,6 +93,9 @@
             peers_speak: true,
             report_lag: REPORT_LAG,
             loses: None,
+            grey: 0.0,
+            slow: 1.0,
+            heeds_failures: true,
         }
     }
 }
@@ -110,6 +124,7 @@
     line: WaitingLine,
     runs: Runs,
     pace: Pace,
+    health: RunnerHealth,
     reports: u64,
 }
 
@@ -165,6 +180,7 @@
             line: WaitingLine::new(fleet.waiting),
             runs: Runs::new(PeersConfig::default()),
             pace: Pace::new(PaceConfig::default()),
+            health: RunnerHealth::new(HealthConfig::default()),
             reports: 0,
         };
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -241,8 +257,13 @@
                 self.refuse(n, now);
                 continue;
             }
-            self.next_order += 1;
             let Caller { arrival, gateway, .. } = self.callers[n];
+            let is_grey = decode == GREY && self.fleet.grey > 0.0;
+            if is_grey && self.rng.random::<f64>() < self.fleet.grey {
+                self.fail(n, decode, now);
+                continue;
+            }
+            self.next_order += 1;
             self.decodes[decode].runs.push(Run {
                 caller: n,
                 prompt: arrival.prompt,
@@ -258,12 +279,22 @@
         }
     }
 
+    /// The engine fails the run; it may not be repeated.
+    fn fail(&mut self, n: usize, decode: usize, now: Millis) {
+        let gateway = self.callers[n].gateway;
+        self.gateways[gateway].health.note(&self.ids[decode], false, now);
+        self.release(n);
+        self.callers[n].state = State::Over;
+        self.outcome.failed += 1;
+    }
+
     fn generate(&mut self, now: Millis) {
-        let figures = self.fleet.figures;
         for decode in 0..self.decodes.len() {
+            let times = if decode == SLOW { self.fleet.slow } else { 1.0 };
+            let figures = self.fleet.figures.slower(times);
             let stepped = self.decodes[decode].step(&figures, now, STEP);
             for run in stepped.ended {
-                self.end(run);
+                self.end(run, decode, now);
             }
             for run in stepped.preempted {
                 self.outcome.preempted += 1;
@@ -295,7 +326,7 @@
         self.outcome.late += 1;
     }
 
-    fn end(&mut self, run: Run) {
+    fn end(&mut self, run: Run, decode: usize, now: Millis) {
         let n = run.caller;
         let Caller { arrival, gateway, first_event, preempted, .. } = self.callers[n];
         let started = first_event.unwrap_or(Millis::MAX);
@@ -305,6 +336,8 @@
             true => self.outcome.on_time += 1,
             false => self.outcome.late += 1,
         }
+        self.outcome.on_time_by_centre[gateway % DATA_CENTRES] += usize::from(on_time);
+        self.gateways[gateway].health.note(&self.ids[decode], true, now);
         if is_large(&arrival, self.fleet) {
             self.outcome.large_served += 1;
         }
@@ -398,14 +431,16 @@
     /// The decode engine that the run may go to, if its own word agrees.
     fn find_memory(&mut self, n: usize, others: usize, now: Millis) -> Option<usize> {
         let Caller { arrival, gateway, .. } = self.callers[n];
+        let gateway = &self.gateways[gateway];
+        let failing = self.failing(gateway, now);
         let candidate = Candidate {
             members: &self.members,
             loads: &self.loads,
             service: &self.service,
             runs: None,
+            failing: Some(&failing),
             now,
         };
-        let gateway = &self.gateways[gateway];
         let rate = gateway.pace.tokens_per_ms();
         let lengths = gateway.pace.lengths();
         let peak = |runner: &Runner| match self.fleet.admission {
@@ -427,6 +462,16 @@
         places.into_iter().find(|decode| self.has_room(*decode, &arrival))
     }
 
+    /// Engines that a gateway passes over.
+    fn failing(&self, gateway: &Gateway, now: Millis) -> BTreeSet<RunnerId> {
+        if !self.fleet.heeds_failures {
+            return BTreeSet::new();
+        }
+        let at_peers = gateway.runs.failing_at_peers(now);
+        let fails = |id: &&RunnerId| gateway.health.is_failing(id, at_peers.get(id), now);
+        self.ids.iter().filter(fails).cloned().collect()
+    }
+
     /// The engine's own word: what is used or held, whichever is more, and the new hold fit.
     fn has_room(&self, decode: usize, arrival: &Arrival) -> bool {
         let engine = &self.decodes[decode];
@@ -487,14 +532,17 @@
                 waiting: teller.line.on_time() as u32,
                 waiting_late: (teller.line.len() - teller.line.on_time()) as u32,
                 runs: teller.runs.own().cloned().collect(),
-                reads: Vec::new(),
-                changing: Vec::new(),
+                failing: teller.health.told(&BTreeSet::new(), now),
+                ..GatewayReport::default()
             };
             self.reports.push_back(Sent { at: now, from, report });
         }
     }
 
     fn finish(mut self) -> Outcome {
+        for caller in &self.callers {
+            self.outcome.callers_by_centre[caller.gateway % DATA_CENTRES] += 1;
+        }
         self.outcome.large =
             self.callers.iter().filter(|c| is_large(&c.arrival, self.fleet)).count();
         self.outcome
--- a/crates/bulrushusher_model/tests/patterns.rs
+++ b/crates/bulrushusher_model/tests/patterns.rs
@@ -146,3 +146,30 @@
     assert!(ours > goodput(ENGINES / 4) + 0.01, "a quarter is too many");
     assert!(ours > goodput(ENGINES / 8) + 0.1, "an eighth is too few");
 }
+
+/// A decode engine that fails half of its runs, its health check good: half of what it gets is lost,
+/// unless gateways pass it over by what they see and tell each other.
+#[test]
+fn a_grey_engine_is_passed_over() {
+    let ours = played(Pattern::GreyEngine, Fleet::default());
+    let blind = played(Pattern::GreyEngine, Fleet { heeds_failures: false, ..Fleet::default() });
+    assert!(ours.failed * 2 < blind.failed, "{ours:?} {blind:?}");
+    assert!(ours.goodput() > blind.goodput() + 0.02, "{ours:?} {blind:?}");
+}
+
+/// One engine of nine at a third of the speed, in a double burst: its memory is lost for most of the
+/// time, and no more than that.
+#[test]
+fn a_slow_engine_costs_about_its_share() {
+    let (slow, usual) =
+        (played(Pattern::SlowEngine, forecast()), played(Pattern::DoubleBurst, forecast()));
+    assert!(slow.goodput() > usual.goodput() - 0.12, "{slow:?} {usual:?}");
+}
+
+/// Callers of one data centre get about what those of the others get.
+#[test]
+fn in_a_double_burst_no_data_centre_is_left_behind() {
+    let outcome = played(Pattern::DoubleBurst, Fleet { gateways: 8, ..forecast() });
+    let lowest = outcome.lowest_goodput_of_a_centre();
+    assert!(lowest > outcome.goodput() - 0.08, "{lowest} {outcome:?}");
+}
