--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -85,6 +85,7 @@
         // decode runner reads the prompt itself.
         // Or the decode runner takes nothing: it is not asked again for this request either.
         Err(NoRun::Ended(AttemptEnd::NotRun, _)) => {
+            cx.knowledge.note_run_end(&runner.id, false);
             if let Some(kv) = &kv {
                 cx.knowledge.note_call(kv.runner(), CallResult::Unreachable);
                 tries.read_at_decode = true;
