--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -38,23 +38,38 @@
     /// When the last bytes came, and the longest pause since the first ones.
     last_bytes: Option<Millis>,
     longest_gap: Millis,
+    /// Pauses in a row that were long for a route with such a target.
+    slow_in_row: u32,
     splitter: EventSplitter,
 }
 
+/// A pause beyond this share of the route's target for pauses is long: some three times as long as
+/// usual, and near enough to being late.
+const LONG_PAUSE_SHARE: f64 = 0.5;
+
+/// Long pauses in a row that make a runner a slow one. A prompt that is read or a run that is
+/// preempted makes one long pause, and few make two.
+const SLOW_PAUSES: u32 = 4;
+
 impl Progress {
     fn new(last_event: Option<u64>) -> Progress {
         Progress {
             last_event,
             last_bytes: None,
             longest_gap: Millis(0),
+            slow_in_row: 0,
             splitter: EventSplitter::default(),
         }
     }
 
-    fn note_bytes(&mut self, now: Millis) {
-        if let Some(last) = self.last_bytes.replace(now) {
-            self.longest_gap = self.longest_gap.max(now.since(last));
-        }
+    /// Takes in that bytes came; true when they make the runner a slow one.
+    fn note_bytes(&mut self, gap_target: Millis, now: Millis) -> bool {
+        let Some(last) = self.last_bytes.replace(now) else { return false };
+        let gap = now.since(last);
+        self.longest_gap = self.longest_gap.max(gap);
+        let is_long = gap.0 as f64 > gap_target.0 as f64 * LONG_PAUSE_SHARE;
+        self.slow_in_row = if is_long && gap_target > Millis(0) { self.slow_in_row + 1 } else { 0 };
+        self.slow_in_row == SLOW_PAUSES
     }
 }
 
@@ -199,7 +214,9 @@
             }
             Ok(None) => return RunEnd::Broken("it ended inside an event".to_owned()),
         };
-        progress.note_bytes(cx.now());
+        if progress.note_bytes(fwd.route.gap_target, cx.now()) {
+            cx.knowledge.note_run_end(&runner.id, false);
+        }
         let passed = match has_events {
             true => pass_events(progress, &bytes, tx).await,
             false => tx.send(Ok(bytes)).await.is_ok(),
