--- a/crates/bulrushusher_forward/src/forecast.rs
+++ b/crates/bulrushusher_forward/src/forecast.rs
@@ -5,6 +5,8 @@
 //! may need leaves half of the memory idle; here the ends of some make room for the growth of
 //! others, as far as answers' lengths can be told.
 
+use crate::PromptSize;
+
 /// One run at a runner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunShape {
@@ -19,6 +21,16 @@
 }
 
 impl RunShape {
+    /// A run that has not begun. Nothing is known of a generation that states no size.
+    pub fn of(size: Option<&PromptSize>) -> RunShape {
+        RunShape {
+            prompt: size.map_or(0.0, |size| size.prompt as f64),
+            made: 0.0,
+            expected: size.map_or(1.0, |size| size.expected() as f64),
+            most: size.map_or(1.0, |size| size.most_output as f64),
+        }
+    }
+
     fn size(&self) -> f64 {
         self.prompt + self.made
     }
@@ -119,6 +131,39 @@
     }
 }
 
+/// What is known of a service's runs in general, to forecast the memory of one of its runners.
+#[derive(Clone, Copy, Debug)]
+pub struct MemoryForecast {
+    /// How long answers get.
+    pub lengths: LengthModel,
+    /// Tokens that a run generates in one ms.
+    pub tokens_per_ms: f64,
+    /// Memory of a runner, in tokens.
+    pub memory: f64,
+    /// How cautious to be.
+    pub cfg: ForecastConfig,
+}
+
+impl MemoryForecast {
+    /// Memory that may be forecast to be used, in tokens.
+    pub fn room(&self) -> f64 {
+        self.memory * self.cfg.fill
+    }
+
+    /// Memory that the runs at a runner will need at most with one more.
+    pub fn peak_with(&self, mut runs: Vec<RunShape>, run: RunShape) -> f64 {
+        runs.push(run);
+        peak_memory(&runs, &self.lengths, self.tokens_per_ms, self.cfg)
+    }
+
+    /// The same where it fits; `None` where it does not. A runner that has no run takes any.
+    pub fn peak_if_it_fits(&self, runs: Vec<RunShape>, run: RunShape) -> Option<f64> {
+        let is_alone = runs.is_empty();
+        let peak = self.peak_with(runs, run);
+        (is_alone || peak <= self.room()).then_some(peak)
+    }
+}
+
 /// Times looked at, in ms from now: the longest answers take some seven seconds.
 const LOOK_AHEAD_MS: [f64; 9] =
     [0.0, 400.0, 800.0, 1_300.0, 1_900.0, 2_600.0, 3_500.0, 4_700.0, 6_000.0];
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use choose::{Candidate, PlainPick, pick_for_call, pick_for_prefill, rank_for_decode};
 pub use events::{EventSplitter, WholeEvents};
-pub use forecast::{ForecastConfig, LengthModel, RunShape, peak_memory};
+pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, RunShape, peak_memory};
 pub use health::{HealthConfig, RunCounts, RunnerHealth};
 pub use load::{CallResult, LoadConfig, RunnerLoads};
 pub use members::{Members, MembersConfig};
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -35,6 +35,21 @@
     pub reads_itself: bool,
 }
 
+impl RunNote {
+    /// A run for which memory is held.
+    pub fn new(runner: RunnerId, shape: RunShape) -> RunNote {
+        RunNote {
+            runner,
+            prompt: shape.prompt as u64,
+            made: shape.made as u64,
+            expected: shape.expected as u64,
+            most: shape.most as u64,
+            begun: false,
+            reads_itself: false,
+        }
+    }
+}
+
 /// What one gateway tells its peers.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct GatewayReport {
@@ -156,9 +171,9 @@
         self.heard(now).count()
     }
 
-    /// Generations that wait at peers and can still be on time.
-    pub fn waiting_at_peers(&self, now: Millis) -> u32 {
-        self.heard(now).map(|heard| heard.report.waiting).sum()
+    /// True while a generation waits at a peer that can still be on time.
+    pub fn peers_wait_on_time(&self, now: Millis) -> bool {
+        self.heard(now).any(|heard| heard.report.waiting > 0)
     }
 
     /// Peers at which generations wait, be they late or not.
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -1,8 +1,8 @@
 //! What is known of memory at decode runners and of prompts at prefill runners, over all gateways.
 
 use bulrushusher_forward::{
-    Candidate, GatewayReport, RunNote, RunNumber, RunShape, Runner, Stage, WaitingLine, asks_now,
-    peak_memory, rank_for_decode,
+    Candidate, GatewayReport, MemoryForecast, RunNote, RunNumber, RunShape, Runner, Stage,
+    WaitingLine, asks_now, rank_for_decode,
 };
 use bulrushusher_world::{RunnerId, ServiceName};
 
@@ -27,17 +27,12 @@
         run: RunShape,
     ) -> Vec<Runner> {
         let draw = self.draw();
-        let room = self.room(service);
-        let (rate, lengths) = self.with_pace(service, |p| (p.tokens_per_ms(), p.lengths()));
-        let forecast = self.cfg.load().forecast;
+        let forecast = self.forecast(service);
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
             let peak = |runner: &Runner| {
-                let mut shapes = runs.at(&runner.id, rate, now);
-                let is_empty = shapes.is_empty();
-                shapes.push(run);
-                let peak = peak_memory(&shapes, &lengths, rate, forecast);
-                (is_empty || peak <= room).then_some(peak)
+                let there = runs.at(&runner.id, forecast.tokens_per_ms, now);
+                forecast.peak_if_it_fits(there, run)
             };
             let failing = self.failing(runners, &runs, service, now);
             let cx = Candidate {
@@ -52,30 +47,37 @@
     /// What decided that a run got no memory, for the log: the lowest forecast among the decode
     /// runners, what may be forecast at most, how many runners and peers that rests on.
     pub(crate) fn memory_outlook(&self, service: &ServiceName, run: RunShape) -> Outlook {
-        let (rate, lengths) = self.with_pace(service, |p| (p.tokens_per_ms(), p.lengths()));
-        let forecast = self.cfg.load().forecast;
-        let room = self.room(service) as u64;
+        let forecast = self.forecast(service);
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
             let peak = |runner: &Runner| {
-                let mut shapes = runs.at(&runner.id, rate, now);
-                shapes.push(run);
-                peak_memory(&shapes, &lengths, rate, forecast) as u64
+                let there = runs.at(&runner.id, forecast.tokens_per_ms, now);
+                forecast.peak_with(there, run) as u64
             };
             let decodes = runners.members.usable(service, now);
             let peaks: Vec<u64> =
                 decodes.filter(|r| r.stage == Some(Stage::Decode)).map(peak).collect();
-            let lowest = peaks.iter().copied().min().unwrap_or(0);
-            Outlook { runners: peaks.len(), lowest, room, peers: runs.peers(now) }
+            Outlook {
+                runners: peaks.len(),
+                lowest: peaks.iter().copied().min().unwrap_or(0),
+                room: forecast.room() as u64,
+                peers: runs.peers(now),
+            }
         })
     }
 
-    /// Memory of a runner that may be forecast to be used, in tokens.
-    fn room(&self, service: &ServiceName) -> f64 {
+    /// What a forecast of a runner's memory rests on, beside its runs.
+    fn forecast(&self, service: &ServiceName) -> MemoryForecast {
         let routing = self.routing();
         let engine = routing.as_ref().and_then(|routing| routing.service(service)?.engine);
         let memory = engine.map_or(f64::INFINITY, |engine| engine.memory_tokens as f64);
-        memory * self.cfg.load().forecast.fill
+        let cfg = self.cfg.load().forecast;
+        self.with_pace(service, |pace| MemoryForecast {
+            lengths: pace.lengths(),
+            tokens_per_ms: pace.tokens_per_ms(),
+            memory,
+            cfg,
+        })
     }
 
     /// Memory for a run is held.
@@ -112,7 +114,7 @@
     /// True while a peer has a generation in line that can still be on time.
     pub(crate) fn peers_have_waiting(&self) -> bool {
         let now = self.now();
-        self.runs.lock().waiting_at_peers(now) > 0
+        self.runs.lock().peers_wait_on_time(now)
     }
 
     /// True when this gateway may ask one of `open` runners for memory now, with regard to peers
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -37,12 +37,6 @@
     }
 }
 
-enum Asked<D: Dialect> {
-    Held(HeldMemory<D>),
-    Full,
-    Unreachable,
-}
-
 /// Waits in line for memory until `until`; `None` when there was none.
 pub(crate) async fn place<D: Dialect>(
     cx: &Router<D>,
@@ -54,7 +48,7 @@
     let rank = cx.knowledge.join_line(&fwd.service, late, fwd.route.priority);
     let line = InLine { knowledge: cx.knowledge.clone(), service: fwd.service.clone(), rank };
     let tokens = tokens_wanted(cx, fwd);
-    let shape = shape_of(fwd);
+    let shape = RunShape::of(fwd.arrival.size.as_ref());
     loop {
         let may_ask = cx.knowledge.with_line(&line.service, |l| l.may_ask(&line.rank));
         let yields = late && cx.knowledge.peers_have_waiting();
@@ -62,7 +56,7 @@
             let open = cx.knowledge.rank_for_decode(&fwd.service, tried, shape);
             let asked = if cx.knowledge.asks_now(open.len()) { ASKED_AT_ONCE } else { 0 };
             for runner in open.into_iter().take(asked) {
-                if let Asked::Held(held) = ask(cx, fwd, runner, tokens).await {
+                if let Some(held) = ask(cx, fwd, runner, tokens).await {
                     return Some(held);
                 }
             }
@@ -97,48 +91,29 @@
     );
 }
 
-/// The run as it will be forecast. Nothing is known of a generation that states no size.
-fn shape_of(fwd: &Forwarded) -> RunShape {
-    let Some(size) = &fwd.arrival.size else {
-        return RunShape { prompt: 0.0, made: 0.0, expected: 1.0, most: 1.0 };
-    };
-    RunShape {
-        prompt: size.prompt as f64,
-        made: 0.0,
-        expected: size.expected() as f64,
-        most: size.most_output as f64,
-    }
-}
-
-fn note_of(fwd: &Forwarded, runner: &Runner) -> RunNote {
-    let size = fwd.arrival.size.as_ref();
-    RunNote {
-        runner: runner.id.clone(),
-        prompt: size.map_or(0, |size| size.prompt),
-        made: 0,
-        expected: size.map_or(1, |size| size.expected()),
-        most: size.map_or(1, |size| size.most_output),
-        begun: false,
-        reads_itself: false,
-    }
-}
-
-async fn ask<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, runner: Runner, tokens: u64) -> Asked<D> {
+/// Asks a runner to hold memory; `None` when it does not.
+async fn ask<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    runner: Runner,
+    tokens: u64,
+) -> Option<HeldMemory<D>> {
     let began = cx.now();
     let ttl = hold_time(cx, fwd);
+    let shape = RunShape::of(fwd.arrival.size.as_ref());
     let call = cx.dialect.take_hold(&runner.id, tokens, ttl);
     let answer = cx.exchanger.side_call(&runner, call, SIDE_CALL_TIMEOUT).await;
     let (asked, word) = match answer {
         Ok((head, body)) => read_answer(
             cx,
             runner.clone(),
-            HoldTerms { note: note_of(fwd, &runner), ttl },
+            HoldTerms { note: RunNote::new(runner.id.clone(), shape), ttl },
             head.status,
             &body,
         ),
         Err(e) => {
             note_unreachable(cx, &runner.id, &e);
-            (Asked::Unreachable, "unreachable")
+            (None, "unreachable")
         }
     };
     cx.metrics.hold(word);
@@ -158,21 +133,21 @@
     terms: HoldTerms,
     status: StatusCode,
     body: &[u8],
-) -> (Asked<D>, &'static str) {
+) -> (Option<HeldMemory<D>>, &'static str) {
     let hold = |runner, lease| {
         HeldMemory::new(runner, lease, terms, &cx.knowledge, &cx.exchanger, &cx.dialect)
     };
     match (status, cx.dialect.hold_name(body)) {
-        (StatusCode::OK, Some(lease)) => (Asked::Held(hold(runner, Some(lease))), "held"),
+        (StatusCode::OK, Some(lease)) => (Some(hold(runner, Some(lease))), "held"),
         // An engine without holds decides when the generation arrives.
-        (StatusCode::NOT_FOUND, _) => (Asked::Held(hold(runner, None)), "no_holds"),
+        (StatusCode::NOT_FOUND, _) => (Some(hold(runner, None)), "no_holds"),
         (StatusCode::MISDIRECTED_REQUEST, _) => {
             cx.forget_runner(&runner.id, "another runner has its address");
-            (Asked::Unreachable, "wrong_runner")
+            (None, "wrong_runner")
         }
         _ => {
             cx.knowledge.with_runners(|r, now| r.loads.hold_refused(&runner.id, now));
-            (Asked::Full, "full")
+            (None, "full")
         }
     }
 }
--- a/crates/bulrushusher_model/src/bound.rs
+++ b/crates/bulrushusher_model/src/bound.rs
@@ -1,8 +1,9 @@
 //! The most callers that anybody could serve on time: what a planner that knew every answer's length
 //! and every arrival could not exceed.
 
+use crate::Fleet;
 use crate::load::Arrival;
-use crate::play::{Fleet, TARGET};
+use crate::play::TARGET;
 
 /// Distance of the bounds of intervals that are looked at, in ms.
 const GRID_MS: f64 = 500.0;
--- a/crates/bulrushusher_model/src/lib.rs
+++ b/crates/bulrushusher_model/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod bound;
 mod engines;
+mod fleet;
 mod load;
 mod outcome;
 mod patterns;
@@ -14,7 +15,8 @@
 
 pub use bound::most_on_time;
 pub use engines::{DecodeEngine, EngineFigures, PrefillEngine};
+pub use fleet::{Admission, Fleet};
 pub use load::{Arrival, Burst, Load, arrivals};
 pub use outcome::{DATA_CENTRES, Outcome};
 pub use patterns::Pattern;
-pub use play::{Admission, Fleet, play};
+pub use play::play;
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -4,17 +4,17 @@
 use std::net::SocketAddr;
 
 use bulrushusher_forward::{
-    Candidate, ForecastConfig, GatewayReport, HealthConfig, LoadConfig, Members, MembersConfig,
-    Pace, PaceConfig, PeersConfig, Rank, ReturnConfig, RunNote, RunNumber, RunShape, Runner,
-    RunnerHealth, RunnerLoads, Runs, Stage, WaitingConfig, WaitingLine, asks_now, peak_memory,
-    rank_for_decode,
+    Candidate, GatewayReport, HealthConfig, LoadConfig, Members, MembersConfig, MemoryForecast,
+    Pace, PaceConfig, PeersConfig, Rank, RunNote, RunNumber, RunShape, Runner, RunnerHealth,
+    RunnerLoads, Runs, Stage, WaitingLine, asks_now, rank_for_decode,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::engines::{DecodeEngine, EngineFigures, PrefillEngine, Reading, Run};
+use crate::engines::{DecodeEngine, PrefillEngine, Reading, Run};
+use crate::fleet::{Admission, Fleet};
 use crate::load::Arrival;
 use crate::outcome::{DATA_CENTRES, Outcome};
 
@@ -29,77 +29,10 @@
 const GAP_TARGET: Millis = Millis(300);
 const PATIENCE: Millis = Millis(14_000);
 
-/// Reports go out eight milliseconds apart at the most, and take some more to be sent to all peers
-/// over a link of 10 Mbit/s and to be read there.
-const REPORT_LAG: Millis = Millis(15);
-
 /// The decode engine that fails runs, and the one that is slow, where a fleet has them.
 const GREY: usize = 1;
 const SLOW: usize = 2;
 
-/// How memory is given to runs.
-#[derive(Clone, Copy, Debug)]
-pub enum Admission {
-    /// Each run holds its prompt and that many times the tokens that its caller expects.
-    Hold {
-        /// How many times; a large number holds the most.
-        times: f64,
-    },
-    /// Each run holds its prompt, and a forecast of all gateways' runs decides.
-    Forecast(ForecastConfig),
-}
-
-/// Gateways and engines.
-#[derive(Clone, Copy, Debug)]
-pub struct Fleet {
-    /// Gateways that callers are spread over.
-    pub gateways: usize,
-    /// Prefill engines.
-    pub prefills: usize,
-    /// Decode engines.
-    pub decodes: usize,
-    /// What engines can do.
-    pub figures: EngineFigures,
-    /// How memory is given to runs.
-    pub admission: Admission,
-    /// How long callers wait.
-    pub waiting: WaitingConfig,
-    /// When refused callers come back.
-    pub returns: ReturnConfig,
-    /// True when gateways tell each other their runs.
-    pub peers_speak: bool,
-    /// Time until a gateway's report has been taken in by the others.
-    pub report_lag: Millis,
-    /// A decode engine that is lost, and when.
-    pub loses: Option<Millis>,
-    /// Share of its runs that one decode engine fails, while it grants memory as always.
-    pub grey: f64,
-    /// How many times as long as the others another decode engine takes.
-    pub slow: f64,
-    /// True when gateways pass over engines that fail their runs.
-    pub heeds_failures: bool,
-}
-
-impl Default for Fleet {
-    fn default() -> Fleet {
-        Fleet {
-            gateways: 5,
-            prefills: 3,
-            decodes: 9,
-            figures: EngineFigures::default(),
-            admission: Admission::Forecast(ForecastConfig::default()),
-            waiting: WaitingConfig::default(),
-            returns: ReturnConfig { after: Millis(4_000), spread: 0.2 },
-            peers_speak: true,
-            report_lag: REPORT_LAG,
-            loses: None,
-            grey: 0.0,
-            slow: 1.0,
-            heeds_failures: true,
-        }
-    }
-}
-
 /// Where a caller is.
 #[derive(Clone, Copy, Debug)]
 enum State {
@@ -395,7 +328,7 @@
 
     fn wait(&mut self, n: usize, rank: Rank, until: Millis, now: Millis) {
         let gateway = self.callers[n].gateway;
-        let late_behind = rank.late && self.gateways[gateway].runs.waiting_at_peers(now) > 0;
+        let late_behind = rank.late && self.gateways[gateway].runs.peers_wait_on_time(now);
         let others = self.gateways[gateway].runs.peers_that_wait(now);
         if self.gateways[gateway].line.may_ask(&rank)
             && !late_behind
@@ -441,16 +374,18 @@
             failing: Some(&failing),
             now,
         };
-        let rate = gateway.pace.tokens_per_ms();
-        let lengths = gateway.pace.lengths();
-        let peak = |runner: &Runner| match self.fleet.admission {
-            Admission::Hold { .. } => Some(gateway.runs.at(&runner.id, rate, now).len() as f64),
-            Admission::Forecast(cfg) => {
-                let mut shapes = gateway.runs.at(&runner.id, rate, now);
-                shapes.push(shape(&arrival));
-                let peak = peak_memory(&shapes, &lengths, rate, cfg);
-                let room = self.fleet.figures.memory_tokens * cfg.fill;
-                (shapes.len() == 1 || peak <= room).then_some(peak)
+        let tokens_per_ms = gateway.pace.tokens_per_ms();
+        let forecast = |cfg| MemoryForecast {
+            lengths: gateway.pace.lengths(),
+            tokens_per_ms,
+            memory: self.fleet.figures.memory_tokens,
+            cfg,
+        };
+        let peak = |runner: &Runner| {
+            let there = gateway.runs.at(&runner.id, tokens_per_ms, now);
+            match self.fleet.admission {
+                Admission::Hold { .. } => Some(there.len() as f64),
+                Admission::Forecast(cfg) => forecast(cfg).peak_if_it_fits(there, shape(&arrival)),
             }
         };
         let ranked = rank_for_decode(candidate, &[], self.rng.random(), peak);
@@ -498,15 +433,8 @@
         let Caller { arrival, gateway, .. } = self.callers[n];
         let held = self.tokens_held(&arrival);
         self.held[decode].push((n, held));
-        let run = self.gateways[gateway].runs.hold(RunNote {
-            runner: self.ids[decode].clone(),
-            prompt: arrival.prompt as u64,
-            made: 0,
-            expected: arrival.expected as u64,
-            most: arrival.most as u64,
-            begun: false,
-            reads_itself: false,
-        });
+        let note = RunNote::new(self.ids[decode].clone(), shape(&arrival));
+        let run = self.gateways[gateway].runs.hold(note);
         self.callers[n].state = State::Read { decode, run };
         let shortest = self.prefills.iter_mut().min_by(|a, b| a.waiting().total_cmp(&b.waiting()));
         if let Some(prefill) = shortest {
