--- a/crates/bulrushusher_forward/src/health.rs
+++ b/crates/bulrushusher_forward/src/health.rs
@@ -117,6 +117,12 @@
             .collect()
     }
 
+    /// Ends at a runner as they count now: those that were good, and those that were not.
+    pub fn ends(&self, runner: &RunnerId, now: Millis) -> (f64, f64) {
+        let counts = self.counts_of(runner, now);
+        (counts.good, counts.bad)
+    }
+
     /// True when the runner fails too many of its runs; `at_peers` sums what peers told of it.
     pub fn is_failing(&self, runner: &RunnerId, at_peers: Option<&RunCounts>, now: Millis) -> bool {
         let own = self.counts_of(runner, now);
--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/feed.rs
@@ -143,7 +143,7 @@
                 missing.len(),
                 news.revision
             );
-            self.drop_idle(&missing);
+            self.forget(&missing);
         }
     }
 
@@ -168,7 +168,7 @@
             Change::RunnerGone(id) => {
                 log::info!("runners: removed id={id}");
                 self.knowledge.with_runners(|known, now| known.members.remove(&id, now));
-                self.drop_idle(&[id]);
+                self.forget(&[id]);
             }
             Change::Unreadable { name, cause } => {
                 log::warn!("store: object cannot be read name={name} cause=\"{cause}\"");
@@ -176,9 +176,11 @@
         }
     }
 
-    fn drop_idle(&self, gone: &[bulrushusher_world::RunnerId]) {
+    /// Closes connections to runners that are gone, and forgets how their runs ended.
+    fn forget(&self, gone: &[bulrushusher_world::RunnerId]) {
         for id in gone {
             self.pool.forget(id);
+            self.knowledge.forget_run_ends(id);
         }
     }
 
--- a/crates/bulrushusher_gateway/src/knowledge/health.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/health.rs
@@ -13,14 +13,17 @@
     pub(crate) fn note_run_end(&self, runner: &RunnerId, good: bool) {
         let now = self.now();
         let at_peers = self.runs.lock().failing_at_peers(now);
+        let peers = at_peers.get(runner);
         let mut health = self.health.lock();
-        let fails = |health: &bulrushusher_forward::RunnerHealth| {
-            health.is_failing(runner, at_peers.get(runner), now)
-        };
-        let before = fails(&health);
+        let failed_before = health.is_failing(runner, peers, now);
         health.note(runner, good, now);
-        if !before && fails(&health) {
-            log::info!("runners: passed over id={runner} cause=\"it fails too many runs\"");
+        if !failed_before && health.is_failing(runner, peers, now) {
+            let (good, bad) = health.ends(runner, now);
+            log::info!(
+                "runners: passed over id={runner} cause=\"it fails too many runs\" good={good:.1} \
+                 bad={bad:.1} bad_at_peers={:.1}",
+                peers.map_or(0.0, |peers| peers.bad),
+            );
         }
         if !good {
             self.report_due.notify_one();
