--- a/crates/bulrushusher_model/src/lib.rs
+++ b/crates/bulrushusher_model/src/lib.rs
@@ -12,6 +12,7 @@
 mod outcome;
 mod patterns;
 mod play;
+mod plot;
 
 pub use bound::most_on_time;
 pub use engines::{DecodeEngine, EngineFigures, PrefillEngine};
@@ -20,3 +21,4 @@
 pub use outcome::{DATA_CENTRES, Outcome};
 pub use patterns::Pattern;
 pub use play::play;
+pub use plot::{Bar, draw};
--- a/crates/bulrushusher_model/src/main.rs
+++ b/crates/bulrushusher_model/src/main.rs
@@ -1,7 +1,11 @@
-//! `bulrush-model`: plays patterns of load on the model and prints a table.
+//! `bulrush-model`: plays patterns of load on the model, prints a table and draws it.
+
+use std::path::PathBuf;
 
 use bulrushusher_forward::ForecastConfig;
-use bulrushusher_model::{Admission, Fleet, Outcome, Pattern, arrivals, most_on_time, play};
+use bulrushusher_model::{
+    Admission, Bar, Fleet, Outcome, Pattern, arrivals, draw, most_on_time, play,
+};
 use clap::{Arg, Command, value_parser};
 use comfy_table::Table;
 
@@ -11,9 +15,14 @@
         .value_parser(value_parser!(u64).range(1..=1_000))
         .default_value("3")
         .help("Seeds that each pattern is played with");
+    let plots = Arg::new("plots")
+        .long("plots")
+        .value_parser(value_parser!(PathBuf))
+        .help("Directory for plots, as SVG");
     let matches = Command::new("bulrush-model")
         .about("Plays patterns of load on a model of engines and gateways")
         .arg(seeds)
+        .arg(plots)
         .get_matches();
     let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(3);
     let mut table = Table::new();
@@ -34,13 +43,26 @@
         "worst centre",
         "memory used",
     ]);
+    let mut on_time = Vec::new();
+    let mut served = Vec::new();
     for pattern in Pattern::ALL {
         for (name, fleet) in policies() {
             let (outcome, most) = play_seeds(pattern, fleet, seeds);
+            let bar = |share| Bar { pattern: pattern.to_string(), policy: name, share };
+            on_time.push(bar(outcome.goodput()));
+            served.push(bar(outcome.served()));
             table.add_row(row(pattern, name, &outcome, most));
         }
     }
     println!("{table}");
+    if let Some(dir) = matches.get_one::<PathBuf>("plots") {
+        let drawn = draw(&dir.join("model-on-time.svg"), "Callers served on time", &on_time)
+            .and_then(|()| draw(&dir.join("model-served.svg"), "Callers served", &served));
+        if let Err(e) = drawn {
+            eprintln!("bulrush-model: plots not drawn: {e}; check that the directory is there");
+            std::process::exit(1);
+        }
+    }
 }
 
 /// The ways to give memory that are compared.
