Runners that start again under their identity, and entries by other writers

Ruled out: a start in each message between gateways (reports carry one map of the starts that they speak of, empty where runners tell none); trusting any whole number (a start more than an hour ahead would outdate the runner's own words). What changed: `Starts` decides what a word of a runner's start means; members, loads, health, runs, orders and peers' reports drop what was before. Before: a foreign item stopped the news of runners.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -22,14 +22,15 @@
 mod runs;
 mod shutdown;
 mod stages;
+mod starts;
 mod waiting;
 
 pub use choose::{Candidate, PlainPick, pick_for_call, pick_for_prefill, rank_for_decode};
 pub use events::{EventSplitter, WholeEvents};
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, RunShape, peak_memory};
 pub use health::{HealthConfig, RunCounts, RunnerHealth};
-pub use load::{CallResult, LoadConfig, RunnerLoads};
-pub use members::{Members, MembersConfig};
+pub use load::{CallResult, LoadConfig, LoadLife, RunnerLoads};
+pub use members::{ListNews, Members, MembersConfig};
 pub use memory::{HoldConfig, tokens_to_hold};
 pub use pace::{Pace, PaceConfig};
 pub use reading::{ReadChoice, ReadConfig, Reader, can_be_read, choose_reader};
@@ -40,10 +41,11 @@
     CallerLimits, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
     WeightedService,
 };
-pub use runner::{Runner, Stage};
+pub use runner::{Born, Runner, Stage};
 pub use runs::{GatewayReport, PeersConfig, RunNote, RunNumber, Runs};
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use stages::{DutyConfig, StageChange, StageDuty, StagesConfig, next_stage_change};
+pub use starts::{StartNews, Starts};
 pub use waiting::{Rank, WaitingConfig, WaitingLine, asks_now};
 
 /// The common types in one `use`.
--- a/crates/bulrushusher_forward/src/load.rs
+++ b/crates/bulrushusher_forward/src/load.rs
@@ -45,8 +45,14 @@
     Unreachable,
 }
 
+/// Tells apart what is known of a runner before and after it was forgotten: a call that began
+/// before does not count off one that began after.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadLife(u64);
+
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct RunnerLoad {
+    life: LoadLife,
     pub in_flight: u32,
     pub prompt_tokens: u64,
     mean_ms: f64,
@@ -61,28 +67,39 @@
 pub struct RunnerLoads {
     cfg: LoadConfig,
     loads: HashMap<RunnerId, RunnerLoad>,
+    lives: u64,
 }
 
 impl RunnerLoads {
     /// Nothing was sent yet.
     pub fn new(cfg: LoadConfig) -> RunnerLoads {
-        RunnerLoads { cfg, loads: HashMap::new() }
+        RunnerLoads { cfg, loads: HashMap::new(), lives: 0 }
     }
 
     pub(crate) fn get(&self, id: &RunnerId) -> RunnerLoad {
         self.loads.get(id).copied().unwrap_or_default()
     }
 
+    /// What is known of the runner; nothing yet if it is new.
+    fn load(&mut self, id: &RunnerId) -> &mut RunnerLoad {
+        self.loads.entry(id.clone()).or_insert_with(|| {
+            self.lives += 1;
+            RunnerLoad { life: LoadLife(self.lives), ..RunnerLoad::default() }
+        })
+    }
+
     /// A call to the runner begins; `prompt_tokens` are to be read there.
-    pub fn begin(&mut self, id: &RunnerId, prompt_tokens: u64) {
-        let load = self.loads.entry(id.clone()).or_default();
+    pub fn begin(&mut self, id: &RunnerId, prompt_tokens: u64) -> LoadLife {
+        let load = self.load(id);
         load.in_flight += 1;
         load.prompt_tokens += prompt_tokens;
+        load.life
     }
 
-    /// A call begun with the same `prompt_tokens` is over.
-    pub fn end(&mut self, id: &RunnerId, prompt_tokens: u64) {
-        let load = self.loads.entry(id.clone()).or_default();
+    /// A call begun with the same `prompt_tokens` is over. One that began before the runner was
+    /// forgotten is not counted any more.
+    pub fn end(&mut self, id: &RunnerId, life: LoadLife, prompt_tokens: u64) {
+        let Some(load) = self.loads.get_mut(id).filter(|load| load.life == life) else { return };
         load.in_flight = load.in_flight.saturating_sub(1);
         load.prompt_tokens = load.prompt_tokens.saturating_sub(prompt_tokens);
     }
@@ -100,13 +117,13 @@
 
     /// The runner had no room for a hold.
     pub fn hold_refused(&mut self, id: &RunnerId, now: Millis) {
-        self.loads.entry(id.clone()).or_default().hold_refused = Some(now);
+        self.load(id).hold_refused = Some(now);
     }
 
     /// Takes in how a call went.
     pub fn note(&mut self, id: &RunnerId, result: CallResult, now: Millis) {
-        let weight = self.cfg.newest_weight;
-        let load = self.loads.entry(id.clone()).or_default();
+        let LoadConfig { newest_weight: weight, first_pause, longest_pause, .. } = self.cfg;
+        let load = self.load(id);
         let failure = match result {
             CallResult::Answered(took) => {
                 load.mean_ms = mix(load.mean_ms, took.0 as f64, weight);
@@ -120,7 +137,7 @@
             CallResult::Unreachable => {
                 let doublings = load.unreachable_in_row.min(8);
                 load.unreachable_in_row += 1;
-                let pause = (self.cfg.first_pause.0 << doublings).min(self.cfg.longest_pause.0);
+                let pause = (first_pause.0 << doublings).min(longest_pause.0);
                 load.paused_until = now.plus(Millis(pause));
             }
             CallResult::Answered(_) | CallResult::Failed | CallResult::NotRun => {
@@ -136,7 +153,7 @@
 
     /// The runner takes no work until then.
     pub fn pause(&mut self, id: &RunnerId, until: Millis) {
-        self.loads.entry(id.clone()).or_default().paused_until = until;
+        self.load(id).paused_until = until;
     }
 
     /// Forgets a runner that is gone.
--- a/crates/bulrushusher_forward/src/members.rs
+++ b/crates/bulrushusher_forward/src/members.rs
@@ -5,7 +5,7 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
 
-use crate::Runner;
+use crate::{Born, Runner, StartNews, Starts};
 
 /// Bounds of the knowledge of runners.
 #[derive(Clone, Copy, Debug)]
@@ -40,6 +40,15 @@
     standing: Standing,
 }
 
+/// What a whole list changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListNews {
+    /// Runners that it no longer names.
+    pub missing: Vec<RunnerId>,
+    /// Runners that started again: what was believed of them is void.
+    pub started_again: Vec<RunnerId>,
+}
+
 /// The runners that are known.
 ///
 /// ```
@@ -47,6 +56,7 @@
 /// use bulrushusher_time::Millis;
 /// let runner = Runner {
 ///     id: "i-1".try_into().unwrap(),
+///     born: None,
 ///     service: "board-app".try_into().unwrap(),
 ///     address: "10.0.0.1:80".parse().unwrap(),
 ///     data_centre: "ba-ruzinov".try_into().unwrap(),
@@ -64,6 +74,7 @@
 pub struct Members {
     cfg: MembersConfig,
     known: HashMap<RunnerId, Known>,
+    starts: Starts,
     last_answer: Option<Millis>,
     last_outage_end: Option<Millis>,
     listed_once: bool,
@@ -75,6 +86,7 @@
         Members {
             cfg,
             known: HashMap::new(),
+            starts: Starts::default(),
             last_answer: None,
             last_outage_end: None,
             listed_once: false,
@@ -97,8 +109,8 @@
         self.listed_once
     }
 
-    /// Takes in a whole list. Returns the runners that it no longer names.
-    pub fn replace_all(&mut self, runners: Vec<Runner>, now: Millis) -> Vec<RunnerId> {
+    /// Takes in a whole list.
+    pub fn replace_all(&mut self, runners: Vec<Runner>, now: Millis) -> ListNews {
         let named: HashMap<RunnerId, Runner> =
             runners.into_iter().map(|r| (r.id.clone(), r)).collect();
         let missing: Vec<RunnerId> =
@@ -106,17 +118,46 @@
         for id in &missing {
             self.remove(id, now);
         }
-        for runner in named.into_values() {
-            self.put(runner);
+        let mut started_again = Vec::new();
+        for (id, runner) in named {
+            if self.put(runner) == StartNews::Later {
+                started_again.push(id);
+            }
         }
         self.listed_once = true;
-        missing
+        ListNews { missing, started_again }
+    }
+
+    /// Takes in one entry. One of an earlier start than is known changes nothing; one without a
+    /// start, of a runner that told its start before, is another writer's and names no runner to
+    /// use.
+    pub fn put(&mut self, runner: Runner) -> StartNews {
+        let news = self.starts.note(&runner.id, runner.born);
+        match news {
+            StartNews::Earlier => {}
+            StartNews::Untold => self.forget(&runner.id),
+            StartNews::Same | StartNews::Later => {
+                self.forget_former_tenant(&runner);
+                let known = Known { runner, standing: Standing::Listed };
+                self.known.insert(known.runner.id.clone(), known);
+            }
+        }
+        news
+    }
+
+    /// A runner told its start itself, before its entry does.
+    pub fn note_start(&mut self, id: &RunnerId, born: Option<Born>) -> StartNews {
+        let news = self.starts.note(id, born);
+        if let (StartNews::Later, Some(known)) = (news, self.known.get_mut(id)) {
+            known.runner.born = born;
+        }
+        news
     }
 
-    /// Takes in one entry.
-    pub fn put(&mut self, runner: Runner) {
-        self.forget_former_tenant(&runner);
-        self.known.insert(runner.id.clone(), Known { runner, standing: Standing::Listed });
+    /// True when a later start under the identity of `runner` is known: holds, KV caches and runs
+    /// there are gone.
+    pub fn is_past(&self, runner: &Runner) -> bool {
+        self.starts.is_past(&runner.id, runner.born)
     }
 
     /// An address belongs to the runner that was listed there last.
--- a/crates/bulrushusher_forward/src/runner.rs
+++ b/crates/bulrushusher_forward/src/runner.rs
@@ -4,6 +4,7 @@
 
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 /// Which half of a generation a model runner does.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
@@ -16,11 +17,22 @@
     Decode,
 }
 
+/// When a runner's process started, in Unix ms, by its own word.
+///
+/// A runner may start again under the identity that it had. It then holds and knows nothing of
+/// before, and only this tells the two starts apart: the later one is higher.
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Born(pub u64);
+
 /// One start of a runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Runner {
-    /// Identity of this start.
+    /// Its identity, which a later start may have again.
     pub id: RunnerId,
+    /// When it started; `None` where runners do not say, and have a new identity at each start.
+    pub born: Option<Born>,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it takes requests.
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -7,7 +7,7 @@
 use bulrushusher_world::RunnerId;
 use serde::{Deserialize, Serialize};
 
-use crate::{RunCounts, RunShape};
+use crate::{Born, RunCounts, RunShape, StartNews, Starts};
 
 /// One run, as gateways tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -72,6 +72,22 @@
     /// How runs ended at runners that fail some.
     #[serde(default)]
     pub failing: Vec<RunCounts>,
+    /// The starts of the runners that this report speaks of, where runners tell them. What it says
+    /// of an earlier start than the hearer knows does not count.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub starts: BTreeMap<RunnerId, Born>,
+}
+
+impl GatewayReport {
+    /// Adds the starts of the runners that it speaks of, as far as they are known.
+    pub fn add_starts(&mut self, starts: &Starts) {
+        let runs = self.runs.iter().map(|note| &note.runner);
+        let reads = self.reads.iter().map(|(runner, _)| runner);
+        let failing = self.failing.iter().map(|counts| &counts.runner);
+        let spoken_of = runs.chain(reads).chain(&self.changing).chain(failing);
+        let known = spoken_of.filter_map(|id| Some((id.clone(), starts.last(id)?)));
+        self.starts = known.collect();
+    }
 }
 
 /// Bounds of what is believed of peers.
@@ -105,12 +121,28 @@
     next: u64,
     own: HashMap<RunNumber, RunNote>,
     peers: HashMap<Arc<str>, Heard>,
+    starts: Starts,
 }
 
 impl Runs {
     /// No run is known.
     pub fn new(cfg: PeersConfig) -> Runs {
-        Runs { cfg, next: 0, own: HashMap::new(), peers: HashMap::new() }
+        Runs { cfg, next: 0, own: HashMap::new(), peers: HashMap::new(), starts: Starts::default() }
+    }
+
+    /// Takes in a runner's start. Runs at an earlier one are over, those of peers too: what they
+    /// tell of an earlier start counts no more.
+    pub fn note_start(&mut self, id: &RunnerId, born: Option<Born>) -> StartNews {
+        let news = self.starts.note(id, born);
+        if news == StartNews::Later {
+            self.own.retain(|_, note| note.runner != *id);
+        }
+        news
+    }
+
+    /// The runners' starts that are known.
+    pub fn starts(&self) -> &Starts {
+        &self.starts
     }
 
     /// Memory for a run is held.
@@ -129,7 +161,7 @@
 
     /// Prompts that a decode runner reads itself now.
     pub fn reads_by(&self, runner: &RunnerId, now: Millis) -> usize {
-        let theirs = self.heard(now).flat_map(|heard| &heard.report.runs);
+        let theirs = self.heard_of(runner, now).flat_map(|heard| &heard.report.runs);
         let reads = |note: &&RunNote| note.reads_itself && !note.begun && note.runner == *runner;
         self.own.values().chain(theirs).filter(reads).count()
     }
@@ -184,7 +216,7 @@
 
     /// Prompt tokens that peers have at a prefill runner.
     pub fn reads_of_peers(&self, runner: &RunnerId, now: Millis) -> u64 {
-        self.heard(now)
+        self.heard_of(runner, now)
             .flat_map(|heard| &heard.report.reads)
             .filter(|(at, _)| at == runner)
             .map(|(_, tokens)| tokens)
@@ -193,13 +225,17 @@
 
     /// True while a peer knows that the runner changes its stage.
     pub fn is_changing(&self, runner: &RunnerId, now: Millis) -> bool {
-        self.heard(now).any(|heard| heard.report.changing.contains(runner))
+        self.heard_of(runner, now).any(|heard| heard.report.changing.contains(runner))
     }
 
     /// How runs ended at runners that fail some, summed over all peers.
     pub fn failing_at_peers(&self, now: Millis) -> BTreeMap<RunnerId, RunCounts> {
         let mut sums: BTreeMap<RunnerId, RunCounts> = BTreeMap::new();
-        for told in self.heard(now).flat_map(|heard| &heard.report.failing) {
+        let told = self.heard(now).flat_map(|heard| {
+            let speaks = |told: &&RunCounts| self.speaks_of(heard, &told.runner);
+            heard.report.failing.iter().filter(speaks)
+        });
+        for told in told {
             let empty = || RunCounts { runner: told.runner.clone(), good: 0.0, bad: 0.0 };
             let sum = sums.entry(told.runner.clone()).or_insert_with(empty);
             sum.good += told.good;
@@ -212,7 +248,7 @@
     pub fn at(&self, runner: &RunnerId, tokens_per_ms: f64, now: Millis) -> Vec<RunShape> {
         let own = self.own.values().filter(|note| note.runner == *runner);
         let mut shapes: Vec<RunShape> = own.map(|note| shape(note, 0.0)).collect();
-        for heard in self.heard(now) {
+        for heard in self.heard_of(runner, now) {
             let grown = now.since(heard.at).0 as f64 * tokens_per_ms;
             let theirs = heard.report.runs.iter().filter(|note| note.runner == *runner);
             shapes.extend(theirs.map(|note| shape(note, if note.begun { grown } else { 0.0 })));
@@ -224,6 +260,15 @@
         self.peers.values().filter(move |heard| self.is_fresh(heard, now))
     }
 
+    /// Peers heard lately that know the runner's last start.
+    fn heard_of(&self, runner: &RunnerId, now: Millis) -> impl Iterator<Item = &Heard> {
+        self.heard(now).filter(|heard| self.speaks_of(heard, runner))
+    }
+
+    fn speaks_of(&self, heard: &Heard, runner: &RunnerId) -> bool {
+        !self.starts.is_past(runner, heard.report.starts.get(runner).copied())
+    }
+
     fn is_fresh(&self, heard: &Heard, now: Millis) -> bool {
         now.since(heard.at) < self.cfg.forget_after
     }
--- a/crates/bulrushusher_forward/src/stages.rs
+++ b/crates/bulrushusher_forward/src/stages.rs
@@ -77,6 +77,7 @@
 /// use bulrushusher_forward::{Runner, Stage, StagesConfig, next_stage_change};
 /// let runner = |n: u16, stage| Runner {
 ///     id: format!("i-{n}").as_str().try_into().unwrap(),
+///     born: None,
 ///     service: "llm".try_into().unwrap(),
 ///     address: ([10, 0, 0, 1], n).into(),
 ///     data_centre: "ba-ruzinov".try_into().unwrap(),
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -188,6 +188,7 @@
 fn runner(n: u8, leaving: bool) -> Runner {
     Runner {
         id: format!("i-{n}").as_str().try_into().unwrap(),
+        born: None,
         service: service(),
         address: ([10, 0, 0, 1], 8_000 + u16::from(n % 3)).into(),
         data_centre: "dc-1".try_into().unwrap(),
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -31,11 +31,16 @@
     let mut held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
     let kv = read_prompt(cx, fwd, tries, &held).await?;
     if !held.is_good(cx.now()) {
-        // The runner began to leave, or the lease is over: it must not get the run.
+        // The runner began to leave or started again, or the lease is over: it must not get the run.
         log::info!("place: again id={} runner={}", fwd.arrival.id, held.runner.id);
         let until = cx.now().plus(PLACE_AGAIN).min(fwd.ends);
         held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
     }
+    let mut kv = kv;
+    if kv.as_ref().is_some_and(KeptKv::is_lost) {
+        log::info!("read: again id={} cause=\"its runner started again\"", fwd.arrival.id);
+        kv = read_prompt(cx, fwd, tries, &held).await?;
+    }
     begin_split(cx, fwd, tries, held, kv).await
 }
 
@@ -85,7 +90,7 @@
         // decode runner reads the prompt itself.
         // Or the decode runner takes nothing: it is not asked again for this request either.
         Err(NoRun::Ended(AttemptEnd::NotRun, _)) => {
-            cx.knowledge.note_run_end(&runner.id, false);
+            cx.knowledge.note_run_end(&runner, false);
             if let Some(kv) = &kv {
                 cx.knowledge.note_call(kv.runner(), CallResult::Unreachable);
                 tries.read_at_decode = true;
@@ -125,7 +130,7 @@
         Err(e) => {
             let went = (CallResult::Unreachable, &*e.to_string());
             note(cx, fwd, &runner, "generate", began, went);
-            cx.knowledge.note_run_end(&runner.id, false);
+            cx.knowledge.note_run_end(&runner, false);
             return Err(NoRun::Ended(e.attempt_end(), "no decode runner answered"));
         }
     };
@@ -137,7 +142,7 @@
     };
     note(cx, fwd, &runner, "generate", began, (result, detail));
     if matches!(result, CallResult::Failed | CallResult::Unreachable) {
-        cx.knowledge.note_run_end(&runner.id, false);
+        cx.knowledge.note_run_end(&runner, false);
     }
     Err(no_run)
 }
@@ -155,7 +160,7 @@
     match tokio::time::timeout(silence, &mut sending).await {
         Ok(sent) => sent,
         Err(_) => {
-            cx.knowledge.note_run_end(&runner.id, false);
+            cx.knowledge.note_run_end(runner, false);
             sending.await
         }
     }
@@ -194,5 +199,5 @@
     began: Millis,
     (result, detail): Went<'_>,
 ) {
-    cx.note_attempt(fwd, AttemptNote { runner: &runner.id, step, began, result, detail });
+    cx.note_attempt(fwd, AttemptNote { runner, step, began, result, detail });
 }
--- a/crates/bulrushusher_gateway/src/call.rs
+++ b/crates/bulrushusher_gateway/src/call.rs
@@ -113,7 +113,7 @@
         Ended::Without(AttemptEnd::NotRun, cause) => (CallResult::NotRun, cause.as_str()),
         Ended::Without(_, cause) => (CallResult::Unreachable, cause.as_str()),
     };
-    cx.note_attempt(fwd, AttemptNote { runner: &runner.id, step: "whole", began, result, detail });
+    cx.note_attempt(fwd, AttemptNote { runner, step: "whole", began, result, detail });
     ended
 }
 
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bulrushusher_forward::{PromptSize, RequestId, RoutingConfig, Runner, Stage};
+use bulrushusher_forward::{Born, PromptSize, RequestId, RoutingConfig, Runner, Stage};
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
 use bytes::Bytes;
@@ -126,18 +126,14 @@
 /// What a runner says of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RunnerReport {
+    /// When it started, where runners tell.
+    pub born: Option<Born>,
     /// Its stage.
     pub stage: Option<Stage>,
     /// True while it carries out an order.
     pub busy: bool,
     /// Orders that it has accepted since its start.
     pub accepted: u64,
-    /// Requests that wait there.
-    pub waiting: u32,
-    /// Requests that run there.
-    pub running: u32,
-    /// Tokens in memory that cannot be evicted.
-    pub used_tokens: u64,
 }
 
 /// How requests, answers and small calls are written and read.
@@ -176,7 +172,10 @@
     fn ask_report(&self, runner: &RunnerId) -> SideCall;
 
     /// Reads a runner's report.
-    fn report(&self, body: &[u8]) -> Option<RunnerReport>;
+    ///
+    /// # Errors
+    /// [`Unreadable`], which tells the field, when it is not a runner's own word.
+    fn report(&self, runner: &RunnerId, body: &[u8]) -> Result<RunnerReport, Unreadable>;
 
     /// Orders a change of stage.
     fn order_stage(&self, order: &StageOrder<'_>) -> SideCall;
@@ -202,13 +201,23 @@
     Runner(Runner),
     /// An entry was removed.
     RunnerGone(RunnerId),
-    /// An object that cannot be read; it changes nothing.
-    Unreadable {
-        /// Its name.
-        name: String,
-        /// What is wrong with it.
-        cause: String,
-    },
+    /// An object that cannot be read. One of a runner names none to use; a configuration changes
+    /// nothing.
+    Unreadable(Unreadable),
+}
+
+/// What is wrong with an object of the store, or with what a runner says of itself.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display(
+    "the field `{field}` of `{name}` cannot be used: {cause}; only its owner should write it"
+)]
+pub struct Unreadable {
+    /// Its name, as far as it can be told; empty otherwise.
+    pub name: String,
+    /// The field that is wrong; empty when the whole cannot be read.
+    pub field: &'static str,
+    /// What is wrong.
+    pub cause: String,
 }
 
 /// Changes up to a revision of the store.
--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/feed.rs
@@ -6,12 +6,14 @@
 
 use std::sync::Arc;
 
+use bulrushusher_forward::{Runner, StartNews};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
+use bulrushusher_world::RunnerId;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use crate::dialect::{Change, News, PlatformStore, StoreFailure, Topic};
+use crate::dialect::{Change, News, PlatformStore, StoreFailure, Topic, Unreadable};
 use crate::knowledge::Knowledge;
 use crate::pool::RunnerPool;
 
@@ -118,6 +120,11 @@
                 Err(e) => {
                     self.note_call("failed");
                     log::info!("store: watch failed topic={} cause=\"{e}\"", self.topic);
+                    if matches!(e, StoreFailure::Unreadable { .. }) {
+                        // A list follows at once, and a store that answers both so is not asked
+                        // in a loop without a pause.
+                        self.pause(&mut FIRST_PAUSE.clone()).await;
+                    }
                     return;
                 }
             }
@@ -128,23 +135,27 @@
     fn apply_list(&self, news: News) {
         self.note_answer();
         let mut runners = Vec::new();
+        let mut unreadable = Vec::new();
         for change in news.changes {
             match change {
                 Change::Runner(runner) => runners.push(runner),
+                change @ Change::Unreadable { .. } => unreadable.push(change),
                 change => self.apply(change),
             }
         }
         if self.topic == Topic::Runners {
             let count = runners.len();
-            let missing =
-                self.knowledge.with_runners(|known, now| known.members.replace_all(runners, now));
+            let listed = self.knowledge.put_all_runners(runners);
             log::info!(
-                "runners: listed count={count} missing={} revision={}",
-                missing.len(),
+                "runners: listed count={count} missing={} unreadable={} revision={}",
+                listed.missing.len(),
+                unreadable.len(),
                 news.revision
             );
-            self.forget(&missing);
+            self.forget(&listed.missing);
+            listed.started_again.iter().for_each(|id| self.pool.forget(id));
         }
+        unreadable.into_iter().for_each(|change| self.apply(change));
     }
 
     fn apply(&self, change: Change) {
@@ -155,29 +166,61 @@
                     log::info!("configuration: in force version={version} routes={routes}");
                 }
             }
-            Change::Runner(runner) => {
-                log::info!(
-                    "runners: entry id={} service={} stage={} leaving={}",
-                    runner.id,
-                    runner.service,
-                    runner.stage.map_or("none".to_owned(), |stage| stage.to_string()),
-                    runner.leaving,
-                );
-                self.knowledge.with_runners(|known, _| known.members.put(runner));
-            }
+            Change::Runner(runner) => self.put(runner),
             Change::RunnerGone(id) => {
                 log::info!("runners: removed id={id}");
                 self.knowledge.with_runners(|known, now| known.members.remove(&id, now));
                 self.forget(&[id]);
             }
-            Change::Unreadable { name, cause } => {
-                log::warn!("store: object cannot be read name={name} cause=\"{cause}\"");
+            Change::Unreadable(bad) => self.pass_over(&bad),
+        }
+    }
+
+    fn put(&self, runner: Runner) {
+        let id = runner.id.clone();
+        log::info!(
+            "runners: entry id={id} service={} stage={} leaving={} born={}",
+            runner.service,
+            runner.stage.map_or("none".to_owned(), |stage| stage.to_string()),
+            runner.leaving,
+            runner.born.map_or(0, |born| born.0),
+        );
+        match self.knowledge.put_runner(runner) {
+            StartNews::Same => {}
+            StartNews::Later => self.pool.forget(&id),
+            StartNews::Earlier => {
+                log::info!("runners: entry passed over id={id} cause=\"an earlier start\"");
+            }
+            StartNews::Untold => {
+                log::warn!(
+                    "runners: entry passed over id={id} field=born cause=\"not the runner's own\""
+                );
+                self.pool.forget(&id);
             }
         }
     }
 
-    /// Closes connections to runners that are gone, and forgets how their runs ended.
-    fn forget(&self, gone: &[bulrushusher_world::RunnerId]) {
+    /// An entry by another writer names no runner to use, also where its name was good before.
+    fn pass_over(&self, bad: &Unreadable) {
+        let Unreadable { name, field, cause } = bad;
+        log::warn!(
+            "store: object cannot be read topic={} id=\"{}\" field={field} cause=\"{}\"",
+            self.topic,
+            shortened(name),
+            shortened(cause),
+        );
+        self.metrics.store_call(topic_word(self.topic), "unreadable");
+        if self.topic != Topic::Runners {
+            return;
+        }
+        if let Ok(id) = RunnerId::try_from(name.as_str()) {
+            self.knowledge.drop_runner(&id);
+            self.pool.forget(&id);
+        }
+    }
+
+    /// Closes connections to runners that are gone, and forgets how runs and calls there ended.
+    fn forget(&self, gone: &[RunnerId]) {
         for id in gone {
             self.pool.forget(id);
             self.knowledge.forget_run_ends(id);
@@ -196,11 +239,7 @@
     }
 
     fn note_call(&self, result: &'static str) {
-        let topic = match self.topic {
-            Topic::Configuration => "configuration",
-            Topic::Runners => "runners",
-        };
-        self.metrics.store_call(topic, result);
+        self.metrics.store_call(topic_word(self.topic), result);
     }
 
     fn share(&self, share: f64) -> Millis {
@@ -219,3 +258,21 @@
         *pause = Millis(pause.0 * 2).min(LONGEST_PAUSE);
     }
 }
+
+fn topic_word(topic: Topic) -> &'static str {
+    match topic {
+        Topic::Configuration => "configuration",
+        Topic::Runners => "runners",
+    }
+}
+
+/// Most characters of another writer's text in one line of the log.
+const MOST_LOGGED: usize = 80;
+
+/// Another writer's text as it may stand between quotes in the log.
+fn shortened(text: &str) -> String {
+    text.chars()
+        .take(MOST_LOGGED)
+        .map(|c| if c.is_control() || c == '"' { '?' } else { c })
+        .collect()
+}
--- a/crates/bulrushusher_gateway/src/holds.rs
+++ b/crates/bulrushusher_gateway/src/holds.rs
@@ -6,7 +6,6 @@
 
 use bulrushusher_forward::{RunNote, RunNumber, Runner};
 use bulrushusher_time::Millis;
-use bulrushusher_world::RunnerId;
 use tokio::runtime::Handle;
 
 use crate::dialect::{Dialect, KvCache, SideCall};
@@ -69,7 +68,7 @@
     /// True while the run may be sent: the lease holds, and the runner still takes new work.
     pub(crate) fn is_good(&self, now: Millis) -> bool {
         let leased = self.lease.is_none() || now < self.until;
-        leased && self.knowledge.takes_work(&self.runner.id)
+        leased && self.knowledge.takes_work(&self.runner)
     }
 
     /// The run has the memory now.
@@ -92,9 +91,9 @@
 impl<D: Dialect> Drop for HeldMemory<D> {
     fn drop(&mut self) {
         self.knowledge.end_run(self.run);
-        let id = &self.runner.id;
-        if let Some(lease) = self.lease.take() {
-            let call = self.dialect.drop_hold(id, &lease);
+        // A later start holds nothing of this, and may use the name for somebody else's.
+        if let Some(lease) = self.lease.take().filter(|_| !self.knowledge.is_past(&self.runner)) {
+            let call = self.dialect.drop_hold(&self.runner.id, &lease);
             spawn_call(&self.exchanger, &self.runner, call, "hold");
         }
     }
@@ -106,6 +105,7 @@
     pub cache: KvCache,
     runner: Runner,
     taken: bool,
+    knowledge: Arc<Knowledge>,
     exchanger: Exchanger<D>,
     dialect: D,
 }
@@ -114,17 +114,23 @@
     pub(crate) fn new(
         runner: Runner,
         handle: Arc<str>,
+        knowledge: &Arc<Knowledge>,
         exchanger: &Exchanger<D>,
         dialect: &D,
     ) -> KeptKv<D> {
         let cache = KvCache { at: runner.address, handle };
         let (exchanger, dialect) = (exchanger.clone(), dialect.clone());
-        KeptKv { cache, runner, taken: false, exchanger, dialect }
+        KeptKv { cache, runner, taken: false, knowledge: knowledge.clone(), exchanger, dialect }
     }
 
     /// Where it is kept.
-    pub(crate) fn runner(&self) -> &RunnerId {
-        &self.runner.id
+    pub(crate) fn runner(&self) -> &Runner {
+        &self.runner
+    }
+
+    /// True when its runner has started again since: nothing is kept there any more.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.knowledge.is_past(&self.runner)
     }
 
     /// A decode runner has it now.
@@ -135,7 +141,7 @@
 
 impl<D: Dialect> Drop for KeptKv<D> {
     fn drop(&mut self) {
-        if !self.taken {
+        if !self.taken && !self.is_lost() {
             let call = self.dialect.free_kv(&self.runner.id, &self.cache.handle);
             spawn_call(&self.exchanger, &self.runner, call, "kv cache");
         }
--- a/crates/bulrushusher_gateway/src/knowledge/health.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/health.rs
@@ -2,15 +2,20 @@
 
 use std::collections::BTreeSet;
 
-use bulrushusher_forward::{RunCounts, Runs};
+use bulrushusher_forward::{RunCounts, Runner, Runs};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
 
 use super::{Knowledge, Runners};
 
 impl Knowledge {
-    /// A run or a reading at the runner ended well, or did not.
-    pub(crate) fn note_run_end(&self, runner: &RunnerId, good: bool) {
+    /// A run or a reading at the runner ended well, or did not. What an earlier start did says
+    /// nothing of this one.
+    pub(crate) fn note_run_end(&self, runner: &Runner, good: bool) {
+        if self.is_past(runner) {
+            return;
+        }
+        let runner = &runner.id;
         let now = self.now();
         let at_peers = self.runs.lock().failing_at_peers(now);
         let peers = at_peers.get(runner);
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -1,5 +1,7 @@
 //! What is known of memory at decode runners and of prompts at prefill runners, over all gateways.
 
+use std::collections::BTreeMap;
+
 use bulrushusher_forward::{
     Candidate, GatewayReport, MemoryForecast, RunNote, RunNumber, RunShape, Runner, Stage,
     WaitingLine, asks_now, rank_for_decode,
@@ -137,10 +139,24 @@
     pub(crate) fn report(&self, life: u64, number: u64) -> GatewayReport {
         let reads = self.with_runners(|runners, _| runners.loads.reads());
         let (waiting, waiting_late) = self.waiting_by_chance();
-        let runs = self.runs.lock().own().cloned().collect();
         let changing: Vec<RunnerId> = self.changing.lock().values().flatten().cloned().collect();
         let failing = self.failing_told();
-        GatewayReport { life, number, waiting, waiting_late, runs, reads, changing, failing }
+        let runs = self.runs.lock();
+        let starts = BTreeMap::new();
+        let own = runs.own().cloned().collect();
+        let mut report = GatewayReport {
+            life,
+            number,
+            waiting,
+            waiting_late,
+            runs: own,
+            reads,
+            changing,
+            failing,
+            starts,
+        };
+        report.add_starts(runs.starts());
+        report
     }
 
     /// Prompt tokens that wait at a prefill runner, over all gateways.
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -24,6 +24,7 @@
 
 mod health;
 mod memory;
+mod starts;
 
 /// Fewest parts that the shared burst of repeats is split into. A gateway that starts again has a
 /// full part, and one that hears no peer does not know how many there are.
@@ -161,10 +162,11 @@
         })
     }
 
-    /// True while the runner may get new work.
-    pub(crate) fn takes_work(&self, runner: &RunnerId) -> bool {
+    /// True while this start of the runner may get new work.
+    pub(crate) fn takes_work(&self, runner: &Runner) -> bool {
         self.with_runners(|runners, now| {
-            runners.members.get(runner, now).is_some_and(|runner| !runner.leaving)
+            let known = runners.members.get(&runner.id, now);
+            known.is_some_and(|known| !known.leaving && !runners.members.is_past(runner))
         })
     }
 
@@ -173,9 +175,13 @@
         self.with_runners(|runners, now| runners.loads.pause(runner, now.plus(length)));
     }
 
-    /// Takes in how a call to a runner went.
-    pub(crate) fn note_call(&self, runner: &RunnerId, result: CallResult) {
-        self.with_runners(|runners, now| runners.loads.note(runner, result, now));
+    /// Takes in how a call to a runner went. What an earlier start did says nothing of this one.
+    pub(crate) fn note_call(&self, runner: &Runner, result: CallResult) {
+        self.with_runners(|runners, now| {
+            if !runners.members.is_past(runner) {
+                runners.loads.note(&runner.id, result, now);
+            }
+        });
     }
 
     /// A request for the service came.
--- a/crates/bulrushusher_gateway/src/orders.rs
+++ b/crates/bulrushusher_gateway/src/orders.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    DutyConfig, Runner, Stage, StageChange, StageDuty, StagesConfig, next_stage_change,
+    Born, DutyConfig, Runner, Stage, StageChange, StageDuty, StagesConfig, StartNews,
+    next_stage_change,
 };
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
@@ -51,15 +52,27 @@
 struct OrderNote {
     runner: String,
     to_decode: bool,
+    /// The start that the order was for: a later one knows nothing of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    born: Option<Born>,
 }
 
-/// A change that may be under way, and since when this process knows of it.
+/// A change that may be under way, at which start, and since when this process knows of it.
 #[derive(Clone, Copy, Debug)]
 struct Ordered {
     stage: Stage,
+    born: Option<Born>,
     known_since: Millis,
 }
 
+/// Reads the record. One by another writer names no orders; what is written next replaces it.
+fn read_record(name: &str, value: &serde_json::Value) -> DutyRecord {
+    serde_json::from_value(value.clone()).unwrap_or_else(|e| {
+        log::warn!("orders: record passed over name={name} cause=\"{e}\"");
+        DutyRecord::default()
+    })
+}
+
 /// What is known of one service's duty.
 #[derive(Debug)]
 struct Duty {
@@ -157,7 +170,8 @@
         }
         duty.ordered.retain(|id, ordered| {
             let listed = runners.iter().find(|runner| runner.id == *id);
-            listed.is_some_and(|runner| runner.stage != Some(ordered.stage))
+            let is_same = |runner: &&Runner| runner.born == ordered.born;
+            listed.filter(is_same).is_some_and(|runner| runner.stage != Some(ordered.stage))
                 && now.since(ordered.known_since) < ORDER_SETTLES
         });
         let under_way = duty.ordered.iter().map(|(id, o)| (id.clone(), o.stage)).collect();
@@ -175,9 +189,7 @@
         let record = record.map_err(|e| e.to_string())?;
         duty.has_record = record.is_some();
         if let Some(record) = &record {
-            let held: DutyRecord =
-                serde_json::from_value(record.value.clone()).map_err(|e| e.to_string())?;
-            self.learn(duty, &held);
+            self.learn(duty, &read_record(&name, &record.value));
         }
         let Some(change) = self.wanted(service, duty, cfg) else { return Ok(()) };
         let revision = record.map(|record| record.revision);
@@ -196,7 +208,8 @@
         for note in &held.orders {
             let Ok(id) = RunnerId::try_from(note.runner.as_str()) else { continue };
             let stage = if note.to_decode { Stage::Decode } else { Stage::Prefill };
-            duty.ordered.entry(id).or_insert(Ordered { stage, known_since: now });
+            let ordered = Ordered { stage, born: note.born, known_since: now };
+            duty.ordered.entry(id).or_insert(ordered);
         }
     }
 
@@ -206,10 +219,17 @@
         let call = self.dialect.ask_report(&runner.id);
         let answer = self.exchanger.side_call(runner, call, CALL_TIMEOUT).await;
         let (_, body) = answer.map_err(|e| format!("{} gives no report: {e}", runner.id))?;
-        let report = self.dialect.report(&body).ok_or("the report cannot be read")?;
+        let report = self.dialect.report(&runner.id, &body).map_err(|e| e.to_string())?;
+        match self.knowledge.hear_start(&runner.id, report.born) {
+            StartNews::Same => {}
+            StartNews::Later => return Err(format!("{} started again", runner.id)),
+            StartNews::Earlier => return Err(format!("{} tells of an earlier start", runner.id)),
+            StartNews::Untold => return Err(format!("{} does not tell its start", runner.id)),
+        }
         if report.busy || report.stage == Some(change.stage) {
             let known_since = self.knowledge.now();
-            duty.ordered.insert(runner.id.clone(), Ordered { stage: change.stage, known_since });
+            let ordered = Ordered { stage: change.stage, born: report.born, known_since };
+            duty.ordered.insert(runner.id.clone(), ordered);
             return Err(format!("{} changes already", runner.id));
         }
         Ok(report.accepted)
@@ -222,11 +242,12 @@
         revision: Option<u64>,
         change: &StageChange,
     ) -> Result<u64, String> {
-        let under_way = duty.ordered.iter().map(|(id, ordered)| (id.clone(), ordered.stage));
-        let new = std::iter::once((change.runner.id.clone(), change.stage));
-        let orders = under_way.chain(new).map(|(id, stage)| OrderNote {
+        let under_way = duty.ordered.iter().map(|(id, it)| (id, it.stage, it.born));
+        let new = std::iter::once((&change.runner.id, change.stage, change.runner.born));
+        let orders = under_way.chain(new).map(|(id, stage, born)| OrderNote {
             runner: id.as_str().to_owned(),
             to_decode: stage == Stage::Decode,
+            born,
         });
         let holder = self.knowledge.cfg().name.to_string();
         let record = DutyRecord { holder, orders: orders.collect() };
@@ -248,7 +269,7 @@
         let order = StageOrder { runner: &runner.id, stage, holder: &holder, fence, accepted };
         let call = self.dialect.order_stage(&order);
         let known_since = self.knowledge.now();
-        duty.ordered.insert(runner.id.clone(), Ordered { stage, known_since });
+        duty.ordered.insert(runner.id.clone(), Ordered { stage, born: runner.born, known_since });
         duty.last_order = Some(known_since);
         let answer = self.exchanger.side_call(runner, call, CALL_TIMEOUT).await;
         let (result, detail) = match answer {
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -112,7 +112,7 @@
             &body,
         ),
         Err(e) => {
-            note_unreachable(cx, &runner.id, &e);
+            note_unreachable(cx, &runner, &e);
             (None, "unreachable")
         }
     };
@@ -137,6 +137,9 @@
     let hold = |runner, lease| {
         HeldMemory::new(runner, lease, terms, &cx.knowledge, &cx.exchanger, &cx.dialect)
     };
+    if cx.knowledge.is_past(&runner) {
+        return (None, "started_again");
+    }
     match (status, cx.dialect.hold_name(body)) {
         (StatusCode::OK, Some(lease)) => (Some(hold(runner, Some(lease))), "held"),
         // An engine without holds decides when the generation arrives.
@@ -152,8 +155,8 @@
     }
 }
 
-fn note_unreachable<D: Dialect>(cx: &Router<D>, runner: &RunnerId, e: &ExchangeError) {
-    log::info!("place: runner={runner} cause=\"{e}\"");
+fn note_unreachable<D: Dialect>(cx: &Router<D>, runner: &Runner, e: &ExchangeError) {
+    log::info!("place: runner={} cause=\"{e}\"", runner.id);
     cx.knowledge.note_call(runner, CallResult::Unreachable);
 }
 
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -96,7 +96,7 @@
     let mut progress = Progress::new(fwd.arrival.resume_after);
     let mut tries = Tries { decodes: vec![run.runner.id.clone()], ..Tries::default() };
     loop {
-        let runner = run.runner.id.clone();
+        let runner = run.runner.clone();
         let began = run.began;
         let end = carry_run(cx, fwd, &mut plan, run, &mut progress, &tx).await;
         let took = cx.now().since(began);
@@ -109,9 +109,10 @@
         };
         let cause = if let RunEnd::Broken(cause) = &end { cause.as_str() } else { "" };
         log::info!(
-            "stream: run ended id={} runner={runner} result={word} cause=\"{cause}\" \
+            "stream: run ended id={} runner={} result={word} cause=\"{cause}\" \
              last_event={last} longest_gap_ms={} ms={}",
             fwd.arrival.id,
+            runner.id,
             progress.longest_gap.0,
             took.0,
         );
@@ -199,7 +200,7 @@
                 return RunEnd::Broken(format!("silent for {patience}"));
             }
             Err(_) => {
-                cx.knowledge.note_run_end(&runner.id, false);
+                cx.knowledge.note_run_end(&runner, false);
                 was_silent = true;
                 continue;
             }
@@ -215,7 +216,7 @@
             Ok(None) => return RunEnd::Broken("it ended inside an event".to_owned()),
         };
         if progress.note_bytes(fwd.route.gap_target, cx.now()) {
-            cx.knowledge.note_run_end(&runner.id, false);
+            cx.knowledge.note_run_end(&runner, false);
         }
         let passed = match has_events {
             true => pass_events(progress, &bytes, tx).await,
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -131,11 +131,11 @@
         Ok(_) => (CallResult::Answered(Millis(0)), ""),
         Err((result, cause)) => (*result, cause.as_str()),
     };
-    cx.note_attempt(fwd, AttemptNote { runner: &runner.id, step: "read", began, result, detail });
+    cx.note_attempt(fwd, AttemptNote { runner: &runner, step: "read", began, result, detail });
     match result {
         CallResult::NotRun => cx.knowledge.pause(&runner.id, REFUSED_READ_PAUSE),
-        CallResult::Answered(_) => cx.knowledge.note_run_end(&runner.id, true),
-        CallResult::Failed => cx.knowledge.note_run_end(&runner.id, false),
+        CallResult::Answered(_) => cx.knowledge.note_run_end(&runner, true),
+        CallResult::Failed => cx.knowledge.note_run_end(&runner, false),
         // A line that is too long looks the same; the pause after it is enough.
         CallResult::Unreachable => {}
     }
@@ -144,7 +144,7 @@
         let took = cx.now().since(began);
         cx.knowledge.with_pace(&fwd.service, |pace| pace.note_read(tokens, took));
     }
-    Some(KeptKv::new(runner, handle, &cx.exchanger, &cx.dialect))
+    Some(KeptKv::new(runner, handle, &cx.knowledge, &cx.exchanger, &cx.dialect))
 }
 
 async fn read_answer<D: Dialect>(
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, Route, Runner};
+use bulrushusher_forward::{CallResult, LoadLife, Route, Runner};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
@@ -106,7 +106,7 @@
              left_ms={}",
             fwd.arrival.id,
             note.step,
-            note.runner,
+            note.runner.id,
             note.detail,
             took.0,
             fwd.left(self.now()).0,
@@ -116,11 +116,7 @@
     /// The runner's address belongs to another one, or it is gone.
     pub(crate) fn forget_runner(&self, runner: &RunnerId, cause: &str) {
         log::info!("runners: gone id={runner} cause=\"{cause}\"");
-        self.knowledge.with_runners(|runners, _| {
-            runners.members.forget(runner);
-            runners.loads.forget(runner);
-        });
-        self.knowledge.forget_run_ends(runner);
+        self.knowledge.drop_runner(runner);
         self.exchanger.pool().forget(runner);
     }
 }
@@ -128,7 +124,7 @@
 /// How an attempt went.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptNote<'a> {
-    pub runner: &'a RunnerId,
+    pub runner: &'a Runner,
     pub step: &'static str,
     pub began: Millis,
     pub result: CallResult,
@@ -163,6 +159,7 @@
 pub(crate) struct LoadTicket {
     knowledge: Arc<Knowledge>,
     runner: RunnerId,
+    life: LoadLife,
     prompt_tokens: u64,
 }
 
@@ -172,14 +169,14 @@
         runner: &RunnerId,
         prompt_tokens: u64,
     ) -> LoadTicket {
-        knowledge.with_runners(|runners, _| runners.loads.begin(runner, prompt_tokens));
-        LoadTicket { knowledge: knowledge.clone(), runner: runner.clone(), prompt_tokens }
+        let life = knowledge.with_runners(|runners, _| runners.loads.begin(runner, prompt_tokens));
+        LoadTicket { knowledge: knowledge.clone(), runner: runner.clone(), life, prompt_tokens }
     }
 }
 
 impl Drop for LoadTicket {
     fn drop(&mut self) {
         let (runner, tokens) = (&self.runner, self.prompt_tokens);
-        self.knowledge.with_runners(|runners, _| runners.loads.end(runner, tokens));
+        self.knowledge.with_runners(|runners, _| runners.loads.end(runner, self.life, tokens));
     }
 }
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -481,6 +481,7 @@
     let name = format!("d{n}");
     Runner {
         id: name.as_str().try_into().expect("a good name"),
+        born: None,
         service: service.clone(),
         address: SocketAddr::from(([10, 0, 0, 1], n as u16)),
         data_centre: "dc-1".try_into().expect("a good name"),
