An account of what each request lost, and refusals that name what bound

Cause: a generation refused because nobody could read its prompt was logged as refused for memory, and no command told what became of a run's requests. Ruled out: metrics (no request's parts add up there); a reason from the last try alone (a request behind others never tried). `place` names what bound when it gave up; the accepted line has targets and the prompt; the crate `bulrushusher_account` reads logs, `bulrushctl losses` shows them by route, second, runner, data centre, size and cause as table, JSON and plot.

--- a/crates/bulrushusher_ctl/src/cli.rs
+++ b/crates/bulrushusher_ctl/src/cli.rs
@@ -12,6 +12,7 @@
 
 use crate::CtlError;
 use crate::apply::{Desired, read_desired};
+use crate::losses;
 use crate::show::{self, Output, Rows};
 
 type Client = OperatorClient<Channel>;
@@ -108,6 +109,7 @@
         .subcommand(Command::new("apply").about("Creates or updates objects").args([file, dry]))
         .subcommand(named("drain", "An endpoint gets no new work; what is in flight finishes"))
         .subcommand(named("undrain", "An endpoint gets work again"))
+        .subcommand(losses::command())
         .subcommand(Command::new("status").about("What an entry has in force and sees"))
         .subcommand(
             Command::new("wait")
@@ -131,6 +133,7 @@
         Some(("closing", args)) => closing(&mut connect(&first).await?, args).await?,
         Some(("endpoint", args)) => endpoint(&mut connect(&first).await?, args).await?,
         Some(("account", args)) => account(&mut connect(&first).await?, args).await?,
+        Some(("losses", args)) => return losses::losses(args, output),
         Some(("apply", args)) => return apply(&first, args, output).await,
         Some((verb @ ("drain" | "undrain"), args)) => {
             let req = v1::DrainRequest { name: name_of(args), drain: verb == "drain" };
--- a/crates/bulrushusher_ctl/src/lib.rs
+++ b/crates/bulrushusher_ctl/src/lib.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod cli;
 mod error;
+mod losses;
 mod show;
 
 pub use apply::{Desired, read_desired};
--- a/crates/bulrushusher_ctl/tests/cli.rs
+++ b/crates/bulrushusher_ctl/tests/cli.rs
@@ -51,3 +51,25 @@
     assert_eq!(code, Some(2));
     assert!(message.contains("[operator] entry is `here`; give IP:port"), "{message}");
 }
+
+#[tokio::test]
+async fn losses_tells_what_logs_say_and_what_they_do_not() {
+    let logs = concat!(env!("CARGO_MANIFEST_DIR"), "/../bulrushusher_account/tests/logs");
+    let (first, second) = (format!("{logs}/gateway-1.log"), format!("{logs}/gateway-2.log"));
+    let run = async |args: &[&str]| {
+        let all = ["bulrushctl", "losses"].iter().chain(args);
+        let matches = bulrushusher_ctl::command().get_matches_from(all);
+        bulrushusher_ctl::execute(&matches).await
+    };
+    let table = run(&[&first, &second]).await.expect("it is told");
+    assert!(
+        table.contains("digest") && table.contains("foreign 2, cut 1, left out by gateways 12")
+    );
+    let json = run(&[&first, &second, "--by", "cause", "--output", "json"]).await;
+    let rows: serde_json::Value = serde_json::from_str(&json.expect("it is told")).expect("JSON");
+    let late =
+        rows.as_array().expect("rows").iter().find(|r| r["name"] == "digest: late by reading");
+    assert_eq!(late.expect("a row")["late"], 1);
+    let missing = run(&["no-such-file.log"]).await.expect_err("there is none");
+    assert_eq!(missing.exit_code(), bulrushusher_ctl::EXIT_USAGE);
+}
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -51,7 +51,7 @@
     until: Millis,
 ) -> Result<HeldMemory<D>, NoRun> {
     let held = place(cx, fwd, tried, until).await;
-    held.ok_or(NoRun::Unplaced("no decode memory is free"))
+    held.map_err(|bound| NoRun::Unplaced(bound.reason()))
 }
 
 /// A stream of a service whose runners do all of it.
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/front.rs
@@ -145,13 +145,16 @@
         fwd.body = body;
         log::info!(
             "front: accepted id={} route={} service={} kind={kind} left_ms={} elapsed_before_ms={} \
-             configuration={}",
+             configuration={} target_ms={} gap_target_ms={} prompt={}",
             arrival.id,
             fwd.route.name,
             fwd.service,
             fwd.left(received).0,
             fwd.elapsed_before.0,
             routing.version,
+            fwd.route.target.0,
+            fwd.route.gap_target.0,
+            fwd.prompt_tokens(),
         );
         self.router.knowledge.earn_retry(&fwd.service);
         let outcome = tokio::select! {
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -5,6 +5,7 @@
 use bulrushusher_forward::{CallResult, Rank, RunNote, RunShape, Runner, tokens_to_hold};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
+use derive_more::Display;
 use hyper::StatusCode;
 
 use crate::dialect::Dialect;
@@ -37,18 +38,48 @@
     }
 }
 
-/// Waits in line for memory until `until`; `None` when there was none.
+/// Why a generation got no memory: what bound when it gave up.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{}", self.reason())]
+pub(crate) enum NoPlace {
+    /// No decode runner takes work.
+    NoRunner,
+    /// Memory may be free, and nobody can read the prompt in time.
+    Reading,
+    /// The runners that were asked had no room after all.
+    Refused,
+    /// No decode runner has room, as far as can be forecast.
+    Memory,
+}
+
+impl NoPlace {
+    /// What callers are told.
+    pub(crate) fn reason(self) -> &'static str {
+        match self {
+            NoPlace::NoRunner => "no decode runner is left",
+            NoPlace::Reading => "no runner can read the prompt in time",
+            NoPlace::Refused => "the decode runners refused to hold memory",
+            NoPlace::Memory => "no decode memory is free",
+        }
+    }
+}
+
+/// Waits in line for memory until `until`.
+///
+/// # Errors
+/// What bound when there was none.
 pub(crate) async fn place<D: Dialect>(
     cx: &Router<D>,
     fwd: &Forwarded,
     tried: &[RunnerId],
     until: Millis,
-) -> Option<HeldMemory<D>> {
+) -> Result<HeldMemory<D>, NoPlace> {
     let late = fwd.is_late();
     let rank = cx.knowledge.join_line(&fwd.service, late, fwd.route.priority);
     let line = InLine { knowledge: cx.knowledge.clone(), service: fwd.service.clone(), rank };
     let tokens = tokens_wanted(cx, fwd);
     let shape = RunShape::of(fwd.arrival.size.as_ref());
+    let mut refusals = 0;
     loop {
         let may_ask = cx.knowledge.with_line(&line.service, |l| l.may_ask(&line.rank));
         let yields = late && cx.knowledge.peers_have_waiting();
@@ -57,13 +88,13 @@
             let asked = if cx.knowledge.asks_now(open.len()) { ASKED_AT_ONCE } else { 0 };
             for runner in open.into_iter().take(asked) {
                 if let Some(held) = ask(cx, fwd, runner, tokens).await {
-                    return Some(held);
+                    return Ok(held);
                 }
+                refusals += 1;
             }
         }
         if cx.now().plus(ASK_AGAIN) > until {
-            log_given_up(cx, fwd, shape);
-            return None;
+            return Err(give_up(cx, fwd, shape, refusals));
         }
         tokio::time::sleep(ASK_AGAIN.duration()).await;
     }
@@ -74,11 +105,28 @@
     fwd.arrival.size.as_ref().map_or(1, |size| tokens_to_hold(size, 0, holds))
 }
 
-fn log_given_up<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, shape: RunShape) {
+/// Finds what bound, and logs it with what it rests on.
+fn give_up<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    shape: RunShape,
+    refusals: usize,
+) -> NoPlace {
     let outlook = cx.knowledge.memory_outlook(&fwd.service, shape);
+    let can_be_read = can_be_read_soon(cx, fwd);
+    let bound = if outlook.runners == 0 {
+        NoPlace::NoRunner
+    } else if !can_be_read {
+        NoPlace::Reading
+    } else if outlook.lowest <= outlook.room && refusals > 0 {
+        NoPlace::Refused
+    } else {
+        NoPlace::Memory
+    };
     log::info!(
-        "place: given up id={} late={} waited_ms={} decode_runners={} lowest_forecast={} room={} \
-         peers_heard={} prompt_can_be_read={} waiting_here={}",
+        "place: given up id={} bound=\"{bound}\" late={} waited_ms={} decode_runners={} \
+         lowest_forecast={} room={} peers_heard={} prompt_can_be_read={can_be_read} \
+         refusals={refusals} waiting_here={}",
         fwd.arrival.id,
         fwd.is_late(),
         cx.now().since(fwd.received).0,
@@ -86,9 +134,9 @@
         outlook.lowest,
         outlook.room,
         outlook.peers,
-        can_be_read_soon(cx, fwd),
         cx.knowledge.waiting(),
     );
+    bound
 }
 
 /// Asks a runner to hold memory; `None` when it does not.
