Readings: rates, constant parts and pauses are learned; decode runners read several prompts

What changed: `ReadPace` fits a constant part, a rate and their spread from readings with what stood in front of them; `PauseModel` learns which part of a reading falls between two events; a decode runner reads while fewer than half a run is expected to be late by it; who cannot be read lets those behind pass; prompts that decode runners may read leave half of the prefill line to the others.

--- a/crates/bulrushusher_account/src/request.rs
+++ b/crates/bulrushusher_account/src/request.rs
@@ -71,6 +71,11 @@
             "route: attempt ended" => {
                 match line.text("step") {
                     Some("read") => self.read_ms += number("ms"),
+                    Some("read_and_generate") => {
+                        self.read_ms += number("ms");
+                        self.attempts += 1;
+                        self.runner = Some(text("runner"));
+                    }
                     _ => {
                         self.run_ms = number("ms");
                         self.attempts += 1;
--- a/crates/bulrushusher_forward/src/forecast.rs
+++ b/crates/bulrushusher_forward/src/forecast.rs
@@ -102,7 +102,7 @@
 const SMALLEST_SHARE: f64 = 1e-6;
 
 /// The complementary error function, to seven digits (Abramowitz and Stegun, 7.1.26).
-fn erfc(x: f64) -> f64 {
+pub(crate) fn erfc(x: f64) -> f64 {
     let t = 1.0 / (1.0 + 0.327_591_1 * x.abs());
     let poly = t
         * (0.254_829_592
--- a/crates/bulrushusher_forward/src/pace.rs
+++ b/crates/bulrushusher_forward/src/pace.rs
@@ -2,13 +2,15 @@
 
 use bulrushusher_time::Millis;
 
-use crate::LengthModel;
+use crate::{LengthModel, PauseModel, ReadPace};
 
 /// First guesses and margins.
 #[derive(Clone, Copy, Debug)]
 pub struct PaceConfig {
     /// Reading time of one prompt token before any was seen, in ms.
     pub first_read_ms_per_token: f64,
+    /// How much longer a decode runner takes for a prompt before any was seen.
+    pub first_decode_factor: f64,
     /// Tokens that a run generates in one ms before any was seen.
     pub first_tokens_per_ms: f64,
     /// Duration of a generation before any was seen.
@@ -28,6 +30,7 @@
     fn default() -> PaceConfig {
         PaceConfig {
             first_read_ms_per_token: 0.02,
+            first_decode_factor: 2.0,
             first_tokens_per_ms: 1.4,
             first_generation: Millis(5_000),
             read_margin: 2.5,
@@ -54,7 +57,9 @@
 #[derive(Clone, Debug)]
 pub struct Pace {
     cfg: PaceConfig,
-    read_ms_per_token: f64,
+    prefill: ReadPace,
+    decode: ReadPace,
+    pauses: PauseModel,
     generation_ms: f64,
     tokens_per_ms: f64,
     lengths: LengthModel,
@@ -68,21 +73,50 @@
     pub fn new(cfg: PaceConfig) -> Pace {
         Pace {
             cfg,
-            read_ms_per_token: cfg.first_read_ms_per_token,
+            prefill: ReadPace::new(cfg.first_read_ms_per_token),
+            decode: ReadPace::new(cfg.first_read_ms_per_token * cfg.first_decode_factor),
+            pauses: PauseModel::default(),
             tokens_per_ms: cfg.first_tokens_per_ms,
             lengths: LengthModel::default(),
             generation_ms: cfg.first_generation.0 as f64 / GENERATION_MARGIN,
         }
     }
 
-    /// A prompt was read at a runner that had no other.
+    /// So many tokens, a prompt and those in front of it, were read at a prefill runner.
     pub fn note_read(&mut self, tokens: u64, took: Millis) {
         if tokens > 0 {
-            let seen = took.0 as f64 / tokens as f64;
-            self.read_ms_per_token += self.cfg.newest_weight * (seen - self.read_ms_per_token);
+            self.prefill.note(tokens as f64, took.0 as f64);
         }
     }
 
+    /// A decode runner that read no other prompt has read one for a run of its own.
+    pub fn note_decode_read(&mut self, tokens: u64, took: Millis) {
+        if tokens > 0 {
+            self.decode.note(tokens as f64, took.0 as f64);
+        }
+    }
+
+    /// A run paused for `seen` while its decode runner read a prompt, whose whole reading would have
+    /// made a pause of `whole` ms.
+    pub fn note_pause(&mut self, whole: f64, seen: Millis) {
+        self.pauses.note(whole, seen.0 as f64);
+    }
+
+    /// How fast an idle prefill runner reads.
+    pub fn prefill(&self) -> ReadPace {
+        self.prefill
+    }
+
+    /// How fast a decode runner reads between the tokens of its runs.
+    pub fn decode(&self) -> ReadPace {
+        self.decode
+    }
+
+    /// What readings at decode runners did to the other runs there.
+    pub fn pauses(&self) -> PauseModel {
+        self.pauses
+    }
+
     /// A generation ended whole after `took`, with `made` tokens where `expected` were expected.
     pub fn note_generation(&mut self, took: Millis, expected: u64, made: u64) {
         let seen = took.0 as f64;
@@ -104,14 +138,9 @@
         self.lengths
     }
 
-    /// Time that an idle prefill runner takes for a prompt token, in ms.
-    pub fn read_ms_per_token(&self) -> f64 {
-        self.read_ms_per_token
-    }
-
     /// Time after which a reading counts as lost that ends when `tokens` were read.
     pub fn longest_read(&self, tokens: u64) -> Millis {
-        let expected = tokens as f64 * self.read_ms_per_token;
+        let expected = self.prefill.expected(tokens as f64);
         Millis((expected * self.cfg.read_margin) as u64).plus(self.cfg.read_slack)
     }
 
--- a/crates/bulrushusher_forward/src/reading.rs
+++ b/crates/bulrushusher_forward/src/reading.rs
@@ -2,6 +2,8 @@
 
 use bulrushusher_time::Millis;
 
+use crate::{PauseModel, ReadPace};
+
 /// Who reads a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reader {
@@ -11,129 +13,114 @@
     Decode,
 }
 
-/// What the choice looks at.
+/// A prompt to be read, and how fast that goes.
 #[derive(Clone, Copy, Debug)]
-pub struct ReadChoice {
-    /// Tokens of the prompt.
+pub struct Prompt {
+    /// Its tokens.
     pub tokens: u64,
     /// Tokens waiting at the prefill runner with the fewest; `None` when there is none.
     pub ahead: Option<u64>,
-    /// Prompts that the decode runner reads itself now.
-    pub read_by_decode: usize,
-    /// Other runs at the decode runner.
-    pub runs_at_decode: usize,
+    /// How fast an idle prefill runner reads.
+    pub at_prefill: ReadPace,
+    /// How fast a decode runner reads between the tokens of its runs.
+    pub at_decode: ReadPace,
     /// Time between two events of a run.
     pub event_gap: Millis,
     /// The longest pause between events that is on time; zero for none.
     pub gap_target: Millis,
+    /// What readings did to runs so far.
+    pub pauses: PauseModel,
     /// Time left to the response-time target.
     pub left_on_time: Millis,
 }
 
+/// A decode runner that may read a prompt itself.
+#[derive(Clone, Copy, Debug)]
+pub struct DecodeLoad {
+    /// Tokens that it reads itself now.
+    pub reading: u64,
+    /// Other runs there.
+    pub runs: usize,
+}
+
 /// Bounds of the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadConfig {
-    /// Prompts that a decode runner reads at the same time at most.
-    pub most_by_decode: usize,
-    /// How much longer a decode runner takes for a prompt than a prefill runner.
-    pub decode_factor: f64,
-    /// Share of the target for pauses that a reading may take up.
-    pub pause_share: f64,
     /// Time from the end of the reading to the first event at the caller.
     pub first_event: Millis,
+    /// Share of the time left up to which the line at a prefill runner is used by prompts that a
+    /// decode runner may read too; the rest is left to those that it may not.
+    pub shared_line: f64,
 }
 
 impl Default for ReadConfig {
-    /// A decode runner reads at half the speed, in pieces between the tokens of its other runs,
-    /// which all pause meanwhile. Without regard to that, readings at decode runners made 90 of
-    /// 880 streams of a day late by a pause, against 10, to bring 60 first events in time.
+    /// A first event takes some 80 ms after its prompt was read. Prompts that are too long for a
+    /// decode runner's pauses are a fifth of all.
     fn default() -> ReadConfig {
-        ReadConfig {
-            most_by_decode: 1,
-            decode_factor: 2.0,
-            pause_share: 0.6,
-            first_event: Millis(80),
-        }
-    }
-}
-
-/// Prefill runners read, unless the line there makes the first event late, the decode runner would
-/// read the prompt sooner, and its other runs would not pause for too long.
-///
-/// ```
-/// use bulrushusher_forward::{ReadChoice, ReadConfig, Reader, choose_reader};
-/// use bulrushusher_time::Millis;
-/// let choice = ReadChoice {
-///     tokens: 5_000,
-///     ahead: Some(10_000),
-///     read_by_decode: 0,
-///     runs_at_decode: 7,
-///     event_gap: Millis(50),
-///     gap_target: Millis(450),
-///     left_on_time: Millis(800),
-/// };
-/// let choose = |choice| choose_reader(choice, 0.02, ReadConfig::default());
-/// assert_eq!(choose(choice), Reader::Prefill, "300 ms are soon enough");
-/// assert_eq!(choose(ReadChoice { ahead: Some(40_000), ..choice }), Reader::Decode);
-/// let longer = ReadChoice { tokens: 9_000, ahead: Some(40_000), ..choice };
-/// assert_eq!(choose(longer), Reader::Prefill, "seven runs would pause for too long");
-/// assert_eq!(choose(ReadChoice { runs_at_decode: 0, ..longer }), Reader::Decode);
-/// assert_eq!(choose(ReadChoice { ahead: None, read_by_decode: 5, ..choice }), Reader::Decode);
-/// ```
-pub fn choose_reader(choice: ReadChoice, ms_per_token: f64, cfg: ReadConfig) -> Reader {
-    let Some(at_prefill) = choice.at_prefill(ms_per_token) else { return Reader::Decode };
-    let at_decode = choice.tokens as f64 * ms_per_token * cfg.decode_factor;
-    let left = choice.left_on_time.since(cfg.first_event).0 as f64;
-    let is_late = at_prefill > left && at_decode < at_prefill;
-    match is_late && choice.decode_may_read(ms_per_token, cfg) {
-        true => Reader::Decode,
-        false => Reader::Prefill,
+        ReadConfig { first_event: Millis(80), shared_line: 0.5 }
     }
 }
 
-/// True when somebody can read the prompt within `longest`. Memory held for one that nobody can
-/// read in time is lost to others, and so is the part that was read.
-///
-/// ```
-/// use bulrushusher_forward::{ReadChoice, ReadConfig, can_be_read};
-/// use bulrushusher_time::Millis;
-/// let choice = ReadChoice {
-///     tokens: 9_000,
-///     ahead: Some(90_000),
-///     read_by_decode: 0,
-///     runs_at_decode: 7,
-///     event_gap: Millis(50),
-///     gap_target: Millis(300),
-///     left_on_time: Millis(800),
-/// };
-/// let can = |choice| can_be_read(choice, 0.02, Millis(1_200), ReadConfig::default());
-/// assert!(!can(choice), "two seconds at the prefill runner, and too long a pause elsewhere");
-/// assert!(can(ReadChoice { ahead: Some(20_000), ..choice }));
-/// assert!(can(ReadChoice { tokens: 2_000, ..choice }), "the decode runner reads it");
-/// ```
-pub fn can_be_read(
-    choice: ReadChoice,
-    ms_per_token: f64,
-    longest: Millis,
-    cfg: ReadConfig,
-) -> bool {
-    let at_prefill = choice.at_prefill(ms_per_token);
-    let in_time = at_prefill.is_none_or(|ms| ms <= longest.0 as f64);
-    in_time || choice.decode_may_read(ms_per_token, cfg)
-}
+/// Runs that a reading at a decode runner may be expected to make late. One more on time is worth
+/// one made late; half leaves room for what the model does not know.
+const MOST_MADE_LATE: f64 = 0.5;
 
-impl ReadChoice {
+impl Prompt {
     /// Time until the prefill runner has read the prompt, in ms.
-    fn at_prefill(&self, ms_per_token: f64) -> Option<f64> {
-        self.ahead.map(|ahead| (ahead + self.tokens) as f64 * ms_per_token)
+    fn ms_at_prefill(&self) -> Option<f64> {
+        self.ahead.map(|ahead| self.at_prefill.likely((ahead + self.tokens) as f64))
+    }
+
+    /// True when a prefill runner reads it within `longest`.
+    pub fn prefill_is_in_time(&self, longest: Millis) -> bool {
+        self.ms_at_prefill().is_some_and(|ms| ms <= longest.0 as f64)
     }
 
-    /// True when the decode runner may read the prompt without making its other runs late.
-    fn decode_may_read(&self, ms_per_token: f64, cfg: ReadConfig) -> bool {
-        let reading = self.tokens as f64 * ms_per_token * cfg.decode_factor;
+    /// True when the decode runner may read the prompt: its other runs that are late by that are
+    /// fewer than the one that is served.
+    pub fn decode_may_read(&self, decode: DecodeLoad) -> bool {
+        let reading = (decode.reading + self.tokens) as f64 * self.at_decode.ms_per_token();
         let pause = reading + self.event_gap.0 as f64;
-        let is_short = pause <= self.gap_target.0 as f64 * cfg.pause_share;
-        let disturbs_none = self.runs_at_decode == 0 || is_short;
-        disturbs_none && self.read_by_decode < cfg.most_by_decode
+        let late_share = self.pauses.late_share(pause, self.gap_target.0 as f64);
+        decode.runs as f64 * late_share <= MOST_MADE_LATE
+    }
+
+    /// Who reads the prompt of a run at that decode runner: a prefill runner, unless the line there
+    /// makes the first event late, the decode runner would read the prompt sooner, and its other
+    /// runs would not pause for too long.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{DecodeLoad, PauseModel, Prompt, ReadConfig, ReadPace, Reader};
+    /// use bulrushusher_time::Millis;
+    /// let prompt = Prompt {
+    ///     tokens: 5_000,
+    ///     ahead: Some(10_000),
+    ///     at_prefill: ReadPace::new(0.02),
+    ///     at_decode: ReadPace::new(0.04),
+    ///     event_gap: Millis(50),
+    ///     gap_target: Millis(300),
+    ///     pauses: PauseModel::default(),
+    ///     left_on_time: Millis(800),
+    /// };
+    /// let busy = DecodeLoad { reading: 0, runs: 7 };
+    /// let cfg = ReadConfig::default();
+    /// assert_eq!(prompt.reader(busy, cfg), Reader::Prefill, "300 ms are soon enough");
+    /// let late = Prompt { ahead: Some(40_000), ..prompt };
+    /// assert_eq!(late.reader(busy, cfg), Reader::Decode);
+    /// assert_eq!(late.reader(DecodeLoad { reading: 5_000, ..busy }, cfg), Reader::Prefill);
+    /// let longer = Prompt { tokens: 9_000, ..late };
+    /// assert_eq!(longer.reader(busy, cfg), Reader::Prefill, "seven runs would pause too long");
+    /// assert_eq!(longer.reader(DecodeLoad { reading: 0, runs: 0 }, cfg), Reader::Decode);
+    /// assert_eq!(Prompt { ahead: None, ..longer }.reader(busy, cfg), Reader::Decode);
+    /// ```
+    pub fn reader(&self, decode: DecodeLoad, cfg: ReadConfig) -> Reader {
+        let Some(at_prefill) = self.ms_at_prefill() else { return Reader::Decode };
+        let at_decode = self.at_decode.expected((decode.reading + self.tokens) as f64);
+        let left = self.left_on_time.since(cfg.first_event).0 as f64 * cfg.shared_line;
+        let is_late = at_prefill > left && at_decode < at_prefill;
+        match is_late && self.decode_may_read(decode) {
+            true => Reader::Decode,
+            false => Reader::Prefill,
+        }
     }
 }
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -159,11 +159,11 @@
         }
     }
 
-    /// Prompts that a decode runner reads itself now.
-    pub fn reads_by(&self, runner: &RunnerId, now: Millis) -> usize {
+    /// Prompt tokens that a decode runner reads itself now.
+    pub fn tokens_read_by(&self, runner: &RunnerId, now: Millis) -> u64 {
         let theirs = self.heard_of(runner, now).flat_map(|heard| &heard.report.runs);
         let reads = |note: &&RunNote| note.reads_itself && !note.begun && note.runner == *runner;
-        self.own.values().chain(theirs).filter(reads).count()
+        self.own.values().chain(theirs).filter(reads).map(|note| note.prompt).sum()
     }
 
     /// The run has begun, or has made that many tokens.
--- a/crates/bulrushusher_forward/src/waiting.rs
+++ b/crates/bulrushusher_forward/src/waiting.rs
@@ -68,11 +68,16 @@
 /// assert!(line.may_ask(&fresh) && !line.may_ask(&late));
 /// line.leave(&fresh);
 /// assert!(line.may_ask(&late));
+/// let long = line.join(false, 1, Millis(9));
+/// assert!(!line.may_ask(&late));
+/// line.let_pass(&long, true);
+/// assert!(line.may_ask(&late) && line.may_ask(&long));
 /// ```
 #[derive(Clone, Debug)]
 pub struct WaitingLine {
     cfg: WaitingConfig,
-    waiting: BTreeMap<Rank, ()>,
+    /// Who waits, and whether it lets those behind it pass.
+    waiting: BTreeMap<Rank, bool>,
     next_number: u64,
 }
 
@@ -91,7 +96,7 @@
     pub fn join(&mut self, late: bool, priority: u8, now: Millis) -> Rank {
         self.next_number += 1;
         let rank = Rank { late, priority, since: now, number: self.next_number };
-        self.waiting.insert(rank, ());
+        self.waiting.insert(rank, false);
         rank
     }
 
@@ -100,9 +105,19 @@
         self.waiting.remove(rank);
     }
 
-    /// True when the request is far enough ahead to ask for memory.
+    /// True when the request is far enough ahead to ask for memory. Those that let others pass do
+    /// not count.
     pub fn may_ask(&self, rank: &Rank) -> bool {
-        self.waiting.keys().take(self.cfg.askers).any(|ahead| ahead == rank)
+        let ahead = self.waiting.range(..rank).filter(|(_, lets_pass)| !**lets_pass);
+        ahead.take(self.cfg.askers).count() < self.cfg.askers && self.waiting.contains_key(rank)
+    }
+
+    /// A request that nobody can read now lets those behind it pass, whose prompts are shorter: it
+    /// keeps its place, and asks on.
+    pub fn let_pass(&mut self, rank: &Rank, lets_pass: bool) {
+        if let Some(held) = self.waiting.get_mut(rank) {
+            *held = lets_pass;
+        }
     }
 
     /// Requests waiting that can still meet their target.
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -29,7 +29,7 @@
         return begin_whole(cx, fwd, tries).await;
     }
     let mut held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
-    let kv = read_prompt(cx, fwd, tries, &held).await?;
+    let kv = read_prompt(cx, fwd, tries, &mut held).await?;
     if !held.is_good(cx.now()) {
         // The runner began to leave or started again, or the lease is over: it must not get the run.
         log::info!("place: again id={} runner={}", fwd.arrival.id, held.runner.id);
@@ -39,7 +39,7 @@
     let mut kv = kv;
     if kv.as_ref().is_some_and(KeptKv::is_lost) {
         log::info!("read: again id={} cause=\"its runner started again\"", fwd.arrival.id);
-        kv = read_prompt(cx, fwd, tries, &held).await?;
+        kv = read_prompt(cx, fwd, tries, &mut held).await?;
     }
     begin_split(cx, fwd, tries, held, kv).await
 }
@@ -116,6 +116,8 @@
         true => longest_silence(fwd).min(fwd.left(began)),
         false => fwd.left(began),
     };
+    let reads = held.as_ref().is_some_and(HeldMemory::has_read_itself);
+    let watch = reads.then(|| cx.knowledge.watch_reading(&runner));
     let sending = cx.attempt(fwd, &runner, resume_after, step, within);
     let sent = note_silence(cx, fwd, &runner, sending).await;
     let no_run = match sent {
@@ -123,7 +125,10 @@
             if let Some(held) = &mut held {
                 held.mark_used();
             }
-            note(cx, fwd, &runner, "generate", began, (CallResult::Answered(Millis(0)), ""));
+            if let Some(watch) = watch {
+                watch.finish(&fwd.service, fwd.prompt_tokens(), fwd.route.gap_target);
+            }
+            note(cx, fwd, &runner, step_word(reads), began, (CallResult::Answered(Millis(0)), ""));
             return Ok(Run { runner, reply, began, held, _ticket: ticket });
         }
         Ok(reply) => refused(cx, fwd, &runner, reply).await,
@@ -188,6 +193,10 @@
     }
 }
 
+fn step_word(reads: bool) -> &'static str {
+    if reads { "read_and_generate" } else { "generate" }
+}
+
 /// How a step went, without the runner and the time it began.
 type Went<'a> = (CallResult, &'a str);
 
--- a/crates/bulrushusher_gateway/src/holds.rs
+++ b/crates/bulrushusher_gateway/src/holds.rs
@@ -22,6 +22,7 @@
     /// Name of the lease; `None` when the runner gives none, or when it was used.
     pub lease: Option<Arc<str>>,
     run: RunNumber,
+    reads: bool,
     until: Millis,
     knowledge: Arc<Knowledge>,
     exchanger: Exchanger<D>,
@@ -53,6 +54,7 @@
             runner,
             lease,
             run,
+            reads: false,
             until: knowledge.now().plus(ttl).since(LEASE_MARGIN),
             knowledge: knowledge.clone(),
             exchanger: exchanger.clone(),
@@ -78,10 +80,16 @@
     }
 
     /// The runner reads the prompt itself.
-    pub(crate) fn reads_itself(&self) {
+    pub(crate) fn reads_itself(&mut self) {
+        self.reads = true;
         self.knowledge.run_reads_itself(self.run);
     }
 
+    /// True when the runner has read the prompt itself.
+    pub(crate) fn has_read_itself(&self) -> bool {
+        self.reads
+    }
+
     /// The run has made that many tokens.
     pub(crate) fn progress(&self, made: u64) {
         self.knowledge.run_progress(self.run, made);
--- a/crates/bulrushusher_gateway/src/knowledge/health.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/health.rs
@@ -38,6 +38,7 @@
     /// Forgets how runs ended at a runner that is gone.
     pub(crate) fn forget_run_ends(&self, runner: &RunnerId) {
         self.health.lock().forget(runner);
+        self.forget_pauses(runner);
     }
 
     /// Runners of the service that fail too many runs. Empty when that is true of so many that the
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use bulrushusher_forward::{
-    Candidate, GatewayReport, MemoryForecast, RunNote, RunNumber, RunShape, Runner, Stage,
-    WaitingLine, asks_now, rank_for_decode,
+    Candidate, DecodeLoad, GatewayReport, MemoryForecast, Prompt, RunNote, RunNumber, RunShape,
+    Runner, Stage, WaitingLine, asks_now, rank_for_decode,
 };
 use bulrushusher_world::{RunnerId, ServiceName};
 
@@ -21,12 +21,14 @@
 
 impl Knowledge {
     /// Decode runners with room for the run, as far as can be forecast, in the order in which to
-    /// ask them for memory.
+    /// ask them for memory. Where no prefill runner can read the prompt in time, `reads_itself`
+    /// leaves those that may read it.
     pub(crate) fn rank_for_decode(
         &self,
         service: &ServiceName,
         tried: &[RunnerId],
         run: RunShape,
+        reads_itself: Option<Prompt>,
     ) -> Vec<Runner> {
         let draw = self.draw();
         let forecast = self.forecast(service);
@@ -34,7 +36,12 @@
             let runs = self.runs.lock();
             let peak = |runner: &Runner| {
                 let there = runs.at(&runner.id, forecast.tokens_per_ms, now);
-                forecast.peak_if_it_fits(there, run)
+                let may_read = |prompt: &Prompt| {
+                    let reading = runs.tokens_read_by(&runner.id, now);
+                    prompt.decode_may_read(DecodeLoad { reading, runs: there.len() })
+                };
+                let can_be_read = reads_itself.as_ref().is_none_or(may_read);
+                can_be_read.then(|| forecast.peak_if_it_fits(there, run)).flatten()
             };
             let failing = self.failing(runners, &runs, service, now);
             let cx = Candidate {
@@ -166,12 +173,6 @@
         })
     }
 
-    /// Runs at a decode runner, over all gateways.
-    pub(crate) fn runs_at(&self, runner: &RunnerId) -> usize {
-        let now = self.now();
-        self.runs.lock().at(runner, 0.0, now).len()
-    }
-
     /// Tokens in one event of the service's engine.
     pub(crate) fn tokens_per_event(&self, service: &ServiceName) -> u64 {
         let routing = self.routing();
@@ -179,10 +180,13 @@
         engine.map_or(1, |engine| engine.tokens_per_event)
     }
 
-    /// Prompts that a decode runner reads itself now, over all gateways.
-    pub(crate) fn reads_by_decode(&self, runner: &RunnerId) -> usize {
+    /// What a decode runner does beside one run of this gateway's, over all gateways: prompts that
+    /// it reads itself, and other runs.
+    pub(crate) fn decode_load(&self, runner: &RunnerId) -> DecodeLoad {
         let now = self.now();
-        self.runs.lock().reads_by(runner, now)
+        let runs = self.runs.lock();
+        let there = runs.at(runner, 0.0, now).len();
+        DecodeLoad { reading: runs.tokens_read_by(runner, now), runs: there.saturating_sub(1) }
     }
 
     /// The runner of a run reads its prompt itself.
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -1,7 +1,7 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then paces, then
-//! runs, then health, then changing. No lock is held across an await.
+//! runs, then health, then pauses, then changing. No lock is held across an await.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,6 +24,7 @@
 
 mod health;
 mod memory;
+mod pauses;
 mod starts;
 
 /// Fewest parts that the shared burst of repeats is split into. A gateway that starts again has a
@@ -50,6 +51,8 @@
     patience: Mutex<UsualPatience>,
     runs: Mutex<Runs>,
     health: Mutex<RunnerHealth>,
+    /// Pauses in this gateway's streams, by runner that reads a prompt.
+    pauses: Mutex<HashMap<RunnerId, pauses::SeenPauses>>,
     /// Runners whose stage changes, by service.
     changing: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Notified when peers should hear of something new.
@@ -72,6 +75,7 @@
             patience: Mutex::default(),
             runs: Mutex::new(Runs::new(PeersConfig::default())),
             health: Mutex::new(RunnerHealth::new(HealthConfig::default())),
+            pauses: Mutex::default(),
             changing: Mutex::default(),
             report_due: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -12,7 +12,7 @@
 use crate::exchange::ExchangeError;
 use crate::holds::{HeldMemory, HoldTerms, SIDE_CALL_TIMEOUT};
 use crate::knowledge::Knowledge;
-use crate::reading::can_be_read_soon;
+use crate::reading::{Readers, readers};
 use crate::router::{Forwarded, Router};
 
 /// Pause before a waiting request asks again: a fifth of the time between two ends of generations
@@ -83,8 +83,14 @@
     loop {
         let may_ask = cx.knowledge.with_line(&line.service, |l| l.may_ask(&line.rank));
         let yields = late && cx.knowledge.peers_have_waiting();
-        if may_ask && !yields && can_be_read_soon(cx, fwd) {
-            let open = cx.knowledge.rank_for_decode(&fwd.service, tried, shape);
+        if may_ask && !yields {
+            let reads_itself = match readers(cx, fwd) {
+                Readers::Any => None,
+                Readers::Decode(prompt) => Some(prompt),
+            };
+            let open = cx.knowledge.rank_for_decode(&fwd.service, tried, shape, reads_itself);
+            let lets_pass = reads_itself.is_some() && open.is_empty();
+            cx.knowledge.with_line(&line.service, |l| l.let_pass(&line.rank, lets_pass));
             let asked = if cx.knowledge.asks_now(open.len()) { ASKED_AT_ONCE } else { 0 };
             for runner in open.into_iter().take(asked) {
                 if let Some(held) = ask(cx, fwd, runner, tokens).await {
@@ -113,7 +119,12 @@
     refusals: usize,
 ) -> NoPlace {
     let outlook = cx.knowledge.memory_outlook(&fwd.service, shape);
-    let can_be_read = can_be_read_soon(cx, fwd);
+    let can_be_read = match readers(cx, fwd) {
+        Readers::Any => true,
+        Readers::Decode(prompt) => {
+            !cx.knowledge.rank_for_decode(&fwd.service, &[], shape, Some(prompt)).is_empty()
+        }
+    };
     let bound = if outlook.runners == 0 {
         NoPlace::NoRunner
     } else if !can_be_read {
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -62,14 +62,14 @@
         }
     }
 
-    /// Takes in that bytes came; true when they make the runner a slow one.
-    fn note_bytes(&mut self, gap_target: Millis, now: Millis) -> bool {
-        let Some(last) = self.last_bytes.replace(now) else { return false };
+    /// Takes in that bytes came; returns their pause, and whether it makes the runner a slow one.
+    fn note_bytes(&mut self, gap_target: Millis, now: Millis) -> (Millis, bool) {
+        let Some(last) = self.last_bytes.replace(now) else { return (Millis(0), false) };
         let gap = now.since(last);
         self.longest_gap = self.longest_gap.max(gap);
         let is_long = gap.0 as f64 > gap_target.0 as f64 * LONG_PAUSE_SHARE;
         self.slow_in_row = if is_long && gap_target > Millis(0) { self.slow_in_row + 1 } else { 0 };
-        self.slow_in_row == SLOW_PAUSES
+        (gap, self.slow_in_row == SLOW_PAUSES)
     }
 }
 
@@ -215,7 +215,9 @@
             }
             Ok(None) => return RunEnd::Broken("it ended inside an event".to_owned()),
         };
-        if progress.note_bytes(fwd.route.gap_target, cx.now()) {
+        let (pause, is_slow) = progress.note_bytes(fwd.route.gap_target, cx.now());
+        cx.knowledge.note_stream_pause(&runner.id, pause);
+        if is_slow {
             cx.knowledge.note_run_end(&runner, false);
         }
         let passed = match has_events {
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{
-    CallResult, ReadChoice, ReadConfig, Reader, Runner, can_be_read, choose_reader,
-};
+use bulrushusher_forward::{CallResult, Prompt, ReadConfig, Reader, Runner};
 use bulrushusher_time::Millis;
 
 use crate::dialect::{Dialect, Step};
@@ -29,7 +27,7 @@
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
     tries: &mut Tries,
-    held: &HeldMemory<D>,
+    held: &mut HeldMemory<D>,
 ) -> Result<Option<KeptKv<D>>, NoRun> {
     if tries.read_at_decode {
         held.reads_itself();
@@ -44,8 +42,8 @@
         if read > 0 && !cx.knowledge.take_retry(&fwd.service) {
             return Err(NoRun::Unplaced("the prompt was not read"));
         }
-        let near = &held.runner.data_centre;
-        let runner = cx.knowledge.pick_for_prefill(&fwd.service, &tried, near);
+        let near = held.runner.data_centre.clone();
+        let runner = cx.knowledge.pick_for_prefill(&fwd.service, &tried, &near);
         let Some(runner) = runner.filter(|runner| reader(cx, fwd, held, runner) == Reader::Prefill)
         else {
             held.reads_itself();
@@ -70,47 +68,50 @@
     held: &HeldMemory<D>,
     prefill: &Runner,
 ) -> Reader {
-    let (rate, event_gap) = paces(cx, fwd);
-    let choice = ReadChoice {
-        tokens: fwd.prompt_tokens(),
-        runs_at_decode: cx.knowledge.runs_at(&held.runner.id).saturating_sub(1),
-        event_gap,
-        gap_target: fwd.route.gap_target,
-        ahead: Some(cx.knowledge.tokens_at_prefill(&prefill.id)),
-        read_by_decode: cx.knowledge.reads_by_decode(&held.runner.id),
-        left_on_time: fwd.left_on_time(cx.now()),
-    };
-    let reader = choose_reader(choice, rate, ReadConfig::default());
-    log::debug!("read: id={} reader={reader:?} choice={choice:?}", fwd.arrival.id);
+    let prompt = prompt(cx, fwd, Some(prefill));
+    let load = cx.knowledge.decode_load(&held.runner.id);
+    let reader = prompt.reader(load, ReadConfig::default());
+    log::debug!("read: id={} reader={reader:?} prompt={prompt:?} decode={load:?}", fwd.arrival.id);
     reader
 }
 
-/// Time of a prompt token at a prefill runner in ms, and time between two events of a run.
-fn paces<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> (f64, Millis) {
+/// The prompt of a request, with what is known of how fast it can be read.
+fn prompt<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, prefill: Option<&Runner>) -> Prompt {
     let per_event = cx.knowledge.tokens_per_event(&fwd.service) as f64;
-    cx.knowledge.with_pace(&fwd.service, |pace| {
-        (pace.read_ms_per_token(), Millis((per_event / pace.tokens_per_ms()) as u64))
+    let ahead = prefill.map(|prefill| cx.knowledge.tokens_at_prefill(&prefill.id));
+    cx.knowledge.with_pace(&fwd.service, |pace| Prompt {
+        tokens: fwd.prompt_tokens(),
+        ahead,
+        at_prefill: pace.prefill(),
+        at_decode: pace.decode(),
+        event_gap: Millis((per_event / pace.tokens_per_ms()) as u64),
+        gap_target: fwd.route.gap_target,
+        pauses: pace.pauses(),
+        left_on_time: fwd.left_on_time(cx.now()),
     })
 }
 
-/// True when somebody could read the prompt soon enough for a run that is placed now.
-pub(crate) fn can_be_read_soon<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> bool {
+/// Who could read a prompt soon enough for a run that is placed now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Readers {
+    /// A prefill runner, and perhaps decode runners.
+    Any,
+    /// Decode runners only, those that may.
+    Decode(Prompt),
+}
+
+/// Who could read the prompt soon enough for a run that is placed now.
+pub(crate) fn readers<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> Readers {
     let near = &cx.knowledge.cfg().data_centre;
     let prefill = cx.knowledge.pick_for_prefill(&fwd.service, &[], near);
-    let (rate, event_gap) = paces(cx, fwd);
-    let choice = ReadChoice {
-        tokens: fwd.prompt_tokens(),
-        ahead: prefill.map(|prefill| cx.knowledge.tokens_at_prefill(&prefill.id)),
-        read_by_decode: 0,
-        // Which decode runner it will be is not known yet; at a busy pool it has other runs.
-        runs_at_decode: 1,
-        event_gap,
-        gap_target: fwd.route.gap_target,
-        left_on_time: fwd.left_on_time(cx.now()),
-    };
-    let left = choice.left_on_time;
+    let prompt = prompt(cx, fwd, prefill.as_ref());
+    let left = prompt.left_on_time;
     let longest = if left > Millis(0) { left } else { LATE_READ };
-    can_be_read(choice, rate, longest.min(LATE_READ), ReadConfig::default())
+    let longest = longest.since(ReadConfig::default().first_event);
+    match prompt.prefill_is_in_time(longest.min(LATE_READ)) {
+        true => Readers::Any,
+        false => Readers::Decode(prompt),
+    }
 }
 
 async fn read_at<D: Dialect>(
@@ -140,10 +141,8 @@
         CallResult::Unreachable => {}
     }
     let handle = read.ok()?;
-    if ahead == 0 {
-        let took = cx.now().since(began);
-        cx.knowledge.with_pace(&fwd.service, |pace| pace.note_read(tokens, took));
-    }
+    let took = cx.now().since(began);
+    cx.knowledge.with_pace(&fwd.service, |pace| pace.note_read(ahead + tokens, took));
     Some(KeptKv::new(runner, handle, &cx.knowledge, &cx.exchanger, &cx.dialect))
 }
 
