--- a/crates/bulrushusher_forward/src/choose.rs
+++ b/crates/bulrushusher_forward/src/choose.rs
@@ -112,7 +112,9 @@
 /// others.
 fn awake_if_any<'a>(cx: Candidate<'_>, usable: Vec<&'a Runner>) -> Vec<&'a Runner> {
     let fails = |r: &Runner| cx.failing.is_some_and(|failing| failing.contains(&r.id));
-    let awake = usable.iter().filter(|r| !cx.loads.is_paused(&r.id, cx.now) && !fails(r));
+    let silent = |r: &Runner| cx.runs.is_some_and(|runs| runs.is_silent_at_peers(&r.id, cx.now));
+    let paused = |r: &Runner| cx.loads.is_paused(&r.id, cx.now) || silent(r);
+    let awake = usable.iter().filter(|r| !paused(r) && !fails(r));
     let awake: Vec<&Runner> = awake.copied().collect();
     if awake.is_empty() { usable } else { awake }
 }
--- a/crates/bulrushusher_forward/src/forecast.rs
+++ b/crates/bulrushusher_forward/src/forecast.rs
@@ -150,10 +150,20 @@
         self.memory * self.cfg.fill
     }
 
-    /// Memory that the runs at a runner will need at most with one more.
+    /// Memory that the runs at a runner will need at most.
+    pub fn peak(&self, runs: &[RunShape]) -> f64 {
+        peak_memory(runs, &self.lengths, self.tokens_per_ms, self.cfg)
+    }
+
+    /// The same with one more.
     pub fn peak_with(&self, mut runs: Vec<RunShape>, run: RunShape) -> f64 {
         runs.push(run);
-        peak_memory(&runs, &self.lengths, self.tokens_per_ms, self.cfg)
+        self.peak(&runs)
+    }
+
+    /// Share of the memory that may be used which a peak takes up.
+    pub fn fullness(&self, peak: f64) -> f64 {
+        (peak / self.room()).clamp(0.0, 1.0)
     }
 
     /// The same where it fits; `None` where it does not. A runner that has no run takes any.
--- a/crates/bulrushusher_forward/src/load.rs
+++ b/crates/bulrushusher_forward/src/load.rs
@@ -16,18 +16,22 @@
     pub longest_pause: Millis,
     /// How long a refused hold speaks against a runner.
     pub refusal_fades: Millis,
+    /// How long a call that tries a silent runner again keeps others from it.
+    pub trial: Millis,
 }
 
 impl Default for LoadConfig {
     /// A quarter follows a runner that turns slow or failing within some ten calls. The pauses
     /// bound what a dead runner costs to about one call in four seconds; a refused hold is stale
-    /// once one more answer may have ended there.
+    /// once one more answer may have ended there. A call to a runner that is still silent is given
+    /// up within a second; without the trial a dozen calls met it at once after each pause.
     fn default() -> LoadConfig {
         LoadConfig {
             newest_weight: 0.25,
             first_pause: Millis(300),
             longest_pause: Millis(4_000),
             refusal_fades: Millis(60),
+            trial: Millis(1_000),
         }
     }
 }
@@ -59,6 +63,8 @@
     failure_share: f64,
     unreachable_in_row: u32,
     paused_until: Millis,
+    /// When a call began that tries a silent runner again.
+    tried_at: Option<Millis>,
     hold_refused: Option<Millis>,
 }
 
@@ -96,6 +102,20 @@
         load.life
     }
 
+    /// A call to the runner is about to be made. If it was silent, this one tries it for all others.
+    pub fn note_trial(&mut self, id: &RunnerId, now: Millis) {
+        if let Some(load) = self.loads.get_mut(id).filter(|load| load.unreachable_in_row > 0) {
+            load.tried_at = Some(now);
+        }
+    }
+
+    /// Runners that could not be reached lately.
+    pub fn silent(&self, now: Millis) -> Vec<RunnerId> {
+        let silent = |load: &RunnerLoad| load.unreachable_in_row > 0;
+        let all = self.loads.iter().filter(|(id, load)| silent(load) && self.is_paused(id, now));
+        all.map(|(id, _)| id.clone()).collect()
+    }
+
     /// A call begun with the same `prompt_tokens` is over. One that began before the runner was
     /// forgotten is not counted any more.
     pub fn end(&mut self, id: &RunnerId, life: LoadLife, prompt_tokens: u64) {
@@ -132,6 +152,7 @@
             CallResult::Failed | CallResult::Unreachable => 1.0,
             CallResult::NotRun => load.failure_share,
         };
+        load.tried_at = None;
         load.failure_share = mix(load.failure_share, failure, weight);
         match result {
             CallResult::Unreachable => {
@@ -161,9 +182,12 @@
         self.loads.remove(id);
     }
 
-    /// True while the runner should be passed over: it was unreachable a moment ago.
+    /// True while the runner should be passed over: it was unreachable a moment ago, or a call is
+    /// trying whether it still is.
     pub fn is_paused(&self, id: &RunnerId, now: Millis) -> bool {
-        now < self.get(id).paused_until
+        let load = self.get(id);
+        let is_tried = load.tried_at.is_some_and(|at| now.since(at) < self.cfg.trial);
+        now < load.paused_until || is_tried
     }
 
     /// True when the runner refused a hold so lately that it will refuse again.
--- a/crates/bulrushusher_forward/src/read_pace.rs
+++ b/crates/bulrushusher_forward/src/read_pace.rs
@@ -100,6 +100,11 @@
 
     /// Time within which five of six readings of so many tokens end.
     pub fn likely(&self, tokens: f64) -> f64 {
-        self.expected(tokens) + self.error_squared.sqrt()
+        self.expected(tokens) + self.spread_ms()
+    }
+
+    /// How far readings lie from what is expected, in ms.
+    pub fn spread_ms(&self) -> f64 {
+        self.error_squared.sqrt()
     }
 }
--- a/crates/bulrushusher_forward/src/reading.rs
+++ b/crates/bulrushusher_forward/src/reading.rs
@@ -30,6 +30,8 @@
     pub gap_target: Millis,
     /// What readings did to runs so far.
     pub pauses: PauseModel,
+    /// How long generations take.
+    pub generation: Millis,
     /// Time left to the response-time target.
     pub left_on_time: Millis,
 }
@@ -41,6 +43,9 @@
     pub reading: u64,
     /// Other runs there.
     pub runs: usize,
+    /// Share of its memory that the runs there will need, as far as can be forecast: where all is
+    /// needed, what holds them up costs other callers their place.
+    pub fullness: f64,
 }
 
 /// Bounds of the choice.
@@ -61,9 +66,10 @@
     }
 }
 
-/// Runs that a reading at a decode runner may be expected to make late. One more on time is worth
-/// one made late; half leaves room for what the model does not know.
-const MOST_MADE_LATE: f64 = 0.5;
+/// Most that a reading at a decode runner may cost, in generations: those that a pause makes late,
+/// and those whose time the runner spends on it while its memory is asked for. One more on time is
+/// worth one made late; the rest is room for what is not known.
+const MOST_COST: f64 = 0.4;
 
 impl Prompt {
     /// Time until the prefill runner has read the prompt, in ms.
@@ -76,13 +82,14 @@
         self.ms_at_prefill().is_some_and(|ms| ms <= longest.0 as f64)
     }
 
-    /// True when the decode runner may read the prompt: its other runs that are late by that are
-    /// fewer than the one that is served.
+    /// True when the decode runner may read the prompt: what that costs its other runs and those
+    /// that wait for their memory is less than the one that is served.
     pub fn decode_may_read(&self, decode: DecodeLoad) -> bool {
         let reading = (decode.reading + self.tokens) as f64 * self.at_decode.ms_per_token();
         let pause = reading + self.event_gap.0 as f64;
         let late_share = self.pauses.late_share(pause, self.gap_target.0 as f64);
-        decode.runs as f64 * late_share <= MOST_MADE_LATE
+        let held_up = decode.fullness.powi(4) * reading / self.generation.0.max(1) as f64;
+        decode.runs as f64 * (late_share + held_up) <= MOST_COST
     }
 
     /// Who reads the prompt of a run at that decode runner: a prefill runner, unless the line there
@@ -100,9 +107,10 @@
     ///     event_gap: Millis(50),
     ///     gap_target: Millis(300),
     ///     pauses: PauseModel::default(),
+    ///     generation: Millis(4_000),
     ///     left_on_time: Millis(800),
     /// };
-    /// let busy = DecodeLoad { reading: 0, runs: 7 };
+    /// let busy = DecodeLoad { reading: 0, runs: 7, fullness: 0.5 };
     /// let cfg = ReadConfig::default();
     /// assert_eq!(prompt.reader(busy, cfg), Reader::Prefill, "300 ms are soon enough");
     /// let late = Prompt { ahead: Some(40_000), ..prompt };
@@ -110,7 +118,7 @@
     /// assert_eq!(late.reader(DecodeLoad { reading: 5_000, ..busy }, cfg), Reader::Prefill);
     /// let longer = Prompt { tokens: 9_000, ..late };
     /// assert_eq!(longer.reader(busy, cfg), Reader::Prefill, "seven runs would pause too long");
-    /// assert_eq!(longer.reader(DecodeLoad { reading: 0, runs: 0 }, cfg), Reader::Decode);
+    /// assert_eq!(longer.reader(DecodeLoad { runs: 0, ..busy }, cfg), Reader::Decode);
     /// assert_eq!(Prompt { ahead: None, ..longer }.reader(busy, cfg), Reader::Decode);
     /// ```
     pub fn reader(&self, decode: DecodeLoad, cfg: ReadConfig) -> Reader {
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -72,6 +72,9 @@
     /// How runs ended at runners that fail some.
     #[serde(default)]
     pub failing: Vec<RunCounts>,
+    /// Runners that it could not reach lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silent: Vec<RunnerId>,
     /// The starts of the runners that this report speaks of, where runners tell them. What it says
     /// of an earlier start than the hearer knows does not count.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -84,7 +87,7 @@
         let runs = self.runs.iter().map(|note| &note.runner);
         let reads = self.reads.iter().map(|(runner, _)| runner);
         let failing = self.failing.iter().map(|counts| &counts.runner);
-        let spoken_of = runs.chain(reads).chain(&self.changing).chain(failing);
+        let spoken_of = runs.chain(reads).chain(&self.changing).chain(&self.silent).chain(failing);
         let known = spoken_of.filter_map(|id| Some((id.clone(), starts.last(id)?)));
         self.starts = known.collect();
     }
@@ -228,6 +231,14 @@
         self.heard_of(runner, now).any(|heard| heard.report.changing.contains(runner))
     }
 
+    /// True while enough peers cannot reach the runner: two, so that one that is cut off itself
+    /// does not speak against all runners; the only one where there is no other.
+    pub fn is_silent_at_peers(&self, runner: &RunnerId, now: Millis) -> bool {
+        let tell = self.heard_of(runner, now).filter(|heard| heard.report.silent.contains(runner));
+        let enough = self.peers(now).clamp(1, 2);
+        tell.take(enough).count() == enough
+    }
+
     /// How runs ended at runners that fail some, summed over all peers.
     pub fn failing_at_peers(&self, now: Millis) -> BTreeMap<RunnerId, RunCounts> {
         let mut sums: BTreeMap<RunnerId, RunCounts> = BTreeMap::new();
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -36,12 +36,16 @@
             let runs = self.runs.lock();
             let peak = |runner: &Runner| {
                 let there = runs.at(&runner.id, forecast.tokens_per_ms, now);
+                let runs_there = there.len();
+                let peak = forecast.peak_if_it_fits(there, run)?;
                 let may_read = |prompt: &Prompt| {
-                    let reading = runs.tokens_read_by(&runner.id, now);
-                    prompt.decode_may_read(DecodeLoad { reading, runs: there.len() })
+                    prompt.decode_may_read(DecodeLoad {
+                        reading: runs.tokens_read_by(&runner.id, now),
+                        runs: runs_there,
+                        fullness: forecast.fullness(peak),
+                    })
                 };
-                let can_be_read = reads_itself.as_ref().is_none_or(may_read);
-                can_be_read.then(|| forecast.peak_if_it_fits(there, run)).flatten()
+                reads_itself.as_ref().is_none_or(may_read).then_some(peak)
             };
             let failing = self.failing(runners, &runs, service, now);
             let cx = Candidate {
@@ -144,7 +148,8 @@
 
     /// What peers are told.
     pub(crate) fn report(&self, life: u64, number: u64) -> GatewayReport {
-        let reads = self.with_runners(|runners, _| runners.loads.reads());
+        let (reads, silent) =
+            self.with_runners(|runners, now| (runners.loads.reads(), runners.loads.silent(now)));
         let (waiting, waiting_late) = self.waiting_by_chance();
         let changing: Vec<RunnerId> = self.changing.lock().values().flatten().cloned().collect();
         let failing = self.failing_told();
@@ -160,6 +165,7 @@
             reads,
             changing,
             failing,
+            silent,
             starts,
         };
         report.add_starts(runs.starts());
@@ -182,11 +188,16 @@
 
     /// What a decode runner does beside one run of this gateway's, over all gateways: prompts that
     /// it reads itself, and other runs.
-    pub(crate) fn decode_load(&self, runner: &RunnerId) -> DecodeLoad {
+    pub(crate) fn decode_load(&self, service: &ServiceName, runner: &RunnerId) -> DecodeLoad {
         let now = self.now();
+        let forecast = self.forecast(service);
         let runs = self.runs.lock();
-        let there = runs.at(runner, 0.0, now).len();
-        DecodeLoad { reading: runs.tokens_read_by(runner, now), runs: there.saturating_sub(1) }
+        let there = runs.at(runner, forecast.tokens_per_ms, now);
+        DecodeLoad {
+            reading: runs.tokens_read_by(runner, now),
+            runs: there.len().saturating_sub(1),
+            fullness: forecast.fullness(forecast.peak(&there)),
+        }
     }
 
     /// The runner of a run reads its prompt itself.
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -186,6 +186,9 @@
                 runners.loads.note(&runner.id, result, now);
             }
         });
+        if result == CallResult::Unreachable {
+            self.report_due.notify_one();
+        }
     }
 
     /// A request for the service came.
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -50,6 +50,8 @@
     Refused,
     /// No decode runner has room, as far as can be forecast.
     Memory,
+    /// It would hardly end before its deadline.
+    NoTime,
 }
 
 impl NoPlace {
@@ -60,6 +62,7 @@
             NoPlace::Reading => "no runner can read the prompt in time",
             NoPlace::Refused => "the decode runners refused to hold memory",
             NoPlace::Memory => "no decode memory is free",
+            NoPlace::NoTime => "too little time is left for the whole answer",
         }
     }
 }
@@ -81,6 +84,16 @@
     let shape = RunShape::of(fwd.arrival.size.as_ref());
     let mut refusals = 0;
     loop {
+        if !may_end(cx, fwd, &shape) {
+            log::info!(
+                "place: given up id={} bound=\"{}\" waited_ms={} left_ms={}",
+                fwd.arrival.id,
+                NoPlace::NoTime,
+                cx.now().since(fwd.received).0,
+                fwd.left(cx.now()).0
+            );
+            return Err(NoPlace::NoTime);
+        }
         let may_ask = cx.knowledge.with_line(&line.service, |l| l.may_ask(&line.rank));
         let yields = late && cx.knowledge.peers_have_waiting();
         if may_ask && !yields {
@@ -106,6 +119,17 @@
     }
 }
 
+/// Share of the generations like it that must end in time for one to be begun.
+const LEAST_THAT_END: f64 = 0.3;
+
+/// False when so few generations like this one would end before the deadline that its memory is
+/// better given to others, and its caller better told so at once.
+fn may_end<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, run: &RunShape) -> bool {
+    let left = fwd.left(cx.now());
+    let share = cx.knowledge.with_pace(&fwd.service, |pace| pace.share_that_ends(run, left));
+    share >= LEAST_THAT_END
+}
+
 fn tokens_wanted<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> u64 {
     let holds = cx.knowledge.cfg().holds;
     fwd.arrival.size.as_ref().map_or(1, |size| tokens_to_hold(size, 0, holds))
@@ -158,6 +182,7 @@
     tokens: u64,
 ) -> Option<HeldMemory<D>> {
     let began = cx.now();
+    cx.knowledge.with_runners(|runners, now| runners.loads.note_trial(&runner.id, now));
     let ttl = hold_time(cx, fwd);
     let shape = RunShape::of(fwd.arrival.size.as_ref());
     let call = cx.dialect.take_hold(&runner.id, tokens, ttl);
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -69,7 +69,7 @@
     prefill: &Runner,
 ) -> Reader {
     let prompt = prompt(cx, fwd, Some(prefill));
-    let load = cx.knowledge.decode_load(&held.runner.id);
+    let load = cx.knowledge.decode_load(&fwd.service, &held.runner.id);
     let reader = prompt.reader(load, ReadConfig::default());
     log::debug!("read: id={} reader={reader:?} prompt={prompt:?} decode={load:?}", fwd.arrival.id);
     reader
@@ -87,6 +87,7 @@
         event_gap: Millis((per_event / pace.tokens_per_ms()) as u64),
         gap_target: fwd.route.gap_target,
         pauses: pace.pauses(),
+        generation: pace.mean_generation(),
         left_on_time: fwd.left_on_time(cx.now()),
     })
 }
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -169,7 +169,10 @@
         runner: &RunnerId,
         prompt_tokens: u64,
     ) -> LoadTicket {
-        let life = knowledge.with_runners(|runners, _| runners.loads.begin(runner, prompt_tokens));
+        let life = knowledge.with_runners(|runners, now| {
+            runners.loads.note_trial(runner, now);
+            runners.loads.begin(runner, prompt_tokens)
+        });
         LoadTicket { knowledge: knowledge.clone(), runner: runner.clone(), life, prompt_tokens }
     }
 }
