Placing reads in steps; a resumed run counts what it has made; a hold shows that a runner is there

Cause, found by reading the change: a stream that goes on elsewhere was judged by its whole length when it was asked whether it can end before its deadline, so that one near its end could be refused; memory held at a runner that had been silent did not end its trial, which kept others away for up to a second. Ruled out: a trial only for runs (holds are most of the calls that meet a silent runner). `place` is split into whom to ask and whether it may end. Before: a trial lasted until a run began. After: until any answer (`memory_that_is_held_shows_that_a_runner_is_there_again`); forward and process tests pass.

--- a/crates/bulrushusher_forward/src/load.rs
+++ b/crates/bulrushusher_forward/src/load.rs
@@ -152,7 +152,6 @@
             CallResult::Failed | CallResult::Unreachable => 1.0,
             CallResult::NotRun => load.failure_share,
         };
-        load.tried_at = None;
         load.failure_share = mix(load.failure_share, failure, weight);
         match result {
             CallResult::Unreachable => {
@@ -160,18 +159,21 @@
                 load.unreachable_in_row += 1;
                 let pause = (first_pause.0 << doublings).min(longest_pause.0);
                 load.paused_until = now.plus(Millis(pause));
+                load.tried_at = None;
             }
             CallResult::Answered(_) | CallResult::Failed | CallResult::NotRun => {
-                // An answer ends only a pause for silence: a runner that changes its stage still
-                // ends what it had.
-                if load.unreachable_in_row > 0 {
-                    load.paused_until = now;
-                }
-                load.unreachable_in_row = 0;
+                load.reached(now);
             }
         }
     }
 
+    /// The runner answered a call that says nothing else of it.
+    pub fn note_reached(&mut self, id: &RunnerId, now: Millis) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.reached(now);
+        }
+    }
+
     /// The runner takes no work until then.
     pub fn pause(&mut self, id: &RunnerId, until: Millis) {
         self.load(id).paused_until = until;
@@ -198,6 +200,16 @@
 }
 
 impl RunnerLoad {
+    /// An answer ends only a pause for silence: a runner that changes its stage still ends what it
+    /// had.
+    fn reached(&mut self, now: Millis) {
+        if self.unreachable_in_row > 0 {
+            self.paused_until = now;
+        }
+        self.unreachable_in_row = 0;
+        self.tried_at = None;
+    }
+
     /// Expected time of one more call, in ms, with failures counted as time lost.
     pub fn expected_ms(&self, slots: u32) -> f64 {
         let queue = f64::from(self.in_flight + 1) / f64::from(slots.max(1));
--- a/crates/bulrushusher_forward/tests/silence.rs
+++ b/crates/bulrushusher_forward/tests/silence.rs
@@ -25,6 +25,15 @@
     assert!(!loads.is_paused(&id(), Millis(410)), "a runner that answers needs no trial");
 }
 
+#[test]
+fn memory_that_is_held_shows_that_a_runner_is_there_again() {
+    let mut loads = RunnerLoads::new(LoadConfig::default());
+    loads.note(&id(), CallResult::Unreachable, Millis(0));
+    loads.note_trial(&id(), Millis(300));
+    loads.note_reached(&id(), Millis(304));
+    assert!(!loads.is_paused(&id(), Millis(304)) && loads.silent(Millis(304)).is_empty());
+}
+
 #[test]
 fn a_trial_that_is_given_up_keeps_nobody_from_the_runner_for_long() {
     let mut loads = RunnerLoads::new(LoadConfig::default());
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -4,7 +4,6 @@
 
 use bulrushusher_forward::{AttemptEnd, CallResult, Runner};
 use bulrushusher_time::Millis;
-use bulrushusher_world::RunnerId;
 
 use crate::dialect::{Dialect, Step};
 use crate::exchange::Reply;
@@ -28,13 +27,13 @@
     if !cx.knowledge.is_split(&fwd.service) {
         return begin_whole(cx, fwd, tries).await;
     }
-    let mut held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
+    let mut held = place_or_refuse(cx, fwd, tries, until).await?;
     let kv = read_prompt(cx, fwd, tries, &mut held).await?;
     if !held.is_good(cx.now()) {
         // The runner began to leave or started again, or the lease is over: it must not get the run.
         log::info!("place: again id={} runner={}", fwd.arrival.id, held.runner.id);
         let until = cx.now().plus(PLACE_AGAIN).min(fwd.ends);
-        held = place_or_refuse(cx, fwd, &tries.decodes, until).await?;
+        held = place_or_refuse(cx, fwd, tries, until).await?;
     }
     let mut kv = kv;
     if kv.as_ref().is_some_and(KeptKv::is_lost) {
@@ -47,10 +46,10 @@
 async fn place_or_refuse<D: Dialect>(
     cx: &Router<D>,
     fwd: &Forwarded,
-    tried: &[RunnerId],
+    tries: &Tries,
     until: Millis,
 ) -> Result<HeldMemory<D>, NoRun> {
-    let held = place(cx, fwd, tried, until).await;
+    let held = place(cx, fwd, tries, until).await;
     held.map_err(|bound| NoRun::Unplaced(bound.reason()))
 }
 
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_forward::{CallResult, Rank, RunNote, RunShape, Runner, tokens_to_hold};
 use bulrushusher_time::Millis;
-use bulrushusher_world::{RunnerId, ServiceName};
+use bulrushusher_world::ServiceName;
 use derive_more::Display;
 use hyper::StatusCode;
 
@@ -14,6 +14,7 @@
 use crate::knowledge::Knowledge;
 use crate::reading::{Readers, readers};
 use crate::router::{Forwarded, Router};
+use crate::run::Tries;
 
 /// Pause before a waiting request asks again: a fifth of the time between two ends of generations
 /// at a busy pool of some ten runners.
@@ -74,74 +75,86 @@
 pub(crate) async fn place<D: Dialect>(
     cx: &Router<D>,
     fwd: &Forwarded,
-    tried: &[RunnerId],
+    tries: &Tries,
     until: Millis,
 ) -> Result<HeldMemory<D>, NoPlace> {
-    let late = fwd.is_late();
-    let rank = cx.knowledge.join_line(&fwd.service, late, fwd.route.priority);
+    let rank = cx.knowledge.join_line(&fwd.service, fwd.is_late(), fwd.route.priority);
     let line = InLine { knowledge: cx.knowledge.clone(), service: fwd.service.clone(), rank };
-    let tokens = tokens_wanted(cx, fwd);
-    let shape = RunShape::of(fwd.arrival.size.as_ref());
     let mut refusals = 0;
     loop {
-        if !may_end(cx, fwd, &shape) {
-            log::info!(
-                "place: given up id={} bound=\"{}\" waited_ms={} left_ms={}",
-                fwd.arrival.id,
-                NoPlace::NoTime,
-                cx.now().since(fwd.received).0,
-                fwd.left(cx.now()).0
-            );
-            return Err(NoPlace::NoTime);
+        if !may_end(cx, fwd, tries) {
+            return Err(no_time(cx, fwd));
         }
-        let may_ask = cx.knowledge.with_line(&line.service, |l| l.may_ask(&line.rank));
-        let yields = late && cx.knowledge.peers_have_waiting();
-        if may_ask && !yields {
-            let reads_itself = match readers(cx, fwd) {
-                Readers::Any => None,
-                Readers::Decode(prompt) => Some(prompt),
-            };
-            let open = cx.knowledge.rank_for_decode(&fwd.service, tried, shape, reads_itself);
-            let lets_pass = reads_itself.is_some() && open.is_empty();
-            cx.knowledge.with_line(&line.service, |l| l.let_pass(&line.rank, lets_pass));
-            let asked = if cx.knowledge.asks_now(open.len()) { ASKED_AT_ONCE } else { 0 };
-            for runner in open.into_iter().take(asked) {
-                if let Some(held) = ask(cx, fwd, runner, tokens).await {
-                    return Ok(held);
-                }
-                refusals += 1;
+        for runner in runners_to_ask(cx, fwd, &line, tries) {
+            if let Some(held) = ask(cx, fwd, runner).await {
+                return Ok(held);
             }
+            refusals += 1;
         }
         if cx.now().plus(ASK_AGAIN) > until {
-            return Err(give_up(cx, fwd, shape, refusals));
+            return Err(give_up(cx, fwd, refusals));
         }
         tokio::time::sleep(ASK_AGAIN.duration()).await;
     }
 }
 
-/// Share of the generations like it that must end in time for one to be begun.
+/// The decode runners to ask now; none while it is not this request's turn.
+fn runners_to_ask<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    line: &InLine,
+    tries: &Tries,
+) -> Vec<Runner> {
+    let yields = line.rank.late && cx.knowledge.peers_have_waiting();
+    if yields || !cx.knowledge.with_line(&line.service, |l| l.may_ask(&line.rank)) {
+        return Vec::new();
+    }
+    let reads_itself = match readers(cx, fwd) {
+        Readers::Any => None,
+        Readers::Decode(prompt) => Some(prompt),
+    };
+    let shape = RunShape::of(fwd.arrival.size.as_ref());
+    let mut open = cx.knowledge.rank_for_decode(&fwd.service, &tries.decodes, shape, reads_itself);
+    let lets_pass = reads_itself.is_some() && open.is_empty();
+    cx.knowledge.with_line(&line.service, |l| l.let_pass(&line.rank, lets_pass));
+    open.truncate(if cx.knowledge.asks_now(open.len()) { ASKED_AT_ONCE } else { 0 });
+    open
+}
+
+/// Share of the generations like it that must end in time for one to be begun. A late answer is
+/// worth a fifth of one on time, and begun in vain it takes the memory of others for seconds.
 const LEAST_THAT_END: f64 = 0.3;
 
 /// False when so few generations like this one would end before the deadline that its memory is
 /// better given to others, and its caller better told so at once.
-fn may_end<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, run: &RunShape) -> bool {
+fn may_end<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, tries: &Tries) -> bool {
+    let events = tries.resume_after.unwrap_or(0);
+    let made = (events * cx.knowledge.tokens_per_event(&fwd.service)) as f64;
+    let run = RunShape { made, ..RunShape::of(fwd.arrival.size.as_ref()) };
     let left = fwd.left(cx.now());
-    let share = cx.knowledge.with_pace(&fwd.service, |pace| pace.share_that_ends(run, left));
+    let share = cx.knowledge.with_pace(&fwd.service, |pace| pace.share_that_ends(&run, left));
     share >= LEAST_THAT_END
 }
 
+fn no_time<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> NoPlace {
+    let bound = NoPlace::NoTime;
+    log::info!(
+        "place: given up id={} bound=\"{bound}\" waited_ms={} left_ms={}",
+        fwd.arrival.id,
+        cx.now().since(fwd.received).0,
+        fwd.left(cx.now()).0,
+    );
+    bound
+}
+
 fn tokens_wanted<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> u64 {
     let holds = cx.knowledge.cfg().holds;
     fwd.arrival.size.as_ref().map_or(1, |size| tokens_to_hold(size, 0, holds))
 }
 
 /// Finds what bound, and logs it with what it rests on.
-fn give_up<D: Dialect>(
-    cx: &Router<D>,
-    fwd: &Forwarded,
-    shape: RunShape,
-    refusals: usize,
-) -> NoPlace {
+fn give_up<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, refusals: usize) -> NoPlace {
+    let shape = RunShape::of(fwd.arrival.size.as_ref());
     let outlook = cx.knowledge.memory_outlook(&fwd.service, shape);
     let can_be_read = match readers(cx, fwd) {
         Readers::Any => true,
@@ -175,26 +188,20 @@
 }
 
 /// Asks a runner to hold memory; `None` when it does not.
-async fn ask<D: Dialect>(
-    cx: &Router<D>,
-    fwd: &Forwarded,
-    runner: Runner,
-    tokens: u64,
-) -> Option<HeldMemory<D>> {
+async fn ask<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, runner: Runner) -> Option<HeldMemory<D>> {
     let began = cx.now();
+    let tokens = tokens_wanted(cx, fwd);
     cx.knowledge.with_runners(|runners, now| runners.loads.note_trial(&runner.id, now));
     let ttl = hold_time(cx, fwd);
     let shape = RunShape::of(fwd.arrival.size.as_ref());
     let call = cx.dialect.take_hold(&runner.id, tokens, ttl);
     let answer = cx.exchanger.side_call(&runner, call, SIDE_CALL_TIMEOUT).await;
     let (asked, word) = match answer {
-        Ok((head, body)) => read_answer(
-            cx,
-            runner.clone(),
-            HoldTerms { note: RunNote::new(runner.id.clone(), shape), ttl },
-            head.status,
-            &body,
-        ),
+        Ok((head, body)) => {
+            cx.knowledge.with_runners(|runners, now| runners.loads.note_reached(&runner.id, now));
+            let terms = HoldTerms { note: RunNote::new(runner.id.clone(), shape), ttl };
+            read_answer(cx, runner.clone(), terms, head.status, &body)
+        }
         Err(e) => {
             note_unreachable(cx, &runner, &e);
             (None, "unreachable")
