--- a/crates/bulrushusher_forward/src/waiting.rs
+++ b/crates/bulrushusher_forward/src/waiting.rs
@@ -1,6 +1,6 @@
 //! The line of generations that wait for decode memory, and when waiting is given up.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bulrushusher_time::Millis;
 
@@ -68,23 +68,18 @@
 /// assert!(line.may_ask(&fresh) && !line.may_ask(&late));
 /// line.leave(&fresh);
 /// assert!(line.may_ask(&late));
-/// let long = line.join(false, 1, Millis(9));
-/// assert!(!line.may_ask(&late));
-/// line.let_pass(&long, true);
-/// assert!(line.may_ask(&late) && line.may_ask(&long));
 /// ```
 #[derive(Clone, Debug)]
 pub struct WaitingLine {
     cfg: WaitingConfig,
-    /// Who waits, and whether it lets those behind it pass.
-    waiting: BTreeMap<Rank, bool>,
+    waiting: BTreeSet<Rank>,
     next_number: u64,
 }
 
 impl WaitingLine {
     /// Nothing waits.
     pub fn new(cfg: WaitingConfig) -> WaitingLine {
-        WaitingLine { cfg, waiting: BTreeMap::new(), next_number: 0 }
+        WaitingLine { cfg, waiting: BTreeSet::new(), next_number: 0 }
     }
 
     /// Takes other bounds; what waits keeps its place.
@@ -96,7 +91,7 @@
     pub fn join(&mut self, late: bool, priority: u8, now: Millis) -> Rank {
         self.next_number += 1;
         let rank = Rank { late, priority, since: now, number: self.next_number };
-        self.waiting.insert(rank, false);
+        self.waiting.insert(rank);
         rank
     }
 
@@ -105,24 +100,14 @@
         self.waiting.remove(rank);
     }
 
-    /// True when the request is far enough ahead to ask for memory. Those that let others pass do
-    /// not count.
+    /// True when the request is far enough ahead to ask for memory.
     pub fn may_ask(&self, rank: &Rank) -> bool {
-        let ahead = self.waiting.range(..rank).filter(|(_, lets_pass)| !**lets_pass);
-        ahead.take(self.cfg.askers).count() < self.cfg.askers && self.waiting.contains_key(rank)
-    }
-
-    /// A request that nobody can read now lets those behind it pass, whose prompts are shorter: it
-    /// keeps its place, and asks on.
-    pub fn let_pass(&mut self, rank: &Rank, lets_pass: bool) {
-        if let Some(held) = self.waiting.get_mut(rank) {
-            *held = lets_pass;
-        }
+        self.waiting.iter().take(self.cfg.askers).any(|ahead| ahead == rank)
     }
 
     /// Requests waiting that can still meet their target.
     pub fn on_time(&self) -> usize {
-        self.waiting.keys().filter(|rank| !rank.late).count()
+        self.waiting.iter().filter(|rank| !rank.late).count()
     }
 
     /// Requests waiting.
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -115,8 +115,6 @@
     };
     let shape = RunShape::of(fwd.arrival.size.as_ref());
     let mut open = cx.knowledge.rank_for_decode(&fwd.service, &tries.decodes, shape, reads_itself);
-    let lets_pass = reads_itself.is_some() && open.is_empty();
-    cx.knowledge.with_line(&line.service, |l| l.let_pass(&line.rank, lets_pass));
     open.truncate(if cx.knowledge.asks_now(open.len()) { ASKED_AT_ONCE } else { 0 });
     open
 }
