Peers' reports are cleared of earlier starts when they are heard, not at each choice

`Runs::hear` and `note_start` drop what is said of earlier starts; whether two peers cannot reach a runner is counted without counting peers first.

--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -91,6 +91,15 @@
         let known = spoken_of.filter_map(|id| Some((id.clone(), starts.last(id)?)));
         self.starts = known.collect();
     }
+
+    /// Drops what it says of runners for which `is_past` holds.
+    fn drop_past(&mut self, is_past: impl Fn(&RunnerId) -> bool) {
+        self.runs.retain(|note| !is_past(&note.runner));
+        self.reads.retain(|(runner, _)| !is_past(runner));
+        self.changing.retain(|runner| !is_past(runner));
+        self.failing.retain(|counts| !is_past(&counts.runner));
+        self.silent.retain(|runner| !is_past(runner));
+    }
 }
 
 /// Bounds of what is believed of peers.
@@ -140,6 +149,15 @@
         if news == StartNews::Later {
             self.own.retain(|_, note| note.runner != *id);
         }
+        // Also after the first word of a start: what peers told without one is of an earlier one.
+        if born.is_some() && matches!(news, StartNews::Same | StartNews::Later) {
+            for heard in self.peers.values_mut() {
+                let told = heard.report.starts.get(id).copied();
+                if self.starts.is_past(id, told) {
+                    heard.report.drop_past(|runner| runner == id);
+                }
+            }
+        }
         news
     }
 
@@ -164,7 +182,7 @@
 
     /// Prompt tokens that a decode runner reads itself now.
     pub fn tokens_read_by(&self, runner: &RunnerId, now: Millis) -> u64 {
-        let theirs = self.heard_of(runner, now).flat_map(|heard| &heard.report.runs);
+        let theirs = self.heard(now).flat_map(|heard| &heard.report.runs);
         let reads = |note: &&RunNote| note.reads_itself && !note.begun && note.runner == *runner;
         self.own.values().chain(theirs).filter(reads).map(|note| note.prompt).sum()
     }
@@ -197,6 +215,13 @@
                 return false;
             }
         }
+        let mut report = report;
+        // Once here, so that choices need not look at starts for each runner and peer.
+        if !self.starts.is_empty() {
+            let told = std::mem::take(&mut report.starts);
+            report.drop_past(|runner| self.starts.is_past(runner, told.get(runner).copied()));
+            report.starts = told;
+        }
         self.peers.insert(peer.into(), Heard { report, at: now });
         true
     }
@@ -219,7 +244,7 @@
 
     /// Prompt tokens that peers have at a prefill runner.
     pub fn reads_of_peers(&self, runner: &RunnerId, now: Millis) -> u64 {
-        self.heard_of(runner, now)
+        self.heard(now)
             .flat_map(|heard| &heard.report.reads)
             .filter(|(at, _)| at == runner)
             .map(|(_, tokens)| tokens)
@@ -228,25 +253,24 @@
 
     /// True while a peer knows that the runner changes its stage.
     pub fn is_changing(&self, runner: &RunnerId, now: Millis) -> bool {
-        self.heard_of(runner, now).any(|heard| heard.report.changing.contains(runner))
+        self.heard(now).any(|heard| heard.report.changing.contains(runner))
     }
 
     /// True while enough peers cannot reach the runner: two, so that one that is cut off itself
     /// does not speak against all runners; the only one where there is no other.
     pub fn is_silent_at_peers(&self, runner: &RunnerId, now: Millis) -> bool {
-        let tell = self.heard_of(runner, now).filter(|heard| heard.report.silent.contains(runner));
-        let enough = self.peers(now).clamp(1, 2);
-        tell.take(enough).count() == enough
+        let tell = self.heard(now).filter(|heard| heard.report.silent.contains(runner));
+        match tell.take(2).count() {
+            0 => false,
+            1 => self.peers(now) == 1,
+            _ => true,
+        }
     }
 
     /// How runs ended at runners that fail some, summed over all peers.
     pub fn failing_at_peers(&self, now: Millis) -> BTreeMap<RunnerId, RunCounts> {
         let mut sums: BTreeMap<RunnerId, RunCounts> = BTreeMap::new();
-        let told = self.heard(now).flat_map(|heard| {
-            let speaks = |told: &&RunCounts| self.speaks_of(heard, &told.runner);
-            heard.report.failing.iter().filter(speaks)
-        });
-        for told in told {
+        for told in self.heard(now).flat_map(|heard| &heard.report.failing) {
             let empty = || RunCounts { runner: told.runner.clone(), good: 0.0, bad: 0.0 };
             let sum = sums.entry(told.runner.clone()).or_insert_with(empty);
             sum.good += told.good;
@@ -259,7 +283,7 @@
     pub fn at(&self, runner: &RunnerId, tokens_per_ms: f64, now: Millis) -> Vec<RunShape> {
         let own = self.own.values().filter(|note| note.runner == *runner);
         let mut shapes: Vec<RunShape> = own.map(|note| shape(note, 0.0)).collect();
-        for heard in self.heard_of(runner, now) {
+        for heard in self.heard(now) {
             let grown = now.since(heard.at).0 as f64 * tokens_per_ms;
             let theirs = heard.report.runs.iter().filter(|note| note.runner == *runner);
             shapes.extend(theirs.map(|note| shape(note, if note.begun { grown } else { 0.0 })));
@@ -271,15 +295,6 @@
         self.peers.values().filter(move |heard| self.is_fresh(heard, now))
     }
 
-    /// Peers heard lately that know the runner's last start.
-    fn heard_of(&self, runner: &RunnerId, now: Millis) -> impl Iterator<Item = &Heard> {
-        self.heard(now).filter(|heard| self.speaks_of(heard, runner))
-    }
-
-    fn speaks_of(&self, heard: &Heard, runner: &RunnerId) -> bool {
-        !self.starts.is_past(runner, heard.report.starts.get(runner).copied())
-    }
-
     fn is_fresh(&self, heard: &Heard, now: Millis) -> bool {
         now.since(heard.at) < self.cfg.forget_after
     }
--- a/crates/bulrushusher_forward/src/starts.rs
+++ b/crates/bulrushusher_forward/src/starts.rs
@@ -66,6 +66,11 @@
         self.last.get(id).is_some_and(|last| Some(*last) > born)
     }
 
+    /// True while no runner has told a start.
+    pub fn is_empty(&self) -> bool {
+        self.last.is_empty()
+    }
+
     /// The last known start of a runner.
     pub fn last(&self, id: &RunnerId) -> Option<Born> {
         self.last.get(id).copied()
--- a/crates/bulrushusher_gateway/src/knowledge/starts.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/starts.rs
@@ -41,7 +41,7 @@
         news
     }
 
-    /// A runner told its start itself; true when it is a later one than was known.
+    /// A runner told its start itself, perhaps before its entry does.
     pub(crate) fn hear_start(&self, id: &RunnerId, born: Option<Born>) -> StartNews {
         if self.is_impossible(born) {
             return StartNews::Untold;
