--- a/crates/bulrushusher_account/src/request.rs
+++ b/crates/bulrushusher_account/src/request.rs
@@ -28,7 +28,7 @@
     /// Time since its caller's first attempt, as the gateway saw it.
     pub elapsed_before_ms: u64,
     target_ms: u64,
-    gap_target_ms: u64,
+    pause_target_ms: u64,
     left_ms: u64,
     is_stream: bool,
     waited_ms: u64,
@@ -55,7 +55,7 @@
                 self.prompt = number("prompt");
                 self.elapsed_before_ms = number("elapsed_before_ms");
                 self.target_ms = number("target_ms");
-                self.gap_target_ms = number("gap_target_ms");
+                self.pause_target_ms = number("pause_target_ms");
                 self.left_ms = number("left_ms");
                 self.is_stream = line.text("kind") == Some("stream");
             }
@@ -156,7 +156,7 @@
     /// On time, or what made it late: what it lost before it came, else the longest part.
     fn timed(&self, ms: u64, longest_gap_ms: u64) -> End {
         let is_on_time = self.elapsed_before_ms + ms <= self.target_ms;
-        if is_on_time && (self.gap_target_ms == 0 || longest_gap_ms <= self.gap_target_ms) {
+        if is_on_time && (self.pause_target_ms == 0 || longest_gap_ms <= self.pause_target_ms) {
             return End::OnTime;
         }
         if is_on_time {
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/front.rs
@@ -145,7 +145,7 @@
         fwd.body = body;
         log::info!(
             "front: accepted id={} route={} service={} kind={kind} left_ms={} elapsed_before_ms={} \
-             configuration={} target_ms={} gap_target_ms={} prompt={}",
+             configuration={} target_ms={} pause_target_ms={} prompt={}",
             arrival.id,
             fwd.route.name,
             fwd.service,
