Needs known by runner, and reports that tell only what changed, in a binary form

Cause: a choice of a decode runner added up all peers' runs for each candidate (375 us at 60 runners and 31 gateways, 7.0 ms at 300 and 300), and each report told all runs in JSON to all peers up to 125 times a second; on links of 10 to 20 Mbit/s that filled the link, and calls through small gateways took 115 ms. Change: what peers tell is kept by runner, the need of a runner's runs is worked out when they change and every 30 ms, and needs add up; reports tell runs that are new, ended or changed, whole ones every second and on demand, written with postcard behind a version byte.

--- /dev/null
+++ b/crates/bulrushusher_forward/benches/place.rs
@@ -0,0 +1,95 @@
+//! What one choice of a decode runner costs a gateway, by the size of the pool.
+//!
+//! `cargo bench -p bulrushusher_forward` runs it.
+
+use bulrushusher_forward::{
+    Candidate, ForecastConfig, GatewayReport, LengthModel, LoadConfig, Members, MembersConfig,
+    MemoryForecast, PeersConfig, RunNote, RunShape, Runner, RunnerLoads, Runs, Stage,
+    rank_for_decode,
+};
+use bulrushusher_time::Millis;
+use bulrushusher_world::{RunnerId, ServiceName};
+use criterion::{Criterion, criterion_group, criterion_main};
+
+/// Runs at each runner: memory for prompts of 5,000 tokens is nearly full.
+const RUNS_EACH: usize = 8;
+
+const RUN: RunShape = RunShape { prompt: 4_800.0, made: 0.0, expected: 3_000.0, most: 9_000.0 };
+
+struct Pool {
+    service: ServiceName,
+    members: Members,
+    loads: RunnerLoads,
+    runs: Runs,
+    forecast: MemoryForecast,
+}
+
+fn runner_id(n: usize) -> RunnerId {
+    format!("i-{n:010}").as_str().try_into().expect("a good name")
+}
+
+/// A pool as one of its gateways sees it: the runs are spread over the others.
+fn pool(runners: usize, gateways: usize) -> Pool {
+    let service: ServiceName = "llm".try_into().expect("a good name");
+    let mut members = Members::new(MembersConfig::default());
+    for n in 0..runners {
+        members.put(Runner {
+            id: runner_id(n),
+            born: None,
+            service: service.clone(),
+            address: ([10, 0, 0, 1], 1 + n as u16).into(),
+            data_centre: "a".try_into().expect("a good name"),
+            slots: 64,
+            stage: Some(Stage::Decode),
+            leaving: false,
+        });
+    }
+    let mut reports = vec![GatewayReport { number: 1, ..GatewayReport::default() }; gateways];
+    for run in 0..runners * RUNS_EACH {
+        let made = (run * 977 % 4_000) as f64;
+        let note = RunNote::new(runner_id(run % runners), RunShape { made, ..RUN });
+        reports[run % gateways].runs.push(RunNote { begun: true, ..note });
+    }
+    let mut runs = Runs::new(PeersConfig::default());
+    for (n, report) in reports.into_iter().enumerate() {
+        runs.hear(&format!("gateway-{n}"), report, Millis(0));
+    }
+    let forecast = MemoryForecast {
+        lengths: LengthModel::default(),
+        tokens_per_ms: 1.4,
+        memory: 72_000.0,
+        cfg: ForecastConfig::default(),
+    };
+    Pool { service, members, loads: RunnerLoads::new(LoadConfig::default()), runs, forecast }
+}
+
+impl Pool {
+    fn rank(&self, draw: f64) -> usize {
+        let now = Millis(20);
+        let cx = Candidate {
+            members: &self.members,
+            loads: &self.loads,
+            service: &self.service,
+            runs: Some(&self.runs),
+            failing: None,
+            now,
+        };
+        let run = self.forecast.need(&[RUN]);
+        let peak = |runner: &Runner| {
+            let there = self.runs.need_at(&runner.id, &self.forecast, now);
+            self.forecast.peak_if_it_fits(&there, &run)
+        };
+        rank_for_decode(cx, &[], draw, peak).len()
+    }
+}
+
+fn choose(c: &mut Criterion) {
+    for (runners, gateways) in [(30, 31), (60, 31), (300, 300)] {
+        let pool = pool(runners, gateways);
+        let name = format!("place at {runners} runners, {gateways} gateways");
+        c.bench_function(&name, |b| b.iter(|| pool.rank(0.3)));
+    }
+}
+
+criterion_group!(benches, choose);
+criterion_main!(benches);
--- a/crates/bulrushusher_forward/src/forecast.rs
+++ b/crates/bulrushusher_forward/src/forecast.rs
@@ -31,7 +31,7 @@
         }
     }
 
-    fn size(&self) -> f64 {
+    pub(crate) fn size(&self) -> f64 {
         self.prompt + self.made
     }
 }
@@ -150,15 +150,15 @@
         self.memory * self.cfg.fill
     }
 
-    /// Memory that the runs at a runner will need at most.
-    pub fn peak(&self, runs: &[RunShape]) -> f64 {
-        peak_memory(runs, &self.lengths, self.tokens_per_ms, self.cfg)
+    /// What runs will need over the next seconds. Needs add up: those of a runner's runs are worked
+    /// out once, and each run that might come is added to them.
+    pub fn need(&self, runs: &[RunShape]) -> MemoryNeed {
+        MemoryNeed::of(runs, &self.lengths, self.tokens_per_ms)
     }
 
-    /// The same with one more.
-    pub fn peak_with(&self, mut runs: Vec<RunShape>, run: RunShape) -> f64 {
-        runs.push(run);
-        self.peak(&runs)
+    /// Memory that is needed at most.
+    pub fn peak(&self, need: &MemoryNeed) -> f64 {
+        need.peak(self.cfg.caution)
     }
 
     /// Share of the memory that may be used which a peak takes up.
@@ -166,11 +166,11 @@
         (peak / self.room()).clamp(0.0, 1.0)
     }
 
-    /// The same where it fits; `None` where it does not. A runner that has no run takes any.
-    pub fn peak_if_it_fits(&self, runs: Vec<RunShape>, run: RunShape) -> Option<f64> {
-        let is_alone = runs.is_empty();
-        let peak = self.peak_with(runs, run);
-        (is_alone || peak <= self.room()).then_some(peak)
+    /// Memory that is needed at most with one more run; `None` where it does not fit. A runner that
+    /// has no run takes any.
+    pub fn peak_if_it_fits(&self, there: &MemoryNeed, run: &MemoryNeed) -> Option<f64> {
+        let peak = self.peak(&there.with(run));
+        (there.runs == 0 || peak <= self.room()).then_some(peak)
     }
 }
 
@@ -178,34 +178,63 @@
 const LOOK_AHEAD_MS: [f64; 9] =
     [0.0, 400.0, 800.0, 1_300.0, 1_900.0, 2_600.0, 3_500.0, 4_700.0, 6_000.0];
 
-/// Memory in tokens that the runs will need at most, as far as can be told.
+/// Memory that runs will need over the next seconds, as far as can be told.
 ///
 /// ```
-/// use bulrushusher_forward::{ForecastConfig, LengthModel, RunShape, peak_memory};
+/// use bulrushusher_forward::{LengthModel, MemoryNeed, RunShape};
 /// let run = RunShape { prompt: 5_000.0, made: 0.0, expected: 4_000.0, most: 9_000.0 };
-/// let model = LengthModel::default();
-/// let one = peak_memory(&[run], &model, 1.4, ForecastConfig::default());
-/// let ten = peak_memory(&[run; 10], &model, 1.4, ForecastConfig::default());
+/// let need = |runs: &[RunShape]| MemoryNeed::of(runs, &LengthModel::default(), 1.4);
+/// let (one, ten) = (need(&[run]).peak(2.5), need(&[run; 10]).peak(2.5));
 /// assert!(one > 5_000.0 && one < 20_000.0);
 /// assert!(ten < 10.0 * one, "not all of them are long");
+/// let sum = need(&[run; 4]).with(&need(&[run; 6])).peak(2.5);
+/// assert!((sum - ten).abs() < 1.0, "needs add up");
 /// ```
-pub fn peak_memory(
-    runs: &[RunShape],
-    model: &LengthModel,
-    tokens_per_ms: f64,
-    cfg: ForecastConfig,
-) -> f64 {
-    let at = |ms: f64| {
-        let more = ms * tokens_per_ms;
-        let mut mean = 0.0;
-        let mut variance = 0.0;
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MemoryNeed {
+    /// How many runs it is of.
+    pub runs: usize,
+    /// Tokens that they have now.
+    pub now: f64,
+    /// Mean and variance of the tokens that they will have at each time looked at.
+    ahead: [(f64, f64); LOOK_AHEAD_MS.len()],
+}
+
+impl MemoryNeed {
+    /// What these runs will need.
+    pub fn of(runs: &[RunShape], model: &LengthModel, tokens_per_ms: f64) -> MemoryNeed {
+        let mut need = MemoryNeed { runs: runs.len(), ..MemoryNeed::default() };
         for run in runs {
-            let alive = model.survival(run, more);
-            let memory = run.size() + more;
-            mean += alive * memory;
-            variance += alive * (1.0 - alive) * memory * memory;
+            need.now += run.size();
+            for (ms, (mean, variance)) in LOOK_AHEAD_MS.into_iter().zip(&mut need.ahead) {
+                let more = ms * tokens_per_ms;
+                let alive = model.survival(run, more);
+                let memory = run.size() + more;
+                *mean += alive * memory;
+                *variance += alive * (1.0 - alive) * memory * memory;
+            }
         }
-        mean + cfg.caution * variance.sqrt()
-    };
-    LOOK_AHEAD_MS.into_iter().map(at).fold(0.0, f64::max)
+        need
+    }
+
+    /// The need of both.
+    #[must_use]
+    pub fn with(&self, other: &MemoryNeed) -> MemoryNeed {
+        let mut sum = *self;
+        sum.runs += other.runs;
+        sum.now += other.now;
+        for ((mean, variance), (other_mean, other_variance)) in
+            sum.ahead.iter_mut().zip(other.ahead)
+        {
+            *mean += other_mean;
+            *variance += other_variance;
+        }
+        sum
+    }
+
+    /// The most that is needed at one time, `caution` standard deviations above the mean.
+    pub fn peak(&self, caution: f64) -> f64 {
+        let at = |(mean, variance): (f64, f64)| mean + caution * variance.sqrt();
+        self.ahead.into_iter().map(at).fold(0.0, f64::max)
+    }
 }
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -12,11 +12,13 @@
 mod load;
 mod members;
 mod memory;
+mod moves;
 mod pace;
 mod pauses;
 mod read_pace;
 mod reading;
 mod repeat;
+mod report;
 mod request;
 mod returns;
 mod route;
@@ -25,20 +27,23 @@
 mod shutdown;
 mod stages;
 mod starts;
+mod told;
 mod waiting;
 
 pub use choose::{Candidate, PlainPick, pick_for_call, pick_for_prefill, rank_for_decode};
 pub use events::{EventSplitter, WholeEvents};
-pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, RunShape, peak_memory};
+pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
 pub use health::{HealthConfig, RunCounts, RunnerHealth};
 pub use load::{CallResult, LoadConfig, LoadLife, RunnerLoads};
 pub use members::{ListNews, Members, MembersConfig};
 pub use memory::{HoldConfig, tokens_to_hold};
+pub use moves::MoveConfig;
 pub use pace::{Pace, PaceConfig};
 pub use pauses::PauseModel;
 pub use read_pace::ReadPace;
 pub use reading::{DecodeLoad, Prompt, ReadConfig, Reader};
 pub use repeat::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep};
+pub use report::{GatewayChanges, GatewayReport, RunNote};
 pub use request::{PromptSize, RequestId};
 pub use returns::{ReturnConfig, UsualPatience};
 pub use route::{
@@ -46,7 +51,7 @@
     WeightedService,
 };
 pub use runner::{Born, Runner, Stage};
-pub use runs::{GatewayReport, PeersConfig, RunNote, RunNumber, Runs};
+pub use runs::{ChangesNews, PeersConfig, RunNumber, Runs};
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use stages::{DutyConfig, StageChange, StageDuty, StagesConfig, next_stage_change};
 pub use starts::{StartNews, Starts};
--- a/crates/bulrushusher_forward/src/route.rs
+++ b/crates/bulrushusher_forward/src/route.rs
@@ -99,6 +99,8 @@
     pub longest_hold: Millis,
     /// How long a runner is away when its stage changes.
     pub switch_time: Millis,
+    /// True where a run can move to another decode runner with its memory.
+    pub moves_runs: bool,
 }
 
 /// A service.
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -5,102 +5,12 @@
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
-use serde::{Deserialize, Serialize};
-
-use crate::{Born, RunCounts, RunShape, StartNews, Starts};
-
-/// One run, as gateways tell each other.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RunNote {
-    /// The decode runner.
-    #[serde(rename = "r")]
-    pub runner: RunnerId,
-    /// Tokens of the prompt.
-    #[serde(rename = "p")]
-    pub prompt: u64,
-    /// Tokens generated when this was written.
-    #[serde(rename = "g")]
-    pub made: u64,
-    /// Tokens that the caller expects.
-    #[serde(rename = "e")]
-    pub expected: u64,
-    /// The most tokens that may be generated.
-    #[serde(rename = "m")]
-    pub most: u64,
-    /// True once it generates; before, memory is held and the prompt is read.
-    #[serde(rename = "b")]
-    pub begun: bool,
-    /// True when its runner reads the prompt itself.
-    #[serde(rename = "h")]
-    pub reads_itself: bool,
-}
-
-impl RunNote {
-    /// A run for which memory is held.
-    pub fn new(runner: RunnerId, shape: RunShape) -> RunNote {
-        RunNote {
-            runner,
-            prompt: shape.prompt as u64,
-            made: shape.made as u64,
-            expected: shape.expected as u64,
-            most: shape.most as u64,
-            begun: false,
-            reads_itself: false,
-        }
-    }
-}
-
-/// What one gateway tells its peers.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct GatewayReport {
-    /// Start of the gateway that tells, Unix time in ms; a later one replaces an earlier one.
-    pub life: u64,
-    /// Counts its reports; one that arrives behind a later one is dropped.
-    pub number: u64,
-    /// Its generations that wait for memory and can still be on time.
-    pub waiting: u32,
-    /// Those that wait and are late already.
-    #[serde(default)]
-    pub waiting_late: u32,
-    /// Its runs.
-    pub runs: Vec<RunNote>,
-    /// Prompt tokens that it has at prefill runners.
-    pub reads: Vec<(RunnerId, u64)>,
-    /// Runners that change their stage by its orders, or by others' that it knows of.
-    #[serde(default)]
-    pub changing: Vec<RunnerId>,
-    /// How runs ended at runners that fail some.
-    #[serde(default)]
-    pub failing: Vec<RunCounts>,
-    /// Runners that it could not reach lately.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub silent: Vec<RunnerId>,
-    /// The starts of the runners that this report speaks of, where runners tell them. What it says
-    /// of an earlier start than the hearer knows does not count.
-    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub starts: BTreeMap<RunnerId, Born>,
-}
-
-impl GatewayReport {
-    /// Adds the starts of the runners that it speaks of, as far as they are known.
-    pub fn add_starts(&mut self, starts: &Starts) {
-        let runs = self.runs.iter().map(|note| &note.runner);
-        let reads = self.reads.iter().map(|(runner, _)| runner);
-        let failing = self.failing.iter().map(|counts| &counts.runner);
-        let spoken_of = runs.chain(reads).chain(&self.changing).chain(&self.silent).chain(failing);
-        let known = spoken_of.filter_map(|id| Some((id.clone(), starts.last(id)?)));
-        self.starts = known.collect();
-    }
 
-    /// Drops what it says of runners for which `is_past` holds.
-    fn drop_past(&mut self, is_past: impl Fn(&RunnerId) -> bool) {
-        self.runs.retain(|note| !is_past(&note.runner));
-        self.reads.retain(|(runner, _)| !is_past(runner));
-        self.changing.retain(|runner| !is_past(runner));
-        self.failing.retain(|counts| !is_past(&counts.runner));
-        self.silent.retain(|runner| !is_past(runner));
-    }
-}
+use crate::told::{ByRunner, PeerNumber, Told};
+use crate::{
+    Born, GatewayChanges, GatewayReport, MemoryForecast, MemoryNeed, RunCounts, RunNote, RunShape,
+    StartNews, Starts,
+};
 
 /// Bounds of what is believed of peers.
 #[derive(Clone, Copy, Debug)]
@@ -118,10 +28,22 @@
 
 #[derive(Clone, Debug)]
 struct Heard {
+    number: PeerNumber,
     report: GatewayReport,
     at: Millis,
 }
 
+/// What became of a peer's changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangesNews {
+    /// They follow what was known.
+    Taken,
+    /// They were told before what is known.
+    Old,
+    /// The report before them was not heard: a whole one is needed.
+    Missed,
+}
+
 /// A run of this gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RunNumber(u64);
@@ -133,13 +55,26 @@
     next: u64,
     own: HashMap<RunNumber, RunNote>,
     peers: HashMap<Arc<str>, Heard>,
+    next_peer: usize,
+    by_runner: ByRunner,
+    /// When each peer was heard last.
+    heard_at: HashMap<PeerNumber, Millis>,
     starts: Starts,
 }
 
 impl Runs {
     /// No run is known.
     pub fn new(cfg: PeersConfig) -> Runs {
-        Runs { cfg, next: 0, own: HashMap::new(), peers: HashMap::new(), starts: Starts::default() }
+        Runs {
+            cfg,
+            next: 0,
+            own: HashMap::new(),
+            peers: HashMap::new(),
+            next_peer: 0,
+            by_runner: ByRunner::default(),
+            heard_at: HashMap::new(),
+            starts: Starts::default(),
+        }
     }
 
     /// Takes in a runner's start. Runs at an earlier one are over, those of peers too: what they
@@ -147,14 +82,20 @@
     pub fn note_start(&mut self, id: &RunnerId, born: Option<Born>) -> StartNews {
         let news = self.starts.note(id, born);
         if news == StartNews::Later {
-            self.own.retain(|_, note| note.runner != *id);
+            let there = self.by_runner.get(id).map(|there| there.own.clone());
+            for run in there.unwrap_or_default() {
+                self.end(run);
+            }
         }
         // Also after the first word of a start: what peers told without one is of an earlier one.
         if born.is_some() && matches!(news, StartNews::Same | StartNews::Later) {
             for heard in self.peers.values_mut() {
                 let told = heard.report.starts.get(id).copied();
                 if self.starts.is_past(id, told) {
+                    let before = heard.report.clone();
                     heard.report.drop_past(|runner| runner == id);
+                    let (number, at) = (heard.number, heard.at);
+                    self.by_runner.replace(number, Some(&before), &heard.report, at);
                 }
             }
         }
@@ -167,10 +108,15 @@
     }
 
     /// Memory for a run is held.
-    pub fn hold(&mut self, note: RunNote) -> RunNumber {
+    pub fn hold(&mut self, mut note: RunNote) -> RunNumber {
         self.next += 1;
-        self.own.insert(RunNumber(self.next), note);
-        RunNumber(self.next)
+        note.number = self.next;
+        let run = RunNumber(self.next);
+        let there = self.by_runner.entry(&note.runner);
+        there.own.push(run);
+        there.forget_need();
+        self.own.insert(run, note);
+        run
     }
 
     /// The run's runner reads the prompt itself.
@@ -182,14 +128,25 @@
 
     /// Prompt tokens that a decode runner reads itself now.
     pub fn tokens_read_by(&self, runner: &RunnerId, now: Millis) -> u64 {
-        let theirs = self.heard(now).flat_map(|heard| &heard.report.runs);
-        let reads = |note: &&RunNote| note.reads_itself && !note.begun && note.runner == *runner;
-        self.own.values().chain(theirs).filter(reads).map(|note| note.prompt).sum()
+        let theirs = self.runs_of_peers(runner, now).map(|told| &told.what);
+        let reads = |note: &&RunNote| note.reads_itself && !note.begun;
+        self.own_at(runner).chain(theirs).filter(reads).map(|note| note.prompt).sum()
+    }
+
+    /// The run makes nothing at present: its engine has preempted it, or is held up.
+    pub fn stall(&mut self, run: RunNumber) {
+        if let Some(note) = self.own.get_mut(&run) {
+            note.begun = false;
+        }
     }
 
-    /// The run has begun, or has made that many tokens.
+    /// The run has begun, or has made that many tokens. One that goes on after a stall is its engine's
+    /// newest.
     pub fn progress(&mut self, run: RunNumber, made: u64) {
         if let Some(note) = self.own.get_mut(&run) {
+            if !note.begun {
+                note.made_before = note.made;
+            }
             note.begun = true;
             note.made = note.made.max(made);
         }
@@ -197,7 +154,9 @@
 
     /// The run is over, or its memory was given back.
     pub fn end(&mut self, run: RunNumber) -> Option<RunNote> {
-        self.own.remove(&run)
+        let note = self.own.remove(&run)?;
+        self.by_runner.end(&note.runner, run);
+        Some(note)
     }
 
     /// This gateway's runs.
@@ -216,16 +175,85 @@
             }
         }
         let mut report = report;
-        // Once here, so that choices need not look at starts for each runner and peer.
-        if !self.starts.is_empty() {
-            let told = std::mem::take(&mut report.starts);
-            report.drop_past(|runner| self.starts.is_past(runner, told.get(runner).copied()));
-            report.starts = told;
-        }
-        self.peers.insert(peer.into(), Heard { report, at: now });
+        self.drop_past_starts(&mut report);
+        let number = match self.peers.get(peer) {
+            Some(heard) => heard.number,
+            None => self.new_peer(now),
+        };
+        let before = self.peers.get(peer).map(|heard| &heard.report);
+        self.by_runner.replace(number, before, &report, now);
+        self.heard_at.insert(number, now);
+        self.peers.insert(peer.into(), Heard { number, report, at: now });
         true
     }
 
+    /// Takes in what changed at a peer since its report before. When that was not heard, what is told
+    /// counts all the same, and what was missed comes with the whole report that is due then.
+    pub fn hear_changes(
+        &mut self,
+        peer: &str,
+        changes: GatewayChanges,
+        now: Millis,
+    ) -> ChangesNews {
+        let fresh = self.peers.get(peer).filter(|heard| self.is_fresh(heard, now));
+        let Some((life, last)) = fresh.map(|heard| (heard.report.life, heard.report.number)) else {
+            return ChangesNews::Missed;
+        };
+        let told = &changes.report;
+        if (told.life, told.number) <= (life, last) {
+            return ChangesNews::Old;
+        }
+        if told.life != life {
+            return ChangesNews::Missed;
+        }
+        let follows = told.number == last + 1;
+        let mut changes = changes;
+        self.drop_past_starts(&mut changes.report);
+        let Some(heard) = self.peers.get_mut(peer) else { return ChangesNews::Missed };
+        let mut before = std::mem::take(&mut heard.report);
+        let runs = std::mem::take(&mut before.runs);
+        let (gone, stay): (Vec<RunNote>, Vec<RunNote>) =
+            runs.into_iter().partition(|note| changes.speaks_of(note.number));
+        self.by_runner.change(heard.number, &before, &gone, &changes.report, now);
+        self.heard_at.insert(heard.number, now);
+        heard.report = changes.report;
+        heard.report.runs.extend(stay);
+        for (runner, born) in before.starts {
+            heard.report.starts.entry(runner).or_insert(born);
+        }
+        heard.at = now;
+        if follows { ChangesNews::Taken } else { ChangesNews::Missed }
+    }
+
+    /// Drops what a peer tells of earlier starts. Once here, so that choices need not look at starts
+    /// for each runner and peer.
+    fn drop_past_starts(&self, report: &mut GatewayReport) {
+        if self.starts.is_empty() {
+            return;
+        }
+        let told = std::mem::take(&mut report.starts);
+        report.drop_past(|runner| self.starts.is_past(runner, told.get(runner).copied()));
+        report.starts = told;
+    }
+
+    /// A number for a peer that was not heard before. Peers that are gone are forgotten then: names
+    /// change with each VM that is replaced.
+    fn new_peer(&mut self, now: Millis) -> PeerNumber {
+        let forget_after = self.cfg.forget_after;
+        let (by_runner, heard_at) = (&mut self.by_runner, &mut self.heard_at);
+        self.peers.retain(|_, heard| {
+            let stays = now.since(heard.at) < forget_after;
+            if !stays {
+                let nothing = GatewayReport::default();
+                by_runner.replace(heard.number, Some(&heard.report), &nothing, now);
+                heard_at.remove(&heard.number);
+            }
+            stays
+        });
+        self.next_peer += 1;
+        PeerNumber(self.next_peer)
+    }
+
     /// Peers heard lately.
     pub fn peers(&self, now: Millis) -> usize {
         self.heard(now).count()
@@ -244,23 +272,21 @@
 
     /// Prompt tokens that peers have at a prefill runner.
     pub fn reads_of_peers(&self, runner: &RunnerId, now: Millis) -> u64 {
-        self.heard(now)
-            .flat_map(|heard| &heard.report.reads)
-            .filter(|(at, _)| at == runner)
-            .map(|(_, tokens)| tokens)
-            .sum()
+        let reads = self.by_runner.get(runner).map(|there| there.reads.as_slice());
+        self.fresh(reads, now).map(|told| told.what).sum()
     }
 
     /// True while a peer knows that the runner changes its stage.
     pub fn is_changing(&self, runner: &RunnerId, now: Millis) -> bool {
-        self.heard(now).any(|heard| heard.report.changing.contains(runner))
+        let changing = self.by_runner.get(runner).map(|there| there.changing.as_slice());
+        self.fresh(changing, now).next().is_some()
     }
 
     /// True while enough peers cannot reach the runner: two, so that one that is cut off itself
     /// does not speak against all runners; the only one where there is no other.
     pub fn is_silent_at_peers(&self, runner: &RunnerId, now: Millis) -> bool {
-        let tell = self.heard(now).filter(|heard| heard.report.silent.contains(runner));
-        match tell.take(2).count() {
+        let silent = self.by_runner.get(runner).map(|there| there.silent.as_slice());
+        match self.fresh(silent, now).take(2).count() {
             0 => false,
             1 => self.peers(now) == 1,
             _ => true,
@@ -281,14 +307,63 @@
 
     /// The runs at a runner. Those of peers are taken further by the time since their report.
     pub fn at(&self, runner: &RunnerId, tokens_per_ms: f64, now: Millis) -> Vec<RunShape> {
-        let own = self.own.values().filter(|note| note.runner == *runner);
-        let mut shapes: Vec<RunShape> = own.map(|note| shape(note, 0.0)).collect();
-        for heard in self.heard(now) {
-            let grown = now.since(heard.at).0 as f64 * tokens_per_ms;
-            let theirs = heard.report.runs.iter().filter(|note| note.runner == *runner);
-            shapes.extend(theirs.map(|note| shape(note, if note.begun { grown } else { 0.0 })));
-        }
-        shapes
+        let own = self.own_at(runner).map(|note| note.shape());
+        let theirs = self.runs_of_peers(runner, now).map(|told| {
+            let grown = now.since(told.at).0 as f64 * tokens_per_ms;
+            told.what.shape_after(if told.what.begun { grown } else { 0.0 })
+        });
+        own.chain(theirs).collect()
+    }
+
+    /// The memory that the runs at a runner will need. It is worked out anew when its runs change,
+    /// and now and then as they grow.
+    pub fn need_at(&self, runner: &RunnerId, forecast: &MemoryForecast, now: Millis) -> MemoryNeed {
+        let work_out = || forecast.need(&self.at(runner, forecast.tokens_per_ms, now));
+        let there = self.by_runner.get(runner);
+        there.map_or_else(MemoryNeed::default, |there| there.need(now, work_out))
+    }
+
+    fn own_at(&self, runner: &RunnerId) -> impl Iterator<Item = &RunNote> {
+        let there = self.by_runner.get(runner).into_iter().flat_map(|there| &there.own);
+        there.filter_map(|run| self.own.get(run))
+    }
+
+    fn runs_of_peers(
+        &self,
+        runner: &RunnerId,
+        now: Millis,
+    ) -> impl Iterator<Item = &Told<RunNote>> {
+        self.fresh(self.by_runner.get(runner).map(|there| there.runs.as_slice()), now)
+    }
+
+    /// What was told lately.
+    fn fresh<'a, T>(
+        &'a self,
+        told: Option<&'a [Told<T>]>,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a Told<T>> {
+        told.unwrap_or_default().iter().filter(move |told| {
+            let heard = self.heard_at.get(&told.by);
+            heard.is_some_and(|at| now.since(*at) < self.cfg.forget_after)
+        })
+    }
+
+    /// A run of this gateway's, where it is and how far.
+    pub fn note(&self, run: RunNumber) -> Option<&RunNote> {
+        self.own.get(&run)
+    }
+
+    /// True when no other run that generates at its runner has made fewer tokens there, as far as is
+    /// known: an engine without memory preempts the newest first.
+    pub fn is_newest(&self, run: RunNumber, tokens_per_ms: f64, now: Millis) -> bool {
+        let Some(note) = self.own.get(&run) else { return false };
+        let own = self.own_at(&note.runner).filter(|other| !std::ptr::eq(*other, note));
+        let own_is_newer = own.filter(|it| it.begun).any(|it| it.made_here() < note.made_here());
+        let theirs_is_newer = self.runs_of_peers(&note.runner, now).any(|told| {
+            let grown = (now.since(told.at).0 as f64 * tokens_per_ms) as u64;
+            told.what.begun && told.what.made_here() + grown < note.made_here()
+        });
+        note.begun && !own_is_newer && !theirs_is_newer
     }
 
     fn heard(&self, now: Millis) -> impl Iterator<Item = &Heard> {
@@ -299,13 +374,3 @@
         now.since(heard.at) < self.cfg.forget_after
     }
 }
-
-fn shape(note: &RunNote, grown: f64) -> RunShape {
-    let most = note.most as f64;
-    RunShape {
-        prompt: note.prompt as f64,
-        made: (note.made as f64 + grown).min((most - 1.0).max(0.0)),
-        expected: note.expected as f64,
-        most,
-    }
-}
--- a/crates/bulrushusher_forward/tests/memory_machine.rs
+++ b/crates/bulrushusher_forward/tests/memory_machine.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use bulrushusher_forward::{Born, GatewayReport, PeersConfig, RunNote, RunNumber, Runs};
+use bulrushusher_forward::{Born, GatewayReport, PeersConfig, RunNote, RunNumber, RunShape, Runs};
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
 use proptest::prelude::*;
@@ -242,15 +242,8 @@
 }
 
 fn note(n: u8, prompt: u64) -> RunNote {
-    RunNote {
-        runner: runner(n),
-        prompt,
-        made: 0,
-        expected: 3_000,
-        most: 9_000,
-        begun: false,
-        reads_itself: false,
-    }
+    let shape = RunShape { prompt: prompt as f64, made: 0.0, expected: 3_000.0, most: 9_000.0 };
+    RunNote::new(runner(n), shape)
 }
 
 impl Fleet {
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -136,7 +136,8 @@
     ) -> io::Result<()> {
         let socket = UdpSocket::bind(cfg.peers).await?;
         let (store, knowledge) = (store.clone(), self.knowledge.clone());
-        let peers = Peers { store, knowledge, address: cfg.peers };
+        let last_told = Default::default();
+        let peers = Peers { store, knowledge, address: cfg.peers, last_told };
         tasks.spawn(peers.speak(socket));
         Ok(())
     }
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use bulrushusher_forward::{
-    Candidate, DecodeLoad, GatewayReport, MemoryForecast, Prompt, RunNote, RunNumber, RunShape,
-    Runner, Stage, WaitingLine, asks_now, rank_for_decode,
+    Candidate, ChangesNews, DecodeLoad, GatewayChanges, GatewayReport, MemoryForecast, Prompt,
+    RunNote, RunNumber, RunShape, Runner, Stage, WaitingLine, asks_now, rank_for_decode,
 };
 use bulrushusher_world::{RunnerId, ServiceName};
 
@@ -32,16 +32,16 @@
     ) -> Vec<Runner> {
         let draw = self.draw();
         let forecast = self.forecast(service);
+        let run = forecast.need(&[run]);
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
             let peak = |runner: &Runner| {
-                let there = runs.at(&runner.id, forecast.tokens_per_ms, now);
-                let runs_there = there.len();
-                let peak = forecast.peak_if_it_fits(there, run)?;
+                let there = runs.need_at(&runner.id, &forecast, now);
+                let peak = forecast.peak_if_it_fits(&there, &run)?;
                 let may_read = |prompt: &Prompt| {
                     prompt.decode_may_read(DecodeLoad {
                         reading: runs.tokens_read_by(&runner.id, now),
-                        runs: runs_there,
+                        runs: there.runs,
                         fullness: forecast.fullness(peak),
                     })
                 };
@@ -61,11 +61,12 @@
     /// runners, what may be forecast at most, how many runners and peers that rests on.
     pub(crate) fn memory_outlook(&self, service: &ServiceName, run: RunShape) -> Outlook {
         let forecast = self.forecast(service);
+        let run = forecast.need(&[run]);
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
             let peak = |runner: &Runner| {
-                let there = runs.at(&runner.id, forecast.tokens_per_ms, now);
-                forecast.peak_with(there, run) as u64
+                let there = runs.need_at(&runner.id, &forecast, now);
+                forecast.peak(&there.with(&run)) as u64
             };
             let decodes = runners.members.usable(service, now);
             let peaks: Vec<u64> =
@@ -80,11 +81,14 @@
     }
 
     /// What a forecast of a runner's memory rests on, beside its runs.
-    fn forecast(&self, service: &ServiceName) -> MemoryForecast {
+    pub(super) fn forecast(&self, service: &ServiceName) -> MemoryForecast {
         let routing = self.routing();
         let engine = routing.as_ref().and_then(|routing| routing.service(service)?.engine);
         let memory = engine.map_or(f64::INFINITY, |engine| engine.memory_tokens as f64);
-        let cfg = self.cfg.load().forecast;
+        let mut cfg = self.cfg.load().forecast;
+        if engine.is_some_and(|engine| engine.moves_runs) {
+            cfg.caution = self.cfg.load().caution_with_moves;
+        }
         self.with_pace(service, |pace| MemoryForecast {
             lengths: pace.lengths(),
             tokens_per_ms: pace.tokens_per_ms(),
@@ -104,6 +108,12 @@
         self.runs.lock().progress(run, made);
     }
 
+    /// A run makes nothing at present; peers are told.
+    pub(crate) fn run_stalls(&self, run: RunNumber) {
+        self.runs.lock().stall(run);
+        self.report_due.notify_one();
+    }
+
     /// A run is over.
     pub(crate) fn end_run(&self, run: RunNumber) {
         self.runs.lock().end(run);
@@ -124,6 +134,12 @@
         self.runs.lock().hear(peer, report, now);
     }
 
+    /// Takes in what changed at a peer.
+    pub(crate) fn hear_changes(&self, peer: &str, changes: GatewayChanges) -> ChangesNews {
+        let now = self.now();
+        self.runs.lock().hear_changes(peer, changes, now)
+    }
+
     /// True while a peer has a generation in line that can still be on time.
     pub(crate) fn peers_have_waiting(&self) -> bool {
         let now = self.now();
@@ -192,10 +208,10 @@
         let now = self.now();
         let forecast = self.forecast(service);
         let runs = self.runs.lock();
-        let there = runs.at(runner, forecast.tokens_per_ms, now);
+        let there = runs.need_at(runner, &forecast, now);
         DecodeLoad {
             reading: runs.tokens_read_by(runner, now),
-            runs: there.len().saturating_sub(1),
+            runs: there.runs.saturating_sub(1),
             fullness: forecast.fullness(forecast.peak(&there)),
         }
     }
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod probes;
 mod pump;
 mod reading;
+mod report_codec;
 mod router;
 mod run;
 mod server;
--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers.rs
@@ -1,20 +1,21 @@
 //! Tells the other gateways what this one has at runners, and hears the same of them.
 //!
-//! Each report is whole, so that a lost or late one does no harm: what it says are hints, and a
-//! runner's own word decides. Gateways find each other by their announcements in the store, and
-//! whoever is heard of is told too.
+//! What they say are hints, and a runner's own word decides. Most reports tell what changed since the
+//! one before; a whole one follows now and then, and at once to a peer that missed some. Gateways find
+//! each other by their announcements in the store, and whoever is heard of is told too.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bulrushusher_forward::GatewayReport;
+use bulrushusher_forward::{ChangesNews, GatewayChanges, GatewayReport};
 use bulrushusher_time::Millis;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::dialect::PlatformStore;
 use crate::knowledge::Knowledge;
+use crate::report_codec::{self, Datagram, Word};
 
 /// Least time between two reports: a burst's placements go in a few datagrams.
 const LEAST_GAP: Millis = Millis(8);
@@ -22,6 +23,12 @@
 /// Longest time between two reports, so that peers know that this gateway lives.
 const LONGEST_GAP: Millis = Millis(700);
 
+/// How often a whole report is told: what peers reckon of runs meanwhile is off by some tens of tokens.
+const WHOLE_EVERY: Millis = Millis(1_000);
+
+/// Least time between two whole reports to one peer that asks: several reports may be missed together.
+const ANSWER_AGAIN: Millis = Millis(100);
+
 /// Times after start at which the announcements are read, and then every last of these.
 const LOOK_AFTER: [Millis; 4] = [Millis(0), Millis(1_000), Millis(3_000), Millis(15_000)];
 
@@ -36,12 +43,6 @@
 /// Peers told at once; what stands in the store for longer than its gateway lives is bounded so.
 const MAX_PEERS: usize = 512;
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Datagram {
-    from: String,
-    report: GatewayReport,
-}
-
 #[derive(Debug, Serialize, Deserialize)]
 struct Announcement {
     address: SocketAddr,
@@ -53,6 +54,7 @@
     pub store: S,
     pub knowledge: Arc<Knowledge>,
     pub address: SocketAddr,
+    pub last_told: parking_lot::Mutex<LastTold>,
 }
 
 impl<S: PlatformStore> Peers<S> {
@@ -126,16 +128,45 @@
                     continue;
                 }
             };
-            match serde_json::from_slice::<Datagram>(&buf[..len]) {
+            match report_codec::read(&buf[..len]) {
                 Ok(datagram) => {
-                    self.knowledge.hear_peer(&datagram.from, datagram.report);
+                    self.take_word(socket, &datagram.from, datagram.word, from).await;
                     self.note_peer(found, datagram.from, from);
                 }
-                Err(e) => log::warn!("peers: datagram cannot be read from={from} cause=\"{e}\""),
+                Err(e) => log::debug!("peers: datagram passed over from={from} cause=\"{e}\""),
             }
         }
     }
 
+    async fn take_word(&self, socket: &UdpSocket, name: &str, word: Word, from: SocketAddr) {
+        match word {
+            Word::Whole(report) => self.knowledge.hear_peer(name, report),
+            Word::Changes(changes) => {
+                if self.knowledge.hear_changes(name, changes) == ChangesNews::Missed {
+                    self.write(socket, Word::Missed, &[from]).await;
+                }
+            }
+            Word::Missed => self.answer(socket, from).await,
+        }
+    }
+
+    /// Tells a peer that missed a report what was told last.
+    async fn answer(&self, socket: &UdpSocket, to: SocketAddr) {
+        let now = self.knowledge.now();
+        let told = {
+            let mut last = self.last_told.lock();
+            let answered = last.answered.get(&to);
+            if answered.is_some_and(|at| now.since(*at) < ANSWER_AGAIN) {
+                return;
+            }
+            last.answered.insert(to, now);
+            last.report.clone()
+        };
+        if let Some(report) = told {
+            self.write(socket, Word::Whole(report), &[to]).await;
+        }
+    }
+
     async fn tell(&self, socket: &UdpSocket, found: &Found) {
         let life = self.knowledge.now().0;
         let mut number = 0;
@@ -143,25 +174,54 @@
             let changed = self.knowledge.report_due.notified();
             tokio::time::timeout(LONGEST_GAP.duration(), changed).await.ok();
             number += 1;
-            let report = self.knowledge.report(life, number);
-            let from = self.knowledge.cfg().name.to_string();
+            let word = self.next_word(self.knowledge.report(life, number));
             let peers: Vec<SocketAddr> = found.lock().values().copied().collect();
-            match serde_json::to_vec(&Datagram { from, report }) {
-                Ok(text) if text.len() <= MAX_DATAGRAM => send(socket, &text, &peers).await,
-                Ok(text) => log::warn!("peers: report too long bytes={}", text.len()),
-                Err(e) => log::error!("peers: report cannot be written cause=\"{e}\""),
-            }
+            self.write(socket, word, &peers).await;
             tokio::time::sleep(LEAST_GAP.duration()).await;
         }
     }
+
+    /// What is told of a report: what changed since the last one, or all of it when that is due.
+    fn next_word(&self, report: GatewayReport) -> Word {
+        let now = self.knowledge.now();
+        let mut last = self.last_told.lock();
+        let before = last.report.replace(report.clone());
+        let is_due = now.since(last.whole_at) >= WHOLE_EVERY;
+        match before.filter(|_| !is_due) {
+            Some(before) => Word::Changes(GatewayChanges::between(&before, &report)),
+            None => {
+                last.whole_at = now;
+                last.answered.clear();
+                Word::Whole(report)
+            }
+        }
+    }
+
+    async fn write(&self, socket: &UdpSocket, word: Word, to: &[SocketAddr]) {
+        let from = self.knowledge.cfg().name.to_string();
+        match report_codec::write(&Datagram { from, word }) {
+            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => send(socket, &bytes, to).await,
+            Ok(bytes) => log::warn!("peers: report too long bytes={}", bytes.len()),
+            Err(e) => log::error!("peers: report cannot be written cause=\"{e}\""),
+        }
+    }
+}
+
+/// What was told last, and to whom again.
+#[derive(Debug, Default)]
+pub(crate) struct LastTold {
+    report: Option<GatewayReport>,
+    whole_at: Millis,
+    /// Peers that asked since, and when they were answered.
+    answered: BTreeMap<SocketAddr, Millis>,
 }
 
 /// Names and addresses of the peers found so far.
 type Found = parking_lot::Mutex<BTreeMap<String, SocketAddr>>;
 
-async fn send(socket: &UdpSocket, text: &[u8], peers: &[SocketAddr]) {
+async fn send(socket: &UdpSocket, bytes: &[u8], peers: &[SocketAddr]) {
     for peer in peers {
-        if let Err(e) = socket.send_to(text, peer).await {
+        if let Err(e) = socket.send_to(bytes, peer).await {
             log::debug!("peers: not told peer={peer} cause=\"{e}\"");
         }
     }
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/report_codec.rs
@@ -0,0 +1,71 @@
+//! How gateways write to each other: a version, then a compact binary form.
+//!
+//! Gateways of two versions may run side by side while a deployment is rolled. What another version
+//! wrote is told apart by its first bytes and passed over; its gateway then counts as one that is not
+//! heard, and comes back with its next version.
+
+use bulrushusher_forward::{GatewayChanges, GatewayReport};
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+/// Marks a datagram as a gateway's.
+const MARK: u8 = 0xB5;
+
+/// Raised with each change of the form of [`Datagram`] or of what it holds.
+const VERSION: u8 = 1;
+
+/// What one gateway writes to another.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Datagram {
+    /// Name of the gateway that writes.
+    pub from: String,
+    pub word: Word,
+}
+
+/// What it says.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Word {
+    /// All that it has at runners.
+    Whole(GatewayReport),
+    /// What changed since its report before.
+    Changes(GatewayChanges),
+    /// It missed a report, and asks for a whole one.
+    Missed,
+}
+
+/// Why a datagram cannot be read.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub(crate) enum CodecError {
+    /// It is not a gateway's.
+    #[display("it is no gateway's; look who sends to this address")]
+    Foreign,
+    /// A gateway of another version wrote it.
+    #[display("version {version} is not known; roll all gateways to one version")]
+    OtherVersion {
+        /// Its version.
+        version: u8,
+    },
+    /// It is cut or changed on its way.
+    #[display("it is not whole; the next report replaces it")]
+    Broken,
+}
+
+/// Writes a datagram.
+///
+/// # Errors
+/// [`CodecError::Broken`] when it cannot be written, which no datagram of ours is known for.
+pub(crate) fn write(datagram: &Datagram) -> Result<Vec<u8>, CodecError> {
+    postcard::to_extend(datagram, vec![MARK, VERSION]).map_err(|_| CodecError::Broken)
+}
+
+/// Reads a datagram.
+///
+/// # Errors
+/// Why it cannot be read.
+pub(crate) fn read(bytes: &[u8]) -> Result<Datagram, CodecError> {
+    match bytes {
+        [MARK, VERSION, rest @ ..] => postcard::from_bytes(rest).map_err(|_| CodecError::Broken),
+        [MARK, version, ..] => Err(CodecError::OtherVersion { version: *version }),
+        _ => Err(CodecError::Foreign),
+    }
+}
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -124,6 +124,13 @@
         Some("2.5"),
         "Standard deviations above the mean need of a decode runner's runs that must fit.",
     ),
+    setting(
+        "forecast",
+        "caution_with_moves",
+        Kind::Real(0.0, 10.0),
+        Some("1.5"),
+        "The same where runs can move to another runner before memory runs out.",
+    ),
     setting(
         "forecast",
         "fill",
@@ -188,6 +195,8 @@
     pub holds: HoldConfig,
     /// How cautious forecasts of memory are.
     pub forecast: ForecastConfig,
+    /// The caution where runs can move to another runner.
+    pub caution_with_moves: f64,
     /// The wanted ratio of prefill and decode runners.
     pub stages: StagesConfig,
     /// How results at runners are weighed.
@@ -253,6 +262,7 @@
                 caution: values.real("forecast", "caution"),
                 fill: values.real("forecast", "fill"),
             },
+            caution_with_moves: values.real("forecast", "caution_with_moves"),
             stages: StagesConfig {
                 prefill_share: values.real("stages", "prefill_share"),
                 prefill_margin: values.real("stages", "prefill_margin"),
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -381,11 +381,14 @@
             memory: self.fleet.figures.memory_tokens,
             cfg,
         };
-        let peak = |runner: &Runner| {
-            let there = gateway.runs.at(&runner.id, tokens_per_ms, now);
-            match self.fleet.admission {
-                Admission::Hold { .. } => Some(there.len() as f64),
-                Admission::Forecast(cfg) => forecast(cfg).peak_if_it_fits(there, shape(&arrival)),
+        let peak = |runner: &Runner| match self.fleet.admission {
+            Admission::Hold { .. } => {
+                Some(gateway.runs.at(&runner.id, tokens_per_ms, now).len() as f64)
+            }
+            Admission::Forecast(cfg) => {
+                let forecast = forecast(cfg);
+                let there = gateway.runs.need_at(&runner.id, &forecast, now);
+                forecast.peak_if_it_fits(&there, &forecast.need(&[shape(&arrival)]))
             }
         };
         let ranked = rank_for_decode(candidate, &[], self.rng.random(), peak);
