Runs move to another decode runner before memory runs out

What is moved counts against the budget of repeats. A run that makes nothing does not count as the newest.

--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -101,7 +101,7 @@
     run
 }
 
-async fn run_at<D: Dialect>(
+pub(crate) async fn run_at<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
     resume_after: Option<u64>,
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -108,6 +108,19 @@
     pub body: Bytes,
 }
 
+/// A run whose memory is copied.
+#[derive(Clone, Copy, Debug)]
+pub struct RunMove<'a> {
+    /// The runner that runs it.
+    pub runner: &'a RunnerId,
+    /// The request.
+    pub request: &'a RequestId,
+    /// Address of the runner that gets the copy.
+    pub to: SocketAddr,
+    /// True to stop the run first: its stream ends, and the copy holds all that it made.
+    pub stops: bool,
+}
+
 /// An order that changes a runner's stage.
 #[derive(Clone, Debug)]
 pub struct StageOrder<'a> {
@@ -165,6 +178,10 @@
     /// Name of the hold in a runner's answer.
     fn hold_name(&self, body: &[u8]) -> Option<Arc<str>>;
 
+    /// Copies the memory of a run to another decode runner. The runner's answer names the copy as it
+    /// names a KV cache.
+    fn move_run(&self, run: &RunMove<'_>) -> SideCall;
+
     /// Gives a hold back.
     fn drop_hold(&self, runner: &RunnerId, hold: &str) -> SideCall;
 
--- a/crates/bulrushusher_gateway/src/holds.rs
+++ b/crates/bulrushusher_gateway/src/holds.rs
@@ -90,6 +90,16 @@
         self.reads
     }
 
+    /// The run that the memory is for.
+    pub(crate) fn run(&self) -> RunNumber {
+        self.run
+    }
+
+    /// The run makes nothing at present.
+    pub(crate) fn stall(&self) {
+        self.knowledge.run_stalls(self.run);
+    }
+
     /// The run has made that many tokens.
     pub(crate) fn progress(&self, made: u64) {
         self.knowledge.run_progress(self.run, made);
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -24,9 +24,12 @@
 
 mod health;
 mod memory;
+mod moves;
 mod pauses;
 mod starts;
 
+pub(crate) use moves::RunFate;
+
 /// Fewest parts that the shared burst of repeats is split into. A gateway that starts again has a
 /// full part, and one that hears no peer does not know how many there are.
 const LEAST_RETRY_SHARERS: usize = 10;
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod holds;
 mod knowledge;
 mod lifecycle;
+mod moving;
 mod orders;
 mod peers;
 mod placement;
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -14,6 +14,8 @@
 use crate::begin::begin_run;
 use crate::body::{CutOff, ReplyBody, StreamPart};
 use crate::dialect::Dialect;
+use crate::holds::HeldMemory;
+use crate::moving::{self, Moved, Moving};
 use crate::router::{Forwarded, Router};
 use crate::run::{NoRun, Run, Tries, longest_silence};
 
@@ -24,9 +26,14 @@
 /// four targets.
 const RESUME_WAIT: Millis = Millis(1_500);
 
+/// A run that was stopped has its last events on their way; its stream ends within this.
+const REST_OF_STOPPED: Millis = Millis(100);
+
 /// How a run ended.
-enum RunEnd {
+enum RunEnd<D: Dialect> {
     Whole,
+    /// It was stopped to go on at another runner.
+    Moved(Box<Moved<D>>),
     CallerGone,
     TimeOver,
     Broken(String),
@@ -47,6 +54,9 @@
 /// usual, and near enough to being late.
 const LONG_PAUSE_SHARE: f64 = 0.5;
 
+/// The same where the route has no target for pauses, or a very short one: some events' time.
+const LEAST_STALL: Millis = Millis(150);
+
 /// Long pauses in a row that make a runner a slow one. A prompt that is read or a run that is
 /// preempted makes one long pause, and few make two.
 const SLOW_PAUSES: u32 = 4;
@@ -95,6 +105,7 @@
 ) {
     let mut progress = Progress::new(fwd.arrival.resume_after);
     let mut tries = Tries { decodes: vec![run.runner.id.clone()], ..Tries::default() };
+    let first_began = run.began;
     loop {
         let runner = run.runner.clone();
         let began = run.began;
@@ -103,6 +114,7 @@
         let last = progress.last_event.unwrap_or(0);
         let word = match &end {
             RunEnd::Whole => "whole",
+            RunEnd::Moved(_) => "moved",
             RunEnd::CallerGone => "caller_gone",
             RunEnd::TimeOver => "time_over",
             RunEnd::Broken(_) => "broken",
@@ -122,11 +134,24 @@
                 cx.knowledge.note_run_end(&runner, true);
                 let expected = fwd.arrival.size.map_or(0, |size| size.expected());
                 let made = last * cx.knowledge.tokens_per_event(&fwd.service);
+                let took = cx.now().since(first_began);
                 cx.knowledge
                     .with_pace(&fwd.service, |pace| pace.note_generation(took, expected, made));
                 return;
             }
             RunEnd::CallerGone => return,
+            RunEnd::Moved(moved) => {
+                progress.splitter = EventSplitter::default();
+                let going_on = moving::resume(cx, fwd, progress.last_event, moved);
+                let next = tokio::select! {
+                    next = going_on => next,
+                    () = tx.closed() => return,
+                };
+                if let Some(next) = next {
+                    run = next;
+                    continue;
+                }
+            }
             RunEnd::TimeOver => break,
             RunEnd::Broken(_) => cx.knowledge.note_run_end(&runner, false),
         }
@@ -174,27 +199,43 @@
 }
 
 async fn carry_run<D: Dialect>(
-    cx: &Router<D>,
+    cx: &Arc<Router<D>>,
     fwd: &Forwarded,
     plan: &mut AttemptPlan,
     run: Run<D>,
     progress: &mut Progress,
     tx: &Sender<StreamPart>,
-) -> RunEnd {
+) -> RunEnd<D> {
     let Run { runner, reply, held, _ticket, .. } = run;
     let per_event = cx.knowledge.tokens_per_event(&fwd.service);
     let head = reply.head;
     let mut body = reply.body;
     let has_events = is_event_stream(&head.headers);
     let mut was_silent = false;
+    let mut moving = Moving::new();
+    let mut stalls = false;
+    let stall_after = stall_after(fwd.route.gap_target).duration();
     loop {
         let left = fwd.left(cx.now());
-        let patience = if was_silent { left } else { longest_silence(fwd).min(left) };
+        let patience = match (moving.is_stopped(), was_silent) {
+            (true, _) => REST_OF_STOPPED,
+            (false, true) => left,
+            (false, false) => longest_silence(fwd).min(left),
+        };
         let frame = tokio::select! {
             frame = tokio::time::timeout(patience.duration(), body.frame()) => frame,
             () = tx.closed() => return RunEnd::CallerGone,
+            () = moving.progress(|| cx.now()) => continue,
+            () = tokio::time::sleep(stall_after), if !stalls => {
+                stalls = true;
+                held.iter().for_each(HeldMemory::stall);
+                continue;
+            }
         };
         let bytes = match frame {
+            Err(_) if moving.is_stopped() => {
+                return stream_ended(cx, moving, "silent after its stop".to_owned()).await;
+            }
             Err(_) if patience == left => return RunEnd::TimeOver,
             Err(_) if plan.may_run_again() => {
                 return RunEnd::Broken(format!("silent for {patience}"));
@@ -204,17 +245,25 @@
                 was_silent = true;
                 continue;
             }
-            Ok(Some(Err(e))) => return RunEnd::Broken(e.to_string()),
+            Ok(Some(Err(e))) => return stream_ended(cx, moving, e.to_string()).await,
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(bytes) => bytes,
                 Err(_) => continue,
             },
-            Ok(None) if progress.splitter.rest().is_empty() => {
-                cx.exchanger.pool().keep(&runner.id, reply.connection, &head.headers);
-                return RunEnd::Whole;
+            Ok(None) => {
+                let is_whole = progress.splitter.rest().is_empty();
+                let moved = moving.settle(|| cx.now()).await;
+                return match moved {
+                    Some(moved) => RunEnd::Moved(moved),
+                    None if is_whole => {
+                        cx.exchanger.pool().keep(&runner.id, reply.connection, &head.headers);
+                        RunEnd::Whole
+                    }
+                    None => RunEnd::Broken("it ended inside an event".to_owned()),
+                };
             }
-            Ok(None) => return RunEnd::Broken("it ended inside an event".to_owned()),
         };
+        stalls = false;
         let (pause, is_slow) = progress.note_bytes(fwd.route.gap_target, cx.now());
         cx.knowledge.note_stream_pause(&runner.id, pause);
         if is_slow {
@@ -229,10 +278,28 @@
         }
         if let (Some(held), Some(last)) = (&held, progress.last_event) {
             held.progress(last * per_event);
+            moving.look(cx, fwd, held);
         }
     }
 }
 
+/// A stream without its end: its run was stopped to move, or it broke.
+async fn stream_ended<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    moving: Moving<D>,
+    cause: String,
+) -> RunEnd<D> {
+    match moving.settle(|| cx.now()).await {
+        Some(moved) => RunEnd::Moved(moved),
+        None => RunEnd::Broken(cause),
+    }
+}
+
+/// Time without an event after which a run is taken to make nothing.
+fn stall_after(gap_target: Millis) -> Millis {
+    Millis((gap_target.0 as f64 * LONG_PAUSE_SHARE) as u64).max(LEAST_STALL)
+}
+
 /// How long a resumed run may look for memory from `now`.
 fn resume_until(fwd: &Forwarded, now: Millis) -> Millis {
     now.plus(RESUME_WAIT).min(fwd.ends)
