News of the store are waited for long while peers tell theirs; a wait is no outage

Change: reports tell the revision of the last change known of each topic. With three peers or more a wait lasts longer the more there are, so that all together are answered four times in what one alone would wait; who sees for 250 ms that a peer knows more asks anew on another connection, and then as often as alone. An answer counts as late only beyond the wait that was asked for.

--- a/crates/bulrushusher_forward/src/members.rs
+++ b/crates/bulrushusher_forward/src/members.rs
@@ -95,7 +95,22 @@
 
     /// The store answered a call. Returns how long it had been silent when that was an outage.
     pub fn store_answered(&mut self, now: Millis) -> Option<Millis> {
-        let silent = self.last_answer.map(|at| now.since(at));
+        self.store_answered_after(Millis(0), now)
+    }
+
+    /// The same for a call that asked the store to wait for up to `wait` until something changes: no
+    /// answer was due before.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{Members, MembersConfig};
+    /// use bulrushusher_time::Millis;
+    /// let mut members = Members::new(MembersConfig::default());
+    /// members.store_answered(Millis(0));
+    /// assert_eq!(members.store_answered_after(Millis(8_000), Millis(8_010)), None);
+    /// assert!(members.store_answered_after(Millis(1_000), Millis(12_000)).is_some());
+    /// ```
+    pub fn store_answered_after(&mut self, wait: Millis, now: Millis) -> Option<Millis> {
+        let silent = self.last_answer.map(|at| now.since(at).since(wait));
         self.last_answer = Some(now);
         let outage = silent.filter(|silent| *silent >= self.cfg.outage_after);
         if outage.is_some() {
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -5,7 +5,7 @@
 use bulrushusher_world::RunnerId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Born, RunCounts, RunShape, Starts};
+use crate::{Born, NewsSeen, RunCounts, RunShape, Starts};
 
 /// One run, as gateways tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -96,6 +96,8 @@
     pub failing: Vec<RunCounts>,
     /// Runners that it could not reach lately.
     pub silent: Vec<RunnerId>,
+    /// Changes of the store that it knows.
+    pub news: NewsSeen,
     /// The starts of the runners that this report speaks of, where runners tell them. What it says
     /// of an earlier start than the hearer knows does not count.
     pub starts: BTreeMap<RunnerId, Born>,
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -8,8 +8,8 @@
 
 use crate::told::{ByRunner, PeerNumber, Told};
 use crate::{
-    Born, GatewayChanges, GatewayReport, MemoryForecast, MemoryNeed, RunCounts, RunNote, RunShape,
-    StartNews, Starts,
+    Born, GatewayChanges, GatewayReport, MemoryForecast, MemoryNeed, NewsSeen, RunCounts, RunNote,
+    RunShape, StartNews, Starts,
 };
 
 /// Bounds of what is believed of peers.
@@ -259,6 +259,11 @@
         self.heard(now).count()
     }
 
+    /// The last changes of the store that a peer knows.
+    pub fn news_of_peers(&self, now: Millis) -> NewsSeen {
+        self.heard(now).fold(NewsSeen::default(), |news, heard| news.max(heard.report.news))
+    }
+
     /// True while a generation waits at a peer that can still be on time.
     pub fn peers_wait_on_time(&self, now: Millis) -> bool {
         self.heard(now).any(|heard| heard.report.waiting > 0)
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -244,6 +244,8 @@
     pub changes: Vec<Change>,
     /// The store's revision.
     pub revision: u64,
+    /// Revision of the last of the changes; 0 when there is none.
+    pub last_change: u64,
 }
 
 /// Why the store gave no answer.
--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/feed.rs
@@ -1,7 +1,8 @@
 //! Follows the store: what it holds is listed once, then changes are waited for.
 //!
-//! Every wait is short against the time within which a configuration must be in force, and a
-//! connection that stays silent is replaced. What was learned stays in force while the store is
+//! A gateway alone waits for a time that is short against the one within which a configuration must be
+//! in force; with peers that tell what they know it waits longer. A connection that stays silent is
+//! replaced. What was learned stays in force while the store is
 //! away, and is never replaced by something older.
 
 use std::sync::Arc;
@@ -17,7 +18,7 @@
 use crate::knowledge::Knowledge;
 use crate::pool::RunnerPool;
 
-/// Share of the time to be in force that one wait for changes lasts.
+/// Share of the time to be in force that one wait for changes lasts where no peers are heard.
 const WAIT_SHARE: f64 = 0.5;
 
 /// Share of it after which a wait without answer counts as lost; with the share above, and a list
@@ -61,6 +62,7 @@
                     }
                     (lost, pause) = (false, FIRST_PAUSE);
                     let revision = news.revision;
+                    self.knowledge.note_news(self.topic, revision, news.last_change);
                     self.apply_list(news);
                     self.watch_from(revision).await;
                 }
@@ -97,13 +99,30 @@
 
     /// Waits for changes until that fails.
     async fn watch_from(&self, mut revision: u64) {
-        let wait = self.share(WAIT_SHARE);
+        let alone = self.share(WAIT_SHARE);
+        // After a peer's word the store itself is asked, as often as without peers.
+        let mut heeds_peers = true;
         loop {
-            match self.store.watch(self.topic, revision, wait, self.slack()).await {
+            let wait = if heeds_peers { self.knowledge.news_wait(alone) } else { alone };
+            let answer = tokio::select! {
+                answer = self.store.watch(self.topic, revision, wait, self.slack()) => answer,
+                theirs = self.knowledge.falls_behind(self.topic), if heeds_peers => {
+                    heeds_peers = false;
+                    self.note_call("behind");
+                    log::info!(
+                        "store: behind a peer topic={} revision={revision} peer_revision={theirs}",
+                        self.topic
+                    );
+                    continue;
+                }
+            };
+            match answer {
                 Ok(news) => {
+                    heeds_peers = true;
                     self.note_call("watched");
                     revision = revision.max(news.revision);
-                    self.note_answer();
+                    self.knowledge.note_news(self.topic, revision, news.last_change);
+                    self.note_answer(wait);
                     let has_changed = !news.changes.is_empty();
                     for change in news.changes {
                         self.apply(change);
@@ -133,7 +152,7 @@
 
     /// Takes in a whole list.
     fn apply_list(&self, news: News) {
-        self.note_answer();
+        self.note_answer(Millis(0));
         let mut runners = Vec::new();
         let mut unreadable = Vec::new();
         for change in news.changes {
@@ -227,12 +246,14 @@
         }
     }
 
-    /// The store answered; only the list of runners says whether entries may have lapsed.
-    fn note_answer(&self) {
+    /// The store answered a call that let it wait; only the list of runners says whether entries may
+    /// have lapsed.
+    fn note_answer(&self, wait: Millis) {
         if self.topic != Topic::Runners {
             return;
         }
-        let outage = self.knowledge.with_runners(|known, now| known.members.store_answered(now));
+        let outage =
+            self.knowledge.with_runners(|known, now| known.members.store_answered_after(wait, now));
         if let Some(silent) = outage {
             log::info!("runners: store was away silent_ms={}", silent.0);
         }
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -183,6 +183,7 @@
             failing,
             silent,
             starts,
+            news: self.news_told(),
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -1,7 +1,7 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then paces, then
-//! runs, then health, then pauses, then changing. No lock is held across an await.
+//! runs, then health, then pauses, then news, then changing. No lock is held across an await.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -25,6 +25,7 @@
 mod health;
 mod memory;
 mod moves;
+mod news;
 mod pauses;
 mod starts;
 
@@ -56,6 +57,8 @@
     health: Mutex<RunnerHealth>,
     /// Pauses in this gateway's streams, by runner that reads a prompt.
     pauses: Mutex<HashMap<RunnerId, pauses::SeenPauses>>,
+    /// What the store told of its changes.
+    news: Mutex<news::KnownNews>,
     /// Runners whose stage changes, by service.
     changing: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Notified when peers should hear of something new.
@@ -79,6 +82,7 @@
             runs: Mutex::new(Runs::new(PeersConfig::default())),
             health: Mutex::new(RunnerHealth::new(HealthConfig::default())),
             pauses: Mutex::default(),
+            news: Mutex::default(),
             changing: Mutex::default(),
             report_due: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/knowledge/news.rs
@@ -0,0 +1,75 @@
+//! What this gateway and its peers know of the store's changes.
+
+use bulrushusher_forward::{NewsConfig, NewsSeen};
+use bulrushusher_time::Millis;
+
+use super::Knowledge;
+use crate::dialect::Topic;
+
+/// How often it is looked whether a peer knows more.
+const LOOK_EVERY: Millis = Millis(50);
+
+impl Knowledge {
+    /// The store told a topic up to a revision, with a last change at another.
+    pub(crate) fn note_news(&self, topic: Topic, revision: u64, last_change: u64) {
+        let mut news = self.news.lock();
+        let known = &mut *news;
+        let (told, seen) = match topic {
+            Topic::Configuration => (&mut known.told.configuration, &mut known.seen.configuration),
+            Topic::Runners => (&mut known.told.runners, &mut known.seen.runners),
+        };
+        *told = (*told).max(last_change);
+        *seen = (*seen).max(revision);
+    }
+
+    /// The changes that this gateway knows, for its peers.
+    pub(super) fn news_told(&self) -> NewsSeen {
+        self.news.lock().told
+    }
+
+    /// How long to wait for a topic's changes; alone it would be `alone`.
+    pub(crate) fn news_wait(&self, alone: Millis) -> Millis {
+        let peers = self.runs.lock().peers(self.now());
+        let wait = NewsConfig::default().wait(alone, peers);
+        // Spread, so that gateways that began together are not all answered at the same time.
+        let spread = 0.5 + 0.5 * self.draw();
+        Millis((wait.0 as f64 * spread) as u64).max(alone)
+    }
+
+    /// Returns once a peer has known for some time of a change that the store did not tell here.
+    pub(crate) async fn falls_behind(&self, topic: Topic) -> u64 {
+        let mut behind_since = None;
+        loop {
+            tokio::time::sleep(LOOK_EVERY.duration()).await;
+            let Some(theirs) = self.behind_peers(topic) else {
+                behind_since = None;
+                continue;
+            };
+            let now = self.now();
+            let since = *behind_since.get_or_insert(now);
+            if now.since(since) >= NewsConfig::default().behind_for {
+                return theirs;
+            }
+        }
+    }
+
+    /// The last change that a peer knows, if it is not known here.
+    fn behind_peers(&self, topic: Topic) -> Option<u64> {
+        let theirs = self.runs.lock().news_of_peers(self.now());
+        let seen = self.news.lock().seen;
+        let (theirs, own) = match topic {
+            Topic::Configuration => (theirs.configuration, seen.configuration),
+            Topic::Runners => (theirs.runners, seen.runners),
+        };
+        (theirs > own).then_some(theirs)
+    }
+}
+
+/// What the store told.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct KnownNews {
+    /// The last changes.
+    told: NewsSeen,
+    /// The revisions up to which nothing was missed.
+    seen: NewsSeen,
+}
