--- a/crates/bulrushusher_forward/src/forecast.rs
+++ b/crates/bulrushusher_forward/src/forecast.rs
@@ -5,6 +5,8 @@
 //! may need leaves half of the memory idle; here the ends of some make room for the growth of
 //! others, as far as answers' lengths can be told.
 
+use bulrushusher_time::Millis;
+
 use crate::PromptSize;
 
 /// One run at a runner.
@@ -232,6 +234,20 @@
         sum
     }
 
+    /// The same need as it is `passed` later, while no run came, went or was heard of anew: between two
+    /// times looked at it grows or falls evenly.
+    #[must_use]
+    pub(crate) fn after(&self, passed: Millis) -> MemoryNeed {
+        let mut later = *self;
+        for n in 0..LOOK_AHEAD_MS.len() - 1 {
+            let share = passed.0 as f64 / (LOOK_AHEAD_MS[n + 1] - LOOK_AHEAD_MS[n]);
+            let ((mean, variance), (next_mean, next_variance)) = (self.ahead[n], self.ahead[n + 1]);
+            later.ahead[n].0 = mean + share * (next_mean - mean);
+            later.ahead[n].1 = variance + share * (next_variance - variance);
+        }
+        later
+    }
+
     /// The most that is needed at one time, `caution` standard deviations above the mean.
     pub fn peak(&self, caution: f64) -> f64 {
         let at = |(mean, variance): (f64, f64)| mean + caution * variance.sqrt();
--- a/crates/bulrushusher_forward/src/told.rs
+++ b/crates/bulrushusher_forward/src/told.rs
@@ -20,9 +20,8 @@
     pub what: T,
 }
 
-/// How long a runner's need is taken for the same while its runs stay the same: they grow by some
-/// hundred tokens of 70,000 meanwhile, and a gateway in a burst looks at each runner a hundred times
-/// a second.
+/// How long a runner's need is reckoned on from what was worked out, while its runs stay the same: a
+/// gateway in a burst looks at each runner a hundred times a second.
 const NEED_KEPT: Millis = Millis(30);
 
 /// What is known of one runner.
@@ -47,7 +46,7 @@
         let known = self.need.get().filter(|(at, _)| now.since(*at) < NEED_KEPT);
         let (at, need) = known.unwrap_or_else(|| (now, work_out()));
         self.need.set(Some((at, need)));
-        need
+        need.after(now.since(at))
     }
 
     /// Its runs are others than before.
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 
 use bulrushusher_forward::{Born, PromptSize, RequestId, RoutingConfig, Runner, Stage};
 use bulrushusher_time::Millis;
@@ -294,11 +295,12 @@
 
 /// The platform's store.
 pub trait PlatformStore: Clone + Send + Sync + 'static {
-    /// Everything of a topic, within `timeout`.
+    /// Everything of a topic, each page within `timeout`; `pages` counts those that came.
     fn list(
         &self,
         topic: Topic,
         timeout: Millis,
+        pages: &AtomicUsize,
     ) -> impl Future<Output = Result<News, StoreFailure>> + Send;
 
     /// Changes of a topic after a revision, as soon as there is one; none after `wait`. An answer
--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/feed.rs
@@ -6,6 +6,7 @@
 //! away, and is never replaced by something older.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bulrushusher_forward::{Runner, StartNews};
 use bulrushusher_report::GatewayMetrics;
@@ -75,18 +76,29 @@
         }
     }
 
-    /// Lists the topic. While there is no answer it is asked again, each time on a connection of its
-    /// own; the first answer counts.
+    /// Lists the topic. While no page comes it is asked again, each time on a connection of its own; the
+    /// first answer counts.
     async fn list(&self, lost: &mut bool) -> Result<News, StoreFailure> {
         let again = self.slack();
         let longest = Millis(again.0 * u64::from(LISTS_AT_ONCE));
+        let pages = AtomicUsize::new(0);
         let mut asked = FuturesUnordered::new();
         loop {
-            asked.push(self.store.list(self.topic, longest));
-            match tokio::time::timeout(again.duration(), asked.next()).await {
-                Ok(Some(answer)) => return answer,
-                Ok(None) | Err(_) => self.note_lost(lost, "it is slow or silent"),
+            asked.push(self.store.list(self.topic, longest, &pages));
+            let mut came = pages.load(Ordering::Relaxed);
+            loop {
+                if let Ok(Some(answer)) = tokio::time::timeout(again.duration(), asked.next()).await
+                {
+                    return answer;
+                }
+                // A long list that still comes in is only slowed down by another one beside it.
+                let now = pages.load(Ordering::Relaxed);
+                if now == came {
+                    break;
+                }
+                came = now;
             }
+            self.note_lost(lost, "it is slow or silent");
         }
     }
 
--- a/crates/bulrushusher_model/src/fleet.rs
+++ b/crates/bulrushusher_model/src/fleet.rs
@@ -50,6 +50,8 @@
     pub slow: f64,
     /// True when gateways pass over engines that fail their runs.
     pub heeds_failures: bool,
+    /// True when runs move to another engine before memory runs out.
+    pub runs_move: bool,
 }
 
 impl Default for Fleet {
@@ -68,6 +70,7 @@
             grey: 0.0,
             slow: 1.0,
             heeds_failures: true,
+            runs_move: false,
         }
     }
 }
--- /dev/null
+++ b/crates/bulrushusher_model/src/moving.rs
@@ -0,0 +1,81 @@
+//! Runs that move to another decode engine before memory runs out.
+
+use bulrushusher_forward::{Candidate, MoveConfig, RunNote, Runner, rank_for_decode};
+use bulrushusher_time::Millis;
+use rand::RngExt;
+
+use crate::engines::Run;
+use crate::play::{Played, State};
+
+impl Played<'_> {
+    /// Each gateway moves those of its runs that are due to; a move takes less than a step.
+    pub(crate) fn move_runs(&mut self, now: Millis) {
+        for decode in 0..self.decodes.len() {
+            let callers: Vec<usize> = self.decodes[decode].runs.iter().map(|r| r.caller).collect();
+            for caller in callers {
+                if let Some(to) = self.moves_to(caller, now) {
+                    self.move_run(caller, decode, to);
+                }
+            }
+        }
+    }
+
+    /// The engine that a caller's run should move to.
+    fn moves_to(&mut self, caller: usize, now: Millis) -> Option<usize> {
+        let State::Running { decode, run } = self.callers[caller].state else { return None };
+        let gateway = &self.gateways[self.callers[caller].gateway];
+        let forecast = self.forecast_of(gateway);
+        let here = &self.ids[decode];
+        let there = gateway.runs.need_at(here, &forecast, now);
+        let is_due = forecast.overflows_soon(&there, MoveConfig::default())
+            && gateway.runs.is_newest(run, forecast.tokens_per_ms, now);
+        if !is_due {
+            return None;
+        }
+        let need = forecast.need(&[gateway.runs.note(run)?.shape()]);
+        let peak = |runner: &Runner| {
+            let there = gateway.runs.need_at(&runner.id, &forecast, now);
+            forecast.peak_after_move(&there, &need, MoveConfig::default())
+        };
+        let failing = self.failing(gateway, now);
+        let candidate = Candidate {
+            members: &self.members,
+            loads: &self.loads,
+            service: &self.service,
+            runs: None,
+            failing: Some(&failing),
+            now,
+        };
+        let draw = self.rng.random();
+        let ranked = rank_for_decode(candidate, std::slice::from_ref(here), draw, peak);
+        let best = ranked.first()?;
+        self.ids.iter().position(|id| *id == best.id)
+    }
+
+    /// Moves a run if the other engine has room for it.
+    fn move_run(&mut self, caller: usize, from: usize, to: usize) {
+        let moves = |run: &Run| run.caller == caller;
+        let Some(at) = self.decodes[from].runs.iter().position(moves) else { return };
+        let size = self.decodes[from].runs[at].prompt + self.decodes[from].runs[at].made;
+        if self.decodes[to].used() + size > self.fleet.figures.memory_tokens {
+            return;
+        }
+        let run = self.decodes[from].runs.remove(at);
+        self.next_order += 1;
+        self.decodes[to].runs.push(Run { order: self.next_order, ..run });
+        self.held[from].retain(|(of, _)| *of != caller);
+        self.held[to].push((caller, size));
+        self.outcome.moved += 1;
+        let gateway = self.callers[caller].gateway;
+        let runs = &mut self.gateways[gateway].runs;
+        if let State::Running { run: old, .. } = self.callers[caller].state
+            && let Some(note) = runs.end(old)
+        {
+            let made = note.made;
+            let new =
+                runs.hold(RunNote { runner: self.ids[to].clone(), made_before: made, ..note });
+            runs.progress(new, made);
+            self.callers[caller].state = State::Running { decode: to, run: new };
+        }
+    }
+}
--- a/crates/bulrushusher_model/src/outcome.rs
+++ b/crates/bulrushusher_model/src/outcome.rs
@@ -28,6 +28,8 @@
     pub left: usize,
     /// Runs that were preempted.
     pub preempted: usize,
+    /// Runs that moved to another engine.
+    pub moved: usize,
     /// Prompt tokens read that served nobody, or were read again.
     pub wasted_tokens: f64,
     /// Callers with the largest tenth of prompts and answers.
@@ -84,6 +86,7 @@
         }
         self.left += other.left;
         self.preempted += other.preempted;
+        self.moved += other.moved;
         self.wasted_tokens += other.wasted_tokens;
         self.large += other.large;
         self.large_served += other.large_served;
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use bulrushusher_forward::{
-    Candidate, GatewayReport, HealthConfig, LoadConfig, Members, MembersConfig, MemoryForecast,
-    Pace, PaceConfig, PeersConfig, Rank, RunNote, RunNumber, RunShape, Runner, RunnerHealth,
-    RunnerLoads, Runs, Stage, WaitingLine, asks_now, rank_for_decode,
+    Candidate, ForecastConfig, GatewayReport, HealthConfig, LoadConfig, Members, MembersConfig,
+    MemoryForecast, Pace, PaceConfig, PeersConfig, Rank, RunNote, RunNumber, RunShape, Runner,
+    RunnerHealth, RunnerLoads, Runs, Stage, WaitingLine, asks_now, rank_for_decode,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
@@ -35,7 +35,7 @@
 
 /// Where a caller is.
 #[derive(Clone, Copy, Debug)]
-enum State {
+pub(crate) enum State {
     Away { until: Millis },
     Waiting { rank: Rank, until: Millis, ask_at: Millis },
     Read { decode: usize, run: RunNumber },
@@ -44,39 +44,39 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Caller {
+pub(crate) struct Caller {
     arrival: Arrival,
-    gateway: usize,
-    state: State,
+    pub gateway: usize,
+    pub state: State,
     refusals: u32,
     first_event: Option<Millis>,
     preempted: bool,
 }
 
-struct Gateway {
+pub(crate) struct Gateway {
     line: WaitingLine,
-    runs: Runs,
+    pub runs: Runs,
     pace: Pace,
     health: RunnerHealth,
     reports: u64,
 }
 
-struct Played<'a> {
-    fleet: &'a Fleet,
-    service: ServiceName,
-    members: Members,
-    loads: RunnerLoads,
-    ids: Vec<RunnerId>,
-    gateways: Vec<Gateway>,
+pub(crate) struct Played<'a> {
+    pub fleet: &'a Fleet,
+    pub service: ServiceName,
+    pub members: Members,
+    pub loads: RunnerLoads,
+    pub ids: Vec<RunnerId>,
+    pub gateways: Vec<Gateway>,
     prefills: Vec<PrefillEngine>,
-    decodes: Vec<DecodeEngine>,
-    held: Vec<Vec<(usize, f64)>>,
-    callers: Vec<Caller>,
-    next_order: u64,
-    rng: ChaCha8Rng,
+    pub decodes: Vec<DecodeEngine>,
+    pub held: Vec<Vec<(usize, f64)>>,
+    pub callers: Vec<Caller>,
+    pub next_order: u64,
+    pub rng: ChaCha8Rng,
     /// Reports on their way, oldest first.
     reports: VecDeque<Sent>,
-    outcome: Outcome,
+    pub outcome: Outcome,
 }
 
 /// A report on its way to all other gateways.
@@ -148,6 +148,9 @@
         self.lose_engine(now);
         self.read_prompts(now);
         self.generate(now);
+        if self.fleet.runs_move {
+            self.move_runs(now);
+        }
         for n in 0..self.callers.len() {
             self.move_caller(n, now);
         }
@@ -374,21 +377,13 @@
             failing: Some(&failing),
             now,
         };
-        let tokens_per_ms = gateway.pace.tokens_per_ms();
-        let forecast = |cfg| MemoryForecast {
-            lengths: gateway.pace.lengths(),
-            tokens_per_ms,
-            memory: self.fleet.figures.memory_tokens,
-            cfg,
-        };
-        let peak = |runner: &Runner| match self.fleet.admission {
-            Admission::Hold { .. } => {
-                Some(gateway.runs.at(&runner.id, tokens_per_ms, now).len() as f64)
-            }
-            Admission::Forecast(cfg) => {
-                let forecast = forecast(cfg);
-                let there = gateway.runs.need_at(&runner.id, &forecast, now);
-                forecast.peak_if_it_fits(&there, &forecast.need(&[shape(&arrival)]))
+        let forecast = self.forecast_of(gateway);
+        let run = forecast.need(&[shape(&arrival)]);
+        let peak = |runner: &Runner| {
+            let there = gateway.runs.need_at(&runner.id, &forecast, now);
+            match self.fleet.admission {
+                Admission::Hold { .. } => Some(there.runs as f64),
+                Admission::Forecast(_) => forecast.peak_if_it_fits(&there, &run),
             }
         };
         let ranked = rank_for_decode(candidate, &[], self.rng.random(), peak);
@@ -400,8 +395,22 @@
         places.into_iter().find(|decode| self.has_room(*decode, &arrival))
     }
 
+    /// What a gateway's forecasts rest on.
+    pub(crate) fn forecast_of(&self, gateway: &Gateway) -> MemoryForecast {
+        let cfg = match self.fleet.admission {
+            Admission::Hold { .. } => ForecastConfig::default(),
+            Admission::Forecast(cfg) => cfg,
+        };
+        MemoryForecast {
+            lengths: gateway.pace.lengths(),
+            tokens_per_ms: gateway.pace.tokens_per_ms(),
+            memory: self.fleet.figures.memory_tokens,
+            cfg,
+        }
+    }
+
     /// Engines that a gateway passes over.
-    fn failing(&self, gateway: &Gateway, now: Millis) -> BTreeSet<RunnerId> {
+    pub(crate) fn failing(&self, gateway: &Gateway, now: Millis) -> BTreeSet<RunnerId> {
         if !self.fleet.heeds_failures {
             return BTreeSet::new();
         }
--- a/crates/bulrushusher_model/tests/patterns.rs
+++ b/crates/bulrushusher_model/tests/patterns.rs
@@ -173,3 +173,36 @@
     let lowest = outcome.lowest_goodput_of_a_centre();
     assert!(lowest > outcome.goodput() - 0.08, "{lowest} {outcome:?}");
 }
+
+/// Gateways whose runs move keep less memory free for runs that get longer than expected.
+fn moving(fleet: Fleet) -> Fleet {
+    let bold = ForecastConfig { caution: 1.5, ..ForecastConfig::default() };
+    Fleet { runs_move: true, admission: Admission::Forecast(bold), ..fleet }
+}
+
+/// Two pools with readers enough, so that memory binds: nine decode engines and five gateways, and 15
+/// smaller ones with 16 gateways.
+fn pools() -> [(Fleet, f64); 2] {
+    let small = EngineFigures { memory_tokens: 72_069.0, ..EngineFigures::default() };
+    let large =
+        Fleet { gateways: 16, prefills: 8, decodes: 15, figures: small, ..Fleet::default() };
+    [(Fleet { prefills: 6, ..Fleet::default() }, 18.0), (large, 22.0)]
+}
+
+/// Demand at more than twice of what memory bears: what is kept free for the growth of some runs at one
+/// engine is room for others once a run can leave. The same boldness without moves preempts what it
+/// admits.
+#[test]
+fn runs_that_move_leave_room_for_more_in_bursts() {
+    for (fleet, per_second) in pools() {
+        let load = Load { length: Millis(22_500), per_second, ..Pattern::DoubleBurst.load() };
+        let callers = arrivals(&load, SEED);
+        let [stays, moves] = [fleet, moving(fleet)].map(|fleet| play(&fleet, &callers, SEED));
+        assert!(moves.on_time > stays.on_time, "{stays:?} {moves:?}");
+        assert!(moves.refused < stays.refused, "{stays:?} {moves:?}");
+        assert!(moves.preempted <= stays.preempted && moves.moved > 0, "{stays:?} {moves:?}");
+        large_are_not_starved(&moves);
+        let bold = play(&Fleet { runs_move: false, ..moving(fleet) }, &callers, SEED);
+        assert!(bold.preempted > 2 * moves.preempted, "{bold:?} {moves:?}");
+    }
+}
