bulrushctl losses: streams of killed gateways and refusals on a return are named

Change: what a gateway left open when it started again was broken off by its stop; a refusal of a caller that came back says so.

--- a/crates/bulrushusher_account/src/account.rs
+++ b/crates/bulrushusher_account/src/account.rs
@@ -116,7 +116,7 @@
                 Group::Runner => request.runner.as_deref().unwrap_or("none").to_owned(),
                 Group::DataCentre => request.data_centre.to_string(),
                 Group::Size => size_word(request, &sizes),
-                Group::Cause => format!("{}: {}", request.route, request.end()),
+                Group::Cause => cause_word(request),
             };
             account.groups.entry(name).or_default().add(request);
         }
@@ -145,6 +145,13 @@
     all.into_iter().map(|(route, sizes)| (route, bounds(sizes))).collect()
 }
 
+/// How a request ended; of a refusal, whether its caller had been told to come back.
+fn cause_word(request: &Request) -> String {
+    let end = request.end();
+    let again = matches!(end, End::Refused(_)) && request.is_return();
+    format!("{}: {end}{}", request.route, if again { ", when it came back" } else { "" })
+}
+
 fn size_word(request: &Request, sizes: &BTreeMap<&str, (u64, u64)>) -> String {
     let word = match sizes.get(request.route.as_ref()) {
         None => "no prompt",
--- a/crates/bulrushusher_account/src/reader.rs
+++ b/crates/bulrushusher_account/src/reader.rs
@@ -36,6 +36,8 @@
 pub struct Reader {
     requests: HashMap<(Arc<str>, Arc<str>), Request>,
     data_centres: HashMap<Arc<str>, Arc<str>>,
+    /// When each gateway's process started last.
+    last_starts: HashMap<Arc<str>, u64>,
     seen: Seen,
 }
 
@@ -60,7 +62,9 @@
         self.seen.lines += 1;
         let gateway: Arc<str> = line.source.unwrap_or(source).into();
         if let ("gateway: start", Some(centre)) = (line.what, line.text("data_centre")) {
-            self.data_centres.insert(gateway, centre.into());
+            self.data_centres.insert(gateway.clone(), centre.into());
+            let last = self.last_starts.entry(gateway).or_default();
+            *last = line.at_ms.max(*last);
             return;
         }
         let Some(id) = line.text("id").filter(|_| is_of_a_request(line.what)) else { return };
@@ -79,6 +83,8 @@
         for request in &mut requests {
             let centre = self.data_centres.get(&request.gateway).cloned();
             request.data_centre = centre.unwrap_or_else(|| "unknown".into());
+            let started = self.last_starts.get(&request.gateway).copied().unwrap_or(0);
+            request.gateway_started_again = started > request.at_ms;
         }
         requests.sort_by_key(|request| request.at_ms);
         (requests, self.seen)
--- a/crates/bulrushusher_account/src/request.rs
+++ b/crates/bulrushusher_account/src/request.rs
@@ -27,6 +27,9 @@
     pub runner: Option<Arc<str>>,
     /// Time since its caller's first attempt, as the gateway saw it.
     pub elapsed_before_ms: u64,
+    /// True when its gateway's process started again after it had come: what it left open then was
+    /// broken off with the process.
+    pub(crate) gateway_started_again: bool,
     target_ms: u64,
     pause_target_ms: u64,
     left_ms: u64,
@@ -121,14 +124,19 @@
         }
     }
 
-    /// A request whose answer was never written: its caller left first.
+    /// A request whose answer was never written: its gateway was killed, or its caller left first.
     fn without_answer(&self) -> End {
-        if self.is_accepted() { End::GivenUp } else { End::Open }
+        match (self.is_accepted(), self.gateway_started_again) {
+            (true, true) => End::Broken(BrokenBy::Gateway),
+            (true, false) => End::GivenUp,
+            (false, _) => End::Open,
+        }
     }
 
     fn stream_end(&self, first_event_ms: u64) -> End {
         let Some((result, cause, longest_gap_ms, at_ms)) = &self.run_end else {
-            return End::Open;
+            let was_killed = self.gateway_started_again;
+            return if was_killed { End::Broken(BrokenBy::Gateway) } else { End::Open };
         };
         match result.as_ref() {
             "whole" => self.timed(first_event_ms, *longest_gap_ms),
@@ -137,6 +145,9 @@
                 if is_over { End::Broken(BrokenBy::Deadline) } else { End::GivenUp }
             }
             "time_over" => End::Broken(BrokenBy::Deadline),
+            // It was to go on at another runner, and no later run has ended.
+            "moved" if self.gateway_started_again => End::Broken(BrokenBy::Gateway),
+            "moved" => End::Open,
             _ if cause.contains("silent") => End::Broken(BrokenBy::Silence),
             _ if cause.contains("leav") => End::Broken(BrokenBy::Leaving),
             _ => End::Broken(BrokenBy::Runner),
--- a/crates/bulrushusher_account/tests/account.rs
+++ b/crates/bulrushusher_account/tests/account.rs
@@ -103,3 +103,41 @@
     std::fs::remove_file(&file).ok();
     assert!(svg.contains("on time") && svg.contains("refused"));
 }
+
+/// What a gateway left open when its process was killed shows once it starts again.
+#[test]
+fn what_a_killed_gateway_left_open_is_its_own() {
+    const LOG: &str = "\
+[2026-04-26T01:23:20.000Z INFO ] gateway: start name=g data_centre=a
+[2026-04-26T01:23:28.000Z INFO ] front: accepted id=r1 route=digest kind=stream left_ms=9000 target_ms=900
+[2026-04-26T01:23:28.200Z INFO ] front: answered id=r1 kind=stream status=200 outcome=answered ms=200
+[2026-04-26T01:23:28.300Z INFO ] front: accepted id=r2 route=digest kind=stream left_ms=9000 target_ms=900
+[2026-04-26T01:23:28.400Z INFO ] front: accepted id=r3 route=digest kind=stream left_ms=9000 target_ms=900
+[2026-04-26T01:23:28.500Z INFO ] front: answered id=r3 kind=stream status=200 outcome=answered ms=100
+[2026-04-26T01:23:29.000Z INFO ] stream: run ended id=r3 runner=d0 result=moved cause=\"\" last_event=3 longest_gap_ms=50 ms=500
+";
+    let causes = |log: &str| {
+        let mut reader = Reader::default();
+        reader.read("g", log.as_bytes());
+        Account::of(&reader.finish().0, Group::Cause).groups.into_keys().collect::<Vec<String>>()
+    };
+    let open = ["digest: given up by its caller", "digest: no end in the log"];
+    assert_eq!(causes(LOG), open);
+    let again =
+        format!("{LOG}[2026-04-26T01:23:30.000Z INFO ] gateway: start name=g data_centre=a\n");
+    assert_eq!(causes(&again), ["digest: broken off by the gateway's stop"]);
+}
+
+#[test]
+fn a_refusal_on_a_return_is_told_apart() {
+    const LOG: &str = "\
+[2026-04-26T01:23:28.000Z INFO ] front: accepted id=r1 route=digest kind=stream left_ms=9000 target_ms=900 elapsed_before_ms=4000
+[2026-04-26T01:23:28.100Z INFO ] front: refused id=r1 reason=\"no decode memory is free\" patience_ms=9000
+[2026-04-26T01:23:28.100Z INFO ] front: answered id=r1 kind=stream status=503 outcome=refused ms=100
+";
+    let mut reader = Reader::default();
+    reader.read("g", LOG.as_bytes());
+    let account = Account::of(&reader.finish().0, Group::Cause);
+    let names: Vec<&String> = account.groups.keys().collect();
+    assert_eq!(names, ["digest: refused: no decode memory is free, when it came back"]);
+}
