A run that may run at the other runner goes on nowhere else

Cause: a stopped run went back to its source after any failure at the other runner, also where that may have begun it; found by reading the change. A run that had gone back was told to no peer, and moved again at once. Change: it goes back only on the other runner's word that it does not run it, or when nothing was sent; it has its place there again, and stays for 250 ms.

--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -128,7 +128,8 @@
                 watch.finish(&fwd.service, fwd.prompt_tokens(), fwd.route.gap_target);
             }
             note(cx, fwd, &runner, step_word(reads), began, (CallResult::Answered(Millis(0)), ""));
-            return Ok(Run { runner, reply, began, held, _ticket: ticket });
+            let stays_until = Millis(0);
+            return Ok(Run { runner, reply, began, held, stays_until, _ticket: ticket });
         }
         Ok(reply) => refused(cx, fwd, &runner, reply).await,
         Err(e) => {
--- a/crates/bulrushusher_gateway/src/moving.rs
+++ b/crates/bulrushusher_gateway/src/moving.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
-use bulrushusher_forward::{RunNote, Runner};
+use bulrushusher_forward::{AttemptEnd, RunNote, Runner};
 use bulrushusher_time::Millis;
 use hyper::StatusCode;
 
@@ -16,18 +16,23 @@
 use crate::holds::{HeldMemory, HoldTerms, KeptKv};
 use crate::knowledge::RunFate;
 use crate::router::{Forwarded, Router};
-use crate::run::Run;
+use crate::run::{NoRun, Run};
 
-/// Longest wait for one copy: callers see a pause of about as long at the worst.
+/// Longest wait for one copy. A copy takes some milliseconds; callers see the second one as a pause, and
+/// this is shorter than what they take for late.
 const COPY_TIMEOUT: Millis = Millis(200);
 
-/// Pause before a run that could not move is looked at again.
+/// Pause before a run that could not move is looked at again: a run or two has ended by then.
 const MOVE_AGAIN: Millis = Millis(250);
 
 /// A run that was stopped, with its memory at the other runner.
 pub(crate) struct Moved<D: Dialect> {
+    /// Its place at the other runner.
     held: HeldMemory<D>,
+    /// Its memory, kept where it was stopped.
     kv: KeptKv<D>,
+    /// What it was there.
+    stopped: RunNote,
 }
 
 type Copying<D> = Pin<Box<dyn Future<Output = Option<Box<Moved<D>>>> + Send>>;
@@ -46,9 +51,9 @@
 }
 
 impl<D: Dialect> Moving<D> {
-    /// Nothing was tried yet.
-    pub(crate) fn new() -> Moving<D> {
-        Moving::Stays { until: Millis(0) }
+    /// Nothing is tried before.
+    pub(crate) fn not_before(until: Millis) -> Moving<D> {
+        Moving::Stays { until }
     }
 
     /// True once the run was stopped to go on elsewhere.
@@ -109,9 +114,7 @@
 ) -> Option<Box<Moved<D>>> {
     let began = cx.now();
     let made = note.made;
-    let note = RunNote { runner: to.id.clone(), begun: false, made_before: note.made, ..note };
-    let terms = HoldTerms { note, ttl: COPY_TIMEOUT };
-    let held = HeldMemory::new(to.clone(), None, terms, &cx.knowledge, &cx.exchanger, &cx.dialect);
+    let held = place_of(cx, &to, &note);
     let kv = copy_and_stop(cx, fwd, &from, &to).await;
     let took = cx.now().since(began);
     let (result, cause) = match &kv {
@@ -126,7 +129,15 @@
         to.id,
         took.0,
     );
-    kv.ok().map(|kv| Box::new(Moved { held, kv }))
+    kv.ok().map(|kv| Box::new(Moved { held, kv, stopped: note }))
+}
+
+/// A run's place at a runner that it comes to with what it has made.
+fn place_of<D: Dialect>(cx: &Arc<Router<D>>, at: &Runner, note: &RunNote) -> HeldMemory<D> {
+    let note =
+        RunNote { runner: at.id.clone(), begun: false, made_before: note.made, ..note.clone() };
+    let terms = HoldTerms { note, ttl: COPY_TIMEOUT };
+    HeldMemory::new(at.clone(), None, terms, &cx.knowledge, &cx.exchanger, &cx.dialect)
 }
 
 async fn copy_and_stop<D: Dialect>(
@@ -164,23 +175,29 @@
     }
 }
 
-/// Lets a run that was stopped go on after `last_event`: at the runner that has the copy, else where
-/// it was stopped.
+/// Lets a run that was stopped go on after `last_event`: at the runner that has the copy, or where it was
+/// stopped if that one surely does not run it. `None` when it may run there, or goes on nowhere.
 pub(crate) async fn resume<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
     last_event: Option<u64>,
     moved: Box<Moved<D>>,
 ) -> Option<Run<D>> {
-    let Moved { held, mut kv } = *moved;
+    let Moved { held, mut kv, stopped } = *moved;
     let cache = kv.cache.clone();
     let step = Step::Generate { kv: Some(&cache), hold: None };
-    let source = kv.runner().clone();
     let to = held.runner.clone();
     let mut run = run_at(cx, fwd, last_event, to, Some(held), step).await;
-    if run.is_err() {
-        log::info!("stream: run goes back id={} runner={}", fwd.arrival.id, source.id);
-        run = run_at(cx, fwd, last_event, source, None, step).await;
+    if let Err(NoRun::Ended(AttemptEnd::NotRun | AttemptEnd::Unsent, cause)) = &run {
+        let source = kv.runner().clone();
+        log::info!(
+            "stream: run goes back id={} runner={} cause=\"{cause}\"",
+            fwd.arrival.id,
+            source.id
+        );
+        let held = place_of(cx, &source, &stopped);
+        run = run_at(cx, fwd, last_event, source, Some(held), step).await;
+        run = run.map(|run| Run { stays_until: cx.now().plus(MOVE_AGAIN), ..run });
     }
     let run = run.ok()?;
     kv.mark_taken();
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -206,13 +206,13 @@
     progress: &mut Progress,
     tx: &Sender<StreamPart>,
 ) -> RunEnd<D> {
-    let Run { runner, reply, held, _ticket, .. } = run;
+    let Run { runner, reply, held, stays_until, _ticket, .. } = run;
     let per_event = cx.knowledge.tokens_per_event(&fwd.service);
     let head = reply.head;
     let mut body = reply.body;
     let has_events = is_event_stream(&head.headers);
     let mut was_silent = false;
-    let mut moving = Moving::new();
+    let mut moving = Moving::not_before(stays_until);
     let mut stalls = false;
     let stall_after = stall_after(fwd.route.gap_target).duration();
     loop {
--- a/crates/bulrushusher_gateway/src/run.rs
+++ b/crates/bulrushusher_gateway/src/run.rs
@@ -26,6 +26,8 @@
     pub began: Millis,
     /// Memory and a place at the runner, until the run is over.
     pub held: Option<HeldMemory<D>>,
+    /// It does not move to another runner before.
+    pub stays_until: Millis,
     pub _ticket: LoadTicket,
 }
 
