A new peer alone is told at once; silence of a stream is counted from its last bytes

And a stall that was noted, or a copy that ended, began the wait for a silent stream anew. Change: who is found is told alone; a peer is asked for a whole report five times a second at the most; the first report goes out at once; silence is counted from the last bytes.

--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers.rs
@@ -29,6 +29,10 @@
 /// Least time between two whole reports to one peer that asks: several reports may be missed together.
 const ANSWER_AGAIN: Millis = Millis(100);
 
+/// Least time between two requests to one peer for a whole report: it comes within some milliseconds, or
+/// the link is so full that asking again makes it worse.
+const ASK_AGAIN: Millis = Millis(200);
+
 /// Times after start at which the announcements are read, and then every last of these.
 const LOOK_AFTER: [Millis; 4] = [Millis(0), Millis(1_000), Millis(3_000), Millis(15_000)];
 
@@ -62,7 +66,7 @@
     pub(crate) async fn speak(self, socket: UdpSocket) {
         let found = parking_lot::Mutex::new(BTreeMap::new());
         tokio::join!(
-            self.look(&found),
+            self.look(&socket, &found),
             self.listen(&socket, &found),
             self.tell(&socket, &found),
             self.announce(),
@@ -81,39 +85,55 @@
         }
     }
 
-    async fn look(&self, found: &Found) {
+    async fn look(&self, socket: &UdpSocket, found: &Found) {
         let mut waits = LOOK_AFTER.iter().copied();
         let mut wait = LOOK_AFTER[0];
         loop {
             wait = waits.next().unwrap_or(wait);
             tokio::time::sleep(wait.duration()).await;
             match self.store.announced(STORE_TIMEOUT).await {
-                Ok(announced) => self.take_in(found, announced),
+                Ok(announced) => self.take_in(socket, found, announced).await,
                 Err(e) => log::debug!("peers: announcements not read cause=\"{e}\""),
             }
         }
     }
 
-    fn take_in(&self, found: &Found, announced: Vec<(String, serde_json::Value)>) {
+    async fn take_in(
+        &self,
+        socket: &UdpSocket,
+        found: &Found,
+        announced: Vec<(String, serde_json::Value)>,
+    ) {
         let own = self.knowledge.cfg().name.to_string();
         for (name, value) in announced.into_iter().filter(|(name, _)| *name != own) {
             match serde_json::from_value::<Announcement>(value) {
-                Ok(it) => self.note_peer(found, name, it.address),
+                Ok(it) => self.note_peer(socket, found, name, it.address).await,
                 Err(e) => log::warn!("peers: announcement of {name} cannot be read cause=\"{e}\""),
             }
         }
     }
 
-    /// Remembers a peer; a new one is told at once, so that it does not place runs blindly.
-    fn note_peer(&self, found: &Found, name: String, address: SocketAddr) {
-        let mut found = found.lock();
-        if found.get(&name) == Some(&address) {
-            return;
-        }
-        if found.len() < MAX_PEERS || found.contains_key(&name) {
-            log::info!("peers: found name={name} address={address}");
-            found.insert(name, address);
-            self.knowledge.report_due.notify_one();
+    /// Remembers a peer; a new one alone is told at once, so that it does not place runs blindly. To
+    /// tell all others too would make starting gateways tell each other by the square of their number.
+    async fn note_peer(
+        &self,
+        socket: &UdpSocket,
+        found: &Found,
+        name: String,
+        address: SocketAddr,
+    ) {
+        let is_new = {
+            let mut found = found.lock();
+            let is_new = found.get(&name) != Some(&address);
+            let has_place = found.len() < MAX_PEERS || found.contains_key(&name);
+            if is_new && has_place {
+                log::info!("peers: found name={name} address={address}");
+                found.insert(name, address);
+            }
+            is_new && has_place
+        };
+        if is_new {
+            self.answer(socket, address).await;
         }
     }
 
@@ -131,7 +151,7 @@
             match report_codec::read(&buf[..len]) {
                 Ok(datagram) => {
                     self.take_word(socket, &datagram.from, datagram.word, from).await;
-                    self.note_peer(found, datagram.from, from);
+                    self.note_peer(socket, found, datagram.from, from).await;
                 }
                 Err(e) => log::debug!("peers: datagram passed over from={from} cause=\"{e}\""),
             }
@@ -142,7 +162,9 @@
         match word {
             Word::Whole(report) => self.knowledge.hear_peer(name, report),
             Word::Changes(changes) => {
-                if self.knowledge.hear_changes(name, changes) == ChangesNews::Missed {
+                if self.knowledge.hear_changes(name, changes) == ChangesNews::Missed
+                    && self.may_ask(from)
+                {
                     self.write(socket, Word::Missed, &[from]).await;
                 }
             }
@@ -150,6 +172,18 @@
         }
     }
 
+    /// True when a peer was not asked for a whole report a moment ago.
+    fn may_ask(&self, peer: SocketAddr) -> bool {
+        let now = self.knowledge.now();
+        let mut last = self.last_told.lock();
+        let asked = last.asked.get(&peer);
+        if asked.is_some_and(|at| now.since(*at) < ASK_AGAIN) {
+            return false;
+        }
+        last.asked.insert(peer, now);
+        true
+    }
+
     /// Tells a peer that missed a report what was told last.
     async fn answer(&self, socket: &UdpSocket, to: SocketAddr) {
         let now = self.knowledge.now();
@@ -171,8 +205,11 @@
         let life = self.knowledge.now().0;
         let mut number = 0;
         loop {
-            let changed = self.knowledge.report_due.notified();
-            tokio::time::timeout(LONGEST_GAP.duration(), changed).await.ok();
+            // The first report goes out at once: whoever is found is told it.
+            if number > 0 {
+                let changed = self.knowledge.report_due.notified();
+                tokio::time::timeout(LONGEST_GAP.duration(), changed).await.ok();
+            }
             number += 1;
             let word = self.next_word(self.knowledge.report(life, number));
             let peers: Vec<SocketAddr> = found.lock().values().copied().collect();
@@ -192,6 +229,7 @@
             None => {
                 last.whole_at = now;
                 last.answered.clear();
+                last.asked.clear();
                 Word::Whole(report)
             }
         }
@@ -214,6 +252,8 @@
     whole_at: Millis,
     /// Peers that asked since, and when they were answered.
     answered: BTreeMap<SocketAddr, Millis>,
+    /// Peers that were asked since.
+    asked: BTreeMap<SocketAddr, Millis>,
 }
 
 /// Names and addresses of the peers found so far.
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -215,12 +215,14 @@
     let mut moving = Moving::not_before(stays_until);
     let mut stalls = false;
     let stall_after = stall_after(fwd.route.gap_target).duration();
+    let mut quiet_since = cx.now();
     loop {
         let left = fwd.left(cx.now());
+        let quiet = cx.now().since(quiet_since);
         let patience = match (moving.is_stopped(), was_silent) {
             (true, _) => REST_OF_STOPPED,
             (false, true) => left,
-            (false, false) => longest_silence(fwd).min(left),
+            (false, false) => longest_silence(fwd).since(quiet).min(left),
         };
         let frame = tokio::select! {
             frame = tokio::time::timeout(patience.duration(), body.frame()) => frame,
@@ -238,7 +240,7 @@
             }
             Err(_) if patience == left => return RunEnd::TimeOver,
             Err(_) if plan.may_run_again() => {
-                return RunEnd::Broken(format!("silent for {patience}"));
+                return RunEnd::Broken(format!("silent for {}", longest_silence(fwd)));
             }
             Err(_) => {
                 cx.knowledge.note_run_end(&runner, false);
@@ -252,18 +254,17 @@
             },
             Ok(None) => {
                 let is_whole = progress.splitter.rest().is_empty();
-                let moved = moving.settle(|| cx.now()).await;
-                return match moved {
-                    Some(moved) => RunEnd::Moved(moved),
-                    None if is_whole => {
-                        cx.exchanger.pool().keep(&runner.id, reply.connection, &head.headers);
-                        RunEnd::Whole
-                    }
-                    None => RunEnd::Broken("it ended inside an event".to_owned()),
-                };
+                let cause = "it ended inside an event".to_owned();
+                let end = stream_ended(cx, moving, cause).await;
+                if !(is_whole && matches!(end, RunEnd::Broken(_))) {
+                    return end;
+                }
+                cx.exchanger.pool().keep(&runner.id, reply.connection, &head.headers);
+                return RunEnd::Whole;
             }
         };
         stalls = false;
+        quiet_since = cx.now();
         let (pause, is_slow) = progress.note_bytes(fwd.route.gap_target, cx.now());
         cx.knowledge.note_stream_pause(&runner.id, pause);
         if is_slow {
