One way to look at a service's pool, and one to its engine

Cause: read in the whole change: three choices of the gateway set up the same candidates (with the runs of all gateways and the runners that fail), five places looked a service's engine up in the routing, two choices of the model set up the same candidates. Change: Knowledge::with_pool and Knowledge::engine, Played::candidate; draws come in the order in which they came.

--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use bulrushusher_forward::{
-    Candidate, ChangesNews, DecodeLoad, GatewayChanges, GatewayReport, MemoryForecast, Prompt,
-    RunNote, RunNumber, RunShape, Runner, Stage, WaitingLine, asks_now, rank_for_decode,
+    ChangesNews, DecodeLoad, GatewayChanges, GatewayReport, MemoryForecast, Prompt, RunNote,
+    RunNumber, RunShape, Runner, Stage, WaitingLine, asks_now, rank_for_decode,
 };
 use bulrushusher_world::{RunnerId, ServiceName};
 
@@ -33,26 +33,19 @@
         let draw = self.draw();
         let forecast = self.forecast(service);
         let run = forecast.need(&[run]);
-        self.with_runners(|runners, now| {
-            let runs = self.runs.lock();
+        self.with_pool(service, |cx, runs| {
             let peak = |runner: &Runner| {
-                let there = runs.need_at(&runner.id, &forecast, now);
+                let there = runs.need_at(&runner.id, &forecast, cx.now);
                 let peak = forecast.peak_if_it_fits(&there, &run)?;
                 let may_read = |prompt: &Prompt| {
                     prompt.decode_may_read(DecodeLoad {
-                        reading: runs.tokens_read_by(&runner.id, now),
+                        reading: runs.tokens_read_by(&runner.id, cx.now),
                         runs: there.runs,
                         fullness: forecast.fullness(peak),
                     })
                 };
                 reads_itself.as_ref().is_none_or(may_read).then_some(peak)
             };
-            let failing = self.failing(runners, &runs, service, now);
-            let cx = Candidate {
-                runs: Some(&runs),
-                failing: Some(&failing),
-                ..runners.candidates(service, now)
-            };
             rank_for_decode(cx, tried, draw, peak)
         })
     }
@@ -82,12 +75,12 @@
 
     /// What a forecast of a runner's memory rests on, beside its runs.
     pub(super) fn forecast(&self, service: &ServiceName) -> MemoryForecast {
-        let routing = self.routing();
-        let engine = routing.as_ref().and_then(|routing| routing.service(service)?.engine);
+        let engine = self.engine(service);
         let memory = engine.map_or(f64::INFINITY, |engine| engine.memory_tokens as f64);
-        let mut cfg = self.cfg.load().forecast;
+        let settings = self.cfg.load();
+        let mut cfg = settings.forecast;
         if engine.is_some_and(|engine| engine.moves_runs) {
-            cfg.caution = self.cfg.load().caution_with_moves;
+            cfg.caution = settings.caution_with_moves;
         }
         self.with_pace(service, |pace| MemoryForecast {
             lengths: pace.lengths(),
@@ -198,9 +191,7 @@
 
     /// Tokens in one event of the service's engine.
     pub(crate) fn tokens_per_event(&self, service: &ServiceName) -> u64 {
-        let routing = self.routing();
-        let engine = routing.as_ref().and_then(|routing| routing.service(service)?.engine);
-        engine.map_or(1, |engine| engine.tokens_per_event)
+        self.engine(service).map_or(1, |engine| engine.tokens_per_event)
     }
 
     /// What a decode runner does beside one run of this gateway's, over all gateways: prompts that
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -8,8 +8,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_forward::{
-    AttemptEnd, AttemptPlan, CallResult, Candidate, HealthConfig, Members, NextStep, Pace,
-    PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner, RunnerHealth,
+    AttemptEnd, AttemptPlan, CallResult, Candidate, EngineSpec, HealthConfig, Members, NextStep,
+    Pace, PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner, RunnerHealth,
     RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::RetryBudget;
@@ -115,6 +115,11 @@
         self.routing.load_full()
     }
 
+    /// The engine of a service, where it serves models.
+    pub(crate) fn engine(&self, service: &ServiceName) -> Option<EngineSpec> {
+        self.routing()?.service(service)?.engine
+    }
+
     /// Puts a configuration in force unless one at least as high is.
     pub(crate) fn apply_routing(&self, routing: RoutingConfig) -> bool {
         let is_newer = self.routing().is_none_or(|old| routing.version > old.version);
@@ -153,16 +158,27 @@
         near: &DataCentreName,
     ) -> Option<Runner> {
         let draw = self.draw();
+        self.with_pool(service, |cx, runs| {
+            let elsewhere = |id: &RunnerId| runs.reads_of_peers(id, cx.now);
+            pick_for_prefill(cx, near, tried, draw, elsewhere)
+        })
+    }
+
+    /// Chooses among a service's model runners, with what peers tell of them.
+    fn with_pool<T>(
+        &self,
+        service: &ServiceName,
+        choose: impl FnOnce(Candidate<'_>, &Runs) -> T,
+    ) -> T {
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
             let failing = self.failing(runners, &runs, service, now);
-            let elsewhere = |id: &RunnerId| runs.reads_of_peers(id, now);
             let cx = Candidate {
                 runs: Some(&runs),
                 failing: Some(&failing),
                 ..runners.candidates(service, now)
             };
-            pick_for_prefill(cx, near, tried, draw, elsewhere)
+            choose(cx, &runs)
         })
     }
 
--- a/crates/bulrushusher_gateway/src/knowledge/moves.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/moves.rs
@@ -1,7 +1,7 @@
 //! Which run should leave its decode runner, and for which other one.
 
 use bulrushusher_forward::{
-    Candidate, MemoryForecast, MoveConfig, RunNote, RunNumber, Runner, rank_for_decode,
+    MemoryForecast, MoveConfig, RunNote, RunNumber, Runner, rank_for_decode,
 };
 use bulrushusher_world::ServiceName;
 
@@ -22,7 +22,7 @@
     /// Whether the run should move now: its runner is about to run out of memory, and it is the one
     /// that would be preempted.
     pub(crate) fn run_fate(&self, service: &ServiceName, run: RunNumber) -> RunFate {
-        if !self.moves_runs(service) {
+        if !self.engine(service).is_some_and(|engine| engine.moves_runs) {
             return RunFate::Stays;
         }
         let forecast = self.forecast(service);
@@ -43,12 +43,6 @@
         }
     }
 
-    fn moves_runs(&self, service: &ServiceName) -> bool {
-        let routing = self.routing();
-        let engine = routing.as_ref().and_then(|routing| routing.service(service)?.engine);
-        engine.is_some_and(|engine| engine.moves_runs)
-    }
-
     /// The decode runner to which a run should move.
     fn runner_with_room(
         &self,
@@ -58,19 +52,12 @@
     ) -> Option<Runner> {
         let draw = self.draw();
         let need = forecast.need(&[note.shape()]);
-        self.with_runners(|runners, now| {
-            let runs = self.runs.lock();
+        self.with_pool(service, |cx, runs| {
             let peak = |runner: &Runner| {
-                let there = runs.need_at(&runner.id, forecast, now);
+                let there = runs.need_at(&runner.id, forecast, cx.now);
                 let has_slot = there.runs < runner.slots as usize;
                 has_slot.then(|| forecast.peak_after_move(&there, &need, MoveConfig::default()))?
             };
-            let failing = self.failing(runners, &runs, service, now);
-            let cx = Candidate {
-                runs: Some(&runs),
-                failing: Some(&failing),
-                ..runners.candidates(service, now)
-            };
             let here = std::slice::from_ref(&note.runner);
             rank_for_decode(cx, here, draw, peak).into_iter().next()
         })
--- a/crates/bulrushusher_gateway/src/orders.rs
+++ b/crates/bulrushusher_gateway/src/orders.rs
@@ -291,9 +291,7 @@
 
     /// A runner takes no work while it changes.
     fn pause_while_changing(&self, runner: &Runner) {
-        let routing = self.knowledge.routing();
-        let service = routing.as_ref().and_then(|routing| routing.service(&runner.service));
-        let Some(engine) = service.and_then(|service| service.engine) else { return };
+        let Some(engine) = self.knowledge.engine(&runner.service) else { return };
         self.knowledge.with_runners(|known, now| {
             known.loads.pause(&runner.id, now.plus(engine.switch_time));
         });
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -250,8 +250,6 @@
 }
 
 fn hold_time<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> Millis {
-    let routing = cx.knowledge.routing();
-    let service = routing.as_ref().and_then(|routing| routing.service(&fwd.service));
-    let longest = service.and_then(|service| service.engine).map(|engine| engine.longest_hold);
+    let longest = cx.knowledge.engine(&fwd.service).map(|engine| engine.longest_hold);
     longest.filter(|longest| *longest > Millis(0)).unwrap_or(DEFAULT_HOLD)
 }
--- a/crates/bulrushusher_model/src/moving.rs
+++ b/crates/bulrushusher_model/src/moving.rs
@@ -1,6 +1,6 @@
 //! Runs that move to another decode engine before memory runs out.
 
-use bulrushusher_forward::{Candidate, MoveConfig, RunNote, Runner, rank_for_decode};
+use bulrushusher_forward::{MoveConfig, RunNote, Runner, rank_for_decode};
 use bulrushusher_time::Millis;
 use rand::RngExt;
 
@@ -38,15 +38,8 @@
             forecast.peak_after_move(&there, &need, MoveConfig::default())
         };
         let failing = self.failing(gateway, now);
-        let candidate = Candidate {
-            members: &self.members,
-            loads: &self.loads,
-            service: &self.service,
-            runs: None,
-            failing: Some(&failing),
-            now,
-        };
         let draw = self.rng.random();
+        let candidate = self.candidate(&failing, now);
         let ranked = rank_for_decode(candidate, std::slice::from_ref(here), draw, peak);
         let best = ranked.first()?;
         self.ids.iter().position(|id| *id == best.id)
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -369,14 +369,6 @@
         let Caller { arrival, gateway, .. } = self.callers[n];
         let gateway = &self.gateways[gateway];
         let failing = self.failing(gateway, now);
-        let candidate = Candidate {
-            members: &self.members,
-            loads: &self.loads,
-            service: &self.service,
-            runs: None,
-            failing: Some(&failing),
-            now,
-        };
         let forecast = self.forecast_of(gateway);
         let run = forecast.need(&[shape(&arrival)]);
         let peak = |runner: &Runner| {
@@ -386,7 +378,8 @@
                 Admission::Forecast(_) => forecast.peak_if_it_fits(&there, &run),
             }
         };
-        let ranked = rank_for_decode(candidate, &[], self.rng.random(), peak);
+        let draw = self.rng.random();
+        let ranked = rank_for_decode(self.candidate(&failing, now), &[], draw, peak);
         if !asks_now(self.rng.random(), others, ranked.len()) {
             return None;
         }
@@ -395,6 +388,22 @@
         places.into_iter().find(|decode| self.has_room(*decode, &arrival))
     }
 
+    /// The engines that a choice looks at.
+    pub(crate) fn candidate<'b>(
+        &'b self,
+        failing: &'b BTreeSet<RunnerId>,
+        now: Millis,
+    ) -> Candidate<'b> {
+        Candidate {
+            members: &self.members,
+            loads: &self.loads,
+            service: &self.service,
+            runs: None,
+            failing: Some(failing),
+            now,
+        }
+    }
+
     /// What a gateway's forecasts rest on.
     pub(crate) fn forecast_of(&self, gateway: &Gateway) -> MemoryForecast {
         let cfg = match self.fleet.admission {
