One learned normal quantity, one word for what changed, one time at which a peer was heard

Cause: read in the whole change: lengths and pauses each kept a mean and a variance by the same steps; what changed between two reports was told by a comparison in one place and by a sum of marks in another; the time at which a peer was heard stood twice; two tables of peers were asked the same question in two ways; four places dropped runners of which nothing is known. Change: normal.rs, GatewayReport::differences, Runs::was_heard, is_first_for, ByRunner::drop_empty. A need is worked out anew also when a run's reading or arrival changed, so never later than before. Ruled out: other behaviour; the crate's tests and the tests of the process hold as they were.

--- a/crates/bulrushusher_forward/src/forecast.rs
+++ b/crates/bulrushusher_forward/src/forecast.rs
@@ -8,6 +8,7 @@
 use bulrushusher_time::Millis;
 
 use crate::PromptSize;
+use crate::normal::Normal;
 
 /// One run at a runner.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,8 +51,8 @@
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LengthModel {
-    bias: f64,
-    variance: f64,
+    /// Of the logarithm of that ratio.
+    ratio: Normal,
 }
 
 /// Weight of the newest answer in the learned model: some hundred answers are remembered.
@@ -64,7 +65,7 @@
     /// Before answers were seen: estimates are right at the median, and two thirds of the answers
     /// lie within a factor of 1.65.
     fn default() -> LengthModel {
-        LengthModel { bias: 0.0, variance: 0.25 }
+        LengthModel { ratio: Normal { mean: 0.0, variance: 0.25 } }
     }
 }
 
@@ -74,10 +75,7 @@
         if expected < 1.0 || made < 1.0 {
             return;
         }
-        let off = (made / expected).ln() - self.bias;
-        self.bias += NEWEST_WEIGHT * off;
-        self.variance += NEWEST_WEIGHT * (off * off - self.variance);
-        self.variance = self.variance.max(LEAST_VARIANCE);
+        self.ratio.note((made / expected).ln(), NEWEST_WEIGHT, LEAST_VARIANCE);
     }
 
     /// Probability that the run makes `more` tokens beyond those that it has made.
@@ -95,25 +93,13 @@
         if tokens < 1.0 {
             return 1.0;
         }
-        let off = (tokens / expected.max(1.0)).ln() - self.bias;
-        0.5 * erfc(off / (2.0 * self.variance).sqrt())
+        self.ratio.share_above((tokens / expected.max(1.0)).ln())
     }
 }
 
 /// Beyond this share of answers the model says nothing reliable.
 const SMALLEST_SHARE: f64 = 1e-6;
 
-/// The complementary error function, to seven digits (Abramowitz and Stegun, 7.1.26).
-pub(crate) fn erfc(x: f64) -> f64 {
-    let t = 1.0 / (1.0 + 0.327_591_1 * x.abs());
-    let poly = t
-        * (0.254_829_592
-            + t * (-0.284_496_736
-                + t * (1.421_413_741 + t * (-1.453_152_027 + t * 1.061_405_429))));
-    let tail = poly * (-x * x).exp();
-    if x >= 0.0 { tail } else { 2.0 - tail }
-}
-
 /// How cautious a forecast is.
 #[derive(Clone, Copy, Debug)]
 pub struct ForecastConfig {
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -14,6 +14,7 @@
 mod memory;
 mod moves;
 mod news;
+mod normal;
 mod pace;
 mod pauses;
 mod read_pace;
--- a/crates/bulrushusher_forward/src/pauses.rs
+++ b/crates/bulrushusher_forward/src/pauses.rs
@@ -1,6 +1,6 @@
 //! How long runs pause while their decode runner reads a prompt.
 
-use crate::forecast::erfc;
+use crate::normal::Normal;
 
 /// What readings at decode runners did to the other runs there.
 ///
@@ -21,8 +21,7 @@
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PauseModel {
-    mean: f64,
-    variance: f64,
+    ratio: Normal,
 }
 
 /// Weight of the newest reading: some seven are remembered, as runners and engines change.
@@ -34,7 +33,7 @@
 impl Default for PauseModel {
     /// Before anything was seen: nine tenths of a reading fall between two events.
     fn default() -> PauseModel {
-        PauseModel { mean: 0.9, variance: 0.015 }
+        PauseModel { ratio: Normal { mean: 0.9, variance: 0.015 } }
     }
 }
 
@@ -44,10 +43,7 @@
         if whole <= 0.0 {
             return;
         }
-        let off = seen / whole - self.mean;
-        self.mean += NEWEST_WEIGHT * off;
-        self.variance += NEWEST_WEIGHT * (off * off - self.variance);
-        self.variance = self.variance.max(LEAST_VARIANCE);
+        self.ratio.note(seen / whole, NEWEST_WEIGHT, LEAST_VARIANCE);
     }
 
     /// Share of the runs that pause for longer than `target` when the whole reading makes `whole`
@@ -56,7 +52,6 @@
         if target <= 0.0 || whole <= 0.0 {
             return 0.0;
         }
-        let off = target / whole - self.mean;
-        0.5 * erfc(off / (2.0 * self.variance).sqrt())
+        self.ratio.share_above(target / whole)
     }
 }
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -127,6 +127,21 @@
         self.spoken_of().any(|spoken_of| spoken_of == runner)
     }
 
+    /// The runs that are new or other than `before`, and those of then that are over.
+    pub(crate) fn differences<'a>(
+        &'a self,
+        before: &'a GatewayReport,
+    ) -> (Vec<&'a RunNote>, Vec<&'a RunNote>) {
+        let mut known: HashMap<u64, &RunNote> =
+            before.runs.iter().map(|note| (note.number, note)).collect();
+        let is_other = |note: &&RunNote| {
+            let before = known.remove(&note.number);
+            !before.is_some_and(|before| note.is_as_before(before))
+        };
+        let changed = self.runs.iter().filter(is_other).collect();
+        (changed, known.into_values().collect())
+    }
+
     /// Drops what it says of runners for which `is_past` holds.
     pub(crate) fn drop_past(&mut self, is_past: impl Fn(&RunnerId) -> bool) {
         self.runs.retain(|note| !is_past(&note.runner));
@@ -166,14 +181,9 @@
 impl GatewayChanges {
     /// What changed from one report to the next.
     pub fn between(before: &GatewayReport, now: &GatewayReport) -> GatewayChanges {
-        let known: HashMap<u64, &RunNote> =
-            before.runs.iter().map(|note| (note.number, note)).collect();
-        let is_known = |note: &&RunNote| {
-            known.get(&note.number).is_some_and(|before| note.is_as_before(before))
-        };
-        let runs = now.runs.iter().filter(|note| !is_known(note)).cloned().collect();
-        let lives = |number: &u64| now.runs.iter().any(|note| note.number == *number);
-        let ended = known.keys().copied().filter(|number| !lives(number)).collect();
+        let (changed, ended) = now.differences(before);
+        let runs = changed.into_iter().cloned().collect();
+        let ended = ended.into_iter().map(|note| note.number).collect();
         GatewayChanges { report: GatewayReport { runs, ..now.clone() }, ended }
     }
 
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -30,7 +30,6 @@
 struct Heard {
     number: PeerNumber,
     report: GatewayReport,
-    at: Millis,
 }
 
 /// What became of a peer's changes.
@@ -95,8 +94,9 @@
                 if self.starts.is_past(id, told) && heard.report.speaks_of(id) {
                     let before = heard.report.clone();
                     heard.report.drop_past(|runner| runner == id);
-                    let (number, at) = (heard.number, heard.at);
-                    self.by_runner.replace(number, Some(&before), &heard.report, at);
+                    let number = heard.number;
+                    let at = self.heard_at.get(&number).copied().unwrap_or_default();
+                    self.by_runner.replace(number, &before, &heard.report, at);
                 }
             }
         }
@@ -177,14 +177,13 @@
         }
         let mut report = report;
         self.drop_past_starts(&mut report);
-        let number = match self.peers.get(peer) {
-            Some(heard) => heard.number,
-            None => self.new_peer(now),
+        let Heard { number, report: before } = match self.peers.remove(peer) {
+            Some(heard) => heard,
+            None => Heard { number: self.new_peer(now), report: GatewayReport::default() },
         };
-        let before = self.peers.get(peer).map(|heard| &heard.report);
-        self.by_runner.replace(number, before, &report, now);
+        self.by_runner.replace(number, &before, &report, now);
         self.heard_at.insert(number, now);
-        self.peers.insert(peer.into(), Heard { number, report, at: now });
+        self.peers.insert(peer.into(), Heard { number, report });
         true
     }
 
@@ -222,7 +221,6 @@
         for (runner, born) in before.starts {
             heard.report.starts.entry(runner).or_insert(born);
         }
-        heard.at = now;
         if follows { ChangesNews::Taken } else { ChangesNews::Missed }
     }
 
@@ -241,13 +239,12 @@
     /// change with each VM that is replaced.
     fn new_peer(&mut self, now: Millis) -> PeerNumber {
         let forget_after = self.cfg.forget_after;
-        let (by_runner, heard_at) = (&mut self.by_runner, &mut self.heard_at);
+        self.heard_at.retain(|_, at| now.since(*at) < forget_after);
+        let (by_runner, heard_at) = (&mut self.by_runner, &self.heard_at);
         self.peers.retain(|_, heard| {
-            let stays = now.since(heard.at) < forget_after;
+            let stays = heard_at.contains_key(&heard.number);
             if !stays {
-                let nothing = GatewayReport::default();
-                by_runner.replace(heard.number, Some(&heard.report), &nothing, now);
-                heard_at.remove(&heard.number);
+                by_runner.replace(heard.number, &heard.report, &GatewayReport::default(), now);
             }
             stays
         });
@@ -348,10 +345,7 @@
         told: Option<&'a [Told<T>]>,
         now: Millis,
     ) -> impl Iterator<Item = &'a Told<T>> {
-        told.unwrap_or_default().iter().filter(move |told| {
-            let heard = self.heard_at.get(&told.by);
-            heard.is_some_and(|at| now.since(*at) < self.cfg.forget_after)
-        })
+        told.unwrap_or_default().iter().filter(move |told| self.was_heard(told.by, now))
     }
 
     /// A run of this gateway's, where it is and how far.
@@ -377,6 +371,12 @@
     }
 
     fn is_fresh(&self, heard: &Heard, now: Millis) -> bool {
-        now.since(heard.at) < self.cfg.forget_after
+        self.was_heard(heard.number, now)
+    }
+
+    /// True when the peer spoke lately.
+    fn was_heard(&self, peer: PeerNumber, now: Millis) -> bool {
+        let heard = self.heard_at.get(&peer);
+        heard.is_some_and(|at| now.since(*at) < self.cfg.forget_after)
     }
 }
--- a/crates/bulrushusher_forward/src/told.rs
+++ b/crates/bulrushusher_forward/src/told.rs
@@ -73,18 +73,6 @@
             && self.changing.is_empty()
             && self.silent.is_empty()
     }
-
-    /// Tells apart the runs that a peer has there, whatever they have made meanwhile.
-    fn runs_mark(&self, by: PeerNumber) -> u64 {
-        let theirs = self.runs.iter().filter(|told| told.by == by);
-        theirs.fold(0, |mark, told| mark.wrapping_add(run_mark(&told.what)))
-    }
-}
-
-fn run_mark(note: &RunNote) -> u64 {
-    let kind = 1 + u64::from(note.begun);
-    let mark = note.prompt ^ (note.most << 20) ^ (note.expected << 40);
-    mark.wrapping_mul(kind.wrapping_mul(0x9E37_79B9_7F4A_7C15))
 }
 
 /// All runners of which anything is known.
@@ -107,28 +95,22 @@
     pub(crate) fn replace(
         &mut self,
         by: PeerNumber,
-        before: Option<&GatewayReport>,
+        before: &GatewayReport,
         report: &GatewayReport,
         at: Millis,
     ) {
-        let mut marks: HashMap<&RunnerId, u64> = HashMap::new();
-        for runner in before.into_iter().flat_map(GatewayReport::runners) {
-            if let Some(there) = self.0.get_mut(runner) {
-                let mark = there.runs_mark(by);
-                marks.entry(runner).or_insert(mark);
-                there.forget(by);
-            }
+        for runner in before.runners() {
+            self.entry(runner).forget(by);
         }
         self.put(by, report, at);
-        for runner in report.runners().chain(before.into_iter().flat_map(GatewayReport::runners)) {
-            let Some(there) = self.0.get(runner) else { continue };
-            if there.runs_mark(by) != marks.get(runner).copied().unwrap_or(0) {
-                there.forget_need();
-            }
-            if there.is_empty() {
-                self.0.remove(runner);
-            }
+        let (changed, ended) = report.differences(before);
+        // A run that went elsewhere is missed where it was.
+        let elsewhere =
+            before.runs.iter().filter(|note| changed.iter().any(|it| it.number == note.number));
+        for note in elsewhere.chain(changed.iter().copied()).chain(ended) {
+            self.entry(&note.runner).forget_need();
         }
+        self.drop_empty(before.runners());
     }
 
     /// Takes in what changed at a peer: its runs that are `gone` or told anew, and all that it told
@@ -153,7 +135,12 @@
         for note in &changes.runs {
             self.entry(&note.runner).forget_need();
         }
-        for runner in before.runners().chain(gone.iter().map(|note| &note.runner)) {
+        self.drop_empty(before.runners().chain(gone.iter().map(|note| &note.runner)));
+    }
+
+    /// Drops runners of which nothing is known any more.
+    fn drop_empty<'a>(&mut self, runners: impl Iterator<Item = &'a RunnerId>) {
+        for runner in runners {
             if self.0.get(runner).is_some_and(AtRunner::is_empty) {
                 self.0.remove(runner);
             }
@@ -180,8 +167,6 @@
         let Some(there) = self.0.get_mut(runner) else { return };
         there.own.retain(|number| *number != run);
         there.forget_need();
-        if there.is_empty() {
-            self.0.remove(runner);
-        }
+        self.drop_empty(std::iter::once(runner));
     }
 }
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -28,14 +28,13 @@
         return begin_whole(cx, fwd, tries).await;
     }
     let mut held = place_or_refuse(cx, fwd, tries, until).await?;
-    let kv = read_prompt(cx, fwd, tries, &mut held).await?;
+    let mut kv = read_prompt(cx, fwd, tries, &mut held).await?;
     if !held.is_good(cx.now()) {
         // The runner began to leave or started again, or the lease is over: it must not get the run.
         log::info!("place: again id={} runner={}", fwd.arrival.id, held.runner.id);
         let until = cx.now().plus(PLACE_AGAIN).min(fwd.ends);
         held = place_or_refuse(cx, fwd, tries, until).await?;
     }
-    let mut kv = kv;
     if kv.as_ref().is_some_and(KeptKv::is_lost) {
         log::info!("read: again id={} cause=\"its runner started again\"", fwd.arrival.id);
         kv = read_prompt(cx, fwd, tries, &mut held).await?;
--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers.rs
@@ -175,13 +175,7 @@
     /// True when a peer was not asked for a whole report a moment ago.
     fn may_ask(&self, peer: SocketAddr) -> bool {
         let now = self.knowledge.now();
-        let mut last = self.last_told.lock();
-        let asked = last.asked.get(&peer);
-        if asked.is_some_and(|at| now.since(*at) < ASK_AGAIN) {
-            return false;
-        }
-        last.asked.insert(peer, now);
-        true
+        is_first_for(&mut self.last_told.lock().asked, peer, ASK_AGAIN, now)
     }
 
     /// Tells a peer that missed a report what was told last.
@@ -189,12 +183,8 @@
         let now = self.knowledge.now();
         let told = {
             let mut last = self.last_told.lock();
-            let answered = last.answered.get(&to);
-            if answered.is_some_and(|at| now.since(*at) < ANSWER_AGAIN) {
-                return;
-            }
-            last.answered.insert(to, now);
-            last.report.clone()
+            let is_due = is_first_for(&mut last.answered, to, ANSWER_AGAIN, now);
+            last.report.clone().filter(|_| is_due)
         };
         if let Some(report) = told {
             self.write(socket, Word::Whole(report), &[to]).await;
@@ -245,6 +235,20 @@
     }
 }
 
+/// Notes a peer, unless that was done within `gap`.
+fn is_first_for(
+    noted: &mut BTreeMap<SocketAddr, Millis>,
+    peer: SocketAddr,
+    gap: Millis,
+    now: Millis,
+) -> bool {
+    let is_first = noted.get(&peer).is_none_or(|at| now.since(*at) >= gap);
+    if is_first {
+        noted.insert(peer, now);
+    }
+    is_first
+}
+
 /// What was told last, and to whom again.
 #[derive(Debug, Default)]
 pub(crate) struct LastTold {
