Each accepted request is logged with a digest of what it asks for

Ruled out: the path in the log (it may hold what a caller wants kept to itself); the size of the prompt (two requests may share it). Conclusion: the digest covers method, host, path, query, account and body, and no header that differs between attempts.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -47,7 +47,7 @@
 pub use reading::{DecodeLoad, Prompt, ReadConfig, Reader};
 pub use repeat::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep};
 pub use report::{GatewayChanges, GatewayReport, RunNote};
-pub use request::{PromptSize, RequestId};
+pub use request::{PromptSize, RequestDigest, RequestId};
 pub use returns::{ReturnConfig, UsualPatience};
 pub use route::{
     CallerLimits, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
--- a/crates/bulrushusher_forward/src/request.rs
+++ b/crates/bulrushusher_forward/src/request.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3Default;
 
 /// Identity of one attempt of a caller; a caller that tries again sends another one.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -21,6 +23,38 @@
     }
 }
 
+/// What a caller asks for, whatever identity its attempt has: a request that is sent again has the
+/// same digest, at any gateway and after any restart.
+///
+/// It has 64 bits, and no key: two requests of a day of 240 million share one of a hundred digests
+/// that are looked for with a chance of one in a billion.
+///
+/// ```
+/// use bulrushusher_forward::RequestDigest;
+/// let first = RequestDigest::of([b"POST".as_slice(), b"/a", b"body"]);
+/// assert_eq!(first, RequestDigest::of([b"POST".as_slice(), b"/a", b"body"]));
+/// assert_ne!(first, RequestDigest::of([b"POST".as_slice(), b"/ab", b"ody"]));
+/// ```
+#[derive(
+    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[display("{_0:016x}")]
+#[serde(transparent)]
+pub struct RequestDigest(u64);
+
+impl RequestDigest {
+    /// The digest of a request's parts, in this order.
+    pub fn of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> RequestDigest {
+        let mut hash = Xxh3Default::new();
+        for part in parts {
+            // With its length, so that no byte can go from one part to the next unnoticed.
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        RequestDigest(hash.digest())
+    }
+}
+
 /// Size of a generation, in tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptSize {
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/front.rs
@@ -144,9 +144,10 @@
         };
         fwd.body = body;
         log::info!(
-            "front: accepted id={} route={} service={} kind={kind} left_ms={} elapsed_before_ms={} \
-             configuration={} target_ms={} pause_target_ms={} prompt={}",
+            "front: accepted id={} digest={} route={} service={} kind={kind} left_ms={} \
+             elapsed_before_ms={} configuration={} target_ms={} pause_target_ms={} prompt={}",
             arrival.id,
+            fwd.digest(),
             fwd.route.name,
             fwd.service,
             fwd.left(received).0,
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, LoadLife, Route, Runner};
+use bulrushusher_forward::{CallResult, LoadLife, RequestDigest, Route, Runner};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request;
 use hyper::{HeaderMap, Method, Request, Uri};
 
@@ -52,6 +53,19 @@
         self.arrival.size.map_or(0, |size| size.prompt)
     }
 
+    /// What the caller asks for, and who it is: an attempt that comes again has the same one.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        let header = |name| self.arrival.headers.get(name).map_or(&[][..], |v| v.as_bytes());
+        RequestDigest::of([
+            self.method.as_str().as_bytes(),
+            header(HOST),
+            self.uri.path().as_bytes(),
+            self.uri.query().unwrap_or_default().as_bytes(),
+            header(AUTHORIZATION),
+            &self.body,
+        ])
+    }
+
     /// Time left to the response-time target.
     pub(crate) fn left_on_time(&self, now: Millis) -> Millis {
         let used = now.since(self.received).plus(self.elapsed_before);
