Requests that crash their runners are put into quarantine at all gateways

Cause: what a request does to runners was remembered nowhere; a caller's repeat has a new identity, and was a new request to every gateway. It went on to end runner after runner, with the streams beside it. The mend: a runner that ends within half a second of beginning a request counts against that request, by a digest of what it asks for. A second crash, of a run that began after the first was known, puts it into quarantine for an hour: it is refused at once, as not run, with the reason and when to come back. Gateways tell each other at once; the store keeps it for those that start after all have ended. The decisions are bulrushusher_forward::Quarantine, without I/O. Ruled out: counting runners without their order (processes that end together would speak against whatever they all ran); taking each broken connection for a crash (links and failing runners break them too, so the runner itself is asked); a status that forbids the caller to come back (the refusal is not for ever). Conclusion: verified by the project's own tests only.

--- a/crates/bulrushusher_gateway/src/answer.rs
+++ b/crates/bulrushusher_gateway/src/answer.rs
@@ -22,6 +22,10 @@
     "upgrade",
 ];
 
+/// The reason of a refusal that no return within minutes can change.
+pub(crate) const QUARANTINED: &str = "runners ended on this request each time it was run, and it is \
+                                      run no more for now; change it, or ask the operator";
+
 /// Why a request gets the gateway's own answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -5,6 +5,7 @@
 use bulrushusher_forward::{AttemptEnd, CallResult, Runner};
 use bulrushusher_time::Millis;
 
+use crate::crashes::CrashWatch;
 use crate::dialect::{Dialect, Step};
 use crate::exchange::Reply;
 use crate::holds::{HeldMemory, KeptKv};
@@ -24,6 +25,9 @@
     tries: &mut Tries,
     until: Millis,
 ) -> Result<Run<D>, NoRun> {
+    if cx.quarantine_left(fwd).is_some() {
+        return Err(NoRun::Quarantined);
+    }
     if !cx.knowledge.is_split(&fwd.service) {
         return begin_whole(cx, fwd, tries).await;
     }
@@ -39,6 +43,9 @@
         log::info!("read: again id={} cause=\"its runner started again\"", fwd.arrival.id);
         kv = read_prompt(cx, fwd, tries, &mut held).await?;
     }
+    if cx.quarantine_left(fwd).is_some() {
+        return Err(NoRun::Quarantined);
+    }
     begin_split(cx, fwd, tries, held, kv).await
 }
 
@@ -116,6 +123,7 @@
     };
     let reads = held.as_ref().is_some_and(HeldMemory::has_read_itself);
     let watch = reads.then(|| cx.knowledge.watch_reading(&runner));
+    let mut crash_watch = CrashWatch::begin(cx, fwd);
     let sending = cx.attempt(fwd, &runner, resume_after, step, within);
     let sent = note_silence(cx, fwd, &runner, sending).await;
     let no_run = match sent {
@@ -128,10 +136,15 @@
             }
             note(cx, fwd, &runner, step_word(reads), began, (CallResult::Answered(Millis(0)), ""));
             let stays_until = Millis(0);
-            return Ok(Run { runner, reply, began, held, stays_until, _ticket: ticket });
+            crash_watch.run_begins(cx.now());
+            let watch = crash_watch;
+            return Ok(Run { runner, reply, began, held, stays_until, watch, _ticket: ticket });
         }
         Ok(reply) => refused(cx, fwd, &runner, reply).await,
         Err(e) => {
+            if e.broke_off() {
+                crash_watch.broke_off(cx, &runner);
+            }
             let went = (CallResult::Unreachable, &*e.to_string());
             note(cx, fwd, &runner, "generate", began, went);
             cx.knowledge.note_run_end(&runner, false);
@@ -143,6 +156,7 @@
         NoRun::Ended(_, reason) => (CallResult::Unreachable, *reason),
         NoRun::Failed(..) => (CallResult::Failed, "failed"),
         NoRun::Unplaced(reason) => (CallResult::NotRun, *reason),
+        NoRun::Quarantined => (CallResult::NotRun, "quarantined"),
     };
     note(cx, fwd, &runner, "generate", began, (result, detail));
     if matches!(result, CallResult::Failed | CallResult::Unreachable) {
--- a/crates/bulrushusher_gateway/src/call.rs
+++ b/crates/bulrushusher_gateway/src/call.rs
@@ -7,8 +7,9 @@
 use hyper::Response;
 use hyper::http::response;
 
-use crate::answer::{Refusal, pass_on};
+use crate::answer::{QUARANTINED, Refusal, pass_on};
 use crate::body::ReplyBody;
+use crate::crashes::CrashWatch;
 use crate::dialect::{Dialect, Step};
 use crate::exchange::{ExchangeError, Reply};
 use crate::router::{AttemptNote, Forwarded, LoadTicket, Router};
@@ -47,6 +48,9 @@
         if left == Millis(0) {
             return Err(timed_out(&plan, come_back));
         }
+        if let Some(left) = cx.quarantine_left(fwd) {
+            return Err(Refusal::of(plan.final_answer(), QUARANTINED, left));
+        }
         let Some(runner) = cx.knowledge.pick_for_call(&fwd.service, &tried, &near) else {
             return Err(Refusal::of(plan.final_answer(), "no runner is left", come_back));
         };
@@ -99,14 +103,22 @@
 ) -> Ended {
     let began = cx.now();
     let _ticket = LoadTicket::begin(&cx.knowledge, &runner.id, 0);
+    let watch = CrashWatch::begin(cx, fwd);
     let reply = cx.attempt(fwd, runner, fwd.arrival.resume_after, Step::Whole, within).await;
-    let ended = match reply {
+    let read = match reply {
         Ok(reply) => {
             let left = within.since(cx.now().since(began)).plus(Millis(1));
             read(cx, runner, reply, left).await
         }
-        Err(e) => without(e),
+        Err(e) => Err(e),
     };
+    if read.as_ref().is_err_and(ExchangeError::broke_off) {
+        watch.broke_off(cx, runner);
+    }
+    let ended = read.unwrap_or_else(without);
+    if matches!(ended, Ended::Answer(..)) {
+        cx.knowledge.note_answer(|| fwd.digest());
+    }
     let (result, detail) = match &ended {
         Ended::Answer(..) => (CallResult::Answered(Millis(0)), ""),
         Ended::RunFailed(..) => (CallResult::Failed, "failed"),
@@ -117,28 +129,33 @@
     ended
 }
 
-async fn read<D: Dialect>(cx: &Router<D>, runner: &Runner, reply: Reply, within: Millis) -> Ended {
+async fn read<D: Dialect>(
+    cx: &Router<D>,
+    runner: &Runner,
+    reply: Reply,
+    within: Millis,
+) -> Result<Ended, ExchangeError> {
     let marks = reply.marks.clone();
     let (head, body) = match cx.exchanger.read_whole(runner, reply, within).await {
         Ok(whole) => whole,
         // Its own word came with the head, so that the rest of the answer is not needed.
-        Err(_) if marks.not_run => return not_run(),
-        Err(e) => return without(e),
+        Err(_) if marks.not_run => return Ok(not_run()),
+        Err(e) => return Err(e),
     };
     if marks.wrong_runner {
         cx.forget_runner(&runner.id, "another runner has its address");
     }
     if marks.not_run || marks.wrong_runner {
-        return not_run();
+        return Ok(not_run());
     }
     if head.status.is_success() && !marks.sealed {
         let cause = "the answer is not signed by its runner".to_owned();
-        return Ended::Without(AttemptEnd::Unknown, cause);
+        return Ok(Ended::Without(AttemptEnd::Unknown, cause));
     }
-    match head.status.is_server_error() {
+    Ok(match head.status.is_server_error() {
         true => Ended::RunFailed(head, body),
         false => Ended::Answer(head, body),
-    }
+    })
 }
 
 fn not_run() -> Ended {
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/crashes.rs
@@ -0,0 +1,100 @@
+//! Finds out whether a runner ended on the request that it had just begun.
+
+use std::sync::Arc;
+
+use bulrushusher_forward::{RequestDigest, RequestId, Runner, Verdict};
+use bulrushusher_time::Millis;
+use hyper::StatusCode;
+
+use crate::dialect::Dialect;
+use crate::holds::SIDE_CALL_TIMEOUT;
+use crate::router::{Forwarded, Router};
+
+/// Times that a runner is asked before it counts as ended: one call may meet a full runner or a link
+/// that loses a packet, and a runner takes seconds to start again.
+const ASKED: usize = 2;
+
+/// Pause between these.
+const ASK_AGAIN: Millis = Millis(20);
+
+/// A request at a runner, watched for the runner's end.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashWatch {
+    id: RequestId,
+    digest: RequestDigest,
+    /// Crashes in a row that were known when the request was sent.
+    before: u32,
+    began: Millis,
+}
+
+impl CrashWatch {
+    /// The request is sent to a runner now.
+    pub(crate) fn begin<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> CrashWatch {
+        let digest = fwd.digest();
+        let before = cx.knowledge.crashes_before(digest);
+        CrashWatch { id: fwd.arrival.id.clone(), digest, before, began: cx.now() }
+    }
+
+    /// Its run begins now: it may have waited at the runner.
+    pub(crate) fn run_begins(&mut self, now: Millis) {
+        self.began = now;
+    }
+
+    /// The connection broke before the whole answer was there. Whether its runner ended is looked into
+    /// by a task of its own; connections break at living runners too.
+    pub(crate) fn broke_off<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) {
+        let ran_for = cx.now().since(self.began);
+        if !cx.knowledge.may_blame(ran_for) {
+            return;
+        }
+        let (cx, watch, runner) = (cx.clone(), self.clone(), runner.clone());
+        tokio::spawn(async move {
+            let Some(sign) = sign_of_end(&cx, &runner).await else {
+                log::info!("quarantine: runner lives id={} runner={}", watch.id, runner.id);
+                return cx.metrics.crash("runner_lives");
+            };
+            watch.note_crash(&cx, &runner, ran_for, &sign);
+        });
+    }
+
+    fn note_crash<D: Dialect>(&self, cx: &Router<D>, runner: &Runner, ran_for: Millis, sign: &str) {
+        let verdict = cx.knowledge.note_crash(self.digest, self.before);
+        let (word, crashes) = match verdict {
+            Verdict::Suspected { crashes } => ("suspected", crashes),
+            Verdict::Quarantined => ("quarantined", self.before + 1),
+            Verdict::Known => ("known", self.before),
+        };
+        cx.metrics.crash(word);
+        log::info!(
+            "quarantine: runner ended id={} digest={} runner={} ran_for_ms={} sign=\"{sign}\" \
+             crashes={crashes} result={word}",
+            self.id,
+            self.digest,
+            runner.id,
+            ran_for.0,
+        );
+    }
+}
+
+/// What shows that a runner's process has ended; `None` while it answers.
+async fn sign_of_end<D: Dialect>(cx: &Router<D>, runner: &Runner) -> Option<Arc<str>> {
+    let mut sign: Arc<str> = "".into();
+    for asked in 0..ASKED {
+        if asked > 0 {
+            tokio::time::sleep(ASK_AGAIN.duration()).await;
+        }
+        let call = cx.dialect.ask_report(&runner.id);
+        match cx.exchanger.side_call(runner, call, SIDE_CALL_TIMEOUT).await {
+            Ok((head, _)) if head.status == StatusCode::MISDIRECTED_REQUEST => {
+                return Some("another start has its address".into());
+            }
+            Ok((_, body)) => {
+                let born = cx.dialect.report(&runner.id, &body).ok().and_then(|it| it.born);
+                cx.knowledge.hear_start(&runner.id, born);
+                return cx.knowledge.is_past(runner).then(|| "it has started again".into());
+            }
+            Err(e) => sign = e.to_string().into(),
+        }
+    }
+    Some(sign)
+}
--- a/crates/bulrushusher_gateway/src/exchange.rs
+++ b/crates/bulrushusher_gateway/src/exchange.rs
@@ -24,20 +24,31 @@
     /// Nothing was written to the runner.
     #[display("not sent ({cause})")]
     Unsent { cause: String },
-    /// The request was written; it may have run.
+    /// The request was written, and nothing came in time; it may have run.
     #[display("no answer ({cause})")]
     NoAnswer { cause: String },
+    /// The request was written, and the connection broke before the whole answer was there; it may have
+    /// run.
+    #[display("no answer ({cause})")]
+    BrokeOff { cause: String },
     /// The answer belongs to another request; this one may have run.
     #[display("the answer is not to this request")]
     Foreign,
 }
 
 impl ExchangeError {
+    /// True when the connection broke after the request was written.
+    pub(crate) fn broke_off(&self) -> bool {
+        matches!(self, ExchangeError::BrokeOff { .. })
+    }
+
     /// What it means for the attempt.
     pub(crate) fn attempt_end(&self) -> AttemptEnd {
         match self {
             ExchangeError::Unsent { .. } => AttemptEnd::Unsent,
-            ExchangeError::NoAnswer { .. } | ExchangeError::Foreign => AttemptEnd::Unknown,
+            ExchangeError::NoAnswer { .. }
+            | ExchangeError::BrokeOff { .. }
+            | ExchangeError::Foreign => AttemptEnd::Unknown,
         }
     }
 }
@@ -103,7 +114,7 @@
                     Some(unsent) if connection.reused => req = unsent,
                     Some(_) => return Err(ExchangeError::Unsent { cause: e.error().to_string() }),
                     None => {
-                        return Err(ExchangeError::NoAnswer { cause: e.error().to_string() });
+                        return Err(ExchangeError::BrokeOff { cause: e.error().to_string() });
                     }
                 },
             }
@@ -141,7 +152,7 @@
         let Reply { head, body, connection, .. } = reply;
         let reading = Limited::new(body, MAX_WHOLE_ANSWER).collect();
         let read = match tokio::time::timeout(within.duration(), reading).await {
-            Ok(read) => read.map_err(|e| ExchangeError::NoAnswer { cause: e.to_string() })?,
+            Ok(read) => read.map_err(|e| ExchangeError::BrokeOff { cause: e.to_string() })?,
             Err(_) => {
                 return Err(ExchangeError::NoAnswer { cause: format!("body not in {within}") });
             }
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/front.rs
@@ -15,7 +15,7 @@
 use hyper::http::request;
 use hyper::{Request, Response, Version};
 
-use crate::answer::{Refusal, strip_hop_by_hop};
+use crate::answer::{QUARANTINED, Refusal, strip_hop_by_hop};
 use crate::body::ReplyBody;
 use crate::call::call;
 use crate::connection::CallerConnection;
@@ -157,6 +157,10 @@
             fwd.route.gap_target.0,
             fwd.prompt_tokens(),
         );
+        if let Some(left) = self.router.quarantine_left(&fwd) {
+            let refusal = Refusal::NotRun { reason: QUARANTINED, come_back: left };
+            return (kind, Err(refusal));
+        }
         self.router.knowledge.earn_retry(&fwd.service);
         let outcome = tokio::select! {
             outcome = self.send_on(&fwd) => outcome,
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use crate::peers::Peers;
 use crate::pool::RunnerPool;
 use crate::probes::{self, Probe};
+use crate::quarantine::QuarantineKeeper;
 use crate::router::Router;
 use crate::server::Server;
 use crate::settings::GatewayConfig;
@@ -65,6 +66,7 @@
     parts.spawn_probes(&cfg, &mut tasks)?;
     parts.spawn_feeds(&store, &mut tasks);
     parts.spawn_peers(&cfg, &store, &mut tasks).await?;
+    tasks.spawn(parts.quarantine_keeper(&store).keep());
     tasks.spawn(parts.stage_keeper(store).keep());
     let server = Arc::new(Server::new(parts.front.clone(), clock));
     let sweeper = server.clone();
@@ -128,6 +130,11 @@
         }
     }
 
+    fn quarantine_keeper<S: PlatformStore>(&self, store: &S) -> QuarantineKeeper<S> {
+        let (knowledge, metrics) = (self.knowledge.clone(), self.metrics.clone());
+        QuarantineKeeper { store: store.clone(), knowledge, metrics }
+    }
+
     async fn spawn_peers<S: PlatformStore>(
         &self,
         cfg: &GatewayConfig,
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -1,7 +1,7 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then paces, then
-//! runs, then health, then pauses, then news, then changing. No lock is held across an await.
+//! runs, then health, then pauses, then news, then changing, then crashes. No lock is held across an await.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -9,8 +9,8 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_forward::{
     AttemptEnd, AttemptPlan, CallResult, Candidate, EngineSpec, HealthConfig, Members, NextStep,
-    Pace, PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner, RunnerHealth,
-    RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
+    Pace, PaceConfig, PeersConfig, PlainPick, Quarantine, Rank, Route, RoutingConfig, Runner,
+    RunnerHealth, RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::RetryBudget;
 use bulrushusher_time::{Clock, Millis};
@@ -22,6 +22,7 @@
 
 use crate::settings::GatewayConfig;
 
+mod crashes;
 mod health;
 mod memory;
 mod moves;
@@ -61,13 +62,20 @@
     news: Mutex<news::KnownNews>,
     /// Runners whose stage changes, by service.
     changing: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
+    /// Requests that crash runners.
+    crashes: Mutex<crashes::KnownCrashes>,
     /// Notified when peers should hear of something new.
     pub report_due: Notify,
+    /// Notified when peers should hear of a request that crashes runners.
+    pub crashes_due: Notify,
+    /// Notified when the store should be looked at for such requests, or told of one.
+    pub quarantine_due: Notify,
     draws: Mutex<ChaCha8Rng>,
 }
 
 impl Knowledge {
     pub(crate) fn new(cfg: GatewayConfig, clock: Clock, seed: u64) -> Knowledge {
+        let quarantine = Quarantine::new(cfg.quarantine);
         let runners =
             Runners { members: Members::new(cfg.members), loads: RunnerLoads::new(cfg.loads) };
         Knowledge {
@@ -84,7 +92,10 @@
             pauses: Mutex::default(),
             news: Mutex::default(),
             changing: Mutex::default(),
+            crashes: Mutex::new(crashes::KnownCrashes::new(quarantine)),
             report_due: Notify::new(),
+            crashes_due: Notify::new(),
+            quarantine_due: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         }
     }
@@ -107,6 +118,7 @@
         for line in self.lines.lock().values_mut() {
             line.reconfigure(cfg.waiting);
         }
+        self.crashes.lock().quarantine.reconfigure(cfg.quarantine);
         self.cfg.store(Arc::new(cfg));
     }
 
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! forwarded one. `call` carries out plain calls; `generation` has a run begun (`begin`, with
 //! `placement` and `reading`) and its stream carried (`pump`). All reach runners by `exchange` and
 //! `pool`. `feed` follows the store into `knowledge`, `orders` keeps the ratio of prefill and decode
-//! runners, `peers` speaks with the other gateways.
+//! runners, `peers` speaks with the other gateways. `crashes` finds out which requests end the runners that
+//! run them, and `quarantine` keeps them in the store.
 //!
 //! The decisions are those of `bulrushusher_forward`. What the platform speaks comes in by the
 //! traits of [`dialect`]; nothing here knows its names.
@@ -14,6 +15,7 @@
 mod body;
 mod call;
 mod connection;
+mod crashes;
 pub mod dialect;
 mod exchange;
 mod feed;
@@ -30,6 +32,7 @@
 mod pool;
 mod probes;
 mod pump;
+mod quarantine;
 mod reading;
 mod report_codec;
 mod router;
--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bulrushusher_forward::{ChangesNews, GatewayChanges, GatewayReport};
+use bulrushusher_forward::{ChangesNews, CrashNews, GatewayChanges, GatewayReport};
 use bulrushusher_time::Millis;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -41,6 +41,13 @@
 
 const STORE_TIMEOUT: Millis = Millis(500);
 
+/// Times that a crash is told. Of three datagrams on a link that loses a tenth, one in a thousand peers
+/// hears none; the store and the peers' answers tell it then.
+const CRASHES_TOLD: u32 = 3;
+
+/// Time between these: longer than a burst that fills a link for a moment.
+const TELL_CRASHES_AGAIN: Millis = Millis(300);
+
 /// Largest datagram; a report of some hundred runs.
 const MAX_DATAGRAM: usize = 60_000;
 
@@ -69,6 +76,7 @@
             self.look(&socket, &found),
             self.listen(&socket, &found),
             self.tell(&socket, &found),
+            self.tell_crashes(&socket, &found),
             self.announce(),
         );
     }
@@ -169,6 +177,15 @@
                 }
             }
             Word::Missed => self.answer(socket, from).await,
+            Word::Crashes(news) => {
+                let beyond = self.knowledge.hear_crashes(name, &news);
+                if !beyond.is_empty() {
+                    self.write(socket, Word::CrashesBeyond(beyond), &[from]).await;
+                }
+            }
+            Word::CrashesBeyond(news) => {
+                self.knowledge.hear_crashes(name, &news);
+            }
         }
     }
 
@@ -208,6 +225,30 @@
         }
     }
 
+    /// Tells of requests that crash runners, at once and then some times more, as a datagram may be lost.
+    async fn tell_crashes(&self, socket: &UdpSocket, found: &Found) {
+        let mut news = CrashNews::default();
+        let mut times = 0;
+        loop {
+            let due = self.knowledge.crashes_due.notified();
+            match times {
+                0 => due.await,
+                _ => drop(tokio::time::timeout(TELL_CRASHES_AGAIN.duration(), due).await),
+            }
+            let new = self.knowledge.take_crash_news();
+            if !new.is_empty() {
+                times = CRASHES_TOLD;
+            }
+            news.add(new);
+            let peers: Vec<SocketAddr> = found.lock().values().copied().collect();
+            self.write(socket, Word::Crashes(news.clone()), &peers).await;
+            times = times.saturating_sub(1);
+            if times == 0 {
+                news = CrashNews::default();
+            }
+        }
+    }
+
     /// What is told of a report: what changed since the last one, or all of it when that is due.
     fn next_word(&self, report: GatewayReport) -> Word {
         let now = self.knowledge.now();
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -54,6 +54,7 @@
         let all = runners.members.all(now).count() as u64;
         (all, count(Stage::Prefill), count(Stage::Decode))
     });
+    metrics.state("quarantined_requests", knowledge.all_quarantined().len() as u64);
     metrics.state("runners", all);
     metrics.state("prefill_runners", prefill);
     metrics.state("decode_runners", decode);
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -108,7 +108,7 @@
     let first_began = run.began;
     loop {
         let runner = run.runner.clone();
-        let began = run.began;
+        let (began, watch) = (run.began, run.watch.clone());
         let end = carry_run(cx, fwd, &mut plan, run, &mut progress, &tx).await;
         let took = cx.now().since(began);
         let last = progress.last_event.unwrap_or(0);
@@ -131,6 +131,7 @@
         cx.metrics.attempt("stream", word, took.0 as f64);
         match end {
             RunEnd::Whole => {
+                cx.knowledge.note_answer(|| fwd.digest());
                 cx.knowledge.note_run_end(&runner, true);
                 let expected = fwd.arrival.size.map_or(0, |size| size.expected());
                 let made = last * cx.knowledge.tokens_per_event(&fwd.service);
@@ -153,7 +154,10 @@
                 }
             }
             RunEnd::TimeOver => break,
-            RunEnd::Broken(_) => cx.knowledge.note_run_end(&runner, false),
+            RunEnd::Broken(_) => {
+                watch.broke_off(cx, &runner);
+                cx.knowledge.note_run_end(&runner, false);
+            }
         }
         match go_on(cx, fwd, &mut plan, &mut progress, &mut tries, &tx).await {
             Some(next) => run = next,
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -5,6 +5,7 @@
 use bulrushusher_forward::{CallResult, Prompt, ReadConfig, Reader, Runner};
 use bulrushusher_time::Millis;
 
+use crate::crashes::CrashWatch;
 use crate::dialect::{Dialect, Step};
 use crate::exchange::ExchangeError;
 use crate::holds::{HeldMemory, KeptKv};
@@ -128,10 +129,14 @@
     let _ticket = LoadTicket::begin(&cx.knowledge, &runner.id, tokens);
     let usual = cx.knowledge.with_pace(&fwd.service, |pace| pace.longest_read(ahead + tokens));
     let within = usual.min(longest).min(fwd.left(began));
+    let watch = CrashWatch::begin(cx, fwd);
     let read = read_answer(cx, fwd, resume_after, &runner, within).await;
+    if read.as_ref().is_err_and(|failed| failed.broke_off) {
+        watch.broke_off(cx, &runner);
+    }
     let (result, detail) = match &read {
         Ok(_) => (CallResult::Answered(Millis(0)), ""),
-        Err((result, cause)) => (*result, cause.as_str()),
+        Err(failed) => (failed.result, failed.cause.as_str()),
     };
     cx.note_attempt(fwd, AttemptNote { runner: &runner, step: "read", began, result, detail });
     match result {
@@ -147,14 +152,27 @@
     Some(KeptKv::new(runner, handle, &cx.knowledge, &cx.exchanger, &cx.dialect))
 }
 
+/// Why a prompt was not read.
+struct FailedRead {
+    result: CallResult,
+    cause: String,
+    /// True when the connection broke while it was read.
+    broke_off: bool,
+}
+
 async fn read_answer<D: Dialect>(
     cx: &Router<D>,
     fwd: &Forwarded,
     resume_after: Option<u64>,
     runner: &Runner,
     within: Millis,
-) -> Result<Arc<str>, (CallResult, String)> {
-    let lost = |e: ExchangeError| (CallResult::Unreachable, e.to_string());
+) -> Result<Arc<str>, FailedRead> {
+    let lost = |e: ExchangeError| FailedRead {
+        result: CallResult::Unreachable,
+        cause: e.to_string(),
+        broke_off: e.broke_off(),
+    };
+    let failed = |result, cause| FailedRead { result, cause, broke_off: false };
     let reply =
         cx.attempt(fwd, runner, resume_after, Step::ReadPrompt, within).await.map_err(lost)?;
     let marks = reply.marks.clone();
@@ -163,11 +181,11 @@
         cx.forget_runner(&runner.id, "another runner has its address");
     }
     if marks.not_run || marks.wrong_runner {
-        return Err((CallResult::NotRun, format!("status {}", head.status.as_u16())));
+        return Err(failed(CallResult::NotRun, format!("status {}", head.status.as_u16())));
     }
     if !head.status.is_success() {
-        return Err((CallResult::Failed, format!("status {}", head.status.as_u16())));
+        return Err(failed(CallResult::Failed, format!("status {}", head.status.as_u16())));
     }
-    let unreadable = || (CallResult::Failed, "the answer names no cache".to_owned());
+    let unreadable = || failed(CallResult::Failed, "the answer names no cache".to_owned());
     cx.dialect.cache_name(&body).ok_or_else(unreadable)
 }
--- a/crates/bulrushusher_gateway/src/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/report_codec.rs
@@ -4,7 +4,7 @@
 //! wrote is told apart by its first bytes and passed over; its gateway then counts as one that is not
 //! heard, and comes back with its next version.
 
-use bulrushusher_forward::{GatewayChanges, GatewayReport};
+use bulrushusher_forward::{CrashNews, GatewayChanges, GatewayReport};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +31,10 @@
     Changes(GatewayChanges),
     /// It missed a report, and asks for a whole one.
     Missed,
+    /// Requests that crash runners.
+    Crashes(CrashNews),
+    /// What it knows beyond the news that it was told.
+    CrashesBeyond(CrashNews),
 }
 
 /// Why a datagram cannot be read.
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -17,7 +17,7 @@
 use crate::knowledge::Knowledge;
 
 /// The parts that serving a request needs.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Router<D> {
     pub dialect: D,
     pub knowledge: Arc<Knowledge>,
@@ -83,6 +83,11 @@
         self.knowledge.now()
     }
 
+    /// How long the request is still kept from runners, because it ends those that run it.
+    pub(crate) fn quarantine_left(&self, fwd: &Forwarded) -> Option<Millis> {
+        self.knowledge.quarantine_left(|| fwd.digest())
+    }
+
     /// When a refused caller should come back.
     pub(crate) fn come_back(&self, fwd: &Forwarded) -> Millis {
         let returns = self.knowledge.cfg().returns();
--- a/crates/bulrushusher_gateway/src/run.rs
+++ b/crates/bulrushusher_gateway/src/run.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use hyper::http::response;
 
+use crate::crashes::CrashWatch;
 use crate::dialect::Dialect;
 use crate::exchange::Reply;
 use crate::holds::HeldMemory;
@@ -28,6 +29,8 @@
     pub held: Option<HeldMemory<D>>,
     /// It does not move to another runner before.
     pub stays_until: Millis,
+    /// Tells whether its runner ended on it.
+    pub watch: CrashWatch,
     pub _ticket: LoadTicket,
 }
 
@@ -39,6 +42,8 @@
     Failed(response::Parts, Bytes),
     /// There is no memory, or nobody to read the prompt.
     Unplaced(&'static str),
+    /// It was found meanwhile to end the runners that run it.
+    Quarantined,
 }
 
 /// What was tried for a request so far.
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -4,8 +4,8 @@
 
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
-    ForecastConfig, HoldConfig, LoadConfig, MembersConfig, ReturnConfig, ShutdownConfig,
-    StagesConfig, WaitingConfig,
+    ForecastConfig, HoldConfig, LoadConfig, MembersConfig, QuarantineConfig, ReturnConfig,
+    ShutdownConfig, StagesConfig, WaitingConfig,
 };
 use bulrushusher_routing::RetryConfig;
 use bulrushusher_time::Millis;
@@ -110,6 +110,20 @@
         Some("0.2"),
         "Share of that time over which returns are spread.",
     ),
+    setting(
+        "quarantine",
+        "crashes",
+        Kind::Count(1, 100),
+        Some("2"),
+        "Runners in a row that end on a request before it is run no more.",
+    ),
+    setting(
+        "quarantine",
+        "lasts_s",
+        Kind::Real(0.0, 604_800.0),
+        Some("3600"),
+        "Seconds for which such a request is refused; 0 runs all requests, at once.",
+    ),
     setting(
         "holds",
         "per_expected_output",
@@ -191,6 +205,8 @@
     pub return_after: Millis,
     /// Share of that time over which they are spread.
     pub return_spread: f64,
+    /// When a request that crashes runners is run no more.
+    pub quarantine: QuarantineConfig,
     /// How much memory is held.
     pub holds: HoldConfig,
     /// How cautious forecasts of memory are.
@@ -257,6 +273,11 @@
             },
             return_after: values.millis("waiting", "return_after_ms"),
             return_spread: values.real("waiting", "return_spread"),
+            quarantine: QuarantineConfig {
+                crashes: values.count("quarantine", "crashes") as u32,
+                lasts: Millis((values.real("quarantine", "lasts_s") * 1_000.0) as u64),
+                ..QuarantineConfig::default()
+            },
             holds: HoldConfig { per_expected_output: values.real("holds", "per_expected_output") },
             forecast: ForecastConfig {
                 caution: values.real("forecast", "caution"),
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -16,6 +16,7 @@
     holds: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
+    crashes: Counter<u64>,
     state: Gauge<u64>,
 }
 
@@ -58,6 +59,10 @@
             holds: counter("bulrush_gateway_holds", "Holds on decode memory, by result"),
             store_calls: counter("bulrush_gateway_store_calls", "Store calls, by topic and result"),
             orders: counter("bulrush_gateway_orders", "Orders to runners, by result"),
+            crashes: counter(
+                "bulrush_gateway_crashes",
+                "Connections that broke just after a run began, by what became of the runner",
+            ),
             state: meter
                 .u64_gauge("bulrush_gateway_state")
                 .with_description("Version in force, runners known, requests waiting and in flight")
@@ -96,6 +101,11 @@
         self.orders.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// A connection broke just after a run began.
+    pub fn crash(&self, result: &'static str) {
+        self.crashes.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Something that the gateway holds now.
     pub fn state(&self, what: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("what", what)]);
