A request goes on to a second runner once it is known whether the first one ended

Cause: an idempotent call went to its second runner before it was known that the first had ended on it, so that the two ends counted as one. Ruled out: counting both (runners that end together would speak against what they ran).

--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -143,7 +143,7 @@
         Ok(reply) => refused(cx, fwd, &runner, reply).await,
         Err(e) => {
             if e.broke_off() {
-                crash_watch.broke_off(cx, &runner);
+                crash_watch.broke_off(cx, &runner).await;
             }
             let went = (CallResult::Unreachable, &*e.to_string());
             note(cx, fwd, &runner, "generate", began, went);
--- a/crates/bulrushusher_gateway/src/call.rs
+++ b/crates/bulrushusher_gateway/src/call.rs
@@ -113,7 +113,7 @@
         Err(e) => Err(e),
     };
     if read.as_ref().is_err_and(ExchangeError::broke_off) {
-        watch.broke_off(cx, runner);
+        watch.broke_off(cx, runner).await;
     }
     let ended = read.unwrap_or_else(without);
     if matches!(ended, Ended::Answer(..)) {
--- a/crates/bulrushusher_gateway/src/crashes.rs
+++ b/crates/bulrushusher_gateway/src/crashes.rs
@@ -17,6 +17,10 @@
 /// Pause between these.
 const ASK_AGAIN: Millis = Millis(20);
 
+/// Longest wait for that before the request goes on to another runner, which might end too. A runner's
+/// machine answers within some milliseconds, also when its process has ended.
+const KNOWN_BEFORE_REPEAT: Millis = Millis(40);
+
 /// A request at a runner, watched for the runner's end.
 #[derive(Clone, Debug)]
 pub(crate) struct CrashWatch {
@@ -40,21 +44,23 @@
         self.began = now;
     }
 
-    /// The connection broke before the whole answer was there. Whether its runner ended is looked into
-    /// by a task of its own; connections break at living runners too.
-    pub(crate) fn broke_off<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) {
+    /// The connection broke before the whole answer was there. A task of its own finds out whether its
+    /// runner ended, as connections break at living runners too; returns when that is known, or when the
+    /// caller has waited long enough.
+    pub(crate) async fn broke_off<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) {
         let ran_for = cx.now().since(self.began);
         if !cx.knowledge.may_blame(ran_for) {
             return;
         }
         let (cx, watch, runner) = (cx.clone(), self.clone(), runner.clone());
-        tokio::spawn(async move {
+        let looking = tokio::spawn(async move {
             let Some(sign) = sign_of_end(&cx, &runner).await else {
                 log::info!("quarantine: runner lives id={} runner={}", watch.id, runner.id);
                 return cx.metrics.crash("runner_lives");
             };
             watch.note_crash(&cx, &runner, ran_for, &sign);
         });
+        tokio::time::timeout(KNOWN_BEFORE_REPEAT.duration(), looking).await.ok();
     }
 
     fn note_crash<D: Dialect>(&self, cx: &Router<D>, runner: &Runner, ran_for: Millis, sign: &str) {
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -155,7 +155,7 @@
             }
             RunEnd::TimeOver => break,
             RunEnd::Broken(_) => {
-                watch.broke_off(cx, &runner);
+                watch.broke_off(cx, &runner).await;
                 cx.knowledge.note_run_end(&runner, false);
             }
         }
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/reading.rs
@@ -132,7 +132,7 @@
     let watch = CrashWatch::begin(cx, fwd);
     let read = read_answer(cx, fwd, resume_after, &runner, within).await;
     if read.as_ref().is_err_and(|failed| failed.broke_off) {
-        watch.broke_off(cx, &runner);
+        watch.broke_off(cx, &runner).await;
     }
     let (result, detail) = match &read {
         Ok(_) => (CallResult::Answered(Millis(0)), ""),
