The own interface keeps prompts from engines that end on them

Cause: the same as at the gateway. A patient prompt that may be repeated is tried until its deadline; one that ends its engines ended one every two seconds for as long as its caller waited, and the next ones under a new key. Agents tell now when an engine that took a run does not know it any more, at once instead of after twenty attempts to resume; entries count such ends by what is asked for, with the type that gateways use, which moved to bulrushusher_routing. Ruled out: a bound on attempts alone (a caller's next key begins anew); counting all lost runs (an engine that cannot be reached for two seconds would count).

--- a/crates/bulrushusher_agent/src/answer.rs
+++ b/crates/bulrushusher_agent/src/answer.rs
@@ -17,8 +17,8 @@
     Service { status: u16, content_type: String, body: Bytes },
     /// The KV cache was gone before it began; nothing ran.
     KvGone,
-    /// It began and was lost or cancelled.
-    Failed { cause: String },
+    /// It began and was lost or cancelled; perhaps with the end of its engine.
+    Failed { cause: String, engine_ended: bool },
 }
 
 #[derive(Debug, Default)]
@@ -124,7 +124,10 @@
         let (last, body) = match ending {
             Ending::Whole => (Frame::End { tokens: inner.tokens.len() as u32 }, None),
             Ending::KvGone => (Frame::KvGone, None),
-            Ending::Failed { cause } => (Frame::Failed { cause: cause.clone() }, None),
+            Ending::Failed { cause, engine_ended } => {
+                let (cause, engine_ended) = (cause.clone(), *engine_ended);
+                (Frame::Failed { cause, engine_ended }, None)
+            }
             Ending::Service { status, content_type, body } => {
                 let (status, content_type) = (*status, content_type.clone());
                 let len = body.len() as u64;
--- a/crates/bulrushusher_agent/src/call.rs
+++ b/crates/bulrushusher_agent/src/call.rs
@@ -44,5 +44,5 @@
 fn lost(shared: &Shared, order: &RunOrder, answer: &Answer, error: &HttpError) {
     log::warn!("{LOG} the service's answer to {} was lost: {error}", order.key);
     shared.keys.end(&order.key, Ran::Failed);
-    answer.end(Ending::Failed { cause: error.to_string() });
+    answer.end(Ending::Failed { cause: error.to_string(), engine_ended: false });
 }
--- a/crates/bulrushusher_agent/src/prefill.rs
+++ b/crates/bulrushusher_agent/src/prefill.rs
@@ -26,7 +26,7 @@
         told = follow(&shared, &order, &tx) => {
             if let Err(e) = told {
                 log::warn!("{LOG} prefill {} failed: {e}", order.run);
-                let failed = Frame::Failed { cause: e.to_string() };
+                let failed = Frame::Failed { cause: e.to_string(), engine_ended: false };
                 tx.send(json_line(&failed)).await.ok();
             }
         }
--- a/crates/bulrushusher_agent/src/runner.rs
+++ b/crates/bulrushusher_agent/src/runner.rs
@@ -29,6 +29,8 @@
     NotBegun(Ending),
     /// It began and was lost.
     Lost(String),
+    /// It began, and its engine ended.
+    EngineEnded,
 }
 
 /// Runs an order that was taken, to the end.
@@ -59,13 +61,20 @@
             log::warn!("{LOG} run {run} lost: {cause}");
             cancel(shared, &run).await;
             shared.keys.end(&order.key, Ran::Failed);
-            answer.end(Ending::Failed { cause });
+            answer.end(Ending::Failed { cause, engine_ended: false });
+        }
+        Some(Outcome::EngineEnded) => {
+            log::warn!("{LOG} run {run} lost: its engine ended and has started again");
+            shared.keys.end(&order.key, Ran::Failed);
+            let cause = "the engine ended".to_owned();
+            answer.end(Ending::Failed { cause, engine_ended: true });
         }
         None => {
             log::info!("{LOG} run {run} is wanted by nobody, cancelled");
             shared.keys.end(&order.key, Ran::Cancelled);
             cancel(shared, &run).await;
-            answer.end(Ending::Failed { cause: "cancelled".to_owned() });
+            let cause = "cancelled".to_owned();
+            answer.end(Ending::Failed { cause, engine_ended: false });
         }
     }
 }
@@ -109,6 +118,8 @@
             None
         }
     };
+    // An engine that took the run and does not know it any more has started again.
+    let was_taken = stream.is_some();
     for _ in 0..MAX_RESUMES {
         if let Some(open) = stream.take() {
             match follow(open, answer).await {
@@ -119,6 +130,7 @@
         }
         match shared.engine.resume(run, answer.tokens()).await {
             Ok(again) => stream = Some(again),
+            Err(HttpError::Status { status: 404, .. }) if was_taken => return Outcome::EngineEnded,
             Err(_) => sleep(RETRY_PAUSE).await,
         }
     }
--- a/crates/bulrushusher_entry/src/entry.rs
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -10,7 +10,9 @@
 use bulrushusher_operator::v1::operator_server::OperatorServer;
 use bulrushusher_platform::StoreClient;
 use bulrushusher_report::EntryMetrics;
-use bulrushusher_routing::{AccountLimits, LoadHint, PairingTable, RetryBudget};
+use bulrushusher_routing::{
+    AccountLimits, LoadHint, PairingTable, Quarantine, QuarantineConfig, RetryBudget,
+};
 use bulrushusher_time::{Clock, Millis};
 use bulrushusher_wire::{AgentLoad, ApiError, ErrorCode};
 use bulrushusher_world::EndpointName;
@@ -42,6 +44,8 @@
     pub(crate) table: Mutex<PairingTable>,
     pub(crate) limits: Mutex<AccountLimits>,
     pub(crate) retries: Mutex<RetryBudget>,
+    /// Prompts that end the engines that run them.
+    pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) configuration: ArcSwap<Configuration>,
     /// Held while the configuration is changed.
     pub(crate) configuring: Mutex<()>,
@@ -66,6 +70,7 @@
             table: Mutex::new(PairingTable::new(cfg.pairing)),
             limits: Mutex::new(AccountLimits::new(cfg.limits)),
             retries: Mutex::new(RetryBudget::new(cfg.retries)),
+            quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
             configuration: ArcSwap::default(),
             configuring: Mutex::new(()),
             list_changed: Notify::new(),
--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 
 use bulrushusher_once::{Ballot, Ran, Settled};
+use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{ApiError, NotTaken, RunOrder, RunState, Work};
 use bulrushusher_world::{Endpoint, EndpointName};
 
+use crate::LOG;
 use crate::entry::Shared;
 use crate::guards::{HeldPlace, OpenStream};
 use crate::request::{Job, mint_key};
@@ -18,6 +20,10 @@
 /// One wait at an agent for a key to begin.
 const ATTACH_WAIT: Millis = Millis(1_000);
 
+/// An engine that ends before a run has passed on more tokens than these may have ended on it. Engines
+/// end on what they cannot bear with its first token or two; few runs are as young at any moment.
+const CRASH_TOKENS: u32 = 4;
+
 /// Whether a request needs another attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
@@ -41,6 +47,8 @@
     tx: &'a PartSender,
     /// True when the caller sees nothing before the answer is whole, so that it may start again.
     restartable: bool,
+    /// What is asked for, where it is a prompt.
+    pub(crate) prompt: Option<RequestDigest>,
     passed: u32,
     assignment: Option<Assignment>,
     /// A ballot that was cleared for any one executor not yet chosen.
@@ -61,6 +69,7 @@
             job,
             tx,
             restartable,
+            prompt: None,
             passed: 0,
             assignment: None,
             cleared: None,
@@ -198,12 +207,39 @@
             work,
         };
         place.ordered();
+        let before = self.prompt.map_or(0, |prompt| self.shared.quarantine.lock().crashes(prompt));
+        let passed_before = self.passed;
         let mut reader = self.reader(&endpoint);
         let end = reader.run(&order, &mut open).await;
         self.passed = reader.passed;
+        match &end {
+            StreamEnd::EngineEnded if self.passed <= passed_before + CRASH_TOKENS => {
+                self.note_crash(&endpoint, before);
+            }
+            StreamEnd::Whole => self.note_answer(),
+            _ => {}
+        }
         self.conclude(end, &ballot).await
     }
 
+    /// An engine ended just after it had begun the prompt, which had ended `before` others by then.
+    fn note_crash(&self, endpoint: &Endpoint, before: u32) {
+        let Some(prompt) = self.prompt else { return };
+        let now = self.shared.clock.now();
+        let verdict = self.shared.quarantine.lock().note_crash(prompt, before, now);
+        log::warn!(
+            "{LOG} the engine of {} ended on {} digest={prompt}: {verdict:?}",
+            endpoint.name,
+            self.job.key,
+        );
+    }
+
+    fn note_answer(&self) {
+        if let Some(prompt) = self.prompt {
+            self.shared.quarantine.lock().note_answer(prompt);
+        }
+    }
+
     fn reader<'b>(&'b self, endpoint: &'b Endpoint) -> RunReader<'b> {
         RunReader {
             shared: self.shared,
@@ -234,6 +270,7 @@
             StreamEnd::NotTaken(NotTaken::TooOld) => Err(settle::too_old()),
             StreamEnd::NotTaken(NotTaken::RanWithoutAnswer { ran }) => self.lost(Some(ran)).await,
             StreamEnd::Failed(ran) => self.lost(Some(ran)).await,
+            StreamEnd::EngineEnded => self.lost(Some(Ran::Failed)).await,
             StreamEnd::NotTaken(NotTaken::NotHere { .. } | NotTaken::InDoubt) | StreamEnd::Lost => {
                 self.lost(None).await
             }
--- a/crates/bulrushusher_entry/src/request.rs
+++ b/crates/bulrushusher_entry/src/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request, read and checked. Nothing is reserved anywhere before this has passed.
 
+use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{ApiError, ErrorCode};
 use bulrushusher_world::{
@@ -89,6 +90,19 @@
     pub(crate) chat: bool,
 }
 
+impl PromptJob {
+    /// What is asked for, and by whom: the same each time it is sent, whatever its key.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        let account = self.job.account.as_ref().map_or("", |account| account.as_str());
+        RequestDigest::of([
+            self.job.service.as_str().as_bytes(),
+            account.as_bytes(),
+            self.prompt.as_bytes(),
+            &self.max_tokens.to_le_bytes(),
+        ])
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct CompletionBody {
     model: String,
--- a/crates/bulrushusher_entry/src/run_stream.rs
+++ b/crates/bulrushusher_entry/src/run_stream.rs
@@ -71,6 +71,8 @@
     NothingRan,
     /// It ran and there is no whole answer.
     Failed(Ran),
+    /// It ran, and its engine ended.
+    EngineEnded,
     /// The agent does not answer any more, or has forgotten.
     Lost,
     /// The caller went away.
@@ -240,6 +242,9 @@
             }
             Frame::NotTaken(why) => Err(Interrupted::Ended(StreamEnd::NotTaken(why))),
             Frame::KvGone => Err(Interrupted::Ended(StreamEnd::NothingRan)),
+            Frame::Failed { engine_ended: true, .. } => {
+                Err(Interrupted::Ended(StreamEnd::EngineEnded))
+            }
             Frame::Failed { .. } => Err(Interrupted::Ended(StreamEnd::Failed(Ran::Failed))),
             Frame::Token { .. }
             | Frame::End { .. }
@@ -260,6 +265,7 @@
         StreamEnd::Whole
         | StreamEnd::NotTaken(_)
         | StreamEnd::NothingRan
+        | StreamEnd::EngineEnded
         | StreamEnd::Failed(_) => open.ended(),
     }
     end
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -17,7 +17,6 @@
 mod normal;
 mod pace;
 mod pauses;
-mod quarantine;
 mod read_pace;
 mod reading;
 mod repeat;
@@ -44,12 +43,11 @@
 pub use news::{NewsConfig, NewsSeen};
 pub use pace::{Pace, PaceConfig};
 pub use pauses::PauseModel;
-pub use quarantine::{CrashNews, Quarantine, QuarantineConfig, Quarantined, Suspect, Verdict};
 pub use read_pace::ReadPace;
 pub use reading::{DecodeLoad, Prompt, ReadConfig, Reader};
 pub use repeat::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep};
 pub use report::{GatewayChanges, GatewayReport, RunNote};
-pub use request::{PromptSize, RequestDigest, RequestId};
+pub use request::{PromptSize, RequestId};
 pub use returns::{ReturnConfig, UsualPatience};
 pub use route::{
     CallerLimits, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
--- a/crates/bulrushusher_forward/src/request.rs
+++ b/crates/bulrushusher_forward/src/request.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::Xxh3Default;
+use derive_more::Display;
 
 /// Identity of one attempt of a caller; a caller that tries again sends another one.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -23,64 +21,6 @@
     }
 }
 
-/// What a caller asks for, whatever identity its attempt has: a request that is sent again has the
-/// same digest, at any gateway and after any restart.
-///
-/// It has 64 bits: with a hundred digests looked for among 240 million requests a day, one request in
-/// some hundred million days is taken for another. Written as text of 16 hexadecimal digits.
-///
-/// ```
-/// use bulrushusher_forward::RequestDigest;
-/// let first = RequestDigest::of([b"POST".as_slice(), b"/a", b"body"]);
-/// assert_eq!(first, RequestDigest::of([b"POST".as_slice(), b"/a", b"body"]));
-/// assert_ne!(first, RequestDigest::of([b"POST".as_slice(), b"/ab", b"ody"]));
-/// ```
-#[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[display("{_0:016x}")]
-#[serde(try_from = "String", into = "String")]
-pub struct RequestDigest(u64);
-
-/// A text that is no digest.
-#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
-#[display("`{text}` is no digest of a request; give 16 hexadecimal digits")]
-pub struct DigestError {
-    /// What was given.
-    #[error(not(source))]
-    pub text: String,
-}
-
-impl TryFrom<String> for RequestDigest {
-    type Error = DigestError;
-
-    fn try_from(text: String) -> Result<RequestDigest, DigestError> {
-        match u64::from_str_radix(&text, 16) {
-            Ok(digest) if text.len() == 16 => Ok(RequestDigest(digest)),
-            _ => Err(DigestError { text }),
-        }
-    }
-}
-
-impl From<RequestDigest> for String {
-    fn from(digest: RequestDigest) -> String {
-        digest.to_string()
-    }
-}
-
-impl RequestDigest {
-    /// The digest of a request's parts, in this order.
-    pub fn of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> RequestDigest {
-        let mut hash = Xxh3Default::new();
-        for part in parts {
-            // With its length, so that no byte can go from one part to the next unnoticed.
-            hash.update(&(part.len() as u64).to_le_bytes());
-            hash.update(part);
-        }
-        RequestDigest(hash.digest())
-    }
-}
-
 /// Size of a generation, in tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptSize {
--- a/crates/bulrushusher_gateway/src/crashes.rs
+++ b/crates/bulrushusher_gateway/src/crashes.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{RequestDigest, RequestId, Runner, Verdict};
+use bulrushusher_forward::{RequestId, Runner};
+use bulrushusher_routing::{RequestDigest, Verdict};
 use bulrushusher_time::Millis;
 use hyper::StatusCode;
 
--- a/crates/bulrushusher_gateway/src/knowledge/crashes.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/crashes.rs
@@ -1,6 +1,6 @@
 //! Which requests crash runners, as this gateway and its peers saw it.
 
-use bulrushusher_forward::{CrashNews, Quarantine, Quarantined, RequestDigest, Suspect, Verdict};
+use bulrushusher_routing::{CrashNews, Quarantine, Quarantined, RequestDigest, Suspect, Verdict};
 use bulrushusher_time::Millis;
 
 use super::Knowledge;
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -9,10 +9,10 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_forward::{
     AttemptEnd, AttemptPlan, CallResult, Candidate, EngineSpec, HealthConfig, Members, NextStep,
-    Pace, PaceConfig, PeersConfig, PlainPick, Quarantine, Rank, Route, RoutingConfig, Runner,
-    RunnerHealth, RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
+    Pace, PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner, RunnerHealth,
+    RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
 };
-use bulrushusher_routing::RetryBudget;
+use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 use parking_lot::Mutex;
--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bulrushusher_forward::{ChangesNews, CrashNews, GatewayChanges, GatewayReport};
+use bulrushusher_forward::{ChangesNews, GatewayChanges, GatewayReport};
+use bulrushusher_routing::CrashNews;
 use bulrushusher_time::Millis;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
--- a/crates/bulrushusher_gateway/src/quarantine.rs
+++ b/crates/bulrushusher_gateway/src/quarantine.rs
@@ -5,8 +5,8 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::Quarantined;
 use bulrushusher_report::GatewayMetrics;
+use bulrushusher_routing::Quarantined;
 use bulrushusher_time::Millis;
 use serde::{Deserialize, Serialize};
 
--- a/crates/bulrushusher_gateway/src/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/report_codec.rs
@@ -4,7 +4,8 @@
 //! wrote is told apart by its first bytes and passed over; its gateway then counts as one that is not
 //! heard, and comes back with its next version.
 
-use bulrushusher_forward::{CrashNews, GatewayChanges, GatewayReport};
+use bulrushusher_forward::{GatewayChanges, GatewayReport};
+use bulrushusher_routing::CrashNews;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, LoadLife, RequestDigest, Route, Runner};
+use bulrushusher_forward::{CallResult, LoadLife, Route, Runner};
 use bulrushusher_report::GatewayMetrics;
+use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
 use bytes::Bytes;
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -4,10 +4,10 @@
 
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
-    ForecastConfig, HoldConfig, LoadConfig, MembersConfig, QuarantineConfig, ReturnConfig,
-    ShutdownConfig, StagesConfig, WaitingConfig,
+    ForecastConfig, HoldConfig, LoadConfig, MembersConfig, ReturnConfig, ShutdownConfig,
+    StagesConfig, WaitingConfig,
 };
-use bulrushusher_routing::RetryConfig;
+use bulrushusher_routing::{QuarantineConfig, RetryConfig};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, VmName};
 
--- a/crates/bulrushusher_routing/src/lib.rs
+++ b/crates/bulrushusher_routing/src/lib.rs
@@ -1,16 +1,20 @@
-//! An entry's decisions: which runners, when to refuse early, limits, retry budgets.
+//! An entry's decisions: which runners, when to refuse early, limits, retry budgets, and which requests
+//! are kept from runners. Gateways share the last two.
 //!
 //! Nothing here does I/O or reads a clock; randomness is seeded from outside. An entry feeds a
 //! [`PairingTable`] with the endpoints in force and what it hears of their load, and asks it for a
 //! pair of runners per request.
 
+mod digest;
 mod limits;
 mod load;
 mod pairing;
 mod policy;
 mod prefix;
+mod quarantine;
 mod retry;
 
+pub use digest::{DigestError, RequestDigest};
 pub use limits::{AccountLimits, LimitsConfig, OverLimit};
 pub use load::LoadHint;
 pub use pairing::{
@@ -18,6 +22,7 @@
 };
 pub use policy::Policy;
 pub use prefix::{PrefixConfig, PrefixIndex};
+pub use quarantine::{CrashNews, Quarantine, QuarantineConfig, Quarantined, Suspect, Verdict};
 pub use retry::{RetryBudget, RetryConfig};
 
 /// The common types in one `use`.
--- a/crates/bulrushusher_routing/src/quarantine.rs
+++ b/crates/bulrushusher_routing/src/quarantine.rs
@@ -123,7 +123,7 @@
 /// The requests that have crashed runners, as one gateway knows them.
 ///
 /// ```
-/// use bulrushusher_forward::{Quarantine, QuarantineConfig, RequestDigest, Verdict};
+/// use bulrushusher_routing::{Quarantine, QuarantineConfig, RequestDigest, Verdict};
 /// use bulrushusher_time::Millis;
 /// let mut quarantine = Quarantine::new(QuarantineConfig::default());
 /// let digest = RequestDigest::of([b"/gen/x".as_slice()]);
--- a/crates/bulrushusher_routing/tests/quarantine.rs
+++ b/crates/bulrushusher_routing/tests/quarantine.rs
@@ -3,7 +3,7 @@
 //! The oracle knows which request crashes its runners; the gateways see only that a runner ended, and
 //! which requests it had just begun.
 
-use bulrushusher_forward::{
+use bulrushusher_routing::{
     CrashNews, Quarantine, QuarantineConfig, Quarantined, RequestDigest, Suspect, Verdict,
 };
 use bulrushusher_time::Millis;
--- a/crates/bulrushusher_standin/src/engine/decode.rs
+++ b/crates/bulrushusher_standin/src/engine/decode.rs
@@ -45,6 +45,9 @@
     tables.sequences.insert(order.run.clone(), sequence);
     tables.active.insert(order.run.clone());
     place.taken = false;
+    if tables.faults.crashes_on.is_some_and(|mark| tables.sequences[&order.run].mark == mark) {
+        tables.crash();
+    }
     drop(tables);
     engine.work.notify_one();
     Ok(())
--- a/crates/bulrushusher_standin/src/engine/messages.rs
+++ b/crates/bulrushusher_standin/src/engine/messages.rs
@@ -184,4 +184,6 @@
     pub held_kv: usize,
     /// Orders taken, as "fence what".
     pub orders: Vec<String>,
+    /// Times that it ended on a prompt.
+    pub crashes: u64,
 }
--- a/crates/bulrushusher_standin/src/engine/state.rs
+++ b/crates/bulrushusher_standin/src/engine/state.rs
@@ -22,6 +22,8 @@
     pub stalled_link: bool,
     /// Decode steps stand still.
     pub frozen: bool,
+    /// The engine ends when it begins a prompt with this mark, and is back at once.
+    pub crashes_on: Option<&'static str>,
 }
 
 /// What became of a prefill result.
@@ -76,6 +78,7 @@
     pub(super) faults: Faults,
     pub(super) highest_fence: u64,
     pub(super) orders: Vec<String>,
+    pub(super) crashes: u64,
 }
 
 /// The engine.
@@ -109,6 +112,7 @@
             faults: Faults::default(),
             highest_fence: 0,
             orders: Vec::new(),
+            crashes: 0,
         };
         EngineState {
             cfg,
@@ -128,6 +132,7 @@
             held_places: tables.places_taken,
             held_kv: tables.kv.len(),
             orders: tables.orders.clone(),
+            crashes: tables.crashes,
         }
     }
 
@@ -168,6 +173,19 @@
         }
     }
 
+    /// The engine ends and starts again: it knows nothing of its runs any more.
+    pub(super) fn crash(&mut self) {
+        self.crashes += 1;
+        for run in std::mem::take(&mut self.active) {
+            self.places_taken -= 1;
+            log::info!("standin: run {run} ends with its engine");
+        }
+        self.finished.clear();
+        for (_, sequence) in self.sequences.drain() {
+            sequence.progress.notify_waiters();
+        }
+    }
+
     /// Frees the place of a sequence that is over, and remembers it for resumes.
     pub(super) fn retire(&mut self, run: &str) {
         if !self.active.remove(run) {
--- a/crates/bulrushusher_wire/src/api_error.rs
+++ b/crates/bulrushusher_wire/src/api_error.rs
@@ -46,6 +46,8 @@
     Overloaded,
     #[display("no_endpoint")]
     NoEndpoint,
+    #[display("quarantined")]
+    Quarantined,
     #[display("shutting_down")]
     ShuttingDown,
     #[display("deadline")]
@@ -71,7 +73,10 @@
             ErrorCode::BodyTooLarge => 413,
             ErrorCode::AccountLimit => 429,
             ErrorCode::OutcomeUnknown | ErrorCode::Internal => 500,
-            ErrorCode::Overloaded | ErrorCode::NoEndpoint | ErrorCode::ShuttingDown => 503,
+            ErrorCode::Overloaded
+            | ErrorCode::NoEndpoint
+            | ErrorCode::Quarantined
+            | ErrorCode::ShuttingDown => 503,
             ErrorCode::Deadline => 504,
         }
     }
@@ -91,6 +96,7 @@
             | ErrorCode::Overloaded
             | ErrorCode::NoEndpoint
             | ErrorCode::ShuttingDown => "come back after the time in Retry-After",
+            ErrorCode::Quarantined => "change the prompt: engines end each time it is run",
             ErrorCode::Deadline => "send it again with a later deadline",
             ErrorCode::KeyTooOld => "send it with a new idempotency key if it is still wanted",
             ErrorCode::AnswerGone => "it ran once; look at its effect before sending a new key",
--- a/crates/bulrushusher_wire/src/frame.rs
+++ b/crates/bulrushusher_wire/src/frame.rs
@@ -181,5 +181,8 @@
     Failed {
         /// What happened.
         cause: String,
+        /// True when the engine ended while it ran it: it has started again and knows nothing of it.
+        #[serde(default)]
+        engine_ended: bool,
     },
 }
--- a/tools/bulrushusher_testbed/src/faults.rs
+++ b/tools/bulrushusher_testbed/src/faults.rs
@@ -120,7 +120,7 @@
         }
         Fault::StalledTransfer => {
             let at = bed.of_role(Role::Prefill)[0];
-            bed.runners[at].set_faults(Faults { stalled_link: true, frozen: false });
+            bed.runners[at].set_faults(Faults { stalled_link: true, ..Faults::default() });
             tokio::time::sleep(STALL).await;
             bed.runners[at].set_faults(Faults::default());
             Ok(())
