Refusals of plain calls count, and a runner without an answer takes its pool's mean

Cause: a runner that had not answered yet counted as answering within 1 ms, and one that said that it does not run a call was asked with the next call all the same. A full runner that refuses at once used up the repeats of its gateway; one that had just started, and is slow then, got a burst alone. Ruled out: counting a refusal as a failure (nothing was lost, and a full runner is a good one some milliseconds later).

--- a/crates/bulrushusher_forward/src/choose.rs
+++ b/crates/bulrushusher_forward/src/choose.rs
@@ -43,14 +43,30 @@
 pub fn pick_for_call(cx: Candidate<'_>, pick: PlainPick<'_>) -> Option<Runner> {
     let fresh = |r: &&Runner| !pick.tried.contains(&r.id);
     let usable: Vec<&Runner> = cx.members.usable(cx.service, cx.now).filter(fresh).collect();
-    let from = awake_if_any(cx, usable);
+    let from = with_room_if_any(cx, awake_if_any(cx, usable));
+    let pool_ms = mean_of_pool(cx, &from);
     let cost = |r: &Runner| {
         let near = if r.data_centre == *pick.near { NEAR_BONUS } else { 1.0 };
-        cx.loads.get(&r.id).expected_ms(r.slots) * near
+        cx.loads.get(&r.id).expected_ms(r.slots, pool_ms) * near
     };
     lowest(&from, pick.draw, cost).cloned()
 }
 
+/// Without the runners that refused a moment ago, unless there are no others. A refusal costs one of the
+/// repeats that all gateways share.
+fn with_room_if_any<'a>(cx: Candidate<'_>, from: Vec<&'a Runner>) -> Vec<&'a Runner> {
+    let has_room = |r: &&Runner| !cx.loads.is_full(&r.id, cx.now);
+    let with_room: Vec<&Runner> = from.iter().copied().filter(has_room).collect();
+    if with_room.is_empty() { from } else { with_room }
+}
+
+/// Mean time of the answers of those that have answered, in ms; 0 when none has. Without it a runner that
+/// has just started, and is slow as yet, would count as the quickest and get a burst alone.
+fn mean_of_pool(cx: Candidate<'_>, pool: &[&Runner]) -> f64 {
+    let means: Vec<f64> = pool.iter().filter_map(|r| cx.loads.get(&r.id).mean_ms()).collect();
+    means.iter().sum::<f64>() / means.len().max(1) as f64
+}
+
 /// The prefill runner with the fewest prompt tokens waiting, those that others have `elsewhere` in
 /// this process's sight included; near the decode runner at a tie.
 pub fn pick_for_prefill(
--- a/crates/bulrushusher_forward/src/load.rs
+++ b/crates/bulrushusher_forward/src/load.rs
@@ -14,7 +14,7 @@
     pub first_pause: Millis,
     /// Longest such pause.
     pub longest_pause: Millis,
-    /// How long a refused hold speaks against a runner.
+    /// How long a refused hold or call speaks against a runner.
     pub refusal_fades: Millis,
     /// How long a call that tries a silent runner again keeps others from it.
     pub trial: Millis,
@@ -22,7 +22,7 @@
 
 impl Default for LoadConfig {
     /// A quarter follows a runner that turns slow or failing within some ten calls. The pauses
-    /// bound what a dead runner costs to about one call in four seconds; a refused hold is stale
+    /// bound what a dead runner costs to about one call in four seconds; a refusal is stale
     /// once one more answer may have ended there. A call to a runner that is still silent is given
     /// up within a second; without the trial a dozen calls met it at once after each pause.
     fn default() -> LoadConfig {
@@ -65,7 +65,7 @@
     paused_until: Millis,
     /// When a call began that tries a silent runner again.
     tried_at: Option<Millis>,
-    hold_refused: Option<Millis>,
+    refused: Option<Millis>,
 }
 
 /// Loads and results of all runners, as this process sees them.
@@ -137,7 +137,7 @@
 
     /// The runner had no room for a hold.
     pub fn hold_refused(&mut self, id: &RunnerId, now: Millis) {
-        self.load(id).hold_refused = Some(now);
+        self.load(id).refused = Some(now);
     }
 
     /// Takes in how a call went.
@@ -153,6 +153,9 @@
             CallResult::NotRun => load.failure_share,
         };
         load.failure_share = mix(load.failure_share, failure, weight);
+        if result == CallResult::NotRun {
+            load.refused = Some(now);
+        }
         match result {
             CallResult::Unreachable => {
                 let doublings = load.unreachable_in_row.min(8);
@@ -192,9 +195,9 @@
         now < load.paused_until || is_tried
     }
 
-    /// True when the runner refused a hold so lately that it will refuse again.
+    /// True when the runner refused a hold or a call so lately that it will refuse again.
     pub(crate) fn is_full(&self, id: &RunnerId, now: Millis) -> bool {
-        let refused = self.get(id).hold_refused;
+        let refused = self.get(id).refused;
         refused.is_some_and(|at| now.since(at) < self.cfg.refusal_fades)
     }
 }
@@ -210,10 +213,16 @@
         self.tried_at = None;
     }
 
-    /// Expected time of one more call, in ms, with failures counted as time lost.
-    pub fn expected_ms(&self, slots: u32) -> f64 {
+    /// Mean time of its answers, in ms; `None` when it has not answered yet.
+    pub fn mean_ms(&self) -> Option<f64> {
+        (self.mean_ms > 0.0).then_some(self.mean_ms)
+    }
+
+    /// Expected time of one more call, in ms, with failures counted as time lost. A runner that has not
+    /// answered yet is taken to be as quick as others of its pool, which take `pool_ms`.
+    pub fn expected_ms(&self, slots: u32, pool_ms: f64) -> f64 {
         let queue = f64::from(self.in_flight + 1) / f64::from(slots.max(1));
-        let mean = self.mean_ms.max(1.0);
+        let mean = self.mean_ms().unwrap_or(pool_ms).max(1.0);
         let failures = 1.0 + FAILURE_COST * self.failure_share;
         mean * failures * (1.0 + queue)
     }
