Announcements of gateways are read to the end, taken back and cleaned up

Cause: the first page of the announcements was read only, some 500, and nothing of ours expires by itself. With VMs that are replaced under new names the dead would in time fill that page, be told every change, and fill the table of 512 peers, so that new gateways find nobody. The mend: Gateways in bulrushusher_forward, without I/O: who is known, who is told each change (heard within ten seconds), who gets whole reports, which announcements this gateway removes. A stopping gateway takes its own back, at the revision that it wrote. Ruled out: removal by any gateway that finds one silent (a cut data centre would lose its announcements as often as there are looks); an unconditional delete at stop (it may be carried out after the next start).

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -8,6 +8,7 @@
 mod choose;
 mod events;
 mod forecast;
+mod gateways;
 mod health;
 mod load;
 mod members;
@@ -35,6 +36,7 @@
 pub use choose::{Candidate, PlainPick, pick_for_call, pick_for_prefill, rank_for_decode};
 pub use events::{EventSplitter, WholeEvents};
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
+pub use gateways::{Announced, Gateways, GatewaysConfig, ListedGateways};
 pub use health::{HealthConfig, RunCounts, RunnerHealth};
 pub use load::{CallResult, LoadConfig, LoadLife, RunnerLoads};
 pub use members::{ListNews, Members, MembersConfig};
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -284,6 +284,17 @@
     pub revision: u64,
 }
 
+/// A gateway's announcement, as the store holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Announcement {
+    /// The gateway.
+    pub gateway: String,
+    /// What it wrote.
+    pub value: serde_json::Value,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
 /// What became of a conditional write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordWrite {
@@ -313,19 +324,27 @@
         slack: Millis,
     ) -> impl Future<Output = Result<News, StoreFailure>> + Send;
 
-    /// Tells the other gateways where this one is.
+    /// Tells the other gateways where this one is; returns the announcement's revision.
     fn announce(
         &self,
         gateway: &str,
         value: serde_json::Value,
         timeout: Millis,
-    ) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+    ) -> impl Future<Output = Result<u64, StoreFailure>> + Send;
 
-    /// Names and announcements of all gateways; they may be some seconds old.
+    /// The announcements of all gateways; they may be some seconds old.
     fn announced(
         &self,
         timeout: Millis,
-    ) -> impl Future<Output = Result<Vec<(String, serde_json::Value)>, StoreFailure>> + Send;
+    ) -> impl Future<Output = Result<Vec<Announcement>, StoreFailure>> + Send;
+
+    /// Removes a gateway's announcement if it still has that revision; false when it has not.
+    fn retract(
+        &self,
+        gateway: &str,
+        revision: u64,
+        timeout: Millis,
+    ) -> impl Future<Output = Result<bool, StoreFailure>> + Send;
 
     /// Reads a record of the router's own; `None` when nobody ever wrote it.
     fn read_record(
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
+use crate::announcing::Announcer;
 use crate::dialect::{Dialect, PlatformStore, Topic};
 use crate::exchange::Exchanger;
 use crate::feed::Feed;
@@ -65,7 +66,8 @@
     let mut tasks = JoinSet::new();
     parts.spawn_probes(&cfg, &mut tasks)?;
     parts.spawn_feeds(&store, &mut tasks);
-    parts.spawn_peers(&cfg, &store, &mut tasks).await?;
+    let announcer = parts.announcer(&store, cfg.peers);
+    parts.spawn_peers(&cfg, announcer.clone(), &mut tasks).await?;
     tasks.spawn(parts.quarantine_keeper(&store).keep());
     tasks.spawn(parts.stage_keeper(store).keep());
     let server = Arc::new(Server::new(parts.front.clone(), clock));
@@ -77,6 +79,7 @@
     until_stopped(&parts.knowledge, reread).await?;
     let stop = parts.lifecycle.stop(parts.knowledge.cfg().shutdown, parts.knowledge.now());
     log::info!("gateway: stopping connections={}", server.connections());
+    tasks.spawn(async move { announcer.retract().await });
     finish(&parts.knowledge, &server, stop, || accepting.abort()).await;
     log::info!("gateway: stopped connections={}", server.connections());
     Ok(())
@@ -135,16 +138,20 @@
         QuarantineKeeper { store: store.clone(), knowledge, metrics }
     }
 
+    fn announcer<S: PlatformStore>(&self, store: &S, address: SocketAddr) -> Arc<Announcer<S>> {
+        let (knowledge, lifecycle) = (self.knowledge.clone(), self.lifecycle.clone());
+        Arc::new(Announcer::new(store.clone(), knowledge, lifecycle, address))
+    }
+
     async fn spawn_peers<S: PlatformStore>(
         &self,
         cfg: &GatewayConfig,
-        store: &S,
+        announcer: Arc<Announcer<S>>,
         tasks: &mut JoinSet<()>,
     ) -> io::Result<()> {
         let socket = UdpSocket::bind(cfg.peers).await?;
-        let (store, knowledge) = (store.clone(), self.knowledge.clone());
         let last_told = Default::default();
-        let peers = Peers { store, knowledge, address: cfg.peers, last_told };
+        let peers = Peers { announcer, knowledge: self.knowledge.clone(), last_told };
         tasks.spawn(peers.speak(socket));
         Ok(())
     }
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -4,12 +4,13 @@
 //! forwarded one. `call` carries out plain calls; `generation` has a run begun (`begin`, with
 //! `placement` and `reading`) and its stream carried (`pump`). All reach runners by `exchange` and
 //! `pool`. `feed` follows the store into `knowledge`, `orders` keeps the ratio of prefill and decode
-//! runners, `peers` speaks with the other gateways. `crashes` finds out which requests end the runners that
+//! runners, `peers` speaks with the other gateways, which `announcing` finds. `crashes` finds out which requests end the runners that
 //! run them, and `quarantine` keeps them in the store.
 //!
 //! The decisions are those of `bulrushusher_forward`. What the platform speaks comes in by the
 //! traits of [`dialect`]; nothing here knows its names.
 
+mod announcing;
 mod answer;
 mod begin;
 mod body;
--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers.rs
@@ -11,9 +11,9 @@
 use bulrushusher_forward::{ChangesNews, GatewayChanges, GatewayReport};
 use bulrushusher_routing::CrashNews;
 use bulrushusher_time::Millis;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::announcing::Announcer;
 use crate::dialect::PlatformStore;
 use crate::knowledge::Knowledge;
 use crate::report_codec::{self, Datagram, Word};
@@ -34,14 +34,6 @@
 /// the link is so full that asking again makes it worse.
 const ASK_AGAIN: Millis = Millis(200);
 
-/// Times after start at which the announcements are read, and then every last of these.
-const LOOK_AFTER: [Millis; 4] = [Millis(0), Millis(1_000), Millis(3_000), Millis(15_000)];
-
-/// Pause after an announcement that failed.
-const ANNOUNCE_AGAIN: Millis = Millis(700);
-
-const STORE_TIMEOUT: Millis = Millis(500);
-
 /// Times that a crash is told. Of three datagrams on a link that loses a tenth, one in a thousand peers
 /// hears none; the store and the peers' answers tell it then.
 const CRASHES_TOLD: u32 = 3;
@@ -52,101 +44,46 @@
 /// Largest datagram; a report of some hundred runs.
 const MAX_DATAGRAM: usize = 60_000;
 
-/// Peers told at once; what stands in the store for longer than its gateway lives is bounded so.
-const MAX_PEERS: usize = 512;
-
-#[derive(Debug, Serialize, Deserialize)]
-struct Announcement {
-    address: SocketAddr,
-}
-
 /// The task that speaks with peers.
 #[derive(Debug)]
 pub(crate) struct Peers<S> {
-    pub store: S,
+    pub announcer: Arc<Announcer<S>>,
     pub knowledge: Arc<Knowledge>,
-    pub address: SocketAddr,
     pub last_told: parking_lot::Mutex<LastTold>,
 }
 
 impl<S: PlatformStore> Peers<S> {
     /// Speaks and listens until dropped.
     pub(crate) async fn speak(self, socket: UdpSocket) {
-        let found = parking_lot::Mutex::new(BTreeMap::new());
         tokio::join!(
-            self.look(&socket, &found),
-            self.listen(&socket, &found),
-            self.tell(&socket, &found),
-            self.tell_crashes(&socket, &found),
-            self.announce(),
+            self.look(&socket),
+            self.listen(&socket),
+            self.tell(&socket),
+            self.tell_crashes(&socket),
+            self.announcer.announce(),
         );
     }
 
-    async fn announce(&self) {
-        let name = self.knowledge.cfg().name.to_string();
-        let value = match serde_json::to_value(Announcement { address: self.address }) {
-            Ok(value) => value,
-            Err(e) => return log::error!("peers: announcement cannot be written cause=\"{e}\""),
-        };
-        while let Err(e) = self.store.announce(&name, value.clone(), STORE_TIMEOUT).await {
-            log::info!("peers: not announced yet cause=\"{e}\"");
-            tokio::time::sleep(ANNOUNCE_AGAIN.duration()).await;
-        }
-    }
-
-    async fn look(&self, socket: &UdpSocket, found: &Found) {
-        let mut waits = LOOK_AFTER.iter().copied();
-        let mut wait = LOOK_AFTER[0];
-        loop {
-            wait = waits.next().unwrap_or(wait);
-            tokio::time::sleep(wait.duration()).await;
-            match self.store.announced(STORE_TIMEOUT).await {
-                Ok(announced) => self.take_in(socket, found, announced).await,
-                Err(e) => log::debug!("peers: announcements not read cause=\"{e}\""),
+    /// Finds peers by their announcements; each new one is told at once.
+    async fn look(&self, socket: &UdpSocket) {
+        for nth in 0.. {
+            for address in self.announcer.look(nth).await {
+                self.answer(socket, address).await;
             }
         }
     }
 
-    async fn take_in(
-        &self,
-        socket: &UdpSocket,
-        found: &Found,
-        announced: Vec<(String, serde_json::Value)>,
-    ) {
-        let own = self.knowledge.cfg().name.to_string();
-        for (name, value) in announced.into_iter().filter(|(name, _)| *name != own) {
-            match serde_json::from_value::<Announcement>(value) {
-                Ok(it) => self.note_peer(socket, found, name, it.address).await,
-                Err(e) => log::warn!("peers: announcement of {name} cannot be read cause=\"{e}\""),
-            }
-        }
-    }
-
-    /// Remembers a peer; a new one alone is told at once, so that it does not place runs blindly. To
-    /// tell all others too would make starting gateways tell each other by the square of their number.
-    async fn note_peer(
-        &self,
-        socket: &UdpSocket,
-        found: &Found,
-        name: String,
-        address: SocketAddr,
-    ) {
-        let is_new = {
-            let mut found = found.lock();
-            let is_new = found.get(&name) != Some(&address);
-            let has_place = found.len() < MAX_PEERS || found.contains_key(&name);
-            if is_new && has_place {
-                log::info!("peers: found name={name} address={address}");
-                found.insert(name, address);
-            }
-            is_new && has_place
-        };
-        if is_new {
+    /// Tells a peer that is new. It alone: to tell all others too would make starting gateways tell
+    /// each other by the square of their number.
+    async fn note_heard(&self, socket: &UdpSocket, name: &str, address: SocketAddr) {
+        let now = self.knowledge.now();
+        if self.announcer.known.lock().hear(name, address, now) {
+            log::info!("peers: found name={name} address={address}");
             self.answer(socket, address).await;
         }
     }
 
-    async fn listen(&self, socket: &UdpSocket, found: &Found) {
+    async fn listen(&self, socket: &UdpSocket) {
         let mut buf = vec![0; MAX_DATAGRAM];
         loop {
             let (len, from) = match socket.recv_from(&mut buf).await {
@@ -160,7 +97,7 @@
             match report_codec::read(&buf[..len]) {
                 Ok(datagram) => {
                     self.take_word(socket, &datagram.from, datagram.word, from).await;
-                    self.note_peer(socket, found, datagram.from, from).await;
+                    self.note_heard(socket, &datagram.from, from).await;
                 }
                 Err(e) => log::debug!("peers: datagram passed over from={from} cause=\"{e}\""),
             }
@@ -209,7 +146,7 @@
         }
     }
 
-    async fn tell(&self, socket: &UdpSocket, found: &Found) {
+    async fn tell(&self, socket: &UdpSocket) {
         let life = self.knowledge.now().0;
         let mut number = 0;
         loop {
@@ -220,14 +157,21 @@
             }
             number += 1;
             let word = self.next_word(self.knowledge.report(life, number));
-            let peers: Vec<SocketAddr> = found.lock().values().copied().collect();
+            let peers = {
+                let known = self.announcer.known.lock();
+                match word {
+                    // Whoever was cut off hears of this gateway again by a whole report.
+                    Word::Whole(_) => known.all(),
+                    _ => known.told(self.knowledge.now()),
+                }
+            };
             self.write(socket, word, &peers).await;
             tokio::time::sleep(LEAST_GAP.duration()).await;
         }
     }
 
     /// Tells of requests that crash runners, at once and then some times more, as a datagram may be lost.
-    async fn tell_crashes(&self, socket: &UdpSocket, found: &Found) {
+    async fn tell_crashes(&self, socket: &UdpSocket) {
         let mut news = CrashNews::default();
         let mut times = 0;
         loop {
@@ -241,7 +185,7 @@
                 times = CRASHES_TOLD;
             }
             news.add(new);
-            let peers: Vec<SocketAddr> = found.lock().values().copied().collect();
+            let peers = self.announcer.known.lock().all();
             self.write(socket, Word::Crashes(news.clone()), &peers).await;
             times = times.saturating_sub(1);
             if times == 0 {
@@ -302,9 +246,6 @@
     asked: BTreeMap<SocketAddr, Millis>,
 }
 
-/// Names and addresses of the peers found so far.
-type Found = parking_lot::Mutex<BTreeMap<String, SocketAddr>>;
-
 async fn send(socket: &UdpSocket, bytes: &[u8], peers: &[SocketAddr]) {
     for peer in peers {
         if let Err(e) = socket.send_to(bytes, peer).await {
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -4,8 +4,8 @@
 
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
-    ForecastConfig, HoldConfig, LoadConfig, MembersConfig, ReturnConfig, ShutdownConfig,
-    StagesConfig, WaitingConfig,
+    ForecastConfig, GatewaysConfig, HoldConfig, LoadConfig, MembersConfig, ReturnConfig,
+    ShutdownConfig, StagesConfig, WaitingConfig,
 };
 use bulrushusher_routing::{QuarantineConfig, RetryConfig};
 use bulrushusher_time::Millis;
@@ -110,6 +110,13 @@
         Some("0.2"),
         "Share of that time over which returns are spread.",
     ),
+    setting(
+        "gateways",
+        "gone_after_s",
+        Kind::Real(1.0, 604_800.0),
+        Some("300"),
+        "Silence in seconds after which a gateway's announcement is removed from the store.",
+    ),
     setting(
         "quarantine",
         "crashes",
@@ -207,6 +214,8 @@
     pub return_spread: f64,
     /// When a request that crashes runners is run no more.
     pub quarantine: QuarantineConfig,
+    /// When other gateways count as gone.
+    pub gateways: GatewaysConfig,
     /// How much memory is held.
     pub holds: HoldConfig,
     /// How cautious forecasts of memory are.
@@ -278,6 +287,10 @@
                 lasts: Millis((values.real("quarantine", "lasts_s") * 1_000.0) as u64),
                 ..QuarantineConfig::default()
             },
+            gateways: GatewaysConfig {
+                gone_after: Millis((values.real("gateways", "gone_after_s") * 1_000.0) as u64),
+                ..GatewaysConfig::default()
+            },
             holds: HoldConfig { per_expected_output: values.real("holds", "per_expected_output") },
             forecast: ForecastConfig {
                 caution: values.real("forecast", "caution"),
