--- a/crates/bulrushusher_forward/src/gateways.rs
+++ b/crates/bulrushusher_forward/src/gateways.rs
@@ -68,8 +68,8 @@
 /// What a list of announcements tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListedGateways {
-    /// Addresses of gateways that were not known there.
-    pub found: Vec<SocketAddr>,
+    /// Gateways that were not known at their address.
+    pub found: Vec<Announced>,
     /// True when this gateway's own announcement is missing.
     pub own_is_missing: bool,
 }
@@ -83,8 +83,8 @@
 /// let mut gateways = Gateways::new(cfg, "entry-1".into());
 /// let address = "10.0.0.2:7000".parse().unwrap();
 /// let announced = Announced { name: "entry-2".into(), address, revision: 9 };
-/// let listed = gateways.list(&[announced], Millis(0));
-/// assert_eq!((listed.found, listed.own_is_missing), (vec![address], true));
+/// let listed = gateways.list(&[announced.clone()], Millis(0));
+/// assert_eq!((listed.found, listed.own_is_missing), (vec![announced], true));
 /// // It is told each change for some time, and whole reports while it is announced.
 /// assert_eq!(gateways.told(Millis(500)), [address]);
 /// assert!(gateways.told(cfg.told_for).is_empty());
@@ -123,7 +123,7 @@
             if announced.name == self.own {
                 listed.own_is_missing = false;
             } else if self.note_announced(announced, now) {
-                listed.found.push(announced.address);
+                listed.found.push(announced.clone());
             }
         }
         let told_for = self.cfg.told_for;
--- a/crates/bulrushusher_gateway/src/announcing.rs
+++ b/crates/bulrushusher_gateway/src/announcing.rs
@@ -92,7 +92,7 @@
     }
 
     /// Waits until the announcements are to be looked at for the `nth` time, and looks. Returns addresses
-    /// of gateways that were not known there.
+    /// at which gateways were not known before.
     pub(crate) async fn look(&self, nth: usize) -> Vec<SocketAddr> {
         let wait = LOOK_AFTER[nth.min(LOOK_AFTER.len() - 1)];
         tokio::time::sleep(wait.duration()).await;
@@ -108,14 +108,14 @@
             self.announce().await;
         }
         self.clean().await;
-        listed.found
+        listed.found.into_iter().map(|announced| announced.address).collect()
     }
 
     fn take_in(&self, announced: Vec<Announcement>) -> ListedGateways {
         let readable: Vec<Announced> = announced.into_iter().filter_map(read).collect();
         let listed = self.known.lock().list(&readable, self.knowledge.now());
-        for address in &listed.found {
-            log::info!("peers: found address={address} announced={}", readable.len());
+        for Announced { name, address, .. } in &listed.found {
+            log::info!("peers: found name={name} address={address}");
         }
         listed
     }
