--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! `gateway` starts the parts. `server` takes connections and `front` turns a request into a
 //! forwarded one. `call` carries out plain calls; `generation` has a run begun (`begin`, with
-//! `placement` and `reading`) and its stream carried (`pump`). All reach runners by `exchange` and
+//! `placement` and `reading`) and its stream carried (`pump`, each run by `carrying`). All reach runners by `exchange` and
 //! `pool`. `feed` follows the store into `knowledge`, `orders` keeps the ratio of prefill and decode
 //! runners, `peers` speaks with the other gateways, which `announcing` finds. `crashes` finds out which requests end the runners that
 //! run them, and `quarantine` keeps them in the store.
@@ -15,6 +15,7 @@
 mod begin;
 mod body;
 mod call;
+mod carrying;
 mod connection;
 mod crashes;
 pub mod dialect;
