--- a/crates/bulrushusher_gateway/src/announcing.rs
+++ b/crates/bulrushusher_gateway/src/announcing.rs
@@ -22,6 +22,7 @@
 /// made longer ago.
 const OLDEST_LIST: Millis = Millis(10_000);
 
+/// Longest wait for the store; it answers in milliseconds when it is well.
 const STORE_TIMEOUT: Millis = Millis(500);
 
 /// What a gateway writes of itself.
--- a/crates/bulrushusher_gateway/src/run.rs
+++ b/crates/bulrushusher_gateway/src/run.rs
@@ -29,7 +29,7 @@
     pub held: Option<HeldMemory<D>>,
     /// It does not move to another runner before.
     pub stays_until: Millis,
-    /// Tells whether its runner ended on it.
+    /// Finds out whether its runner ended on it, should the stream break.
     pub watch: CrashWatch,
     pub _ticket: LoadTicket,
 }
