--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -5,7 +5,7 @@
 use bulrushusher_once::{Ballot, Ran, Settled};
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
-use bulrushusher_wire::{ApiError, NotTaken, RunOrder, RunState, Work};
+use bulrushusher_wire::{ApiError, ErrorCode, NotTaken, RunOrder, RunState, Work};
 use bulrushusher_world::{Endpoint, EndpointName};
 
 use crate::LOG;
@@ -234,6 +234,15 @@
         );
     }
 
+    /// Refuses a prompt that ended the engines that ran it.
+    pub(crate) fn refuse_quarantined(&self) -> Result<(), ApiError> {
+        let Some(prompt) = self.prompt else { return Ok(()) };
+        let now = self.shared.clock.now();
+        let Some(left) = self.shared.quarantine.lock().left(prompt, now) else { return Ok(()) };
+        let message = "engines ended on this prompt each time it was run";
+        Err(ApiError::not_run(ErrorCode::Quarantined, message).after(left))
+    }
+
     fn note_answer(&self) {
         if let Some(prompt) = self.prompt {
             self.shared.quarantine.lock().note_answer(prompt);
--- a/crates/bulrushusher_entry/src/prompt_task.rs
+++ b/crates/bulrushusher_entry/src/prompt_task.rs
@@ -58,7 +58,7 @@
 ) -> Result<(), ApiError> {
     loop {
         execution.job.time_left(shared.clock.now())?;
-        refuse_quarantined(shared, prompt)?;
+        execution.refuse_quarantined()?;
         if attempt(shared, prompt, blocks, execution).await? == Step::Done {
             return Ok(());
         }
@@ -67,17 +67,6 @@
     }
 }
 
-/// Refuses a prompt that ended the engines that ran it.
-fn refuse_quarantined(shared: &Shared, prompt: &PromptJob) -> Result<(), ApiError> {
-    let quarantine = shared.quarantine.lock();
-    if quarantine.is_empty() {
-        return Ok(());
-    }
-    let Some(left) = quarantine.left(prompt.digest(), shared.clock.now()) else { return Ok(()) };
-    let message = "engines ended on this prompt each time it was run";
-    Err(ApiError::not_run(ErrorCode::Quarantined, message).after(left))
-}
-
 /// Takes a retry from the budget. Patient requests are never dropped for want of one.
 pub(crate) fn spend_retry(shared: &Shared, job: &Job) -> Result<(), ApiError> {
     const COME_BACK: Millis = Millis(1_000);
--- a/crates/bulrushusher_forward/src/choose.rs
+++ b/crates/bulrushusher_forward/src/choose.rs
@@ -55,9 +55,13 @@
 /// Without the runners that refused a moment ago, unless there are no others. A refusal costs one of the
 /// repeats that all gateways share.
 fn with_room_if_any<'a>(cx: Candidate<'_>, from: Vec<&'a Runner>) -> Vec<&'a Runner> {
-    let has_room = |r: &&Runner| !cx.loads.is_full(&r.id, cx.now);
-    let with_room: Vec<&Runner> = from.iter().copied().filter(has_room).collect();
-    if with_room.is_empty() { from } else { with_room }
+    those_if_any(from, |r| !cx.loads.is_full(&r.id, cx.now))
+}
+
+/// Those for which `holds`, or all where it holds for none.
+fn those_if_any(from: Vec<&Runner>, holds: impl Fn(&Runner) -> bool) -> Vec<&Runner> {
+    let those: Vec<&Runner> = from.iter().copied().filter(|r| holds(r)).collect();
+    if those.is_empty() { from } else { those }
 }
 
 /// Mean time of the answers of the quickest that has answered, in ms; 0 when none has. A runner that has
@@ -131,9 +135,7 @@
     let fails = |r: &Runner| cx.failing.is_some_and(|failing| failing.contains(&r.id));
     let silent = |r: &Runner| cx.runs.is_some_and(|runs| runs.is_silent_at_peers(&r.id, cx.now));
     let paused = |r: &Runner| cx.loads.is_paused(&r.id, cx.now) || silent(r);
-    let awake = usable.iter().filter(|r| !paused(r) && !fails(r));
-    let awake: Vec<&Runner> = awake.copied().collect();
-    if awake.is_empty() { usable } else { awake }
+    those_if_any(usable, |r| !paused(r) && !fails(r))
 }
 
 fn lowest<'a>(from: &[&'a Runner], draw: f64, cost: impl Fn(&Runner) -> f64) -> Option<&'a Runner> {
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -25,8 +25,8 @@
     tries: &mut Tries,
     until: Millis,
 ) -> Result<Run<D>, NoRun> {
-    if cx.quarantine_left(fwd).is_some() {
-        return Err(NoRun::Quarantined);
+    if let Some(left) = cx.quarantine_left(fwd) {
+        return Err(NoRun::Quarantined { left });
     }
     if !cx.knowledge.is_split(&fwd.service) {
         return begin_whole(cx, fwd, tries).await;
@@ -43,8 +43,9 @@
         log::info!("read: again id={} cause=\"its runner started again\"", fwd.arrival.id);
         kv = read_prompt(cx, fwd, tries, &mut held).await?;
     }
-    if cx.quarantine_left(fwd).is_some() {
-        return Err(NoRun::Quarantined);
+    // It may have ended another runner while its prompt was read.
+    if let Some(left) = cx.quarantine_left(fwd) {
+        return Err(NoRun::Quarantined { left });
     }
     begin_split(cx, fwd, tries, held, kv).await
 }
@@ -156,7 +157,7 @@
         NoRun::Ended(_, reason) => (CallResult::Unreachable, *reason),
         NoRun::Failed(..) => (CallResult::Failed, "failed"),
         NoRun::Unplaced(reason) => (CallResult::NotRun, *reason),
-        NoRun::Quarantined => (CallResult::NotRun, "quarantined"),
+        NoRun::Quarantined { .. } => (CallResult::NotRun, "quarantined"),
     };
     note(cx, fwd, &runner, "generate", began, (result, detail));
     if matches!(result, CallResult::Failed | CallResult::Unreachable) {
--- a/crates/bulrushusher_gateway/src/crashes.rs
+++ b/crates/bulrushusher_gateway/src/crashes.rs
@@ -35,9 +35,9 @@
 impl CrashWatch {
     /// The request is sent to a runner now.
     pub(crate) fn begin<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> CrashWatch {
-        let digest = fwd.digest();
-        let before = cx.knowledge.crashes_before(digest);
-        CrashWatch { id: fwd.arrival.id.clone(), digest, before, began: cx.now() }
+        let before = cx.knowledge.crashes_before(fwd.digest);
+        let (id, digest) = (fwd.arrival.id.clone(), fwd.digest);
+        CrashWatch { id, digest, before, began: cx.now() }
     }
 
     /// Its run begins now: it may have waited at the runner.
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/front.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bulrushusher_forward::{CallerLimits, RouteKind, RoutingConfig};
+use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -142,12 +143,12 @@
             Ok(read) => read,
             Err(refusal) => return (kind, Err(refusal)),
         };
-        fwd.body = body;
+        fwd.set_body(body);
         log::info!(
             "front: accepted id={} digest={} route={} service={} kind={kind} left_ms={} \
              elapsed_before_ms={} configuration={} target_ms={} pause_target_ms={} prompt={}",
             arrival.id,
-            fwd.digest(),
+            fwd.digest,
             fwd.route.name,
             fwd.service,
             fwd.left(received).0,
@@ -202,6 +203,7 @@
             method: head.method.clone(),
             uri: origin_form(head),
             body: Bytes::new(),
+            digest: RequestDigest::default(),
             received,
             ends: received.plus(patience.min(route.timeout)),
             elapsed_before,
--- a/crates/bulrushusher_gateway/src/generation.rs
+++ b/crates/bulrushusher_gateway/src/generation.rs
@@ -27,13 +27,12 @@
     let until = fwd.received.plus(wait).min(fwd.ends);
     let mut tries = Tries { resume_after: fwd.arrival.resume_after, ..Tries::default() };
     loop {
-        if let Some(left) = cx.quarantine_left(fwd) {
-            return Err(Refusal::of(plan.final_answer(), QUARANTINED, left));
-        }
         let run = begin_run(cx, fwd, &mut tries, until).await;
         let (end, reason, failed) = match run {
             Ok(run) => return Ok(pump::start(cx.clone(), fwd.clone(), plan, run)),
-            Err(NoRun::Quarantined) => continue,
+            Err(NoRun::Quarantined { left }) => {
+                return Err(Refusal::of(plan.final_answer(), QUARANTINED, left));
+            }
             Err(NoRun::Unplaced(reason)) => {
                 return Err(Refusal::of(plan.final_answer(), reason, cx.come_back(fwd)));
             }
--- a/crates/bulrushusher_gateway/src/knowledge/crashes.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/crashes.rs
@@ -23,12 +23,8 @@
 
 impl Knowledge {
     /// How long the request is still kept from runners; `None` when it may run.
-    pub(crate) fn quarantine_left(&self, digest: impl FnOnce() -> RequestDigest) -> Option<Millis> {
-        let crashes = self.crashes.lock();
-        match crashes.quarantine.is_empty() {
-            true => None,
-            false => crashes.quarantine.left(digest(), self.now()),
-        }
+    pub(crate) fn quarantine_left(&self, digest: RequestDigest) -> Option<Millis> {
+        self.crashes.lock().quarantine.left(digest, self.now())
     }
 
     /// Crashes in a row of a request that is sent to a runner now.
@@ -65,12 +61,8 @@
     }
 
     /// A request was answered.
-    pub(crate) fn note_answer(&self, digest: impl FnOnce() -> RequestDigest) {
+    pub(crate) fn note_answer(&self, digest: RequestDigest) {
         let mut crashes = self.crashes.lock();
-        if crashes.quarantine.is_empty() {
-            return;
-        }
-        let digest = digest();
         if crashes.quarantine.note_answer(digest) {
             crashes.to_tell.add(CrashNews { cleared: vec![digest], ..CrashNews::default() });
             drop(crashes);
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/pump.rs
@@ -71,7 +71,7 @@
         cx.metrics.attempt("stream", word, took.0 as f64);
         match end {
             RunEnd::Whole => {
-                cx.knowledge.note_answer(|| fwd.digest());
+                cx.knowledge.note_answer(fwd.digest);
                 cx.knowledge.note_run_end(&runner, true);
                 let expected = fwd.arrival.size.map_or(0, |size| size.expected());
                 let made = last * cx.knowledge.tokens_per_event(&fwd.service);
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -35,6 +35,8 @@
     pub method: Method,
     pub uri: Uri,
     pub body: Bytes,
+    /// What the caller asks for, and who it is: an attempt that comes again has the same one.
+    pub digest: RequestDigest,
     /// When its head was read.
     pub received: Millis,
     /// When it must have its final answer.
@@ -54,8 +56,13 @@
         self.arrival.size.map_or(0, |size| size.prompt)
     }
 
-    /// What the caller asks for, and who it is: an attempt that comes again has the same one.
-    pub(crate) fn digest(&self) -> RequestDigest {
+    /// Takes the body, once it has come.
+    pub(crate) fn set_body(&mut self, body: Bytes) {
+        self.body = body;
+        self.digest = self.digest_of_parts();
+    }
+
+    fn digest_of_parts(&self) -> RequestDigest {
         let header = |name| self.arrival.headers.get(name).map_or(&[][..], |v| v.as_bytes());
         RequestDigest::of([
             self.method.as_str().as_bytes(),
@@ -86,7 +93,7 @@
 
     /// How long the request is still kept from runners, because it ends those that run it.
     pub(crate) fn quarantine_left(&self, fwd: &Forwarded) -> Option<Millis> {
-        self.knowledge.quarantine_left(|| fwd.digest())
+        self.knowledge.quarantine_left(fwd.digest)
     }
 
     /// When a refused caller should come back.
--- a/crates/bulrushusher_gateway/src/run.rs
+++ b/crates/bulrushusher_gateway/src/run.rs
@@ -42,8 +42,11 @@
     Failed(response::Parts, Bytes),
     /// There is no memory, or nobody to read the prompt.
     Unplaced(&'static str),
-    /// It was found meanwhile to end the runners that run it.
-    Quarantined,
+    /// It was found to end the runners that run it, and is kept from them for as long.
+    Quarantined {
+        /// How long it still is.
+        left: Millis,
+    },
 }
 
 /// What was tried for a request so far.
--- a/crates/bulrushusher_routing/src/digest.rs
+++ b/crates/bulrushusher_routing/src/digest.rs
@@ -17,7 +17,18 @@
 /// assert_ne!(first, RequestDigest::of([b"POST".as_slice(), b"/ab", b"ody"]));
 /// ```
 #[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
 )]
 #[display("{_0:016x}")]
 #[serde(try_from = "String", into = "String")]
--- a/crates/bulrushusher_routing/src/quarantine.rs
+++ b/crates/bulrushusher_routing/src/quarantine.rs
@@ -159,11 +159,6 @@
         ran_for <= self.cfg.begun_within
     }
 
-    /// True when nothing is known of any request, so that none need be looked up.
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty() && self.held.is_empty()
-    }
-
     /// A request's crashes in a row; to be asked when it is sent to a runner.
     pub fn crashes(&self, digest: RequestDigest) -> u32 {
         self.suspects.get(&digest).map_or(0, |crashes| crashes.in_row)
