Names say what the crates hold: losses, and the client of the store

Cause: client accounts are about to get a crate of their own; bulrushusher_account held the losses that logs tell of, and bulrushusher_platform the own store's client beside the adapter in platform/. Ruled out: a change of behaviour: names, modules and docs only. Conclusion: bulrushusher_losses (Losses) and bulrushusher_store.

--- a/crates/bulrushusher_ctl/src/losses.rs
+++ b/crates/bulrushusher_ctl/src/losses.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use bulrushusher_account::{Account, Group, Reader, Request, Seen, Sums, draw};
+use bulrushusher_losses::{Group, Losses, Reader, Request, Seen, Sums, draw};
 use clap::{Arg, ArgMatches, Command, value_parser};
 
 use crate::CtlError;
@@ -42,7 +42,7 @@
         .args([logs, by, plot])
 }
 
-/// Reads the logs and shows their account.
+/// Reads the logs and shows their losses.
 pub(crate) fn losses(args: &ArgMatches, output: Output) -> Result<String, CtlError> {
     let mut reader = Reader::default();
     for file in args.get_many::<PathBuf>("log").unwrap_or_default() {
@@ -51,7 +51,7 @@
     }
     let (requests, seen) = reader.finish();
     if let Some(file) = args.get_one::<PathBuf>("plot") {
-        let by_second = Account::of(&requests, Group::Second);
+        let by_second = Losses::of(&requests, Group::Second);
         draw(file, &by_second).map_err(|e| unusable(file, &e.to_string()))?;
     }
     let word = args.get_one::<String>("by").map_or("route", String::as_str);
@@ -65,9 +65,9 @@
 }
 
 fn rows(requests: &[Request], group: Group) -> Rows {
-    let account = Account::of(requests, group);
-    let total = Account::total(requests);
-    let named = account.groups.iter().map(|(name, sums)| (name.as_str(), *sums));
+    let losses = Losses::of(requests, group);
+    let total = Losses::total(requests);
+    let named = losses.groups.iter().map(|(name, sums)| (name.as_str(), *sums));
     let rows = named.chain([("all", total)]).map(row).collect();
     Rows { heading: HEADING.to_vec(), rows }
 }
--- a/crates/bulrushusher_ctl/tests/cli.rs
+++ b/crates/bulrushusher_ctl/tests/cli.rs
@@ -54,7 +54,7 @@
 
 #[tokio::test]
 async fn losses_tells_what_logs_say_and_what_they_do_not() {
-    let logs = concat!(env!("CARGO_MANIFEST_DIR"), "/../bulrushusher_account/tests/logs");
+    let logs = concat!(env!("CARGO_MANIFEST_DIR"), "/../bulrushusher_losses/tests/logs");
     let (first, second) = (format!("{logs}/gateway-1.log"), format!("{logs}/gateway-2.log"));
     let run = async |args: &[&str]| {
         let all = ["bulrushctl", "losses"].iter().chain(args);
--- a/crates/bulrushusher_entry/src/configuration.rs
+++ b/crates/bulrushusher_entry/src/configuration.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bulrushusher_once::{ListView, ServiceList};
-use bulrushusher_platform::{ListRevision, Snapshot, StoredObject};
+use bulrushusher_store::{ListRevision, Snapshot, StoredObject};
 use bulrushusher_time::Millis;
 use bulrushusher_wire::ListPush;
 use bulrushusher_world::{
--- a/crates/bulrushusher_entry/src/entry.rs
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -8,11 +8,11 @@
 use bulrushusher_http::{Served, bind, serve};
 use bulrushusher_once::Owner;
 use bulrushusher_operator::v1::operator_server::OperatorServer;
-use bulrushusher_platform::StoreClient;
 use bulrushusher_report::EntryMetrics;
 use bulrushusher_routing::{
     AccountLimits, LoadHint, PairingTable, Quarantine, QuarantineConfig, RetryBudget,
 };
+use bulrushusher_store::StoreClient;
 use bulrushusher_time::{Clock, Millis};
 use bulrushusher_wire::{AgentLoad, ApiError, ErrorCode};
 use bulrushusher_world::EndpointName;
--- a/crates/bulrushusher_entry/src/operator.rs
+++ b/crates/bulrushusher_entry/src/operator.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_operator::v1::operator_server::Operator;
 use bulrushusher_operator::{convert, v1};
-use bulrushusher_platform::{Kind, PutOutcome, StoreError, StoredObject};
+use bulrushusher_store::{Kind, PutOutcome, StoreError, StoredObject};
 use serde::Serialize;
 use tonic::{Request, Response, Status};
 
--- a/crates/bulrushusher_account/src/line.rs
+++ b/crates/bulrushusher_losses/src/line.rs
@@ -18,7 +18,7 @@
 /// A line: when, by whom, what, and the fields.
 ///
 /// ```
-/// use bulrushusher_account::Line;
+/// use bulrushusher_losses::Line;
 /// let text = "[2026-04-26T01:23:28.244Z INFO ] front: accepted id=r1 route=gen left_ms=900";
 /// let line = Line::read(text).unwrap();
 /// assert_eq!((line.what, line.text("id")), ("front: accepted", Some("r1")));
--- a/crates/bulrushusher_account/src/account.rs
+++ b/crates/bulrushusher_losses/src/losses.rs
@@ -94,7 +94,7 @@
 
 /// Requests summed by one thing, in order of its names.
 #[derive(Clone, Debug, Default)]
-pub struct Account {
+pub struct Losses {
     /// The sums, by name.
     pub groups: BTreeMap<String, Sums>,
 }
@@ -103,12 +103,12 @@
 const LARGEST: f64 = 0.9;
 const LARGE: f64 = 0.7;
 
-impl Account {
+impl Losses {
     /// Sums requests by `group`.
-    pub fn of(requests: &[Request], group: Group) -> Account {
+    pub fn of(requests: &[Request], group: Group) -> Losses {
         let first_ms = requests.iter().map(|request| request.at_ms).min().unwrap_or(0);
         let sizes = sizes_by_route(requests);
-        let mut account = Account::default();
+        let mut losses = Losses::default();
         for request in requests {
             let name = match group {
                 Group::Route => request.route.to_string(),
@@ -118,9 +118,9 @@
                 Group::Size => size_word(request, &sizes),
                 Group::Cause => cause_word(request),
             };
-            account.groups.entry(name).or_default().add(request);
+            losses.groups.entry(name).or_default().add(request);
         }
-        account
+        losses
     }
 
     /// All groups together.
--- a/crates/bulrushusher_account/src/plot.rs
+++ b/crates/bulrushusher_losses/src/plot.rs
@@ -1,11 +1,11 @@
-//! A plot of an account by second: lines of what went well and what was lost.
+//! A plot of losses by second: lines of what went well and what was lost.
 
 use std::error::Error;
 use std::path::Path;
 
 use plotters::prelude::*;
 
-use crate::{Account, Sums};
+use crate::{Losses, Sums};
 
 const SIZE: (u32, u32) = (960, 420);
 
@@ -20,11 +20,11 @@
     }),
 ];
 
-/// Draws an account by second as SVG.
+/// Draws losses by second as SVG.
 ///
 /// # Errors
 /// What the plotting library says, such as a file that cannot be written.
-pub fn draw(file: &Path, by_second: &Account) -> Result<(), Box<dyn Error>> {
+pub fn draw(file: &Path, by_second: &Losses) -> Result<(), Box<dyn Error>> {
     let points: Vec<(f64, &Sums)> = by_second
         .groups
         .iter()
--- a/crates/bulrushusher_account/src/reader.rs
+++ b/crates/bulrushusher_losses/src/reader.rs
@@ -26,7 +26,7 @@
 /// Reads logs.
 ///
 /// ```
-/// use bulrushusher_account::Reader;
+/// use bulrushusher_losses::Reader;
 /// let mut reader = Reader::default();
 /// reader.read("gateway-1", b"[2026-04-26T01:23:28.244Z INFO ] front: accepted id=r1 route=gen\nnot ours");
 /// let (requests, seen) = reader.finish();
--- a/crates/bulrushusher_account/tests/account.rs
+++ b/crates/bulrushusher_losses/tests/losses.rs
@@ -1,8 +1,8 @@
-//! The account of two kept logs, and of lines that are no such thing.
+//! The losses in two kept logs, and of lines that are no such thing.
 
 use std::collections::BTreeMap;
 
-use bulrushusher_account::{Account, Group, Reader, Request, Seen};
+use bulrushusher_losses::{Group, Losses, Reader, Request, Seen};
 
 const FIRST: &[u8] = include_bytes!("logs/gateway-1.log");
 const SECOND: &[u8] = include_bytes!("logs/gateway-2.log");
@@ -15,8 +15,8 @@
 }
 
 fn causes(route: &str) -> BTreeMap<String, u64> {
-    let account = Account::of(&read().0, Group::Cause);
-    let of_route = account.groups.into_iter().filter_map(|(name, sums)| {
+    let losses = Losses::of(&read().0, Group::Cause);
+    let of_route = losses.groups.into_iter().filter_map(|(name, sums)| {
         let cause = name.strip_prefix(route)?.strip_prefix(": ")?.to_owned();
         Some((cause, sums.attempts))
     });
@@ -59,19 +59,19 @@
 #[test]
 fn every_request_is_counted_once_in_each_group() {
     let (requests, _) = read();
-    let total = Account::total(&requests);
+    let total = Losses::total(&requests);
     assert_eq!((total.attempts, total.ends()), (19, 19));
     assert_eq!(total.returns, 1);
     for (word, group) in Group::ALL {
-        let account = Account::of(&requests, group);
-        let sum: u64 = account.groups.values().map(|sums| sums.attempts).sum();
+        let losses = Losses::of(&requests, group);
+        let sum: u64 = losses.groups.values().map(|sums| sums.attempts).sum();
         assert_eq!(sum, 19, "{word}");
-        assert!(account.groups.values().all(|sums| sums.ends() == sums.attempts), "{word}");
+        assert!(losses.groups.values().all(|sums| sums.ends() == sums.attempts), "{word}");
     }
-    let by_centre = Account::of(&requests, Group::DataCentre);
+    let by_centre = Losses::of(&requests, Group::DataCentre);
     let names: Vec<&str> = by_centre.groups.keys().map(String::as_str).collect();
     assert_eq!(names, ["dc-1", "dc-2"]);
-    let by_size = Account::of(&requests, Group::Size);
+    let by_size = Losses::of(&requests, Group::Size);
     assert_eq!(by_size.groups["digest: largest tenth"].late, 1, "the prompt of 9,000 tokens");
 }
 
@@ -96,9 +96,9 @@
 
 #[test]
 fn a_plot_is_drawn() {
-    let file = std::env::temp_dir().join(format!("bulrush-account-{}.svg", std::process::id()));
-    let by_second = Account::of(&read().0, Group::Second);
-    bulrushusher_account::draw(&file, &by_second).expect("it is written");
+    let file = std::env::temp_dir().join(format!("bulrush-losses-{}.svg", std::process::id()));
+    let by_second = Losses::of(&read().0, Group::Second);
+    bulrushusher_losses::draw(&file, &by_second).expect("it is written");
     let svg = std::fs::read_to_string(&file).expect("it is there");
     std::fs::remove_file(&file).ok();
     assert!(svg.contains("on time") && svg.contains("refused"));
@@ -119,7 +119,7 @@
     let causes = |log: &str| {
         let mut reader = Reader::default();
         reader.read("g", log.as_bytes());
-        Account::of(&reader.finish().0, Group::Cause).groups.into_keys().collect::<Vec<String>>()
+        Losses::of(&reader.finish().0, Group::Cause).groups.into_keys().collect::<Vec<String>>()
     };
     let open = ["digest: given up by its caller", "digest: no end in the log"];
     assert_eq!(causes(LOG), open);
@@ -137,7 +137,7 @@
 ";
     let mut reader = Reader::default();
     reader.read("g", LOG.as_bytes());
-    let account = Account::of(&reader.finish().0, Group::Cause);
-    let names: Vec<&String> = account.groups.keys().collect();
+    let losses = Losses::of(&reader.finish().0, Group::Cause);
+    let names: Vec<&String> = losses.groups.keys().collect();
     assert_eq!(names, ["digest: refused: no decode memory is free, when it came back"]);
 }
--- a/crates/bulrushusher_platform/src/objects.rs
+++ b/crates/bulrushusher_store/src/objects.rs
@@ -65,7 +65,7 @@
 /// an old copy of a deleted object cannot come back.
 ///
 /// ```
-/// use bulrushusher_platform::{Snapshot, StoredObject};
+/// use bulrushusher_store::{Snapshot, StoredObject};
 /// let object = |version, value| StoredObject {
 ///     key: "account/studio-7".into(), version, revision: version, mark: String::new(), value,
 /// };
--- a/tools/bulrushusher_slopes/src/state.rs
+++ b/tools/bulrushusher_slopes/src/state.rs
@@ -7,10 +7,10 @@
 use bulrushusher_once::{
     Ballot, ExecutorConfig, ExecutorTable, HomeConfig, HomeTable, ServiceList, Vouch,
 };
-use bulrushusher_platform::{Snapshot, StoredObject};
 use bulrushusher_routing::{
     AccountLimits, LimitsConfig, LoadHint, PairingConfig, PairingTable, PromptRequest,
 };
+use bulrushusher_store::{Snapshot, StoredObject};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{
     ClientAccount, Endpoint, EndpointName, RawClientAccount, RawEndpoint, RequestKey, ServiceName,
