--- /dev/null
+++ b/crates/bulrushusher_accounts/tests/accounts.rs
@@ -0,0 +1,120 @@
+//! Accounts as they are configured: what is refused, and that no text shows a key.
+
+use bulrushusher_accounts::{
+    Access, Account, AccountError, AccountTable, Credentials, Denial, Freshness, KeyDigest,
+    RawAccount, TableError, Unit, check_access,
+};
+
+const SECRET: &str = "a-very-secret-key";
+
+fn account(name: &str, keys: &[&str]) -> Account {
+    let keys: Vec<String> = keys.iter().map(|key| (*key).to_owned()).collect();
+    Account::try_from(RawAccount { name, keys: &keys, ..RawAccount::default() }).unwrap()
+}
+
+#[test]
+fn a_bad_value_is_refused_with_its_field() {
+    let error = |raw: RawAccount<'_>| Account::try_from(raw).unwrap_err();
+    assert!(matches!(error(RawAccount::default()), AccountError::Name { .. }));
+    let raw = RawAccount { name: "studio-7", ..RawAccount::default() };
+    for (field, raw) in [
+        ("rate", RawAccount { per_second: -1.0, ..raw }),
+        ("rate", RawAccount { per_second: f64::NAN, ..raw }),
+        ("burst", RawAccount { burst: f64::INFINITY, ..raw }),
+    ] {
+        let text = error(raw).to_string();
+        assert!(text.contains("studio-7") && text.contains(field), "{text}");
+    }
+    let keys = [SECRET.to_owned(), String::new()];
+    let error = error(RawAccount { keys: &keys, ..raw });
+    assert!(matches!(error, AccountError::EmptyKey { nth: 2, .. }), "{error}");
+}
+
+#[test]
+fn a_limit_of_zero_is_none() {
+    let raw = RawAccount { name: "studio-7", burst: 50.0, ..RawAccount::default() };
+    assert_eq!(Account::try_from(raw).unwrap().quota, None);
+}
+
+#[test]
+fn requests_count_as_one_and_tokens_as_what_they_are() {
+    let count = |unit, tokens| {
+        let raw = RawAccount { name: "studio-7", unit, ..RawAccount::default() };
+        Account::try_from(raw).unwrap().cost(tokens)
+    };
+    assert_eq!(count(Unit::Requests, Some(3_070)), 1);
+    assert_eq!(count(Unit::Tokens { plain: 200 }, Some(3_070)), 3_070);
+    assert_eq!(count(Unit::Tokens { plain: 200 }, None), 200);
+}
+
+#[test]
+fn names_and_keys_belong_to_one_account() {
+    let twice = AccountTable::new(vec![account("a", &["1"]), account("a", &["2"])]);
+    assert!(matches!(twice, Err(TableError::Twice { .. })));
+    let shared = AccountTable::new(vec![account("a", &[SECRET]), account("b", &["2", SECRET])]);
+    let error = shared.unwrap_err();
+    assert!(matches!(error, TableError::SharedKey { .. }));
+    assert!(!error.to_string().contains(SECRET));
+    // A key that is named twice by its holder is one key.
+    assert!(AccountTable::new(vec![account("a", &[SECRET, SECRET])]).is_ok());
+}
+
+#[test]
+fn two_keys_at_once_let_a_key_be_replaced_and_none_lets_nobody_in() {
+    let check = |keys: &[&str], key| {
+        let table = AccountTable::new(vec![account("a", keys)]).unwrap();
+        let key = Credentials::Key(KeyDigest::of(key));
+        check_access(&table, false, key, Freshness::Fresh).is_ok()
+    };
+    assert!(check(&["old"], "old") && !check(&["old"], "new"));
+    assert!(check(&["old", "new"], "old") && check(&["old", "new"], "new"));
+    assert!(!check(&["new"], "old") && check(&["new"], "new"));
+    assert!(!check(&[], "new"));
+}
+
+#[test]
+fn only_a_fresh_configuration_denies_a_key_for_good() {
+    let table = AccountTable::new(vec![account("a", &["held"])]).unwrap();
+    let (held, other) = (KeyDigest::of("held"), KeyDigest::of("other"));
+    let check = |credentials, freshness| check_access(&table, false, credentials, freshness);
+    for (credentials, denial) in [
+        (Credentials::Key(other), Denial::UnknownKey),
+        (Credentials::None, Denial::NoKey),
+        (Credentials::Malformed, Denial::Malformed),
+    ] {
+        assert_eq!(check(credentials, Freshness::Fresh), Err(denial));
+        assert_eq!(check(credentials, Freshness::Leased), Err(Denial::NotFresh));
+        assert_eq!(check(credentials, Freshness::Lapsed), Err(Denial::NotFresh));
+    }
+    let account = table.find(held).unwrap().clone();
+    for freshness in [Freshness::Fresh, Freshness::Leased] {
+        let access = check(Credentials::Key(held), freshness);
+        assert_eq!(access, Ok(Access::Account(account.clone())));
+    }
+    assert_eq!(check(Credentials::Key(held), Freshness::Lapsed), Err(Denial::NotFresh));
+    assert_eq!(
+        check_access(&table, true, Credentials::Malformed, Freshness::Lapsed),
+        Ok(Access::Anonymous)
+    );
+}
+
+#[test]
+fn no_debug_print_shows_a_key() {
+    let account = account("studio-7", &[SECRET]);
+    let table = AccountTable::new(vec![account.clone()]).unwrap();
+    let credentials = Credentials::Key(KeyDigest::of(SECRET));
+    for text in [format!("{account:?}"), format!("{table:?}"), format!("{credentials:?}")] {
+        assert!(!text.contains(SECRET), "{text}");
+    }
+}
+
+#[test]
+fn thousands_of_accounts_are_each_found() {
+    let all = (0..10_000).map(|n| account(&format!("studio-{n}"), &[&format!("key-{n}")]));
+    let table = AccountTable::new(all.collect()).unwrap();
+    assert_eq!(table.len(), 10_000);
+    for n in [0, 1, 4_999, 9_999] {
+        let found = table.find(KeyDigest::of(&format!("key-{n}"))).unwrap();
+        assert_eq!(found.name.as_str(), format!("studio-{n}"));
+    }
+}
