The gateway checks keys, holds a lease on them and keeps quotas with its peers

What it is: access finds out whose a request is before its body is read, names the account to runners whatever the caller said, and lets no key through where there are accounts; the key is checked once more before each send. The lease is renewed by a call that does not wait, half way through, where the configuration has accounts, and ended when a peer knows a later configuration for a quarter of a second. Quotas are charged at arrival, refunded when the request did not run, and told with the reports that go out anyway, at once when it matters. The clock counts time for which the machine was suspended. An account's priority goes before its route's. Ruled out: waiting shorter for news in place of the renewing call (one call in 1.5 s in place of one in 2.45 s for the same lease); serving under a lease that peers renew (not built: a gateway out of touch is not owed keyed work).

--- a/crates/bulrushusher_accounts/src/book.rs
+++ b/crates/bulrushusher_accounts/src/book.rs
@@ -282,8 +282,9 @@
 
     /// Brings up to date what changes with time alone.
     fn refresh(&mut self, now: Millis) {
-        // What was used before the start is out of every window.
-        self.settled |= now.since(self.started) >= self.cfg.window;
+        if !self.settled && now.since(self.started) >= self.cfg.window {
+            self.settle();
+        }
         if now.since(self.part.1) >= PART_KEPT || self.part.1 == Millis(0) {
             let gone_after = self.cfg.gone_after;
             self.peers.retain(|_, peer| now.since(peer.heard_at) < gone_after);
@@ -295,6 +296,15 @@
         }
     }
 
+    /// What was used before the start is out of every window: the buckets need not have begun empty.
+    fn settle(&mut self) {
+        self.settled = true;
+        for bucket in self.buckets.values_mut() {
+            let full = bucket.quota.map_or(0.0, |quota| self.cfg.capacity(quota));
+            bucket.level = (bucket.level + full).min(full);
+        }
+    }
+
     /// Some gateways are not heard any more. They may have taken their part of all that came in since they
     /// were heard last, and take it further on.
     fn part_from_others(&mut self, share: f64, now: Millis) {
--- a/crates/bulrushusher_accounts/tests/lease.rs
+++ b/crates/bulrushusher_accounts/tests/lease.rs
@@ -149,7 +149,9 @@
 #[derive(Clone, Copy, Debug)]
 enum Step {
     /// The store answers what was asked that long ago.
-    Answer { asked_ago: u64 },
+    Answer {
+        asked_ago: u64,
+    },
     PeerKnowsMore,
     Nothing,
 }
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use bulrushusher_accounts::Spends;
 use bulrushusher_world::RunnerId;
 use serde::{Deserialize, Serialize};
 
@@ -98,6 +99,8 @@
     pub silent: Vec<RunnerId>,
     /// Changes of the store that it knows.
     pub news: NewsSeen,
+    /// What client accounts used of their quotas there.
+    pub spends: Spends,
     /// The starts of the runners that this report speaks of, where runners tell them. What it says
     /// of an earlier start than the hearer knows does not count.
     pub starts: BTreeMap<RunnerId, Born>,
--- a/crates/bulrushusher_forward/src/route.rs
+++ b/crates/bulrushusher_forward/src/route.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use bulrushusher_accounts::AccountTable;
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RouteName, ServiceName};
 use derive_more::{Display, Error};
@@ -67,6 +68,8 @@
     pub most_runners: u32,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
+    /// True where requests need no key of a client account.
+    pub is_open: bool,
 }
 
 impl Route {
@@ -163,6 +166,7 @@
 ///     gap_target: Millis(0),
 ///     most_runners: 2,
 ///     priority: 2,
+///     is_open: false,
 /// };
 /// let limits = CallerLimits {
 ///     header_bytes: 16_384,
@@ -182,6 +186,7 @@
     pub limits: CallerLimits,
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
+    accounts: Option<AccountTable>,
 }
 
 impl RoutingConfig {
@@ -205,7 +210,18 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_start.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Ok(RoutingConfig { version, limits, routes: by_host, services })
+        Ok(RoutingConfig { version, limits, routes: by_host, services, accounts: None })
+    }
+
+    /// The same with client accounts: requests need a key, unless their route is open.
+    #[must_use]
+    pub fn with_accounts(self, accounts: AccountTable) -> RoutingConfig {
+        RoutingConfig { accounts: Some(accounts), ..self }
+    }
+
+    /// The client accounts; `None` where callers need no key.
+    pub fn accounts(&self) -> Option<&AccountTable> {
+        self.accounts.as_ref()
     }
 
     /// The route of that host whose prefix is the longest that begins the path.
--- a/crates/bulrushusher_gateway/src/announcing.rs
+++ b/crates/bulrushusher_gateway/src/announcing.rs
@@ -114,6 +114,7 @@
 
     fn take_in(&self, announced: Vec<Announcement>) -> ListedGateways {
         let readable: Vec<Announced> = announced.into_iter().filter_map(read).collect();
+        self.knowledge.note_announced(readable.len().saturating_sub(1));
         let listed = self.known.lock().list(&readable, self.knowledge.now());
         for Announced { name, address, .. } in &listed.found {
             log::info!("peers: found name={name} address={address}");
--- a/crates/bulrushusher_gateway/src/answer.rs
+++ b/crates/bulrushusher_gateway/src/answer.rs
@@ -3,7 +3,9 @@
 use bulrushusher_forward::FinalAnswer;
 use bulrushusher_time::Millis;
 use bytes::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+};
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 
@@ -33,6 +35,13 @@
     BadRequest(&'static str),
     /// No route takes the path.
     NoRoute,
+    /// It brings no key of a client account.
+    Unauthorized(&'static str),
+    /// Its client account has used up its quota; it has not run.
+    OverQuota {
+        /// When the quota allows it again.
+        come_back: Millis,
+    },
     /// The body is larger than allowed.
     TooLarge,
     /// The body did not come in time.
@@ -63,6 +72,8 @@
         match self {
             Refusal::BadRequest(_) => StatusCode::BAD_REQUEST,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::Unauthorized(_) => StatusCode::UNAUTHORIZED,
+            Refusal::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Refusal::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
@@ -74,7 +85,10 @@
     /// What happened, for callers and logs.
     pub(crate) fn reason(self) -> &'static str {
         match self {
-            Refusal::BadRequest(reason) | Refusal::OutcomeUnknown(reason) => reason,
+            Refusal::BadRequest(reason)
+            | Refusal::Unauthorized(reason)
+            | Refusal::OutcomeUnknown(reason) => reason,
+            Refusal::OverQuota { .. } => "the client account is over its quota",
             Refusal::NoRoute => "no route takes this host and path",
             Refusal::TooLarge => "the body is larger than allowed",
             Refusal::BodyTooSlow => "the body did not come in time",
@@ -88,6 +102,8 @@
         match self {
             Refusal::BadRequest(_) => "bad_request",
             Refusal::NoRoute => "no_route",
+            Refusal::Unauthorized(_) => "unauthorized",
+            Refusal::OverQuota { .. } => "over_quota",
             Refusal::TooLarge => "too_large",
             Refusal::BodyTooSlow => "body_too_slow",
             Refusal::NotRun { .. } => "not_run",
@@ -96,19 +112,42 @@
         }
     }
 
+    /// True when it promises that the request has not run and will not.
+    pub(crate) fn is_not_run(self) -> bool {
+        match self {
+            Refusal::OutcomeUnknown(_) | Refusal::TimedOut => false,
+            Refusal::BadRequest(_)
+            | Refusal::NoRoute
+            | Refusal::Unauthorized(_)
+            | Refusal::OverQuota { .. }
+            | Refusal::TooLarge
+            | Refusal::BodyTooSlow
+            | Refusal::NotRun { .. } => true,
+        }
+    }
+
     /// The answer as it is sent, with headers that the protocol adds.
     pub(crate) fn response(self, headers: HeaderMap) -> Response<ReplyBody> {
-        let run = match self {
-            Refusal::OutcomeUnknown(_) | Refusal::TimedOut => "outcome_unknown",
-            _ => "not_run",
-        };
+        let run = if self.is_not_run() { "not_run" } else { "outcome_unknown" };
         let text = format!("{{\"run\":\"{run}\",\"message\":\"{}\"}}\n", self.reason());
         let mut reply = Response::new(ReplyBody::whole(Bytes::from(text)));
         *reply.status_mut() = self.status();
         *reply.headers_mut() = headers;
         reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Refusal::NotRun { come_back, .. } = self {
-            reply.headers_mut().insert(RETRY_AFTER, seconds(come_back));
+        match self {
+            Refusal::NotRun { come_back, .. } | Refusal::OverQuota { come_back } => {
+                reply.headers_mut().insert(RETRY_AFTER, seconds(come_back));
+            }
+            Refusal::Unauthorized(_) => {
+                let scheme = HeaderValue::from_static("Bearer");
+                reply.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+            }
+            Refusal::BadRequest(_)
+            | Refusal::NoRoute
+            | Refusal::TooLarge
+            | Refusal::BodyTooSlow
+            | Refusal::OutcomeUnknown(_)
+            | Refusal::TimedOut => {}
         }
         reply
     }
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/begin.rs
@@ -25,9 +25,7 @@
     tries: &mut Tries,
     until: Millis,
 ) -> Result<Run<D>, NoRun> {
-    if let Some(left) = cx.quarantine_left(fwd) {
-        return Err(NoRun::Quarantined { left });
-    }
+    cx.may_run(fwd).map_err(NoRun::Withheld)?;
     if !cx.knowledge.is_split(&fwd.service) {
         return begin_whole(cx, fwd, tries).await;
     }
@@ -43,10 +41,8 @@
         log::info!("read: again id={} cause=\"its runner started again\"", fwd.arrival.id);
         kv = read_prompt(cx, fwd, tries, &mut held).await?;
     }
-    // It may have ended another runner while its prompt was read.
-    if let Some(left) = cx.quarantine_left(fwd) {
-        return Err(NoRun::Quarantined { left });
-    }
+    // It may have ended another runner while its prompt was read, or its key was taken away.
+    cx.may_run(fwd).map_err(NoRun::Withheld)?;
     begin_split(cx, fwd, tries, held, kv).await
 }
 
@@ -157,7 +153,7 @@
         NoRun::Ended(_, reason) => (CallResult::Unreachable, *reason),
         NoRun::Failed(..) => (CallResult::Failed, "failed"),
         NoRun::Unplaced(reason) => (CallResult::NotRun, *reason),
-        NoRun::Quarantined { .. } => (CallResult::NotRun, "quarantined"),
+        NoRun::Withheld(withheld) => (CallResult::NotRun, withheld.reason),
     };
     note(cx, fwd, &runner, "generate", began, (result, detail));
     if matches!(result, CallResult::Failed | CallResult::Unreachable) {
--- a/crates/bulrushusher_gateway/src/call.rs
+++ b/crates/bulrushusher_gateway/src/call.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 use hyper::http::response;
 
-use crate::answer::{QUARANTINED, Refusal, pass_on};
+use crate::answer::{Refusal, pass_on};
 use crate::body::ReplyBody;
 use crate::crashes::CrashWatch;
 use crate::dialect::{Dialect, Step};
@@ -48,8 +48,8 @@
         if left == Millis(0) {
             return Err(timed_out(&plan, come_back));
         }
-        if let Some(left) = cx.quarantine_left(fwd) {
-            return Err(Refusal::of(plan.final_answer(), QUARANTINED, left));
+        if let Err(held) = cx.may_run(fwd) {
+            return Err(Refusal::of(plan.final_answer(), held.reason, held.come_back));
         }
         let Some(runner) = cx.knowledge.pick_for_call(&fwd.service, &tried, &near) else {
             return Err(Refusal::of(plan.final_answer(), "no runner is left", come_back));
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 
+use bulrushusher_accounts::Credentials;
 use bulrushusher_forward::{Born, PromptSize, RequestId, RoutingConfig, Runner, Stage};
 use bulrushusher_time::Millis;
-use bulrushusher_world::RunnerId;
+use bulrushusher_world::{ClientAccountName, RunnerId};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::Method;
@@ -79,6 +80,8 @@
     pub left: Millis,
     /// The last event that the caller has.
     pub resume_after: Option<u64>,
+    /// The client account that it is for, where callers have one.
+    pub account: Option<&'a ClientAccountName>,
     /// What to do.
     pub step: Step<'a>,
 }
@@ -158,6 +161,9 @@
     /// [`HeadError`] for a head that must be refused.
     fn arrival(&self, head: &request::Parts) -> Result<Arrival, HeadError>;
 
+    /// What a caller's request brings to show whose it is.
+    fn credentials(&self, head: &request::Parts) -> Credentials;
+
     /// The headers for a runner.
     fn attempt_headers(&self, arrival: &Arrival, attempt: &Attempt<'_>) -> HeaderMap;
 
--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/feed.rs
@@ -55,6 +55,7 @@
         let mut pause = FIRST_PAUSE;
         let mut lost = false;
         loop {
+            let asked_at = self.knowledge.now();
             match self.list(&mut lost).await {
                 Ok(news) => {
                     self.note_call("listed");
@@ -65,6 +66,7 @@
                     let revision = news.revision;
                     self.knowledge.note_news(self.topic, revision, news.last_change);
                     self.apply_list(news);
+                    self.note_confirmed(asked_at);
                     self.watch_from(revision).await;
                 }
                 Err(e) => {
@@ -115,11 +117,15 @@
         // After a peer's word the store itself is asked, as often as without peers.
         let mut heeds_peers = true;
         loop {
+            let asked_at = self.knowledge.now();
             let wait = if heeds_peers { self.knowledge.news_wait(alone) } else { alone };
             let answer = tokio::select! {
                 answer = self.store.watch(self.topic, revision, wait, self.slack()) => answer,
                 theirs = self.knowledge.falls_behind(self.topic), if heeds_peers => {
                     heeds_peers = false;
+                    if self.topic == Topic::Configuration {
+                        self.knowledge.end_lease();
+                    }
                     self.note_call("behind");
                     log::info!(
                         "store: behind a peer topic={} revision={revision} peer_revision={theirs}",
@@ -139,6 +145,7 @@
                     for change in news.changes {
                         self.apply(change);
                     }
+                    self.note_confirmed(asked_at);
                     if has_changed {
                         tokio::time::sleep(self.share(BATCH_SHARE).duration()).await;
                     }
@@ -191,12 +198,7 @@
 
     fn apply(&self, change: Change) {
         match change {
-            Change::Configuration(routing) => {
-                let (version, routes) = (routing.version, routing.route_count());
-                if self.knowledge.apply_routing(routing) {
-                    log::info!("configuration: in force version={version} routes={routes}");
-                }
-            }
+            Change::Configuration(routing) => self.knowledge.take_routing(routing),
             Change::Runner(runner) => self.put(runner),
             Change::RunnerGone(id) => {
                 log::info!("runners: removed id={id}");
@@ -271,6 +273,13 @@
         }
     }
 
+    /// The store has told all that it knew when it was asked.
+    fn note_confirmed(&self, asked_at: Millis) {
+        if self.topic == Topic::Configuration {
+            self.knowledge.renew_lease(asked_at);
+        }
+    }
+
     fn note_call(&self, result: &'static str) {
         self.metrics.store_call(topic_word(self.topic), result);
     }
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/front.rs
@@ -11,12 +11,14 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderMap, HeaderValue,
+    TRANSFER_ENCODING,
 };
 use hyper::http::request;
 use hyper::{Request, Response, Version};
 
-use crate::answer::{QUARANTINED, Refusal, strip_hop_by_hop};
+use crate::access::Caller;
+use crate::answer::{Refusal, strip_hop_by_hop};
 use crate::body::ReplyBody;
 use crate::call::call;
 use crate::connection::CallerConnection;
@@ -139,6 +141,13 @@
         if let Some(refusal) = self.refuse_while_stopping(&fwd) {
             return (kind, Err(refusal));
         }
+        fwd.caller = match self.router.admit(&routing, &fwd.route, head, arrival) {
+            Ok(caller) => caller,
+            Err(refusal) => return (kind, Err(refusal)),
+        };
+        if fwd.caller.hides_key() {
+            fwd.arrival.headers.remove(AUTHORIZATION);
+        }
         let (body, _buffered) = match self.read_body(body, &routing.limits).await {
             Ok(read) => read,
             Err(refusal) => return (kind, Err(refusal)),
@@ -146,7 +155,8 @@
         fwd.set_body(body);
         log::info!(
             "front: accepted id={} digest={} route={} service={} kind={kind} left_ms={} \
-             elapsed_before_ms={} configuration={} target_ms={} pause_target_ms={} prompt={}",
+             elapsed_before_ms={} configuration={} target_ms={} pause_target_ms={} prompt={} \
+             account={}",
             arrival.id,
             fwd.digest,
             fwd.route.name,
@@ -157,9 +167,10 @@
             fwd.route.target.0,
             fwd.route.gap_target.0,
             fwd.prompt_tokens(),
+            fwd.caller.account_name().map_or("none", |name| name.as_str()),
         );
-        if let Some(left) = self.router.quarantine_left(&fwd) {
-            let refusal = Refusal::NotRun { reason: QUARANTINED, come_back: left };
+        if let Err(held) = self.router.may_run(&fwd) {
+            let refusal = Refusal::NotRun { reason: held.reason, come_back: held.come_back };
             return (kind, Err(refusal));
         }
         self.router.knowledge.earn_retry(&fwd.service);
@@ -169,6 +180,9 @@
                 Err(Refusal::OutcomeUnknown("the gateway stops before a runner has answered"))
             }
         };
+        if outcome.as_ref().is_err_and(|refusal| refusal.is_not_run()) {
+            fwd.caller.refund();
+        }
         (kind, outcome)
     }
 
@@ -198,6 +212,7 @@
         };
         Ok(Forwarded {
             arrival: arrival.clone(),
+            caller: Caller::Unchecked,
             route: route.clone(),
             service,
             method: head.method.clone(),
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::pool::RunnerPool;
 use crate::probes::{self, Probe};
 use crate::quarantine::QuarantineKeeper;
+use crate::renewing::LeaseKeeper;
 use crate::router::Router;
 use crate::server::Server;
 use crate::settings::GatewayConfig;
@@ -68,6 +69,7 @@
     parts.spawn_feeds(&store, &mut tasks);
     let announcer = parts.announcer(&store, cfg.peers);
     parts.spawn_peers(&cfg, announcer.clone(), &mut tasks).await?;
+    tasks.spawn(parts.lease_keeper(&store).keep());
     tasks.spawn(parts.quarantine_keeper(&store).keep());
     tasks.spawn(parts.stage_keeper(store).keep());
     let server = Arc::new(Server::new(parts.front.clone(), clock));
@@ -133,6 +135,11 @@
         }
     }
 
+    fn lease_keeper<S: PlatformStore>(&self, store: &S) -> LeaseKeeper<S> {
+        let (knowledge, metrics) = (self.knowledge.clone(), self.metrics.clone());
+        LeaseKeeper { store: store.clone(), knowledge, metrics }
+    }
+
     fn quarantine_keeper<S: PlatformStore>(&self, store: &S) -> QuarantineKeeper<S> {
         let (knowledge, metrics) = (self.knowledge.clone(), self.metrics.clone());
         QuarantineKeeper { store: store.clone(), knowledge, metrics }
--- a/crates/bulrushusher_gateway/src/generation.rs
+++ b/crates/bulrushusher_gateway/src/generation.rs
@@ -5,7 +5,7 @@
 use bulrushusher_forward::{AttemptEnd, AttemptPlan, NextStep};
 use hyper::Response;
 
-use crate::answer::{QUARANTINED, Refusal, pass_on};
+use crate::answer::{Refusal, pass_on};
 use crate::begin::begin_run;
 use crate::body::ReplyBody;
 use crate::dialect::Dialect;
@@ -30,8 +30,8 @@
         let run = begin_run(cx, fwd, &mut tries, until).await;
         let (end, reason, failed) = match run {
             Ok(run) => return Ok(pump::start(cx.clone(), fwd.clone(), plan, run)),
-            Err(NoRun::Quarantined { left }) => {
-                return Err(Refusal::of(plan.final_answer(), QUARANTINED, left));
+            Err(NoRun::Withheld(held)) => {
+                return Err(Refusal::of(plan.final_answer(), held.reason, held.come_back));
             }
             Err(NoRun::Unplaced(reason)) => {
                 return Err(Refusal::of(plan.final_answer(), reason, cx.come_back(fwd)));
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/knowledge/accounts.rs
@@ -0,0 +1,105 @@
+//! What is known of client accounts: the lease on their keys, and what they use of their quotas.
+
+use bulrushusher_accounts::{AccountUse, Freshness, LeaseConfig, OverQuota, Quota, Spends};
+use bulrushusher_forward::RoutingConfig;
+use bulrushusher_time::Millis;
+use bulrushusher_world::ClientAccountName;
+
+use super::Knowledge;
+
+impl Knowledge {
+    /// The store confirmed the configuration in answer to a question of that moment.
+    pub(crate) fn renew_lease(&self, asked_at: Millis) {
+        self.lease.lock().renew(asked_at);
+    }
+
+    /// A later configuration is in force than the one that is known here.
+    pub(crate) fn end_lease(&self) {
+        self.lease.lock().end(self.now());
+    }
+
+    /// How far the configuration may be acted on.
+    pub(crate) fn freshness(&self) -> Freshness {
+        self.lease.lock().freshness(self.lease_cfg(), self.now())
+    }
+
+    /// Age of the store's last word on the configuration.
+    pub(crate) fn evidence_age(&self) -> Option<Millis> {
+        self.lease.lock().age(self.now())
+    }
+
+    /// Time until the store must be asked again; `None` while no request needs a key.
+    pub(crate) fn lease_due_in(&self) -> Option<Millis> {
+        self.has_accounts().then(|| self.lease.lock().renew_in(self.lease_cfg(), self.now()))
+    }
+
+    /// True while callers may be sent here.
+    pub(crate) fn is_ready(&self) -> bool {
+        let keys_are_checked = || self.lease.lock().is_ready(self.lease_cfg(), self.now());
+        self.is_complete() && (!self.has_accounts() || keys_are_checked())
+    }
+
+    fn has_accounts(&self) -> bool {
+        self.routing().is_some_and(|routing| routing.accounts().is_some())
+    }
+
+    fn lease_cfg(&self) -> LeaseConfig {
+        let cfg = self.cfg.load();
+        LeaseConfig { bound: cfg.keys_revoked, fresh_for: cfg.configuration_in_force }
+    }
+
+    /// Takes the quotas of a configuration.
+    pub(super) fn set_quotas(&self, routing: &RoutingConfig) {
+        let Some(accounts) = routing.accounts() else { return };
+        let quotas = accounts.accounts().map(|account| (&account.name, account.quota));
+        self.quotas.lock().configure(quotas, self.now());
+    }
+
+    /// Counts a request to an account, and has peers told when it matters to them.
+    pub(crate) fn charge(&self, account: &ClientAccountName, cost: u64) -> Result<(), OverQuota> {
+        let mut quotas = self.quotas.lock();
+        quotas.admit(account, cost, self.now())?;
+        let must_tell = quotas.must_tell(account);
+        drop(quotas);
+        if must_tell {
+            self.report_due.notify_one();
+        }
+        Ok(())
+    }
+
+    /// A request that was counted has not run.
+    pub(crate) fn refund(&self, account: &ClientAccountName, cost: u64) {
+        self.quotas.lock().refund(account, cost, self.now());
+    }
+
+    /// What peers are told of the use of quotas.
+    pub(crate) fn spends(&self, whole: bool) -> Spends {
+        self.quotas.lock().tell(whole, self.now())
+    }
+
+    /// All that this gateway has to tell, for one peer.
+    pub(crate) fn all_spends(&self) -> Spends {
+        self.quotas.lock().all(self.now())
+    }
+
+    /// Takes in what a peer told of it.
+    pub(super) fn hear_spends(&self, peer: &str, life: u64, spends: &Spends, whole: bool) {
+        self.quotas.lock().hear(peer, life, spends, whole, self.now());
+    }
+
+    /// So many other gateways have announced themselves.
+    pub(crate) fn note_announced(&self, others: usize) {
+        self.quotas.lock().note_announced(others);
+    }
+
+    /// What every account used.
+    pub(crate) fn account_uses(&self) -> Vec<AccountUse> {
+        self.quotas.lock().uses(self.now())
+    }
+
+    /// An account's quota in one window, in its unit.
+    pub(crate) fn in_a_window(&self, quota: Quota) -> f64 {
+        let window = self.cfg.load().quotas.window;
+        quota.per_second / 1_000.0 * window.0 as f64 + quota.burst
+    }
+}
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use bulrushusher_accounts::Spends;
 use bulrushusher_forward::{
     ChangesNews, DecodeLoad, GatewayChanges, GatewayReport, MemoryForecast, Prompt, RunNote,
     RunNumber, RunShape, Runner, Stage, WaitingLine, asks_now, rank_for_decode,
@@ -122,15 +123,24 @@
     }
 
     /// Takes in a peer's report.
-    pub(crate) fn hear_peer(&self, peer: &str, report: GatewayReport) {
+    pub(crate) fn hear_peer(&self, peer: &str, mut report: GatewayReport) {
         let now = self.now();
-        self.runs.lock().hear(peer, report, now);
+        let (life, spends) = (report.life, std::mem::take(&mut report.spends));
+        if self.runs.lock().hear(peer, report, now) {
+            self.hear_spends(peer, life, &spends, true);
+        }
     }
 
     /// Takes in what changed at a peer.
-    pub(crate) fn hear_changes(&self, peer: &str, changes: GatewayChanges) -> ChangesNews {
+    pub(crate) fn hear_changes(&self, peer: &str, mut changes: GatewayChanges) -> ChangesNews {
         let now = self.now();
-        self.runs.lock().hear_changes(peer, changes, now)
+        let report = &mut changes.report;
+        let (life, spends) = (report.life, std::mem::take(&mut report.spends));
+        let news = self.runs.lock().hear_changes(peer, changes, now);
+        if news != ChangesNews::Old {
+            self.hear_spends(peer, life, &spends, false);
+        }
+        news
     }
 
     /// True while a peer has a generation in line that can still be on time.
@@ -177,6 +187,7 @@
             silent,
             starts,
             news: self.news_told(),
+            spends: Spends::default(),
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -1,12 +1,13 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then paces, then
-//! runs, then health, then pauses, then news, then changing, then crashes. No lock is held across an await.
+//! runs, then health, then pauses, then news, then changing, then crashes, then quotas, then lease. No lock is held across an await.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaBook};
 use bulrushusher_forward::{
     AttemptEnd, AttemptPlan, CallResult, Candidate, EngineSpec, HealthConfig, Members, NextStep,
     Pace, PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner, RunnerHealth,
@@ -22,6 +23,7 @@
 
 use crate::settings::GatewayConfig;
 
+mod accounts;
 mod crashes;
 mod health;
 mod memory;
@@ -64,6 +66,12 @@
     changing: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Requests that crash runners.
     crashes: Mutex<crashes::KnownCrashes>,
+    /// What client accounts use of their quotas.
+    quotas: Mutex<QuotaBook>,
+    /// How long keys may be acted on without new word of the store.
+    lease: Mutex<ConfigLease>,
+    /// Notified when a caller brings a key that cannot be checked.
+    pub lease_due: Notify,
     /// Notified when peers should hear of something new.
     pub report_due: Notify,
     /// Notified when peers should hear of a request that crashes runners.
@@ -76,6 +84,7 @@
 impl Knowledge {
     pub(crate) fn new(cfg: GatewayConfig, clock: Clock, seed: u64) -> Knowledge {
         let quarantine = Quarantine::new(cfg.quarantine);
+        let quotas = QuotaBook::new(cfg.quotas, clock.now());
         let runners =
             Runners { members: Members::new(cfg.members), loads: RunnerLoads::new(cfg.loads) };
         Knowledge {
@@ -93,6 +102,9 @@
             news: Mutex::default(),
             changing: Mutex::default(),
             crashes: Mutex::new(crashes::KnownCrashes::new(quarantine)),
+            quotas: Mutex::new(quotas),
+            lease: Mutex::default(),
+            lease_due: Notify::new(),
             report_due: Notify::new(),
             crashes_due: Notify::new(),
             quarantine_due: Notify::new(),
@@ -119,6 +131,7 @@
             line.reconfigure(cfg.waiting);
         }
         self.crashes.lock().quarantine.reconfigure(cfg.quarantine);
+        self.quotas.lock().reconfigure(cfg.quotas);
         self.cfg.store(Arc::new(cfg));
     }
 
@@ -133,12 +146,20 @@
     }
 
     /// Puts a configuration in force unless one at least as high is.
-    pub(crate) fn apply_routing(&self, routing: RoutingConfig) -> bool {
-        let is_newer = self.routing().is_none_or(|old| routing.version > old.version);
-        if is_newer {
-            self.routing.store(Some(Arc::new(routing)));
+    pub(crate) fn take_routing(&self, routing: RoutingConfig) {
+        if self.routing().is_some_and(|old| routing.version <= old.version) {
+            return;
         }
-        is_newer
+        let (version, routes) = (routing.version, routing.route_count());
+        let accounts = routing.accounts().map(AccountTable::len);
+        self.set_quotas(&routing);
+        self.routing.store(Some(Arc::new(routing)));
+        // Whoever renews the lease waits while no request needs a key.
+        self.lease_due.notify_one();
+        log::info!(
+            "configuration: in force version={version} routes={routes} accounts={}",
+            accounts.map_or("none".to_owned(), |count| count.to_string())
+        );
     }
 
     /// True once requests can be served.
--- a/crates/bulrushusher_gateway/src/knowledge/news.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/news.rs
@@ -22,6 +22,15 @@
         *seen = (*seen).max(revision);
     }
 
+    /// The revision up to which no change of a topic was missed.
+    pub(crate) fn news_seen(&self, topic: Topic) -> u64 {
+        let seen = self.news.lock().seen;
+        match topic {
+            Topic::Configuration => seen.configuration,
+            Topic::Runners => seen.runners,
+        }
+    }
+
     /// The changes that this gateway knows, for its peers.
     pub(super) fn news_told(&self) -> NewsSeen {
         self.news.lock().told
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -5,11 +5,13 @@
 //! `placement` and `reading`) and its stream carried (`pump`, each run by `carrying`). All reach runners by `exchange` and
 //! `pool`. `feed` follows the store into `knowledge`, `orders` keeps the ratio of prefill and decode
 //! runners, `peers` speaks with the other gateways, which `announcing` finds. `crashes` finds out which requests end the runners that
-//! run them, and `quarantine` keeps them in the store.
+//! run them, and `quarantine` keeps them in the store. `access` finds out whose a request is and counts it to its client
+//! account; `renewing` keeps the lease on the keys.
 //!
 //! The decisions are those of `bulrushusher_forward`. What the platform speaks comes in by the
 //! traits of [`dialect`]; nothing here knows its names.
 
+mod access;
 mod announcing;
 mod answer;
 mod begin;
@@ -36,6 +38,7 @@
 mod pump;
 mod quarantine;
 mod reading;
+mod renewing;
 mod report_codec;
 mod router;
 mod run;
--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers.rs
@@ -141,7 +141,8 @@
             let is_due = is_first_for(&mut last.answered, to, ANSWER_AGAIN, now);
             last.report.clone().filter(|_| is_due)
         };
-        if let Some(report) = told {
+        if let Some(mut report) = told {
+            report.spends = self.knowledge.all_spends();
             self.write(socket, Word::Whole(report), &[to]).await;
         }
     }
@@ -195,11 +196,12 @@
     }
 
     /// What is told of a report: what changed since the last one, or all of it when that is due.
-    fn next_word(&self, report: GatewayReport) -> Word {
+    fn next_word(&self, mut report: GatewayReport) -> Word {
         let now = self.knowledge.now();
         let mut last = self.last_told.lock();
-        let before = last.report.replace(report.clone());
         let is_due = now.since(last.whole_at) >= WHOLE_EVERY;
+        report.spends = self.knowledge.spends(is_due || last.report.is_none());
+        let before = last.report.replace(report.clone());
         match before.filter(|_| !is_due) {
             Some(before) => Word::Changes(GatewayChanges::between(&before, &report)),
             None => {
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement.rs
@@ -78,7 +78,7 @@
     tries: &Tries,
     until: Millis,
 ) -> Result<HeldMemory<D>, NoPlace> {
-    let rank = cx.knowledge.join_line(&fwd.service, fwd.is_late(), fwd.route.priority);
+    let rank = cx.knowledge.join_line(&fwd.service, fwd.is_late(), fwd.priority());
     let line = InLine { knowledge: cx.knowledge.clone(), service: fwd.service.clone(), rank };
     let mut refusals = 0;
     loop {
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::Stage;
-use bulrushusher_report::GatewayMetrics;
+use bulrushusher_report::{AccountFigures, GatewayMetrics};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -31,7 +31,7 @@
     fn answer(&self) -> (StatusCode, String) {
         match self {
             Probe::Ready(knowledge, lifecycle) => {
-                match knowledge.is_complete() && !lifecycle.is_stopping() {
+                match knowledge.is_ready() && !lifecycle.is_stopping() {
                     true => (StatusCode::OK, "ready\n".to_owned()),
                     false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
                 }
@@ -54,12 +54,33 @@
         let all = runners.members.all(now).count() as u64;
         (all, count(Stage::Prefill), count(Stage::Decode))
     });
+    note_accounts(knowledge, metrics);
     metrics.state("quarantined_requests", knowledge.all_quarantined().len() as u64);
     metrics.state("runners", all);
     metrics.state("prefill_runners", prefill);
     metrics.state("decode_runners", decode);
 }
 
+/// Accounts that have metrics of their own: those that used most.
+const MOST_ACCOUNTS: usize = 50;
+
+fn note_accounts(knowledge: &Knowledge, metrics: &GatewayMetrics) {
+    let age = knowledge.evidence_age().map_or(u64::MAX, |age| age.0);
+    metrics.state("configuration_evidence_age_ms", age);
+    let mut uses = knowledge.account_uses();
+    uses.sort_unstable_by(|a, b| b.used.total_cmp(&a.used).then(b.refused.cmp(&a.refused)));
+    for it in uses.into_iter().take(MOST_ACCOUNTS) {
+        let quota = it.quota.map_or(0.0, |quota| knowledge.in_a_window(quota));
+        let figures = AccountFigures {
+            used: it.used as u64,
+            worst: it.worst as u64,
+            quota: quota as u64,
+            refused: it.refused,
+        };
+        metrics.account(it.account.as_str(), figures);
+    }
+}
+
 /// Answers probes at an address until dropped.
 pub(crate) async fn serve(listener: TcpListener, probe: Probe) {
     loop {
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/renewing.rs
@@ -0,0 +1,92 @@
+//! Renews the lease on the configuration: asks the store whether it is still in force.
+//!
+//! A wait for changes says nothing until it ends, and waits are long where many gateways follow the store.
+//! So the store is asked in between, by a call that does not wait.
+
+use std::sync::Arc;
+
+use bulrushusher_report::GatewayMetrics;
+use bulrushusher_time::Millis;
+
+use crate::dialect::{Change, PlatformStore, Topic};
+use crate::knowledge::Knowledge;
+
+/// Longest wait for an answer; it comes within milliseconds when the store is well.
+const CALL_TIMEOUT: Millis = Millis(400);
+
+/// The store answers such a wait at once.
+const NO_WAIT: Millis = Millis(1);
+
+/// Pause after a call that failed, half of it random: some tries fit into what is left of a lease.
+const TRY_AGAIN: Millis = Millis(250);
+
+/// Least time between two calls, however many callers bring keys that are not known.
+const LEAST_GAP: Millis = Millis(100);
+
+/// The task that renews the lease.
+#[derive(Debug)]
+pub(crate) struct LeaseKeeper<S> {
+    pub store: S,
+    pub knowledge: Arc<Knowledge>,
+    pub metrics: Arc<GatewayMetrics>,
+}
+
+impl<S: PlatformStore> LeaseKeeper<S> {
+    /// Renews until dropped.
+    pub(crate) async fn keep(self) {
+        let mut lost = false;
+        loop {
+            self.until_due().await;
+            match self.renew().await {
+                Ok(()) => {
+                    if lost {
+                        log::info!("access: lease renewed again");
+                    }
+                    lost = false;
+                    tokio::time::sleep(LEAST_GAP.duration()).await;
+                }
+                Err(cause) => {
+                    if !lost {
+                        log::warn!("access: lease not renewed cause=\"{cause}\"");
+                    }
+                    lost = true;
+                    let pause = TRY_AGAIN.0 as f64 * (0.5 + 0.5 * self.knowledge.draw());
+                    tokio::time::sleep(Millis(pause as u64).duration()).await;
+                }
+            }
+        }
+    }
+
+    /// Waits until the lease is to be renewed, or somebody brings a key that is not known here.
+    async fn until_due(&self) {
+        loop {
+            let due = self.knowledge.lease_due.notified();
+            match self.knowledge.lease_due_in() {
+                Some(Millis(0)) => return,
+                Some(left) => {
+                    if tokio::time::timeout(left.duration(), due).await.is_ok() {
+                        return;
+                    }
+                }
+                None => due.await,
+            }
+        }
+    }
+
+    async fn renew(&self) -> Result<(), String> {
+        let asked_at = self.knowledge.now();
+        let topic = Topic::Configuration;
+        let after = self.knowledge.news_seen(topic);
+        let answer = self.store.watch(topic, after, NO_WAIT, CALL_TIMEOUT).await;
+        let word = if answer.is_ok() { "renewed" } else { "not_renewed" };
+        self.metrics.store_call("configuration", word);
+        let news = answer.map_err(|e| e.to_string())?;
+        for change in news.changes {
+            if let Change::Configuration(routing) = change {
+                self.knowledge.take_routing(routing);
+            }
+        }
+        self.knowledge.renew_lease(asked_at);
+        Ok(())
+    }
+}
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/router.rs
@@ -13,9 +13,12 @@
 use hyper::http::request;
 use hyper::{HeaderMap, Method, Request, Uri};
 
+use crate::access::{Caller, KEY_CHECK_AGAIN, KEY_NOT_CONFIRMED};
+use crate::answer::QUARANTINED;
 use crate::dialect::{Arrival, Attempt, Dialect, Step};
 use crate::exchange::{ExchangeError, Exchanger, Reply};
 use crate::knowledge::Knowledge;
+use crate::run::Withheld;
 
 /// The parts that serving a request needs.
 #[derive(Clone, Debug)]
@@ -30,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Forwarded {
     pub arrival: Arrival,
+    pub caller: Caller,
     pub route: Arc<Route>,
     pub service: ServiceName,
     pub method: Method,
@@ -56,6 +60,12 @@
         self.arrival.size.map_or(0, |size| size.prompt)
     }
 
+    /// Rank among the requests that wait; 0 is the most urgent. An account's goes before its route's.
+    pub(crate) fn priority(&self) -> u8 {
+        let own = self.caller.account().and_then(|account| account.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
     /// Takes the body, once it has come.
     pub(crate) fn set_body(&mut self, body: Bytes) {
         self.body = body;
@@ -70,6 +80,7 @@
             self.uri.path().as_bytes(),
             self.uri.query().unwrap_or_default().as_bytes(),
             header(AUTHORIZATION),
+            self.caller.account_name().map_or(&[][..], |name| name.as_str().as_bytes()),
             &self.body,
         ])
     }
@@ -91,9 +102,18 @@
         self.knowledge.now()
     }
 
-    /// How long the request is still kept from runners, because it ends those that run it.
-    pub(crate) fn quarantine_left(&self, fwd: &Forwarded) -> Option<Millis> {
-        self.knowledge.quarantine_left(fwd.digest)
+    /// Whether the request may run now: it does not end those that run it, and its key is good still.
+    ///
+    /// # Errors
+    /// Why it may not.
+    pub(crate) fn may_run(&self, fwd: &Forwarded) -> Result<(), Withheld> {
+        if let Some(come_back) = self.knowledge.quarantine_left(fwd.digest) {
+            return Err(Withheld { reason: QUARANTINED, come_back });
+        }
+        match fwd.caller.is_good() {
+            true => Ok(()),
+            false => Err(Withheld { reason: KEY_NOT_CONFIRMED, come_back: KEY_CHECK_AGAIN }),
+        }
     }
 
     /// When a refused caller should come back.
@@ -112,7 +132,11 @@
         within: Millis,
     ) -> Result<Reply, ExchangeError> {
         let left = fwd.left(self.now());
-        let attempt = Attempt { runner: &runner.id, left, resume_after, step };
+        if !matches!(step, Step::ReadPrompt) {
+            fwd.caller.mark_sent();
+        }
+        let account = fwd.caller.account_name();
+        let attempt = Attempt { runner: &runner.id, left, resume_after, account, step };
         let headers = self.dialect.attempt_headers(&fwd.arrival, &attempt);
         let req = build(fwd, headers);
         self.exchanger.send(runner, Some(&fwd.arrival.id), req, within).await
--- a/crates/bulrushusher_gateway/src/run.rs
+++ b/crates/bulrushusher_gateway/src/run.rs
@@ -42,11 +42,15 @@
     Failed(response::Parts, Bytes),
     /// There is no memory, or nobody to read the prompt.
     Unplaced(&'static str),
-    /// It was found to end the runners that run it, and is kept from them for as long.
-    Quarantined {
-        /// How long it still is.
-        left: Millis,
-    },
+    /// It may not run now, whatever runners could do.
+    Withheld(Withheld),
+}
+
+/// Why a request is kept from runners, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Withheld {
+    pub reason: &'static str,
+    pub come_back: Millis,
 }
 
 /// What was tried for a request so far.
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
     ForecastConfig, GatewaysConfig, HoldConfig, LoadConfig, MembersConfig, ReturnConfig,
@@ -82,6 +83,41 @@
         Some("3000"),
         "Time that must pass between orders of two holders of a duty.",
     ),
+    setting(
+        "bounds",
+        "keys_revoked_ms",
+        Kind::Millis(500, 600_000),
+        Some("5000"),
+        "Time within which a key that was taken away must be refused, also without the store.",
+    ),
+    setting(
+        "quota",
+        "window_s",
+        Kind::Real(0.1, 3_600.0),
+        Some("8"),
+        "Seconds: any span of this length is held to an account's quota.",
+    ),
+    setting(
+        "quota",
+        "overage",
+        Kind::Real(0.0, 10.0),
+        Some("0.1"),
+        "Share of an account's quota that may be used beyond it in a window.",
+    ),
+    setting(
+        "quota",
+        "slack",
+        Kind::Real(0.0, 1e12),
+        Some("0"),
+        "Units that may be used beyond that in a window.",
+    ),
+    setting(
+        "quota",
+        "sharing",
+        Kind::Choice(&["told", "by-demand", "even"]),
+        Some("told"),
+        "How gateways share a quota: they tell what they used, or have parts by demand, or even ones.",
+    ),
     setting(
         "waiting",
         "target_share",
@@ -200,6 +236,10 @@
     pub log_lines_per_second: usize,
     /// Time within which a configuration must be in force.
     pub configuration_in_force: Millis,
+    /// Time within which a key that was taken away must be refused.
+    pub keys_revoked: Millis,
+    /// How strictly quotas of client accounts are kept.
+    pub quotas: QuotaConfig,
     /// Least time between orders of two holders of a duty.
     pub lease: Millis,
     /// Retry budget of each service; what may be saved up is shared by all gateways.
@@ -265,6 +305,14 @@
             max_buffered_bytes: values.count("gateway", "max_buffered_bytes"),
             log_lines_per_second: values.count("gateway", "log_lines_per_second"),
             configuration_in_force: values.millis("bounds", "configuration_in_force_ms"),
+            keys_revoked: values.millis("bounds", "keys_revoked_ms"),
+            quotas: QuotaConfig {
+                sharing: sharing(values.text("quota", "sharing")),
+                window: Millis((values.real("quota", "window_s") * 1_000.0) as u64),
+                overage: values.real("quota", "overage"),
+                slack: values.real("quota", "slack"),
+                ..QuotaConfig::default()
+            },
             lease: values.millis("bounds", "order_spacing_ms"),
             retries: RetryConfig {
                 per_request: values.real("bounds", "retry_share") * RETRY_SHARE_USED,
@@ -307,3 +355,12 @@
         })
     }
 }
+
+fn sharing(word: &str) -> Sharing {
+    match word {
+        "even" => Sharing::Even,
+        "by-demand" => Sharing::ByDemand,
+        // The only other word that the setting takes.
+        _ => Sharing::Told,
+    }
+}
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -18,6 +18,20 @@
     orders: Counter<u64>,
     crashes: Counter<u64>,
     state: Gauge<u64>,
+    accounts: Gauge<u64>,
+}
+
+/// What a client account used, in its unit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AccountFigures {
+    /// Within the last window, at all gateways.
+    pub used: u64,
+    /// The most within a window since this gateway's start.
+    pub worst: u64,
+    /// What its quota allows in a window; 0 where it has none.
+    pub quota: u64,
+    /// Refused by this gateway.
+    pub refused: u64,
 }
 
 /// Upper bounds of the latency buckets, in ms: around the response-time targets of plain calls
@@ -67,10 +81,25 @@
                 .u64_gauge("bulrush_gateway_state")
                 .with_description("Version in force, runners known, requests waiting and in flight")
                 .build(),
+            accounts: meter
+                .u64_gauge("bulrush_gateway_account")
+                .with_description("Use of quotas by the client accounts that use most")
+                .build(),
             exporter,
         }
     }
 
+    /// What a client account used.
+    pub fn account(&self, account: &str, figures: AccountFigures) {
+        let AccountFigures { used, worst, quota, refused } = figures;
+        for (what, value) in
+            [("used", used), ("worst_window", worst), ("quota", quota), ("refused", refused)]
+        {
+            let account = KeyValue::new("account", account.to_owned());
+            self.accounts.record(value, &[account, KeyValue::new("what", what)]);
+        }
+    }
+
     /// A request ended.
     pub fn request(&self, kind: &'static str, outcome: &'static str, response_ms: f64) {
         let kind = KeyValue::new("kind", kind);
--- a/crates/bulrushusher_report/src/lib.rs
+++ b/crates/bulrushusher_report/src/lib.rs
@@ -7,5 +7,5 @@
 
 pub use exporter::Exporter;
 pub use figures::{ClassFigures, ClassReport, Percentiles, Targets};
-pub use gateway::GatewayMetrics;
+pub use gateway::{AccountFigures, GatewayMetrics};
 pub use metrics::EntryMetrics;
--- a/crates/bulrushusher_time/src/lib.rs
+++ b/crates/bulrushusher_time/src/lib.rs
@@ -5,9 +5,10 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use derive_more::Display;
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a length of time, in whole milliseconds.
@@ -70,7 +71,8 @@
     }
 }
 
-/// A clock that never goes back: the Unix time at start plus the monotonic time since.
+/// A clock that never goes back: the Unix time at start plus the time since. Time for which the machine
+/// was suspended counts too, so that nothing outlives its lease by standing still.
 ///
 /// ```
 /// use bulrushusher_time::{Clock, Millis};
@@ -84,8 +86,8 @@
     System {
         /// Unix time at `origin`.
         start: Millis,
-        /// When the clock was made.
-        origin: Instant,
+        /// Time since the machine was booted, when the clock was made.
+        origin: Millis,
     },
     /// Moves only by [`Clock::advance`].
     Manual(Arc<AtomicU64>),
@@ -95,7 +97,7 @@
     /// A clock that reads the machine's time.
     pub fn system() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock::System { start: unix.into(), origin: Instant::now() }
+        Clock::System { start: unix.into(), origin: since_boot() }
     }
 
     /// A clock for tests, standing at `now` until advanced.
@@ -106,7 +108,7 @@
     /// The present time.
     pub fn now(&self) -> Millis {
         match self {
-            Clock::System { start, origin } => start.plus(origin.elapsed().into()),
+            Clock::System { start, origin } => start.plus(since_boot().since(*origin)),
             Clock::Manual(now) => Millis(now.load(Ordering::SeqCst)),
         }
     }
@@ -124,3 +126,10 @@
         Clock::system()
     }
 }
+
+/// Time since the machine was booted, suspended or not.
+fn since_boot() -> Millis {
+    let at = clock_gettime(ClockId::Boottime);
+    let ms = at.tv_sec.saturating_mul(1_000).saturating_add(at.tv_nsec / 1_000_000);
+    Millis(u64::try_from(ms).unwrap_or_default())
+}
