Quotas kept by fleets of gateways, in the model: eight patterns, three ways to share

Cause: how a quota is shared by gateways was to be chosen by measurement, at 5, 28, 100 and 300 gateways. Conclusion: told buckets.

--- a/crates/bulrushusher_model/src/lib.rs
+++ b/crates/bulrushusher_model/src/lib.rs
@@ -14,6 +14,8 @@
 mod patterns;
 mod play;
 mod plot;
+mod quota_patterns;
+mod quotas;
 mod readers;
 
 pub use bound::most_on_time;
@@ -24,4 +26,6 @@
 pub use patterns::Pattern;
 pub use play::play;
 pub use plot::{Bar, draw};
+pub use quota_patterns::QuotaPattern;
+pub use quotas::{QuotaLoad, QuotaOutcome, play_quotas};
 pub use readers::{ReadingLoad, ReadingOutcome, ReadingPolicy, ReadingShape, play_readings};
--- a/crates/bulrushusher_model/src/main.rs
+++ b/crates/bulrushusher_model/src/main.rs
@@ -2,11 +2,13 @@
 
 use std::path::PathBuf;
 
+use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_forward::ForecastConfig;
 use bulrushusher_model::{
-    Admission, Bar, Fleet, Outcome, Pattern, arrivals, draw, most_on_time, play,
+    Admission, Bar, Fleet, Outcome, Pattern, QuotaLoad, QuotaPattern, arrivals, draw, most_on_time,
+    play, play_quotas,
 };
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use comfy_table::Table;
 
 fn main() {
@@ -19,11 +21,20 @@
         .long("plots")
         .value_parser(value_parser!(PathBuf))
         .help("Directory for plots, as SVG");
+    let quotas = Arg::new("quotas")
+        .long("quotas")
+        .action(ArgAction::SetTrue)
+        .help("Plays only the quotas of client accounts");
     let matches = Command::new("bulrush-model")
         .about("Plays patterns of load on a model of engines and gateways")
         .arg(seeds)
         .arg(plots)
+        .arg(quotas)
         .get_matches();
+    if matches.get_flag("quotas") {
+        println!("{}", quota_table());
+        return;
+    }
     let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(3);
     let mut table = Table::new();
     table.set_header([
@@ -55,6 +66,7 @@
         }
     }
     println!("{table}");
+    println!("{}", quota_table());
     if let Some(dir) = matches.get_one::<PathBuf>("plots") {
         let drawn = draw(&dir.join("model-on-time.svg"), "Callers served on time", &on_time)
             .and_then(|()| draw(&dir.join("model-served.svg"), "Callers served", &served));
@@ -65,6 +77,37 @@
     }
 }
 
+/// Quotas that gateways keep together, by pattern, number of gateways and way of sharing.
+fn quota_table() -> Table {
+    let mut table = Table::new();
+    table.set_header([
+        "pattern",
+        "gateways",
+        "sharing",
+        "owed and refused",
+        "worst window of the allowed",
+        "words a second",
+    ]);
+    for pattern in QuotaPattern::ALL {
+        for gateways in [5, 28, 100, 300] {
+            for sharing in [Sharing::Even, Sharing::ByDemand, Sharing::Told] {
+                let load = QuotaLoad::new(gateways);
+                let cfg = QuotaConfig { sharing, ..load.cfg };
+                let outcome = play_quotas(&QuotaLoad { cfg, ..load }, pattern, 1);
+                table.add_row([
+                    pattern.to_string(),
+                    gateways.to_string(),
+                    format!("{sharing:?}"),
+                    format!("{:.2}%", outcome.lost_share() * 100.0),
+                    format!("{:.2}", outcome.worst_window),
+                    format!("{:.1}", outcome.words_per_second),
+                ]);
+            }
+        }
+    }
+    table
+}
+
 /// The ways to give memory that are compared.
 fn policies() -> [(&'static str, Fleet); 4] {
     let with = |admission| Fleet { admission, ..Fleet::default() };
