A store that comes back from an older copy: eras wherever a revision is compared

Cause: such a store gives revisions out again, shows keys that were taken away and runners that are gone, and has lost records of orders, quarantines and announcements; none of it was told apart from an outage. What it is: a revision carries its era, as one number that rises over restores, so that watches, peers' news, records and fencing tokens compare as before. Runners missing in the copy are used for the grace of an outage, those that left or are gone come back by their own word only. Whoever may order waits as for another holder. Quarantine and announcements are written again. The lease on keys is not renewed while the store holds an older configuration than any gateway knows.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -24,6 +24,7 @@
 mod report;
 mod request;
 mod returns;
+mod revision;
 mod route;
 mod runner;
 mod runs;
@@ -51,6 +52,7 @@
 pub use report::{GatewayChanges, GatewayReport, RunNote};
 pub use request::{PromptSize, RequestId};
 pub use returns::{ReturnConfig, UsualPatience};
+pub use revision::{era_of, number_of, revision_in_era};
 pub use route::{
     CallerLimits, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
     WeightedService,
--- a/crates/bulrushusher_forward/src/members.rs
+++ b/crates/bulrushusher_forward/src/members.rs
@@ -24,6 +24,9 @@
     }
 }
 
+/// How long a removed entry is remembered: a store comes back from a copy that is some seconds old.
+const REMOVED_KEPT: Millis = Millis(60_000);
+
 /// Whether the list still names a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Standing {
@@ -78,6 +81,10 @@
     last_answer: Option<Millis>,
     last_outage_end: Option<Millis>,
     listed_once: bool,
+    /// Runners whose entries were removed, and when.
+    removed: HashMap<RunnerId, Millis>,
+    /// True until the first list after the store came back from a copy.
+    is_restored: bool,
 }
 
 impl Members {
@@ -90,9 +97,18 @@
             last_answer: None,
             last_outage_end: None,
             listed_once: false,
+            removed: HashMap::new(),
+            is_restored: false,
         }
     }
 
+    /// The store came back from an older copy. Entries that the copy has not are written again, as after
+    /// an outage; what the copy shows of runners that leave or are gone is old.
+    pub fn note_restore(&mut self, now: Millis) {
+        self.last_outage_end = Some(now);
+        self.is_restored = true;
+    }
+
     /// The store answered a call. Returns how long it had been silent when that was an outage.
     pub fn store_answered(&mut self, now: Millis) -> Option<Millis> {
         self.store_answered_after(Millis(0), now)
@@ -125,7 +141,10 @@
     }
 
     /// Takes in a whole list.
-    pub fn replace_all(&mut self, runners: Vec<Runner>, now: Millis) -> ListNews {
+    pub fn replace_all(&mut self, mut runners: Vec<Runner>, now: Millis) -> ListNews {
+        if std::mem::take(&mut self.is_restored) {
+            self.correct_copy(&mut runners, now);
+        }
         let named: HashMap<RunnerId, Runner> =
             runners.into_iter().map(|r| (r.id.clone(), r)).collect();
         let missing: Vec<RunnerId> =
@@ -143,6 +162,19 @@
         ListNews { missing, started_again }
     }
 
+    /// Takes out of an older list what is known to be over: a runner that is gone comes back by its own
+    /// word only, and one that leaves leaves.
+    fn correct_copy(&self, runners: &mut Vec<Runner>, now: Millis) {
+        let is_gone =
+            |id: &RunnerId| self.removed.get(id).is_some_and(|at| now.since(*at) < REMOVED_KEPT);
+        runners.retain(|runner| !is_gone(&runner.id));
+        for runner in runners {
+            let known = self.known.get(&runner.id).map(|known| &known.runner);
+            let is_same = |known: &&Runner| known.born == runner.born;
+            runner.leaving |= known.filter(is_same).is_some_and(|known| known.leaving);
+        }
+    }
+
     /// Takes in one entry. One of an earlier start than is known changes nothing; one without a
     /// start, of a runner that told its start before, is another writer's and names no runner to
     /// use.
@@ -153,6 +185,7 @@
             StartNews::Untold => self.forget(&runner.id),
             StartNews::Same | StartNews::Later => {
                 self.forget_former_tenant(&runner);
+                self.removed.remove(&runner.id);
                 let known = Known { runner, standing: Standing::Listed };
                 self.known.insert(known.runner.id.clone(), known);
             }
@@ -195,6 +228,8 @@
             }
             _ => {
                 self.known.remove(id);
+                self.removed.retain(|_, at| now.since(*at) < REMOVED_KEPT);
+                self.removed.insert(id.clone(), now);
             }
         }
     }
--- a/crates/bulrushusher_forward/src/news.rs
+++ b/crates/bulrushusher_forward/src/news.rs
@@ -8,13 +8,15 @@
 use bulrushusher_time::Millis;
 use serde::{Deserialize, Serialize};
 
-/// Revisions of the store up to which a gateway knows each topic's last change.
+/// What a gateway knows of the store: the revision of each topic's last change, with its era.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NewsSeen {
     /// The configuration's last change.
     pub configuration: u64,
     /// The last change of a runner's entry.
     pub runners: u64,
+    /// Version of the configuration.
+    pub version: u64,
 }
 
 impl NewsSeen {
@@ -24,6 +26,7 @@
         NewsSeen {
             configuration: self.configuration.max(other.configuration),
             runners: self.runners.max(other.runners),
+            version: self.version.max(other.version),
         }
     }
 }
--- a/crates/bulrushusher_forward/src/stages.rs
+++ b/crates/bulrushusher_forward/src/stages.rs
@@ -168,17 +168,41 @@
     cfg: DutyConfig,
     own_revision: Option<u64>,
     seen: Option<(u64, Millis)>,
+    /// When the store was seen to have come back from an older copy, which may lack the record.
+    restored_at: Option<Millis>,
 }
 
 impl StageDuty {
     /// Nothing was seen of the record yet.
     pub fn new(cfg: DutyConfig) -> StageDuty {
-        StageDuty { cfg, own_revision: None, seen: None }
+        StageDuty { cfg, own_revision: None, seen: None, restored_at: None }
+    }
+
+    /// The store came back from an older copy: whoever wrote the record last may have ordered a moment ago.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{DutyConfig, StageDuty};
+    /// use bulrushusher_time::Millis;
+    /// let cfg = DutyConfig { lease: Millis(3_000), order_within: Millis(500) };
+    /// let mut duty = StageDuty::new(cfg);
+    /// assert!(duty.may_write(None, Millis(0)), "nobody ever ordered");
+    /// duty.written(7);
+    /// duty.note_restore(Millis(1_000));
+    /// assert!(!duty.may_write(None, Millis(2_000)), "a record may be lost");
+    /// assert!(duty.may_write(None, Millis(7_500)));
+    /// ```
+    pub fn note_restore(&mut self, now: Millis) {
+        self.own_revision = None;
+        self.seen = None;
+        self.restored_at = Some(now);
     }
 
     /// True when the record, which was just read at `revision`, may be written now. `None` is a
-    /// record that nobody ever wrote: nobody has given orders.
+    /// record that nobody ever wrote, or that was lost: nobody has given orders for a while.
     pub fn may_write(&mut self, revision: Option<u64>, now: Millis) -> bool {
+        if self.restored_at.is_some_and(|at| now.since(at) < self.quiet()) {
+            return false;
+        }
         let Some(revision) = revision else { return true };
         if self.own_revision == Some(revision) {
             return true;
--- a/crates/bulrushusher_gateway/src/announcing.rs
+++ b/crates/bulrushusher_gateway/src/announcing.rs
@@ -63,6 +63,20 @@
         Announcer { store, knowledge, lifecycle, address, known, made: Mutex::new(None) }
     }
 
+    /// Announces this gateway, and again when the store has come back from an older copy.
+    pub(crate) async fn keep_announced(&self) {
+        let mut restores = self.knowledge.restores();
+        loop {
+            self.announce().await;
+            if restores.changed().await.is_err() {
+                return;
+            }
+            // Spread, as all gateways learn of it at the same time.
+            let pause = self.knowledge.draw() * ANNOUNCE_AGAIN.0 as f64;
+            tokio::time::sleep(Millis(pause as u64).duration()).await;
+        }
+    }
+
     /// Announces this gateway; tries until it is done.
     pub(crate) async fn announce(&self) {
         let cfg = self.knowledge.cfg();
--- a/crates/bulrushusher_gateway/src/dialect.rs
+++ b/crates/bulrushusher_gateway/src/dialect.rs
@@ -244,7 +244,8 @@
     pub cause: String,
 }
 
-/// Changes up to a revision of the store.
+/// Changes up to a revision of the store. All revisions here tell their era, as
+/// [`revision_in_era`](bulrushusher_forward::revision_in_era) makes them.
 #[derive(Clone, Debug)]
 pub struct News {
     /// What changed, or, of a list, what there is.
@@ -261,6 +262,9 @@
     /// The changes since that revision are forgotten; list anew.
     #[display("the store forgot its history; list anew")]
     HistoryGone,
+    /// It came back from an older copy of what it held, and revisions of before say nothing; list anew.
+    #[display("the store came back from an older copy; list anew")]
+    Restored,
     /// It refused the call; nothing was done.
     #[display("the store refused the call with status {status}; try again later")]
     Refused {
--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/feed.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use bulrushusher_forward::{Runner, StartNews};
+use bulrushusher_forward::{Runner, StartNews, era_of, number_of};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
@@ -54,6 +54,7 @@
     pub(crate) async fn follow(self) {
         let mut pause = FIRST_PAUSE;
         let mut lost = false;
+        let mut era = None;
         loop {
             let asked_at = self.knowledge.now();
             match self.list(&mut lost).await {
@@ -64,6 +65,15 @@
                     }
                     (lost, pause) = (false, FIRST_PAUSE);
                     let revision = news.revision;
+                    let known_era = *era.get_or_insert(era_of(revision));
+                    if era_of(revision) < known_era {
+                        // It lay on its way since before the store came back.
+                        continue;
+                    }
+                    if era_of(revision) > known_era {
+                        era = Some(era_of(revision));
+                        self.note_restore(revision);
+                    }
                     self.knowledge.note_news(self.topic, revision, news.last_change);
                     self.apply_list(news);
                     self.note_confirmed(asked_at);
@@ -104,6 +114,16 @@
         }
     }
 
+    fn note_restore(&self, revision: u64) {
+        log::warn!(
+            "store: restored topic={} era={} revision={}",
+            self.topic,
+            era_of(revision),
+            number_of(revision)
+        );
+        self.knowledge.note_restore(self.topic);
+    }
+
     fn note_lost(&self, lost: &mut bool, cause: &str) {
         if !*lost {
             log::warn!("store: lost topic={} cause=\"{cause}\"", self.topic);
@@ -150,6 +170,10 @@
                         tokio::time::sleep(self.share(BATCH_SHARE).duration()).await;
                     }
                 }
+                Err(StoreFailure::Restored) => {
+                    self.note_call("restored");
+                    return;
+                }
                 Err(StoreFailure::HistoryGone) => {
                     self.note_call("history_gone");
                     log::info!("store: history gone topic={} revision={revision}", self.topic);
--- a/crates/bulrushusher_gateway/src/knowledge/accounts.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/accounts.rs
@@ -10,7 +10,9 @@
 impl Knowledge {
     /// The store confirmed the configuration in answer to a question of that moment.
     pub(crate) fn renew_lease(&self, asked_at: Millis) {
-        self.lease.lock().renew(asked_at);
+        if !self.store_is_behind() {
+            self.lease.lock().renew(asked_at);
+        }
     }
 
     /// A later configuration is in force than the one that is known here.
--- a/crates/bulrushusher_gateway/src/knowledge/crashes.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/crashes.rs
@@ -107,6 +107,15 @@
         self.crashes.lock().to_write.retain(|held| !written.contains(held));
     }
 
+    /// The store has lost what it was told: it is told all again.
+    pub(crate) fn write_quarantined_again(&self) {
+        let all = self.all_quarantined();
+        if !all.is_empty() {
+            self.crashes.lock().to_write = all;
+            self.quarantine_due.notify_one();
+        }
+    }
+
     /// All requests in quarantine.
     pub(crate) fn all_quarantined(&self) -> Vec<Quarantined> {
         self.crashes.lock().quarantine.all_held(self.now())
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -19,7 +19,7 @@
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::settings::GatewayConfig;
 
@@ -70,6 +70,8 @@
     quotas: Mutex<QuotaBook>,
     /// How long keys may be acted on without new word of the store.
     lease: Mutex<ConfigLease>,
+    /// Raised each time that the store was seen to have come back from an older copy.
+    restored: watch::Sender<u64>,
     /// Notified when a caller brings a key that cannot be checked.
     pub lease_due: Notify,
     /// Notified when peers should hear of something new.
@@ -104,6 +106,7 @@
             crashes: Mutex::new(crashes::KnownCrashes::new(quarantine)),
             quotas: Mutex::new(quotas),
             lease: Mutex::default(),
+            restored: watch::Sender::new(0),
             lease_due: Notify::new(),
             report_due: Notify::new(),
             crashes_due: Notify::new(),
@@ -147,6 +150,7 @@
 
     /// Puts a configuration in force unless one at least as high is.
     pub(crate) fn take_routing(&self, routing: RoutingConfig) {
+        self.note_stored_version(routing.version);
         if self.routing().is_some_and(|old| routing.version <= old.version) {
             return;
         }
--- a/crates/bulrushusher_gateway/src/knowledge/news.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/news.rs
@@ -2,6 +2,7 @@
 
 use bulrushusher_forward::{NewsConfig, NewsSeen};
 use bulrushusher_time::Millis;
+use tokio::sync::watch;
 
 use super::Knowledge;
 use crate::dialect::Topic;
@@ -33,7 +34,36 @@
 
     /// The changes that this gateway knows, for its peers.
     pub(super) fn news_told(&self) -> NewsSeen {
-        self.news.lock().told
+        let version = self.routing().map_or(0, |routing| routing.version);
+        NewsSeen { version, ..self.news.lock().told }
+    }
+
+    /// The store holds that version of the configuration, be it in force or an older copy.
+    pub(super) fn note_stored_version(&self, version: u64) {
+        self.news.lock().stored_version = version;
+    }
+
+    /// True while the store does not hold the latest configuration that any gateway knows: it came back
+    /// from an older copy, and vouches for nothing until the operator has written again.
+    pub(super) fn store_is_behind(&self) -> bool {
+        let now = self.now();
+        let known = self.news_told().max(self.runs.lock().news_of_peers(now)).version;
+        self.news.lock().stored_version < known
+    }
+
+    /// The store came back from an older copy, as an answer of a later era shows.
+    pub(crate) fn note_restore(&self, topic: Topic) {
+        match topic {
+            Topic::Configuration => self.restored.send_modify(|times| *times += 1),
+            Topic::Runners => {
+                self.with_runners(|runners, now| runners.members.note_restore(now));
+            }
+        }
+    }
+
+    /// Counts how often the store came back from an older copy, as far as this gateway saw.
+    pub(crate) fn restores(&self) -> watch::Receiver<u64> {
+        self.restored.subscribe()
     }
 
     /// How long to wait for a topic's changes; alone it would be `alone`.
@@ -81,4 +111,6 @@
     told: NewsSeen,
     /// The revisions up to which nothing was missed.
     seen: NewsSeen,
+    /// Version of the configuration that the store held last.
+    stored_version: u64,
 }
--- a/crates/bulrushusher_gateway/src/orders.rs
+++ b/crates/bulrushusher_gateway/src/orders.rs
@@ -102,8 +102,14 @@
     /// Looks and acts until dropped.
     pub(crate) async fn keep(self) {
         let mut duties: BTreeMap<ServiceName, Duty> = BTreeMap::new();
+        let mut restores = self.knowledge.restores();
         loop {
             tokio::time::sleep(LOOK_EVERY.duration()).await;
+            if restores.has_changed().unwrap_or(false) {
+                restores.mark_unchanged();
+                let now = self.knowledge.now();
+                duties.values_mut().for_each(|duty| duty.may.note_restore(now));
+            }
             if self.lifecycle.is_stopping() || !self.knowledge.is_complete() {
                 continue;
             }
--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers.rs
@@ -60,7 +60,7 @@
             self.listen(&socket),
             self.tell(&socket),
             self.tell_crashes(&socket),
-            self.announcer.announce(),
+            self.announcer.keep_announced(),
         );
     }
 
--- a/crates/bulrushusher_gateway/src/quarantine.rs
+++ b/crates/bulrushusher_gateway/src/quarantine.rs
@@ -39,13 +39,18 @@
 impl<S: PlatformStore> QuarantineKeeper<S> {
     /// Reads and writes until dropped.
     pub(crate) async fn keep(self) {
+        let mut restores = self.knowledge.restores();
         loop {
             while let Err(cause) = self.look().await {
                 self.metrics.store_call("quarantine", "failed");
                 log::info!("quarantine: record not read or written yet cause=\"{cause}\"");
                 tokio::time::sleep(TRY_AGAIN.duration()).await;
             }
-            self.knowledge.quarantine_due.notified().await;
+            tokio::select! {
+                () = self.knowledge.quarantine_due.notified() => {}
+                // The sender lives as long as this.
+                _ = restores.changed() => self.knowledge.write_quarantined_again(),
+            }
         }
     }
 
