After a start of all gateways a part of the headroom is there at once

What it is: a fifth of the headroom is granted at a start, of which each gateway uses its part of those that it hears; a part that falls costs nothing while a gateway does not know what was used before. Ruled out: a full bucket (twice the quota in a window across the restart); the grant for each gateway by itself (a rolling restart of a hot account would take it 28 times in eight seconds).

--- a/crates/bulrushusher_accounts/src/book.rs
+++ b/crates/bulrushusher_accounts/src/book.rs
@@ -96,10 +96,13 @@
         self.refresh(now);
         let weight = self.part.0.share();
         for (account, quota) in accounts {
-            self.ensure(account);
+            let is_new = self.ensure(account);
             let Some(bucket) = self.buckets.get_mut(account) else { continue };
             bucket.fill(&self.cfg, weight, now);
             bucket.set_quota(&self.cfg, quota);
+            if is_new && !self.settled {
+                bucket.begin(&self.cfg);
+            }
         }
     }
 
@@ -236,8 +239,7 @@
             let full = self.cfg.capacity(quota);
             let told = told.get(&bucket.id);
             let left = told.map(|told| told.left.map_or(full * HALF, |left| left as f64));
-            bucket.filled = now;
-            bucket.level = left.unwrap_or(full).min(full);
+            bucket.settle(left.unwrap_or(full).min(full), now);
         }
     }
 
@@ -264,9 +266,10 @@
         self.buckets.is_empty()
     }
 
-    fn ensure(&mut self, account: &ClientAccountName) {
+    /// Tracks an account; true when it was not tracked before.
+    fn ensure(&mut self, account: &ClientAccountName) -> bool {
         if self.buckets.contains_key(account) {
-            return;
+            return false;
         }
         if self.buckets.len() >= self.cfg.most {
             let oldest = self.buckets.iter().min_by_key(|(_, bucket)| bucket.filled);
@@ -278,12 +281,13 @@
         let filled = if self.settled { Millis(0) } else { self.started };
         self.names.insert(id, account.clone());
         self.buckets.insert(account.clone(), Bucket::new(id, filled));
+        true
     }
 
     /// Brings up to date what changes with time alone.
     fn refresh(&mut self, now: Millis) {
         if !self.settled && now.since(self.started) >= self.cfg.window {
-            self.settle();
+            self.settle(now);
         }
         if now.since(self.part.1) >= PART_KEPT || self.part.1 == Millis(0) {
             let gone_after = self.cfg.gone_after;
@@ -297,11 +301,13 @@
     }
 
     /// What was used before the start is out of every window: the buckets need not have begun empty.
-    fn settle(&mut self) {
+    fn settle(&mut self, now: Millis) {
         self.settled = true;
+        let weight = self.part.0.share();
         for bucket in self.buckets.values_mut() {
+            bucket.fill(&self.cfg, weight, now);
             let full = bucket.quota.map_or(0.0, |quota| self.cfg.capacity(quota));
-            bucket.level = (bucket.level + full).min(full);
+            bucket.settle((bucket.level + full).min(full), now);
         }
     }
 
@@ -309,7 +315,7 @@
     /// were heard last, and take it further on.
     fn part_from_others(&mut self, share: f64, now: Millis) {
         let (cfg, weight) = (self.cfg, self.part.0.share());
-        if cfg.sharing != Sharing::Told {
+        if cfg.sharing != Sharing::Told || !self.settled {
             return;
         }
         for bucket in self.buckets.values_mut() {
--- a/crates/bulrushusher_accounts/src/bucket.rs
+++ b/crates/bulrushusher_accounts/src/bucket.rs
@@ -42,6 +42,8 @@
     pub quota: Option<Quota>,
     /// Units left; below zero after others' use was heard late.
     pub level: f64,
+    /// Units of these that stand for all gateways together after a start of all: this one may use its part.
+    grant: f64,
     pub filled: Millis,
     /// Units that this gateway let through, less refunds.
     pub spent: u64,
@@ -61,6 +63,7 @@
             id,
             quota: None,
             level: 0.0,
+            grant: 0.0,
             filled,
             spent: 0,
             told: 0,
@@ -75,14 +78,27 @@
         self.quota = quota;
         if let Some(quota) = quota {
             self.level = self.level.min(cfg.capacity(quota));
+            self.grant = self.grant.min(cfg.at_start(quota));
         }
     }
 
+    /// Lets a bucket begin that is empty but for what may be used whatever was used before.
+    pub(crate) fn begin(&mut self, cfg: &QuotaConfig) {
+        self.grant = self.quota.map_or(0.0, |quota| cfg.at_start(quota));
+        self.level = self.grant;
+    }
+
+    /// What was used before is known, or no longer counts.
+    pub(crate) fn settle(&mut self, level: f64, now: Millis) {
+        (self.level, self.filled, self.grant) = (level, now, 0.0);
+    }
+
     pub(crate) fn fill(&mut self, cfg: &QuotaConfig, weight: f64, now: Millis) {
         let Some(quota) = self.quota else { return };
         let passed = now.since(self.filled).0 as f64;
         self.filled = self.filled.max(now);
-        let full = cfg.capacity(quota) * weight;
+        let part = if self.grant > 0.0 { 1.0 } else { weight };
+        let full = cfg.capacity(quota) * part;
         self.level = (self.level + passed * rate(cfg, quota, weight)).min(full);
     }
 
@@ -90,7 +106,8 @@
     /// full; those that come after it pay off the debt.
     pub(crate) fn missing(&self, cfg: &QuotaConfig, quota: Quota, weight: f64, units: f64) -> f64 {
         let full = cfg.capacity(quota) * weight;
-        units.min(full * NEARLY_FULL) - self.level
+        let others = self.grant * (1.0 - weight);
+        units.min(full * NEARLY_FULL) - (self.level - others)
     }
 
     pub(crate) fn take(&mut self, cost: u64, window: Millis, now: Millis) {
--- a/crates/bulrushusher_accounts/src/quota.rs
+++ b/crates/bulrushusher_accounts/src/quota.rs
@@ -72,6 +72,11 @@
         quota.burst + CAPACITY_SHARE * self.headroom(quota)
     }
 
+    /// Units that may be used at once after all gateways have started anew, whatever was used before.
+    pub(crate) fn at_start(&self, quota: Quota) -> f64 {
+        START_SHARE * self.headroom(quota)
+    }
+
     /// Units that one of `gateways` may use untold.
     pub(crate) fn untold(&self, quota: Quota, gateways: usize) -> f64 {
         UNTOLD_SHARE * self.headroom(quota) / gateways as f64
@@ -82,6 +87,9 @@
 /// their way are not refused.
 const CAPACITY_SHARE: f64 = 0.25;
 
+/// Share of the headroom that may be used at once after a start of all.
+const START_SHARE: f64 = 0.2;
+
 /// Share of the headroom that all gateways together may have used untold.
 const UNTOLD_SHARE: f64 = 0.25;
 
