Entries count accounts by the same buckets as gateways

Cause: AccountLimits of the own interface and QuotaBook of the gateways were the same token bucket twice. What it is: an entry has a fixed part of each quota, of which nothing is told; AccountLimits is gone. Ruled out: a change of the own interface: its settings, codes and Retry-After stay. Conclusion: one type.

--- a/crates/bulrushusher_entry/src/config.rs
+++ b/crates/bulrushusher_entry/src/config.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 
+use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
-use bulrushusher_routing::{LimitsConfig, PairingConfig, Policy, RetryConfig};
+use bulrushusher_routing::{PairingConfig, Policy, RetryConfig};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, EntryName};
 
@@ -125,8 +126,8 @@
     pub drain: Millis,
     /// How runners are chosen.
     pub pairing: PairingConfig,
-    /// How accounts' limits are split.
-    pub limits: LimitsConfig,
+    /// How accounts' quotas are split.
+    pub quotas: QuotaConfig,
     /// How many retries there may be.
     pub retries: RetryConfig,
     /// Silence of an agent after which the connection is replaced.
@@ -163,10 +164,7 @@
                 seed: values.count("routing", "seed") as u64,
                 ..PairingConfig::default()
             },
-            limits: LimitsConfig {
-                entries: values.count("limits", "entries") as u32,
-                ..LimitsConfig::default()
-            },
+            quotas: split_evenly(values.count("limits", "entries") as u32),
             retries: RetryConfig {
                 per_request: values.real("retries", "per_request"),
                 ..RetryConfig::default()
@@ -178,3 +176,16 @@
         })
     }
 }
+
+/// Accounts that one entry tracks; more than there are to design for.
+const MOST_ACCOUNTS: usize = 20_000;
+
+/// Quotas of which each of so many entries grants its part, to the unit.
+pub fn split_evenly(entries: u32) -> QuotaConfig {
+    QuotaConfig {
+        sharing: Sharing::Fixed(entries),
+        overage: 0.0,
+        most: MOST_ACCOUNTS,
+        ..QuotaConfig::default()
+    }
+}
--- a/crates/bulrushusher_entry/src/entry.rs
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -5,13 +5,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::ArcSwap;
+use bulrushusher_accounts::{Quota, QuotaBook};
 use bulrushusher_http::{Served, bind, serve};
 use bulrushusher_once::Owner;
 use bulrushusher_operator::v1::operator_server::OperatorServer;
 use bulrushusher_report::EntryMetrics;
-use bulrushusher_routing::{
-    AccountLimits, LoadHint, PairingTable, Quarantine, QuarantineConfig, RetryBudget,
-};
+use bulrushusher_routing::{LoadHint, PairingTable, Quarantine, QuarantineConfig, RetryBudget};
 use bulrushusher_store::StoreClient;
 use bulrushusher_time::{Clock, Millis};
 use bulrushusher_wire::{AgentLoad, ApiError, ErrorCode};
@@ -42,7 +41,7 @@
     /// Which life of this entry; part of its ballots.
     pub(crate) incarnation: u64,
     pub(crate) table: Mutex<PairingTable>,
-    pub(crate) limits: Mutex<AccountLimits>,
+    pub(crate) quotas: Mutex<QuotaBook>,
     pub(crate) retries: Mutex<RetryBudget>,
     /// Prompts that end the engines that run them.
     pub(crate) quarantine: Mutex<Quarantine>,
@@ -68,7 +67,7 @@
             clock: Clock::system(),
             incarnation,
             table: Mutex::new(PairingTable::new(cfg.pairing)),
-            limits: Mutex::new(AccountLimits::new(cfg.limits)),
+            quotas: Mutex::new(QuotaBook::new(cfg.quotas, Millis(0))),
             retries: Mutex::new(RetryBudget::new(cfg.retries)),
             quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
             configuration: ArcSwap::default(),
@@ -100,14 +99,17 @@
         Ok(())
     }
 
-    /// Counts a request against its account's limit.
+    /// Counts a request against its account's quota, of which this entry has a fixed part.
     pub(crate) fn admit_account(&self, cfg: &Configuration, job: &Job) -> Result<(), ApiError> {
         let account = job.account.as_ref().and_then(|name| cfg.account(name));
         let Some(account) = account else { return Ok(()) };
-        let admitted = self.limits.lock().admit(account, self.clock.now());
-        admitted.map_err(|over| {
-            let message = over.to_string();
-            ApiError::not_run(ErrorCode::AccountLimit, message).after(over.retry_after)
+        let quota = Quota { per_second: account.requests_per_second, burst: account.burst as f64 };
+        let now = self.clock.now();
+        let mut quotas = self.quotas.lock();
+        quotas.configure([(&account.name, Some(quota))], now);
+        quotas.admit(&account.name, 1, now).map_err(|over| {
+            let message = format!("client account {} is {over}", account.name);
+            ApiError::not_run(ErrorCode::AccountLimit, message).after(over.come_back)
         })
     }
 
--- a/crates/bulrushusher_entry/src/lib.rs
+++ b/crates/bulrushusher_entry/src/lib.rs
@@ -23,7 +23,7 @@
 mod service_task;
 mod settle;
 
-pub use config::{EntryConfig, PROGRAM};
+pub use config::{EntryConfig, PROGRAM, split_evenly};
 pub use entry::{Entry, EntryFigures};
 pub use request::{ACCOUNT_HEADER, CLASS_HEADER, DEADLINE_HEADER, KEY_HEADER};
 
--- a/crates/bulrushusher_routing/src/lib.rs
+++ b/crates/bulrushusher_routing/src/lib.rs
@@ -6,7 +6,6 @@
 //! pair of runners per request.
 
 mod digest;
-mod limits;
 mod load;
 mod pairing;
 mod policy;
@@ -15,7 +14,6 @@
 mod retry;
 
 pub use digest::{DigestError, RequestDigest};
-pub use limits::{AccountLimits, LimitsConfig, OverLimit};
 pub use load::LoadHint;
 pub use pairing::{
     Chosen, NotPlaced, Pairing, PairingConfig, PairingTable, PromptRequest, ServiceRequest,
@@ -28,7 +26,7 @@
 /// The common types in one `use`.
 pub mod prelude {
     pub use crate::{
-        AccountLimits, LimitsConfig, LoadHint, NotPlaced, Pairing, PairingConfig, PairingTable,
-        Policy, PromptRequest, RetryBudget, RetryConfig, ServiceRequest,
+        LoadHint, NotPlaced, Pairing, PairingConfig, PairingTable, Policy, PromptRequest,
+        RetryBudget, RetryConfig, ServiceRequest,
     };
 }
--- a/tools/bulrushusher_slopes/src/state.rs
+++ b/tools/bulrushusher_slopes/src/state.rs
@@ -3,13 +3,12 @@
 
 use std::time::Instant;
 
+use bulrushusher_accounts::{Quota, QuotaBook, QuotaConfig, Sharing};
 use bulrushusher_admission::{Ask, AskId, Gate, GateConfig};
 use bulrushusher_once::{
     Ballot, ExecutorConfig, ExecutorTable, HomeConfig, HomeTable, ServiceList, Vouch,
 };
-use bulrushusher_routing::{
-    AccountLimits, LimitsConfig, LoadHint, PairingConfig, PairingTable, PromptRequest,
-};
+use bulrushusher_routing::{LoadHint, PairingConfig, PairingTable, PromptRequest};
 use bulrushusher_store::{Snapshot, StoredObject};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{
@@ -131,12 +130,20 @@
 fn account_bytes() -> Slope {
     slope("account limits", "bytes", "account", [13_000, 52_000, 104_000, 208_000], |accounts| {
         bytes(|| {
-            let cfg = LimitsConfig { max_accounts: accounts, entries: 380 };
-            let mut limits = AccountLimits::new(cfg);
+            let cfg = QuotaConfig {
+                sharing: Sharing::Fixed(380),
+                most: accounts,
+                ..QuotaConfig::default()
+            };
+            let mut quotas = QuotaBook::new(cfg, NOW);
             for number in 0..accounts {
-                limits.admit(&account(number), NOW).ok();
+                let account = account(number);
+                let per_second = account.requests_per_second;
+                let quota = Quota { per_second, burst: account.burst as f64 };
+                quotas.configure([(&account.name, Some(quota))], NOW);
+                quotas.admit(&account.name, 1, NOW).ok();
             }
-            limits
+            quotas
         })
     })
 }
--- a/tools/bulrushusher_testbed/src/bed.rs
+++ b/tools/bulrushusher_testbed/src/bed.rs
@@ -6,10 +6,10 @@
 
 use bulrushusher_admission::GateConfig;
 use bulrushusher_agent::{Agent, AgentConfig};
-use bulrushusher_entry::{Entry, EntryConfig};
+use bulrushusher_entry::{Entry, EntryConfig, split_evenly};
 use bulrushusher_operator::v1;
 use bulrushusher_operator::v1::operator_client::OperatorClient;
-use bulrushusher_routing::{LimitsConfig, PairingConfig, Policy, RetryConfig};
+use bulrushusher_routing::{PairingConfig, Policy, RetryConfig};
 use bulrushusher_standin::engine::{Counts, Faults};
 use bulrushusher_standin::{Engine, EngineConfig, PlainService, Relay, Store};
 use bulrushusher_time::{Clock, Millis};
@@ -445,7 +445,7 @@
             seed: seed.wrapping_add(number as u64),
             ..PairingConfig::default()
         },
-        limits: LimitsConfig { entries: deployment.entries as u32, ..LimitsConfig::default() },
+        quotas: split_evenly(deployment.entries as u32),
         retries: RetryConfig::default(),
         silent: Millis(1_000),
         resume: Millis(6_000),
