--- a/crates/bulrushusher_ctl/src/cli.rs
+++ b/crates/bulrushusher_ctl/src/cli.rs
@@ -12,8 +12,8 @@
 
 use crate::CtlError;
 use crate::apply::{Desired, read_desired};
-use crate::losses;
 use crate::show::{self, Output, Rows};
+use crate::{losses, quotas};
 
 type Client = OperatorClient<Channel>;
 
@@ -110,6 +110,7 @@
         .subcommand(named("drain", "An endpoint gets no new work; what is in flight finishes"))
         .subcommand(named("undrain", "An endpoint gets work again"))
         .subcommand(losses::command())
+        .subcommand(quotas::command())
         .subcommand(Command::new("status").about("What an entry has in force and sees"))
         .subcommand(
             Command::new("wait")
@@ -134,6 +135,7 @@
         Some(("endpoint", args)) => endpoint(&mut connect(&first).await?, args).await?,
         Some(("account", args)) => account(&mut connect(&first).await?, args).await?,
         Some(("losses", args)) => return losses::losses(args, output),
+        Some(("quotas", args)) => return quotas::quotas(args, output).await,
         Some(("apply", args)) => return apply(&first, args, output).await,
         Some((verb @ ("drain" | "undrain"), args)) => {
             let req = v1::DrainRequest { name: name_of(args), drain: verb == "drain" };
--- a/crates/bulrushusher_ctl/src/error.rs
+++ b/crates/bulrushusher_ctl/src/error.rs
@@ -38,6 +38,15 @@
         /// What is wrong, and what to do.
         cause: String,
     },
+    /// A gateway's metrics cannot be read.
+    #[from(ignore)]
+    #[display("{gateway} gives no metrics ({cause}); give a gateway's metrics address")]
+    NoMetrics {
+        /// The address that was given.
+        gateway: std::net::SocketAddr,
+        /// What went wrong.
+        cause: String,
+    },
     /// The revision was not in force in time.
     #[from(ignore)]
     #[display("revision {revision} was not in force at {entry} in time; it has {held}")]
@@ -56,7 +65,9 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             CtlError::File { .. } | CtlError::Settings(_) | CtlError::NoCommand => EXIT_USAGE,
-            CtlError::Unreachable(_) | CtlError::NotInForce { .. } => EXIT_UNREACHABLE,
+            CtlError::Unreachable(_) | CtlError::NoMetrics { .. } | CtlError::NotInForce { .. } => {
+                EXIT_UNREACHABLE
+            }
             CtlError::Refused(status) => match status.code() {
                 Code::Aborted => EXIT_CONFLICT,
                 Code::Unavailable => EXIT_UNREACHABLE,
--- a/crates/bulrushusher_ctl/src/lib.rs
+++ b/crates/bulrushusher_ctl/src/lib.rs
@@ -4,6 +4,7 @@
 mod cli;
 mod error;
 mod losses;
+mod quotas;
 mod show;
 
 pub use apply::{Desired, read_desired};
--- a/crates/bulrushusher_ctl/tests/cli.rs
+++ b/crates/bulrushusher_ctl/tests/cli.rs
@@ -73,3 +73,50 @@
     let missing = run(&["no-such-file.log"]).await.expect_err("there is none");
     assert_eq!(missing.exit_code(), bulrushusher_ctl::EXIT_USAGE);
 }
+
+/// Serves a text once to each that asks.
+fn serve_metrics(text: &'static str) -> std::net::SocketAddr {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let mut buf = [0; 1_024];
+            let read = stream.read(&mut buf).expect("it asks");
+            assert!(buf[..read].starts_with(b"GET /metrics"));
+            let length = text.len();
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{text}")
+                .expect("it listens");
+        }
+    });
+    address
+}
+
+#[test]
+fn quotas_adds_up_what_gateways_tell_of_accounts() {
+    let first = serve_metrics(
+        "# TYPE bulrush_gateway_account gauge\n\
+         bulrush_gateway_account{account=\"studio-7\",gateway=\"g1\",what=\"used\"} 900\n\
+         bulrush_gateway_account{account=\"studio-7\",gateway=\"g1\",what=\"quota\"} 1000\n\
+         bulrush_gateway_account{account=\"studio-7\",gateway=\"g1\",what=\"worst_window\"} 950\n\
+         bulrush_gateway_account{account=\"studio-7\",gateway=\"g1\",what=\"refused\"} 300\n\
+         bulrush_gateway_state{what=\"runners\"} 4\n",
+    );
+    let second = serve_metrics(
+        "bulrush_gateway_account{account=\"studio-7\",gateway=\"g2\",what=\"used\"} 910\n\
+         bulrush_gateway_account{account=\"studio-7\",gateway=\"g2\",what=\"refused\"} 30\n\
+         bulrush_gateway_account{account=\"studio-8\",gateway=\"g2\",what=\"used\"} 5\n",
+    );
+    let args = ["--output", "json", "quotas", &first.to_string(), &second.to_string()];
+    let output = Command::new(PROGRAM).args(args).output().expect("it starts");
+    let rows: serde_json::Value = serde_json::from_slice(&output.stdout).expect("it is JSON");
+    let expected = serde_json::json!([
+        {"account": "studio-7", "used": 910, "quota": 1000, "worst_window": 950, "refused": 330},
+        {"account": "studio-8", "used": 5, "quota": 0, "worst_window": 0, "refused": 0},
+    ]);
+    assert_eq!(rows, expected);
+    let (code, message) = run(&["quotas", NOBODY]);
+    assert_eq!(code, Some(4), "{message}");
+    assert!(message.contains("give a gateway's metrics address"), "{message}");
+}
