--- a/crates/bulrushusher_gateway/src/access.rs
+++ b/crates/bulrushusher_gateway/src/access.rs
@@ -49,6 +49,14 @@
         self.account().map(|account| &account.name)
     }
 
+    /// What the request counts as; 0 where it has no account.
+    pub(crate) fn cost(&self) -> u64 {
+        match self {
+            Caller::Unchecked | Caller::Anonymous => 0,
+            Caller::Account(charge) => charge.cost,
+        }
+    }
+
     /// True when what the caller sent to show who it is goes no further.
     pub(crate) fn hides_key(&self) -> bool {
         !matches!(self, Caller::Unchecked)
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/front.rs
@@ -156,7 +156,7 @@
         log::info!(
             "front: accepted id={} digest={} route={} service={} kind={kind} left_ms={} \
              elapsed_before_ms={} configuration={} target_ms={} pause_target_ms={} prompt={} \
-             account={}",
+             account={} cost={}",
             arrival.id,
             fwd.digest,
             fwd.route.name,
@@ -168,6 +168,7 @@
             fwd.route.gap_target.0,
             fwd.prompt_tokens(),
             fwd.caller.account_name().map_or("none", |name| name.as_str()),
+            fwd.caller.cost(),
         );
         if let Err(held) = self.router.may_run(&fwd) {
             let refusal = Refusal::NotRun { reason: held.reason, come_back: held.come_back };
