The gateway's files are grouped by the way of a request; bulrushctl's writing has a file of its own

What it is: callers, access, runs, placement, runners, answers, store, peers, knowledge and dialect, whose imports run one way; Withheld lies with the other answers, NoRun and Tries with the placement, the time of a small call with the exchange, the store's side of the dialect in a file of its own. What was charged is made in one place. Ruled out: a change of what is decided.

--- a/crates/bulrushusher_ctl/src/lib.rs
+++ b/crates/bulrushusher_ctl/src/lib.rs
@@ -6,6 +6,7 @@
 mod losses;
 mod quotas;
 mod show;
+mod writing;
 
 pub use apply::{Desired, read_desired};
 pub use cli::{SETTINGS, command, execute};
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/access/mod.rs
@@ -0,0 +1,3 @@
+//! Whose request it is, and what it counts as.
+
+pub(crate) mod caller;
--- a/crates/bulrushusher_gateway/src/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -9,7 +9,7 @@
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 
-use crate::body::ReplyBody;
+use crate::answers::body::ReplyBody;
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [&str; 9] = [
@@ -28,6 +28,13 @@
 pub(crate) const QUARANTINED: &str = "runners ended on this request each time it was run, and it is \
                                       run no more for now; change it, or ask the operator";
 
+/// Why a request is kept from runners, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Withheld {
+    pub reason: &'static str,
+    pub come_back: Millis,
+}
+
 /// Why a request gets the gateway's own answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
--- a/crates/bulrushusher_gateway/src/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -17,15 +17,15 @@
 use hyper::http::request;
 use hyper::{Request, Response, Version};
 
-use crate::access::Caller;
-use crate::answer::{Refusal, strip_hop_by_hop};
-use crate::body::ReplyBody;
-use crate::call::call;
+use crate::access::caller::Caller;
+use crate::answers::answer::{Refusal, strip_hop_by_hop};
+use crate::answers::body::ReplyBody;
 use crate::connection::CallerConnection;
 use crate::dialect::{Arrival, Dialect};
-use crate::generation::generate;
 use crate::lifecycle::Lifecycle;
-use crate::router::{Forwarded, Router, origin_form};
+use crate::runners::router::{Forwarded, Router, origin_form};
+use crate::runs::call::call;
+use crate::runs::generation::generate;
 
 /// When a caller comes back that was refused before anything was known, or while stopping: another
 /// gateway, or this one after its start, serves it.
--- a/crates/bulrushusher_gateway/src/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -11,9 +11,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::callers::front::Front;
 use crate::connection::{CallerConnection, CallerStream};
 use crate::dialect::Dialect;
-use crate::front::Front;
 
 /// How often connections are looked over for slow heads and idleness.
 const SWEEP: Millis = Millis(500);
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -11,22 +11,22 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
-use crate::announcing::Announcer;
+use crate::callers::front::Front;
+use crate::callers::server::Server;
 use crate::dialect::{Dialect, PlatformStore, Topic};
-use crate::exchange::Exchanger;
-use crate::feed::Feed;
-use crate::front::Front;
 use crate::knowledge::Knowledge;
 use crate::lifecycle::Lifecycle;
-use crate::orders::StageKeeper;
-use crate::peers::Peers;
-use crate::pool::RunnerPool;
+use crate::peers::announcing::Announcer;
+use crate::peers::speaking::Peers;
 use crate::probes::{self, Probe};
-use crate::quarantine::QuarantineKeeper;
-use crate::renewing::LeaseKeeper;
-use crate::router::Router;
-use crate::server::Server;
+use crate::runners::exchange::Exchanger;
+use crate::runners::pool::RunnerPool;
+use crate::runners::router::Router;
 use crate::settings::GatewayConfig;
+use crate::store::feed::Feed;
+use crate::store::orders::StageKeeper;
+use crate::store::quarantine::QuarantineKeeper;
+use crate::store::renewing::LeaseKeeper;
 
 /// Connections that wait to be accepted; a burst's worth, as a full queue costs callers a second.
 const BACKLOG: u32 = 1_024;
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/peers/mod.rs
@@ -0,0 +1,5 @@
+//! The other gateways: found, told, heard.
+
+pub(crate) mod announcing;
+pub(crate) mod report_codec;
+pub(crate) mod speaking;
--- a/crates/bulrushusher_gateway/src/peers.rs
+++ b/crates/bulrushusher_gateway/src/peers/speaking.rs
@@ -13,10 +13,10 @@
 use bulrushusher_time::Millis;
 use tokio::net::UdpSocket;
 
-use crate::announcing::Announcer;
 use crate::dialect::PlatformStore;
 use crate::knowledge::Knowledge;
-use crate::report_codec::{self, Datagram, Word};
+use crate::peers::announcing::Announcer;
+use crate::peers::report_codec::{self, Datagram, Word};
 
 /// Least time between two reports: a burst's placements go in a few datagrams.
 const LEAST_GAP: Millis = Millis(8);
--- a/crates/bulrushusher_gateway/src/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -9,11 +9,8 @@
 use tokio::runtime::Handle;
 
 use crate::dialect::{Dialect, KvCache, SideCall};
-use crate::exchange::Exchanger;
 use crate::knowledge::Knowledge;
-
-/// A small call is answered at once by a runner that lives.
-pub(crate) const SIDE_CALL_TIMEOUT: Millis = Millis(200);
+use crate::runners::exchange::{Exchanger, SIDE_CALL_TIMEOUT};
 
 /// Memory held at a decode runner. It counts there until dropped.
 #[derive(Debug)]
--- a/crates/bulrushusher_gateway/src/placement.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -9,12 +9,13 @@
 use hyper::StatusCode;
 
 use crate::dialect::Dialect;
-use crate::exchange::ExchangeError;
-use crate::holds::{HeldMemory, HoldTerms, SIDE_CALL_TIMEOUT};
 use crate::knowledge::Knowledge;
-use crate::reading::{Readers, readers};
-use crate::router::{Forwarded, Router};
-use crate::run::Tries;
+use crate::placement::holds::{HeldMemory, HoldTerms};
+use crate::placement::reading::{Readers, readers};
+use crate::placement::tries::Tries;
+use crate::runners::exchange::ExchangeError;
+use crate::runners::exchange::SIDE_CALL_TIMEOUT;
+use crate::runners::router::{Forwarded, Router};
 
 /// Pause before a waiting request asks again: a fifth of the time between two ends of generations
 /// at a busy pool of some ten runners.
--- a/crates/bulrushusher_gateway/src/reading.rs
+++ b/crates/bulrushusher_gateway/src/placement/reading.rs
@@ -5,12 +5,12 @@
 use bulrushusher_forward::{CallResult, Prompt, ReadConfig, Reader, Runner};
 use bulrushusher_time::Millis;
 
-use crate::crashes::CrashWatch;
 use crate::dialect::{Dialect, Step};
-use crate::exchange::ExchangeError;
-use crate::holds::{HeldMemory, KeptKv};
-use crate::router::{AttemptNote, Forwarded, LoadTicket, Router};
-use crate::run::{NoRun, Tries};
+use crate::placement::holds::{HeldMemory, KeptKv};
+use crate::placement::tries::{NoRun, Tries};
+use crate::runners::crashes::CrashWatch;
+use crate::runners::exchange::ExchangeError;
+use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router};
 
 /// Readings of one prompt that are tried while its memory is held.
 const MOST_READS: usize = 2;
--- a/crates/bulrushusher_gateway/src/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -8,8 +8,8 @@
 use hyper::StatusCode;
 
 use crate::dialect::Dialect;
-use crate::holds::SIDE_CALL_TIMEOUT;
-use crate::router::{Forwarded, Router};
+use crate::runners::exchange::SIDE_CALL_TIMEOUT;
+use crate::runners::router::{Forwarded, Router};
 
 /// Times that a runner is asked before it counts as ended: one call may meet a full runner or a link
 /// that loses a packet, and a runner takes seconds to start again.
--- a/crates/bulrushusher_gateway/src/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -12,12 +12,15 @@
 use hyper::http::response;
 
 use crate::dialect::{Dialect, ReplyMarks, SideCall};
-use crate::pool::{RunnerConnection, RunnerPool};
+use crate::runners::pool::{RunnerConnection, RunnerPool};
 
 /// Largest answer that is read whole; plain answers are some kilobytes, and one beyond this would
 /// endanger the process for all others.
 const MAX_WHOLE_ANSWER: usize = 8 << 20;
 
+/// A small call is answered at once by a runner that lives.
+pub(crate) const SIDE_CALL_TIMEOUT: Millis = Millis(200);
+
 /// Why there is no answer.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub(crate) enum ExchangeError {
--- a/crates/bulrushusher_gateway/src/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -13,12 +13,12 @@
 use hyper::http::request;
 use hyper::{HeaderMap, Method, Request, Uri};
 
-use crate::access::{Caller, KEY_CHECK_AGAIN, KEY_NOT_CONFIRMED};
-use crate::answer::QUARANTINED;
+use crate::access::caller::{Caller, KEY_CHECK_AGAIN, KEY_NOT_CONFIRMED};
+use crate::answers::answer::QUARANTINED;
+use crate::answers::answer::Withheld;
 use crate::dialect::{Arrival, Attempt, Dialect, Step};
-use crate::exchange::{ExchangeError, Exchanger, Reply};
 use crate::knowledge::Knowledge;
-use crate::run::Withheld;
+use crate::runners::exchange::{ExchangeError, Exchanger, Reply};
 
 /// The parts that serving a request needs.
 #[derive(Clone, Debug)]
--- a/crates/bulrushusher_gateway/src/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -5,14 +5,15 @@
 use bulrushusher_forward::{AttemptEnd, CallResult, Runner};
 use bulrushusher_time::Millis;
 
-use crate::crashes::CrashWatch;
 use crate::dialect::{Dialect, Step};
-use crate::exchange::Reply;
-use crate::holds::{HeldMemory, KeptKv};
-use crate::placement::place;
-use crate::reading::read_prompt;
-use crate::router::{AttemptNote, Forwarded, LoadTicket, Router};
-use crate::run::{NoRun, Run, Tries, longest_silence};
+use crate::placement::holds::{HeldMemory, KeptKv};
+use crate::placement::place::place;
+use crate::placement::reading::read_prompt;
+use crate::placement::tries::{NoRun, Tries};
+use crate::runners::crashes::CrashWatch;
+use crate::runners::exchange::Reply;
+use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router};
+use crate::runs::run::{Run, longest_silence};
 
 /// A prompt that was read waits this long for other memory: runners keep a KV cache that nobody
 /// takes for about half a second.
--- a/crates/bulrushusher_gateway/src/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -7,12 +7,12 @@
 use hyper::Response;
 use hyper::http::response;
 
-use crate::answer::{Refusal, pass_on};
-use crate::body::ReplyBody;
-use crate::crashes::CrashWatch;
+use crate::answers::answer::{Refusal, pass_on};
+use crate::answers::body::ReplyBody;
 use crate::dialect::{Dialect, Step};
-use crate::exchange::{ExchangeError, Reply};
-use crate::router::{AttemptNote, Forwarded, LoadTicket, Router};
+use crate::runners::crashes::CrashWatch;
+use crate::runners::exchange::{ExchangeError, Reply};
+use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router};
 
 /// A call that may be repeated waits this share of its target at one runner: longer than nearly
 /// all answers take, and short enough for a second one to be on time.
--- a/crates/bulrushusher_gateway/src/carrying.rs
+++ b/crates/bulrushusher_gateway/src/runs/carrying.rs
@@ -10,13 +10,13 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use tokio::sync::mpsc::Sender;
 
-use crate::body::StreamPart;
+use crate::answers::body::StreamPart;
 use crate::dialect::Dialect;
-use crate::exchange::Reply;
-use crate::holds::HeldMemory;
-use crate::moving::{Moved, Moving};
-use crate::router::{Forwarded, Router};
-use crate::run::{Run, longest_silence};
+use crate::placement::holds::HeldMemory;
+use crate::runners::exchange::Reply;
+use crate::runners::router::{Forwarded, Router};
+use crate::runs::moving::{Moved, Moving};
+use crate::runs::run::{Run, longest_silence};
 
 /// A run that was stopped has its last events on their way; its stream ends within this.
 const REST_OF_STOPPED: Millis = Millis(100);
--- a/crates/bulrushusher_gateway/src/generation.rs
+++ b/crates/bulrushusher_gateway/src/runs/generation.rs
@@ -5,13 +5,13 @@
 use bulrushusher_forward::{AttemptEnd, AttemptPlan, NextStep};
 use hyper::Response;
 
-use crate::answer::{Refusal, pass_on};
-use crate::begin::begin_run;
-use crate::body::ReplyBody;
+use crate::answers::answer::{Refusal, pass_on};
+use crate::answers::body::ReplyBody;
 use crate::dialect::Dialect;
-use crate::pump;
-use crate::router::{Forwarded, Router};
-use crate::run::{NoRun, Tries};
+use crate::placement::tries::{NoRun, Tries};
+use crate::runners::router::{Forwarded, Router};
+use crate::runs::begin::begin_run;
+use crate::runs::pump;
 
 /// Serves a generation up to the head of its stream; a task of its own carries the rest.
 ///
--- a/crates/bulrushusher_gateway/src/moving.rs
+++ b/crates/bulrushusher_gateway/src/runs/moving.rs
@@ -11,12 +11,13 @@
 use bulrushusher_time::Millis;
 use hyper::StatusCode;
 
-use crate::begin::run_at;
 use crate::dialect::{Dialect, RunMove, Step};
-use crate::holds::{HeldMemory, HoldTerms, KeptKv};
 use crate::knowledge::RunFate;
-use crate::router::{Forwarded, Router};
-use crate::run::{NoRun, Run};
+use crate::placement::holds::{HeldMemory, HoldTerms, KeptKv};
+use crate::placement::tries::NoRun;
+use crate::runners::router::{Forwarded, Router};
+use crate::runs::begin::run_at;
+use crate::runs::run::Run;
 
 /// Longest wait for one copy. A copy takes some milliseconds; callers see the second one as a pause, and
 /// this is shorter than what they take for late.
--- a/crates/bulrushusher_gateway/src/pump.rs
+++ b/crates/bulrushusher_gateway/src/runs/pump.rs
@@ -7,14 +7,15 @@
 use hyper::Response;
 use tokio::sync::mpsc::{self, Sender};
 
-use crate::answer::pass_on_stream;
-use crate::begin::begin_run;
-use crate::body::{CutOff, ReplyBody, StreamPart};
-use crate::carrying::{Progress, RunEnd, carry_run};
+use crate::answers::answer::pass_on_stream;
+use crate::answers::body::{CutOff, ReplyBody, StreamPart};
 use crate::dialect::Dialect;
-use crate::moving;
-use crate::router::{Forwarded, Router};
-use crate::run::{NoRun, Run, Tries};
+use crate::placement::tries::{NoRun, Tries};
+use crate::runners::router::{Forwarded, Router};
+use crate::runs::begin::begin_run;
+use crate::runs::carrying::{Progress, RunEnd, carry_run};
+use crate::runs::moving;
+use crate::runs::run::Run;
 
 /// Parts that wait for a slow caller; the runner is slowed down beyond.
 const WAITING_PARTS: usize = 16;
--- a/crates/bulrushusher_gateway/src/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -17,7 +17,7 @@
 
 use crate::dialect::{Change, News, PlatformStore, StoreFailure, Topic, Unreadable};
 use crate::knowledge::Knowledge;
-use crate::pool::RunnerPool;
+use crate::runners::pool::RunnerPool;
 
 /// Share of the time to be in force that one wait for changes lasts where no peers are heard.
 const WAIT_SHARE: f64 = 0.5;
--- a/crates/bulrushusher_gateway/src/orders.rs
+++ b/crates/bulrushusher_gateway/src/store/orders.rs
@@ -18,9 +18,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::{Dialect, PlatformStore, RecordWrite, StageOrder};
-use crate::exchange::Exchanger;
 use crate::knowledge::Knowledge;
 use crate::lifecycle::Lifecycle;
+use crate::runners::exchange::Exchanger;
 
 /// How often the ratio is looked at.
 const LOOK_EVERY: Millis = Millis(500);
