Client accounts take turns in the line for memory

Cause: within its quota an account may send more than memory or reading bears, and who came first went first: in a line whose memory serves 25 requests a second, an account that sends 75 leaves the others less than half of theirs. What it is: among requests of one rank, an account's next one waits for its turn in the line's own time, weighed by what requests count as; requests without an account share one flow, so that their order is that of arrival. The setting waiting.order keeps the other way. Ruled out: by share of the quota left (an account without a quota has none, and a hot one is refused before the line).

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -62,7 +62,7 @@
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use stages::{DutyConfig, StageChange, StageDuty, StagesConfig, next_stage_change};
 pub use starts::{StartNews, Starts};
-pub use waiting::{Rank, WaitingConfig, WaitingLine, asks_now};
+pub use waiting::{Claim, LineOrder, Rank, WaitingConfig, WaitingLine, asks_now};
 
 /// The common types in one `use`.
 pub mod prelude {
--- a/crates/bulrushusher_forward/src/waiting.rs
+++ b/crates/bulrushusher_forward/src/waiting.rs
@@ -1,12 +1,34 @@
 //! The line of generations that wait for decode memory, and when waiting is given up.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 use bulrushusher_time::Millis;
+use bulrushusher_world::ClientAccountName;
+
+/// Who goes first among requests of one rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineOrder {
+    /// Whoever came first.
+    Arrival,
+    /// Client accounts by turns, weighed by what their requests count as: one that sends many waits behind
+    /// its own.
+    Account,
+}
+
+/// Whose a waiting request is, and what it counts as.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Claim<'a> {
+    /// The client account; all requests without one share their turns.
+    pub account: Option<&'a ClientAccountName>,
+    /// What it counts as among those of its account.
+    pub cost: u64,
+}
 
 /// How long requests wait.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitingConfig {
+    /// Who goes first.
+    pub order: LineOrder,
     /// Share of its response-time target that a request waits before it is refused.
     pub target_share: f64,
     /// How long a request waits whose target is past already.
@@ -22,7 +44,12 @@
     /// and stays under the time after which callers abandon a stream. Two askers keep one slow
     /// runner from blocking the line.
     fn default() -> WaitingConfig {
-        WaitingConfig { target_share: 0.5, late_wait: Millis(2_500), askers: 2 }
+        WaitingConfig {
+            order: LineOrder::Account,
+            target_share: 0.5,
+            late_wait: Millis(2_500),
+            askers: 2,
+        }
     }
 }
 
@@ -49,8 +76,10 @@
 pub struct Rank {
     /// False for requests that can still meet their target; they go first.
     pub late: bool,
-    /// The route's rank.
+    /// The account's rank, or the route's.
     pub priority: u8,
+    /// When its account's turn is, in units of the line's own time.
+    pub turn: u64,
     /// When the request came.
     pub since: Millis,
     /// Tells apart what came in the same millisecond.
@@ -60,11 +89,11 @@
 /// The line.
 ///
 /// ```
-/// use bulrushusher_forward::{WaitingConfig, WaitingLine};
+/// use bulrushusher_forward::{Claim, WaitingConfig, WaitingLine};
 /// use bulrushusher_time::Millis;
 /// let mut line = WaitingLine::new(WaitingConfig { askers: 1, ..WaitingConfig::default() });
-/// let late = line.join(true, 1, Millis(0));
-/// let fresh = line.join(false, 1, Millis(5));
+/// let late = line.join(true, 1, Claim::default(), Millis(0));
+/// let fresh = line.join(false, 1, Claim::default(), Millis(5));
 /// assert!(line.may_ask(&fresh) && !line.may_ask(&late));
 /// line.leave(&fresh);
 /// assert!(line.may_ask(&late));
@@ -74,12 +103,22 @@
     cfg: WaitingConfig,
     waiting: BTreeSet<Rank>,
     next_number: u64,
+    /// The latest turn of a request that has left the line.
+    now_at: u64,
+    /// When the turn is of the next request of an account.
+    next_turn: HashMap<Option<ClientAccountName>, u64>,
 }
 
 impl WaitingLine {
     /// Nothing waits.
     pub fn new(cfg: WaitingConfig) -> WaitingLine {
-        WaitingLine { cfg, waiting: BTreeSet::new(), next_number: 0 }
+        WaitingLine {
+            cfg,
+            waiting: BTreeSet::new(),
+            next_number: 0,
+            now_at: 0,
+            next_turn: HashMap::new(),
+        }
     }
 
     /// Takes other bounds; what waits keeps its place.
@@ -88,16 +127,34 @@
     }
 
     /// A request begins to wait.
-    pub fn join(&mut self, late: bool, priority: u8, now: Millis) -> Rank {
+    pub fn join(&mut self, late: bool, priority: u8, claim: Claim<'_>, now: Millis) -> Rank {
         self.next_number += 1;
-        let rank = Rank { late, priority, since: now, number: self.next_number };
+        let turn = self.take_turn(claim);
+        let rank = Rank { late, priority, turn, since: now, number: self.next_number };
         self.waiting.insert(rank);
         rank
     }
 
+    /// An account that had nothing waiting begins at the line's time, as if it had come now; others go
+    /// on after their last request.
+    fn take_turn(&mut self, claim: Claim<'_>) -> u64 {
+        if self.cfg.order == LineOrder::Arrival {
+            return 0;
+        }
+        let next = self.next_turn.entry(claim.account.cloned()).or_default();
+        let turn = self.now_at.max(*next);
+        *next = turn + claim.cost.max(1);
+        turn
+    }
+
     /// A request waits no more.
     pub fn leave(&mut self, rank: &Rank) {
         self.waiting.remove(rank);
+        self.now_at = self.now_at.max(rank.turn);
+        if self.waiting.is_empty() {
+            self.next_turn.clear();
+            self.now_at = 0;
+        }
     }
 
     /// True when the request is far enough ahead to ask for memory.
--- a/crates/bulrushusher_gateway/src/access/caller.rs
+++ b/crates/bulrushusher_gateway/src/access/caller.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use bulrushusher_accounts::{Account, Freshness, KeyDigest};
+use bulrushusher_forward::Claim;
 use bulrushusher_time::Millis;
 use bulrushusher_world::ClientAccountName;
 
@@ -42,6 +43,11 @@
         self.account().map(|account| &account.name)
     }
 
+    /// What it goes by in a line.
+    pub(crate) fn claim(&self) -> Claim<'_> {
+        Claim { account: self.account_name(), cost: self.cost() }
+    }
+
     /// What the request counts as; 0 where it has no account.
     pub(crate) fn cost(&self) -> u64 {
         match self {
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -9,9 +9,9 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaBook};
 use bulrushusher_forward::{
-    AttemptEnd, AttemptPlan, CallResult, Candidate, EngineSpec, HealthConfig, Members, NextStep,
-    Pace, PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner, RunnerHealth,
-    RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
+    AttemptEnd, AttemptPlan, CallResult, Candidate, Claim, EngineSpec, HealthConfig, Members,
+    NextStep, Pace, PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner,
+    RunnerHealth, RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -281,9 +281,15 @@
     }
 
     /// Joins the line of a service.
-    pub(crate) fn join_line(&self, service: &ServiceName, late: bool, priority: u8) -> Rank {
+    pub(crate) fn join_line(
+        &self,
+        service: &ServiceName,
+        late: bool,
+        priority: u8,
+        claim: Claim<'_>,
+    ) -> Rank {
         let now = self.now();
-        self.change_line(service, |line| line.join(late, priority, now))
+        self.change_line(service, |line| line.join(late, priority, claim, now))
     }
 
     /// Leaves the line of a service.
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -79,7 +79,8 @@
     tries: &Tries,
     until: Millis,
 ) -> Result<HeldMemory<D>, NoPlace> {
-    let rank = cx.knowledge.join_line(&fwd.service, fwd.is_late(), fwd.priority());
+    let rank =
+        cx.knowledge.join_line(&fwd.service, fwd.is_late(), fwd.priority(), fwd.caller.claim());
     let line = InLine { knowledge: cx.knowledge.clone(), service: fwd.service.clone(), rank };
     let mut refusals = 0;
     loop {
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
-    ForecastConfig, GatewaysConfig, HoldConfig, LoadConfig, MembersConfig, ReturnConfig,
+    ForecastConfig, GatewaysConfig, HoldConfig, LineOrder, LoadConfig, MembersConfig, ReturnConfig,
     ShutdownConfig, StagesConfig, WaitingConfig,
 };
 use bulrushusher_routing::{QuarantineConfig, RetryConfig};
@@ -118,6 +118,13 @@
         Some("told"),
         "How gateways share a quota: they tell what they used, or have parts by demand, or even ones.",
     ),
+    setting(
+        "waiting",
+        "order",
+        Kind::Choice(&["account", "arrival"]),
+        Some("account"),
+        "Who goes first among requests of one rank: client accounts by turns, or whoever came first.",
+    ),
     setting(
         "waiting",
         "target_share",
@@ -324,6 +331,10 @@
                 margin: SHUTDOWN_MARGIN,
             },
             waiting: WaitingConfig {
+                order: match values.text("waiting", "order") {
+                    "arrival" => LineOrder::Arrival,
+                    _ => LineOrder::Account,
+                },
                 target_share: values.real("waiting", "target_share"),
                 late_wait: values.millis("waiting", "late_wait_ms"),
                 ..WaitingConfig::default()
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddr;
 
 use bulrushusher_forward::{
-    Candidate, ForecastConfig, GatewayReport, HealthConfig, LoadConfig, Members, MembersConfig,
-    MemoryForecast, Pace, PaceConfig, PeersConfig, Rank, RunNote, RunNumber, RunShape, Runner,
-    RunnerHealth, RunnerLoads, Runs, Stage, WaitingLine, asks_now, rank_for_decode,
+    Candidate, Claim, ForecastConfig, GatewayReport, HealthConfig, LoadConfig, Members,
+    MembersConfig, MemoryForecast, Pace, PaceConfig, PeersConfig, Rank, RunNote, RunNumber,
+    RunShape, Runner, RunnerHealth, RunnerLoads, Runs, Stage, WaitingLine, asks_now,
+    rank_for_decode,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
@@ -324,7 +325,7 @@
     fn come(&mut self, n: usize, now: Millis) {
         let late = now.since(self.callers[n].arrival.at) >= TARGET;
         let line = &mut self.gateways[self.callers[n].gateway].line;
-        let rank = line.join(late, 1, now);
+        let rank = line.join(late, 1, Claim::default(), now);
         let until = now.plus(line.longest_wait(late, TARGET));
         self.callers[n].state = State::Waiting { rank, until, ask_at: now };
     }
