Which run moves, and where to, is decided once

What it is: Runs::due_to_move and pick_for_move, which both use; the model's search for memory and what peers tell beside their runs lie in files of their own. Ruled out: another decision at the gateway (the same lines moved). The model's runners have 64 places, which no test reached. Figures: all tests of the model, of moves, generations and calls pass as they were.

--- a/crates/bulrushusher_forward/src/moves.rs
+++ b/crates/bulrushusher_forward/src/moves.rs
@@ -6,7 +6,10 @@
 
 use bulrushusher_time::Millis;
 
-use crate::{ForecastConfig, MemoryForecast, MemoryNeed};
+use crate::{
+    Candidate, ForecastConfig, MemoryForecast, MemoryNeed, RunNote, RunNumber, Runner, Runs,
+    rank_for_decode,
+};
 
 /// When runs move.
 #[derive(Clone, Copy, Debug)]
@@ -66,3 +69,40 @@
         MemoryForecast { cfg: bold, ..*self }.peak_if_it_fits(there, run)
     }
 }
+
+impl Runs {
+    /// The run, if it should move now: its runner is about to run out of memory, and it is the one that
+    /// would be preempted.
+    pub fn due_to_move(
+        &self,
+        run: RunNumber,
+        forecast: &MemoryForecast,
+        now: Millis,
+    ) -> Option<&RunNote> {
+        let note = self.note(run)?;
+        let there = self.need_at(&note.runner, forecast, now);
+        let is_due = forecast.overflows_soon(&there, MoveConfig::default())
+            && self.is_newest(run, forecast.tokens_per_ms, now);
+        is_due.then_some(note)
+    }
+}
+
+/// The decode runner to which a run should move: one with a place and room for it. `draw` is random in
+/// `0.0..1.0`.
+pub fn pick_for_move(
+    cx: Candidate<'_>,
+    runs: &Runs,
+    forecast: &MemoryForecast,
+    note: &RunNote,
+    draw: f64,
+) -> Option<Runner> {
+    let need = forecast.need(&[note.shape()]);
+    let now = cx.now;
+    let peak = |runner: &Runner| {
+        let there = runs.need_at(&runner.id, forecast, now);
+        let has_slot = there.runs < runner.slots as usize;
+        has_slot.then(|| forecast.peak_after_move(&there, &need, MoveConfig::default()))?
+    };
+    let here = std::slice::from_ref(&note.runner);
+    rank_for_decode(cx, here, draw, peak).into_iter().next()
+}
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -1,6 +1,6 @@
 //! The runs at decode runners: this gateway's own, and those that its peers tell of.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use bulrushusher_time::Millis;
@@ -8,8 +8,8 @@
 
 use crate::told::{ByRunner, PeerNumber, Told};
 use crate::{
-    Born, GatewayChanges, GatewayReport, MemoryForecast, MemoryNeed, NewsSeen, RunCounts, RunNote,
-    RunShape, StartNews, Starts,
+    Born, GatewayChanges, GatewayReport, MemoryForecast, MemoryNeed, RunNote, RunShape, StartNews,
+    Starts,
 };
 
 /// Bounds of what is believed of peers.
@@ -27,9 +27,9 @@
 }
 
 #[derive(Clone, Debug)]
-struct Heard {
+pub(crate) struct Heard {
     number: PeerNumber,
-    report: GatewayReport,
+    pub report: GatewayReport,
 }
 
 /// What became of a peer's changes.
@@ -55,7 +55,7 @@
     own: HashMap<RunNumber, RunNote>,
     peers: HashMap<Arc<str>, Heard>,
     next_peer: usize,
-    by_runner: ByRunner,
+    pub(crate) by_runner: ByRunner,
     /// When each peer was heard last.
     heard_at: HashMap<PeerNumber, Millis>,
     starts: Starts,
@@ -252,62 +252,6 @@
         PeerNumber(self.next_peer)
     }
 
-    /// Peers heard lately.
-    pub fn peers(&self, now: Millis) -> usize {
-        self.heard(now).count()
-    }
-
-    /// The last changes of the store that a peer knows.
-    pub fn news_of_peers(&self, now: Millis) -> NewsSeen {
-        self.heard(now).fold(NewsSeen::default(), |news, heard| news.max(heard.report.news))
-    }
-
-    /// True while a generation waits at a peer that can still be on time.
-    pub fn peers_wait_on_time(&self, now: Millis) -> bool {
-        self.heard(now).any(|heard| heard.report.waiting > 0)
-    }
-
-    /// Peers at which generations wait, be they late or not.
-    pub fn peers_that_wait(&self, now: Millis) -> usize {
-        let waits = |report: &GatewayReport| report.waiting + report.waiting_late > 0;
-        self.heard(now).filter(|heard| waits(&heard.report)).count()
-    }
-
-    /// Prompt tokens that peers have at a prefill runner.
-    pub fn reads_of_peers(&self, runner: &RunnerId, now: Millis) -> u64 {
-        let reads = self.by_runner.get(runner).map(|there| there.reads.as_slice());
-        self.fresh(reads, now).map(|told| told.what).sum()
-    }
-
-    /// True while a peer knows that the runner changes its stage.
-    pub fn is_changing(&self, runner: &RunnerId, now: Millis) -> bool {
-        let changing = self.by_runner.get(runner).map(|there| there.changing.as_slice());
-        self.fresh(changing, now).next().is_some()
-    }
-
-    /// True while enough peers cannot reach the runner: two, so that one that is cut off itself
-    /// does not speak against all runners; the only one where there is no other.
-    pub fn is_silent_at_peers(&self, runner: &RunnerId, now: Millis) -> bool {
-        let silent = self.by_runner.get(runner).map(|there| there.silent.as_slice());
-        match self.fresh(silent, now).take(2).count() {
-            0 => false,
-            1 => self.peers(now) == 1,
-            _ => true,
-        }
-    }
-
-    /// How runs ended at runners that fail some, summed over all peers.
-    pub fn failing_at_peers(&self, now: Millis) -> BTreeMap<RunnerId, RunCounts> {
-        let mut sums: BTreeMap<RunnerId, RunCounts> = BTreeMap::new();
-        for told in self.heard(now).flat_map(|heard| &heard.report.failing) {
-            let empty = || RunCounts { runner: told.runner.clone(), good: 0.0, bad: 0.0 };
-            let sum = sums.entry(told.runner.clone()).or_insert_with(empty);
-            sum.good += told.good;
-            sum.bad += told.bad;
-        }
-        sums
-    }
-
     /// The runs at a runner. Those of peers are taken further by the time since their report.
     pub fn at(&self, runner: &RunnerId, tokens_per_ms: f64, now: Millis) -> Vec<RunShape> {
         let own = self.own_at(runner).map(|note| note.shape());
@@ -340,7 +284,7 @@
     }
 
     /// What was told lately.
-    fn fresh<'a, T>(
+    pub(crate) fn fresh<'a, T>(
         &'a self,
         told: Option<&'a [Told<T>]>,
         now: Millis,
@@ -366,7 +310,7 @@
         note.begun && !own_is_newer && !theirs_is_newer
     }
 
-    fn heard(&self, now: Millis) -> impl Iterator<Item = &Heard> {
+    pub(crate) fn heard(&self, now: Millis) -> impl Iterator<Item = &Heard> {
         self.peers.values().filter(move |heard| self.is_fresh(heard, now))
     }
 
--- a/crates/bulrushusher_gateway/src/knowledge/moves.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/moves.rs
@@ -1,8 +1,6 @@
 //! Which run should leave its decode runner, and for which other one.
 
-use bulrushusher_forward::{
-    MemoryForecast, MoveConfig, RunNote, RunNumber, Runner, rank_for_decode,
-};
+use bulrushusher_forward::{RunNote, RunNumber, Runner, pick_for_move};
 use bulrushusher_world::ServiceName;
 
 use super::Knowledge;
@@ -26,40 +24,12 @@
             return RunFate::Stays;
         }
         let forecast = self.forecast(service);
-        let is_due = {
-            let now = self.now();
-            let runs = self.runs.lock();
-            let overflows = |note: &RunNote| {
-                let there = runs.need_at(&note.runner, &forecast, now);
-                forecast.overflows_soon(&there, MoveConfig::default())
-            };
-            let is_newest = |_: &&RunNote| runs.is_newest(run, forecast.tokens_per_ms, now);
-            runs.note(run).filter(|note| overflows(note)).filter(is_newest).cloned()
-        };
+        let is_due = self.runs.lock().due_to_move(run, &forecast, self.now()).cloned();
         let Some(note) = is_due else { return RunFate::Stays };
-        match self.runner_with_room(service, &forecast, &note) {
+        let draw = self.draw();
+        match self.with_pool(service, |cx, runs| pick_for_move(cx, runs, &forecast, &note, draw)) {
             Some(to) => RunFate::Moves { to, note },
             None => RunFate::NoRoom,
         }
     }
-
-    /// The decode runner to which a run should move.
-    fn runner_with_room(
-        &self,
-        service: &ServiceName,
-        forecast: &MemoryForecast,
-        note: &RunNote,
-    ) -> Option<Runner> {
-        let draw = self.draw();
-        let need = forecast.need(&[note.shape()]);
-        self.with_pool(service, |cx, runs| {
-            let peak = |runner: &Runner| {
-                let there = runs.need_at(&runner.id, forecast, cx.now);
-                let has_slot = there.runs < runner.slots as usize;
-                has_slot.then(|| forecast.peak_after_move(&there, &need, MoveConfig::default()))?
-            };
-            let here = std::slice::from_ref(&note.runner);
-            rank_for_decode(cx, here, draw, peak).into_iter().next()
-        })
-    }
 }
--- a/crates/bulrushusher_model/src/lib.rs
+++ b/crates/bulrushusher_model/src/lib.rs
@@ -9,6 +9,7 @@
 mod engines;
 mod fleet;
 mod load;
+mod memory;
 mod moving;
 mod outcome;
 mod patterns;
--- a/crates/bulrushusher_model/src/moving.rs
+++ b/crates/bulrushusher_model/src/moving.rs
@@ -1,6 +1,6 @@
 //! Runs that move to another decode engine before memory runs out.
 
-use bulrushusher_forward::{MoveConfig, RunNote, Runner, rank_for_decode};
+use bulrushusher_forward::{RunNote, pick_for_move};
 use bulrushusher_time::Millis;
 use rand::RngExt;
 
@@ -22,26 +22,14 @@
 
     /// The engine that a caller's run should move to.
     fn moves_to(&mut self, caller: usize, now: Millis) -> Option<usize> {
-        let State::Running { decode, run } = self.callers[caller].state else { return None };
+        let State::Running { run, .. } = self.callers[caller].state else { return None };
         let gateway = &self.gateways[self.callers[caller].gateway];
         let forecast = self.forecast_of(gateway);
-        let here = &self.ids[decode];
-        let there = gateway.runs.need_at(here, &forecast, now);
-        let is_due = forecast.overflows_soon(&there, MoveConfig::default())
-            && gateway.runs.is_newest(run, forecast.tokens_per_ms, now);
-        if !is_due {
-            return None;
-        }
-        let need = forecast.need(&[gateway.runs.note(run)?.shape()]);
-        let peak = |runner: &Runner| {
-            let there = gateway.runs.need_at(&runner.id, &forecast, now);
-            forecast.peak_after_move(&there, &need, MoveConfig::default())
-        };
+        let note = gateway.runs.due_to_move(run, &forecast, now)?;
         let failing = self.failing(gateway, now);
         let draw = self.rng.random();
         let candidate = self.candidate(&failing, now);
-        let ranked = rank_for_decode(candidate, std::slice::from_ref(here), draw, peak);
-        let best = ranked.first()?;
+        let best = pick_for_move(candidate, &gateway.runs, &forecast, note, draw)?;
         self.ids.iter().position(|id| *id == best.id)
     }
 
--- a/crates/bulrushusher_model/src/play.rs
+++ b/crates/bulrushusher_model/src/play.rs
@@ -4,18 +4,16 @@
 use std::net::SocketAddr;
 
 use bulrushusher_forward::{
-    Candidate, Claim, ForecastConfig, GatewayReport, HealthConfig, LoadConfig, Members,
-    MembersConfig, MemoryForecast, Pace, PaceConfig, PeersConfig, Rank, RunNote, RunNumber,
-    RunShape, Runner, RunnerHealth, RunnerLoads, Runs, Stage, WaitingLine, asks_now,
-    rank_for_decode,
+    Claim, GatewayReport, HealthConfig, LoadConfig, Members, MembersConfig, Pace, PaceConfig,
+    PeersConfig, Rank, RunNumber, Runner, RunnerHealth, RunnerLoads, Runs, Stage, WaitingLine,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::engines::{DecodeEngine, PrefillEngine, Reading, Run};
-use crate::fleet::{Admission, Fleet};
+use crate::engines::{DecodeEngine, PrefillEngine, Run};
+use crate::fleet::Fleet;
 use crate::load::Arrival;
 use crate::outcome::{DATA_CENTRES, Outcome};
 
@@ -46,7 +44,7 @@
 
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Caller {
-    arrival: Arrival,
+    pub arrival: Arrival,
     pub gateway: usize,
     pub state: State,
     refusals: u32,
@@ -57,8 +55,8 @@
 pub(crate) struct Gateway {
     line: WaitingLine,
     pub runs: Runs,
-    pace: Pace,
-    health: RunnerHealth,
+    pub pace: Pace,
+    pub health: RunnerHealth,
     reports: u64,
 }
 
@@ -69,7 +67,7 @@
     pub loads: RunnerLoads,
     pub ids: Vec<RunnerId>,
     pub gateways: Vec<Gateway>,
-    prefills: Vec<PrefillEngine>,
+    pub prefills: Vec<PrefillEngine>,
     pub decodes: Vec<DecodeEngine>,
     pub held: Vec<Vec<(usize, f64)>>,
     pub callers: Vec<Caller>,
@@ -365,105 +363,6 @@
         caller.state = State::Away { until: now.plus(comes) };
     }
 
-    /// The decode engine that the run may go to, if its own word agrees.
-    fn find_memory(&mut self, n: usize, others: usize, now: Millis) -> Option<usize> {
-        let Caller { arrival, gateway, .. } = self.callers[n];
-        let gateway = &self.gateways[gateway];
-        let failing = self.failing(gateway, now);
-        let forecast = self.forecast_of(gateway);
-        let run = forecast.need(&[shape(&arrival)]);
-        let peak = |runner: &Runner| {
-            let there = gateway.runs.need_at(&runner.id, &forecast, now);
-            match self.fleet.admission {
-                Admission::Hold { .. } => Some(there.runs as f64),
-                Admission::Forecast(_) => forecast.peak_if_it_fits(&there, &run),
-            }
-        };
-        let draw = self.rng.random();
-        let ranked = rank_for_decode(self.candidate(&failing, now), &[], draw, peak);
-        if !asks_now(self.rng.random(), others, ranked.len()) {
-            return None;
-        }
-        let places = ranked.iter().filter_map(|r| self.ids.iter().position(|id| *id == r.id));
-        let places: Vec<usize> = places.collect();
-        places.into_iter().find(|decode| self.has_room(*decode, &arrival))
-    }
-
-    /// The engines that a choice looks at.
-    pub(crate) fn candidate<'b>(
-        &'b self,
-        failing: &'b BTreeSet<RunnerId>,
-        now: Millis,
-    ) -> Candidate<'b> {
-        Candidate {
-            members: &self.members,
-            loads: &self.loads,
-            service: &self.service,
-            runs: None,
-            failing: Some(failing),
-            now,
-        }
-    }
-
-    /// What a gateway's forecasts rest on.
-    pub(crate) fn forecast_of(&self, gateway: &Gateway) -> MemoryForecast {
-        let cfg = match self.fleet.admission {
-            Admission::Hold { .. } => ForecastConfig::default(),
-            Admission::Forecast(cfg) => cfg,
-        };
-        MemoryForecast {
-            lengths: gateway.pace.lengths(),
-            tokens_per_ms: gateway.pace.tokens_per_ms(),
-            memory: self.fleet.figures.memory_tokens,
-            cfg,
-        }
-    }
-
-    /// Engines that a gateway passes over.
-    pub(crate) fn failing(&self, gateway: &Gateway, now: Millis) -> BTreeSet<RunnerId> {
-        if !self.fleet.heeds_failures {
-            return BTreeSet::new();
-        }
-        let at_peers = gateway.runs.failing_at_peers(now);
-        let fails = |id: &&RunnerId| gateway.health.is_failing(id, at_peers.get(id), now);
-        self.ids.iter().filter(fails).cloned().collect()
-    }
-
-    /// The engine's own word: what is used or held, whichever is more, and the new hold fit.
-    fn has_room(&self, decode: usize, arrival: &Arrival) -> bool {
-        let engine = &self.decodes[decode];
-        let taken: f64 = self.held[decode]
-            .iter()
-            .map(|(of, tokens)| {
-                let run = engine.runs.iter().find(|run| run.caller == *of);
-                run.map_or(*tokens, |run| tokens.max(run.prompt + run.made))
-            })
-            .sum();
-        taken + self.tokens_held(arrival) <= self.fleet.figures.memory_tokens
-    }
-
-    fn tokens_held(&self, arrival: &Arrival) -> f64 {
-        match self.fleet.admission {
-            Admission::Hold { times } => {
-                arrival.prompt + (arrival.expected * times).min(arrival.most)
-            }
-            Admission::Forecast(_) => arrival.prompt,
-        }
-    }
-
-    fn hold(&mut self, n: usize, decode: usize) {
-        let Caller { arrival, gateway, .. } = self.callers[n];
-        let held = self.tokens_held(&arrival);
-        self.held[decode].push((n, held));
-        let note = RunNote::new(self.ids[decode].clone(), shape(&arrival));
-        let run = self.gateways[gateway].runs.hold(note);
-        self.callers[n].state = State::Read { decode, run };
-        let shortest = self.prefills.iter_mut().min_by(|a, b| a.waiting().total_cmp(&b.waiting()));
-        if let Some(prefill) = shortest {
-            prefill.line.push(Reading { caller: n, tokens_left: arrival.prompt });
-        }
-    }
-
     fn tell_peers(&mut self, now: Millis) {
         while let Some(sent) =
             self.reports.pop_front_if(|s| now.since(s.at) >= self.fleet.report_lag)
@@ -513,11 +412,6 @@
     }
 }
 
-fn shape(arrival: &Arrival) -> RunShape {
-    let Arrival { prompt, expected, most, .. } = *arrival;
-    RunShape { prompt, made: 0.0, expected, most }
-}
-
 /// About the largest tenth of the callers, by what they take of a decode engine.
 fn is_large(arrival: &Arrival, fleet: &Fleet) -> bool {
     arrival.prompt + arrival.output > fleet.figures.memory_tokens * 0.165
