--- a/tools/bulrushusher_slopes/src/state.rs
+++ b/tools/bulrushusher_slopes/src/state.rs
@@ -128,7 +128,7 @@
 }
 
 fn account_bytes() -> Slope {
-    slope("account limits", "bytes", "account", [13_000, 52_000, 104_000, 208_000], |accounts| {
+    slope("quotas", "bytes", "account", [13_000, 52_000, 104_000, 208_000], |accounts| {
         bytes(|| {
             let cfg = QuotaConfig {
                 sharing: Sharing::Fixed(380),
