--- a/crates/bulrushusher_ctl/src/cli.rs
+++ b/crates/bulrushusher_ctl/src/cli.rs
@@ -11,6 +11,7 @@
 use tonic::transport::Channel;
 
 use crate::CtlError;
+use crate::apply::read_desired;
 use crate::show::{self, Output, Rows};
 use crate::writing::apply;
 use crate::{losses, quotas};
@@ -138,8 +139,9 @@
         Some(("quotas", args)) => return quotas::quotas(args, output).await,
         Some(("apply", args)) => {
             let file = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
+            let desired = read_desired(&file)?;
             let dry = args.get_flag("dry-run");
-            apply(&mut connect(&first).await?, &file, dry).await?
+            apply(&mut connect(&first).await?, &desired, dry).await?
         }
         Some((verb @ ("drain" | "undrain"), args)) => {
             let req = v1::DrainRequest { name: name_of(args), drain: verb == "drain" };
--- a/crates/bulrushusher_ctl/src/writing.rs
+++ b/crates/bulrushusher_ctl/src/writing.rs
@@ -1,11 +1,9 @@
 //! `bulrushctl apply`: writes the objects of a file that differ from those that are held.
 
-use std::path::Path;
-
 use bulrushusher_operator::v1;
 
 use crate::CtlError;
-use crate::apply::{Desired, read_desired};
+use crate::apply::Desired;
 use crate::cli::Client;
 use crate::show::Rows;
 
@@ -44,13 +42,16 @@
 }
 
 /// Creates or updates the objects of a file, or tells what would change.
-pub(crate) async fn apply(client: &mut Client, file: &Path, dry: bool) -> Result<Rows, CtlError> {
-    let desired = read_desired(file)?;
+pub(crate) async fn apply(
+    client: &mut Client,
+    desired: &Desired,
+    dry: bool,
+) -> Result<Rows, CtlError> {
     let mut rows =
         Rows { heading: vec!["kind", "name", "change", "version", "revision"], rows: Vec::new() };
-    apply_closings(client, &desired, dry, &mut rows).await?;
-    apply_endpoints(client, &desired, dry, &mut rows).await?;
-    apply_accounts(client, &desired, dry, &mut rows).await?;
+    apply_closings(client, desired, dry, &mut rows).await?;
+    apply_endpoints(client, desired, dry, &mut rows).await?;
+    apply_accounts(client, desired, dry, &mut rows).await?;
     Ok(rows)
 }
 
