A key is checked once more before its prompt is read

Cause: a request waits for memory for up to half of its target, and a late one for longer; its key was checked at arrival and before the run, not before its prompt was read, which is held to keys as a run is. Ruled out: a broken bound: the caller had sent the request before the key was taken away.

--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -31,6 +31,8 @@
         return begin_whole(cx, fwd, tries).await;
     }
     let mut held = place_or_refuse(cx, fwd, tries, until).await?;
+    // Its key may have been taken away while it waited; a prompt that is read counts as a run.
+    cx.may_run(fwd).map_err(NoRun::Withheld)?;
     let mut kv = read_prompt(cx, fwd, tries, &mut held).await?;
     if !held.is_good(cx.now()) {
         // The runner began to leave or started again, or the lease is over: it must not get the run.
