--- a/crates/bulrushusher_model/src/quota_patterns.rs
+++ b/crates/bulrushusher_model/src/quota_patterns.rs
@@ -14,7 +14,8 @@
     /// The quota is lowered to a quarter while demand stays.
     #[display("lowered quota")]
     LoweredQuota,
-    /// All gateways are killed at once while the account is hot, and start again a second later.
+    /// All gateways are killed at once while the account is hot, and start again a second later; three times
+    /// within a window.
     #[display("total restart")]
     TotalRestart,
     /// Gateways are started again one after the other while the account is hot.
--- a/crates/bulrushusher_model/src/quotas.rs
+++ b/crates/bulrushusher_model/src/quotas.rs
@@ -69,6 +69,9 @@
 /// When trouble begins and ends, in ms.
 const TROUBLE: std::ops::Range<u64> = 10_000..20_000;
 
+/// When all gateways are killed.
+const KILLED_AT: [u64; 3] = [TROUBLE.start + 2_000, TROUBLE.start + 4_500, TROUBLE.start + 7_000];
+
 /// Time that a killed gateway is away.
 const AWAY: u64 = 1_000;
 
@@ -201,7 +204,7 @@
         let since = now.saturating_sub(TROUBLE.start + 500);
         let count = self.gateways.len() as u64;
         match self.pattern {
-            QuotaPattern::TotalRestart if now == TROUBLE.start + 2_000 => {
+            QuotaPattern::TotalRestart if KILLED_AT.contains(&now) => {
                 (0..self.gateways.len()).for_each(|nth| self.restart(nth, now));
             }
             QuotaPattern::RollingRestart
