Answers of runners are read for rate limits, leaving and rest, and logged

What was missing: logs told how an attempt ended, not what the answer said beside its status, so that a gateway that does not read a runner's word and one that does not act on it looked alike. What it is: the adapter decodes the three headers into RunnerWishes, also in answers to small calls; each change is one line (runners: asks) and a count (bulrush_gateway_runner_wishes). Nothing is decided by it yet. An answer from another runner at the address, or to another request, is not its word. Ruled out: a line for each answer, which would double the log of a limited runner.

--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -103,7 +103,8 @@
         let knowledge = Arc::new(Knowledge::new(cfg, clock.clone(), seed));
         let lifecycle = Lifecycle::new();
         let pool = Arc::new(RunnerPool::new(clock));
-        let exchanger = Exchanger::new(dialect.clone(), pool.clone());
+        let exchanger =
+            Exchanger::new(dialect.clone(), pool.clone(), knowledge.clone(), metrics.clone());
         let router = Arc::new(Router {
             dialect,
             knowledge: knowledge.clone(),
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -1,7 +1,8 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then paces, then
-//! runs, then health, then pauses, then news, then changing, then crashes, then quotas, then lease. No lock is held across an await.
+//! runs, then health, then pauses, then news, then changing, then crashes, then wishes, then quotas, then
+//! lease. No lock is held across an await.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -31,6 +32,7 @@
 mod news;
 mod pauses;
 mod starts;
+mod wishes;
 
 pub(crate) use moves::RunFate;
 
@@ -66,6 +68,8 @@
     changing: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Requests that crash runners.
     crashes: Mutex<crashes::KnownCrashes>,
+    /// What runners ask for in their answers.
+    wishes: Mutex<wishes::KnownWishes>,
     /// What client accounts use of their quotas.
     quotas: Mutex<QuotaBook>,
     /// How long keys may be acted on without new word of the store.
@@ -104,6 +108,7 @@
             news: Mutex::default(),
             changing: Mutex::default(),
             crashes: Mutex::new(crashes::KnownCrashes::new(quarantine)),
+            wishes: Mutex::default(),
             quotas: Mutex::new(quotas),
             lease: Mutex::default(),
             restored: watch::Sender::new(0),
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{AttemptEnd, RequestId, Runner};
+use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -12,6 +13,7 @@
 use hyper::http::response;
 
 use crate::dialect::{Dialect, ReplyMarks, SideCall};
+use crate::knowledge::Knowledge;
 use crate::runners::pool::{RunnerConnection, RunnerPool};
 
 /// Largest answer that is read whole; plain answers are some kilobytes, and one beyond this would
@@ -70,11 +72,18 @@
 pub(crate) struct Exchanger<D> {
     dialect: D,
     pool: Arc<RunnerPool>,
+    knowledge: Arc<Knowledge>,
+    metrics: Arc<GatewayMetrics>,
 }
 
 impl<D: Dialect> Exchanger<D> {
-    pub(crate) fn new(dialect: D, pool: Arc<RunnerPool>) -> Exchanger<D> {
-        Exchanger { dialect, pool }
+    pub(crate) fn new(
+        dialect: D,
+        pool: Arc<RunnerPool>,
+        knowledge: Arc<Knowledge>,
+        metrics: Arc<GatewayMetrics>,
+    ) -> Exchanger<D> {
+        Exchanger { dialect, pool, knowledge, metrics }
     }
 
     pub(crate) fn pool(&self) -> &RunnerPool {
@@ -112,7 +121,7 @@
                     .map_err(|cause| ExchangeError::Unsent { cause })?,
             };
             match connection.sender.try_send_request(req).await {
-                Ok(reply) => return self.check(id, reply, connection),
+                Ok(reply) => return self.check(runner, id, reply, connection),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) if connection.reused => req = unsent,
                     Some(_) => return Err(ExchangeError::Unsent { cause: e.error().to_string() }),
@@ -126,6 +135,7 @@
 
     fn check(
         &self,
+        runner: &Runner,
         id: Option<&RequestId>,
         reply: hyper::Response<Incoming>,
         connection: RunnerConnection,
@@ -142,6 +152,12 @@
         if !is_ours {
             return Err(ExchangeError::Foreign);
         }
+        // Whoever has the address of another runner speaks for itself only.
+        if !marks.wrong_runner {
+            for kind in self.knowledge.hear_wishes(runner, marks.wishes) {
+                self.metrics.wish(kind);
+            }
+        }
         Ok(Reply { head, marks, body, connection })
     }
 
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -17,6 +17,7 @@
     store_calls: Counter<u64>,
     orders: Counter<u64>,
     crashes: Counter<u64>,
+    wishes: Counter<u64>,
     state: Gauge<u64>,
     accounts: Gauge<u64>,
 }
@@ -77,6 +78,10 @@
                 "bulrush_gateway_crashes",
                 "Connections that broke just after a run began, by what became of the runner",
             ),
+            wishes: counter(
+                "bulrush_gateway_runner_wishes",
+                "Changes of what runners ask for in their answers, by kind",
+            ),
             state: meter
                 .u64_gauge("bulrush_gateway_state")
                 .with_description("Version in force, runners known, requests waiting and in flight")
@@ -135,6 +140,11 @@
         self.crashes.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// A runner's answer asked for something that the answers before did not.
+    pub fn wish(&self, kind: &'static str) {
+        self.wishes.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Something that the gateway holds now.
     pub fn state(&self, what: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("what", what)]);
