--- a/crates/bulrushusher_forward/benches/place.rs
+++ b/crates/bulrushusher_forward/benches/place.rs
@@ -72,6 +72,7 @@
             service: &self.service,
             runs: Some(&self.runs),
             failing: None,
+            pressure: None,
             now,
         };
         let run = self.forecast.need(&[RUN]);
--- /dev/null
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -0,0 +1,354 @@
+//! What runners asked of those that send to them, and what may be sent to them by it.
+//!
+//! A runner's own word binds, unlike what is guessed of its load: where all runners of a service
+//! name a limit, callers are refused. Each word counts for the start of the runner that said it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bulrushusher_time::Millis;
+use bulrushusher_world::RunnerId;
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
+
+use crate::limit_share::{LimitUse, Share, Sharers};
+use crate::{Born, RateLimit, Runner, RunnerWishes};
+
+/// How long words count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BackPressureConfig {
+    /// Silence after which another gateway has no share of limits any more.
+    pub gone_after: Millis,
+    /// How long a limit lasts after the last answer that named it: answers overtake each other.
+    pub limit_lingers: Millis,
+    /// Age of the last word of a limit after which a request may find out whether it still holds.
+    pub limit_stale: Millis,
+    /// How long such a request keeps others back.
+    pub trial: Millis,
+    /// How long gateways tell each other that a limit is over.
+    pub end_told: Millis,
+}
+
+impl Default for BackPressureConfig {
+    /// A gateway that is started again is back within ten seconds, and has its share still. Reports come
+    /// every 0.7 s, and one may be lost.
+    fn default() -> BackPressureConfig {
+        BackPressureConfig {
+            gone_after: Millis(10_000),
+            limit_lingers: Millis(1_000),
+            limit_stale: Millis(5_000),
+            trial: Millis(1_000),
+            end_told: Millis(3_000),
+        }
+    }
+}
+
+/// Why nothing may be sent to a runner now.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Pressure {
+    /// This gateway's share of its rate limit is used up.
+    #[display("the runner's rate limit is reached")]
+    RateLimit,
+}
+
+/// What runners asked for, for one choice among them.
+#[derive(Clone, Copy, Debug)]
+pub struct PressureView<'a> {
+    /// What is known.
+    pub pressure: &'a BackPressure,
+    /// A random draw in `0.0..1.0`, see [`BackPressure::is_open`].
+    pub draw: f64,
+}
+
+impl PressureView<'_> {
+    /// True when a request may be sent to the runner.
+    pub fn is_open(&self, runner: &Runner, now: Millis) -> bool {
+        self.pressure.is_open(runner, self.draw, now)
+    }
+}
+
+/// How many runners asked for something.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PressureCounts {
+    /// Runners that name a rate limit.
+    pub limited: usize,
+}
+
+/// What a gateway tells of a runner's rate limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitWord {
+    /// The runner.
+    pub runner: RunnerId,
+    /// The start that named it.
+    pub born: Option<Born>,
+    /// The limit; `None` when it is over.
+    pub limit: Option<RateLimit>,
+    /// Time since the runner said so.
+    pub age: Millis,
+}
+
+/// What one start of a runner asked for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Asked {
+    born: Option<Born>,
+    last: RunnerWishes,
+    limit: Option<LimitUse>,
+    /// When its limit was over.
+    limit_ended: Option<Millis>,
+}
+
+/// What all runners asked for, as one gateway knows it.
+///
+/// ```
+/// use bulrushusher_forward::{
+///     BackPressure, BackPressureConfig, Pressure, RateLimit, Runner, RunnerWishes,
+/// };
+/// use bulrushusher_time::Millis;
+/// let runner = Runner {
+///     id: "i-1".try_into().unwrap(),
+///     born: None,
+///     service: "board-app".try_into().unwrap(),
+///     address: "10.0.0.1:80".parse().unwrap(),
+///     data_centre: "ba-ruzinov".try_into().unwrap(),
+///     slots: 6,
+///     stage: None,
+///     leaving: false,
+/// };
+/// let mut pressure = BackPressure::new(BackPressureConfig::default(), "entry-1".into());
+/// let limit = RateLimit::try_from("2").unwrap();
+/// let wishes = RunnerWishes { rate_limit: Some(limit), ..RunnerWishes::default() };
+/// pressure.hear(&runner, wishes, Millis(4_000));
+/// assert_eq!(pressure.take(&runner, 1, Millis(4_499)), Err(Pressure::RateLimit));
+/// assert!(pressure.take(&runner, 1, Millis(4_500)).is_ok());
+/// ```
+#[derive(Clone, Debug)]
+pub struct BackPressure {
+    cfg: BackPressureConfig,
+    own: Arc<str>,
+    /// The other gateways, and when they were heard last.
+    gateways: HashMap<Arc<str>, Millis>,
+    /// Other gateways that are announced.
+    announced: usize,
+    runners: HashMap<RunnerId, Asked>,
+    shares_at: Option<Millis>,
+}
+
+/// How long shares are kept before they are worked out anew.
+const SHARES_KEPT: Millis = Millis(200);
+
+impl BackPressure {
+    /// No runner has asked for anything yet.
+    pub fn new(cfg: BackPressureConfig, own: Arc<str>) -> BackPressure {
+        BackPressure {
+            cfg,
+            own,
+            gateways: HashMap::new(),
+            announced: 0,
+            runners: HashMap::new(),
+            shares_at: None,
+        }
+    }
+
+    /// Another gateway was heard.
+    pub fn note_gateway(&mut self, name: &str, now: Millis) {
+        match self.gateways.get_mut(name) {
+            Some(heard_at) => *heard_at = now,
+            None => {
+                self.forget_gone(now);
+                self.gateways.insert(name.into(), now);
+                self.shares_at = None;
+            }
+        }
+    }
+
+    fn forget_gone(&mut self, now: Millis) {
+        let gone_after = self.cfg.gone_after;
+        self.gateways.retain(|_, heard_at| now.since(*heard_at) < gone_after);
+    }
+
+    /// So many other gateways are announced.
+    pub fn note_announced(&mut self, others: usize) {
+        self.announced = others;
+    }
+
+    /// Takes in what an answer of a runner asks for; returns what its answer before asked for.
+    pub fn hear(&mut self, runner: &Runner, wishes: RunnerWishes, now: Millis) -> RunnerWishes {
+        let asks_nothing = wishes == RunnerWishes::default();
+        if asks_nothing && !self.runners.contains_key(&runner.id) {
+            return wishes;
+        }
+        let Some(asked) = self.of_start(&runner.id, runner.born) else { return wishes };
+        let before = std::mem::replace(&mut asked.last, wishes);
+        self.hear_limit(&runner.id, wishes.rate_limit, now, now);
+        before
+    }
+
+    /// Takes in what another gateway tells of limits.
+    pub fn hear_words(&mut self, words: &[LimitWord], now: Millis) {
+        for word in words {
+            if self.of_start(&word.runner, word.born).is_some() {
+                self.hear_limit(&word.runner, word.limit, now.since(word.age), now);
+            }
+        }
+    }
+
+    /// What the other gateways are told of limits.
+    pub fn words(&self, now: Millis) -> Vec<LimitWord> {
+        let word = |(runner, asked): (&RunnerId, &Asked)| {
+            let ended = asked.limit_ended.filter(|at| now.since(*at) < self.cfg.end_told);
+            let (limit, at) = match (asked.limit, ended) {
+                (Some(named), _) => (Some(named.limit), named.named_at),
+                (None, Some(at)) => (None, at),
+                (None, None) => return None,
+            };
+            Some(LimitWord { runner: runner.clone(), born: asked.born, limit, age: now.since(at) })
+        };
+        let mut words: Vec<LimitWord> = self.runners.iter().filter_map(word).collect();
+        words.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
+        words
+    }
+
+    /// True when a request may be sent to the runner. `draw` is random in `0.0..1.0`: it chooses among the
+    /// gateways which finds out whether a limit still holds that nobody has heard of for some time.
+    pub fn is_open(&self, runner: &Runner, draw: f64, now: Millis) -> bool {
+        let Some(asked) = self.asked(runner) else { return true };
+        let is_mine = draw * ((self.gateways.len() + 1) as f64) < 1.0;
+        asked
+            .limit
+            .is_none_or(|limit| limit.is_open(now) || is_mine && may_try(&limit, &self.cfg, now))
+    }
+
+    /// Counts `requests` that are about to be sent to the runner.
+    ///
+    /// # Errors
+    /// What the runner asked for when they may not be sent; nothing is counted then.
+    pub fn take(&mut self, runner: &Runner, requests: u32, now: Millis) -> Result<(), Pressure> {
+        let cfg = self.cfg;
+        let Some(asked) = self.asked_mut(runner) else { return Ok(()) };
+        if let Some(limit) = &mut asked.limit {
+            if !limit.is_open(now) {
+                if !may_try(limit, &cfg, now) {
+                    return Err(Pressure::RateLimit);
+                }
+                limit.tried_at = Some(now);
+            }
+            limit.count(f64::from(requests), now);
+        }
+        Ok(())
+    }
+
+    /// Counts requests that are sent whatever the runner asked for.
+    pub fn owe(&mut self, runner: &Runner, requests: u32, now: Millis) {
+        if let Some(limit) = self.asked_mut(runner).and_then(|asked| asked.limit.as_mut()) {
+            limit.count(f64::from(requests), now);
+        }
+    }
+
+    /// Requests that were counted are not sent after all.
+    pub fn give_back(&mut self, runner: &Runner, requests: u32, now: Millis) {
+        if let Some(limit) = self.asked_mut(runner).and_then(|asked| asked.limit.as_mut()) {
+            limit.count(-f64::from(requests), now);
+        }
+    }
+
+    /// Time until this gateway may send to the runner; `None` when only others may.
+    pub fn opens_in(&self, runner: &Runner, now: Millis) -> Option<Millis> {
+        let Some(asked) = self.asked(runner) else { return Some(Millis(0)) };
+        match asked.limit {
+            None => Some(Millis(0)),
+            Some(limit) => limit.opens_in(now),
+        }
+    }
+
+    /// Brings up to date what changes with time and with the gateways that are heard.
+    pub fn refresh(&mut self, now: Millis) {
+        if self.runners.is_empty() || self.shares_at.is_some_and(|at| now.since(at) < SHARES_KEPT) {
+            return;
+        }
+        self.shares_at = Some(now);
+        let cfg = self.cfg;
+        self.forget_gone(now);
+        self.runners.retain(|_, asked| !asked.is_over(&cfg, now));
+        let heard: Vec<&str> = self.gateways.keys().map(|name| &**name).collect();
+        let sharers = Sharers { own: &self.own, heard: &heard, all: self.announced + 1 };
+        for (id, asked) in &mut self.runners {
+            if let Some(limit) = &mut asked.limit {
+                limit.set_share(Share::of(limit.limit, id, &sharers), now);
+            }
+        }
+    }
+
+    /// Forgets a runner that is gone.
+    pub fn forget(&mut self, runner: &RunnerId) {
+        self.runners.remove(runner);
+    }
+
+    /// How many runners asked for something.
+    pub fn counts(&self) -> PressureCounts {
+        let limited = self.runners.values().filter(|asked| asked.limit.is_some()).count();
+        PressureCounts { limited }
+    }
+
+    fn asked(&self, runner: &Runner) -> Option<&Asked> {
+        self.runners.get(&runner.id).filter(|asked| asked.born == runner.born)
+    }
+
+    fn asked_mut(&mut self, runner: &Runner) -> Option<&mut Asked> {
+        self.runners.get_mut(&runner.id).filter(|asked| asked.born == runner.born)
+    }
+
+    /// What that start of a runner asked for; `None` when a later start is known. What an earlier one asked
+    /// for is forgotten.
+    fn of_start(&mut self, id: &RunnerId, born: Option<Born>) -> Option<&mut Asked> {
+        let asked = self.runners.entry(id.clone()).or_insert(Asked { born, ..Asked::default() });
+        if asked.born > born {
+            return None;
+        }
+        if asked.born < born {
+            *asked = Asked { born, ..Asked::default() };
+        }
+        Some(asked)
+    }
+
+    /// A runner named a limit at that time, or none.
+    fn hear_limit(&mut self, id: &RunnerId, limit: Option<RateLimit>, at: Millis, now: Millis) {
+        let lingers = self.cfg.limit_lingers;
+        let Some(asked) = self.runners.get_mut(id) else { return };
+        match (limit, &mut asked.limit) {
+            (Some(named), Some(known)) if at >= known.named_at => {
+                known.named_at = at;
+                if named != known.limit {
+                    known.limit = named;
+                    self.shares_at = None;
+                }
+            }
+            (Some(named), None) if asked.limit_ended.is_none_or(|ended| at > ended) => {
+                let none = Share::none();
+                asked.limit = Some(LimitUse::new(named, none, at, now));
+                asked.limit_ended = None;
+                self.shares_at = None;
+            }
+            (None, Some(known)) if at >= known.named_at.plus(lingers) => {
+                asked.limit = None;
+                asked.limit_ended = Some(at);
+            }
+            _ => {}
+        }
+        self.refresh(now);
+    }
+}
+
+/// True when a request may find out whether a limit still holds.
+fn may_try(limit: &LimitUse, cfg: &BackPressureConfig, now: Millis) -> bool {
+    let is_stale = now.since(limit.named_at) >= cfg.limit_stale;
+    is_stale && limit.tried_at.is_none_or(|at| now.since(at) >= cfg.trial)
+}
+
+impl Asked {
+    /// True when nothing is left to remember.
+    fn is_over(&self, cfg: &BackPressureConfig, now: Millis) -> bool {
+        let end_is_told = self.limit_ended.is_none_or(|at| now.since(at) >= cfg.end_told);
+        let asks_nothing = self.last == RunnerWishes::default();
+        asks_nothing && self.limit.is_none() && end_is_told
+    }
+}
--- a/crates/bulrushusher_forward/src/choose.rs
+++ b/crates/bulrushusher_forward/src/choose.rs
@@ -5,7 +5,7 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 
-use crate::{Members, Runner, RunnerLoads, Runs, Stage};
+use crate::{Members, PressureView, Runner, RunnerLoads, Runs, Stage};
 
 /// What a choice looks at.
 #[derive(Clone, Copy, Debug)]
@@ -20,10 +20,20 @@
     pub runs: Option<&'a Runs>,
     /// Runners that fail too many runs; they are passed over while there are others.
     pub failing: Option<&'a BTreeSet<RunnerId>>,
+    /// What runners asked for. Unlike what is guessed of a runner, it binds where there are no others.
+    pub pressure: Option<PressureView<'a>>,
     /// The present time.
     pub now: Millis,
 }
 
+impl<'a> Candidate<'a> {
+    /// Runners of the service that take new work from this gateway now.
+    fn open(self) -> impl Iterator<Item = &'a Runner> {
+        let is_open = move |r: &&Runner| self.pressure.is_none_or(|it| it.is_open(r, self.now));
+        self.members.usable(self.service, self.now).filter(is_open)
+    }
+}
+
 /// A choice for a plain call.
 #[derive(Clone, Copy, Debug)]
 pub struct PlainPick<'a> {
@@ -42,7 +52,7 @@
 /// The runner with the shortest expected time for a plain call.
 pub fn pick_for_call(cx: Candidate<'_>, pick: PlainPick<'_>) -> Option<Runner> {
     let fresh = |r: &&Runner| !pick.tried.contains(&r.id);
-    let usable: Vec<&Runner> = cx.members.usable(cx.service, cx.now).filter(fresh).collect();
+    let usable: Vec<&Runner> = cx.open().filter(fresh).collect();
     let from = with_room_if_any(cx, awake_if_any(cx, usable));
     let quickest_ms = quickest_of_pool(cx, &from);
     let cost = |r: &Runner| {
@@ -124,7 +134,7 @@
 
 fn staged<'a>(cx: Candidate<'a>, stage: Stage, tried: &[RunnerId]) -> Vec<&'a Runner> {
     let changes = |r: &Runner| cx.runs.is_some_and(|runs| runs.is_changing(&r.id, cx.now));
-    let of_stage = cx.members.usable(cx.service, cx.now).filter(|r| r.stage == Some(stage));
+    let of_stage = cx.open().filter(|r| r.stage == Some(stage));
     let of_stage = of_stage.filter(|r| !changes(r));
     awake_if_any(cx, of_stage.filter(|r| !tried.contains(&r.id)).collect())
 }
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -5,12 +5,14 @@
 //! it, what may follow a failed attempt, and what a stopping process still accepts. Nothing here
 //! does I/O or reads a clock; callers hand in [`bulrushusher_time::Millis`] and random draws.
 
+mod back_pressure;
 mod choose;
 mod events;
 mod forecast;
 mod gateways;
 mod health;
 mod heard;
+mod limit_share;
 mod load;
 mod members;
 mod memory;
@@ -35,7 +37,11 @@
 mod starts;
 mod told;
 mod waiting;
+mod wishes;
 
+pub use back_pressure::{
+    BackPressure, BackPressureConfig, LimitWord, Pressure, PressureCounts, PressureView,
+};
 pub use choose::{Candidate, PlainPick, pick_for_call, pick_for_prefill, rank_for_decode};
 pub use events::{EventSplitter, WholeEvents};
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
@@ -66,6 +72,7 @@
 pub use stages::{DutyConfig, StageChange, StageDuty, StagesConfig, next_stage_change};
 pub use starts::{StartNews, Starts};
 pub use waiting::{Claim, LineOrder, Rank, WaitingConfig, WaitingLine, asks_now};
+pub use wishes::RunnerWishes;
 
 /// The common types in one `use`.
 pub mod prelude {
--- a/crates/bulrushusher_forward/src/load.rs
+++ b/crates/bulrushusher_forward/src/load.rs
@@ -47,6 +47,8 @@
     NotRun,
     /// It could not be reached, broke off or stayed silent.
     Unreachable,
+    /// It was not called: it had asked for that, which says nothing against it.
+    Withheld,
 }
 
 /// Tells apart what is known of a runner before and after it was forgotten: a call that began
@@ -142,6 +144,9 @@
 
     /// Takes in how a call went.
     pub fn note(&mut self, id: &RunnerId, result: CallResult, now: Millis) {
+        if result == CallResult::Withheld {
+            return;
+        }
         let LoadConfig { newest_weight: weight, first_pause, longest_pause, .. } = self.cfg;
         let load = self.load(id);
         let failure = match result {
@@ -150,7 +155,7 @@
                 0.0
             }
             CallResult::Failed | CallResult::Unreachable => 1.0,
-            CallResult::NotRun => load.failure_share,
+            CallResult::NotRun | CallResult::Withheld => load.failure_share,
         };
         load.failure_share = mix(load.failure_share, failure, weight);
         if result == CallResult::NotRun {
@@ -167,6 +172,7 @@
             CallResult::Answered(_) | CallResult::Failed | CallResult::NotRun => {
                 load.reached(now);
             }
+            CallResult::Withheld => {}
         }
     }
 
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -289,6 +289,7 @@
                 service: &service,
                 runs: None,
                 failing: None,
+ pressure: None,
                 now,
             };
             let near = "dc-1".try_into().unwrap();
--- a/crates/bulrushusher_forward/tests/plain_calls.rs
+++ b/crates/bulrushusher_forward/tests/plain_calls.rs
@@ -46,7 +46,15 @@
         let service = "app".try_into().expect("a good name");
         let near = "dc-1".try_into().expect("a good name");
         let (members, loads, now) = (&self.members, &self.loads, self.now);
-        let cx = Candidate { members, loads, service: &service, runs: None, failing: None, now };
+        let cx = Candidate {
+            members,
+            loads,
+            service: &service,
+            runs: None,
+            failing: None,
+            pressure: None,
+            now,
+        };
         let pick = PlainPick { tried: &[], near: &near, draw: self.rng.random() };
         pick_for_call(cx, pick).expect("there are runners").id
     }
--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bulrushusher_accounts::Credentials;
-use bulrushusher_forward::{Born, PromptSize, RateLimit, RequestId, Stage};
+use bulrushusher_forward::{Born, PromptSize, RequestId, RunnerWishes, Stage};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{ClientAccountName, RunnerId};
 use bytes::Bytes;
@@ -105,17 +105,6 @@
     pub wishes: RunnerWishes,
 }
 
-/// What a runner asks of those that send to it, as any of its answers may say.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct RunnerWishes {
-    /// Requests a second from all gateways together; `None` while it names no limit.
-    pub rate_limit: Option<RateLimit>,
-    /// True when it leaves and takes no new work.
-    pub leaving: bool,
-    /// How long it wants nothing from the gateway that it refused.
-    pub rest: Option<Millis>,
-}
-
 /// A small call to a runner that carries no caller's request.
 #[derive(Clone, Debug)]
 pub struct SideCall {
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -126,7 +126,9 @@
     pub(crate) fn hear_peer(&self, peer: &str, mut report: GatewayReport) {
         let now = self.now();
         let (life, spends) = (report.life, std::mem::take(&mut report.spends));
+        let limits = std::mem::take(&mut report.limits);
         if self.runs.lock().hear(peer, report, now) {
+            self.hear_limits(peer, &limits);
             self.hear_spends(peer, life, &spends, true);
         }
     }
@@ -136,8 +138,10 @@
         let now = self.now();
         let report = &mut changes.report;
         let (life, spends) = (report.life, std::mem::take(&mut report.spends));
+        let limits = std::mem::take(&mut report.limits);
         let news = self.runs.lock().hear_changes(peer, changes, now);
         if news != ChangesNews::Old {
+            self.hear_limits(peer, &limits);
             self.hear_spends(peer, life, &spends, false);
         }
         news
@@ -172,6 +176,7 @@
         let (waiting, waiting_late) = self.waiting_by_chance();
         let changing: Vec<RunnerId> = self.changing.lock().values().flatten().cloned().collect();
         let failing = self.failing_told();
+        let limits = self.limits_told();
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
         let own = runs.own().cloned().collect();
@@ -188,6 +193,7 @@
             starts,
             news: self.news_told(),
             spends: Spends::default(),
+            limits,
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -1,7 +1,7 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then paces, then
-//! runs, then health, then pauses, then news, then changing, then crashes, then wishes, then quotas, then
+//! runs, then health, then pauses, then news, then changing, then crashes, then pressure, then quotas, then
 //! lease. No lock is held across an await.
 
 use std::collections::HashMap;
@@ -10,9 +10,10 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaBook};
 use bulrushusher_forward::{
-    AttemptEnd, AttemptPlan, CallResult, Candidate, Claim, EngineSpec, HealthConfig, Members,
-    NextStep, Pace, PaceConfig, PeersConfig, PlainPick, Rank, Route, RoutingConfig, Runner,
-    RunnerHealth, RunnerLoads, Runs, UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
+    AttemptEnd, AttemptPlan, BackPressure, BackPressureConfig, CallResult, Candidate, Claim,
+    EngineSpec, HealthConfig, Members, NextStep, Pace, PaceConfig, PeersConfig, PlainPick,
+    PressureView, Rank, Route, RoutingConfig, Runner, RunnerHealth, RunnerLoads, Runs,
+    UsualPatience, WaitingLine, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -31,8 +32,8 @@
 mod moves;
 mod news;
 mod pauses;
+mod pressure;
 mod starts;
-mod wishes;
 
 pub(crate) use moves::RunFate;
 
@@ -68,8 +69,8 @@
     changing: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Requests that crash runners.
     crashes: Mutex<crashes::KnownCrashes>,
-    /// What runners ask for in their answers.
-    wishes: Mutex<wishes::KnownWishes>,
+    /// What runners asked for in their answers.
+    pressure: Mutex<BackPressure>,
     /// What client accounts use of their quotas.
     quotas: Mutex<QuotaBook>,
     /// How long keys may be acted on without new word of the store.
@@ -91,6 +92,8 @@
     pub(crate) fn new(cfg: GatewayConfig, clock: Clock, seed: u64) -> Knowledge {
         let quarantine = Quarantine::new(cfg.quarantine);
         let quotas = QuotaBook::new(cfg.quotas, clock.now());
+        let name = cfg.name.to_string().into();
+        let pressure = BackPressure::new(BackPressureConfig::default(), name);
         let runners =
             Runners { members: Members::new(cfg.members), loads: RunnerLoads::new(cfg.loads) };
         Knowledge {
@@ -108,7 +111,7 @@
             news: Mutex::default(),
             changing: Mutex::default(),
             crashes: Mutex::new(crashes::KnownCrashes::new(quarantine)),
-            wishes: Mutex::default(),
+            pressure: Mutex::new(pressure),
             quotas: Mutex::new(quotas),
             lease: Mutex::default(),
             restored: watch::Sender::new(0),
@@ -189,7 +192,12 @@
         near: &DataCentreName,
     ) -> Option<Runner> {
         let pick = PlainPick { tried, near, draw: self.draw() };
-        self.with_runners(|runners, now| pick_for_call(runners.candidates(service, now), pick))
+        let draw = self.draw();
+        self.with_runners(|runners, now| {
+            let pressure = self.pressure_at(now);
+            let view = PressureView { pressure: &pressure, draw };
+            pick_for_call(runners.candidates(service, view, now), pick)
+        })
     }
 
     /// A runner that reads a prompt.
@@ -212,13 +220,16 @@
         service: &ServiceName,
         choose: impl FnOnce(Candidate<'_>, &Runs) -> T,
     ) -> T {
+        let draw = self.draw();
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
             let failing = self.failing(runners, &runs, service, now);
+            let pressure = self.pressure_at(now);
+            let view = PressureView { pressure: &pressure, draw };
             let cx = Candidate {
                 runs: Some(&runs),
                 failing: Some(&failing),
-                ..runners.candidates(service, now)
+                ..runners.candidates(service, view, now)
             };
             choose(cx, &runs)
         })
@@ -345,13 +356,19 @@
 }
 
 impl Runners {
-    fn candidates<'a>(&'a self, service: &'a ServiceName, now: Millis) -> Candidate<'a> {
+    fn candidates<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        pressure: PressureView<'a>,
+        now: Millis,
+    ) -> Candidate<'a> {
         Candidate {
             members: &self.members,
             loads: &self.loads,
             service,
             runs: None,
             failing: None,
+            pressure: Some(pressure),
             now,
         }
     }
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/knowledge/pressure.rs
@@ -0,0 +1,118 @@
+//! What runners asked for in their answers, here and at peers, and what may be sent to them by it.
+
+use bulrushusher_forward::{
+    BackPressure, LimitWord, Pressure, PressureCounts, Runner, RunnerWishes, Stage,
+};
+use bulrushusher_time::Millis;
+use bulrushusher_world::ServiceName;
+use parking_lot::MutexGuard;
+
+use super::Knowledge;
+
+impl Knowledge {
+    /// Takes in what a runner's answer asks for; returns the kinds that it did not ask for before.
+    pub(crate) fn hear_wishes(&self, runner: &Runner, wishes: RunnerWishes) -> Vec<&'static str> {
+        if self.is_past(runner) {
+            return Vec::new();
+        }
+        let now = self.now();
+        let before = self.pressure.lock().hear(runner, wishes, now);
+        if before == wishes {
+            return Vec::new();
+        }
+        log::info!(
+            "runners: asks id={} rate_limit={} leaving={} rest_ms={} unreadable={}",
+            runner.id,
+            wishes.rate_limit.map_or("none".to_owned(), |limit| limit.to_string()),
+            wishes.leaving,
+            wishes.rest.map_or(0, |rest| rest.0),
+            wishes.unreadable,
+        );
+        if before.rate_limit != wishes.rate_limit {
+            self.report_due.notify_one();
+        }
+        let limit_is_new = wishes.rate_limit.is_some() && wishes.rate_limit != before.rate_limit;
+        let leaving_is_new = wishes.leaving && !before.leaving;
+        let kinds = [
+            ("rate_limit", limit_is_new),
+            ("leaving", leaving_is_new),
+            ("rest", wishes.rest.is_some()),
+            ("unreadable", wishes.unreadable && !before.unreadable),
+        ];
+        kinds.into_iter().filter(|(_, is_new)| *is_new).map(|(kind, _)| kind).collect()
+    }
+
+    /// Takes in what a peer tells of rate limits.
+    pub(super) fn hear_limits(&self, peer: &str, words: &[LimitWord]) {
+        let now = self.now();
+        let mut pressure = self.pressure.lock();
+        pressure.note_gateway(peer, now);
+        let before = pressure.counts().limited;
+        pressure.hear_words(words, now);
+        let limited = pressure.counts().limited;
+        drop(pressure);
+        if limited != before {
+            log::info!("runners: limits heard peer={peer} limited={limited} before={before}");
+        }
+    }
+
+    /// What peers are told of rate limits.
+    pub(super) fn limits_told(&self) -> Vec<LimitWord> {
+        self.pressure.lock().words(self.now())
+    }
+
+    /// What is known of runners' wishes, with this gateway's shares of limits as they are now.
+    pub(super) fn pressure_at(&self, now: Millis) -> MutexGuard<'_, BackPressure> {
+        let mut pressure = self.pressure.lock();
+        pressure.refresh(now);
+        pressure
+    }
+
+    /// Counts requests that are about to be sent to a runner.
+    ///
+    /// # Errors
+    /// What the runner asked for when they may not be sent.
+    pub(crate) fn take_permits(&self, runner: &Runner, requests: u32) -> Result<(), Pressure> {
+        let now = self.now();
+        self.pressure_at(now).take(runner, requests, now)
+    }
+
+    /// Counts a request that is sent whatever its runner asked for.
+    pub(crate) fn owe_permit(&self, runner: &Runner) {
+        let now = self.now();
+        self.pressure.lock().owe(runner, 1, now);
+    }
+
+    /// Requests that were counted are not sent after all.
+    pub(crate) fn give_permits_back(&self, runner: &Runner, requests: u32) {
+        let now = self.now();
+        self.pressure.lock().give_back(runner, requests, now);
+    }
+
+    /// When every runner of the service asked for what keeps this gateway from sending to it: the time
+    /// until the first one may be sent to again. `None` when one is open, or there is none.
+    ///
+    /// `stage` narrows it to the runners that do that half of a generation.
+    pub(crate) fn pressed_for(
+        &self,
+        service: &ServiceName,
+        stage: Option<Stage>,
+    ) -> Option<Millis> {
+        self.with_runners(|runners, now| {
+            let pressure = self.pressure_at(now);
+            let of_stage = |r: &&Runner| stage.is_none() || r.stage == stage;
+            let usable = runners.members.usable(service, now).filter(of_stage);
+            let first = usable.map(|r| pressure.opens_in(r, now).unwrap_or(OTHERS_SHARE)).min();
+            first.filter(|opens_in| *opens_in > Millis(0))
+        })
+    }
+
+    /// How many runners asked for something.
+    pub(crate) fn pressure_counts(&self) -> PressureCounts {
+        self.pressure.lock().counts()
+    }
+}
+
+/// When a caller comes back that is refused here while other gateways share the runner's whole limit: its
+/// next attempt reaches another gateway.
+const OTHERS_SHARE: Millis = Millis(300);
--- a/crates/bulrushusher_gateway/src/knowledge/starts.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/starts.rs
@@ -58,6 +58,7 @@
             runners.loads.forget(id);
         });
         self.forget_run_ends(id);
+        self.pressure.lock().forget(id);
     }
 
     /// True when a later start of the runner is known: what is held there is gone.
@@ -75,6 +76,7 @@
         }
         self.with_runners(|runners, _| runners.loads.forget(id));
         self.forget_run_ends(id);
+        self.pressure.lock().forget(id);
         for changing in self.changing.lock().values_mut() {
             changing.retain(|runner| runner != id);
         }
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -13,7 +13,7 @@
 const MARK: u8 = 0xB5;
 
 /// Raised with each change of the form of [`Datagram`] or of what it holds.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// What one gateway writes to another.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -11,6 +11,7 @@
 use crate::dialect::{Dialect, KvCache, SideCall};
 use crate::knowledge::Knowledge;
 use crate::runners::exchange::{Exchanger, SIDE_CALL_TIMEOUT};
+use crate::runners::permit::Permit;
 
 /// Memory held at a decode runner. It counts there until dropped.
 #[derive(Debug)]
@@ -109,7 +110,8 @@
         // A later start holds nothing of this, and may use the name for somebody else's.
         if let Some(lease) = self.lease.take().filter(|_| !self.knowledge.is_past(&self.runner)) {
             let call = self.dialect.drop_hold(&self.runner.id, &lease);
-            spawn_call(&self.exchanger, &self.runner, call, "hold");
+            // The run that does not come was counted.
+            spawn_call(&self.exchanger, &self.runner, call, Permit::Counted, "hold");
         }
     }
 }
@@ -158,7 +160,7 @@
     fn drop(&mut self) {
         if !self.taken && !self.is_lost() {
             let call = self.dialect.free_kv(&self.runner.id, &self.cache.handle);
-            spawn_call(&self.exchanger, &self.runner, call, "kv cache");
+            spawn_call(&self.exchanger, &self.runner, call, Permit::Exempt, "kv cache");
         }
     }
 }
@@ -168,12 +170,13 @@
     exchanger: &Exchanger<D>,
     runner: &Runner,
     call: SideCall,
+    permit: Permit,
     what: &'static str,
 ) {
     let Ok(runtime) = Handle::try_current() else { return };
     let (exchanger, runner) = (exchanger.clone(), runner.clone());
     runtime.spawn(async move {
-        let freed = exchanger.side_call(&runner, call, SIDE_CALL_TIMEOUT).await;
+        let freed = exchanger.side_call(&runner, call, permit, SIDE_CALL_TIMEOUT).await;
         let id = &runner.id;
         match freed {
             Ok((head, _)) => log::debug!("free: {what} runner={id} status={}", head.status),
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -2,12 +2,13 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, Rank, RunNote, RunShape, Runner, tokens_to_hold};
+use bulrushusher_forward::{CallResult, Rank, RunNote, RunShape, Runner, Stage, tokens_to_hold};
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
 use derive_more::Display;
 use hyper::StatusCode;
 
+use crate::answers::answer::PRESSED;
 use crate::dialect::Dialect;
 use crate::knowledge::Knowledge;
 use crate::placement::holds::{HeldMemory, HoldTerms};
@@ -15,6 +16,7 @@
 use crate::placement::tries::Tries;
 use crate::runners::exchange::ExchangeError;
 use crate::runners::exchange::SIDE_CALL_TIMEOUT;
+use crate::runners::permit::Permit;
 use crate::runners::router::{Forwarded, Router};
 
 /// Pause before a waiting request asks again: a fifth of the time between two ends of generations
@@ -24,6 +26,9 @@
 /// Runners asked in one go.
 const ASKED_AT_ONCE: usize = 3;
 
+/// Requests that a runner gets for a generation: the hold, and the run that comes with it.
+const HOLD_AND_RUN: u32 = 2;
+
 /// Time for which memory is held when the configuration does not bound it.
 const DEFAULT_HOLD: Millis = Millis(2_000);
 
@@ -54,6 +59,11 @@
     Memory,
     /// It would hardly end before its deadline.
     NoTime,
+    /// Every decode runner asked for fewer requests.
+    Pressed {
+        /// When the first of them takes one more.
+        come_back: Millis,
+    },
 }
 
 impl NoPlace {
@@ -65,6 +75,7 @@
             NoPlace::Refused => "the decode runners refused to hold memory",
             NoPlace::Memory => "no decode memory is free",
             NoPlace::NoTime => "too little time is left for the whole answer",
+            NoPlace::Pressed { .. } => PRESSED,
         }
     }
 }
@@ -85,7 +96,10 @@
     let mut refusals = 0;
     loop {
         if !may_end(cx, fwd, tries) {
-            return Err(no_time(cx, fwd));
+            return Err(told_at_once(cx, fwd, NoPlace::NoTime));
+        }
+        if let Some(come_back) = cx.pressed_for(fwd, Some(Stage::Decode)) {
+            return Err(told_at_once(cx, fwd, NoPlace::Pressed { come_back }));
         }
         for runner in runners_to_ask(cx, fwd, &line, tries) {
             if let Some(held) = ask(cx, fwd, runner).await {
@@ -136,8 +150,8 @@
     share >= LEAST_THAT_END
 }
 
-fn no_time<D: Dialect>(cx: &Router<D>, fwd: &Forwarded) -> NoPlace {
-    let bound = NoPlace::NoTime;
+/// Logs what no waiting changes.
+fn told_at_once<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, bound: NoPlace) -> NoPlace {
     log::info!(
         "place: given up id={} bound=\"{bound}\" waited_ms={} left_ms={}",
         fwd.arrival.id,
@@ -190,12 +204,15 @@
 /// Asks a runner to hold memory; `None` when it does not.
 async fn ask<D: Dialect>(cx: &Router<D>, fwd: &Forwarded, runner: Runner) -> Option<HeldMemory<D>> {
     let began = cx.now();
+    if cx.knowledge.take_permits(&runner, HOLD_AND_RUN).is_err() {
+        return None;
+    }
     let tokens = tokens_wanted(cx, fwd);
     cx.knowledge.with_runners(|runners, now| runners.loads.note_trial(&runner.id, now));
     let ttl = hold_time(cx, fwd);
     let shape = RunShape::of(fwd.arrival.size.as_ref());
     let call = cx.dialect.take_hold(&runner.id, tokens, ttl);
-    let answer = cx.exchanger.side_call(&runner, call, SIDE_CALL_TIMEOUT).await;
+    let answer = cx.exchanger.side_call(&runner, call, Permit::Counted, SIDE_CALL_TIMEOUT).await;
     let (asked, word) = match answer {
         Ok((head, body)) => {
             cx.knowledge.with_runners(|runners, now| runners.loads.note_reached(&runner.id, now));
@@ -207,6 +224,9 @@
             (None, "unreachable")
         }
     };
+    if asked.is_none() {
+        cx.knowledge.give_permits_back(&runner, HOLD_AND_RUN - 1);
+    }
     cx.metrics.hold(word);
     log::info!(
         "place: asked for memory id={} runner={} tokens={tokens} result={word} waited_ms={} ms={}",
--- a/crates/bulrushusher_gateway/src/placement/reading.rs
+++ b/crates/bulrushusher_gateway/src/placement/reading.rs
@@ -10,7 +10,8 @@
 use crate::placement::tries::{NoRun, Tries};
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::ExchangeError;
-use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router};
+use crate::runners::permit::Permit;
+use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router, Sending};
 
 /// Readings of one prompt that are tried while its memory is held.
 const MOST_READS: usize = 2;
@@ -38,9 +39,10 @@
         return Err(NoRun::Unplaced("the prompt may not be read again now"));
     }
     let mut tried = Vec::new();
+    let mut sent_in_vain = false;
     for read in 0..MOST_READS {
         // What was sent to one runner in vain counts as a repeat, whoever goes on.
-        if read > 0 && !cx.knowledge.take_retry(&fwd.service) {
+        if sent_in_vain && !cx.knowledge.take_retry(&fwd.service) {
             return Err(NoRun::Unplaced("the prompt was not read"));
         }
         let near = held.runner.data_centre.clone();
@@ -55,9 +57,12 @@
         }
         tried.push(runner.id.clone());
         let longest = held.time_left(cx.now());
-        if let Some(kv) = read_at(cx, fwd, tries.resume_after, runner, longest).await {
-            tries.was_read = true;
-            return Ok(Some(kv));
+        match read_at(cx, fwd, tries.resume_after, runner, longest).await {
+            Ok(kv) => {
+                tries.was_read = true;
+                return Ok(Some(kv));
+            }
+            Err(result) => sent_in_vain = result != CallResult::Withheld,
         }
     }
     Err(NoRun::Unplaced("the prompt was not read"))
@@ -122,7 +127,7 @@
     resume_after: Option<u64>,
     runner: Runner,
     longest: Millis,
-) -> Option<KeptKv<D>> {
+) -> Result<KeptKv<D>, CallResult> {
     let began = cx.now();
     let tokens = fwd.prompt_tokens();
     let ahead = cx.knowledge.tokens_at_prefill(&runner.id);
@@ -144,12 +149,12 @@
         CallResult::Answered(_) => cx.knowledge.note_run_end(&runner, true),
         CallResult::Failed => cx.knowledge.note_run_end(&runner, false),
         // A line that is too long looks the same; the pause after it is enough.
-        CallResult::Unreachable => {}
+        CallResult::Unreachable | CallResult::Withheld => {}
     }
-    let handle = read.ok()?;
+    let handle = read.map_err(|failed| failed.result)?;
     let took = cx.now().since(began);
     cx.knowledge.with_pace(&fwd.service, |pace| pace.note_read(ahead + tokens, took));
-    Some(KeptKv::new(runner, handle, &cx.knowledge, &cx.exchanger, &cx.dialect))
+    Ok(KeptKv::new(runner, handle, &cx.knowledge, &cx.exchanger, &cx.dialect))
 }
 
 /// Why a prompt was not read.
@@ -168,13 +173,13 @@
     within: Millis,
 ) -> Result<Arc<str>, FailedRead> {
     let lost = |e: ExchangeError| FailedRead {
-        result: CallResult::Unreachable,
+        result: e.call_result(),
         cause: e.to_string(),
         broke_off: e.broke_off(),
     };
     let failed = |result, cause| FailedRead { result, cause, broke_off: false };
-    let reply =
-        cx.attempt(fwd, runner, resume_after, Step::ReadPrompt, within).await.map_err(lost)?;
+    let sending = Sending { resume_after, step: Step::ReadPrompt, permit: Permit::Needed };
+    let reply = cx.attempt(fwd, runner, sending, within).await.map_err(lost)?;
     let marks = reply.marks.clone();
     let (head, body) = cx.exchanger.read_whole(runner, reply, within).await.map_err(lost)?;
     if marks.wrong_runner {
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -56,6 +56,8 @@
     });
     note_accounts(knowledge, metrics);
     metrics.state("quarantined_requests", knowledge.all_quarantined().len() as u64);
+    let pressure = knowledge.pressure_counts();
+    metrics.state("limited_runners", pressure.limited as u64);
     metrics.state("runners", all);
     metrics.state("prefill_runners", prefill);
     metrics.state("decode_runners", decode);
--- a/crates/bulrushusher_gateway/src/runners/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -9,6 +9,7 @@
 
 use crate::dialect::Dialect;
 use crate::runners::exchange::SIDE_CALL_TIMEOUT;
+use crate::runners::permit::Permit;
 use crate::runners::router::{Forwarded, Router};
 
 /// Times that a runner is asked before it counts as ended: one call may meet a full runner or a link
@@ -91,7 +92,7 @@
             tokio::time::sleep(ASK_AGAIN.duration()).await;
         }
         let call = cx.dialect.ask_report(&runner.id);
-        match cx.exchanger.side_call(runner, call, SIDE_CALL_TIMEOUT).await {
+        match cx.exchanger.side_call(runner, call, Permit::Needed, SIDE_CALL_TIMEOUT).await {
             Ok((head, _)) if head.status == StatusCode::MISDIRECTED_REQUEST => {
                 return Some("another start has its address".into());
             }
@@ -100,6 +101,8 @@
                 cx.knowledge.hear_start(&runner.id, born);
                 return cx.knowledge.is_past(runner).then(|| "it has started again".into());
             }
+            // It is not asked by its own wish, so that it is taken to live.
+            Err(e) if e.is_withheld() => return None,
             Err(e) => sign = e.to_string().into(),
         }
     }
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, RequestId, Runner};
+use bulrushusher_forward::{AttemptEnd, CallResult, Pressure, RequestId, Runner};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 
 use crate::dialect::{Dialect, ReplyMarks, SideCall};
 use crate::knowledge::Knowledge;
+use crate::runners::permit::Permit;
 use crate::runners::pool::{RunnerConnection, RunnerPool};
 
 /// Largest answer that is read whole; plain answers are some kilobytes, and one beyond this would
@@ -39,6 +40,9 @@
     /// The answer belongs to another request; this one may have run.
     #[display("the answer is not to this request")]
     Foreign,
+    /// Nothing was written to the runner, by its own wish.
+    #[display("withheld ({cause})")]
+    Withheld { cause: Pressure },
 }
 
 impl ExchangeError {
@@ -47,10 +51,23 @@
         matches!(self, ExchangeError::BrokeOff { .. })
     }
 
+    /// True when it was not sent by the runner's own wish, which says nothing against the runner.
+    pub(crate) fn is_withheld(&self) -> bool {
+        matches!(self, ExchangeError::Withheld { .. })
+    }
+
+    /// What it means for calls to the runner.
+    pub(crate) fn call_result(&self) -> CallResult {
+        match self.is_withheld() {
+            true => CallResult::Withheld,
+            false => CallResult::Unreachable,
+        }
+    }
+
     /// What it means for the attempt.
     pub(crate) fn attempt_end(&self) -> AttemptEnd {
         match self {
-            ExchangeError::Unsent { .. } => AttemptEnd::Unsent,
+            ExchangeError::Unsent { .. } | ExchangeError::Withheld { .. } => AttemptEnd::Unsent,
             ExchangeError::NoAnswer { .. }
             | ExchangeError::BrokeOff { .. }
             | ExchangeError::Foreign => AttemptEnd::Unknown,
@@ -90,14 +107,16 @@
         &self.pool
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request, if its permit allows it, and waits for the head of its answer.
     pub(crate) async fn send(
         &self,
         runner: &Runner,
         id: Option<&RequestId>,
         req: Request<Full<Bytes>>,
+        permit: Permit,
         within: Millis,
     ) -> Result<Reply, ExchangeError> {
+        self.redeem(runner, permit)?;
         let sending = self.send_unbounded(runner, id, req);
         match tokio::time::timeout(within.duration(), sending).await {
             Ok(done) => done,
@@ -105,6 +124,22 @@
         }
     }
 
+    /// Asks for a send and counts it, as its permit says.
+    fn redeem(&self, runner: &Runner, permit: Permit) -> Result<(), ExchangeError> {
+        let asked = match permit {
+            Permit::Needed => self.knowledge.take_permits(runner, 1),
+            Permit::Counted => Ok(()),
+            Permit::Exempt => {
+                self.knowledge.owe_permit(runner);
+                Ok(())
+            }
+        };
+        asked.map_err(|cause| {
+            self.metrics.withheld(withheld_word(cause));
+            ExchangeError::Withheld { cause }
+        })
+    }
+
     async fn send_unbounded(
         &self,
         runner: &Runner,
@@ -185,6 +220,7 @@
         &self,
         runner: &Runner,
         call: SideCall,
+        permit: Permit,
         within: Millis,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
         let mut req = Request::new(Full::new(call.body));
@@ -198,7 +234,14 @@
         if let Ok(host) = host {
             req.headers_mut().insert(hyper::header::HOST, host);
         }
-        let reply = self.send(runner, None, req, within).await?;
+        let reply = self.send(runner, None, req, permit, within).await?;
         self.read_whole(runner, reply, within).await
     }
 }
+
+/// One word for metrics.
+pub(crate) fn withheld_word(cause: Pressure) -> &'static str {
+    match cause {
+        Pressure::RateLimit => "rate_limit",
+    }
+}
--- a/crates/bulrushusher_gateway/src/runners/mod.rs
+++ b/crates/bulrushusher_gateway/src/runners/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod crashes;
 pub(crate) mod exchange;
+pub(crate) mod permit;
 pub(crate) mod pool;
 pub(crate) mod router;
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, LoadLife, Route, Runner};
+use bulrushusher_forward::{CallResult, LoadLife, Route, Runner, Stage};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
@@ -19,6 +19,13 @@
 use crate::dialect::{Arrival, Attempt, Dialect, Step};
 use crate::knowledge::Knowledge;
 use crate::runners::exchange::{ExchangeError, Exchanger, Reply};
+use crate::runners::permit::Permit;
+
+/// Share of the time to come back over which callers are spread that wait for the same runner.
+const RETURN_SPREAD: f64 = 0.5;
+
+/// No caller is told to come back sooner: what is free by then may be another's already.
+const SOONEST_RETURN: Millis = Millis(100);
 
 /// The parts that serving a request needs.
 #[derive(Clone, Debug)]
@@ -116,6 +123,15 @@
         }
     }
 
+    /// When a caller should come back where every runner that could serve it asked for fewer requests: spread
+    /// over some time from when the first of them takes one more. `None` where one may be called, or none is
+    /// there.
+    pub(crate) fn pressed_for(&self, fwd: &Forwarded, stage: Option<Stage>) -> Option<Millis> {
+        let opens_in = self.knowledge.pressed_for(&fwd.service, stage)?;
+        let later = 1.0 + RETURN_SPREAD * self.knowledge.draw();
+        Some(Millis((opens_in.max(SOONEST_RETURN).0 as f64 * later) as u64))
+    }
+
     /// When a refused caller should come back.
     pub(crate) fn come_back(&self, fwd: &Forwarded) -> Millis {
         let returns = self.knowledge.cfg().returns();
@@ -127,10 +143,10 @@
         &self,
         fwd: &Forwarded,
         runner: &Runner,
-        resume_after: Option<u64>,
-        step: Step<'_>,
+        sending: Sending<'_>,
         within: Millis,
     ) -> Result<Reply, ExchangeError> {
+        let Sending { resume_after, step, permit } = sending;
         let left = fwd.left(self.now());
         if !matches!(step, Step::ReadPrompt) {
             fwd.caller.mark_sent();
@@ -139,7 +155,7 @@
         let attempt = Attempt { runner: &runner.id, left, resume_after, account, step };
         let headers = self.dialect.attempt_headers(&fwd.arrival, &attempt);
         let req = build(fwd, headers);
-        self.exchanger.send(runner, Some(&fwd.arrival.id), req, within).await
+        self.exchanger.send(runner, Some(&fwd.arrival.id), req, permit, within).await
     }
 
     /// Notes how an attempt went, for choices, metrics and the log.
@@ -172,6 +188,15 @@
     }
 }
 
+/// What of a request is sent to a runner.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sending<'a> {
+    /// The last event that the caller has.
+    pub resume_after: Option<u64>,
+    pub step: Step<'a>,
+    pub permit: Permit,
+}
+
 /// How an attempt went.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptNote<'a> {
@@ -188,6 +213,7 @@
         CallResult::Failed => "failed",
         CallResult::NotRun => "not_run",
         CallResult::Unreachable => "unreachable",
+        CallResult::Withheld => "withheld",
     }
 }
 
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -5,14 +5,16 @@
 use bulrushusher_forward::{AttemptEnd, CallResult, Runner};
 use bulrushusher_time::Millis;
 
+use crate::answers::answer::{PRESSED, Withheld};
 use crate::dialect::{Dialect, Step};
 use crate::placement::holds::{HeldMemory, KeptKv};
-use crate::placement::place::place;
+use crate::placement::place::{NoPlace, place};
 use crate::placement::reading::read_prompt;
 use crate::placement::tries::{NoRun, Tries};
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::Reply;
-use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router};
+use crate::runners::permit::Permit;
+use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router, Sending};
 use crate::runs::run::{Run, longest_silence};
 
 /// A prompt that was read waits this long for other memory: runners keep a KV cache that nobody
@@ -56,7 +58,12 @@
     until: Millis,
 ) -> Result<HeldMemory<D>, NoRun> {
     let held = place(cx, fwd, tries, until).await;
-    held.map_err(|bound| NoRun::Unplaced(bound.reason()))
+    held.map_err(|bound| match bound {
+        NoPlace::Pressed { come_back } => {
+            NoRun::Withheld(Withheld { reason: bound.reason(), come_back })
+        }
+        _ => NoRun::Unplaced(bound.reason()),
+    })
 }
 
 /// A stream of a service whose runners do all of it.
@@ -67,10 +74,15 @@
 ) -> Result<Run<D>, NoRun> {
     let near = cx.knowledge.cfg().data_centre.clone();
     let Some(runner) = cx.knowledge.pick_for_call(&fwd.service, &tries.decodes, &near) else {
-        return Err(NoRun::Unplaced("no runner is left"));
+        return Err(match cx.pressed_for(fwd, None) {
+            Some(come_back) => NoRun::Withheld(Withheld { reason: PRESSED, come_back }),
+            None => NoRun::Unplaced("no runner is left"),
+        });
     };
     tries.decodes.push(runner.id.clone());
-    run_at(cx, fwd, tries.resume_after, runner, None, Step::Whole).await
+    let resume_after = tries.resume_after;
+    let sending = Sending { resume_after, step: Step::Whole, permit: Permit::Needed };
+    run_at(cx, fwd, runner, None, sending).await
 }
 
 async fn begin_split<D: Dialect>(
@@ -84,7 +96,8 @@
     let lease = held.lease.clone();
     let cache = kv.as_ref().map(|kv| kv.cache.clone());
     let step = Step::Generate { kv: cache.as_ref(), hold: lease.as_deref() };
-    let run = run_at(cx, fwd, tries.resume_after, runner.clone(), Some(held), step).await;
+    let sending = Sending { resume_after: tries.resume_after, step, permit: Permit::Counted };
+    let run = run_at(cx, fwd, runner.clone(), Some(held), sending).await;
     match &run {
         Ok(_) => {
             if let Some(kv) = &mut kv {
@@ -110,10 +123,9 @@
 pub(crate) async fn run_at<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
-    resume_after: Option<u64>,
     runner: Runner,
     mut held: Option<HeldMemory<D>>,
-    step: Step<'_>,
+    sending: Sending<'_>,
 ) -> Result<Run<D>, NoRun> {
     let began = cx.now();
     let ticket = LoadTicket::begin(&cx.knowledge, &runner.id, 0);
@@ -124,7 +136,7 @@
     let reads = held.as_ref().is_some_and(HeldMemory::has_read_itself);
     let watch = reads.then(|| cx.knowledge.watch_reading(&runner));
     let mut crash_watch = CrashWatch::begin(cx, fwd);
-    let sending = cx.attempt(fwd, &runner, resume_after, step, within);
+    let sending = cx.attempt(fwd, &runner, sending, within);
     let sent = note_silence(cx, fwd, &runner, sending).await;
     let no_run = match sent {
         Ok(reply) if reply.head.status.is_success() && reply.marks.sealed => {
@@ -145,9 +157,11 @@
             if e.broke_off() {
                 crash_watch.broke_off(cx, &runner).await;
             }
-            let went = (CallResult::Unreachable, &*e.to_string());
+            let went = (e.call_result(), &*e.to_string());
             note(cx, fwd, &runner, "generate", began, went);
-            cx.knowledge.note_run_end(&runner, false);
+            if !e.is_withheld() {
+                cx.knowledge.note_run_end(&runner, false);
+            }
             return Err(NoRun::Ended(e.attempt_end(), "no decode runner answered"));
         }
     };
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -7,12 +7,13 @@
 use hyper::Response;
 use hyper::http::response;
 
-use crate::answers::answer::{Refusal, pass_on};
+use crate::answers::answer::{PRESSED, Refusal, pass_on};
 use crate::answers::body::ReplyBody;
 use crate::dialect::{Dialect, Step};
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::{ExchangeError, Reply};
-use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router};
+use crate::runners::permit::Permit;
+use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router, Sending};
 
 /// A call that may be repeated waits this share of its target at one runner: longer than nearly
 /// all answers take, and short enough for a second one to be on time.
@@ -29,6 +30,8 @@
     RunFailed(response::Parts, Bytes),
     /// No answer to pass on.
     Without(AttemptEnd, String),
+    /// It was not sent, by the runner's own wish.
+    Withheld(String),
 }
 
 /// Serves a plain call.
@@ -52,7 +55,8 @@
             return Err(Refusal::of(plan.final_answer(), held.reason, held.come_back));
         }
         let Some(runner) = cx.knowledge.pick_for_call(&fwd.service, &tried, &near) else {
-            return Err(Refusal::of(plan.final_answer(), "no runner is left", come_back));
+            let (reason, come_back) = no_runner(cx, fwd, come_back);
+            return Err(Refusal::of(plan.final_answer(), reason, come_back));
         };
         let may_follow = plan.may_run_again() && tried.is_empty();
         let within = if may_follow { first_wait(fwd, left) } else { left };
@@ -63,6 +67,7 @@
                 (AttemptEnd::RunFailed, Some((head, body)), String::new())
             }
             Ended::Without(end, cause) => (end, None, cause),
+            Ended::Withheld(cause) => (AttemptEnd::Unsent, None, cause),
         };
         match cx.knowledge.next_step(&fwd.service, &mut plan, end) {
             NextStep::TryAgain => {}
@@ -83,6 +88,19 @@
     }
 }
 
+/// Why no runner may be called, and when to come back: where all that are left asked for it, when the first
+/// of them may be called again.
+fn no_runner<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    come_back: Millis,
+) -> (&'static str, Millis) {
+    match cx.pressed_for(fwd, None) {
+        Some(opens_in) => (PRESSED, opens_in),
+        None => ("no runner is left", come_back),
+    }
+}
+
 fn first_wait(fwd: &Forwarded, left: Millis) -> Millis {
     let share = (fwd.route.target.0 as f64 * FIRST_WAIT_SHARE) as u64;
     Millis(share.max(1)).min(left)
@@ -104,7 +122,9 @@
     let began = cx.now();
     let _ticket = LoadTicket::begin(&cx.knowledge, &runner.id, 0);
     let watch = CrashWatch::begin(cx, fwd);
-    let reply = cx.attempt(fwd, runner, fwd.arrival.resume_after, Step::Whole, within).await;
+    let resume_after = fwd.arrival.resume_after;
+    let sending = Sending { resume_after, step: Step::Whole, permit: Permit::Needed };
+    let reply = cx.attempt(fwd, runner, sending, within).await;
     let read = match reply {
         Ok(reply) => {
             let left = within.since(cx.now().since(began)).plus(Millis(1));
@@ -124,6 +144,7 @@
         Ended::RunFailed(..) => (CallResult::Failed, "failed"),
         Ended::Without(AttemptEnd::NotRun, cause) => (CallResult::NotRun, cause.as_str()),
         Ended::Without(_, cause) => (CallResult::Unreachable, cause.as_str()),
+        Ended::Withheld(cause) => (CallResult::Withheld, cause.as_str()),
     };
     cx.note_attempt(fwd, AttemptNote { runner, step: "whole", began, result, detail });
     ended
@@ -163,5 +184,8 @@
 }
 
 fn without(e: ExchangeError) -> Ended {
-    Ended::Without(e.attempt_end(), e.to_string())
+    match e.is_withheld() {
+        true => Ended::Withheld(e.to_string()),
+        false => Ended::Without(e.attempt_end(), e.to_string()),
+    }
 }
--- a/crates/bulrushusher_gateway/src/runs/moving.rs
+++ b/crates/bulrushusher_gateway/src/runs/moving.rs
@@ -15,7 +15,8 @@
 use crate::knowledge::RunFate;
 use crate::placement::holds::{HeldMemory, HoldTerms, KeptKv};
 use crate::placement::tries::NoRun;
-use crate::runners::router::{Forwarded, Router};
+use crate::runners::permit::Permit;
+use crate::runners::router::{Forwarded, Router, Sending};
 use crate::runs::begin::run_at;
 use crate::runs::run::Run;
 
@@ -116,7 +117,10 @@
     let began = cx.now();
     let made = note.made;
     let held = place_of(cx, &to, &note);
-    let kv = copy_and_stop(cx, fwd, &from, &to).await;
+    let kv = match cx.knowledge.take_permits(&to, 1) {
+        Ok(()) => copy_and_stop(cx, fwd, &from, &to).await,
+        Err(pressure) => Err(pressure.to_string()),
+    };
     let took = cx.now().since(began);
     let (result, cause) = match &kv {
         Ok(_) => ("stopped", ""),
@@ -147,23 +151,36 @@
     from: &Runner,
     to: &Runner,
 ) -> Result<KeptKv<D>, String> {
-    let mut copy = call(cx, fwd, from, to, false).await?;
-    let whole = call(cx, fwd, from, to, true).await?;
+    let mut copy = call(cx, fwd, from, to, CopyOf::Running).await?;
+    let whole = call(cx, fwd, from, to, CopyOf::Stopped).await?;
     // Both are one and the same: what frees the first would free the second.
     copy.mark_taken();
     Ok(whole)
 }
 
+/// In which state a run is copied.
+#[derive(Clone, Copy, Debug)]
+enum CopyOf {
+    Running,
+    /// It is stopped first.
+    Stopped,
+}
+
 async fn call<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &Forwarded,
     from: &Runner,
     to: &Runner,
-    stops: bool,
+    copy: CopyOf,
 ) -> Result<KeptKv<D>, String> {
+    // What was begun is made whole, or the run would be stopped for nothing.
+    let (stops, permit) = match copy {
+        CopyOf::Running => (false, Permit::Needed),
+        CopyOf::Stopped => (true, Permit::Exempt),
+    };
     let run = RunMove { runner: &from.id, request: &fwd.arrival.id, to: to.address, stops };
     let call = cx.dialect.move_run(&run);
-    let answer = cx.exchanger.side_call(from, call, COPY_TIMEOUT).await;
+    let answer = cx.exchanger.side_call(from, call, permit, COPY_TIMEOUT).await;
     let (head, body) = answer.map_err(|e| e.to_string())?;
     // A run that was stopped is kept at its runner when the rest cannot be copied.
     let is_kept = head.status == StatusCode::SERVICE_UNAVAILABLE && stops;
@@ -188,7 +205,8 @@
     let cache = kv.cache.clone();
     let step = Step::Generate { kv: Some(&cache), hold: None };
     let to = held.runner.clone();
-    let mut run = run_at(cx, fwd, last_event, to, Some(held), step).await;
+    let sending = Sending { resume_after: last_event, step, permit: Permit::Counted };
+    let mut run = run_at(cx, fwd, to, Some(held), sending).await;
     if let Err(NoRun::Ended(AttemptEnd::NotRun | AttemptEnd::Unsent, cause)) = &run {
         let source = kv.runner().clone();
         log::info!(
@@ -197,7 +215,8 @@
             source.id
         );
         let held = place_of(cx, &source, &stopped);
-        run = run_at(cx, fwd, last_event, source, Some(held), step).await;
+        let back = Sending { permit: Permit::Exempt, ..sending };
+        run = run_at(cx, fwd, source, Some(held), back).await;
         run = run.map(|run| Run { stays_until: cx.now().plus(MOVE_AGAIN), ..run });
     }
     let run = run.ok()?;
--- a/crates/bulrushusher_gateway/src/store/orders.rs
+++ b/crates/bulrushusher_gateway/src/store/orders.rs
@@ -21,6 +21,7 @@
 use crate::knowledge::Knowledge;
 use crate::lifecycle::Lifecycle;
 use crate::runners::exchange::Exchanger;
+use crate::runners::permit::Permit;
 
 /// How often the ratio is looked at.
 const LOOK_EVERY: Millis = Millis(500);
@@ -223,7 +224,7 @@
     async fn orders_accepted(&self, duty: &mut Duty, change: &StageChange) -> Result<u64, String> {
         let runner = &change.runner;
         let call = self.dialect.ask_report(&runner.id);
-        let answer = self.exchanger.side_call(runner, call, CALL_TIMEOUT).await;
+        let answer = self.exchanger.side_call(runner, call, Permit::Needed, CALL_TIMEOUT).await;
         let (_, body) = answer.map_err(|e| format!("{} gives no report: {e}", runner.id))?;
         let report = self.dialect.report(&runner.id, &body).map_err(|e| e.to_string())?;
         match self.knowledge.hear_start(&runner.id, report.born) {
@@ -277,7 +278,7 @@
         let known_since = self.knowledge.now();
         duty.ordered.insert(runner.id.clone(), Ordered { stage, born: runner.born, known_since });
         duty.last_order = Some(known_since);
-        let answer = self.exchanger.side_call(runner, call, CALL_TIMEOUT).await;
+        let answer = self.exchanger.side_call(runner, call, Permit::Exempt, CALL_TIMEOUT).await;
         let (result, detail) = match answer {
             Ok((head, _)) if matches!(head.status, StatusCode::OK | StatusCode::ACCEPTED) => {
                 self.pause_while_changing(runner);
--- a/crates/bulrushusher_model/src/lib.rs
+++ b/crates/bulrushusher_model/src/lib.rs
@@ -8,6 +8,7 @@
 mod bound;
 mod engines;
 mod fleet;
+mod limits;
 mod load;
 mod memory;
 mod moving;
@@ -22,6 +23,7 @@
 pub use bound::most_on_time;
 pub use engines::{DecodeEngine, EngineFigures, PrefillEngine};
 pub use fleet::{Admission, Fleet};
+pub use limits::{LimitOutcome, LimitPattern, LimitSharing, play_limit};
 pub use load::{Arrival, Burst, Load, arrivals};
 pub use outcome::{DATA_CENTRES, Outcome};
 pub use patterns::Pattern;
--- a/crates/bulrushusher_model/src/main.rs
+++ b/crates/bulrushusher_model/src/main.rs
@@ -5,8 +5,8 @@
 use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_forward::ForecastConfig;
 use bulrushusher_model::{
-    Admission, Bar, Fleet, Outcome, Pattern, QuotaLoad, QuotaPattern, arrivals, draw, most_on_time,
-    play, play_quotas,
+    Admission, Bar, Fleet, LimitPattern, LimitSharing, Outcome, Pattern, QuotaLoad, QuotaPattern,
+    arrivals, draw, most_on_time, play, play_limit, play_quotas,
 };
 use clap::{Arg, ArgAction, Command, value_parser};
 use comfy_table::Table;
@@ -25,16 +25,25 @@
         .long("quotas")
         .action(ArgAction::SetTrue)
         .help("Plays only the quotas of client accounts");
+    let limits = Arg::new("limits")
+        .long("limits")
+        .action(ArgAction::SetTrue)
+        .help("Plays only the rate limits of runners");
     let matches = Command::new("bulrush-model")
         .about("Plays patterns of load on a model of engines and gateways")
         .arg(seeds)
         .arg(plots)
         .arg(quotas)
+        .arg(limits)
         .get_matches();
     if matches.get_flag("quotas") {
         println!("{}", quota_table());
         return;
     }
+    if matches.get_flag("limits") {
+        println!("{}", limit_table());
+        return;
+    }
     let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(3);
     let mut table = Table::new();
     table.set_header([
@@ -108,6 +117,30 @@
     table
 }
 
+/// Rate limits that gateways keep together, by pattern, number of gateways, limit and way of sharing.
+fn limit_table() -> Table {
+    let mut table = Table::new();
+    table.set_header(["pattern", "gateways", "limit", "sharing", "worst span", "used"]);
+    for pattern in LimitPattern::ALL {
+        for gateways in [5, 28, 100, 300] {
+            for limit in [0.0, 0.3, 1.0, 5.1, 200.0] {
+                for sharing in LimitSharing::ALL {
+                    let outcome = play_limit(gateways, limit, sharing, pattern, 1);
+                    table.add_row([
+                        pattern.to_string(),
+                        gateways.to_string(),
+                        limit.to_string(),
+                        sharing.to_string(),
+                        format!("{:.2}", outcome.worst_span),
+                        format!("{:.0}%", outcome.used * 100.0),
+                    ]);
+                }
+            }
+        }
+    }
+    table
+}
+
 /// The ways to give memory that are compared.
 fn policies() -> [(&'static str, Fleet); 4] {
     let with = |admission| Fleet { admission, ..Fleet::default() };
--- a/crates/bulrushusher_model/src/memory.rs
+++ b/crates/bulrushusher_model/src/memory.rs
@@ -51,6 +51,7 @@
             service: &self.service,
             runs: None,
             failing: Some(failing),
+            pressure: None,
             now,
         }
     }
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -18,6 +18,7 @@
     orders: Counter<u64>,
     crashes: Counter<u64>,
     wishes: Counter<u64>,
+    withheld: Counter<u64>,
     state: Gauge<u64>,
     accounts: Gauge<u64>,
 }
@@ -82,6 +83,10 @@
                 "bulrush_gateway_runner_wishes",
                 "Changes of what runners ask for in their answers, by kind",
             ),
+            withheld: counter(
+                "bulrush_gateway_sends_withheld",
+                "Sends that did not go out by the runner's own wish, by what it asked for",
+            ),
             state: meter
                 .u64_gauge("bulrush_gateway_state")
                 .with_description("Version in force, runners known, requests waiting and in flight")
@@ -145,6 +150,11 @@
         self.wishes.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// A send did not go out by its runner's wish.
+    pub fn withheld(&self, wish: &'static str) {
+        self.withheld.add(1, &[KeyValue::new("wish", wish)]);
+    }
+
     /// Something that the gateway holds now.
     pub fn state(&self, what: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("what", what)]);
