A runner that says that it leaves gets no new work, whatever its entry says

What callers and operators saw: while the store was silent, runners that had said in their answers that they leave got requests for up to thirteen seconds more from gateways that had passed these answers on; two are allowed. Cause: that a runner leaves was learned from its entry in the store alone. Class: back-pressure of a peer that is passed on and not heeded, as with the rate limits. Why it works: the word is kept for the start that said it, beside the entries, and holds whatever an entry, a list or an older copy of the store says later; gateways tell each other. A send whose runner leaves meanwhile is withheld, also where memory was held there; runs that go back and what frees memory are not. Ruled out: taking the entry out of the list, which the next list would bring back; a time after which the word lapses, as a runner may leave for many seconds.

--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -46,6 +46,9 @@
 /// Why nothing may be sent to a runner now.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Pressure {
+    /// It has said that it leaves.
+    #[display("the runner leaves")]
+    Leaving,
     /// This gateway's share of its rate limit is used up.
     #[display("the runner's rate limit is reached")]
     RateLimit,
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -48,7 +48,7 @@
 pub use gateways::{Announced, Gateways, GatewaysConfig, ListedGateways};
 pub use health::{HealthConfig, RunCounts, RunnerHealth};
 pub use load::{CallResult, LoadConfig, LoadLife, RunnerLoads};
-pub use members::{ListNews, Members, MembersConfig};
+pub use members::{DrainWord, ListNews, Members, MembersConfig};
 pub use memory::{HoldConfig, tokens_to_hold};
 pub use moves::{MoveConfig, pick_for_move};
 pub use news::{NewsConfig, NewsSeen};
--- a/crates/bulrushusher_forward/src/members.rs
+++ b/crates/bulrushusher_forward/src/members.rs
@@ -5,6 +5,8 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Born, Runner, StartNews, Starts};
 
 /// Bounds of the knowledge of runners.
@@ -27,6 +29,10 @@
 /// How long a removed entry is remembered: a store comes back from a copy that is some seconds old.
 const REMOVED_KEPT: Millis = Millis(60_000);
 
+/// How long the word of a runner is remembered that leaves and is listed no more: longer than gateways tell
+/// each other of it, so that none is new again to whoever has forgotten it.
+const NOTICE_KEPT: Millis = Millis(2 * REMOVED_KEPT.0);
+
 /// Whether the list still names a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Standing {
@@ -85,6 +91,23 @@
     removed: HashMap<RunnerId, Millis>,
     /// True until the first list after the store came back from a copy.
     is_restored: bool,
+    /// Starts of runners that have said themselves that they leave, and when that was heard.
+    drain_notices: HashMap<RunnerId, DrainNotice>,
+}
+
+/// A runner's own word that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainWord {
+    /// The runner.
+    pub runner: RunnerId,
+    /// The start that said so.
+    pub born: Option<Born>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct DrainNotice {
+    born: Option<Born>,
+    heard_at: Millis,
 }
 
 impl Members {
@@ -99,7 +122,45 @@
             listed_once: false,
             removed: HashMap::new(),
             is_restored: false,
+            drain_notices: HashMap::new(),
+        }
+    }
+
+    /// A start of a runner has said itself that it leaves: it gets no new work from then on, whatever its
+    /// entry says. The entry is written by the same runner, later, and comes by way of a store that may be
+    /// silent or be back from an older copy. Returns whether that is new.
+    pub fn note_leaving(&mut self, word: &DrainWord, now: Millis) -> bool {
+        let DrainWord { runner, born } = word;
+        if self.starts.is_past(runner, *born) || self.has_said_that_it_leaves(runner, *born) {
+            return false;
+        }
+        let known = &self.known;
+        self.drain_notices.retain(|id, notice| {
+            known.contains_key(id) || now.since(notice.heard_at) < NOTICE_KEPT
+        });
+        self.drain_notices.insert(runner.clone(), DrainNotice { born: *born, heard_at: now });
+        if let Some(known) = self.known.get_mut(runner).filter(|it| it.runner.born == *born) {
+            known.runner.leaving = true;
         }
+        true
+    }
+
+    /// Runners that have said themselves that they leave, for other gateways. Those whose entry has been
+    /// gone for some time are left out.
+    pub fn drain_words(&self, now: Millis) -> Vec<DrainWord> {
+        let is_told = |id: &RunnerId, notice: &DrainNotice| {
+            self.known.contains_key(id) || now.since(notice.heard_at) < REMOVED_KEPT
+        };
+        let told = self.drain_notices.iter().filter(|(id, notice)| is_told(id, notice));
+        let mut words: Vec<DrainWord> =
+            told.map(|(id, it)| DrainWord { runner: id.clone(), born: it.born }).collect();
+        words.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
+        words
+    }
+
+    /// True when that start of the runner has said itself that it leaves.
+    pub fn has_said_that_it_leaves(&self, id: &RunnerId, born: Option<Born>) -> bool {
+        self.drain_notices.get(id).is_some_and(|notice| notice.born == born)
     }
 
     /// The store came back from an older copy. Entries that the copy has not are written again, as after
@@ -178,7 +239,7 @@
     /// Takes in one entry. One of an earlier start than is known changes nothing; one without a
     /// start, of a runner that told its start before, is another writer's and names no runner to
     /// use.
-    pub fn put(&mut self, runner: Runner) -> StartNews {
+    pub fn put(&mut self, mut runner: Runner) -> StartNews {
         let news = self.starts.note(&runner.id, runner.born);
         match news {
             StartNews::Earlier => {}
@@ -186,6 +247,7 @@
             StartNews::Same | StartNews::Later => {
                 self.forget_former_tenant(&runner);
                 self.removed.remove(&runner.id);
+                runner.leaving |= self.has_said_that_it_leaves(&runner.id, runner.born);
                 let known = Known { runner, standing: Standing::Listed };
                 self.known.insert(known.runner.id.clone(), known);
             }
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -127,8 +127,10 @@
         let now = self.now();
         let (life, spends) = (report.life, std::mem::take(&mut report.spends));
         let limits = std::mem::take(&mut report.limits);
+        let leaving = std::mem::take(&mut report.leaving);
         if self.runs.lock().hear(peer, report, now) {
             self.hear_limits(peer, &limits);
+            self.hear_leaving(peer, &leaving);
             self.hear_spends(peer, life, &spends, true);
         }
     }
@@ -139,9 +141,11 @@
         let report = &mut changes.report;
         let (life, spends) = (report.life, std::mem::take(&mut report.spends));
         let limits = std::mem::take(&mut report.limits);
+        let leaving = std::mem::take(&mut report.leaving);
         let news = self.runs.lock().hear_changes(peer, changes, now);
         if news != ChangesNews::Old {
             self.hear_limits(peer, &limits);
+            self.hear_leaving(peer, &leaving);
             self.hear_spends(peer, life, &spends, false);
         }
         news
@@ -177,6 +181,7 @@
         let changing: Vec<RunnerId> = self.changing.lock().values().flatten().cloned().collect();
         let failing = self.failing_told();
         let limits = self.limits_told();
+        let leaving = self.with_runners(|runners, now| runners.members.drain_words(now));
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
         let own = runs.own().cloned().collect();
@@ -194,6 +199,7 @@
             news: self.news_told(),
             spends: Spends::default(),
             limits,
+            leaving,
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/knowledge/pressure.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/pressure.rs
@@ -1,7 +1,7 @@
 //! What runners asked for in their answers, here and at peers, and what may be sent to them by it.
 
 use bulrushusher_forward::{
-    BackPressure, LimitWord, Pressure, PressureCounts, Runner, RunnerWishes, Stage,
+    BackPressure, DrainWord, LimitWord, Pressure, PressureCounts, Runner, RunnerWishes, Stage,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
@@ -32,7 +32,7 @@
             self.report_due.notify_one();
         }
         let limit_is_new = wishes.rate_limit.is_some() && wishes.rate_limit != before.rate_limit;
-        let leaving_is_new = wishes.leaving && !before.leaving;
+        let leaving_is_new = wishes.leaving && self.note_leaving(runner);
         let kinds = [
             ("rate_limit", limit_is_new),
             ("leaving", leaving_is_new),
@@ -42,6 +42,26 @@
         kinds.into_iter().filter(|(_, is_new)| *is_new).map(|(kind, _)| kind).collect()
     }
 
+    /// The runner has said itself that it leaves; returns whether that is new.
+    fn note_leaving(&self, runner: &Runner) -> bool {
+        let word = DrainWord { runner: runner.id.clone(), born: runner.born };
+        let is_new = self.with_runners(|runners, now| runners.members.note_leaving(&word, now));
+        if is_new {
+            self.report_due.notify_one();
+        }
+        is_new
+    }
+
+    /// Takes in of which runners a peer has heard that they leave.
+    pub(super) fn hear_leaving(&self, peer: &str, words: &[DrainWord]) {
+        for word in words {
+            if self.with_runners(|runners, now| runners.members.note_leaving(word, now)) {
+                log::info!("runners: leaving heard id={} peer={peer}", word.runner);
+                self.report_due.notify_one();
+            }
+        }
+    }
+
     /// Takes in what a peer tells of rate limits.
     pub(super) fn hear_limits(&self, peer: &str, words: &[LimitWord]) {
         let now = self.now();
@@ -68,11 +88,26 @@
         pressure
     }
 
+    /// Whether work that was counted before may still go to a runner.
+    ///
+    /// # Errors
+    /// What the runner asked for meanwhile.
+    pub(crate) fn may_send(&self, runner: &Runner) -> Result<(), Pressure> {
+        let leaves = self.with_runners(|runners, _| {
+            runners.members.has_said_that_it_leaves(&runner.id, runner.born)
+        });
+        match leaves {
+            true => Err(Pressure::Leaving),
+            false => Ok(()),
+        }
+    }
+
     /// Counts requests that are about to be sent to a runner.
     ///
     /// # Errors
     /// What the runner asked for when they may not be sent.
     pub(crate) fn take_permits(&self, runner: &Runner, requests: u32) -> Result<(), Pressure> {
+        self.may_send(runner)?;
         let now = self.now();
         self.pressure_at(now).take(runner, requests, now)
     }
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -110,8 +110,9 @@
         // A later start holds nothing of this, and may use the name for somebody else's.
         if let Some(lease) = self.lease.take().filter(|_| !self.knowledge.is_past(&self.runner)) {
             let call = self.dialect.drop_hold(&self.runner.id, &lease);
-            // The run that does not come was counted.
-            spawn_call(&self.exchanger, &self.runner, call, Permit::Counted, "hold");
+            // The run that does not come was counted, and this call comes in its place.
+            self.knowledge.give_permits_back(&self.runner, 1);
+            spawn_call(&self.exchanger, &self.runner, call, Permit::Exempt, "hold");
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -128,7 +128,7 @@
     fn redeem(&self, runner: &Runner, permit: Permit) -> Result<(), ExchangeError> {
         let asked = match permit {
             Permit::Needed => self.knowledge.take_permits(runner, 1),
-            Permit::Counted => Ok(()),
+            Permit::Counted => self.knowledge.may_send(runner),
             Permit::Exempt => {
                 self.knowledge.owe_permit(runner);
                 Ok(())
@@ -242,6 +242,7 @@
 /// One word for metrics.
 pub(crate) fn withheld_word(cause: Pressure) -> &'static str {
     match cause {
+        Pressure::Leaving => "leaving",
         Pressure::RateLimit => "rate_limit",
     }
 }
