A runner that refuses a request and asks for rest gets it

What callers and operators saw: runners that had asked a gateway for three seconds of rest got up to 14 requests from it in that time, each refused again; callers were refused as well, as each of these used up a repeat. Cause: the time in the refusal was not read; every refusal counted for 60 ms. Class: as with rate limits and leaving. Evidence: the test had 16 requests in the 1.5 s that bind, and 503 for callers whom the other runner had room for. Why it works: the rest is kept for the start of the runner, on the gateway's clock from when the refusal came, so that it never ends before the runner's; a shorter one later does not cut it. Nothing goes out in it, be it memory that was held before; what would only give something back lapses by itself. After it one request goes first, for a second at most. Where all runners rest callers are told at once until when. Ten minutes are granted at once at most. Ruled out: the pause that is guessed from failures, which yields where no other runner is left.

--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -1,7 +1,7 @@
 //! What runners asked of those that send to them, and what may be sent to them by it.
 //!
-//! A runner's own word binds, unlike what is guessed of its load: where all runners of a service
-//! name a limit, callers are refused. Each word counts for the start of the runner that said it.
+//! A runner's own word binds, unlike what is guessed of its load: where all runners of a service ask for
+//! rest or name a limit, callers are refused. Each word counts for the start of the runner that said it.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -23,15 +23,17 @@
     pub limit_lingers: Millis,
     /// Age of the last word of a limit after which a request may find out whether it still holds.
     pub limit_stale: Millis,
-    /// How long such a request keeps others back.
+    /// How long such a request, and the first one after a rest, keeps others back.
     pub trial: Millis,
     /// How long gateways tell each other that a limit is over.
     pub end_told: Millis,
+    /// Longest rest that is granted at once.
+    pub longest_rest: Millis,
 }
 
 impl Default for BackPressureConfig {
     /// A gateway that is started again is back within ten seconds, and has its share still. Reports come
-    /// every 0.7 s, and one may be lost.
+    /// every 0.7 s, and one may be lost. After ten minutes a runner may as well say it again.
     fn default() -> BackPressureConfig {
         BackPressureConfig {
             gone_after: Millis(10_000),
@@ -39,6 +41,7 @@
             limit_stale: Millis(5_000),
             trial: Millis(1_000),
             end_told: Millis(3_000),
+            longest_rest: Millis(600_000),
         }
     }
 }
@@ -46,6 +49,9 @@
 /// Why nothing may be sent to a runner now.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Pressure {
+    /// It has asked this gateway for rest.
+    #[display("the runner has asked for rest")]
+    Rest,
     /// It has said that it leaves.
     #[display("the runner leaves")]
     Leaving,
@@ -75,6 +81,8 @@
 pub struct PressureCounts {
     /// Runners that name a rate limit.
     pub limited: usize,
+    /// Runners that rest.
+    pub resting: usize,
 }
 
 /// What a gateway tells of a runner's rate limit.
@@ -90,11 +98,19 @@
     pub age: Millis,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    until: Millis,
+    /// When the first request after it was sent.
+    tried_at: Option<Millis>,
+}
+
 /// What one start of a runner asked for.
 #[derive(Clone, Copy, Debug, Default)]
 struct Asked {
     born: Option<Born>,
     last: RunnerWishes,
+    rest: Option<Rest>,
     limit: Option<LimitUse>,
     /// When its limit was over.
     limit_ended: Option<Millis>,
@@ -118,6 +134,13 @@
 ///     leaving: false,
 /// };
 /// let mut pressure = BackPressure::new(BackPressureConfig::default(), "entry-1".into());
+/// let wishes = RunnerWishes { rest: Some(Millis(3_000)), ..RunnerWishes::default() };
+/// pressure.hear(&runner, wishes, Millis(0));
+/// assert_eq!(pressure.take(&runner, 1, Millis(2_999)), Err(Pressure::Rest));
+/// assert!(pressure.take(&runner, 1, Millis(3_000)).is_ok(), "one finds out whether it is over");
+/// assert_eq!(pressure.take(&runner, 1, Millis(3_001)), Err(Pressure::Rest));
+/// pressure.hear(&runner, RunnerWishes::default(), Millis(3_010));
+///
 /// let limit = RateLimit::try_from("2").unwrap();
 /// let wishes = RunnerWishes { rate_limit: Some(limit), ..RunnerWishes::default() };
 /// pressure.hear(&runner, wishes, Millis(4_000));
@@ -180,8 +203,10 @@
         if asks_nothing && !self.runners.contains_key(&runner.id) {
             return wishes;
         }
+        let cfg = self.cfg;
         let Some(asked) = self.of_start(&runner.id, runner.born) else { return wishes };
         let before = std::mem::replace(&mut asked.last, wishes);
+        asked.hear_rest(wishes.rest, &cfg, now);
         self.hear_limit(&runner.id, wishes.rate_limit, now, now);
         before
     }
@@ -215,10 +240,12 @@
     /// gateways which finds out whether a limit still holds that nobody has heard of for some time.
     pub fn is_open(&self, runner: &Runner, draw: f64, now: Millis) -> bool {
         let Some(asked) = self.asked(runner) else { return true };
+        let rests = asked.rest.is_some_and(|rest| rest.holds(&self.cfg, now));
         let is_mine = draw * ((self.gateways.len() + 1) as f64) < 1.0;
-        asked
+        let has_room = asked
             .limit
-            .is_none_or(|limit| limit.is_open(now) || is_mine && may_try(&limit, &self.cfg, now))
+            .is_none_or(|limit| limit.is_open(now) || is_mine && may_try(&limit, &self.cfg, now));
+        !rests && has_room
     }
 
     /// Counts `requests` that are about to be sent to the runner.
@@ -228,6 +255,9 @@
     pub fn take(&mut self, runner: &Runner, requests: u32, now: Millis) -> Result<(), Pressure> {
         let cfg = self.cfg;
         let Some(asked) = self.asked_mut(runner) else { return Ok(()) };
+        if asked.rest.is_some_and(|rest| rest.holds(&cfg, now)) {
+            return Err(Pressure::Rest);
+        }
         if let Some(limit) = &mut asked.limit {
             if !limit.is_open(now) {
                 if !may_try(limit, &cfg, now) {
@@ -237,9 +267,24 @@
             }
             limit.count(f64::from(requests), now);
         }
+        if let Some(rest) = &mut asked.rest {
+            rest.tried_at = Some(now);
+        }
         Ok(())
     }
 
+    /// Whether the runner wants nothing from this gateway, whatever was counted for it before.
+    ///
+    /// # Errors
+    /// [`Pressure::Rest`] when it does not.
+    pub fn check_rest(&self, runner: &Runner, now: Millis) -> Result<(), Pressure> {
+        let rest = self.asked(runner).and_then(|asked| asked.rest);
+        match rest.is_some_and(|rest| now < rest.until) {
+            true => Err(Pressure::Rest),
+            false => Ok(()),
+        }
+    }
+
     /// Counts requests that are sent whatever the runner asked for.
     pub fn owe(&mut self, runner: &Runner, requests: u32, now: Millis) {
         if let Some(limit) = self.asked_mut(runner).and_then(|asked| asked.limit.as_mut()) {
@@ -257,9 +302,10 @@
     /// Time until this gateway may send to the runner; `None` when only others may.
     pub fn opens_in(&self, runner: &Runner, now: Millis) -> Option<Millis> {
         let Some(asked) = self.asked(runner) else { return Some(Millis(0)) };
+        let rest = asked.rest.map_or(Millis(0), |rest| rest.left(&self.cfg, now));
         match asked.limit {
-            None => Some(Millis(0)),
-            Some(limit) => limit.opens_in(now),
+            None => Some(rest),
+            Some(limit) => limit.opens_in(now).map(|opens_in| opens_in.max(rest)),
         }
     }
 
@@ -281,15 +327,21 @@
         }
     }
 
+    /// True while no runner asks for anything.
+    pub fn is_empty(&self) -> bool {
+        self.runners.is_empty()
+    }
+
     /// Forgets a runner that is gone.
     pub fn forget(&mut self, runner: &RunnerId) {
         self.runners.remove(runner);
     }
 
     /// How many runners asked for something.
-    pub fn counts(&self) -> PressureCounts {
+    pub fn counts(&self, now: Millis) -> PressureCounts {
         let limited = self.runners.values().filter(|asked| asked.limit.is_some()).count();
-        PressureCounts { limited }
+        let rests = |asked: &&Asked| asked.rest.is_some_and(|rest| now < rest.until);
+        PressureCounts { limited, resting: self.runners.values().filter(rests).count() }
     }
 
     fn asked(&self, runner: &Runner) -> Option<&Asked> {
@@ -348,10 +400,34 @@
 }
 
 impl Asked {
+    fn hear_rest(&mut self, rest: Option<Millis>, cfg: &BackPressureConfig, now: Millis) {
+        match (rest, self.rest) {
+            (Some(length), before) => {
+                let until = now.plus(length.min(cfg.longest_rest));
+                let until = before.map_or(until, |before| before.until.max(until));
+                self.rest = Some(Rest { until, tried_at: None });
+            }
+            (None, Some(before)) if now >= before.until => self.rest = None,
+            (None, _) => {}
+        }
+    }
+
     /// True when nothing is left to remember.
     fn is_over(&self, cfg: &BackPressureConfig, now: Millis) -> bool {
         let end_is_told = self.limit_ended.is_none_or(|at| now.since(at) >= cfg.end_told);
         let asks_nothing = self.last == RunnerWishes::default();
-        asks_nothing && self.limit.is_none() && end_is_told
+        asks_nothing && self.rest.is_none() && self.limit.is_none() && end_is_told
+    }
+}
+
+impl Rest {
+    /// After the rest one request goes first.
+    fn holds(&self, cfg: &BackPressureConfig, now: Millis) -> bool {
+        self.left(cfg, now) > Millis(0)
+    }
+
+    fn left(&self, cfg: &BackPressureConfig, now: Millis) -> Millis {
+        let tried_until = self.tried_at.map_or(Millis(0), |at| at.plus(cfg.trial));
+        self.until.max(tried_until).since(now)
     }
 }
--- a/crates/bulrushusher_gateway/src/knowledge/pressure.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/pressure.rs
@@ -67,9 +67,9 @@
         let now = self.now();
         let mut pressure = self.pressure.lock();
         pressure.note_gateway(peer, now);
-        let before = pressure.counts().limited;
+        let before = pressure.counts(now).limited;
         pressure.hear_words(words, now);
-        let limited = pressure.counts().limited;
+        let limited = pressure.counts(now).limited;
         drop(pressure);
         if limited != before {
             log::info!("runners: limits heard peer={peer} limited={limited} before={before}");
@@ -98,7 +98,7 @@
         });
         match leaves {
             true => Err(Pressure::Leaving),
-            false => Ok(()),
+            false => self.pressure.lock().check_rest(runner, self.now()),
         }
     }
 
@@ -124,6 +124,11 @@
         self.pressure.lock().give_back(runner, requests, now);
     }
 
+    /// True while the runner wants nothing from this gateway.
+    pub(crate) fn is_resting(&self, runner: &Runner) -> bool {
+        self.pressure.lock().check_rest(runner, self.now()).is_err()
+    }
+
     /// When every runner of the service asked for what keeps this gateway from sending to it: the time
     /// until the first one may be sent to again. `None` when one is open, or there is none.
     ///
@@ -135,6 +140,9 @@
     ) -> Option<Millis> {
         self.with_runners(|runners, now| {
             let pressure = self.pressure_at(now);
+            if pressure.is_empty() {
+                return None;
+            }
             let of_stage = |r: &&Runner| stage.is_none() || r.stage == stage;
             let usable = runners.members.usable(service, now).filter(of_stage);
             let first = usable.map(|r| pressure.opens_in(r, now).unwrap_or(OTHERS_SHARE)).min();
@@ -144,7 +152,8 @@
 
     /// How many runners asked for something.
     pub(crate) fn pressure_counts(&self) -> PressureCounts {
-        self.pressure.lock().counts()
+        let now = self.now();
+        self.pressure.lock().counts(now)
     }
 }
 
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -112,7 +112,7 @@
             let call = self.dialect.drop_hold(&self.runner.id, &lease);
             // The run that does not come was counted, and this call comes in its place.
             self.knowledge.give_permits_back(&self.runner, 1);
-            spawn_call(&self.exchanger, &self.runner, call, Permit::Exempt, "hold");
+            spawn_call(&self.exchanger, &self.runner, call, "hold");
         }
     }
 }
@@ -161,7 +161,7 @@
     fn drop(&mut self) {
         if !self.taken && !self.is_lost() {
             let call = self.dialect.free_kv(&self.runner.id, &self.cache.handle);
-            spawn_call(&self.exchanger, &self.runner, call, Permit::Exempt, "kv cache");
+            spawn_call(&self.exchanger, &self.runner, call, "kv cache");
         }
     }
 }
@@ -171,13 +171,12 @@
     exchanger: &Exchanger<D>,
     runner: &Runner,
     call: SideCall,
-    permit: Permit,
     what: &'static str,
 ) {
     let Ok(runtime) = Handle::try_current() else { return };
     let (exchanger, runner) = (exchanger.clone(), runner.clone());
     runtime.spawn(async move {
-        let freed = exchanger.side_call(&runner, call, permit, SIDE_CALL_TIMEOUT).await;
+        let freed = exchanger.side_call(&runner, call, Permit::Release, SIDE_CALL_TIMEOUT).await;
         let id = &runner.id;
         match freed {
             Ok((head, _)) => log::debug!("free: {what} runner={id} status={}", head.status),
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -58,6 +58,7 @@
     metrics.state("quarantined_requests", knowledge.all_quarantined().len() as u64);
     let pressure = knowledge.pressure_counts();
     metrics.state("limited_runners", pressure.limited as u64);
+    metrics.state("resting_runners", pressure.resting as u64);
     metrics.state("runners", all);
     metrics.state("prefill_runners", prefill);
     metrics.state("decode_runners", decode);
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -129,7 +129,8 @@
         let asked = match permit {
             Permit::Needed => self.knowledge.take_permits(runner, 1),
             Permit::Counted => self.knowledge.may_send(runner),
-            Permit::Exempt => {
+            Permit::Release if self.knowledge.is_resting(runner) => Err(Pressure::Rest),
+            Permit::Exempt | Permit::Release => {
                 self.knowledge.owe_permit(runner);
                 Ok(())
             }
@@ -242,6 +243,7 @@
 /// One word for metrics.
 pub(crate) fn withheld_word(cause: Pressure) -> &'static str {
     match cause {
+        Pressure::Rest => "rest",
         Pressure::Leaving => "leaving",
         Pressure::RateLimit => "rate_limit",
     }
--- a/crates/bulrushusher_gateway/src/runners/permit.rs
+++ b/crates/bulrushusher_gateway/src/runners/permit.rs
@@ -7,7 +7,8 @@
     Needed,
     /// Counted before, together with the memory that is held for it.
     Counted,
-    /// Counted, and sent whatever the runner asked for: it ends what the runner has, or keeps a run from
-    /// being lost.
+    /// Counted, and sent whatever the runner asked for: it keeps a run from being lost.
     Exempt,
+    /// Counted, and sent unless the runner rests: it gives back what lapses by itself within seconds.
+    Release,
 }
