Own interface: a service that refuses a call and asks for rest gets it

What callers saw: refusals of a plain service that was resting, while others of its pool had room. Why it works: the gate of the endpoint grants nothing until the rest is over, what was granted and has not begun is told as not run, and the wait that entries choose by has the rest in it, so that callers go elsewhere. Ruled out: a refusal at once, as entries ask again as soon as they are refused; they wait in the gate's line instead. Rate limits and leaving: services of the own interface have no word for them; endpoints leave by the operators' word.

--- a/crates/bulrushusher_admission/src/gate.rs
+++ b/crates/bulrushusher_admission/src/gate.rs
@@ -82,6 +82,9 @@
     }
 }
 
+/// Longest rest that is granted at once; an endpoint that wants more says so again.
+const LONGEST_REST: Millis = Millis(600_000);
+
 /// Time that a place is taken to be held before any was given back, in milliseconds.
 const FIRST_HOLD_MS: f64 = 100.0;
 
@@ -107,6 +110,8 @@
     next_reservation: u64,
     next_arrival: u64,
     leaving: bool,
+    /// The endpoint wants no work before.
+    rests_until: Millis,
     /// Mean time that a place was held, in milliseconds.
     hold_ms: f64,
 }
@@ -121,6 +126,7 @@
             next_reservation: 1,
             next_arrival: 0,
             leaving: false,
+            rests_until: Millis(0),
             hold_ms: FIRST_HOLD_MS,
         }
     }
@@ -131,7 +137,7 @@
             return vec![GateAction::Refuse(ask.id, Refusal::Leaving)];
         }
         if self.queue.len() >= self.cfg.queue_bound {
-            return vec![GateAction::Refuse(ask.id, self.full())];
+            return vec![GateAction::Refuse(ask.id, self.full(now))];
         }
         let arrival = self.next_arrival;
         self.next_arrival += 1;
@@ -152,8 +158,13 @@
     /// The order for a grant came.
     ///
     /// # Errors
-    /// [`Refusal::NoReservation`] when the grant lapsed, was used already or never was.
+    /// [`Refusal::NoReservation`] when the grant lapsed, was used already or never was, or when the endpoint
+    /// has asked for rest since.
     pub fn start(&mut self, id: ReservationId, now: Millis) -> Result<(), Refusal> {
+        if now < self.rests_until {
+            self.held.retain(|held, state| *held != id || matches!(state, Held::Started { .. }));
+            return Err(Refusal::NoReservation);
+        }
         match self.held.get_mut(&id) {
             Some(held @ Held::Waiting { .. }) if !held.has_lapsed(now) => {
                 *held = Held::Started { since: now };
@@ -190,6 +201,26 @@
         waiting.into_values().map(|ask| GateAction::Refuse(ask.id, Refusal::Leaving)).collect()
     }
 
+    /// The endpoint has refused work and wants none for that long: no place is granted before. A shorter rest
+    /// does not cut a longer one.
+    ///
+    /// ```
+    /// use bulrushusher_admission::{Ask, AskId, Gate, GateAction, GateConfig};
+    /// use bulrushusher_time::Millis;
+    /// let mut gate = Gate::new(GateConfig::default());
+    /// gate.rest(Millis(300), Millis(0));
+    /// let ask = Ask {
+    ///     id: AskId(1), start_by: Millis(100), late_by: Millis(500), give_up: Millis(900),
+    /// };
+    /// assert!(gate.ask(ask, Millis(0)).is_empty(), "it waits");
+    /// assert_eq!(gate.expected_wait(Millis(100)), Millis(200));
+    /// assert!(matches!(gate.tick(Millis(300))[0], GateAction::Grant(AskId(1), _)));
+    /// ```
+    pub fn rest(&mut self, length: Millis, now: Millis) {
+        let until = now.plus(length.min(LONGEST_REST));
+        self.rests_until = self.rests_until.max(until);
+    }
+
     /// True when the gate takes no new work.
     pub fn is_leaving(&self) -> bool {
         self.leaving
@@ -215,13 +246,15 @@
         self.queue.len()
     }
 
-    /// The expected wait of a request that comes now, from the mean time a place was held.
-    pub fn expected_wait(&self) -> Millis {
+    /// The expected wait of a request that comes now: the endpoint's rest, and the mean time a place was held
+    /// for each turn that goes before.
+    pub fn expected_wait(&self, now: Millis) -> Millis {
+        let rest = self.rests_until.since(now);
         if self.held.len() < self.cfg.places {
-            return Millis(0);
+            return rest;
         }
         let turns = (self.queue.len() + 1) as f64 / self.cfg.places.max(1) as f64;
-        Millis((self.hold_ms * turns) as u64)
+        Millis((self.hold_ms * turns) as u64).max(rest)
     }
 
     fn learn_hold(&mut self, length: Millis) {
@@ -229,8 +262,8 @@
         self.hold_ms += WEIGHT * (length.0 as f64 - self.hold_ms);
     }
 
-    fn full(&self) -> Refusal {
-        Refusal::Full { retry_after: Millis(self.expected_wait().0.max(1)) }
+    fn full(&self, now: Millis) -> Refusal {
+        Refusal::Full { retry_after: self.expected_wait(now).max(Millis(1)) }
     }
 
     fn lapse(&mut self, now: Millis) -> Vec<GateAction> {
@@ -244,7 +277,7 @@
     }
 
     fn refuse_late(&mut self, now: Millis, actions: &mut Vec<GateAction>) {
-        let full = self.full();
+        let full = self.full(now);
         self.queue.retain(|_, ask| {
             if ask.give_up > now {
                 return true;
@@ -267,7 +300,7 @@
     }
 
     fn grant_free(&mut self, now: Millis, actions: &mut Vec<GateAction>) {
-        while self.held.len() < self.cfg.places {
+        while now >= self.rests_until && self.held.len() < self.cfg.places {
             let Some((_, ask)) = self.queue.pop_first() else { return };
             let id = ReservationId(self.next_reservation);
             self.next_reservation += 1;
--- a/crates/bulrushusher_agent/src/call.rs
+++ b/crates/bulrushusher_agent/src/call.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use bulrushusher_http::{HttpError, RequestParts};
+use bulrushusher_http::{HttpError, HttpReply, RequestParts};
 use bulrushusher_once::Ran;
+use bulrushusher_time::Millis;
 use bulrushusher_wire::{CallOrder, RunOrder};
 
 use crate::LOG;
@@ -15,6 +16,9 @@
 /// The longest time a service may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Status of a refusal that may come with the time until which no other request is wanted.
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// Calls the service for an order that was taken.
 pub(crate) async fn run(shared: &Shared, order: &RunOrder, work: &CallOrder, answer: &Answer) {
     let headers = [("content-type", work.content_type.as_str()), (KEY_HEADER, order.key.as_str())];
@@ -27,6 +31,10 @@
     let called = shared.http.call(shared.cfg.target, parts, CALL_TIMEOUT).await;
     match called {
         Ok(reply) => {
+            if let Some(rest) = rest_asked(&reply) {
+                log::info!("{LOG} the service refused {} and asks for rest of {rest}", order.key);
+                shared.desk.rest(rest);
+            }
             let content_type = reply.header("content-type").to_owned();
             let ending = Ending::Service { status: reply.status, content_type, body: reply.body };
             answer.end(ending);
@@ -41,6 +49,13 @@
     }
 }
 
+/// The rest that a service asks for with a refusal.
+fn rest_asked(reply: &HttpReply) -> Option<Millis> {
+    let seconds: f64 = reply.header("retry-after").trim().parse().ok()?;
+    let is_rest = reply.status == SERVICE_UNAVAILABLE && seconds.is_finite() && seconds > 0.0;
+    is_rest.then(|| Millis((seconds * 1_000.0).ceil() as u64))
+}
+
 fn lost(shared: &Shared, order: &RunOrder, answer: &Answer, error: &HttpError) {
     log::warn!("{LOG} the service's answer to {} was lost: {error}", order.key);
     shared.keys.end(&order.key, Ran::Failed);
--- a/crates/bulrushusher_agent/src/desk.rs
+++ b/crates/bulrushusher_agent/src/desk.rs
@@ -86,6 +86,11 @@
         inner.carry_out(actions, now);
     }
 
+    /// The endpoint has refused work and wants none for that long.
+    pub(crate) fn rest(&self, length: Millis) {
+        self.inner.lock().gate.rest(length, self.clock.now());
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.inner.lock().gate.is_leaving()
     }
@@ -101,7 +106,7 @@
             used: inner.gate.used() as u32,
             places: inner.gate.places() as u32,
             waiting: inner.gate.waiting() as u32,
-            expected_wait: inner.gate.expected_wait(),
+            expected_wait: inner.gate.expected_wait(self.clock.now()),
         }
     }
 }
--- a/crates/bulrushusher_standin/src/service.rs
+++ b/crates/bulrushusher_standin/src/service.rs
@@ -4,16 +4,17 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bulrushusher_http::{Served, get_route, json_reply, serve};
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use warp::Filter;
-use warp::http::HeaderMap;
+use warp::http::{HeaderMap, StatusCode};
 use warp::path::FullPath;
 use warp::reply::Response;
+use warp::{Filter, Reply};
 
 use crate::engine::{Counts, RunCount};
 use crate::prompt;
@@ -50,6 +51,14 @@
     cfg: ServiceConfig,
     keys: Mutex<BTreeMap<String, RunCount>>,
     places: tokio::sync::Semaphore,
+    refuses: Mutex<Refuses>,
+}
+
+/// Calls that a service refuses, with the time until which it wants none.
+#[derive(Debug, Default)]
+struct Refuses {
+    until: Option<Instant>,
+    refused: usize,
 }
 
 /// A running stand-in service.
@@ -68,7 +77,12 @@
     /// What the system says, such as "address in use".
     pub fn start(addr: SocketAddr, cfg: ServiceConfig) -> std::io::Result<PlainService> {
         let places = tokio::sync::Semaphore::new(cfg.places);
-        let state = Arc::new(ServiceState { cfg, keys: Mutex::default(), places });
+        let state = Arc::new(ServiceState {
+            cfg,
+            keys: Mutex::default(),
+            places,
+            refuses: Mutex::default(),
+        });
         let served = serve(addr, routes(Arc::clone(&state)))?;
         Ok(PlainService { addr: served.addr, state, served })
     }
@@ -78,6 +92,16 @@
         self.state.counts()
     }
 
+    /// Refuses all calls for that long, and says so.
+    pub fn refuse_for(&self, length: Duration) {
+        self.state.refuses.lock().until = Some(Instant::now() + length);
+    }
+
+    /// Calls that it refused.
+    pub fn refused(&self) -> usize {
+        self.state.refuses.lock().refused
+    }
+
     /// Its settings.
     pub fn config(&self) -> &ServiceConfig {
         &self.state.cfg
@@ -90,6 +114,14 @@
 }
 
 impl ServiceState {
+    /// How long a call is refused that comes now; counts it.
+    fn refused_for(&self) -> Option<Duration> {
+        let mut refuses = self.refuses.lock();
+        let left = refuses.until?.checked_duration_since(Instant::now())?;
+        refuses.refused += 1;
+        Some(left)
+    }
+
     fn counts(&self) -> Counts {
         let held_places = self.cfg.places - self.places.available_permits();
         Counts { keys: self.keys.lock().clone(), held_places, ..Counts::default() }
@@ -98,7 +130,7 @@
 
 fn routes(
     state: Arc<ServiceState>,
-) -> impl Filter<Extract = (impl warp::Reply,), Error = Infallible> + Clone + Send + Sync {
+) -> impl Filter<Extract = (impl Reply,), Error = Infallible> + Clone + Send + Sync {
     let calls = Arc::clone(&state);
     let call = warp::any()
         .and(warp::path::full())
@@ -121,6 +153,11 @@
     headers: HeaderMap,
     body: Bytes,
 ) -> Response {
+    if let Some(left) = state.refused_for() {
+        let refusal = warp::reply::with_status("resting", StatusCode::SERVICE_UNAVAILABLE);
+        let seconds = left.as_secs_f64().to_string();
+        return warp::reply::with_header(refusal, "retry-after", seconds).into_response();
+    }
     let key = headers.get(KEY_HEADER).and_then(|v| v.to_str().ok()).unwrap_or("unkeyed");
     state.keys.lock().entry(key.to_owned()).or_default().runs += 1;
     let text = String::from_utf8_lossy(&body).into_owned();
--- a/tools/bulrushusher_testbed/src/bed.rs
+++ b/tools/bulrushusher_testbed/src/bed.rs
@@ -132,6 +132,21 @@
         }
     }
 
+    /// A plain service refuses all calls for that long, and says so.
+    pub fn refuse_for(&self, length: Duration) {
+        if let Some(Target::Plain(service)) = &self.target {
+            service.refuse_for(length);
+        }
+    }
+
+    /// Calls that a plain service refused.
+    pub fn refused(&self) -> usize {
+        match &self.target {
+            Some(Target::Plain(service)) => service.refused(),
+            Some(Target::Engine(_)) | None => 0,
+        }
+    }
+
     /// The runner's own records, over all its lives.
     pub fn counts(&self) -> Vec<Counts> {
         self.past.iter().cloned().chain(self.target.as_ref().map(Target::counts)).collect()
--- /dev/null
+++ b/tools/bulrushusher_testbed/tests/rests.rs
@@ -0,0 +1,51 @@
+//! A plain service that refuses calls and asks for rest, on the own interface.
+//!
+//! Its answer went to the caller, and the next call went to the service at once: nothing behind it
+//! read the time that it had asked for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bulrushusher_routing::Policy;
+use bulrushusher_standin::caller::{Ask, Call, Caller, Outcome};
+use bulrushusher_standin::load::fresh_key;
+use bulrushusher_testbed::{Bed, Deployment};
+use bulrushusher_world::Role;
+use tokio::task::JoinSet;
+
+const REST: Duration = Duration::from_secs(2);
+
+/// Calls that may have been on their way, or hold a place, when the first refusal came.
+const ON_THEIR_WAY: usize = 2;
+
+fn call(nth: usize) -> Call {
+    Call {
+        ask: Ask::Call { service: "pass-desk".to_owned(), path: "lookup".to_owned() },
+        mark: format!("rest{nth}"),
+        key: Some(fresh_key()),
+        class: Some("pass-lookup".to_owned()),
+        account: None,
+        cancel_after: None,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_that_asks_for_rest_gets_it() {
+    let bed = Bed::start(Deployment::authority(), Policy::Paired, 3).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let caller = Arc::new(Caller::new(bed.callers()));
+    let resting = bed.runners.iter().find(|it| it.role == Role::Service).unwrap();
+    resting.refuse_for(REST);
+    let mut calls = JoinSet::new();
+    for nth in 0..100 {
+        let caller = caller.clone();
+        calls.spawn(async move { caller.send(&call(nth), nth).await });
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    calls.join_all().await;
+    let refused = resting.refused();
+    assert!((1..=1 + ON_THEIR_WAY).contains(&refused), "{refused} calls in its rest");
+    tokio::time::sleep(REST).await;
+    let after = caller.send(&call(100), 0).await;
+    assert!(matches!(after, Outcome::Answered { .. }), "{after:?}");
+}
