--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -58,6 +58,8 @@
     metrics.state("quarantined_requests", knowledge.all_quarantined().len() as u64);
     let pressure = knowledge.pressure_counts();
     metrics.state("limited_runners", pressure.limited as u64);
+    let leaving = knowledge.with_runners(|runners, now| runners.members.drain_words(now).len());
+    metrics.state("leaving_runners", leaving as u64);
     metrics.state("resting_runners", pressure.resting as u64);
     metrics.state("runners", all);
     metrics.state("prefill_runners", prefill);
