Quotas: what gateways that fall silent could have taken is taken off, also just after a start

What operators saw: with one account at nine times its usual, all gateways killed and a quarter of them cut off six seconds later, more of its tokens ran in eight seconds than its quota allows (up to 3,377,989 of 3,312,097). Cause: a gateway that had just started took nothing off when others fell silent, and one that had not took off the rate of 1.6 s only, not what was left in the bucket; both sides spent it. After ten seconds of silence the silent ones' part was used as well, also where they were only cut off. Class: the same units given out on both sides of a cut. Why it works: what could be taken since the silent ones were heard last is what is left and what was used meanwhile; each side takes off the others' part of that. Gateways that are found, and were not heard before, cost nothing. Whoever is announced counts as one that may use its part; one that does not reach the store lets no key pass within seconds. Ruled out: that the bucket is given out whole to each side when what ran before the start falls out of the window: it is cut to the part heard at the next look, the sum is one bucket.

--- a/crates/bulrushusher_accounts/src/book.rs
+++ b/crates/bulrushusher_accounts/src/book.rs
@@ -59,7 +59,7 @@
     buckets: HashMap<ClientAccountName, Bucket>,
     names: HashMap<AccountId, ClientAccountName>,
     peers: HashMap<Arc<str>, Peer>,
-    /// Gateways that are known by other means; they count while this one has just started.
+    /// Gateways that are known by other means.
     announced: usize,
     /// The part of the quotas that this gateway may use, and when it was worked out.
     part: (Part, Millis),
@@ -139,14 +139,14 @@
                 return Err(OverQuota { missing, per_second, heard, gateways, come_back });
             }
         }
-        bucket.take(cost, cfg.window, now);
+        bucket.take(cost, &cfg, now);
         Ok(())
     }
 
     /// A request that was counted has not run.
     pub fn refund(&mut self, account: &ClientAccountName, cost: u64, now: Millis) {
         if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.give_back(cost, self.cfg.window, now);
+            bucket.give_back(cost, &self.cfg, now);
         }
     }
 
@@ -226,7 +226,7 @@
         let most = cfg.headroom(quota) + quota.burst;
         let units = (told.spent as f64 - before as f64).clamp(-most, most);
         bucket.level = (bucket.level - units).max(-most);
-        bucket.everywhere.add(units, cfg.window, now);
+        bucket.note_use(units, &cfg, now);
     }
 
     /// Goes by what a gateway knows that has not just started.
@@ -294,8 +294,11 @@
             self.peers.retain(|_, peer| now.since(peer.heard_at) < gone_after);
             let before = self.part.0;
             self.part = (self.work_out_part(now), now);
-            if self.part.0.share() < before.share() {
-                self.part_from_others(before.share() - self.part.0.share(), now);
+            // Others that are found, and were not counted before, have taken nothing yet.
+            let fell_silent = before.heard.saturating_sub(self.part.0.heard);
+            if fell_silent > 0 {
+                let share = fell_silent as f64 / self.part.0.gateways.max(before.gateways) as f64;
+                self.part_from_others(share, now);
             }
         }
     }
@@ -311,19 +314,16 @@
         }
     }
 
-    /// Some gateways are not heard any more. They may have taken their part of all that came in since they
-    /// were heard last, and take it further on.
+    /// Gateways with that share of the quotas are not heard any more. They may go on taking their part, and what
+    /// they took since they were heard last is not known; also just after a start of all.
     fn part_from_others(&mut self, share: f64, now: Millis) {
         let (cfg, weight) = (self.cfg, self.part.0.share());
-        if cfg.sharing != Sharing::Told || !self.settled {
+        if cfg.sharing != Sharing::Told {
             return;
         }
-        for bucket in self.buckets.values_mut() {
+        for bucket in self.buckets.values_mut().filter(|bucket| bucket.quota.is_some()) {
             bucket.fill(&cfg, weight, now);
-            if let Some(quota) = bucket.quota {
-                let untold = share * quota.per_second / 1_000.0 * cfg.silent_after.0 as f64;
-                bucket.level -= untold;
-            }
+            bucket.part_from(share, &cfg, now);
         }
     }
 
@@ -334,9 +334,8 @@
         }
         let lately = |peer: &&Peer| now.since(peer.heard_at) < self.cfg.silent_after;
         let heard = self.peers.values().filter(lately).count() + 1;
-        let is_young = now.since(self.started) < self.cfg.gone_after;
-        let announced = if is_young { self.announced } else { 0 };
-        Part { heard, gateways: self.peers.len().max(announced) + 1 }
+        // Whoever is announced and was not heard for long may be cut off, and use its part still.
+        Part { heard, gateways: self.peers.len().max(self.announced) + 1 }
     }
 
     /// Share of an account's quota that this gateway may use.
--- a/crates/bulrushusher_accounts/src/bucket.rs
+++ b/crates/bulrushusher_accounts/src/bucket.rs
@@ -52,6 +52,8 @@
     /// Use within the last window, here and at all.
     pub here: WindowSum,
     pub everywhere: WindowSum,
+    /// Use at all that are heard, since those were heard that have just fallen silent.
+    pub lately: WindowSum,
     pub refused: u64,
     /// When the last caller that was refused is to come back.
     last_return: Millis,
@@ -69,6 +71,7 @@
             told: 0,
             here: WindowSum::default(),
             everywhere: WindowSum::default(),
+            lately: WindowSum::default(),
             refused: 0,
             last_return: Millis(0),
         }
@@ -110,18 +113,31 @@
         units.min(full * NEARLY_FULL) - (self.level - others)
     }
 
-    pub(crate) fn take(&mut self, cost: u64, window: Millis, now: Millis) {
+    pub(crate) fn take(&mut self, cost: u64, cfg: &QuotaConfig, now: Millis) {
         self.level -= cost as f64;
         self.spent += cost;
-        self.here.add(cost as f64, window, now);
-        self.everywhere.add(cost as f64, window, now);
+        self.here.add(cost as f64, cfg.window, now);
+        self.note_use(cost as f64, cfg, now);
     }
 
-    pub(crate) fn give_back(&mut self, cost: u64, window: Millis, now: Millis) {
+    pub(crate) fn give_back(&mut self, cost: u64, cfg: &QuotaConfig, now: Millis) {
         self.level += cost as f64;
         self.spent = self.spent.saturating_sub(cost);
-        self.here.add(-(cost as f64), window, now);
-        self.everywhere.add(-(cost as f64), window, now);
+        self.here.add(-(cost as f64), cfg.window, now);
+        self.note_use(-(cost as f64), cfg, now);
+    }
+
+    /// Units were used here or at a gateway that is heard, or given back.
+    pub(crate) fn note_use(&mut self, units: f64, cfg: &QuotaConfig, now: Millis) {
+        self.everywhere.add(units, cfg.window, now);
+        self.lately.add(units, cfg.silent_after, now);
+    }
+
+    /// Some gateways have fallen silent, which have that share of the quota. They may have taken it of all that
+    /// could be taken since they were heard last: what is left now, and what was used meanwhile.
+    pub(crate) fn part_from(&mut self, share: f64, cfg: &QuotaConfig, now: Millis) {
+        let could_be_taken = self.level.max(0.0) + self.lately.sum(cfg.silent_after, now);
+        self.level -= share * could_be_taken;
     }
 
     pub(crate) fn is_due(&self, cfg: &QuotaConfig, gateways: usize, share: f64) -> bool {
--- a/crates/bulrushusher_model/src/lib.rs
+++ b/crates/bulrushusher_model/src/lib.rs
@@ -30,5 +30,5 @@
 pub use play::play;
 pub use plot::{Bar, draw};
 pub use quota_patterns::QuotaPattern;
-pub use quotas::{QuotaLoad, QuotaOutcome, play_quotas};
+pub use quotas::{QuotaLoad, QuotaOutcome, QuotaTrouble, play_quota_troubles, play_quotas};
 pub use readers::{ReadingLoad, ReadingOutcome, ReadingPolicy, ReadingShape, play_readings};
--- a/crates/bulrushusher_model/src/main.rs
+++ b/crates/bulrushusher_model/src/main.rs
@@ -5,9 +5,11 @@
 use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_forward::ForecastConfig;
 use bulrushusher_model::{
-    Admission, Bar, Fleet, LimitPattern, LimitSharing, Outcome, Pattern, QuotaLoad, QuotaPattern,
-    arrivals, draw, most_on_time, play, play_limit, play_quotas,
+    Admission, Bar, Fleet, LimitPattern, LimitSharing, Outcome, Pattern, QuotaLoad, QuotaOutcome,
+    QuotaPattern, QuotaTrouble, arrivals, draw, most_on_time, play, play_limit,
+    play_quota_troubles, play_quotas,
 };
+use bulrushusher_time::Millis;
 use clap::{Arg, ArgAction, Command, value_parser};
 use comfy_table::Table;
 
@@ -25,6 +27,9 @@
         .long("quotas")
         .action(ArgAction::SetTrue)
         .help("Plays only the quotas of client accounts");
+    let pairs = Arg::new("pairs").long("pairs").action(ArgAction::SetTrue).help(
+        "Plays the quotas of client accounts in each pair of patterns, with several distances",
+    );
     let limits = Arg::new("limits")
         .long("limits")
         .action(ArgAction::SetTrue)
@@ -35,6 +40,7 @@
         .arg(plots)
         .arg(quotas)
         .arg(limits)
+        .arg(pairs)
         .get_matches();
     if matches.get_flag("quotas") {
         println!("{}", quota_table());
@@ -44,6 +50,10 @@
         println!("{}", limit_table());
         return;
     }
+    if matches.get_flag("pairs") {
+        println!("{}", pair_table());
+        return;
+    }
     let seeds = matches.get_one::<u64>("seeds").copied().unwrap_or(3);
     let mut table = Table::new();
     table.set_header([
@@ -117,6 +127,54 @@
     table
 }
 
+/// The worst window of each pair of patterns, over the distances up to two windows.
+fn pair_table() -> Table {
+    let mut table = Table::new();
+    table.set_header(["first", "then", "gateways", "sharing", "worst window", "after ms"]);
+    let distances = (0..=16_000).step_by(1_000);
+    for first in QuotaPattern::ALL {
+        for then in QuotaPattern::ALL {
+            for gateways in [5, 28] {
+                for sharing in [Sharing::Even, Sharing::ByDemand, Sharing::Told] {
+                    let worst = |after: u64| {
+                        (play_pair(first, then, after, gateways, sharing).worst_window, after)
+                    };
+                    let worst = distances.clone().map(worst);
+                    let Some((worst, after)) = worst.max_by(|a, b| a.0.total_cmp(&b.0)) else {
+                        continue;
+                    };
+                    table.add_row([
+                        first.to_string(),
+                        then.to_string(),
+                        gateways.to_string(),
+                        format!("{sharing:?}"),
+                        format!("{worst:.2}"),
+                        after.to_string(),
+                    ]);
+                }
+            }
+        }
+    }
+    table
+}
+
+fn play_pair(
+    first: QuotaPattern,
+    then: QuotaPattern,
+    after: u64,
+    gateways: usize,
+    sharing: Sharing,
+) -> QuotaOutcome {
+    let load = QuotaLoad::new(gateways);
+    let cfg = QuotaConfig { sharing, ..load.cfg };
+    let load = QuotaLoad { cfg, seconds: 45, ..load };
+    let troubles = [
+        QuotaTrouble { pattern: first, at: Millis(10_000) },
+        QuotaTrouble { pattern: then, at: Millis(10_000 + after) },
+    ];
+    play_quota_troubles(&load, &troubles, 1)
+}
+
 /// Rate limits that gateways keep together, by pattern, number of gateways, limit and way of sharing.
 fn limit_table() -> Table {
     let mut table = Table::new();
--- a/crates/bulrushusher_model/src/quotas.rs
+++ b/crates/bulrushusher_model/src/quotas.rs
@@ -4,6 +4,7 @@
 //! through is what the account is owed; what the gateways refuse of that is lost to it.
 
 use std::collections::VecDeque;
+use std::ops::Range;
 use std::rc::Rc;
 
 use bulrushusher_accounts::{Quota, QuotaBook, QuotaConfig, Spends};
@@ -66,11 +67,29 @@
     }
 }
 
-/// When trouble begins and ends, in ms.
-const TROUBLE: std::ops::Range<u64> = 10_000..20_000;
+/// When the trouble of a play begins that has one only, in ms.
+const BEGINS: Millis = Millis(10_000);
 
-/// When all gateways are killed.
-const KILLED_AT: [u64; 3] = [TROUBLE.start + 2_000, TROUBLE.start + 4_500, TROUBLE.start + 7_000];
+/// How long trouble lasts, and a hot account stays hot after the last of it has begun.
+const LASTS: u64 = 10_000;
+
+/// When all gateways are killed, from the begin of that trouble on.
+const KILLED_AFTER: [u64; 3] = [2_000, 4_500, 7_000];
+
+/// A pattern, and when it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaTrouble {
+    /// What happens.
+    pub pattern: QuotaPattern,
+    /// When it begins; it lasts ten seconds.
+    pub at: Millis,
+}
+
+impl QuotaTrouble {
+    fn span(self) -> Range<u64> {
+        self.at.0..self.at.0 + LASTS
+    }
+}
 
 /// Time that a killed gateway is away.
 const AWAY: u64 = 1_000;
@@ -106,7 +125,7 @@
 
 struct Play {
     load: QuotaLoad,
-    pattern: QuotaPattern,
+    troubles: Vec<QuotaTrouble>,
     account: ClientAccountName,
     rng: ChaCha8Rng,
     gateways: Vec<Gateway>,
@@ -128,7 +147,12 @@
 /// assert!(outcome.lost_share() < 0.01 && outcome.worst_window < 1.0, "{outcome:?}");
 /// ```
 pub fn play_quotas(load: &QuotaLoad, pattern: QuotaPattern, seed: u64) -> QuotaOutcome {
-    let mut play = Play::new(*load, pattern, seed);
+    play_quota_troubles(load, &[QuotaTrouble { pattern, at: BEGINS }], seed)
+}
+
+/// Plays several patterns, which may overlap.
+pub fn play_quota_troubles(load: &QuotaLoad, troubles: &[QuotaTrouble], seed: u64) -> QuotaOutcome {
+    let mut play = Play::new(*load, troubles.to_vec(), seed);
     for now in 0..load.seconds * 1_000 {
         play.step(now);
     }
@@ -136,13 +160,13 @@
 }
 
 impl Play {
-    fn new(load: QuotaLoad, pattern: QuotaPattern, seed: u64) -> Play {
+    fn new(load: QuotaLoad, troubles: Vec<QuotaTrouble>, seed: u64) -> Play {
         let account: ClientAccountName = "studio-7".try_into().expect("it is a name");
         let gateways = (0..load.gateways).map(|_| gateway(&load, load.quota, &account, 0));
         Play {
             gateways: gateways.collect(),
             load,
-            pattern,
+            troubles,
             account,
             rng: ChaCha8Rng::seed_from_u64(seed),
             under_way: (0..=LONGEST_WAY).map(|_| Vec::new()).collect(),
@@ -155,7 +179,8 @@
     }
 
     fn quota(&self, now: u64) -> Quota {
-        let is_low = self.pattern == QuotaPattern::LoweredQuota && now >= TROUBLE.start;
+        let lowers = |it: &QuotaTrouble| it.pattern == QuotaPattern::LoweredQuota;
+        let is_low = self.troubles.iter().any(|it| lowers(it) && now >= it.at.0);
         let part = if is_low { 0.25 } else { 1.0 };
         Quota { per_second: self.load.quota.per_second * part, ..self.load.quota }
     }
@@ -192,7 +217,10 @@
 
     /// Requests of this ms.
     fn arrivals(&mut self, now: u64) -> usize {
-        let is_hot = self.pattern.is_hot() && TROUBLE.contains(&now);
+        let hot = self.troubles.iter().filter(|it| it.pattern.is_hot());
+        let from = hot.clone().map(|it| it.span().start).min();
+        let until = hot.map(|it| it.span().end).max();
+        let is_hot = from.is_some_and(|from| now >= from) && until.is_some_and(|end| now < end);
         let times = if is_hot { self.load.hot } else { 1.0 };
         let per_ms =
             self.load.quota.per_second * self.load.usual * times / self.load.cost / 1_000.0;
@@ -201,18 +229,25 @@
     }
 
     fn trouble(&mut self, now: u64) {
-        let since = now.saturating_sub(TROUBLE.start + 500);
+        for trouble in self.troubles.clone() {
+            self.strike(trouble, now);
+        }
+    }
+
+    fn strike(&mut self, trouble: QuotaTrouble, now: u64) {
+        let Some(since) = now.checked_sub(trouble.at.0) else { return };
         let count = self.gateways.len() as u64;
-        match self.pattern {
-            QuotaPattern::TotalRestart if KILLED_AT.contains(&now) => {
+        match trouble.pattern {
+            QuotaPattern::TotalRestart if KILLED_AFTER.contains(&since) => {
                 (0..self.gateways.len()).for_each(|nth| self.restart(nth, now));
             }
-            QuotaPattern::RollingRestart
-                if TROUBLE.contains(&now) && since.is_multiple_of(ROLL / count) =>
-            {
-                self.restart((since / (ROLL / count) % count) as usize, now);
+            QuotaPattern::RollingRestart if trouble.span().contains(&now) => {
+                let since = since.saturating_sub(500);
+                if since.is_multiple_of(ROLL / count) {
+                    self.restart((since / (ROLL / count) % count) as usize, now);
+                }
             }
-            QuotaPattern::LoweredQuota if now == TROUBLE.start => {
+            QuotaPattern::LoweredQuota if since == 0 => {
                 let quota = self.quota(now);
                 for gateway in &mut self.gateways {
                     gateway.book.configure([(&self.account, Some(quota))], Millis(now));
@@ -225,20 +260,23 @@
     fn restart(&mut self, nth: usize, now: u64) {
         let back_at = now + AWAY;
         self.gateways[nth] = gateway(&self.load, self.quota(now), &self.account, back_at);
-        let others = self.gateways.len() - 1;
-        self.gateways[nth].book.note_announced(others);
     }
 
     /// True when a word of one gateway reaches the other.
     fn reaches(&self, from: usize, to: usize, now: u64) -> bool {
-        let is_trouble = TROUBLE.contains(&now);
         let half = self.gateways.len() / 2;
         let tenth = self.gateways.len().div_ceil(10);
-        match self.pattern {
-            QuotaPattern::TwoHalves if is_trouble => (from < half) == (to < half),
-            QuotaPattern::TenthCutOff if is_trouble => from >= tenth && to >= tenth,
+        let mut present = self.troubles.iter().filter(|it| it.span().contains(&now));
+        present.all(|it| match it.pattern {
+            QuotaPattern::TwoHalves => (from < half) == (to < half),
+            QuotaPattern::TenthCutOff => from >= tenth && to >= tenth,
             _ => true,
-        }
+        })
+    }
+
+    /// Share of the words between gateways that are lost now.
+    fn loss(&self) -> f64 {
+        self.troubles.iter().map(|it| it.pattern.loss()).fold(0.0, f64::max)
     }
 
     fn speak(&mut self, nth: usize, now: u64) {
@@ -257,7 +295,7 @@
         let life = gateway.life;
         self.words += u64::from(!spends.accounts.is_empty());
         for to in 0..self.gateways.len() {
-            let is_lost = self.rng.random::<f64>() < self.pattern.loss();
+            let is_lost = self.rng.random::<f64>() < self.loss();
             if to == nth || is_lost || !self.reaches(nth, to, now) {
                 continue;
             }
@@ -314,5 +352,6 @@
 fn gateway(load: &QuotaLoad, quota: Quota, account: &ClientAccountName, back_at: u64) -> Gateway {
     let mut book = QuotaBook::new(load.cfg, Millis(back_at));
     book.configure([(account, Some(quota))], Millis(back_at));
+    book.note_announced(load.gateways - 1);
     Gateway { book, life: back_at, back_at, spoke_at: back_at, whole_at: 0, is_due: true }
 }
