An announcement that nobody answers for is removed after a minute

Cause: announced gateways keep their part of quotas and rate limits, so that a VM that is gone for good would leave it unused for five minutes. Ruled out: forgetting it sooner by silence alone, which gives the same units out on both sides of a cut.

--- a/crates/bulrushusher_forward/src/gateways.rs
+++ b/crates/bulrushusher_forward/src/gateways.rs
@@ -25,13 +25,13 @@
 
 impl Default for GatewaysConfig {
     /// A gateway speaks at least every 0.7 s; one that was silent for ten seconds is gone or cut off, and
-    /// gets whole reports only. A VM is back within a minute or two, and a data centre that is cut off
-    /// for longer announces itself again. Ten times the gateways to design for are known, at some hundred
+    /// gets whole reports only. After a minute its part of quotas and rate limits is free for the others;
+    /// a VM that is back later, or a data centre that was cut off for longer, announces itself again. Ten times the gateways to design for are known, at some hundred
     /// bytes each. A few removals at a look keep the store's writes low after a great loss.
     fn default() -> GatewaysConfig {
         GatewaysConfig {
             told_for: Millis(10_000),
-            gone_after: Millis(300_000),
+            gone_after: Millis(60_000),
             most: 4_096,
             most_removed: 8,
         }
