Back-pressure by the field's terms: signals, Retry-After, backoff, reports

Cause: read as a newcomer: wishes, words and rests stood for what the field calls back-pressure signals, reports and a backoff. What it is: names of types, functions, metrics, log fields, test files and pages; nothing is decided otherwise.

--- a/crates/bulrushusher_admission/src/gate.rs
+++ b/crates/bulrushusher_admission/src/gate.rs
@@ -82,8 +82,8 @@
     }
 }
 
-/// Longest rest that is granted at once; an endpoint that wants more says so again.
-const LONGEST_REST: Millis = Millis(600_000);
+/// Longest backoff that is granted at once; an endpoint that wants more says so again.
+const LONGEST_BACKOFF: Millis = Millis(600_000);
 
 /// Time that a place is taken to be held before any was given back, in milliseconds.
 const FIRST_HOLD_MS: f64 = 100.0;
@@ -111,7 +111,7 @@
     next_arrival: u64,
     leaving: bool,
     /// The endpoint wants no work before.
-    rests_until: Millis,
+    backs_off_until: Millis,
     /// Mean time that a place was held, in milliseconds.
     hold_ms: f64,
 }
@@ -126,7 +126,7 @@
             next_reservation: 1,
             next_arrival: 0,
             leaving: false,
-            rests_until: Millis(0),
+            backs_off_until: Millis(0),
             hold_ms: FIRST_HOLD_MS,
         }
     }
@@ -159,9 +159,9 @@
     ///
     /// # Errors
     /// [`Refusal::NoReservation`] when the grant lapsed, was used already or never was, or when the endpoint
-    /// has asked for rest since.
+    /// has asked for a backoff since.
     pub fn start(&mut self, id: ReservationId, now: Millis) -> Result<(), Refusal> {
-        if now < self.rests_until {
+        if now < self.backs_off_until {
             self.held.retain(|held, state| *held != id || matches!(state, Held::Started { .. }));
             return Err(Refusal::NoReservation);
         }
@@ -201,14 +201,14 @@
         waiting.into_values().map(|ask| GateAction::Refuse(ask.id, Refusal::Leaving)).collect()
     }
 
-    /// The endpoint has refused work and wants none for that long: no place is granted before. A shorter rest
+    /// The endpoint has refused work and wants none for that long: no place is granted before. A shorter time
     /// does not cut a longer one.
     ///
     /// ```
     /// use bulrushusher_admission::{Ask, AskId, Gate, GateAction, GateConfig};
     /// use bulrushusher_time::Millis;
     /// let mut gate = Gate::new(GateConfig::default());
-    /// gate.rest(Millis(300), Millis(0));
+    /// gate.back_off(Millis(300), Millis(0));
     /// let ask = Ask {
     ///     id: AskId(1), start_by: Millis(100), late_by: Millis(500), give_up: Millis(900),
     /// };
@@ -216,9 +216,9 @@
     /// assert_eq!(gate.expected_wait(Millis(100)), Millis(200));
     /// assert!(matches!(gate.tick(Millis(300))[0], GateAction::Grant(AskId(1), _)));
     /// ```
-    pub fn rest(&mut self, length: Millis, now: Millis) {
-        let until = now.plus(length.min(LONGEST_REST));
-        self.rests_until = self.rests_until.max(until);
+    pub fn back_off(&mut self, length: Millis, now: Millis) {
+        let until = now.plus(length.min(LONGEST_BACKOFF));
+        self.backs_off_until = self.backs_off_until.max(until);
     }
 
     /// True when the gate takes no new work.
@@ -246,15 +246,15 @@
         self.queue.len()
     }
 
-    /// The expected wait of a request that comes now: the endpoint's rest, and the mean time a place was held
+    /// The expected wait of a request that comes now: the endpoint's backoff, and the mean time a place was held
     /// for each turn that goes before.
     pub fn expected_wait(&self, now: Millis) -> Millis {
-        let rest = self.rests_until.since(now);
+        let backoff = self.backs_off_until.since(now);
         if self.held.len() < self.cfg.places {
-            return rest;
+            return backoff;
         }
         let turns = (self.queue.len() + 1) as f64 / self.cfg.places.max(1) as f64;
-        Millis((self.hold_ms * turns) as u64).max(rest)
+        Millis((self.hold_ms * turns) as u64).max(backoff)
     }
 
     fn learn_hold(&mut self, length: Millis) {
@@ -300,7 +300,7 @@
     }
 
     fn grant_free(&mut self, now: Millis, actions: &mut Vec<GateAction>) {
-        while now >= self.rests_until && self.held.len() < self.cfg.places {
+        while now >= self.backs_off_until && self.held.len() < self.cfg.places {
             let Some((_, ask)) = self.queue.pop_first() else { return };
             let id = ReservationId(self.next_reservation);
             self.next_reservation += 1;
--- a/crates/bulrushusher_admission/tests/gate.rs
+++ b/crates/bulrushusher_admission/tests/gate.rs
@@ -173,13 +173,13 @@
     }
 }
 
-/// Nothing is granted in a rest, and what was granted before does not begin in it.
+/// Nothing is granted in a backoff, and what was granted before does not begin in it.
 #[test]
-fn an_endpoint_that_asks_for_rest_gets_no_work() {
+fn an_endpoint_that_asks_for_a_backoff_gets_no_work() {
     let mut gate = Gate::new(CFG);
     let grant = granted(&gate.ask(ask(1, 500), Millis(0)))[0].1;
-    gate.rest(Millis(50), Millis(0));
-    gate.rest(Millis(10), Millis(5));
+    gate.back_off(Millis(50), Millis(0));
+    gate.back_off(Millis(10), Millis(5));
     assert_eq!(gate.start(grant.id, Millis(20)), Err(Refusal::NoReservation));
     assert!(gate.ask(ask(2, 500), Millis(20)).is_empty());
     assert!(gate.tick(Millis(49)).is_empty());
--- a/crates/bulrushusher_agent/src/call.rs
+++ b/crates/bulrushusher_agent/src/call.rs
@@ -31,9 +31,12 @@
     let called = shared.http.call(shared.cfg.target, parts, CALL_TIMEOUT).await;
     match called {
         Ok(reply) => {
-            if let Some(rest) = rest_asked(&reply) {
-                log::info!("{LOG} the service refused {} and asks for rest of {rest}", order.key);
-                shared.desk.rest(rest);
+            if let Some(length) = backoff_asked(&reply) {
+                log::info!(
+                    "{LOG} the service refused {} and is called again after {length}",
+                    order.key
+                );
+                shared.desk.back_off(length);
             }
             let content_type = reply.header("content-type").to_owned();
             let ending = Ending::Service { status: reply.status, content_type, body: reply.body };
@@ -49,11 +52,11 @@
     }
 }
 
-/// The rest that a service asks for with a refusal.
-fn rest_asked(reply: &HttpReply) -> Option<Millis> {
+/// The time for which a service that refuses a call wants no other.
+fn backoff_asked(reply: &HttpReply) -> Option<Millis> {
     let seconds: f64 = reply.header("retry-after").trim().parse().ok()?;
-    let is_rest = reply.status == SERVICE_UNAVAILABLE && seconds.is_finite() && seconds > 0.0;
-    is_rest.then(|| Millis((seconds * 1_000.0).ceil() as u64))
+    let is_backoff = reply.status == SERVICE_UNAVAILABLE && seconds.is_finite() && seconds > 0.0;
+    is_backoff.then(|| Millis((seconds * 1_000.0).ceil() as u64))
 }
 
 fn lost(shared: &Shared, order: &RunOrder, answer: &Answer, error: &HttpError) {
--- a/crates/bulrushusher_agent/src/desk.rs
+++ b/crates/bulrushusher_agent/src/desk.rs
@@ -87,8 +87,8 @@
     }
 
     /// The endpoint has refused work and wants none for that long.
-    pub(crate) fn rest(&self, length: Millis) {
-        self.inner.lock().gate.rest(length, self.clock.now());
+    pub(crate) fn back_off(&self, length: Millis) {
+        self.inner.lock().gate.back_off(length, self.clock.now());
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -1,7 +1,7 @@
 //! What runners asked of those that send to them, and what may be sent to them by it.
 //!
 //! A runner's own word binds, unlike what is guessed of its load: where all runners of a service ask for
-//! rest or name a limit, callers are refused. Each word counts for the start of the runner that said it.
+//! time or name a limit, callers are refused. Each word counts for the start of the runner that said it.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::limit_share::{LimitUse, Share, Sharers};
-use crate::{Born, RateLimit, Runner, RunnerWishes};
+use crate::{Born, RateLimit, Runner, RunnerSignals};
 
 /// How long words count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,12 +23,12 @@
     pub limit_lingers: Millis,
     /// Age of the last word of a limit after which a request may find out whether it still holds.
     pub limit_stale: Millis,
-    /// How long such a request, and the first one after a rest, keeps others back.
+    /// How long such a request, and the first one after a backoff, keeps others back.
     pub trial: Millis,
     /// How long gateways tell each other that a limit is over.
     pub end_told: Millis,
-    /// Longest rest that is granted at once.
-    pub longest_rest: Millis,
+    /// Longest backoff that is granted at once.
+    pub longest_backoff: Millis,
 }
 
 impl Default for BackPressureConfig {
@@ -41,7 +41,7 @@
             limit_stale: Millis(5_000),
             trial: Millis(1_000),
             end_told: Millis(3_000),
-            longest_rest: Millis(600_000),
+            longest_backoff: Millis(600_000),
         }
     }
 }
@@ -49,9 +49,9 @@
 /// Why nothing may be sent to a runner now.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Pressure {
-    /// It has asked this gateway for rest.
-    #[display("the runner has asked for rest")]
-    Rest,
+    /// It has told this gateway when to come back.
+    #[display("the time in the runner's Retry-After is not over")]
+    RetryAfter,
     /// It has said that it leaves.
     #[display("the runner leaves")]
     Leaving,
@@ -81,13 +81,13 @@
 pub struct PressureCounts {
     /// Runners that name a rate limit.
     pub limited: usize,
-    /// Runners that rest.
-    pub resting: usize,
+    /// Runners that this gateway backs off from.
+    pub backing_off: usize,
 }
 
 /// What a gateway tells of a runner's rate limit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LimitWord {
+pub struct LimitReport {
     /// The runner.
     pub runner: RunnerId,
     /// The start that named it.
@@ -99,7 +99,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Rest {
+struct Backoff {
     until: Millis,
     /// When the first request after it was sent.
     tried_at: Option<Millis>,
@@ -109,8 +109,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Asked {
     born: Option<Born>,
-    last: RunnerWishes,
-    rest: Option<Rest>,
+    last: RunnerSignals,
+    backoff: Option<Backoff>,
     limit: Option<LimitUse>,
     /// When its limit was over.
     limit_ended: Option<Millis>,
@@ -120,7 +120,7 @@
 ///
 /// ```
 /// use bulrushusher_forward::{
-///     BackPressure, BackPressureConfig, Pressure, RateLimit, Runner, RunnerWishes,
+///     BackPressure, BackPressureConfig, Pressure, RateLimit, Runner, RunnerSignals,
 /// };
 /// use bulrushusher_time::Millis;
 /// let runner = Runner {
@@ -134,16 +134,16 @@
 ///     leaving: false,
 /// };
 /// let mut pressure = BackPressure::new(BackPressureConfig::default(), "entry-1".into());
-/// let wishes = RunnerWishes { rest: Some(Millis(3_000)), ..RunnerWishes::default() };
-/// pressure.hear(&runner, wishes, Millis(0));
-/// assert_eq!(pressure.take(&runner, 1, Millis(2_999)), Err(Pressure::Rest));
+/// let signals = RunnerSignals { retry_after: Some(Millis(3_000)), ..RunnerSignals::default() };
+/// pressure.hear(&runner, signals, Millis(0));
+/// assert_eq!(pressure.take(&runner, 1, Millis(2_999)), Err(Pressure::RetryAfter));
 /// assert!(pressure.take(&runner, 1, Millis(3_000)).is_ok(), "one finds out whether it is over");
-/// assert_eq!(pressure.take(&runner, 1, Millis(3_001)), Err(Pressure::Rest));
-/// pressure.hear(&runner, RunnerWishes::default(), Millis(3_010));
+/// assert_eq!(pressure.take(&runner, 1, Millis(3_001)), Err(Pressure::RetryAfter));
+/// pressure.hear(&runner, RunnerSignals::default(), Millis(3_010));
 ///
 /// let limit = RateLimit::try_from("2").unwrap();
-/// let wishes = RunnerWishes { rate_limit: Some(limit), ..RunnerWishes::default() };
-/// pressure.hear(&runner, wishes, Millis(4_000));
+/// let signals = RunnerSignals { rate_limit: Some(limit), ..RunnerSignals::default() };
+/// pressure.hear(&runner, signals, Millis(4_000));
 /// assert_eq!(pressure.take(&runner, 1, Millis(4_499)), Err(Pressure::RateLimit));
 /// assert!(pressure.take(&runner, 1, Millis(4_500)).is_ok());
 /// ```
@@ -198,21 +198,21 @@
     }
 
     /// Takes in what an answer of a runner asks for; returns what its answer before asked for.
-    pub fn hear(&mut self, runner: &Runner, wishes: RunnerWishes, now: Millis) -> RunnerWishes {
-        let asks_nothing = wishes == RunnerWishes::default();
+    pub fn hear(&mut self, runner: &Runner, signals: RunnerSignals, now: Millis) -> RunnerSignals {
+        let asks_nothing = signals == RunnerSignals::default();
         if asks_nothing && !self.runners.contains_key(&runner.id) {
-            return wishes;
+            return signals;
         }
         let cfg = self.cfg;
-        let Some(asked) = self.of_start(&runner.id, runner.born) else { return wishes };
-        let before = std::mem::replace(&mut asked.last, wishes);
-        asked.hear_rest(wishes.rest, &cfg, now);
-        self.hear_limit(&runner.id, wishes.rate_limit, now, now);
+        let Some(asked) = self.of_start(&runner.id, runner.born) else { return signals };
+        let before = std::mem::replace(&mut asked.last, signals);
+        asked.hear_retry_after(signals.retry_after, &cfg, now);
+        self.hear_limit(&runner.id, signals.rate_limit, now, now);
         before
     }
 
     /// Takes in what another gateway tells of limits.
-    pub fn hear_words(&mut self, words: &[LimitWord], now: Millis) {
+    pub fn hear_reports(&mut self, words: &[LimitReport], now: Millis) {
         for word in words {
             if self.of_start(&word.runner, word.born).is_some() {
                 self.hear_limit(&word.runner, word.limit, now.since(word.age), now);
@@ -221,7 +221,7 @@
     }
 
     /// What the other gateways are told of limits.
-    pub fn words(&self, now: Millis) -> Vec<LimitWord> {
+    pub fn words(&self, now: Millis) -> Vec<LimitReport> {
         let word = |(runner, asked): (&RunnerId, &Asked)| {
             let ended = asked.limit_ended.filter(|at| now.since(*at) < self.cfg.end_told);
             let (limit, at) = match (asked.limit, ended) {
@@ -229,9 +229,14 @@
                 (None, Some(at)) => (None, at),
                 (None, None) => return None,
             };
-            Some(LimitWord { runner: runner.clone(), born: asked.born, limit, age: now.since(at) })
+            Some(LimitReport {
+                runner: runner.clone(),
+                born: asked.born,
+                limit,
+                age: now.since(at),
+            })
         };
-        let mut words: Vec<LimitWord> = self.runners.iter().filter_map(word).collect();
+        let mut words: Vec<LimitReport> = self.runners.iter().filter_map(word).collect();
         words.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
         words
     }
@@ -240,12 +245,12 @@
     /// gateways which finds out whether a limit still holds that nobody has heard of for some time.
     pub fn is_open(&self, runner: &Runner, draw: f64, now: Millis) -> bool {
         let Some(asked) = self.asked(runner) else { return true };
-        let rests = asked.rest.is_some_and(|rest| rest.holds(&self.cfg, now));
+        let backs_off = asked.backoff.is_some_and(|backoff| backoff.holds(&self.cfg, now));
         let is_mine = draw * ((self.gateways.len() + 1) as f64) < 1.0;
         let has_room = asked
             .limit
             .is_none_or(|limit| limit.is_open(now) || is_mine && may_try(&limit, &self.cfg, now));
-        !rests && has_room
+        !backs_off && has_room
     }
 
     /// Counts `requests` that are about to be sent to the runner.
@@ -255,8 +260,8 @@
     pub fn take(&mut self, runner: &Runner, requests: u32, now: Millis) -> Result<(), Pressure> {
         let cfg = self.cfg;
         let Some(asked) = self.asked_mut(runner) else { return Ok(()) };
-        if asked.rest.is_some_and(|rest| rest.holds(&cfg, now)) {
-            return Err(Pressure::Rest);
+        if asked.backoff.is_some_and(|backoff| backoff.holds(&cfg, now)) {
+            return Err(Pressure::RetryAfter);
         }
         if let Some(limit) = &mut asked.limit {
             if !limit.is_open(now) {
@@ -267,8 +272,8 @@
             }
             limit.count(f64::from(requests), now);
         }
-        if let Some(rest) = &mut asked.rest {
-            rest.tried_at = Some(now);
+        if let Some(backoff) = &mut asked.backoff {
+            backoff.tried_at = Some(now);
         }
         Ok(())
     }
@@ -276,11 +281,11 @@
     /// Whether the runner wants nothing from this gateway, whatever was counted for it before.
     ///
     /// # Errors
-    /// [`Pressure::Rest`] when it does not.
-    pub fn check_rest(&self, runner: &Runner, now: Millis) -> Result<(), Pressure> {
-        let rest = self.asked(runner).and_then(|asked| asked.rest);
-        match rest.is_some_and(|rest| now < rest.until) {
-            true => Err(Pressure::Rest),
+    /// [`Pressure::RetryAfter`] when it does not.
+    pub fn check_backoff(&self, runner: &Runner, now: Millis) -> Result<(), Pressure> {
+        let backoff = self.asked(runner).and_then(|asked| asked.backoff);
+        match backoff.is_some_and(|backoff| now < backoff.until) {
+            true => Err(Pressure::RetryAfter),
             false => Ok(()),
         }
     }
@@ -302,10 +307,10 @@
     /// Time until this gateway may send to the runner; `None` when only others may.
     pub fn opens_in(&self, runner: &Runner, now: Millis) -> Option<Millis> {
         let Some(asked) = self.asked(runner) else { return Some(Millis(0)) };
-        let rest = asked.rest.map_or(Millis(0), |rest| rest.left(&self.cfg, now));
+        let backoff = asked.backoff.map_or(Millis(0), |backoff| backoff.left(&self.cfg, now));
         match asked.limit {
-            None => Some(rest),
-            Some(limit) => limit.opens_in(now).map(|opens_in| opens_in.max(rest)),
+            None => Some(backoff),
+            Some(limit) => limit.opens_in(now).map(|opens_in| opens_in.max(backoff)),
         }
     }
 
@@ -340,8 +345,8 @@
     /// How many runners asked for something.
     pub fn counts(&self, now: Millis) -> PressureCounts {
         let limited = self.runners.values().filter(|asked| asked.limit.is_some()).count();
-        let rests = |asked: &&Asked| asked.rest.is_some_and(|rest| now < rest.until);
-        PressureCounts { limited, resting: self.runners.values().filter(rests).count() }
+        let backs_off = |asked: &&Asked| asked.backoff.is_some_and(|backoff| now < backoff.until);
+        PressureCounts { limited, backing_off: self.runners.values().filter(backs_off).count() }
     }
 
     fn asked(&self, runner: &Runner) -> Option<&Asked> {
@@ -400,14 +405,19 @@
 }
 
 impl Asked {
-    fn hear_rest(&mut self, rest: Option<Millis>, cfg: &BackPressureConfig, now: Millis) {
-        match (rest, self.rest) {
+    fn hear_retry_after(
+        &mut self,
+        retry_after: Option<Millis>,
+        cfg: &BackPressureConfig,
+        now: Millis,
+    ) {
+        match (retry_after, self.backoff) {
             (Some(length), before) => {
-                let until = now.plus(length.min(cfg.longest_rest));
+                let until = now.plus(length.min(cfg.longest_backoff));
                 let until = before.map_or(until, |before| before.until.max(until));
-                self.rest = Some(Rest { until, tried_at: None });
+                self.backoff = Some(Backoff { until, tried_at: None });
             }
-            (None, Some(before)) if now >= before.until => self.rest = None,
+            (None, Some(before)) if now >= before.until => self.backoff = None,
             (None, _) => {}
         }
     }
@@ -415,13 +425,13 @@
     /// True when nothing is left to remember.
     fn is_over(&self, cfg: &BackPressureConfig, now: Millis) -> bool {
         let end_is_told = self.limit_ended.is_none_or(|at| now.since(at) >= cfg.end_told);
-        let asks_nothing = self.last == RunnerWishes::default();
-        asks_nothing && self.rest.is_none() && self.limit.is_none() && end_is_told
+        let asks_nothing = self.last == RunnerSignals::default();
+        asks_nothing && self.backoff.is_none() && self.limit.is_none() && end_is_told
     }
 }
 
-impl Rest {
-    /// After the rest one request goes first.
+impl Backoff {
+    /// After it one request goes first.
     fn holds(&self, cfg: &BackPressureConfig, now: Millis) -> bool {
         self.left(cfg, now) > Millis(0)
     }
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -33,14 +33,14 @@
 mod runner;
 mod runs;
 mod shutdown;
+mod signals;
 mod stages;
 mod starts;
 mod told;
 mod waiting;
-mod wishes;
 
 pub use back_pressure::{
-    BackPressure, BackPressureConfig, LimitWord, Pressure, PressureCounts, PressureView,
+    BackPressure, BackPressureConfig, LimitReport, Pressure, PressureCounts, PressureView,
 };
 pub use choose::{Candidate, PlainPick, pick_for_call, pick_for_prefill, rank_for_decode};
 pub use events::{EventSplitter, WholeEvents};
@@ -48,7 +48,7 @@
 pub use gateways::{Announced, Gateways, GatewaysConfig, ListedGateways};
 pub use health::{HealthConfig, RunCounts, RunnerHealth};
 pub use load::{CallResult, LoadConfig, LoadLife, RunnerLoads};
-pub use members::{DrainWord, ListNews, Members, MembersConfig};
+pub use members::{DrainReport, ListNews, Members, MembersConfig};
 pub use memory::{HoldConfig, tokens_to_hold};
 pub use moves::{MoveConfig, pick_for_move};
 pub use news::{NewsConfig, NewsSeen};
@@ -69,10 +69,10 @@
 pub use runner::{Born, Runner, Stage};
 pub use runs::{ChangesNews, PeersConfig, RunNumber, Runs};
 pub use shutdown::{Shutdown, ShutdownConfig};
+pub use signals::RunnerSignals;
 pub use stages::{DutyConfig, StageChange, StageDuty, StagesConfig, next_stage_change};
 pub use starts::{StartNews, Starts};
 pub use waiting::{Claim, LineOrder, Rank, WaitingConfig, WaitingLine, asks_now};
-pub use wishes::RunnerWishes;
 
 /// The common types in one `use`.
 pub mod prelude {
--- a/crates/bulrushusher_forward/src/members.rs
+++ b/crates/bulrushusher_forward/src/members.rs
@@ -97,7 +97,7 @@
 
 /// A runner's own word that it leaves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DrainWord {
+pub struct DrainReport {
     /// The runner.
     pub runner: RunnerId,
     /// The start that said so.
@@ -129,8 +129,8 @@
     /// A start of a runner has said itself that it leaves: it gets no new work from then on, whatever its
     /// entry says. The entry is written by the same runner, later, and comes by way of a store that may be
     /// silent or be back from an older copy. Returns whether that is new.
-    pub fn note_leaving(&mut self, word: &DrainWord, now: Millis) -> bool {
-        let DrainWord { runner, born } = word;
+    pub fn note_leaving(&mut self, word: &DrainReport, now: Millis) -> bool {
+        let DrainReport { runner, born } = word;
         if self.starts.is_past(runner, *born) || self.has_said_that_it_leaves(runner, *born) {
             return false;
         }
@@ -147,13 +147,13 @@
 
     /// Runners that have said themselves that they leave, for other gateways. Those whose entry has been
     /// gone for some time are left out.
-    pub fn drain_words(&self, now: Millis) -> Vec<DrainWord> {
+    pub fn drain_reports(&self, now: Millis) -> Vec<DrainReport> {
         let is_told = |id: &RunnerId, notice: &DrainNotice| {
             self.known.contains_key(id) || now.since(notice.heard_at) < REMOVED_KEPT
         };
         let told = self.drain_notices.iter().filter(|(id, notice)| is_told(id, notice));
-        let mut words: Vec<DrainWord> =
-            told.map(|(id, it)| DrainWord { runner: id.clone(), born: it.born }).collect();
+        let mut words: Vec<DrainReport> =
+            told.map(|(id, it)| DrainReport { runner: id.clone(), born: it.born }).collect();
         words.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
         words
     }
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -6,7 +6,7 @@
 use bulrushusher_world::RunnerId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Born, DrainWord, LimitWord, NewsSeen, RunCounts, RunShape, Starts};
+use crate::{Born, DrainReport, LimitReport, NewsSeen, RunCounts, RunShape, Starts};
 
 /// One run, as gateways tell each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -102,9 +102,9 @@
     /// What client accounts used of their quotas there.
     pub spends: Spends,
     /// Rate limits that runners name.
-    pub limits: Vec<LimitWord>,
+    pub limits: Vec<LimitReport>,
     /// Runners that have said themselves that they leave.
-    pub leaving: Vec<DrainWord>,
+    pub leaving: Vec<DrainReport>,
     /// The starts of the runners that this report speaks of, where runners tell them. What it says
     /// of an earlier start than the hearer knows does not count.
     pub starts: BTreeMap<RunnerId, Born>,
--- a/crates/bulrushusher_forward/tests/back_pressure.rs
+++ b/crates/bulrushusher_forward/tests/back_pressure.rs
@@ -1,7 +1,7 @@
 //! What runners asked for binds, whatever comes in which order.
 
 use bulrushusher_forward::{
-    BackPressure, BackPressureConfig, Born, LimitWord, Pressure, RateLimit, Runner, RunnerWishes,
+    BackPressure, BackPressureConfig, Born, LimitReport, Pressure, RateLimit, Runner, RunnerSignals,
 };
 use bulrushusher_time::Millis;
 use proptest::prelude::*;
@@ -27,19 +27,19 @@
     Some(RateLimit::try_from(text).unwrap())
 }
 
-fn names(text: &str) -> RunnerWishes {
-    RunnerWishes { rate_limit: limit(text), ..RunnerWishes::default() }
+fn names(text: &str) -> RunnerSignals {
+    RunnerSignals { rate_limit: limit(text), ..RunnerSignals::default() }
 }
 
-fn rests(length: u64) -> RunnerWishes {
-    RunnerWishes { rest: Some(Millis(length)), ..RunnerWishes::default() }
+fn retry_after(length: u64) -> RunnerSignals {
+    RunnerSignals { retry_after: Some(Millis(length)), ..RunnerSignals::default() }
 }
 
 /// Something that happens at a gateway.
 #[derive(Clone, Debug)]
 enum Step {
     Pass(u64),
-    Refused { rest: u64 },
+    Refused { retry_after: u64 },
     Answered { limit: Option<u8> },
     Send,
 }
@@ -47,32 +47,32 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         (0..900_u64).prop_map(Step::Pass),
-        (0..4_000_u64).prop_map(|rest| Step::Refused { rest }),
+        (0..4_000_u64).prop_map(|retry_after| Step::Refused { retry_after }),
         prop::option::of(0..9_u8).prop_map(|limit| Step::Answered { limit }),
         Just(Step::Send),
     ]
 }
 
 proptest! {
-    /// No request goes out in a rest, and answers that were on their way do not end it.
+    /// No request goes out in a backoff, and answers that were on their way do not end it.
     #[test]
-    fn nothing_is_sent_in_a_rest(steps in prop::collection::vec(step(), 1..120)) {
+    fn nothing_is_sent_in_a_backoff(steps in prop::collection::vec(step(), 1..120)) {
         let (mut pressure, runner) = (pressure(), runner(1));
         let (mut now, mut until) = (Millis(1_000), Millis(0));
         for step in steps {
             match step {
                 Step::Pass(length) => now = now.plus(Millis(length)),
-                Step::Refused { rest } => {
-                    pressure.hear(&runner, rests(rest), now);
-                    until = until.max(now.plus(Millis(rest)));
+                Step::Refused { retry_after: length } => {
+                    pressure.hear(&runner, retry_after(length), now);
+                    until = until.max(now.plus(Millis(length)));
                 }
                 Step::Answered { limit } => {
-                    let wishes = limit.map_or(RunnerWishes::default(), |it| names(&it.to_string()));
-                    pressure.hear(&runner, wishes, now);
+                    let signals = limit.map_or(RunnerSignals::default(), |it| names(&it.to_string()));
+                    pressure.hear(&runner, signals, now);
                 }
                 Step::Send => {
                     let sent = pressure.take(&runner, 1, now);
-                    prop_assert!(sent.is_err() || now >= until, "sent at {now}, rests to {until}");
+                    prop_assert!(sent.is_err() || now >= until, "sent at {now}, backs off until {until}");
                 }
             }
         }
@@ -85,15 +85,15 @@
         gaps in prop::collection::vec(0..200_u64, 1..400),
     ) {
         let (mut pressure, runner) = (pressure(), runner(1));
-        let wishes = names(&per_second.to_string());
+        let signals = names(&per_second.to_string());
         let mut now = Millis(1_000);
-        pressure.hear(&runner, wishes, now);
+        pressure.hear(&runner, signals, now);
         let mut sent: Vec<Millis> = Vec::new();
         for gap in gaps {
             now = now.plus(Millis(gap));
             if pressure.is_open(&runner, 0.0, now) && pressure.take(&runner, 1, now).is_ok() {
                 sent.push(now);
-                pressure.hear(&runner, wishes, now);
+                pressure.hear(&runner, signals, now);
             }
         }
         for (nth, first) in sent.iter().enumerate() {
@@ -106,21 +106,21 @@
 #[test]
 fn a_later_start_owes_nothing_of_the_word_of_an_earlier_one() {
     let mut pressure = pressure();
-    pressure.hear(&runner(1), rests(3_000), Millis(0));
-    assert_eq!(pressure.take(&runner(1), 1, Millis(10)), Err(Pressure::Rest));
+    pressure.hear(&runner(1), retry_after(3_000), Millis(0));
+    assert_eq!(pressure.take(&runner(1), 1, Millis(10)), Err(Pressure::RetryAfter));
     assert!(pressure.take(&runner(2), 1, Millis(10)).is_ok());
-    pressure.hear(&runner(2), RunnerWishes::default(), Millis(20));
-    pressure.hear(&runner(1), rests(3_000), Millis(30));
+    pressure.hear(&runner(2), RunnerSignals::default(), Millis(20));
+    pressure.hear(&runner(1), retry_after(3_000), Millis(30));
     assert!(pressure.take(&runner(2), 1, Millis(40)).is_ok(), "a late answer of the start before");
 }
 
 #[test]
-fn a_rest_has_a_longest_length() {
+fn a_backoff_has_a_longest_length() {
     let cfg = BackPressureConfig::default();
     let mut pressure = pressure();
-    pressure.hear(&runner(1), rests(u64::MAX), Millis(0));
-    assert!(pressure.take(&runner(1), 1, cfg.longest_rest.since(Millis(1))).is_err());
-    assert!(pressure.take(&runner(1), 1, cfg.longest_rest).is_ok());
+    pressure.hear(&runner(1), retry_after(u64::MAX), Millis(0));
+    assert!(pressure.take(&runner(1), 1, cfg.longest_backoff.since(Millis(1))).is_err());
+    assert!(pressure.take(&runner(1), 1, cfg.longest_backoff).is_ok());
 }
 
 /// Answers overtake each other: one without a limit does not end it while others just named it.
@@ -128,16 +128,16 @@
 fn a_limit_ends_a_moment_after_it_was_named_last() {
     let mut pressure = pressure();
     pressure.hear(&runner(1), names("0"), Millis(0));
-    pressure.hear(&runner(1), RunnerWishes::default(), Millis(10));
+    pressure.hear(&runner(1), RunnerSignals::default(), Millis(10));
     assert_eq!(pressure.take(&runner(1), 1, Millis(20)), Err(Pressure::RateLimit));
-    pressure.hear(&runner(1), RunnerWishes::default(), Millis(1_200));
+    pressure.hear(&runner(1), RunnerSignals::default(), Millis(1_200));
     assert!(pressure.take(&runner(1), 1, Millis(1_210)).is_ok());
 }
 
 /// What a peer tells counts by its age: an older word does not bring a limit back.
 #[test]
 fn the_latest_word_of_a_limit_counts() {
-    let word = |limit, age| LimitWord {
+    let word = |limit, age| LimitReport {
         runner: "i-1".try_into().unwrap(),
         born: Some(Born(1)),
         limit,
@@ -145,12 +145,12 @@
     };
     let mut pressure = pressure();
     let open = |pressure: &BackPressure, at| pressure.is_open(&runner(1), 0.99, Millis(at));
-    pressure.hear_words(&[word(limit("0"), 100)], Millis(10_000));
+    pressure.hear_reports(&[word(limit("0"), 100)], Millis(10_000));
     assert!(!open(&pressure, 10_010));
-    pressure.hear_words(&[word(None, 0)], Millis(12_000));
+    pressure.hear_reports(&[word(None, 0)], Millis(12_000));
     assert!(open(&pressure, 12_010));
-    pressure.hear_words(&[word(limit("0"), 1_500)], Millis(12_020));
+    pressure.hear_reports(&[word(limit("0"), 1_500)], Millis(12_020));
     assert!(open(&pressure, 12_030), "it was named before it ended");
-    pressure.hear_words(&[word(limit("0"), 0)], Millis(12_040));
+    pressure.hear_reports(&[word(limit("0"), 0)], Millis(12_040));
     assert!(!open(&pressure, 12_050));
 }
--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -28,7 +28,7 @@
 pub(crate) const QUARANTINED: &str = "runners ended on this request each time it was run, and it is \
                                       run no more for now; change it, or ask the operator";
 
-/// The reason of a refusal where every runner asked for rest or named a rate limit that is used up.
+/// The reason of a refusal where the gateway backs off from every runner, or has used up its share of their rate limits.
 pub(crate) const PRESSED: &str = "all runners have asked for fewer requests";
 
 /// Why a request is kept from runners, and for how long.
--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use bulrushusher_accounts::Credentials;
-use bulrushusher_forward::{Born, PromptSize, RequestId, RunnerWishes, Stage};
+use bulrushusher_forward::{Born, PromptSize, RequestId, RunnerSignals, Stage};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{ClientAccountName, RunnerId};
 use bytes::Bytes;
@@ -102,7 +102,7 @@
     /// True when the answer bears the runner's proof that it is its own.
     pub sealed: bool,
     /// What the runner asks of those that send to it.
-    pub wishes: RunnerWishes,
+    pub signals: RunnerSignals,
 }
 
 /// A small call to a runner that carries no caller's request.
--- a/crates/bulrushusher_gateway/src/knowledge/memory.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/memory.rs
@@ -181,7 +181,7 @@
         let changing: Vec<RunnerId> = self.changing.lock().values().flatten().cloned().collect();
         let failing = self.failing_told();
         let limits = self.limits_told();
-        let leaving = self.with_runners(|runners, now| runners.members.drain_words(now));
+        let leaving = self.with_runners(|runners, now| runners.members.drain_reports(now));
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
         let own = runs.own().cloned().collect();
--- a/crates/bulrushusher_gateway/src/knowledge/pressure.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/pressure.rs
@@ -1,7 +1,7 @@
-//! What runners asked for in their answers, here and at peers, and what may be sent to them by it.
+//! Back-pressure that runners signalled in their answers, here and at peers.
 
 use bulrushusher_forward::{
-    BackPressure, DrainWord, LimitWord, Pressure, PressureCounts, Runner, RunnerWishes, Stage,
+    BackPressure, DrainReport, LimitReport, Pressure, PressureCounts, Runner, RunnerSignals, Stage,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
@@ -11,40 +11,44 @@
 
 impl Knowledge {
     /// Takes in what a runner's answer asks for; returns the kinds that it did not ask for before.
-    pub(crate) fn hear_wishes(&self, runner: &Runner, wishes: RunnerWishes) -> Vec<&'static str> {
+    pub(crate) fn hear_signals(
+        &self,
+        runner: &Runner,
+        signals: RunnerSignals,
+    ) -> Vec<&'static str> {
         if self.is_past(runner) {
             return Vec::new();
         }
         let now = self.now();
-        let before = self.pressure.lock().hear(runner, wishes, now);
-        if before == wishes {
+        let before = self.pressure.lock().hear(runner, signals, now);
+        if before == signals {
             return Vec::new();
         }
         log::info!(
-            "runners: asks id={} rate_limit={} leaving={} rest_ms={} unreadable={}",
+            "runners: asks id={} rate_limit={} leaving={} retry_after_ms={} unreadable={}",
             runner.id,
-            wishes.rate_limit.map_or("none".to_owned(), |limit| limit.to_string()),
-            wishes.leaving,
-            wishes.rest.map_or(0, |rest| rest.0),
-            wishes.unreadable,
+            signals.rate_limit.map_or("none".to_owned(), |limit| limit.to_string()),
+            signals.leaving,
+            signals.retry_after.map_or(0, |length| length.0),
+            signals.unreadable,
         );
-        if before.rate_limit != wishes.rate_limit {
+        if before.rate_limit != signals.rate_limit {
             self.report_due.notify_one();
         }
-        let limit_is_new = wishes.rate_limit.is_some() && wishes.rate_limit != before.rate_limit;
-        let leaving_is_new = wishes.leaving && self.note_leaving(runner);
+        let limit_is_new = signals.rate_limit.is_some() && signals.rate_limit != before.rate_limit;
+        let leaving_is_new = signals.leaving && self.note_leaving(runner);
         let kinds = [
             ("rate_limit", limit_is_new),
             ("leaving", leaving_is_new),
-            ("rest", wishes.rest.is_some()),
-            ("unreadable", wishes.unreadable && !before.unreadable),
+            ("retry_after", signals.retry_after.is_some()),
+            ("unreadable", signals.unreadable && !before.unreadable),
         ];
         kinds.into_iter().filter(|(_, is_new)| *is_new).map(|(kind, _)| kind).collect()
     }
 
     /// The runner has said itself that it leaves; returns whether that is new.
     fn note_leaving(&self, runner: &Runner) -> bool {
-        let word = DrainWord { runner: runner.id.clone(), born: runner.born };
+        let word = DrainReport { runner: runner.id.clone(), born: runner.born };
         let is_new = self.with_runners(|runners, now| runners.members.note_leaving(&word, now));
         if is_new {
             self.report_due.notify_one();
@@ -53,7 +57,7 @@
     }
 
     /// Takes in of which runners a peer has heard that they leave.
-    pub(super) fn hear_leaving(&self, peer: &str, words: &[DrainWord]) {
+    pub(super) fn hear_leaving(&self, peer: &str, words: &[DrainReport]) {
         for word in words {
             if self.with_runners(|runners, now| runners.members.note_leaving(word, now)) {
                 log::info!("runners: leaving heard id={} peer={peer}", word.runner);
@@ -63,12 +67,12 @@
     }
 
     /// Takes in what a peer tells of rate limits.
-    pub(super) fn hear_limits(&self, peer: &str, words: &[LimitWord]) {
+    pub(super) fn hear_limits(&self, peer: &str, words: &[LimitReport]) {
         let now = self.now();
         let mut pressure = self.pressure.lock();
         pressure.note_gateway(peer, now);
         let before = pressure.counts(now).limited;
-        pressure.hear_words(words, now);
+        pressure.hear_reports(words, now);
         let limited = pressure.counts(now).limited;
         drop(pressure);
         if limited != before {
@@ -77,11 +81,11 @@
     }
 
     /// What peers are told of rate limits.
-    pub(super) fn limits_told(&self) -> Vec<LimitWord> {
+    pub(super) fn limits_told(&self) -> Vec<LimitReport> {
         self.pressure.lock().words(self.now())
     }
 
-    /// What is known of runners' wishes, with this gateway's shares of limits as they are now.
+    /// What is known of runners' signals, with this gateway's shares of limits as they are now.
     pub(super) fn pressure_at(&self, now: Millis) -> MutexGuard<'_, BackPressure> {
         let mut pressure = self.pressure.lock();
         pressure.refresh(now);
@@ -98,7 +102,7 @@
         });
         match leaves {
             true => Err(Pressure::Leaving),
-            false => self.pressure.lock().check_rest(runner, self.now()),
+            false => self.pressure.lock().check_backoff(runner, self.now()),
         }
     }
 
@@ -124,9 +128,9 @@
         self.pressure.lock().give_back(runner, requests, now);
     }
 
-    /// True while the runner wants nothing from this gateway.
-    pub(crate) fn is_resting(&self, runner: &Runner) -> bool {
-        self.pressure.lock().check_rest(runner, self.now()).is_err()
+    /// True until the time in the runner's last refusal is over.
+    pub(crate) fn is_backing_off(&self, runner: &Runner) -> bool {
+        self.pressure.lock().check_backoff(runner, self.now()).is_err()
     }
 
     /// When every runner of the service asked for what keeps this gateway from sending to it: the time
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -58,9 +58,9 @@
     metrics.state("quarantined_requests", knowledge.all_quarantined().len() as u64);
     let pressure = knowledge.pressure_counts();
     metrics.state("limited_runners", pressure.limited as u64);
-    let leaving = knowledge.with_runners(|runners, now| runners.members.drain_words(now).len());
+    let leaving = knowledge.with_runners(|runners, now| runners.members.drain_reports(now).len());
     metrics.state("leaving_runners", leaving as u64);
-    metrics.state("resting_runners", pressure.resting as u64);
+    metrics.state("backoff_runners", pressure.backing_off as u64);
     metrics.state("runners", all);
     metrics.state("prefill_runners", prefill);
     metrics.state("decode_runners", decode);
--- a/crates/bulrushusher_gateway/src/runners/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -101,7 +101,7 @@
                 cx.knowledge.hear_start(&runner.id, born);
                 return cx.knowledge.is_past(runner).then(|| "it has started again".into());
             }
-            // It is not asked by its own wish, so that it is taken to live.
+            // It is not asked while it signals back-pressure, and is taken to live.
             Err(e) if e.is_withheld() => return None,
             Err(e) => sign = e.to_string().into(),
         }
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -40,7 +40,7 @@
     /// The answer belongs to another request; this one may have run.
     #[display("the answer is not to this request")]
     Foreign,
-    /// Nothing was written to the runner, by its own wish.
+    /// Nothing was written to the runner, by its own back-pressure.
     #[display("withheld ({cause})")]
     Withheld { cause: Pressure },
 }
@@ -51,7 +51,7 @@
         matches!(self, ExchangeError::BrokeOff { .. })
     }
 
-    /// True when it was not sent by the runner's own wish, which says nothing against the runner.
+    /// True when it was not sent by the runner's back-pressure, which says nothing against the runner.
     pub(crate) fn is_withheld(&self) -> bool {
         matches!(self, ExchangeError::Withheld { .. })
     }
@@ -129,7 +129,7 @@
         let asked = match permit {
             Permit::Needed => self.knowledge.take_permits(runner, 1),
             Permit::Counted => self.knowledge.may_send(runner),
-            Permit::Release if self.knowledge.is_resting(runner) => Err(Pressure::Rest),
+            Permit::Release if self.knowledge.is_backing_off(runner) => Err(Pressure::RetryAfter),
             Permit::Exempt | Permit::Release => {
                 self.knowledge.owe_permit(runner);
                 Ok(())
@@ -190,8 +190,8 @@
         }
         // Whoever has the address of another runner speaks for itself only.
         if !marks.wrong_runner {
-            for kind in self.knowledge.hear_wishes(runner, marks.wishes) {
-                self.metrics.wish(kind);
+            for kind in self.knowledge.hear_signals(runner, marks.signals) {
+                self.metrics.signal(kind);
             }
         }
         Ok(Reply { head, marks, body, connection })
@@ -243,7 +243,7 @@
 /// One word for metrics.
 pub(crate) fn withheld_word(cause: Pressure) -> &'static str {
     match cause {
-        Pressure::Rest => "rest",
+        Pressure::RetryAfter => "retry_after",
         Pressure::Leaving => "leaving",
         Pressure::RateLimit => "rate_limit",
     }
--- a/crates/bulrushusher_gateway/src/runners/permit.rs
+++ b/crates/bulrushusher_gateway/src/runners/permit.rs
@@ -9,6 +9,6 @@
     Counted,
     /// Counted, and sent whatever the runner asked for: it keeps a run from being lost.
     Exempt,
-    /// Counted, and sent unless the runner rests: it gives back what lapses by itself within seconds.
+    /// Counted, and sent unless the gateway backs off from the runner: it gives back what lapses by itself within seconds.
     Release,
 }
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -30,7 +30,7 @@
     RunFailed(response::Parts, Bytes),
     /// No answer to pass on.
     Without(AttemptEnd, String),
-    /// It was not sent, by the runner's own wish.
+    /// It was not sent, as the runner signalled back-pressure.
     Withheld(String),
 }
 
--- a/crates/bulrushusher_model/src/limits.rs
+++ b/crates/bulrushusher_model/src/limits.rs
@@ -7,7 +7,7 @@
 
 use bulrushusher_accounts::{Quota, QuotaBook, QuotaConfig, Sharing, Spends};
 use bulrushusher_forward::{
-    BackPressure, BackPressureConfig, LimitWord, RateLimit, Runner, RunnerWishes,
+    BackPressure, BackPressureConfig, LimitReport, RateLimit, Runner, RunnerSignals,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ClientAccountName;
@@ -129,7 +129,7 @@
 /// What one gateway tells the others.
 #[derive(Clone)]
 enum Word {
-    Limits(Rc<Vec<LimitWord>>),
+    Limits(Rc<Vec<LimitReport>>),
     Spends(Rc<Spends>),
 }
 
@@ -309,7 +309,7 @@
 
     fn take_answers(&mut self, now: u64) {
         let limit = RateLimit::try_from(self.limit.to_string().as_str()).expect("it is a limit");
-        let wishes = RunnerWishes { rate_limit: Some(limit), ..RunnerWishes::default() };
+        let signals = RunnerSignals { rate_limit: Some(limit), ..RunnerSignals::default() };
         let quota = self.quota();
         for nth in std::mem::take(&mut self.answers[now as usize]) {
             let gateway = &mut self.gateways[nth];
@@ -319,8 +319,8 @@
             gateway.told_at.get_or_insert(now);
             match &mut gateway.keeper {
                 Keeper::Few(pressure) => {
-                    let before = pressure.hear(&self.runner, wishes, Millis(now));
-                    gateway.is_due |= before != wishes;
+                    let before = pressure.hear(&self.runner, signals, Millis(now));
+                    gateway.is_due |= before != signals;
                 }
                 Keeper::Bucket(book) => {
                     book.configure([(&self.account, Some(quota))], Millis(now));
@@ -367,7 +367,7 @@
             match (&mut gateway.keeper, word) {
                 (Keeper::Few(pressure), Word::Limits(words)) => {
                     pressure.note_gateway(&name, Millis(now));
-                    pressure.hear_words(&words, Millis(now));
+                    pressure.hear_reports(&words, Millis(now));
                 }
                 (Keeper::Bucket(book), Word::Spends(spends)) => {
                     book.hear(&name, life, &spends, true, Millis(now));
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -17,7 +17,7 @@
     store_calls: Counter<u64>,
     orders: Counter<u64>,
     crashes: Counter<u64>,
-    wishes: Counter<u64>,
+    signals: Counter<u64>,
     withheld: Counter<u64>,
     state: Gauge<u64>,
     accounts: Gauge<u64>,
@@ -79,13 +79,13 @@
                 "bulrush_gateway_crashes",
                 "Connections that broke just after a run began, by what became of the runner",
             ),
-            wishes: counter(
-                "bulrush_gateway_runner_wishes",
-                "Changes of what runners ask for in their answers, by kind",
+            signals: counter(
+                "bulrush_gateway_runner_signals",
+                "Changes of runners' back-pressure signals, by kind",
             ),
             withheld: counter(
                 "bulrush_gateway_sends_withheld",
-                "Sends that did not go out by the runner's own wish, by what it asked for",
+                "Sends that did not go out by a runner's back-pressure, by signal",
             ),
             state: meter
                 .u64_gauge("bulrush_gateway_state")
@@ -146,13 +146,13 @@
     }
 
     /// A runner's answer asked for something that the answers before did not.
-    pub fn wish(&self, kind: &'static str) {
-        self.wishes.add(1, &[KeyValue::new("kind", kind)]);
+    pub fn signal(&self, kind: &'static str) {
+        self.signals.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    /// A send did not go out by its runner's wish.
-    pub fn withheld(&self, wish: &'static str) {
-        self.withheld.add(1, &[KeyValue::new("wish", wish)]);
+    /// A send was withheld by its runner's back-pressure.
+    pub fn withheld(&self, signal: &'static str) {
+        self.withheld.add(1, &[KeyValue::new("signal", signal)]);
     }
 
     /// Something that the gateway holds now.
--- a/crates/bulrushusher_standin/src/service.rs
+++ b/crates/bulrushusher_standin/src/service.rs
@@ -154,7 +154,7 @@
     body: Bytes,
 ) -> Response {
     if let Some(left) = state.refused_for() {
-        let refusal = warp::reply::with_status("resting", StatusCode::SERVICE_UNAVAILABLE);
+        let refusal = warp::reply::with_status("busy", StatusCode::SERVICE_UNAVAILABLE);
         let seconds = left.as_secs_f64().to_string();
         return warp::reply::with_header(refusal, "retry-after", seconds).into_response();
     }
--- a/tools/bulrushusher_testbed/tests/rests.rs
+++ b/tools/bulrushusher_testbed/tests/retry_after.rs
@@ -1,4 +1,4 @@
-//! A plain service that refuses calls and asks for rest, on the own interface.
+//! A plain service that refuses calls and says when to come back, on the own interface.
 //!
 //! Its answer went to the caller, and the next call went to the service at once: nothing behind it
 //! read the time that it had asked for.
@@ -13,7 +13,7 @@
 use bulrushusher_world::Role;
 use tokio::task::JoinSet;
 
-const REST: Duration = Duration::from_secs(2);
+const BACKOFF: Duration = Duration::from_secs(2);
 
 /// Calls that may have been on their way, or hold a place, when the first refusal came.
 const ON_THEIR_WAY: usize = 2;
@@ -21,7 +21,7 @@
 fn call(nth: usize) -> Call {
     Call {
         ask: Ask::Call { service: "pass-desk".to_owned(), path: "lookup".to_owned() },
-        mark: format!("rest{nth}"),
+        mark: format!("backoff{nth}"),
         key: Some(fresh_key()),
         class: Some("pass-lookup".to_owned()),
         account: None,
@@ -30,12 +30,12 @@
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_service_that_asks_for_rest_gets_it() {
+async fn a_service_is_left_alone_until_it_wants_calls_again() {
     let bed = Bed::start(Deployment::authority(), Policy::Paired, 3).await.unwrap();
     tokio::time::sleep(Duration::from_millis(400)).await;
     let caller = Arc::new(Caller::new(bed.callers()));
-    let resting = bed.runners.iter().find(|it| it.role == Role::Service).unwrap();
-    resting.refuse_for(REST);
+    let refusing = bed.runners.iter().find(|it| it.role == Role::Service).unwrap();
+    refusing.refuse_for(BACKOFF);
     let mut calls = JoinSet::new();
     for nth in 0..100 {
         let caller = caller.clone();
@@ -43,9 +43,9 @@
         tokio::time::sleep(Duration::from_millis(15)).await;
     }
     calls.join_all().await;
-    let refused = resting.refused();
-    assert!((1..=1 + ON_THEIR_WAY).contains(&refused), "{refused} calls in its rest");
-    tokio::time::sleep(REST).await;
+    let refused = refusing.refused();
+    assert!((1..=1 + ON_THEIR_WAY).contains(&refused), "{refused} calls in its backoff");
+    tokio::time::sleep(BACKOFF).await;
     let after = caller.send(&call(100), 0).await;
     assert!(matches!(after, Outcome::Answered { .. }), "{after:?}");
 }
