What gateways tell each other of runners are reports

Cause: read as a newcomer: words of a limit and of a drain notice are reports like all else that peers tell. What it is: names and comments. Ruled out: nothing else changes.

--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -1,7 +1,8 @@
 //! What runners asked of those that send to them, and what may be sent to them by it.
 //!
-//! A runner's own word binds, unlike what is guessed of its load: where all runners of a service ask for
-//! time or name a limit, callers are refused. Each word counts for the start of the runner that said it.
+//! Back-pressure binds, unlike what is guessed of a runner's load: where this gateway backs off from all runners
+//! of a service, or their rate limits are used up, callers are refused. A signal counts for the start of the
+//! runner that sent it.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,14 +15,14 @@
 use crate::limit_share::{LimitUse, Share, Sharers};
 use crate::{Born, RateLimit, Runner, RunnerSignals};
 
-/// How long words count.
+/// How long signals count.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BackPressureConfig {
     /// Silence after which another gateway has no share of limits any more.
     pub gone_after: Millis,
     /// How long a limit lasts after the last answer that named it: answers overtake each other.
     pub limit_lingers: Millis,
-    /// Age of the last word of a limit after which a request may find out whether it still holds.
+    /// Age of the last signal of a limit after which a request may find out whether it still holds.
     pub limit_stale: Millis,
     /// How long such a request, and the first one after a backoff, keeps others back.
     pub trial: Millis,
@@ -212,17 +213,17 @@
     }
 
     /// Takes in what another gateway tells of limits.
-    pub fn hear_reports(&mut self, words: &[LimitReport], now: Millis) {
-        for word in words {
-            if self.of_start(&word.runner, word.born).is_some() {
-                self.hear_limit(&word.runner, word.limit, now.since(word.age), now);
+    pub fn hear_reports(&mut self, reports: &[LimitReport], now: Millis) {
+        for report in reports {
+            if self.of_start(&report.runner, report.born).is_some() {
+                self.hear_limit(&report.runner, report.limit, now.since(report.age), now);
             }
         }
     }
 
     /// What the other gateways are told of limits.
-    pub fn words(&self, now: Millis) -> Vec<LimitReport> {
-        let word = |(runner, asked): (&RunnerId, &Asked)| {
+    pub fn reports(&self, now: Millis) -> Vec<LimitReport> {
+        let report = |(runner, asked): (&RunnerId, &Asked)| {
             let ended = asked.limit_ended.filter(|at| now.since(*at) < self.cfg.end_told);
             let (limit, at) = match (asked.limit, ended) {
                 (Some(named), _) => (Some(named.limit), named.named_at),
@@ -236,9 +237,9 @@
                 age: now.since(at),
             })
         };
-        let mut words: Vec<LimitReport> = self.runners.iter().filter_map(word).collect();
-        words.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
-        words
+        let mut reports: Vec<LimitReport> = self.runners.iter().filter_map(report).collect();
+        reports.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
+        reports
     }
 
     /// True when a request may be sent to the runner. `draw` is random in `0.0..1.0`: it chooses among the
--- a/crates/bulrushusher_forward/src/members.rs
+++ b/crates/bulrushusher_forward/src/members.rs
@@ -29,7 +29,7 @@
 /// How long a removed entry is remembered: a store comes back from a copy that is some seconds old.
 const REMOVED_KEPT: Millis = Millis(60_000);
 
-/// How long the word of a runner is remembered that leaves and is listed no more: longer than gateways tell
+/// How long a drain notice is remembered of a runner that is listed no more: longer than gateways tell
 /// each other of it, so that none is new again to whoever has forgotten it.
 const NOTICE_KEPT: Millis = Millis(2 * REMOVED_KEPT.0);
 
@@ -95,7 +95,7 @@
     drain_notices: HashMap<RunnerId, DrainNotice>,
 }
 
-/// A runner's own word that it leaves.
+/// A runner's own notice that it leaves, as gateways tell each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainReport {
     /// The runner.
@@ -129,8 +129,8 @@
     /// A start of a runner has said itself that it leaves: it gets no new work from then on, whatever its
     /// entry says. The entry is written by the same runner, later, and comes by way of a store that may be
     /// silent or be back from an older copy. Returns whether that is new.
-    pub fn note_leaving(&mut self, word: &DrainReport, now: Millis) -> bool {
-        let DrainReport { runner, born } = word;
+    pub fn note_leaving(&mut self, report: &DrainReport, now: Millis) -> bool {
+        let DrainReport { runner, born } = report;
         if self.starts.is_past(runner, *born) || self.has_said_that_it_leaves(runner, *born) {
             return false;
         }
@@ -152,10 +152,10 @@
             self.known.contains_key(id) || now.since(notice.heard_at) < REMOVED_KEPT
         };
         let told = self.drain_notices.iter().filter(|(id, notice)| is_told(id, notice));
-        let mut words: Vec<DrainReport> =
+        let mut reports: Vec<DrainReport> =
             told.map(|(id, it)| DrainReport { runner: id.clone(), born: it.born }).collect();
-        words.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
-        words
+        reports.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
+        reports
     }
 
     /// True when that start of the runner has said itself that it leaves.
--- a/crates/bulrushusher_gateway/src/knowledge/pressure.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/pressure.rs
@@ -48,8 +48,8 @@
 
     /// The runner has said itself that it leaves; returns whether that is new.
     fn note_leaving(&self, runner: &Runner) -> bool {
-        let word = DrainReport { runner: runner.id.clone(), born: runner.born };
-        let is_new = self.with_runners(|runners, now| runners.members.note_leaving(&word, now));
+        let report = DrainReport { runner: runner.id.clone(), born: runner.born };
+        let is_new = self.with_runners(|runners, now| runners.members.note_leaving(&report, now));
         if is_new {
             self.report_due.notify_one();
         }
@@ -57,22 +57,22 @@
     }
 
     /// Takes in of which runners a peer has heard that they leave.
-    pub(super) fn hear_leaving(&self, peer: &str, words: &[DrainReport]) {
-        for word in words {
-            if self.with_runners(|runners, now| runners.members.note_leaving(word, now)) {
-                log::info!("runners: leaving heard id={} peer={peer}", word.runner);
+    pub(super) fn hear_leaving(&self, peer: &str, reports: &[DrainReport]) {
+        for report in reports {
+            if self.with_runners(|runners, now| runners.members.note_leaving(report, now)) {
+                log::info!("runners: leaving heard id={} peer={peer}", report.runner);
                 self.report_due.notify_one();
             }
         }
     }
 
     /// Takes in what a peer tells of rate limits.
-    pub(super) fn hear_limits(&self, peer: &str, words: &[LimitReport]) {
+    pub(super) fn hear_limits(&self, peer: &str, reports: &[LimitReport]) {
         let now = self.now();
         let mut pressure = self.pressure.lock();
         pressure.note_gateway(peer, now);
         let before = pressure.counts(now).limited;
-        pressure.hear_reports(words, now);
+        pressure.hear_reports(reports, now);
         let limited = pressure.counts(now).limited;
         drop(pressure);
         if limited != before {
@@ -82,7 +82,7 @@
 
     /// What peers are told of rate limits.
     pub(super) fn limits_told(&self) -> Vec<LimitReport> {
-        self.pressure.lock().words(self.now())
+        self.pressure.lock().reports(self.now())
     }
 
     /// What is known of runners' signals, with this gateway's shares of limits as they are now.
--- a/crates/bulrushusher_model/src/limits.rs
+++ b/crates/bulrushusher_model/src/limits.rs
@@ -336,7 +336,7 @@
         }
         (gateway.spoke_at, gateway.is_due) = (now, false);
         let word = match &mut gateway.keeper {
-            Keeper::Few(pressure) => Word::Limits(Rc::new(pressure.words(Millis(now)))),
+            Keeper::Few(pressure) => Word::Limits(Rc::new(pressure.reports(Millis(now)))),
             Keeper::Bucket(book) => Word::Spends(Rc::new(book.tell(true, Millis(now)))),
         };
         let life = gateway.life;
