What a runner asked for outlives its entry

What callers and operators saw: nine requests within the 1.6 s that a runner had asked a gateway to come back after. Class: a belief about a start of a runner that was tied to its entry. Evidence: the test has 14 requests in the backoff on the code before, at most 2 allowed. Why it works: what was asked for is kept for the start, by identity and time of start, until a minute after it was due or heard; only a later start ends it. Drain notices were kept so already. Ruled out: forgetting on a later start by hand, which the lookup does by itself.

--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -30,6 +30,8 @@
     pub end_told: Millis,
     /// Longest backoff that is granted at once.
     pub longest_backoff: Millis,
+    /// How long what a runner asked for is remembered after it was due, or was heard last.
+    pub remembered: Millis,
 }
 
 impl Default for BackPressureConfig {
@@ -43,6 +45,7 @@
             trial: Millis(1_000),
             end_told: Millis(3_000),
             longest_backoff: Millis(600_000),
+            remembered: Millis(60_000),
         }
     }
 }
@@ -338,11 +341,6 @@
         self.runners.is_empty()
     }
 
-    /// Forgets a runner that is gone.
-    pub fn forget(&mut self, runner: &RunnerId) {
-        self.runners.remove(runner);
-    }
-
     /// How many runners asked for something.
     pub fn counts(&self, now: Millis) -> PressureCounts {
         let limited = self.runners.values().filter(|asked| asked.limit.is_some()).count();
@@ -423,11 +421,14 @@
         }
     }
 
-    /// True when nothing is left to remember.
+    /// True when nothing is left to remember: a runner that is gone answers no more, and its entry may yet
+    /// come back.
     fn is_over(&self, cfg: &BackPressureConfig, now: Millis) -> bool {
+        let is_old = |at: Millis| now.since(at) >= cfg.remembered;
         let end_is_told = self.limit_ended.is_none_or(|at| now.since(at) >= cfg.end_told);
-        let asks_nothing = self.last == RunnerSignals::default();
-        asks_nothing && self.backoff.is_none() && self.limit.is_none() && end_is_told
+        let backoff_is_over = self.backoff.is_none_or(|backoff| is_old(backoff.until));
+        let limit_is_over = self.limit.is_none_or(|limit| is_old(limit.named_at));
+        end_is_told && backoff_is_over && limit_is_over
     }
 }
 
--- a/crates/bulrushusher_gateway/src/knowledge/starts.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/starts.rs
@@ -51,14 +51,14 @@
         news
     }
 
-    /// An entry names no runner to use, whatever was known of it.
+    /// An entry names no runner to use, whatever was known of it. What the runner asked for stays: its entry may
+    /// come back, and a later start owes nothing of it anyway.
     pub(crate) fn drop_runner(&self, id: &RunnerId) {
         self.with_runners(|runners, _| {
             runners.members.forget(id);
             runners.loads.forget(id);
         });
         self.forget_run_ends(id);
-        self.pressure.lock().forget(id);
     }
 
     /// True when a later start of the runner is known: what is held there is gone.
@@ -76,7 +76,6 @@
         }
         self.with_runners(|runners, _| runners.loads.forget(id));
         self.forget_run_ends(id);
-        self.pressure.lock().forget(id);
         for changing in self.changing.lock().values_mut() {
             changing.retain(|runner| runner != id);
         }
