Relays pass changes of the configuration on; the first page of a first list is used as it comes

Cause: every gateway reads the whole list of runners at its start, and read every new configuration, over one link of the store: bytes grow with gateways times runners, and with gateways times routes. Serving waited for the last page. Ruled out: the store's cheaper reads for a new configuration. Why it works: a relay tells which routes a version changes of the one before; who has another one in force asks the store. Configurations with client accounts are read from the store as before, as keys go no other way. An entry is complete in itself, so that a page of them is enough to serve; orders wait for the whole list as before.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -31,6 +31,7 @@
 mod returns;
 mod revision;
 mod route;
+mod routing_delta;
 mod runner;
 mod runner_changes;
 mod runs;
@@ -69,6 +70,7 @@
     CallerLimits, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
     WeightedService,
 };
+pub use routing_delta::RoutingDelta;
 pub use runner::{Born, Runner, Stage};
 pub use runner_changes::{
     ChangeLog, DeltaNews, DeltaPages, DeltaRequest, RunnerChange, RunnerDelta,
--- a/crates/bulrushusher_forward/src/members.rs
+++ b/crates/bulrushusher_forward/src/members.rs
@@ -220,6 +220,11 @@
         runners
     }
 
+    /// True once some entries are known, be it the first page of a list.
+    pub fn is_begun(&self) -> bool {
+        self.listed_once || !self.known.is_empty()
+    }
+
     /// True once a whole list was taken in.
     pub fn is_complete(&self) -> bool {
         self.listed_once
--- a/crates/bulrushusher_forward/src/route.rs
+++ b/crates/bulrushusher_forward/src/route.rs
@@ -7,9 +7,10 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RouteName, ServiceName};
 use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize};
 
 /// What may be repeated on a route, and how its answers come.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// A call that may run more than once.
     #[display("idempotent")]
@@ -37,7 +38,7 @@
 }
 
 /// A service with its share of a route's requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
@@ -46,7 +47,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: RouteName,
@@ -90,7 +91,7 @@
 }
 
 /// What is known of a service's model engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Tokens that fit into a runner's memory.
     pub memory_tokens: u64,
@@ -107,7 +108,7 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Its name.
     pub name: ServiceName,
@@ -118,7 +119,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head, in bytes.
     pub header_bytes: usize,
@@ -241,6 +242,11 @@
         self.services.values()
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+
     /// Number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -135,7 +135,7 @@
             Err(refusal) => return ("unknown", Err(refusal)),
         };
         let kind = kind_word(fwd.route.kind);
-        if !self.router.knowledge.is_complete() {
+        if !self.router.knowledge.can_serve() {
             return (kind, Err(starting()));
         }
         if let Some(refusal) = self.refuse_while_stopping(&fwd) {
--- a/crates/bulrushusher_gateway/src/dialect/store.rs
+++ b/crates/bulrushusher_gateway/src/dialect/store.rs
@@ -1,7 +1,6 @@
 //! What the platform's store is asked for, and what it tells.
 
 use std::future::Future;
-use std::sync::atomic::AtomicUsize;
 
 use bulrushusher_forward::{RoutingConfig, Runner};
 use bulrushusher_time::Millis;
@@ -138,13 +137,13 @@
 
 /// The platform's store.
 pub trait PlatformStore: Clone + Send + Sync + 'static {
-    /// Everything of a topic, each page within `timeout`; `pages` counts those that came.
+    /// Everything of a topic, each page within `timeout`; `on_page` is called with each that comes.
     fn list(
         &self,
         topic: Topic,
         freshness: Freshness,
         timeout: Millis,
-        pages: &AtomicUsize,
+        on_page: &(impl Fn(&[Change]) + Sync),
     ) -> impl Future<Output = Result<News, StoreFailure>> + Send;
 
     /// Changes of a topic after a revision, as soon as there is one; none after `wait`. An answer
--- a/crates/bulrushusher_gateway/src/knowledge/accounts.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/accounts.rs
@@ -38,7 +38,7 @@
     /// True while callers may be sent here.
     pub(crate) fn is_ready(&self) -> bool {
         let keys_are_checked = || self.lease.lock().is_ready(self.lease_cfg(), self.now());
-        self.is_complete() && (!self.has_accounts() || keys_are_checked())
+        self.can_serve() && (!self.has_accounts() || keys_are_checked())
     }
 
     pub(crate) fn has_accounts(&self) -> bool {
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -38,6 +38,7 @@
 mod starts;
 
 pub(crate) use moves::RunFate;
+pub(crate) use relays::ToldRouting;
 
 /// Fewest parts that the shared burst of repeats is split into. A gateway that starts again has a
 /// full part, and one that hears no peer does not know how many there are.
@@ -194,7 +195,12 @@
         );
     }
 
-    /// True once requests can be served.
+    /// True once requests can be served: a configuration is in force, and some runners are known.
+    pub(crate) fn can_serve(&self) -> bool {
+        self.routing.load().is_some() && self.runners.lock().members.is_begun()
+    }
+
+    /// True once all runners are known too.
     pub(crate) fn is_complete(&self) -> bool {
         self.routing.load().is_some() && self.runners.lock().members.is_complete()
     }
--- a/crates/bulrushusher_gateway/src/knowledge/relays.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/relays.rs
@@ -4,9 +4,10 @@
 
 use bulrushusher_forward::{
     ChangeLog, DeltaNews, DeltaPages, DeltaRequest, NewsSeen, RelayView, Relays, RelaysConfig,
-    RunnerChange, RunnerDelta, StoreContact, StoreRole, era_of,
+    RoutingConfig, RoutingDelta, RunnerChange, RunnerDelta, StoreContact, StoreRole, era_of,
 };
 use bulrushusher_time::Millis;
+use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use super::Knowledge;
@@ -28,6 +29,14 @@
 /// How often it is looked who watches, and who is behind.
 const LOOK_EVERY: Millis = Millis(100);
 
+/// A change of the configuration, as relays tell it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ToldRouting {
+    /// Revision of the store's change.
+    pub revision: u64,
+    pub delta: RoutingDelta,
+}
+
 /// What is known of relays, and for those who ask.
 #[derive(Debug)]
 pub(super) struct RelayState {
@@ -36,6 +45,8 @@
     contact_since: Millis,
     /// The last changes, as far as relays told.
     told: NewsSeen,
+    /// The last change of the configuration that this gateway took in.
+    routing: Option<ToldRouting>,
     log: ChangeLog,
     pages: DeltaPages,
 }
@@ -47,6 +58,7 @@
             contact: StoreContact::Idle,
             contact_since: Millis(0),
             told: NewsSeen::default(),
+            routing: None,
             log: ChangeLog::new(CHANGES_KEPT),
             pages: DeltaPages::default(),
         }
@@ -176,6 +188,45 @@
         RunnerDelta { outage_age, ..delta }
     }
 
+    /// Notes what the configuration in force changes of the one before, by a change of the store at that
+    /// revision.
+    pub(crate) fn note_routing_change(&self, old: Option<&RoutingConfig>, revision: u64) {
+        let (Some(old), Some(new)) = (old, self.routing()) else { return };
+        if new.version == old.version {
+            return;
+        }
+        let delta = RoutingDelta::between(old, &new);
+        let delta = delta.filter(|delta| delta.route_count() <= PAGE);
+        self.relays.lock().routing = delta.map(|delta| ToldRouting { revision, delta });
+    }
+
+    /// The last change of the configuration, for gateways that listen.
+    pub(crate) fn routing_change(&self) -> Option<ToldRouting> {
+        self.relays.lock().routing.clone()
+    }
+
+    /// Takes in a relay's change of the configuration. One that changes another configuration than the one
+    /// in force is passed over: the store is asked then.
+    pub(crate) fn take_routing_change(&self, told: ToldRouting) {
+        let ToldRouting { revision, delta } = told;
+        let seen = self.news_seen(Topic::Configuration);
+        if self.relay_view.borrow().role != StoreRole::Listen
+            || era_of(seen) != era_of(revision)
+            || revision <= seen
+        {
+            return;
+        }
+        let Some(old) = self.routing() else { return };
+        match delta.apply(&old) {
+            Ok(Some(routing)) => {
+                self.take_routing(routing);
+                self.note_news(Topic::Configuration, revision, revision);
+            }
+            Ok(None) => {}
+            Err(e) => log::error!("configuration: a relay's change cannot be used cause=\"{e}\""),
+        }
+    }
+
     /// Takes in what a relay tells of the last changes.
     pub(crate) fn hear_store_news(&self, news: NewsSeen) {
         let mut state = self.relays.lock();
@@ -214,6 +265,20 @@
         if know.is_empty() { watching } else { know }
     }
 
+    /// The revision that a list must have reached to be of use: of runners, what is known already, as relays
+    /// tell what follows; of the configuration, what anybody has told of.
+    pub(crate) fn last_known(&self, topic: Topic) -> u64 {
+        match topic {
+            Topic::Configuration => self.told_of(topic),
+            Topic::Runners => self.news_seen(topic),
+        }
+    }
+
+    /// True once runners were listed as a whole.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.with_runners(|known, _| known.members.is_complete())
+    }
+
     /// The last change of a topic that relays or other peers have told of.
     pub(crate) fn told_of(&self, topic: Topic) -> u64 {
         let peers = self.runs.lock().news_of_peers(self.now());
--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -9,7 +9,7 @@
 use tokio::net::UdpSocket;
 
 use crate::dialect::{PlatformStore, Topic};
-use crate::knowledge::Knowledge;
+use crate::knowledge::{Knowledge, ToldRouting};
 use crate::peers::report_codec::Word;
 use crate::peers::speaking::Peers;
 
@@ -30,6 +30,8 @@
     pub news: NewsSeen,
     /// What changed in the list of runners.
     pub runners: Option<RunnerDelta>,
+    /// What the last change of the configuration was.
+    pub routing: Option<ToldRouting>,
 }
 
 /// A change that others know and this gateway does not.
@@ -94,7 +96,7 @@
     ) {
         let runners = Some(self.knowledge.delta(req));
         let news = self.knowledge.store_news();
-        self.write(socket, Word::Store(StoreNews { news, runners }), &[to]).await;
+        self.write(socket, Word::Store(StoreNews { news, runners, routing: None }), &[to]).await;
     }
 
     /// Takes in what a relay passes on.
@@ -107,11 +109,23 @@
                 DeltaNews::OtherEra => self.knowledge.list_due.notify_one(),
             }
         }
+        if let Some(change) = told.routing {
+            self.knowledge.take_routing_change(change);
+        }
         self.knowledge.hear_store_news(told.news);
     }
 
+    /// The last change of the configuration, unless it was told before.
+    fn routing_to_tell(&self, told_version: &mut u64) -> Option<ToldRouting> {
+        let change = self.knowledge.routing_change()?;
+        let version = change.delta.version;
+        let is_new = std::mem::replace(told_version, version) != version;
+        is_new.then_some(change)
+    }
+
     /// Passes each change on, while this gateway is a relay.
     pub(crate) async fn tell_store(&self, socket: &UdpSocket) {
+        let mut told_version = 0;
         loop {
             self.knowledge.tell_due.notified().await;
             let after = self.told_store.load(Ordering::Relaxed);
@@ -132,7 +146,8 @@
             }
             let runners = Some(delta).filter(|_| is_change);
             let news = self.knowledge.store_news();
-            self.write(socket, Word::Store(StoreNews { news, runners }), &listeners).await;
+            let routing = self.routing_to_tell(&mut told_version);
+            self.write(socket, Word::Store(StoreNews { news, runners, routing }), &listeners).await;
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -13,7 +13,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
-use crate::dialect::{Freshness, News, PlatformStore, StoreFailure, Topic};
+use crate::dialect::{Change, Freshness, News, PlatformStore, StoreFailure, Topic};
 use crate::knowledge::Knowledge;
 use crate::store::intake::Intake;
 
@@ -71,9 +71,13 @@
                     let revision = news.revision;
                     let known_era = *era.get_or_insert(era_of(revision));
                     let is_behind = freshness == Freshness::SecondsOld
-                        && revision < self.knowledge.told_of(self.topic);
+                        && revision < self.knowledge.last_known(self.topic);
                     if era_of(revision) < known_era || is_behind {
                         // It lay on its way since before the store came back, or others know more.
+                        log::info!(
+                            "store: list is too old topic={} revision={revision}",
+                            self.topic
+                        );
                         freshness = Freshness::Latest;
                         continue;
                     }
@@ -81,9 +85,10 @@
                         era = Some(era_of(revision));
                         self.note_restore(revision);
                     }
-                    self.knowledge.note_news(self.topic, revision, news.last_change);
                     self.note_answer(Millis(0));
+                    let last_change = news.last_change;
                     self.intake.take_list(self.topic, news);
+                    self.knowledge.note_news(self.topic, revision, last_change);
                     self.knowledge.tell_due.notify_one();
                     if freshness == Freshness::Latest {
                         self.note_confirmed(asked_at);
@@ -105,9 +110,13 @@
         let again = self.slack();
         let longest = Millis(again.0 * u64::from(LISTS_AT_ONCE));
         let pages = AtomicUsize::new(0);
+        let on_page = |page: &[Change]| {
+            pages.fetch_add(1, Ordering::Relaxed);
+            self.intake.take_early(page);
+        };
         let mut asked = FuturesUnordered::new();
         loop {
-            asked.push(self.store.list(self.topic, freshness, longest, &pages));
+            asked.push(self.store.list(self.topic, freshness, longest, &on_page));
             let mut came = pages.load(Ordering::Relaxed);
             loop {
                 if let Ok(Some(answer)) = tokio::time::timeout(again.duration(), asked.next()).await
@@ -208,10 +217,12 @@
                     first_wait = None;
                     self.note_call("watched");
                     self.note_answered();
-                    self.knowledge.note_news(self.topic, news.revision, news.last_change);
                     self.note_answer(wait);
                     let has_changed = !news.changes.is_empty();
+                    let (seen, last_change) = (news.revision, news.last_change);
                     self.intake.take_changes(self.topic, revision, news);
+                    // Peers hear of changes only once they are in force here, and can be passed on.
+                    self.knowledge.note_news(self.topic, seen, last_change);
                     self.note_confirmed(asked_at);
                     if has_changed {
                         self.knowledge.tell_due.notify_one();
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -25,6 +25,7 @@
 impl Intake {
     /// Takes in a whole list of the store.
     pub(crate) fn take_list(&self, topic: Topic, news: News) {
+        let old = self.knowledge.routing();
         let mut runners = Vec::new();
         let mut unreadable = Vec::new();
         for change in news.changes {
@@ -48,10 +49,24 @@
             self.knowledge.log_list(news.revision, news.last_change, changes);
         }
         unreadable.iter().for_each(|bad| self.pass_over(topic, bad));
+        self.knowledge.note_routing_change(old.as_deref(), news.last_change);
+    }
+
+    /// Takes in a page of a first list, so that requests are served before the last one comes.
+    pub(crate) fn take_early(&self, page: &[Change]) {
+        if self.knowledge.is_listed() {
+            return;
+        }
+        for change in page {
+            if let Change::Runner(runner) = change {
+                self.knowledge.put_runner(runner.clone());
+            }
+        }
     }
 
     /// Takes in what changed in the store after a revision.
     pub(crate) fn take_changes(&self, topic: Topic, after: u64, news: News) {
+        let old = self.knowledge.routing();
         let mut logged = Vec::new();
         for change in news.changes {
             match change {
@@ -74,6 +89,7 @@
         if topic == Topic::Runners {
             self.knowledge.log_changes(after, news.revision, news.last_change, logged);
         }
+        self.knowledge.note_routing_change(old.as_deref(), news.last_change);
     }
 
     /// Takes in what a relay told.
