A late call that no other runner may take is waited for

Cause: a call was given up at 0.7 of its target before it was known whether another runner and a repeat in the budget were to be had. The budget is split over the gateways, so that it is empty at each of many gateways in a burst. The runner, which was only busy, counted as unreachable and was passed over. Why it works: the call is given up only for another runner that was not silent and did not refuse a moment ago, and with the repeat taken from the budget; else its own answer is the only one to be had.

--- a/crates/bulrushusher_forward/src/load.rs
+++ b/crates/bulrushusher_forward/src/load.rs
@@ -201,6 +201,11 @@
         now < load.paused_until || is_tried
     }
 
+    /// True while nothing that happened a moment ago speaks against another call.
+    pub fn takes_calls(&self, id: &RunnerId, now: Millis) -> bool {
+        !self.is_paused(id, now) && !self.is_full(id, now)
+    }
+
     /// True when the runner refused a hold or a call so lately that it will refuse again.
     pub(crate) fn is_full(&self, id: &RunnerId, now: Millis) -> bool {
         let refused = self.get(id).refused;
--- a/crates/bulrushusher_forward/src/repeat.rs
+++ b/crates/bulrushusher_forward/src/repeat.rs
@@ -90,6 +90,32 @@
         }
     }
 
+    /// Gives an attempt up that is late, where another one may follow and the budget allows it; otherwise
+    /// nothing changes, and the attempt goes on.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{AttemptPlan, RouteKind};
+    /// use bulrushusher_routing::{RetryBudget, RetryConfig};
+    /// let none = RetryConfig { per_request: 0.0, max_saved: 0.0 };
+    /// let mut plan = AttemptPlan::new(RouteKind::Idempotent, 2);
+    /// assert!(!plan.abandon(&mut RetryBudget::new(none)));
+    /// assert!(plan.abandon(&mut RetryBudget::new(RetryConfig::default())));
+    /// assert!(!plan.may_run_again(), "it may run at two runners");
+    /// ```
+    pub fn abandon(&mut self, budget: &mut RetryBudget) -> bool {
+        let given_up = AttemptPlan {
+            runs_left: self.runs_left.saturating_sub(1),
+            sends_left: self.sends_left.saturating_sub(1),
+            may_have_run: true,
+            ..*self
+        };
+        let may_follow = given_up.may_run_again() && budget.take();
+        if may_follow {
+            *self = given_up;
+        }
+        may_follow
+    }
+
     /// What can truly be said of the request now.
     pub fn final_answer(&self) -> FinalAnswer {
         match self.may_have_run {
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -308,6 +308,22 @@
         self.with_budget(service, |budget| plan.after(end, budget))
     }
 
+    /// Gives a late attempt up if another runner than those `tried` would take the call well and the budget
+    /// of repeats allows it; returns whether it did.
+    pub(crate) fn abandon_late(
+        &self,
+        service: &ServiceName,
+        plan: &mut AttemptPlan,
+        tried: &[RunnerId],
+    ) -> bool {
+        let near = self.cfg().data_centre.clone();
+        let other = self.pick_for_call(service, tried, &near);
+        let takes_calls =
+            |id: &RunnerId| self.with_runners(|it, now| it.loads.takes_calls(id, now));
+        other.is_some_and(|other| takes_calls(&other.id))
+            && self.with_budget(service, |budget| plan.abandon(budget))
+    }
+
     /// Takes one repeat from the budget; false when none is left.
     pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
         self.with_budget(service, RetryBudget::take)
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -1,5 +1,7 @@
 //! Plain calls: one runner after another until one answers, within what may be repeated.
 
+use std::pin::pin;
+
 use bulrushusher_forward::{AttemptEnd, AttemptPlan, CallResult, NextStep, Runner};
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
@@ -15,8 +17,8 @@
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptNote, Forwarded, LoadTicket, Router, Sending};
 
-/// A call that may be repeated waits this share of its target at one runner: longer than nearly
-/// all answers take, and short enough for a second one to be on time.
+/// Share of its target after which a call that may be repeated is late at its first runner: longer than
+/// nearly all answers take, and short enough for a second one to be on time.
 const FIRST_WAIT_SHARE: f64 = 0.7;
 
 /// Failures that a plain call may come back from soon: its pool has no long queue.
@@ -59,9 +61,13 @@
             return Err(Refusal::of(plan.final_answer(), reason, come_back));
         };
         let may_follow = plan.may_run_again() && tried.is_empty();
-        let within = if may_follow { first_wait(fwd, left) } else { left };
         tried.push(runner.id.clone());
-        let (end, failed, cause) = match attempt(cx, fwd, &runner, within).await {
+        let ended = match may_follow {
+            true => first_attempt(cx, fwd, &runner, &mut plan).await,
+            false => Some(attempt(cx, fwd, &runner, left).await),
+        };
+        let Some(ended) = ended else { continue };
+        let (end, failed, cause) = match ended {
             Ended::Answer(head, body) => return Ok(pass_on(head, body)),
             Ended::RunFailed(head, body) => {
                 (AttemptEnd::RunFailed, Some((head, body)), String::new())
@@ -101,9 +107,39 @@
     }
 }
 
-fn first_wait(fwd: &Forwarded, left: Millis) -> Millis {
+/// Sends the call to its first runner. When the answer is late and another runner may do better, this one is
+/// given up: `None`. Without another runner, or a repeat in the budget, its answer is the only one to be had.
+async fn first_attempt<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &Forwarded,
+    runner: &Runner,
+    plan: &mut AttemptPlan,
+) -> Option<Ended> {
+    let began = cx.now();
+    let left = fwd.left(began);
+    let mut ended = pin!(attempt(cx, fwd, runner, left));
+    let in_time = tokio::time::timeout(first_wait(fwd).min(left).duration(), &mut ended);
+    if let Ok(ended) = in_time.await {
+        return Some(ended);
+    }
+    let late = CallResult::Unreachable;
+    if cx.knowledge.abandon_late(&fwd.service, plan, std::slice::from_ref(&runner.id)) {
+        let detail = "late, another runner is tried";
+        cx.note_attempt(fwd, AttemptNote { runner, step: "whole", began, result: late, detail });
+        return None;
+    }
+    log::info!(
+        "route: late id={} runner={} outcome=\"it is waited for\"",
+        fwd.arrival.id,
+        runner.id
+    );
+    Some(ended.await)
+}
+
+/// Time after which the first answer is late.
+fn first_wait(fwd: &Forwarded) -> Millis {
     let share = (fwd.route.target.0 as f64 * FIRST_WAIT_SHARE) as u64;
-    Millis(share.max(1)).min(left)
+    Millis(share.max(1))
 }
 
 fn timed_out(plan: &AttemptPlan, come_back: Millis) -> Refusal {
