Orders are given where runners' reports do not tell their start

Why it works: a report is fetched by the runner's identity and tells its count of orders, which the order names: another start refuses it, or has given as many. An entry without a start is passed over as before.

--- a/crates/bulrushusher_gateway/src/store/orders.rs
+++ b/crates/bulrushusher_gateway/src/store/orders.rs
@@ -246,7 +246,10 @@
         let answer = self.exchanger.side_call(runner, call, Permit::Needed, CALL_TIMEOUT).await;
         let (_, body) = answer.map_err(|e| format!("{} gives no report: {e}", runner.id))?;
         let report = self.dialect.report(&runner.id, &body).map_err(|e| e.to_string())?;
-        match self.knowledge.hear_start(&runner.id, report.born) {
+        // Runners of some platforms tell their start in their entries only. The order names their identity and
+        // the count of orders that they told, so that another start refuses it or has as many.
+        let born = report.born.or(runner.born);
+        match self.knowledge.hear_start(&runner.id, born) {
             StartNews::Same => {}
             StartNews::Later => return Err(format!("{} started again", runner.id)),
             StartNews::Earlier => return Err(format!("{} tells of an earlier start", runner.id)),
@@ -254,7 +257,7 @@
         }
         if report.busy || report.stage == Some(change.stage) {
             let known_since = self.knowledge.now();
-            let ordered = Ordered { stage: change.stage, born: report.born, known_since };
+            let ordered = Ordered { stage: change.stage, born, known_since };
             duty.ordered.insert(runner.id.clone(), ordered);
             return Err(format!("{} changes already", runner.id));
         }
