Who watches the store, and what is passed on of it, each in a module of its own

Cause: reading the diff as a newcomer: one module of 320 lines held the choice of relays and the changes that they pass on; the choice had a timer set and cleared in two places.

--- a/crates/bulrushusher_forward/src/relays.rs
+++ b/crates/bulrushusher_forward/src/relays.rs
@@ -131,11 +131,6 @@
         self.cfg = cfg;
     }
 
-    /// The bounds in use.
-    pub fn cfg(&self) -> RelaysConfig {
-        self.cfg
-    }
-
     /// Who watches, by what this gateway has with the store itself and what peers tell that were heard
     /// within [`RelaysConfig::silent_after`].
     pub fn decide(&mut self, own: StoreContact, peers: &[RelayPeer], now: Millis) -> RelayView {
@@ -146,13 +141,8 @@
             return RelayView { role, keeps_duties: true, tells: false, watching };
         }
         let is_relay = self.is_relay(own, peers);
-        let is_short = watching.len() < self.cfg.least_watching;
-        let short_since = *self.short_since.get_or_insert(now);
-        if is_relay || !is_short {
-            self.short_since = None;
-        }
-        let is_left_alone = is_short && now.since(short_since) >= self.cfg.silent_after;
-        let role = match is_relay || is_left_alone {
+        let is_short = !is_relay && watching.len() < self.cfg.least_watching;
+        let role = match is_relay || self.is_left_alone(is_short, now) {
             true => StoreRole::Watch,
             false => StoreRole::Listen,
         };
@@ -161,6 +151,15 @@
         RelayView { role, keeps_duties: tells && is_first, tells, watching }
     }
 
+    /// True once too few have watched for too long.
+    fn is_left_alone(&mut self, is_short: bool, now: Millis) -> bool {
+        if !is_short {
+            self.short_since = None;
+            return false;
+        }
+        now.since(*self.short_since.get_or_insert(now)) >= self.cfg.silent_after
+    }
+
     /// True when this gateway is among the first that may watch.
     fn is_relay(&self, own: StoreContact, peers: &[RelayPeer]) -> bool {
         let may_watch = |peer: &&RelayPeer| peer.contact != StoreContact::Lost;
--- a/crates/bulrushusher_forward/src/repeat.rs
+++ b/crates/bulrushusher_forward/src/repeat.rs
@@ -99,8 +99,8 @@
     /// let none = RetryConfig { per_request: 0.0, max_saved: 0.0 };
     /// let mut plan = AttemptPlan::new(RouteKind::Idempotent, 2);
     /// assert!(!plan.abandon(&mut RetryBudget::new(none)));
-    /// assert!(plan.abandon(&mut RetryBudget::new(RetryConfig::default())));
-    /// assert!(!plan.may_run_again(), "it may run at two runners");
+    /// let mut budget = RetryBudget::new(RetryConfig::default());
+    /// assert!(plan.abandon(&mut budget) && !plan.abandon(&mut budget), "it may run at two runners");
     /// ```
     pub fn abandon(&mut self, budget: &mut RetryBudget) -> bool {
         let given_up = AttemptPlan {
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -1,7 +1,7 @@
 //! What the gateway believes: configuration, runners, loads, budgets, paces.
 //!
 //! Lock order, where two are taken at once: runners, then budgets, then lines, then paces, then
-//! runs, then relays, then health, then pauses, then news, then changing, then crashes, then pressure, then
+//! runs, then relays, then passed, then health, then pauses, then news, then changing, then crashes, then pressure, then
 //! quotas, then lease. No lock is held across an await.
 
 use std::collections::HashMap;
@@ -32,13 +32,14 @@
 mod memory;
 mod moves;
 mod news;
+mod passing_on;
 mod pauses;
 mod pressure;
 mod relays;
 mod starts;
 
 pub(crate) use moves::RunFate;
-pub(crate) use relays::ToldRouting;
+pub(crate) use passing_on::ToldRouting;
 
 /// Fewest parts that the shared burst of repeats is split into. A gateway that starts again has a
 /// full part, and one that hears no peer does not know how many there are.
@@ -78,8 +79,10 @@
     quotas: Mutex<QuotaBook>,
     /// How long keys may be acted on without new word of the store.
     lease: Mutex<ConfigLease>,
-    /// Who watches the store, and what is passed on of its changes.
+    /// Who watches the store.
     relays: Mutex<relays::RelayState>,
+    /// What is passed on of the store's changes.
+    passed: Mutex<passing_on::PassedOn>,
     relay_view: watch::Sender<RelayView>,
     /// True once this gateway shuts down.
     leaving: AtomicBool,
@@ -130,6 +133,7 @@
             quotas: Mutex::new(quotas),
             lease: Mutex::default(),
             relays: Mutex::new(relays),
+            passed: Mutex::default(),
             relay_view: watch::Sender::new(relays::alone()),
             leaving: AtomicBool::new(false),
             tell_due: Notify::new(),
--- a/crates/bulrushusher_gateway/src/knowledge/relays.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/relays.rs
@@ -1,17 +1,12 @@
-//! Who watches the store, and what gateways pass on of its changes.
+//! Who watches the store, as this gateway sees it.
 
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
-use bulrushusher_forward::{
-    ChangeLog, DeltaNews, DeltaPages, DeltaRequest, NewsSeen, RelayView, Relays, RelaysConfig,
-    RoutingConfig, RoutingDelta, RunnerChange, RunnerDelta, StoreContact, StoreRole, era_of,
-};
+use bulrushusher_forward::{RelayView, Relays, RelaysConfig, StoreContact, StoreRole};
 use bulrushusher_time::Millis;
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
 use super::Knowledge;
-use crate::dialect::Topic;
 use crate::settings::GatewayConfig;
 
 /// Share of the time to be in force after which a silent relay counts no more.
@@ -20,35 +15,12 @@
 /// How long a gateway that the store has failed leaves watching to others.
 const LOST_KEPT: Millis = Millis(5_000);
 
-/// Changes that are kept for those who missed some: twice the runners to design for.
-const CHANGES_KEPT: usize = 5_400;
-
-/// Changes in one datagram.
-const PAGE: usize = 128;
-
-/// How often it is looked who watches, and who is behind.
-const LOOK_EVERY: Millis = Millis(100);
-
-/// A change of the configuration, as relays tell it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ToldRouting {
-    /// Revision of the store's change.
-    pub revision: u64,
-    pub delta: RoutingDelta,
-}
-
-/// What is known of relays, and for those who ask.
+/// The choice of relays, and what this gateway has with the store.
 #[derive(Debug)]
 pub(super) struct RelayState {
     relays: Relays,
     contact: StoreContact,
     contact_since: Millis,
-    /// The last changes, as far as relays told.
-    told: NewsSeen,
-    /// The last change of the configuration that this gateway took in.
-    routing: Option<ToldRouting>,
-    log: ChangeLog,
-    pages: DeltaPages,
 }
 
 impl RelayState {
@@ -57,10 +29,6 @@
             relays: Relays::new(relays_cfg(cfg), cfg.name.as_str().into()),
             contact: StoreContact::Idle,
             contact_since: Millis(0),
-            told: NewsSeen::default(),
-            routing: None,
-            log: ChangeLog::new(CHANGES_KEPT),
-            pages: DeltaPages::default(),
         }
     }
 }
@@ -133,12 +101,12 @@
 
     /// This gateway shuts down: another one is to watch in its place.
     pub(crate) fn leave_relays(&self) {
-        self.leaving.store(true, std::sync::atomic::Ordering::Relaxed);
+        self.leaving.store(true, Ordering::Relaxed);
         self.note_contact(StoreContact::Lost);
     }
 
     fn is_leaving(&self) -> bool {
-        self.leaving.load(std::sync::atomic::Ordering::Relaxed)
+        self.leaving.load(Ordering::Relaxed)
     }
 
     /// What peers are told that this gateway has with the store.
@@ -151,171 +119,10 @@
         self.relay_view.borrow().keeps_duties
     }
 
-    /// Notes a list of runners, and what it changed.
-    pub(crate) fn log_list(&self, revision: u64, last_change: u64, changes: Vec<RunnerChange>) {
-        let log = &mut self.relays.lock().log;
-        match era_of(log.revision()) == era_of(revision) && log.revision() > 0 {
-            true => log.record(log.revision(), revision, last_change, changes),
-            false => log.restart(revision, last_change),
-        }
-    }
-
-    /// Notes what changed between two revisions.
-    pub(crate) fn log_changes(
-        &self,
-        after: u64,
-        revision: u64,
-        last_change: u64,
-        changes: Vec<RunnerChange>,
-    ) {
-        self.relays.lock().log.record(after, revision, last_change, changes);
-    }
-
-    /// The revision that the noted changes lead to.
-    pub(crate) fn logged_revision(&self) -> u64 {
-        self.relays.lock().log.revision()
-    }
-
-    /// What changed since a revision, for a gateway that asks: all entries where that is not known.
-    pub(crate) fn delta(&self, req: &DeltaRequest) -> RunnerDelta {
-        let entries = || self.with_runners(|known, _| known.members.listed());
-        let outage_age = self.with_runners(|known, now| known.members.outage_age(now));
-        let known = self.relays.lock().log.since(req, PAGE);
-        let delta = known.unwrap_or_else(|| {
-            let entries = entries();
-            self.relays.lock().log.whole(req, entries, PAGE)
-        });
-        RunnerDelta { outage_age, ..delta }
-    }
-
-    /// Notes what the configuration in force changes of the one before, by a change of the store at that
-    /// revision.
-    pub(crate) fn note_routing_change(&self, old: Option<&RoutingConfig>, revision: u64) {
-        let (Some(old), Some(new)) = (old, self.routing()) else { return };
-        if new.version == old.version {
-            return;
-        }
-        let delta = RoutingDelta::between(old, &new);
-        let delta = delta.filter(|delta| delta.route_count() <= PAGE);
-        self.relays.lock().routing = delta.map(|delta| ToldRouting { revision, delta });
-    }
-
-    /// The last change of the configuration, for gateways that listen.
-    pub(crate) fn routing_change(&self) -> Option<ToldRouting> {
-        self.relays.lock().routing.clone()
-    }
-
-    /// Takes in a relay's change of the configuration. One that changes another configuration than the one
-    /// in force is passed over: the store is asked then.
-    pub(crate) fn take_routing_change(&self, told: ToldRouting) {
-        let ToldRouting { revision, delta } = told;
-        let seen = self.news_seen(Topic::Configuration);
-        if self.relay_view.borrow().role != StoreRole::Listen
-            || era_of(seen) != era_of(revision)
-            || revision <= seen
-        {
-            return;
-        }
-        let Some(old) = self.routing() else { return };
-        match delta.apply(&old) {
-            Ok(Some(routing)) => {
-                self.take_routing(routing);
-                self.note_news(Topic::Configuration, revision, revision);
-            }
-            Ok(None) => {}
-            Err(e) => log::error!("configuration: a relay's change cannot be used cause=\"{e}\""),
-        }
-    }
-
-    /// Takes in what a relay tells of the last changes.
-    pub(crate) fn hear_store_news(&self, news: NewsSeen) {
-        let mut state = self.relays.lock();
-        let told = state.told.max(news);
-        let is_new = std::mem::replace(&mut state.told, told) != told;
-        drop(state);
-        if is_new {
-            self.store_news_heard.notify_waiters();
-        }
-    }
-
-    /// What a delta is to this gateway; it is for whoever listens only.
-    pub(crate) fn sort_delta(&self, page: RunnerDelta) -> DeltaNews {
-        if self.relay_view.borrow().role != StoreRole::Listen {
-            return DeltaNews::Known;
-        }
-        let seen = self.news_seen(Topic::Runners);
-        self.relays.lock().pages.take(page, seen)
-    }
-
-    /// The last change of the runners' list that is known to somebody and not here.
-    pub(crate) fn runners_missed(&self) -> Option<u64> {
-        if self.relay_view.borrow().role != StoreRole::Listen {
-            return None;
-        }
-        let theirs = self.told_of(Topic::Runners);
-        (theirs > self.news_seen(Topic::Runners)).then_some(theirs)
-    }
-
-    /// Peers that watch and know of a change, or all that watch where none does.
-    pub(crate) fn relays_that_know(&self, change: u64) -> Vec<Arc<str>> {
-        let watching = self.relay_view.borrow().watching.clone();
-        let runs = self.runs.lock();
-        let knows = |name: &&Arc<str>| runs.news_of(name).runners >= change;
-        let know: Vec<Arc<str>> = watching.iter().filter(knows).cloned().collect();
-        if know.is_empty() { watching } else { know }
-    }
-
-    /// The revision that a list must have reached to be of use: of runners, what is known already, as relays
-    /// tell what follows; of the configuration, what anybody has told of.
-    pub(crate) fn last_known(&self, topic: Topic) -> u64 {
-        match topic {
-            Topic::Configuration => self.told_of(topic),
-            Topic::Runners => self.news_seen(topic),
-        }
-    }
-
-    /// True once runners were listed as a whole.
-    pub(crate) fn is_listed(&self) -> bool {
-        self.with_runners(|known, _| known.members.is_complete())
-    }
-
-    /// The last change of a topic that relays or other peers have told of.
-    pub(crate) fn told_of(&self, topic: Topic) -> u64 {
-        let peers = self.runs.lock().news_of_peers(self.now());
-        let known = self.relays.lock().told.max(peers);
-        match topic {
-            Topic::Configuration => known.configuration,
-            Topic::Runners => known.runners,
-        }
-    }
-
-    /// Returns once a later configuration is known to a relay, or for some time to another peer.
-    pub(crate) async fn configuration_is_behind(&self) -> u64 {
-        loop {
-            let heard = self.store_news_heard.notified();
-            let told = self.relays.lock().told.configuration;
-            if told > self.news_seen(Topic::Configuration) {
-                return told;
-            }
-            tokio::select! {
-                () = heard => {}
-                theirs = self.falls_behind(Topic::Configuration) => return theirs,
-            }
-        }
-    }
-
-    /// The last changes that this gateway knows, for those that listen to it.
-    pub(crate) fn store_news(&self) -> NewsSeen {
-        self.news_told()
-    }
-
     /// True when this gateway passes changes on to `listener`.
     pub(crate) fn tells(&self, listener: &str) -> bool {
         let view = self.relay_view.borrow().clone();
         let is_watching = view.watching.iter().any(|name| **name == *listener);
         view.tells && !is_watching && self.relays.lock().relays.tells(&view.watching, listener)
     }
-
-    /// How often [`Knowledge::update_relays`] is due.
-    pub(crate) const RELAYS_LOOK_EVERY: Millis = LOOK_EVERY;
 }
--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -9,10 +9,13 @@
 use tokio::net::UdpSocket;
 
 use crate::dialect::{PlatformStore, Topic};
-use crate::knowledge::{Knowledge, ToldRouting};
+use crate::knowledge::ToldRouting;
 use crate::peers::report_codec::Word;
 use crate::peers::speaking::Peers;
 
+/// How often it is looked who watches the store, and what was missed.
+const LOOK_EVERY: Millis = Millis(100);
+
 /// How long a change may be known to others before a relay is asked for it: relays tell it themselves, and
 /// a gateway that watches hears of it within such a time.
 const ASK_AFTER: Millis = Millis(250);
@@ -47,7 +50,7 @@
     pub(crate) async fn keep_up(&self, socket: &UdpSocket) {
         let mut behind = Behind::default();
         loop {
-            tokio::time::sleep(Knowledge::RELAYS_LOOK_EVERY.duration()).await;
+            tokio::time::sleep(LOOK_EVERY.duration()).await;
             self.knowledge.update_relays();
             if !self.knowledge.relay_view().borrow().tells {
                 // What came before this gateway is a relay is for others to tell.
