What no relay remembers is asked of the store, once

What callers saw: nothing yet. Cause: a gateway that had started asked relays for all that it missed while its own first list was still on its way, four times a second, and got the whole list of runners each time: gateways times runners over a few links. Ruled out: deltas themselves (a change of the whole fleet takes 82 datagrams of some hundred bytes). Why it works: nothing is asked before the first list is there, and a relay that does not reach back that far says so; the gateway makes one call to the store for what is missing. Whole lists go no more from gateway to gateway, which makes the code smaller. Evidence: 147 process tests; the model's fleet in `relays.rs` catches up the same way.

--- a/crates/bulrushusher_forward/src/runner_changes.rs
+++ b/crates/bulrushusher_forward/src/runner_changes.rs
@@ -1,7 +1,7 @@
 //! Changes of the runners' list, as relays pass them on.
 //!
 //! Each delta says from which revision of the store to which it leads, so that whoever hears it knows
-//! whether something is missing, and asks for that.
+//! whether something is missing, and asks for that. What no relay remembers is asked of the store.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -50,8 +50,6 @@
     pub revision: u64,
     /// Revision of the last change up to there.
     pub last_change: u64,
-    /// True when it holds all entries, and what is not in it is gone.
-    pub is_whole: bool,
     /// The last state of each runner that changed, in order of their identities.
     pub changes: Vec<RunnerChange>,
     /// The runner after which the next page goes on; `None` on the last one.
@@ -137,18 +135,6 @@
         };
         Some(delta.with_page(last.into_values().cloned(), most))
     }
-
-    /// All entries, in order of the runners' identities, for whoever asks for what is not known any more.
-    pub fn whole(&self, req: &DeltaRequest, entries: Vec<Runner>, most: usize) -> RunnerDelta {
-        let delta = RunnerDelta {
-            of: req.clone(),
-            revision: self.revision,
-            last_change: self.last_change,
-            is_whole: true,
-            ..RunnerDelta::default()
-        };
-        delta.with_page(entries.into_iter().map(RunnerChange::Entry), most)
-    }
 }
 
 impl RunnerDelta {
@@ -195,7 +181,7 @@
         if page.revision <= seen || era_of(page.revision) != era_of(seen) {
             return DeltaNews::Known;
         }
-        if page.of.after > seen && !page.is_whole {
+        if page.of.after > seen {
             return DeltaNews::Missing(DeltaRequest { after: seen, page_after: None });
         }
         let joined = self.join(page).filter(|joined| joined.revision > seen);
@@ -217,8 +203,7 @@
             return Some(page);
         }
         let follows = |partial: &RunnerDelta| {
-            partial.next_page == page.of.page_after
-                && (partial.of.after, partial.is_whole) == (page.of.after, page.is_whole)
+            partial.next_page == page.of.page_after && partial.of.after == page.of.after
         };
         let mut first = self.partial.take().filter(follows)?;
         first.changes.extend(page.changes);
--- a/crates/bulrushusher_forward/tests/relays.rs
+++ b/crates/bulrushusher_forward/tests/relays.rs
@@ -90,22 +90,9 @@
         }
     }
 
-    fn answer(&self, req: &DeltaRequest) -> RunnerDelta {
-        let entries = self.table.values().filter_map(|change| match change {
-            RunnerChange::Entry(runner) => Some(runner.clone()),
-            _ => None,
-        });
-        let whole = || self.log.whole(req, entries.collect(), PAGE);
-        self.log.since(req, PAGE).unwrap_or_else(whole)
-    }
-
     fn apply(&mut self, delta: RunnerDelta) {
-        if delta.is_whole {
-            self.table.clear();
-        }
         delta.changes.iter().for_each(|change| put(&mut self.table, change));
-        let after = if delta.is_whole { self.log.revision() } else { delta.of.after };
-        self.log.record(after, delta.revision, delta.last_change, delta.changes);
+        self.log.record(delta.of.after, delta.revision, delta.last_change, delta.changes);
         self.seen = delta.revision;
     }
 }
@@ -193,7 +180,8 @@
         if revision == after || !gateway.view.tells {
             return;
         }
-        let delta = gateway.answer(&DeltaRequest { after, page_after: None });
+        let delta = gateway.log.since(&DeltaRequest { after, page_after: None }, PAGE);
+        let delta = delta.expect("it was just noted");
         let view = gateway.view.clone();
         let listens = |it: &&Gateway| {
             it.is_alive && !view.watching.contains(&it.name) && it.name != self.gateways[n].name
@@ -220,13 +208,28 @@
                     if !self.arrives() || !self.arrives() {
                         return;
                     }
-                    page = self.gateways[from].answer(&req);
+                    let Some(next) = self.gateways[from].log.since(&req, PAGE) else {
+                        return self.catch_up(to);
+                    };
+                    page = next;
                 }
                 DeltaNews::Known | DeltaNews::OtherEra => return,
             }
         }
     }
 
+    /// Asks the store once.
+    fn catch_up(&mut self, n: usize) {
+        self.calls += 1;
+        let (gateway, revision) = (&mut self.gateways[n], self.changes.len() as u64);
+        if gateway.reaches_store {
+            let new = self.changes[gateway.seen as usize..].to_vec();
+            new.iter().for_each(|change| put(&mut gateway.table, change));
+            gateway.log.record(gateway.seen, revision, revision, new);
+            gateway.seen = revision;
+        }
+    }
+
     fn listen(&mut self, n: usize) {
         let now = self.now;
         let gateway = &mut self.gateways[n];
@@ -250,8 +253,10 @@
             return;
         };
         if self.gateways[relay].is_alive && self.arrives() && self.arrives() {
-            let page = self.gateways[relay].answer(&req);
-            self.hear(n, relay, page);
+            match self.gateways[relay].log.since(&req, PAGE) {
+                Some(page) => self.hear(n, relay, page),
+                None => self.catch_up(n),
+            }
         }
     }
 
--- a/crates/bulrushusher_gateway/src/knowledge/mod.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/mod.rs
@@ -98,8 +98,8 @@
     pub tell_due: Notify,
     /// Notified when a relay has told of changes.
     store_news_heard: Notify,
-    /// Notified when runners must be listed by the store itself.
-    pub list_due: Notify,
+    /// Notified when the store itself must be asked what changed of runners.
+    pub store_due: Notify,
     /// Notified when the store should be looked at for such requests, or told of one.
     pub quarantine_due: Notify,
     draws: Mutex<ChaCha8Rng>,
@@ -138,7 +138,7 @@
             leaving: AtomicBool::new(false),
             tell_due: Notify::new(),
             store_news_heard: Notify::new(),
-            list_due: Notify::new(),
+            store_due: Notify::new(),
             restored: watch::Sender::new(0),
             lease_due: Notify::new(),
             report_due: Notify::new(),
--- a/crates/bulrushusher_gateway/src/knowledge/passing_on.rs
+++ b/crates/bulrushusher_gateway/src/knowledge/passing_on.rs
@@ -73,16 +73,11 @@
         self.passed.lock().log.revision()
     }
 
-    /// What changed since a revision, for a gateway that asks: all entries where that is not known.
-    pub(crate) fn delta(&self, req: &DeltaRequest) -> RunnerDelta {
-        let entries = || self.with_runners(|known, _| known.members.listed());
+    /// What changed since a revision, for a gateway that asks; `None` where that is not remembered.
+    pub(crate) fn delta(&self, req: &DeltaRequest) -> Option<RunnerDelta> {
         let outage_age = self.with_runners(|known, now| known.members.outage_age(now));
-        let known = self.passed.lock().log.since(req, PAGE);
-        let delta = known.unwrap_or_else(|| {
-            let entries = entries();
-            self.passed.lock().log.whole(req, entries, PAGE)
-        });
-        RunnerDelta { outage_age, ..delta }
+        let delta = self.passed.lock().log.since(req, PAGE)?;
+        Some(RunnerDelta { outage_age, ..delta })
     }
 
     /// Notes what the configuration in force changes of the one before, by a change of the store at that
@@ -137,7 +132,7 @@
 
     /// What a delta is to this gateway; it is for whoever listens only.
     pub(crate) fn sort_delta(&self, page: RunnerDelta) -> DeltaNews {
-        if self.relay_view.borrow().role != StoreRole::Listen {
+        if self.relay_view.borrow().role != StoreRole::Listen || !self.is_listed() {
             return DeltaNews::Known;
         }
         let seen = self.news_seen(Topic::Runners);
@@ -146,7 +141,7 @@
 
     /// The last change of the runners' list that is known to somebody and not here.
     pub(crate) fn runners_missed(&self) -> Option<u64> {
-        if self.relay_view.borrow().role != StoreRole::Listen {
+        if self.relay_view.borrow().role != StoreRole::Listen || !self.is_listed() {
             return None;
         }
         let theirs = self.told_of(Topic::Runners);
--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -68,7 +68,7 @@
             }
             if behind.asked >= MOST_ASKED {
                 log::info!("relays: no answer asked={} revision={change}", behind.asked);
-                self.knowledge.list_due.notify_one();
+                self.knowledge.store_due.notify_one();
                 behind = Behind::default();
                 continue;
             }
@@ -97,9 +97,12 @@
         req: &DeltaRequest,
         to: SocketAddr,
     ) {
-        let runners = Some(self.knowledge.delta(req));
         let news = self.knowledge.store_news();
-        self.write(socket, Word::Store(StoreNews { news, runners, routing: None }), &[to]).await;
+        let word = match self.knowledge.delta(req) {
+            None => Word::NotRemembered,
+            runners => Word::Store(StoreNews { news, runners, routing: None }),
+        };
+        self.write(socket, word, &[to]).await;
     }
 
     /// Takes in what a relay passes on.
@@ -109,7 +112,7 @@
                 DeltaNews::Apply(delta) => self.intake.take_delta(delta),
                 DeltaNews::Missing(req) => self.write(socket, Word::AskRunners(req), &[from]).await,
                 DeltaNews::Known => {}
-                DeltaNews::OtherEra => self.knowledge.list_due.notify_one(),
+                DeltaNews::OtherEra => self.knowledge.store_due.notify_one(),
             }
         }
         if let Some(change) = told.routing {
@@ -143,11 +146,10 @@
             if listeners.is_empty() {
                 continue;
             }
-            let is_change = delta.revision > after && !delta.changes.is_empty();
-            if is_change {
+            let runners = delta.filter(|it| it.revision > after && !it.changes.is_empty());
+            if let Some(delta) = &runners {
                 self.told_store.store(delta.revision, Ordering::Relaxed);
             }
-            let runners = Some(delta).filter(|_| is_change);
             let news = self.knowledge.store_news();
             let routing = self.routing_to_tell(&mut told_version);
             self.write(socket, Word::Store(StoreNews { news, runners, routing }), &listeners).await;
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -42,6 +42,8 @@
     Store(StoreNews),
     /// It missed changes of the runners' list, and asks a relay for them.
     AskRunners(DeltaRequest),
+    /// It does not remember what it was asked for: the store does.
+    NotRemembered,
 }
 
 /// Why a datagram cannot be read.
--- a/crates/bulrushusher_gateway/src/peers/speaking.rs
+++ b/crates/bulrushusher_gateway/src/peers/speaking.rs
@@ -133,6 +133,7 @@
             }
             Word::Store(news) => self.hear_store(socket, news, from).await,
             Word::AskRunners(req) => self.answer_delta(socket, &req, from).await,
+            Word::NotRemembered => self.knowledge.store_due.notify_one(),
         }
     }
 
--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -173,14 +173,30 @@
                     false => Freshness::SecondsOld,
                 }
             }
-            Topic::Runners => {
-                self.knowledge.list_due.notified().await;
-                log::info!("store: list due topic={}", self.topic);
-                Freshness::Latest
-            }
+            Topic::Runners => loop {
+                self.knowledge.store_due.notified().await;
+                if self.catch_up().await.is_err() {
+                    return Freshness::Latest;
+                }
+            },
         }
     }
 
+    /// Asks the store once what changed that no relay has told.
+    async fn catch_up(&self) -> Result<(), StoreFailure> {
+        let revision = self.knowledge.news_seen(self.topic);
+        let answer = self.store.watch(self.topic, revision, NO_WAIT, self.slack()).await;
+        self.note_call(if answer.is_ok() { "caught_up" } else { "failed" });
+        let news = answer.inspect_err(|e| {
+            log::info!("store: not caught up topic={} cause=\"{e}\"", self.topic);
+        })?;
+        let (seen, last_change) = (news.revision, news.last_change);
+        log::info!("store: caught up topic={} after={revision} revision={seen}", self.topic);
+        self.intake.take_changes(self.topic, revision, news);
+        self.knowledge.note_news(self.topic, seen, last_change);
+        Ok(())
+    }
+
     /// Waits for changes until that fails. What happened before a gateway began to watch is asked for
     /// first, unless a list has just told it.
     async fn watch(&self, is_listed: bool) -> Freshness {
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -94,9 +94,9 @@
 
     /// Takes in what a relay told.
     pub(crate) fn take_delta(&self, delta: RunnerDelta) {
-        let RunnerDelta { of, revision, last_change, is_whole, changes, outage_age, .. } = delta;
+        let RunnerDelta { of, revision, last_change, changes, outage_age, .. } = delta;
         log::info!(
-            "runners: told by a relay changes={} whole={is_whole} after={} revision={revision}",
+            "runners: told by a relay changes={} after={} revision={revision}",
             changes.len(),
             of.after
         );
@@ -105,15 +105,8 @@
                 known.members.note_outage_end(now.since(age));
             }
         });
-        let changes = match is_whole {
-            true => self.replace_runners(entries(changes), Vec::new()),
-            false => {
-                changes.iter().for_each(|change| self.apply(change.clone()));
-                changes
-            }
-        };
-        let after = if is_whole { self.knowledge.logged_revision() } else { of.after };
-        self.knowledge.log_changes(after, revision, last_change, changes);
+        changes.iter().for_each(|change| self.apply(change.clone()));
+        self.knowledge.log_changes(of.after, revision, last_change, changes);
         self.knowledge.note_news(Topic::Runners, revision, last_change);
     }
 
@@ -204,15 +197,6 @@
     }
 }
 
-/// The entries among changes.
-fn entries(changes: Vec<RunnerChange>) -> Vec<Runner> {
-    let entry = |change| match change {
-        RunnerChange::Entry(runner) => Some(runner),
-        RunnerChange::Removed(_) | RunnerChange::Unusable(_) => None,
-    };
-    changes.into_iter().filter_map(entry).collect()
-}
-
 /// Another writer's text as it may stand between quotes in the log.
 fn shortened(text: &str) -> String {
     text.chars()
