The lease on keys is renewed although nobody watches the configuration here

Cause: since relays came, a gateway that listens asks the store only to renew its lease, always from the revision of the last change of the configuration. Once the store had forgotten that (20 s), each renewal was refused. The lease lapsed at 17 of 21 gateways (log: `lease not renewed cause="the store forgot its history"` from 23.6 s on). Evidence: `relays::keys_are_checked_at_gateways_that_listen_after_the_store_forgot_its_history` fails without the change (503) and holds. Why it works: a renewal moves the revision from which the next one asks, and where the history is gone the configuration is listed. The same cause elsewhere: a gateway that asks the store for what no relay remembers, or begins to watch, lists anew where the history is gone; both were so.

--- a/crates/bulrushusher_gateway/src/store/renewing.rs
+++ b/crates/bulrushusher_gateway/src/store/renewing.rs
@@ -8,7 +8,7 @@
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 
-use crate::dialect::{Change, PlatformStore, Topic};
+use crate::dialect::{Change, Freshness, News, PlatformStore, StoreFailure, Topic};
 use crate::knowledge::Knowledge;
 
 /// Longest wait for an answer; it comes within milliseconds when the store is well.
@@ -75,9 +75,11 @@
 
     async fn renew(&self) -> Result<(), String> {
         let asked_at = self.knowledge.now();
-        let topic = Topic::Configuration;
-        let after = self.knowledge.news_seen(topic);
-        let answer = self.store.watch(topic, after, NO_WAIT, CALL_TIMEOUT).await;
+        let answer = match self.ask().await {
+            // Nobody has asked for longer than the store remembers.
+            Err(StoreFailure::HistoryGone) => self.list().await,
+            answer => answer,
+        };
         let word = if answer.is_ok() { "renewed" } else { "not_renewed" };
         self.metrics.store_call("configuration", word);
         let news = answer.map_err(|e| e.to_string())?;
@@ -86,7 +88,20 @@
                 self.knowledge.take_routing(routing);
             }
         }
+        self.knowledge.note_news(Topic::Configuration, news.revision, news.last_change);
         self.knowledge.renew_lease(asked_at);
         Ok(())
     }
+
+    /// Asks for what has changed.
+    async fn ask(&self) -> Result<News, StoreFailure> {
+        let after = self.knowledge.news_seen(Topic::Configuration);
+        self.store.watch(Topic::Configuration, after, NO_WAIT, CALL_TIMEOUT).await
+    }
+
+    /// Asks for the configuration as it is.
+    async fn list(&self) -> Result<News, StoreFailure> {
+        let (topic, freshness) = (Topic::Configuration, Freshness::Latest);
+        self.store.list(topic, freshness, CALL_TIMEOUT, &|_: &[Change]| ()).await
+    }
 }
