A lease that is renewed by a list leaves a restored store to the feed

Cause: read in the change before it landed: where the store had come back from an older copy, the renewal's list moved this gateway's revision into the new era, so that a gateway that listens never took the restore in: no announcement anew, no waiting time before orders. Ruled out: gateways that watch (their own call fails, and they list). Why it works: a list of another era renews nothing; the feed hears of it, lists the configuration, notes the restore and renews the lease.

--- a/crates/bulrushusher_gateway/src/store/renewing.rs
+++ b/crates/bulrushusher_gateway/src/store/renewing.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use bulrushusher_forward::{NewsSeen, era_of};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 
@@ -99,9 +100,16 @@
         self.store.watch(Topic::Configuration, after, NO_WAIT, CALL_TIMEOUT).await
     }
 
-    /// Asks for the configuration as it is.
+    /// Asks for the configuration as it is. A store that came back from an older copy is for the feed to
+    /// take in, which hears of it here.
     async fn list(&self) -> Result<News, StoreFailure> {
         let (topic, freshness) = (Topic::Configuration, Freshness::Latest);
-        self.store.list(topic, freshness, CALL_TIMEOUT, &|_: &[Change]| ()).await
+        let news = self.store.list(topic, freshness, CALL_TIMEOUT, &|_: &[Change]| ()).await?;
+        if era_of(news.revision) != era_of(self.knowledge.news_seen(topic)) {
+            let told = NewsSeen { configuration: news.revision, ..NewsSeen::default() };
+            self.knowledge.hear_store_news(told);
+            return Err(StoreFailure::Restored);
+        }
+        Ok(news)
     }
 }
