--- a/crates/bulrushusher_forward/src/runner_changes.rs
+++ b/crates/bulrushusher_forward/src/runner_changes.rs
@@ -145,9 +145,9 @@
             .filter(|change| page_after.is_none_or(|id| change.runner() > id))
             .take(most + 1)
             .collect();
-        let has_more = changes.len() > most;
+        let goes_on = changes.len() > most;
         changes.truncate(most);
-        let next_page = changes.last().filter(|_| has_more).map(|last| last.runner().clone());
+        let next_page = changes.last().filter(|_| goes_on).map(|last| last.runner().clone());
         RunnerDelta { changes, next_page, ..self }
     }
 }
