Tell what a request to a runner was decided by

Cause: of a request that reached a draining runner the logs told neither which runner list it was sent by, nor that list's age and origin, nor how long it had waited, so that an old list, a list put back to an older state and a late send looked alike. Change: entries keep the revision at which the store wrote them. The line of an attempt ends with the list's revision, age and source, the entry's revision and age, and the wait from choice to send; metrics runner_list_age_ms and send_wait_ms. No decision uses any of it yet.

--- a/crates/bulrushusher_forward/benches/place.rs
+++ b/crates/bulrushusher_forward/benches/place.rs
@@ -34,16 +34,20 @@
     let service: ServiceName = "llm".try_into().expect("valid name");
     let mut members = RunnerDirectory::new(RunnerDirectoryConfig::default());
     for n in 0..runners {
-        members.put(Runner {
-            id: runner_id(n),
-            born: None,
-            service: service.clone(),
-            address: ([10, 0, 0, 1], 1 + n as u16).into(),
-            data_centre: "a".try_into().expect("valid name"),
-            slots: 64,
-            stage: Some(Stage::Decode),
-            leaving: false,
-        });
+        members.put(
+            Runner {
+                id: runner_id(n),
+                born: None,
+                service: service.clone(),
+                address: ([10, 0, 0, 1], 1 + n as u16).into(),
+                data_centre: "a".try_into().expect("valid name"),
+                slots: 64,
+                stage: Some(Stage::Decode),
+                leaving: false,
+                revision: 0,
+            },
+            Millis(0),
+        );
     }
     let mut reports = vec![GatewayReport { sequence: 1, ..GatewayReport::default() }; gateways];
     for run in 0..runners * RUNS_PER_RUNNER {
--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -139,6 +139,7 @@
 ///     slots: 6,
 ///     stage: None,
 ///     leaving: false,
+///     revision: 0,
 /// };
 /// let mut pressure = BackPressure::new(BackPressureConfig::default(), "entry-1".into());
 /// let signals = RunnerSignals { retry_after: Some(Millis(3_000)), ..RunnerSignals::default() };
--- a/crates/bulrushusher_forward/src/runner.rs
+++ b/crates/bulrushusher_forward/src/runner.rs
@@ -45,4 +45,7 @@
     pub stage: Option<Stage>,
     /// True while it drains and must get no new work.
     pub leaving: bool,
+    /// Revision of the store at which its entry was written, see
+    /// [`revision_in_era`](crate::revision_in_era); 0 if that is not known.
+    pub revision: u64,
 }
--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -51,6 +51,8 @@
 struct Entry {
     runner: Runner,
     listing: Listing,
+    /// When it was last applied with another content.
+    changed_at: Millis,
 }
 
 /// Changes made by a full list.
@@ -76,10 +78,11 @@
 ///     slots: 6,
 ///     stage: None,
 ///     leaving: false,
+///     revision: 0,
 /// };
 /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
 /// runners.store_answered(Millis(0));
-/// runners.put(runner.clone());
+/// runners.put(runner.clone(), Millis(10));
 /// runners.remove(&runner.id, Millis(100));
 /// assert!(runners.get(&runner.id, Millis(100)).is_none(), "removed while the store answered");
 /// ```
@@ -249,7 +252,7 @@
         }
         let mut restarted = Vec::new();
         for (id, runner) in listed {
-            if self.put(runner) == StartStatus::Newer {
+            if self.put(runner, now) == StartStatus::Newer {
                 restarted.push(id);
             }
         }
@@ -272,7 +275,7 @@
 
     /// Applies one entry. An entry of an earlier start is ignored. An entry without a start time,
     /// for a runner that has reported one, was not written by that runner and makes it unusable.
-    pub fn put(&mut self, mut runner: Runner) -> StartStatus {
+    pub fn put(&mut self, mut runner: Runner, now: Millis) -> StartStatus {
         let status = self.starts.record(&runner.id, runner.born);
         match status {
             StartStatus::Stale => {}
@@ -281,8 +284,10 @@
                 self.remove_lapsed_at_address(&runner);
                 self.removed.remove(&runner.id);
                 runner.leaving |= self.has_drain_notice(&runner.id, runner.born);
-                let known = Entry { runner, listing: Listing::Listed };
-                self.known.insert(known.runner.id.clone(), known);
+                let known = self.known.get(&runner.id).filter(|known| known.runner == runner);
+                let changed_at = known.map_or(now, |known| known.changed_at);
+                let entry = Entry { runner, listing: Listing::Listed, changed_at };
+                self.known.insert(entry.runner.id.clone(), entry);
             }
         }
         status
@@ -340,6 +345,11 @@
         self.known.get(id).filter(|known| known.is_usable(now)).map(|known| &known.runner)
     }
 
+    /// When the entry of a known runner was last changed here.
+    pub fn changed_at(&self, id: &RunnerId) -> Option<Millis> {
+        self.known.get(id).map(|known| known.changed_at)
+    }
+
     /// Usable runners of a service that accept new work.
     pub fn usable<'a>(
         &'a self,
--- a/crates/bulrushusher_forward/src/stages.rs
+++ b/crates/bulrushusher_forward/src/stages.rs
@@ -85,6 +85,7 @@
 ///     slots: 64,
 ///     stage: Some(stage),
 ///     leaving: false,
+///     revision: 0,
 /// };
 /// let mut runners: Vec<Runner> = (0..4).map(|n| runner(n, Stage::Prefill)).collect();
 /// runners.extend((4..12).map(|n| runner(n, Stage::Decode)));
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -203,6 +203,7 @@
         slots: 4,
         stage: None,
         leaving,
+        revision: 0,
     }
 }
 
@@ -258,7 +259,7 @@
                 Event::Put(n) | Event::Leaving(n) => {
                     let leaving = matches!(event, Event::Leaving(_));
                     members.store_answered(now);
-                    members.put(runner(n, leaving));
+                    members.put(runner(n, leaving), now);
                     store.put(runner(n, leaving).id, leaving);
                 }
                 Event::Removed(n) => {
--- a/crates/bulrushusher_forward/tests/plain_calls.rs
+++ b/crates/bulrushusher_forward/tests/plain_calls.rs
@@ -31,6 +31,7 @@
         slots: SLOTS,
         stage: None,
         leaving: false,
+        revision: 0,
     }
 }
 
--- a/crates/bulrushusher_forward/tests/starts.rs
+++ b/crates/bulrushusher_forward/tests/starts.rs
@@ -21,6 +21,7 @@
         slots: 4,
         stage: None,
         leaving,
+        revision: 0,
     }
 }
 
@@ -87,7 +88,7 @@
         for statement in &statements {
             match *statement {
                 Statement::Entry { n, born, leaving } => {
-                    runners.put(runner(n, born, leaving));
+                    runners.put(runner(n, born, leaving), now);
                 }
                 Statement::OwnReport { n, born } => {
                     runners.record_start(&runner(n, None, false).id, Some(StartTime(born)));
@@ -118,7 +119,7 @@
     assert!(diff.missing.is_empty());
     let kept = runners.get(&runner(1, None, false).id, now).expect("still listed");
     assert!(!kept.leaving, "the entry of an earlier start is ignored");
-    assert_eq!(runners.put(runner(1, None, false)), StartStatus::Missing);
+    assert_eq!(runners.put(runner(1, None, false), now), StartStatus::Missing);
     assert!(runners.get(&second_id(), now).is_none());
 }
 
--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -36,6 +36,8 @@
     pub runners: Option<RunnerDelta>,
     /// The last change of the configuration.
     pub routing: Option<RoutingUpdate>,
+    /// Time since the store confirmed that `revisions` contains the last change of the runner list.
+    pub list_age: Option<Millis>,
 }
 
 /// A change that other gateways have received and this one has not.
@@ -95,9 +97,13 @@
     /// Sends changes of the runner list to a gateway that missed them.
     pub(crate) async fn send_delta(&self, socket: &UdpSocket, req: &DeltaRequest, to: SocketAddr) {
         let revisions = self.shared.own_revisions();
+        let list_age = self.shared.runner_list_age();
         let message = match self.shared.delta_since(req) {
             None => Message::HistoryGone,
-            runners => Message::StoreChanges(StoreChanges { revisions, runners, routing: None }),
+            runners => {
+                let changes = StoreChanges { revisions, runners, routing: None, list_age };
+                Message::StoreChanges(changes)
+            }
         };
         self.send_message(socket, message, &[to]).await;
     }
@@ -106,12 +112,13 @@
     pub(crate) async fn apply_store_changes(
         &self,
         socket: &UdpSocket,
+        relay: &str,
         changes: StoreChanges,
         from: SocketAddr,
     ) {
         if let Some(page) = changes.runners {
             match self.shared.accept_delta_page(page) {
-                PageOutcome::Apply(delta) => self.intake.apply_delta(delta),
+                PageOutcome::Apply(delta) => self.intake.apply_delta(relay, delta),
                 PageOutcome::Missing(req) => {
                     self.send_message(socket, Message::RequestRunners(req), &[from]).await;
                 }
@@ -122,6 +129,9 @@
         if let Some(change) = changes.routing {
             self.shared.apply_routing_update(change);
         }
+        if let Some(age) = changes.list_age {
+            self.shared.record_relay_confirmation(relay, changes.revisions.runners, age);
+        }
         self.shared.record_relay_revisions(changes.revisions);
     }
 
@@ -133,7 +143,8 @@
         is_new.then_some(change)
     }
 
-    /// Forwards each change while this gateway is a relay.
+    /// Forwards each change, and each confirmation of the runner list, while this gateway is a
+    /// relay.
     pub(crate) async fn forward_changes(&self, socket: &UdpSocket) {
         let mut forwarded_version = 0;
         loop {
@@ -154,13 +165,10 @@
                 self.forwarded_revision.store(delta.revision, Ordering::Relaxed);
             }
             let revisions = self.shared.own_revisions();
+            let list_age = self.shared.runner_list_age();
             let routing = self.unsent_routing_change(&mut forwarded_version);
-            self.send_message(
-                socket,
-                Message::StoreChanges(StoreChanges { revisions, runners, routing }),
-                &listeners,
-            )
-            .await;
+            let changes = StoreChanges { revisions, runners, routing, list_age };
+            self.send_message(socket, Message::StoreChanges(changes), &listeners).await;
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -140,7 +140,9 @@
             Message::CrashReply(update) => {
                 self.shared.apply_crash_update(name, &update);
             }
-            Message::StoreChanges(update) => self.apply_store_changes(socket, update, from).await,
+            Message::StoreChanges(update) => {
+                self.apply_store_changes(socket, name, update, from).await;
+            }
             Message::RequestRunners(req) => self.send_delta(socket, &req, from).await,
             Message::HistoryGone => self.shared.store_poll_due.notify_one(),
         }
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -22,6 +22,7 @@
     pub id: Option<Arc<str>>,
     run: RunNumber,
     prefills_itself: bool,
+    created_at: Millis,
     expires: Millis,
     shared: Arc<SharedState>,
     exchanger: Exchanger<D>,
@@ -49,18 +50,25 @@
     ) -> MemoryHold<D> {
         let HoldTerms { report, ttl } = terms;
         let run = shared.add_run(report);
+        let created_at = shared.now();
         MemoryHold {
             runner,
             id,
             run,
             prefills_itself: false,
-            expires: shared.now().plus(ttl).since(EXPIRY_MARGIN),
+            created_at,
+            expires: created_at.plus(ttl).since(EXPIRY_MARGIN),
             shared: shared.clone(),
             exchanger: exchanger.clone(),
             dialect: dialect.clone(),
         }
     }
 
+    /// When the memory was held, which is when its runner was chosen.
+    pub(crate) fn created_at(&self) -> Millis {
+        self.created_at
+    }
+
     /// Time remaining until the run must have reached the runner.
     pub(crate) fn remaining(&self, now: Millis) -> Millis {
         self.expires.since(now)
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -12,6 +12,7 @@
 use crate::runners::exchange::ExchangeError;
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptRecord, AttemptSpec, ForwardedRequest, LoadGuard, Router};
+use crate::runners::send_trace::SendTrace;
 
 /// Prefill attempts for one prompt while its memory is held.
 const MAX_PREFILL_ATTEMPTS: usize = 2;
@@ -146,7 +147,8 @@
     let timeout = cx.shared.with_timing(&fwd.service, |pace| pace.prefill_timeout(queued + tokens));
     let timeout = timeout.min(max_wait).min(fwd.remaining(started));
     let watch = CrashWatch::begin(cx, fwd);
-    let prefilled = send_prefill(cx, fwd, resume_after, &runner, timeout).await;
+    let trace = SendTrace::new(started);
+    let prefilled = send_prefill(cx, fwd, resume_after, &runner, timeout, &trace).await;
     if prefilled.as_ref().is_err_and(|failed| failed.is_connection_lost) {
         watch.connection_lost(cx, &runner).await;
     }
@@ -156,7 +158,7 @@
     };
     cx.record_attempt(
         fwd,
-        AttemptRecord { runner: &runner, step: "read", started, result, detail },
+        AttemptRecord { runner: &runner, step: "read", started, result, trace: &trace, detail },
     );
     match result {
         CallResult::NotRun => cx.shared.pause_runner(&runner.id, REFUSED_PREFILL_PAUSE),
@@ -186,6 +188,7 @@
     resume_after: Option<u64>,
     runner: &Runner,
     timeout: Millis,
+    trace: &SendTrace,
 ) -> Result<Arc<str>, PrefillFailure> {
     let lost = |e: ExchangeError| PrefillFailure {
         result: e.call_result(),
@@ -194,7 +197,7 @@
     };
     let failed = |result, cause| PrefillFailure { result, cause, is_connection_lost: false };
     let spec = AttemptSpec { resume_after, step: Step::Prefill, permit: Permit::Acquire };
-    let reply = cx.attempt(fwd, runner, spec, timeout).await.map_err(lost)?;
+    let reply = cx.attempt(fwd, runner, spec, timeout, trace).await.map_err(lost)?;
     let info = reply.info.clone();
     let (head, body) = cx.exchanger.read_whole(runner, reply, timeout).await.map_err(lost)?;
     if info.wrong_runner {
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -55,6 +55,9 @@
         (all, count(Stage::Prefill), count(Stage::Decode))
     });
     record_accounts(shared, metrics);
+    if let Some(age) = shared.runner_list_age() {
+        metrics.set_state("runner_list_age_ms", age.0);
+    }
     metrics.set_state("quarantined_requests", shared.all_quarantined().len() as u64);
     let pressure = shared.pressure_counts();
     metrics.set_state("limited_runners", pressure.limited as u64);
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -15,6 +15,7 @@
 use crate::dialect::{ControlRequest, Dialect, ResponseInfo};
 use crate::runners::permit::Permit;
 use crate::runners::pool::{RunnerConnection, RunnerPool};
+use crate::runners::send_trace::SendTrace;
 use crate::shared::SharedState;
 
 /// Largest response that is buffered, in bytes. Plain responses are some kilobytes; a larger one
@@ -84,6 +85,17 @@
     pub connection: RunnerConnection,
 }
 
+/// How a request is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SendSpec<'a> {
+    /// The caller's request id; `None` for a request of the gateway itself.
+    pub id: Option<&'a RequestId>,
+    pub permit: Permit,
+    /// Timeout of the head of the response.
+    pub timeout: Millis,
+    pub trace: &'a SendTrace,
+}
+
 /// Sends requests to runners.
 #[derive(Clone, Debug)]
 pub(crate) struct Exchanger<D> {
@@ -111,13 +123,12 @@
     pub(crate) async fn send(
         &self,
         runner: &Runner,
-        id: Option<&RequestId>,
         req: Request<Full<Bytes>>,
-        permit: Permit,
-        timeout: Millis,
+        spec: SendSpec<'_>,
     ) -> Result<Reply, ExchangeError> {
-        self.apply_permit(runner, permit)?;
-        let sending = self.send_without_timeout(runner, id, req);
+        let timeout = spec.timeout;
+        self.apply_permit(runner, spec.permit)?;
+        let sending = self.send_without_timeout(runner, req, spec);
         match tokio::time::timeout(timeout.duration(), sending).await {
             Ok(done) => done,
             Err(_) => Err(ExchangeError::NoAnswer { cause: format!("silent for {timeout}") }),
@@ -146,8 +157,8 @@
     async fn send_without_timeout(
         &self,
         runner: &Runner,
-        id: Option<&RequestId>,
         mut req: Request<Full<Bytes>>,
+        spec: SendSpec<'_>,
     ) -> Result<Reply, ExchangeError> {
         loop {
             let mut connection = match self.pool.take_idle(&runner.id) {
@@ -158,8 +169,9 @@
                     .await
                     .map_err(|cause| ExchangeError::Unsent { cause })?,
             };
+            spec.trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
             match connection.sender.try_send_request(req).await {
-                Ok(reply) => return self.check_response(runner, id, reply, connection),
+                Ok(reply) => return self.check_response(runner, spec.id, reply, connection),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) if connection.reused => req = unsent,
                     Some(_) => return Err(ExchangeError::Unsent { cause: e.error().to_string() }),
@@ -237,7 +249,9 @@
         if let Ok(host) = host {
             req.headers_mut().insert(hyper::header::HOST, host);
         }
-        let reply = self.send(runner, None, req, permit, timeout).await?;
+        let trace = SendTrace::new(self.shared.now());
+        let spec = SendSpec { id: None, permit, timeout, trace: &trace };
+        let reply = self.send(runner, req, spec).await?;
         self.read_whole(runner, reply, timeout).await
     }
 }
--- a/crates/bulrushusher_gateway/src/runners/mod.rs
+++ b/crates/bulrushusher_gateway/src/runners/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod permit;
 pub(crate) mod pool;
 pub(crate) mod router;
+pub(crate) mod send_trace;
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -17,8 +17,9 @@
 use crate::answers::answer::QUARANTINED;
 use crate::answers::answer::Withheld;
 use crate::dialect::{Attempt, CallerRequest, Dialect, Step};
-use crate::runners::exchange::{ExchangeError, Exchanger, Reply};
+use crate::runners::exchange::{ExchangeError, Exchanger, Reply, SendSpec};
 use crate::runners::permit::Permit;
+use crate::runners::send_trace::SendTrace;
 use crate::shared::SharedState;
 
 /// Spread of Retry-After, as a share of it, over callers that wait for the same runner.
@@ -150,6 +151,7 @@
         runner: &Runner,
         spec: AttemptSpec<'_>,
         timeout: Millis,
+        trace: &SendTrace,
     ) -> Result<Reply, ExchangeError> {
         let AttemptSpec { resume_after, step, permit } = spec;
         let remaining = fwd.remaining(self.now());
@@ -160,7 +162,8 @@
         let attempt = Attempt { runner: &runner.id, remaining, resume_after, account, step };
         let headers = self.dialect.attempt_headers(&fwd.request, &attempt);
         let req = build_request(fwd, headers);
-        self.exchanger.send(runner, Some(&fwd.request.id), req, permit, timeout).await
+        let send = SendSpec { id: Some(&fwd.request.id), permit, timeout, trace };
+        self.exchanger.send(runner, req, send).await
     }
 
     /// Records the result of an attempt for runner selection, in metrics and in the log.
@@ -173,15 +176,19 @@
         self.shared.record_call(record.runner, result);
         let label = result_label(result);
         self.metrics.record_attempt(record.step, label, took.0 as f64);
+        if let Some(waited) = record.trace.waited() {
+            self.metrics.record_send_wait(record.step, waited.0 as f64);
+        }
         log::info!(
             "route: attempt ended id={} step={} runner={} result={label} detail=\"{}\" ms={} \
-             left_ms={}",
+             left_ms={} {}",
             fwd.request.id,
             record.step,
             record.runner.id,
             record.detail,
             took.0,
             fwd.remaining(self.now()).0,
+            record.trace,
         );
     }
 
@@ -209,6 +216,8 @@
     pub step: &'static str,
     pub started: Millis,
     pub result: CallResult,
+    /// What the attempt was decided by.
+    pub trace: &'a SendTrace,
     /// Cause of a result other than an answer, for the log line; empty for an answer.
     pub detail: &'a str,
 }
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -16,6 +16,7 @@
 use crate::runners::exchange::Reply;
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptRecord, AttemptSpec, ForwardedRequest, LoadGuard, Router};
+use crate::runners::send_trace::SendTrace;
 use crate::runs::run::{Run, silence_timeout};
 
 /// Longest wait for other memory after the prompt was prefilled: runners keep a KV cache that is
@@ -135,6 +136,7 @@
     spec: AttemptSpec<'_>,
 ) -> Result<Run<D>, RunError> {
     let started = cx.now();
+    let trace = SendTrace::new(held.as_ref().map_or(started, MemoryHold::created_at));
     let load = LoadGuard::begin(&cx.shared, &runner.id, 0);
     let timeout = match fwd.route.kind.may_repeat() {
         true => silence_timeout(fwd).min(fwd.remaining(started)),
@@ -143,7 +145,11 @@
     let prefills = held.as_ref().is_some_and(MemoryHold::prefills_itself);
     let watch = prefills.then(|| cx.shared.track_prefill(&runner));
     let mut crash_watch = CrashWatch::begin(cx, fwd);
-    let sending = cx.attempt(fwd, &runner, spec, timeout);
+    let record = |step, result, detail: &str| {
+        let (runner, trace) = (&runner, &trace);
+        cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
+    };
+    let sending = cx.attempt(fwd, &runner, spec, timeout, &trace);
     let sent = watch_silence(cx, fwd, &runner, sending).await;
     let error = match sent {
         Ok(reply) if reply.head.status.is_success() && reply.info.sealed => {
@@ -153,14 +159,8 @@
             if let Some(watch) = watch {
                 watch.finish(&fwd.service, fwd.prompt_tokens(), fwd.route.gap_target);
             }
-            record(
-                cx,
-                fwd,
-                &runner,
-                step_label(prefills),
-                started,
-                (CallResult::Answered(Millis(0)), ""),
-            );
+            let result = CallResult::Answered(Millis(0));
+            record(step_label(prefills), result, "");
             let migrate_after = Millis(0);
             crash_watch.run_started(cx.now());
             let watch = crash_watch;
@@ -171,8 +171,7 @@
             if e.is_connection_lost() {
                 crash_watch.connection_lost(cx, &runner).await;
             }
-            let outcome = (e.call_result(), &*e.to_string());
-            record(cx, fwd, &runner, "generate", started, outcome);
+            record("generate", e.call_result(), &e.to_string());
             if !e.is_withheld() {
                 cx.shared.record_run_end(&runner, false);
             }
@@ -186,7 +185,7 @@
         RunError::Unplaced(reason) => (CallResult::NotRun, *reason),
         RunError::Withheld(withheld) => (CallResult::NotRun, withheld.reason),
     };
-    record(cx, fwd, &runner, "generate", started, (result, detail));
+    record("generate", result, detail);
     if matches!(result, CallResult::Failed | CallResult::Unreachable) {
         cx.shared.record_run_end(&runner, false);
     }
@@ -237,17 +236,3 @@
 fn step_label(prefills: bool) -> &'static str {
     if prefills { "read_and_generate" } else { "generate" }
 }
-
-/// Result and detail of a step.
-type Outcome<'a> = (CallResult, &'a str);
-
-fn record<D: Dialect>(
-    cx: &Router<D>,
-    fwd: &ForwardedRequest,
-    runner: &Runner,
-    step: &'static str,
-    started: Millis,
-    (result, detail): Outcome<'_>,
-) {
-    cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, detail });
-}
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -16,6 +16,7 @@
 use crate::runners::exchange::{ExchangeError, Reply};
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptRecord, AttemptSpec, ForwardedRequest, LoadGuard, Router};
+use crate::runners::send_trace::SendTrace;
 
 /// Share of its target after which a repeatable call is late at its first runner: longer than
 /// nearly all responses take, and short enough for a second runner to respond on time.
@@ -65,10 +66,11 @@
             return Err(Refusal::after_attempts(plan.final_answer(), reason, retry_after));
         };
         let may_be_abandoned = plan.may_run_again() && tried.is_empty();
+        let trace = SendTrace::new(cx.now());
         tried.push(runner.id.clone());
         let ended = match may_be_abandoned {
-            true => first_attempt(cx, fwd, &runner, remaining, &mut plan).await,
-            false => Some(attempt(cx, fwd, &runner, remaining).await),
+            true => first_attempt(cx, fwd, &runner, &trace, remaining, &mut plan).await,
+            false => Some(attempt(cx, fwd, &runner, &trace, remaining).await),
         };
         let Some(ended) = ended else { continue };
         let (end, failed, cause) = match ended {
@@ -117,11 +119,12 @@
     cx: &Router<D>,
     fwd: &ForwardedRequest,
     runner: &Runner,
+    trace: &SendTrace,
     remaining: Millis,
     plan: &mut AttemptPlan,
 ) -> Option<AttemptResult> {
     let started = cx.now();
-    let mut ended = pin!(attempt(cx, fwd, runner, remaining));
+    let mut ended = pin!(attempt(cx, fwd, runner, trace, remaining));
     let in_time =
         tokio::time::timeout(first_attempt_timeout(fwd).min(remaining).duration(), &mut ended);
     if let Ok(ended) = in_time.await {
@@ -129,7 +132,8 @@
     }
     if cx.shared.abandon_late(&fwd.service, plan, std::slice::from_ref(&runner.id)) {
         let (result, detail) = (CallResult::Unreachable, "late, another runner is tried");
-        cx.record_attempt(fwd, AttemptRecord { runner, step: "whole", started, result, detail });
+        let step = "whole";
+        cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
         return None;
     }
     log::info!("route: late id={} runner={} outcome=\"still waiting\"", fwd.request.id, runner.id);
@@ -152,6 +156,7 @@
     cx: &Router<D>,
     fwd: &ForwardedRequest,
     runner: &Runner,
+    trace: &SendTrace,
     timeout: Millis,
 ) -> AttemptResult {
     let started = cx.now();
@@ -159,7 +164,7 @@
     let watch = CrashWatch::begin(cx, fwd);
     let resume_after = fwd.request.resume_after;
     let spec = AttemptSpec { resume_after, step: Step::Whole, permit: Permit::Acquire };
-    let reply = cx.attempt(fwd, runner, spec, timeout).await;
+    let reply = cx.attempt(fwd, runner, spec, timeout, trace).await;
     let read = match reply {
         Ok(reply) => {
             let remaining = timeout.since(cx.now().since(started)).plus(Millis(1));
@@ -181,7 +186,8 @@
         AttemptResult::NoAnswer(_, cause) => (CallResult::Unreachable, cause.as_str()),
         AttemptResult::Withheld(cause) => (CallResult::Withheld, cause.as_str()),
     };
-    cx.record_attempt(fwd, AttemptRecord { runner, step: "whole", started, result, detail });
+    let step = "whole";
+    cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
     ended
 }
 
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -2,8 +2,8 @@
 //! models.
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
-//! `runs`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `switching`, `crashes`,
-//! `pressure`, `quotas`, `lease`. No lock is held across an await point.
+//! `runs`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `runner_list`, `switching`,
+//! `crashes`, `pressure`, `quotas`, `lease`. No lock is held across an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -38,10 +38,12 @@
 mod relayed;
 mod relays;
 mod revisions;
+mod runner_list;
 mod starts;
 
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
+pub(crate) use runner_list::{ListEvidence, ListSource};
 
 /// Minimum number of parts that the shared retry burst is split into. A gateway that restarts has a
 /// full part, and a gateway that receives no peer reports does not know the number of gateways.
@@ -71,6 +73,8 @@
     pauses: Mutex<HashMap<RunnerId, pauses::PauseStats>>,
     /// Revisions of the store that this gateway has received.
     revisions: Mutex<revisions::RevisionState>,
+    /// Age and origin of the runner list.
+    runner_list: Mutex<runner_list::RunnerListState>,
     /// Runners that are switching stage, by service.
     switching: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Requests that crash runners.
@@ -132,6 +136,7 @@
             health: Mutex::new(RunnerHealth::new(HealthConfig::default())),
             pauses: Mutex::default(),
             revisions: Mutex::default(),
+            runner_list: Mutex::default(),
             switching: Mutex::default(),
             crashes: Mutex::new(crashes::CrashState::new(quarantine)),
             pressure: Mutex::new(pressure),
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -18,7 +18,7 @@
             return StartStatus::Missing;
         }
         let (id, born) = (runner.id.clone(), runner.born);
-        let status = self.with_runners(|runners, _| runners.directory.put(runner));
+        let status = self.with_runners(|runners, now| runners.directory.put(runner, now));
         self.apply_start(&id, born, status);
         status
     }
--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -14,7 +14,7 @@
 use futures_util::stream::FuturesUnordered;
 
 use crate::dialect::{Change, ChangeBatch, Freshness, NO_WAIT, PlatformStore, StoreError, Topic};
-use crate::shared::SharedState;
+use crate::shared::{ListSource, SharedState};
 use crate::store::intake::Intake;
 
 /// Length of one long poll where no peers watch the store, as a part of the
@@ -87,6 +87,10 @@
                     }
                     self.record_poll_answer(Millis(0));
                     self.intake.apply_list(self.topic, update);
+                    match freshness {
+                        Freshness::Latest => self.record_list(ListSource::List, Some(requested_at)),
+                        Freshness::AllowStale => self.record_list(ListSource::StaleList, None),
+                    }
                     self.shared.forward_due.notify_one();
                     if freshness == Freshness::Latest {
                         self.renew_lease(requested_at);
@@ -190,6 +194,7 @@
     /// Requests from the store, in one call, all changes after the last revision that this gateway
     /// has received. Called when relays could not supply the changes.
     async fn catch_up(&self) -> Result<(), StoreError> {
+        let requested_at = self.shared.now();
         let revision = self.shared.seen_revision(self.topic);
         let answer = self.store.watch(self.topic, revision, NO_WAIT, self.slack()).await;
         self.count_call(if answer.is_ok() { "caught_up" } else { "failed" });
@@ -199,6 +204,7 @@
         let seen = update.revision;
         log::info!("store: caught up topic={} after={revision} revision={seen}", self.topic);
         self.intake.apply_changes(self.topic, revision, update);
+        self.record_list(ListSource::CatchUp, Some(requested_at));
         Ok(())
     }
 
@@ -243,9 +249,10 @@
                     self.record_poll_answer(wait);
                     let has_changed = !update.changes.is_empty();
                     self.intake.apply_changes(self.topic, revision, update);
+                    self.record_list(ListSource::Watch, Some(requested_at));
                     self.renew_lease(requested_at);
+                    self.shared.forward_due.notify_one();
                     if has_changed {
-                        self.shared.forward_due.notify_one();
                         tokio::time::sleep(self.share(BATCH_SHARE).duration()).await;
                     }
                 }
@@ -277,6 +284,13 @@
         }
     }
 
+    /// Records how the runner list was received, complete as of `confirmed_at`.
+    fn record_list(&self, source: ListSource, confirmed_at: Option<Millis>) {
+        if self.topic == Topic::Runners {
+            self.shared.record_runner_list(source, confirmed_at);
+        }
+    }
+
     fn record_restore(&self, revision: u64) {
         log::warn!(
             "store: restored topic={} era={} revision={}",
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -10,7 +10,7 @@
 
 use crate::dialect::{Change, ChangeBatch, InvalidObject, Topic};
 use crate::runners::pool::RunnerPool;
-use crate::shared::SharedState;
+use crate::shared::{ListSource, SharedState};
 
 /// Maximum number of characters of another writer's text in one log line.
 const MAX_LOGGED_CHARS: usize = 80;
@@ -62,6 +62,7 @@
                 self.shared.put_runner(runner.clone());
             }
         }
+        self.shared.record_runner_list(ListSource::FirstPages, None);
     }
 
     /// Applies the changes in the store after a revision.
@@ -101,10 +102,10 @@
     }
 
     /// Applies changes of the runner list from a relay.
-    pub(crate) fn apply_delta(&self, delta: RunnerDelta) {
+    pub(crate) fn apply_delta(&self, relay: &str, delta: RunnerDelta) {
         let RunnerDelta { request, revision, last_change, changes, outage_age, .. } = delta;
         log::info!(
-            "runners: delta received from a relay changes={} after={} revision={revision}",
+            "runners: delta received relay={relay} changes={} after={} revision={revision}",
             changes.len(),
             request.after
         );
@@ -114,6 +115,7 @@
             }
         });
         changes.iter().for_each(|change| self.apply(change));
+        self.shared.record_runner_list(ListSource::Relay(relay.into()), None);
         self.shared.record_changes(request.after, revision, last_change, changes);
         self.shared.record_revisions(Topic::Runners, revision, last_change);
     }
@@ -145,10 +147,11 @@
     fn put(&self, runner: &Runner) {
         let id = &runner.id;
         log::info!(
-            "runners: entry id={id} service={} stage={} leaving={} born={}",
+            "runners: entry id={id} service={} stage={} leaving={} revision={} born={}",
             runner.service,
             runner.stage.map_or("none".to_owned(), |stage| stage.to_string()),
             runner.leaving,
+            runner.revision,
             runner.born.map_or(0, |born| born.0),
         );
         match self.shared.put_runner(runner.clone()) {
--- a/crates/bulrushusher_model/src/limits.rs
+++ b/crates/bulrushusher_model/src/limits.rs
@@ -439,5 +439,6 @@
         slots: 6,
         stage: None,
         leaving: false,
+        revision: 0,
     }
 }
--- a/crates/bulrushusher_model/src/simulation.rs
+++ b/crates/bulrushusher_model/src/simulation.rs
@@ -127,7 +127,7 @@
         for n in 0..fleet.decodes {
             let runner = runner(&service, n);
             runner_ids.push(runner.id.clone());
-            runners.put(runner);
+            runners.put(runner, Millis(0));
         }
         let gateway = || Gateway {
             queue: WaitQueue::new(fleet.wait_queue),
@@ -438,6 +438,7 @@
         slots: 64,
         stage: Some(Stage::Decode),
         leaving: false,
+        revision: 0,
     }
 }
 
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -12,6 +12,7 @@
     requests: Counter<u64>,
     response_ms: Histogram<f64>,
     attempts: Counter<u64>,
+    send_wait_ms: Histogram<f64>,
     attempt_ms: Histogram<f64>,
     memory_requests: Counter<u64>,
     store_calls: Counter<u64>,
@@ -68,6 +69,10 @@
                 "Time to the head of the answer, by kind, in ms",
             ),
             attempts: counter("bulrush_gateway_attempts", "Sends to runners, by step and result"),
+            send_wait_ms: latency(
+                "bulrush_gateway_send_wait_ms",
+                "Time from the choice of a runner to the send, by step, in ms",
+            ),
             attempt_ms: latency(
                 "bulrush_gateway_attempt_ms",
                 "Time of sends to runners, by step, in ms",
@@ -124,6 +129,11 @@
         self.attempt_ms.record(ms, &[step]);
     }
 
+    /// Records the time from the choice of a runner to the send of a request.
+    pub fn record_send_wait(&self, step: &'static str, ms: f64) {
+        self.send_wait_ms.record(ms, &[KeyValue::new("step", step)]);
+    }
+
     /// Records the result of a request for decode memory at a runner.
     pub fn record_memory_request(&self, result: &'static str) {
         self.memory_requests.add(1, &[KeyValue::new("result", result)]);
