Keep the latest state of a runner's entry, whatever arrives later

Cause: RunnerDirectory::put applied any entry of the same start, and a list replaced everything. A list, a late answer to a catch-up call or a relay's delta that was read before a change and arrived after it put `ready` over `draining` or brought a removed runner back; the revision seen stayed the later one, so that nobody asked again. Change: the directory keeps the revision of each runner's latest change, removals included, and of the latest list. Older entries, removals and lists do not change it; relays send the revision of a removal too. Tests of bulrushusher_fleet pass, the soak included.

--- a/crates/bulrushusher_forward/src/runner_changes.rs
+++ b/crates/bulrushusher_forward/src/runner_changes.rs
@@ -11,13 +11,22 @@
 
 use crate::{Runner, era_of};
 
+/// The removal of a runner's entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerRemoval {
+    /// The runner.
+    pub id: RunnerId,
+    /// Revision of the removal or of the last entry before it; 0 if neither is known.
+    pub revision: u64,
+}
+
 /// A change of one runner's entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunnerChange {
     /// The entry's new content.
     Entry(Runner),
     /// The entry was removed.
-    Removed(RunnerId),
+    Removed(RunnerRemoval),
     /// The entry cannot be parsed; the runner must not be used.
     Unusable(RunnerId),
 }
@@ -27,7 +36,8 @@
     pub fn runner(&self) -> &RunnerId {
         match self {
             RunnerChange::Entry(runner) => &runner.id,
-            RunnerChange::Removed(id) | RunnerChange::Unusable(id) => id,
+            RunnerChange::Removed(removal) => &removal.id,
+            RunnerChange::Unusable(id) => id,
         }
     }
 }
@@ -61,10 +71,11 @@
 /// A bounded log of the latest changes, for answering requests.
 ///
 /// ```
-/// use bulrushusher_forward::{ChangeLog, DeltaRequest, RunnerChange};
+/// use bulrushusher_forward::{ChangeLog, DeltaRequest, RunnerChange, RunnerRemoval};
 /// let mut log = ChangeLog::new(100);
 /// log.restart(10, 9);
-/// let gone = RunnerChange::Removed("i-1".try_into().unwrap());
+/// let removal = RunnerRemoval { id: "i-1".try_into().unwrap(), revision: 11 };
+/// let gone = RunnerChange::Removed(removal);
 /// log.record(10, 12, 11, vec![gone.clone()]);
 /// let since = |after| log.since(&DeltaRequest { after, page_after: None }, 10);
 /// assert_eq!(since(10).unwrap().changes, [gone]);
--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Runner, StartStatus, StartTime, StartTimes};
+use crate::{Runner, RunnerRemoval, StartStatus, StartTime, StartTimes};
 
 /// Time limits of the runner directory.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +32,9 @@
 /// some seconds old and still contains the entry.
 const REMOVAL_TTL: Millis = Millis(60_000);
 
+/// Number of changes of runners that are not known up to which none is dropped.
+const MIN_APPLIED: usize = 256;
+
 /// How long a drain notice is kept for a runner that is no longer listed. Gateways stop passing it
 /// on earlier than that, so a gateway that has dropped it does not receive it as new.
 const DRAIN_NOTICE_TTL: Millis = Millis(2 * REMOVAL_TTL.0);
@@ -55,6 +58,15 @@
     changed_at: Millis,
 }
 
+/// The latest change of a runner's entry that was applied.
+#[derive(Clone, Copy, Debug, Default)]
+struct AppliedChange {
+    /// Its revision; 0 if no change of the entry had one.
+    revision: u64,
+    is_removal: bool,
+    at: Millis,
+}
+
 /// Changes made by a full list.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RunnerListDiff {
@@ -67,7 +79,7 @@
 /// The known runners.
 ///
 /// ```
-/// use bulrushusher_forward::{RunnerDirectory, RunnerDirectoryConfig, Runner};
+/// use bulrushusher_forward::{Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerRemoval};
 /// use bulrushusher_time::Millis;
 /// let runner = Runner {
 ///     id: "i-1".try_into().unwrap(),
@@ -83,7 +95,7 @@
 /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
 /// runners.store_answered(Millis(0));
 /// runners.put(runner.clone(), Millis(10));
-/// runners.remove(&runner.id, Millis(100));
+/// runners.remove(&RunnerRemoval { id: runner.id.clone(), revision: 0 }, Millis(100));
 /// assert!(runners.get(&runner.id, Millis(100)).is_none(), "removed while the store answered");
 /// ```
 #[derive(Clone, Debug)]
@@ -94,8 +106,11 @@
     last_answer: Option<Millis>,
     last_outage_end: Option<Millis>,
     was_fully_listed: bool,
-    /// Runners whose entries were removed, with the time of removal.
-    removed: HashMap<RunnerId, Millis>,
+    /// The latest change of each known or recently removed runner. Lists, answers and messages of
+    /// relays may arrive in another order than that in which they were read.
+    applied: HashMap<RunnerId, AppliedChange>,
+    /// Revision of the latest full list. A runner without a change in `applied` had no entry then.
+    list_revision: u64,
     /// True until the first full list after the store was restored from a backup.
     is_restored: bool,
     /// Drain notices by runner.
@@ -127,7 +142,8 @@
             last_answer: None,
             last_outage_end: None,
             was_fully_listed: false,
-            removed: HashMap::new(),
+            applied: HashMap::new(),
+            list_revision: 0,
             is_restored: false,
             drain_notices: HashMap::new(),
         }
@@ -238,17 +254,30 @@
         self.was_fully_listed
     }
 
-    /// Replaces the directory by a full list.
-    pub fn replace_all(&mut self, mut runners: Vec<Runner>, now: Millis) -> RunnerListDiff {
+    /// Replaces the directory by a full list, read at a revision of the store (0 if that is not
+    /// known). State from later revisions is kept.
+    pub fn replace_all(
+        &mut self,
+        mut runners: Vec<Runner>,
+        revision: u64,
+        now: Millis,
+    ) -> RunnerListDiff {
         if std::mem::take(&mut self.is_restored) {
             self.correct_restored_list(&mut runners, now);
         }
         let listed: HashMap<RunnerId, Runner> =
             runners.into_iter().map(|r| (r.id.clone(), r)).collect();
+        let is_older = |known: &Entry| revision == 0 || known.runner.revision <= revision;
+        let is_missing =
+            |(id, known): &(&RunnerId, &Entry)| !listed.contains_key(*id) && is_older(known);
         let missing: Vec<RunnerId> =
-            self.known.keys().filter(|id| !listed.contains_key(*id)).cloned().collect();
+            self.known.iter().filter(is_missing).map(|(id, _)| id.clone()).collect();
         for id in &missing {
-            self.remove(id, now);
+            self.remove(&RunnerRemoval { id: id.clone(), revision }, now);
+        }
+        if revision >= self.list_revision {
+            // Every entry of the latest list exists.
+            self.list_revision = 0;
         }
         let mut restarted = Vec::new();
         for (id, runner) in listed {
@@ -256,6 +285,7 @@
                 restarted.push(id);
             }
         }
+        self.list_revision = self.list_revision.max(revision);
         self.was_fully_listed = true;
         RunnerListDiff { missing, restarted }
     }
@@ -263,8 +293,10 @@
     /// Corrects a list from a restored backup: a removed runner comes back only by registering
     /// again, and a draining one stays draining.
     fn correct_restored_list(&self, runners: &mut Vec<Runner>, now: Millis) {
-        let is_gone =
-            |id: &RunnerId| self.removed.get(id).is_some_and(|at| now.since(*at) < REMOVAL_TTL);
+        let is_gone = |id: &RunnerId| {
+            let removal = self.applied.get(id).filter(|it| it.is_removal);
+            !self.known.contains_key(id) && removal.is_some_and(|it| now.since(it.at) < REMOVAL_TTL)
+        };
         runners.retain(|runner| !is_gone(&runner.id));
         for runner in runners {
             let known = self.known.get(&runner.id).map(|known| &known.runner);
@@ -273,16 +305,28 @@
         }
     }
 
-    /// Applies one entry. An entry of an earlier start is ignored. An entry without a start time,
-    /// for a runner that has reported one, was not written by that runner and makes it unusable.
+    /// True when a later change of the runner's entry was applied, or a later list without it, so
+    /// that this entry must be ignored.
+    pub fn is_outdated(&self, entry: &Runner) -> bool {
+        let latest = self.latest_change(&entry.id);
+        let is_removed = latest.is_removal && latest.revision >= entry.revision;
+        entry.revision > 0 && (latest.revision > entry.revision || is_removed)
+    }
+
+    /// Applies one entry. An outdated entry or one of an earlier start is ignored. An entry without
+    /// a start time, for a runner that has reported one, was not written by that runner and makes
+    /// it unusable.
     pub fn put(&mut self, mut runner: Runner, now: Millis) -> StartStatus {
+        if self.is_outdated(&runner) {
+            return StartStatus::Stale;
+        }
         let status = self.starts.record(&runner.id, runner.born);
         match status {
             StartStatus::Stale => {}
             StartStatus::Missing => self.forget(&runner.id),
             StartStatus::Current | StartStatus::Newer => {
                 self.remove_lapsed_at_address(&runner);
-                self.removed.remove(&runner.id);
+                self.record_change(&runner.id, runner.revision, false, now);
                 runner.leaving |= self.has_drain_notice(&runner.id, runner.born);
                 let known = self.known.get(&runner.id).filter(|known| known.runner == runner);
                 let changed_at = known.map_or(now, |known| known.changed_at);
@@ -317,9 +361,14 @@
         });
     }
 
-    /// Records the removal of an entry. Around a store outage the runner may still be alive, so its
-    /// entry only lapses.
-    pub fn remove(&mut self, id: &RunnerId, now: Millis) {
+    /// Records the removal of an entry, unless the runner has registered again since. Around a store
+    /// outage the runner may still be alive, so its entry only lapses.
+    pub fn remove(&mut self, removal: &RunnerRemoval, now: Millis) {
+        let RunnerRemoval { id, revision } = removal;
+        if *revision > 0 && self.latest_change(id).revision > *revision {
+            return;
+        }
+        self.record_change(id, *revision, true, now);
         let until = self.last_outage_end.map(|end| end.plus(self.cfg.return_grace));
         match until {
             Some(until) if now < until => {
@@ -327,12 +376,28 @@
                     known.listing = Listing::Lapsed { until };
                 }
             }
-            _ => {
-                self.known.remove(id);
-                self.removed.retain(|_, at| now.since(*at) < REMOVAL_TTL);
-                self.removed.insert(id.clone(), now);
-            }
+            _ => drop(self.known.remove(id)),
+        }
+    }
+
+    /// The latest change of a runner. One that has no entry was missing from the latest list too.
+    fn latest_change(&self, id: &RunnerId) -> AppliedChange {
+        let none = AppliedChange { is_removal: true, ..AppliedChange::default() };
+        let applied = self.applied.get(id).copied().unwrap_or(none);
+        let listed = if applied.is_removal { self.list_revision } else { 0 };
+        AppliedChange { revision: applied.revision.max(listed), ..applied }
+    }
+
+    /// Records a change as the latest one of its runner.
+    fn record_change(&mut self, id: &RunnerId, revision: u64, is_removal: bool, now: Millis) {
+        if self.applied.len() > 2 * self.known.len() + MIN_APPLIED {
+            let known = &self.known;
+            self.applied
+                .retain(|id, change| known.contains_key(id) || now.since(change.at) < REMOVAL_TTL);
         }
+        let applied = self.applied.entry(id.clone()).or_default();
+        let revision = applied.revision.max(revision);
+        *applied = AppliedChange { revision, is_removal, at: now };
     }
 
     /// Drops a runner that is known to be gone.
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -7,8 +7,8 @@
 
 use bulrushusher_forward::{
     AttemptEnd, AttemptPlan, CallSelection, EventSplitter, FinalAnswer, NextStep, RouteKind,
-    Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, Shutdown, ShutdownConfig,
-    pick_for_call,
+    Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, RunnerRemoval, Shutdown,
+    ShutdownConfig, pick_for_call,
 };
 use bulrushusher_forward::{LoadConfig, SelectionContext};
 use bulrushusher_routing::{RetryBudget, RetryConfig};
@@ -264,7 +264,8 @@
                 }
                 Event::Removed(n) => {
                     members.store_answered(now);
-                    members.remove(&runner(n, false).id, now);
+                    let id = runner(n, false).id;
+                    members.remove(&RunnerRemoval { id, revision: 0 }, now);
                     store.remove(&runner(n, false).id, now);
                 }
                 Event::Relisted(mask) => {
@@ -275,7 +276,7 @@
                         store.remove(&runner(n, false).id, now);
                     }
                     listed.iter().for_each(|r| store.put(r.id.clone(), false));
-                    members.replace_all(listed, now);
+                    members.replace_all(listed, 0, now);
                 }
                 Event::Outage => {
                     now = now.plus(cfg.outage_after);
--- a/crates/bulrushusher_forward/tests/plain_calls.rs
+++ b/crates/bulrushusher_forward/tests/plain_calls.rs
@@ -38,7 +38,7 @@
 impl Pool {
     fn new(runners: usize) -> Pool {
         let mut members = RunnerDirectory::new(RunnerDirectoryConfig::default());
-        members.replace_all((0..runners).map(runner).collect(), Millis(0));
+        members.replace_all((0..runners).map(runner).collect(), 0, Millis(0));
         let loads = RunnerLoads::new(LoadConfig::default());
         Pool { members, loads, rng: ChaCha8Rng::seed_from_u64(7), now: Millis(10_000) }
     }
--- a/crates/bulrushusher_forward/tests/relays.rs
+++ b/crates/bulrushusher_forward/tests/relays.rs
@@ -6,7 +6,7 @@
 
 use bulrushusher_forward::{
     ChangeLog, DeltaPages, DeltaRequest, PageOutcome, RelayPeer, RelayView, Relays, RelaysConfig,
-    Runner, RunnerChange, RunnerDelta, StoreContact, StoreRole,
+    Runner, RunnerChange, RunnerDelta, RunnerRemoval, StoreContact, StoreRole,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
@@ -44,7 +44,7 @@
 fn put(table: &mut Table, change: &RunnerChange) {
     match change {
         RunnerChange::Entry(_) => table.insert(change.runner().clone(), change.clone()),
-        RunnerChange::Removed(id) | RunnerChange::Unusable(id) => table.remove(id),
+        RunnerChange::Removed(_) | RunnerChange::Unusable(_) => table.remove(change.runner()),
     };
 }
 
@@ -271,7 +271,7 @@
     fn change_runners(&mut self, count: usize) {
         for n in 0..count {
             let change = match n % 5 {
-                4 => RunnerChange::Removed(id(n / 2)),
+                4 => RunnerChange::Removed(RunnerRemoval { id: id(n / 2), revision: 0 }),
                 _ => entry(n, n as u32),
             };
             self.changes.push(change);
--- a/crates/bulrushusher_forward/tests/revisions.rs
+++ b/crates/bulrushusher_forward/tests/revisions.rs
@@ -1,9 +1,11 @@
 //! The runner directory keeps the latest state of each runner, in whatever order states arrive.
 
 use bulrushusher_forward::{
-    DrainReport, Runner, RunnerDirectory, RunnerDirectoryConfig, StartTime,
+    DrainReport, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerRemoval, StartTime,
 };
 use bulrushusher_time::Millis;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 
 const NOW: Millis = Millis(1_000);
 
@@ -39,7 +41,7 @@
     runners.put(runner(8, true), NOW);
     runners.put(runner(5, false), NOW);
     assert!(!gets_work(&runners), "an older entry");
-    runners.replace_all(vec![runner(5, false)], NOW);
+    runners.replace_all(vec![runner(5, false)], 6, NOW);
     assert!(!gets_work(&runners), "an older list");
     runners.put(runner(9, false), NOW);
     assert!(gets_work(&runners), "a newer entry");
@@ -50,7 +52,7 @@
 fn an_older_entry_does_not_bring_a_removed_runner_back() {
     let mut runners = directory();
     runners.put(runner(5, false), NOW);
-    runners.remove(&runner(0, false).id, NOW);
+    runners.remove(&RunnerRemoval { id: runner(0, false).id, revision: 0 }, NOW);
     runners.put(runner(5, false), NOW);
     assert!(!gets_work(&runners), "the entry that was removed");
     runners.put(runner(7, false), NOW);
@@ -69,3 +71,77 @@
     runners.put(Runner { born: Some(StartTime(200)), ..runner(7, false) }, NOW);
     assert!(gets_work(&runners), "the next start");
 }
+
+/// The state of the runner in the store from a revision on: `None` if it has no entry.
+type History = Vec<Option<bool>>;
+
+/// What a gateway receives about one revision of the store, in any order.
+#[derive(Clone, Copy, Debug)]
+enum Delivery {
+    /// The change made at that revision. A removal may have the revision of the entry before it.
+    Change { at: usize, has_last_revision: bool },
+    /// A full list read at that revision.
+    List { at: usize },
+}
+
+fn deliveries() -> impl Strategy<Value = (History, Vec<Delivery>)> {
+    let history = prop::collection::vec(prop::option::weighted(0.7, any::<bool>()), 2..10);
+    history.prop_flat_map(|history| {
+        let at = 0..history.len();
+        let delivery = prop_oneof![
+            (at.clone(), any::<bool>())
+                .prop_map(|(at, has_last_revision)| Delivery::Change { at, has_last_revision }),
+            at.prop_map(|at| Delivery::List { at }),
+        ];
+        (Just(history), prop::collection::vec(delivery, 1..12))
+    })
+}
+
+/// Revision of the change at an index; 0 is no revision.
+fn revision_of(at: usize) -> u64 {
+    at as u64 + 1
+}
+
+fn deliver(runners: &mut RunnerDirectory, history: &History, delivery: Delivery) {
+    match delivery {
+        Delivery::Change { at, has_last_revision } => match history[at] {
+            Some(leaving) => drop(runners.put(runner(revision_of(at), leaving), NOW)),
+            None => {
+                let last = (0..at).rev().find(|n| history[*n].is_some()).map_or(0, revision_of);
+                let revision = if has_last_revision { last } else { revision_of(at) };
+                // Without an entry before it there is nothing to remove.
+                if last > 0 {
+                    runners.remove(&RunnerRemoval { id: runner(0, false).id, revision }, NOW);
+                }
+            }
+        },
+        Delivery::List { at } => {
+            let listed = history[at].map(|leaving| runner(revision_of(at), leaving));
+            runners.replace_all(listed.into_iter().collect(), revision_of(at), NOW);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn the_latest_revision_takes_effect_in_any_order((history, deliveries) in deliveries()) {
+        let mut runners = directory();
+        let mut latest = 0;
+        for delivery in deliveries {
+            deliver(&mut runners, &history, delivery);
+            let (Delivery::Change { at, .. } | Delivery::List { at }) = delivery;
+            latest = latest.max(at);
+            let has_entry = history[..=latest].iter().any(Option::is_some);
+            if has_entry {
+                prop_assert_eq!(gets_work(&runners), history[latest] == Some(false));
+            }
+        }
+    }
+}
--- a/crates/bulrushusher_forward/tests/starts.rs
+++ b/crates/bulrushusher_forward/tests/starts.rs
@@ -5,7 +5,7 @@
 
 use bulrushusher_forward::{
     CallResult, LoadConfig, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads,
-    StartStatus, StartTime,
+    RunnerRemoval, StartStatus, StartTime,
 };
 use bulrushusher_time::Millis;
 use proptest::prelude::*;
@@ -93,7 +93,10 @@
                 Statement::OwnReport { n, born } => {
                     runners.record_start(&runner(n, None, false).id, Some(StartTime(born)));
                 }
-                Statement::Removed { n } => runners.remove(&runner(n, None, false).id, now),
+                Statement::Removed { n } => {
+                    let id = runner(n, None, false).id;
+                    runners.remove(&RunnerRemoval { id, revision: 0 }, now);
+                }
             }
             model.apply(statement);
             for n in 0..3 {
@@ -113,8 +116,9 @@
 fn a_full_list_reports_restarted_runners() {
     let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
     let now = Millis(1_000);
-    runners.replace_all(vec![runner(0, Some(5), false), runner(1, Some(5), false)], now);
-    let diff = runners.replace_all(vec![runner(0, Some(6), false), runner(1, Some(4), true)], now);
+    runners.replace_all(vec![runner(0, Some(5), false), runner(1, Some(5), false)], 0, now);
+    let later = vec![runner(0, Some(6), false), runner(1, Some(4), true)];
+    let diff = runners.replace_all(later, 0, now);
     assert_eq!(diff.restarted, vec![runner(0, None, false).id]);
     assert!(diff.missing.is_empty());
     let kept = runners.get(&runner(1, None, false).id, now).expect("still listed");
--- a/crates/bulrushusher_gateway/src/dialect/store.rs
+++ b/crates/bulrushusher_gateway/src/dialect/store.rs
@@ -2,9 +2,8 @@
 
 use std::future::Future;
 
-use bulrushusher_forward::{RoutingConfig, Runner};
+use bulrushusher_forward::{RoutingConfig, Runner, RunnerRemoval};
 use bulrushusher_time::Millis;
-use bulrushusher_world::RunnerId;
 use derive_more::{Display, Error};
 
 /// A kind of objects in the store, which can be listed and watched for changes.
@@ -48,7 +47,7 @@
     /// A runner's entry.
     Runner(Runner),
     /// An entry was removed.
-    RunnerGone(RunnerId),
+    RunnerGone(RunnerRemoval),
     /// An object that cannot be parsed. A runner's entry of this kind makes the runner unusable; an
     /// invalid configuration leaves the one in force.
     Invalid(InvalidObject),
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -23,15 +23,16 @@
         status
     }
 
-    /// Applies a full list of runners.
-    pub(crate) fn replace_runners(&self, mut listed: Vec<Runner>) -> RunnerListDiff {
+    /// Applies a full list of runners that was read at `revision`.
+    pub(crate) fn replace_runners(&self, mut listed: Vec<Runner>, revision: u64) -> RunnerListDiff {
         let is_bad = |runner: &Runner| self.is_implausible(runner.born);
         let implausible: Vec<RunnerId> =
             listed.iter().filter(|runner| is_bad(runner)).map(|r| r.id.clone()).collect();
         listed.retain(|runner| !is_bad(runner));
         let starts: Vec<(RunnerId, Option<StartTime>)> =
             listed.iter().map(|runner| (runner.id.clone(), runner.born)).collect();
-        let diff = self.with_runners(|runners, now| runners.directory.replace_all(listed, now));
+        let diff =
+            self.with_runners(|runners, now| runners.directory.replace_all(listed, revision, now));
         implausible.iter().for_each(|id| self.forget_runner(id));
         for (id, born) in &starts {
             let is_later = diff.restarted.contains(id);
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    RoutingConfig, Runner, RunnerChange, RunnerDelta, RunnerListDiff, StartStatus,
+    RoutingConfig, Runner, RunnerChange, RunnerDelta, RunnerListDiff, RunnerRemoval, StartStatus,
 };
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_world::RunnerId;
@@ -34,7 +34,7 @@
                 Change::Runner(runner) => runners.push(runner),
                 Change::Invalid(bad) => unreadable.extend(self.skip_unreadable(topic, &bad)),
                 Change::Configuration(routing) => self.shared.apply_routing(routing),
-                Change::RunnerGone(id) => self.remove(&id),
+                Change::RunnerGone(removal) => self.remove(&removal),
             }
         }
         if topic == Topic::Runners {
@@ -44,7 +44,7 @@
                 unreadable.len(),
                 update.revision
             );
-            let mut changes = self.replace_runners(runners);
+            let mut changes = self.replace_runners(runners, update.revision);
             unreadable.iter().for_each(|change| self.apply(change));
             changes.extend(unreadable);
             self.shared.record_list(update.revision, update.last_change, changes);
@@ -76,7 +76,7 @@
                     None
                 }
                 Change::Runner(runner) => Some(RunnerChange::Entry(runner)),
-                Change::RunnerGone(id) => Some(RunnerChange::Removed(id)),
+                Change::RunnerGone(removal) => Some(RunnerChange::Removed(removal)),
                 Change::Invalid(bad) => self.skip_unreadable(topic, &bad),
             };
             change.iter().for_each(|change| self.apply(change));
@@ -123,24 +123,26 @@
     fn apply(&self, change: &RunnerChange) {
         match change {
             RunnerChange::Entry(runner) => self.put(runner),
-            RunnerChange::Removed(id) => self.remove(id),
+            RunnerChange::Removed(removal) => self.remove(removal),
             RunnerChange::Unusable(id) => self.forget_unusable(id),
         }
     }
 
-    /// Replaces all runner entries. Returns what changed.
-    fn replace_runners(&self, listed: Vec<Runner>) -> Vec<RunnerChange> {
+    /// Replaces all runner entries by a list that was read at `revision`. Returns what changed.
+    fn replace_runners(&self, listed: Vec<Runner>, revision: u64) -> Vec<RunnerChange> {
         let mut changes: Vec<RunnerChange> = self.shared.with_runners(|runners, _| {
-            let changed = listed.iter().filter(|it| !runners.directory.is_listed_as(it)).cloned();
-            changed.map(RunnerChange::Entry).collect()
+            let directory = &runners.directory;
+            let is_new = |it: &&Runner| !directory.is_listed_as(it) && !directory.is_outdated(it);
+            listed.iter().filter(is_new).cloned().map(RunnerChange::Entry).collect()
         });
-        let RunnerListDiff { missing, restarted } = self.shared.replace_runners(listed);
+        let RunnerListDiff { missing, restarted } = self.shared.replace_runners(listed, revision);
         self.forget(&missing);
         restarted.iter().for_each(|id| self.pool.forget(id));
         if !missing.is_empty() {
             log::info!("runners: no longer listed count={}", missing.len());
         }
-        changes.extend(missing.into_iter().map(RunnerChange::Removed));
+        let removals = missing.into_iter().map(|id| RunnerRemoval { id, revision });
+        changes.extend(removals.map(RunnerChange::Removed));
         changes
     }
 
@@ -154,6 +156,10 @@
             runner.revision,
             runner.born.map_or(0, |born| born.0),
         );
+        if self.shared.with_runners(|runners, _| runners.directory.is_outdated(runner)) {
+            log::info!("runners: entry passed over id={id} cause=\"a later change is known\"");
+            return;
+        }
         match self.shared.put_runner(runner.clone()) {
             StartStatus::Current => {}
             StartStatus::Newer => self.pool.forget(id),
@@ -170,9 +176,10 @@
         }
     }
 
-    fn remove(&self, id: &RunnerId) {
-        log::info!("runners: removed id={id}");
-        self.shared.with_runners(|runners, now| runners.directory.remove(id, now));
+    fn remove(&self, removal: &RunnerRemoval) {
+        let RunnerRemoval { id, revision } = removal;
+        log::info!("runners: removed id={id} revision={revision}");
+        self.shared.with_runners(|runners, now| runners.directory.remove(removal, now));
         self.forget(std::slice::from_ref(id));
     }
 
