Bound the age of the runner list and the configuration that requests are routed by

Cause: a gateway that relies on relays took their silence for a store without changes. Nothing compared the age of the list with the bound for draining, and the same holds for the configuration. Change: relays tell when the store last confirmed each topic, after polls of a quarter of the topic's bound. A gateway whose copy is older than 0.6 of it asks the store itself in one call. The runner list has a bound of its own, runner_drained_ms, in place of the configuration's. Works as relays need not notice anything: a gateway that reaches the store hears of a change within 0.6 of the bound and one call, 0.8 with a lost one.

--- a/crates/bulrushusher_forward/src/relays.rs
+++ b/crates/bulrushusher_forward/src/relays.rs
@@ -99,6 +99,8 @@
     pub runs_shared_duties: bool,
     /// True while this gateway forwards changes.
     pub forwards: bool,
+    /// True where only some gateways watch the store, so that the others rely on them.
+    pub has_listeners: bool,
     /// Peers that watch the store, in the order of selection.
     pub watching: Vec<Arc<str>>,
 }
@@ -107,7 +109,13 @@
     /// The view of a gateway without known peers.
     fn default() -> RelayView {
         let role = StoreRole::Watch;
-        RelayView { role, runs_shared_duties: true, forwards: false, watching: Vec::new() }
+        RelayView {
+            role,
+            runs_shared_duties: true,
+            forwards: false,
+            has_listeners: false,
+            watching: Vec::new(),
+        }
     }
 }
 
@@ -165,7 +173,8 @@
         };
         let forwards = own_contact == StoreContact::Watching && role == StoreRole::Watch;
         let is_first = watching.iter().all(|name| rank(&self.own_name) <= rank(name));
-        RelayView { role, runs_shared_duties: forwards && is_first, forwards, watching }
+        let runs_shared_duties = forwards && is_first;
+        RelayView { role, runs_shared_duties, forwards, has_listeners: true, watching }
     }
 
     /// True once too few peers have watched for [`RelaysConfig::silent_after`].
--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -11,7 +11,7 @@
 use crate::dialect::{PlatformStore, Topic};
 use crate::peers::report_codec::Message;
 use crate::peers::reporting::PeerMessenger;
-use crate::shared::RoutingUpdate;
+use crate::shared::{ConfirmationAges, RoutingUpdate};
 
 /// How often the relay selection is repeated and missed changes are detected.
 const CHECK_INTERVAL: Millis = Millis(100);
@@ -36,8 +36,8 @@
     pub runners: Option<RunnerDelta>,
     /// The last change of the configuration.
     pub routing: Option<RoutingUpdate>,
-    /// Time since the store confirmed that `revisions` contains the last change of the runner list.
-    pub list_age: Option<Millis>,
+    /// Time since the store confirmed that `revisions` contains the last change of each topic.
+    pub ages: ConfirmationAges,
 }
 
 /// A change that other gateways have received and this one has not.
@@ -97,11 +97,11 @@
     /// Sends changes of the runner list to a gateway that missed them.
     pub(crate) async fn send_delta(&self, socket: &UdpSocket, req: &DeltaRequest, to: SocketAddr) {
         let revisions = self.shared.own_revisions();
-        let list_age = self.shared.runner_list_age();
+        let ages = self.shared.confirmation_ages();
         let message = match self.shared.delta_since(req) {
             None => Message::HistoryGone,
             runners => {
-                let changes = StoreChanges { revisions, runners, routing: None, list_age };
+                let changes = StoreChanges { revisions, runners, routing: None, ages };
                 Message::StoreChanges(changes)
             }
         };
@@ -129,9 +129,7 @@
         if let Some(change) = changes.routing {
             self.shared.apply_routing_update(change);
         }
-        if let Some(age) = changes.list_age {
-            self.shared.record_relay_confirmation(relay, changes.revisions.runners, age);
-        }
+        self.shared.record_relay_confirmations(relay, changes.revisions, changes.ages);
         self.shared.record_relay_revisions(changes.revisions);
     }
 
@@ -143,8 +141,7 @@
         is_new.then_some(change)
     }
 
-    /// Forwards each change, and each confirmation of the runner list, while this gateway is a
-    /// relay.
+    /// Forwards each change, and each confirmation of the store, while this gateway is a relay.
     pub(crate) async fn forward_changes(&self, socket: &UdpSocket) {
         let mut forwarded_version = 0;
         loop {
@@ -165,9 +162,9 @@
                 self.forwarded_revision.store(delta.revision, Ordering::Relaxed);
             }
             let revisions = self.shared.own_revisions();
-            let list_age = self.shared.runner_list_age();
+            let ages = self.shared.confirmation_ages();
             let routing = self.unsent_routing_change(&mut forwarded_version);
-            let changes = StoreChanges { revisions, runners, routing, list_age };
+            let changes = StoreChanges { revisions, runners, routing, ages };
             self.send_message(socket, Message::StoreChanges(changes), &listeners).await;
         }
     }
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use crate::dialect::Topic;
 use crate::lifecycle::Lifecycle;
 use crate::shared::SharedState;
 
@@ -55,7 +56,7 @@
         (all, count(Stage::Prefill), count(Stage::Decode))
     });
     record_accounts(shared, metrics);
-    if let Some(age) = shared.runner_list_age() {
+    if let Some(age) = shared.confirmation_age(Topic::Runners) {
         metrics.set_state("runner_list_age_ms", age.0);
     }
     metrics.set_state("quarantined_requests", shared.all_quarantined().len() as u64);
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -55,6 +55,13 @@
         Some("2000"),
         "Time within which an accepted configuration must be in force.",
     ),
+    setting(
+        "bounds",
+        "runner_drained_ms",
+        Kind::Millis(200, 600_000),
+        Some("2000"),
+        "Time after which a runner that drains or was removed must get no more work.",
+    ),
     setting(
         "bounds",
         "shutdown_grace_s",
@@ -243,6 +250,8 @@
     pub log_lines_per_second: usize,
     /// Time within which a configuration must be in force.
     pub configuration_in_force: Millis,
+    /// Time after which a runner that drains or was removed must get no more work.
+    pub runner_drained: Millis,
     /// Time within which a revoked API key must be refused.
     pub keys_revoked: Millis,
     /// Enforcement of client accounts' quotas.
@@ -313,6 +322,7 @@
             max_buffered_bytes: values.count("gateway", "max_buffered_bytes"),
             log_lines_per_second: values.count("gateway", "log_lines_per_second"),
             configuration_in_force: values.millis("bounds", "configuration_in_force_ms"),
+            runner_drained: values.millis("bounds", "runner_drained_ms"),
             keys_revoked: values.millis("bounds", "keys_revoked_ms"),
             quotas: QuotaConfig {
                 sharing: sharing(values.text("quota", "sharing")),
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/shared/confirmations.rs
@@ -0,0 +1,174 @@
+//! Age and origin of this gateway's copy of the store: when the store last confirmed each topic.
+//!
+//! A relay that lost the store forwards nothing, which looks like a store without changes. Relays
+//! therefore pass on each confirmation, and a gateway whose copy was not confirmed for too long asks
+//! the store itself.
+
+use std::sync::Arc;
+
+use bulrushusher_forward::{Runner, SeenRevisions, era_of};
+use bulrushusher_time::Millis;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::SharedState;
+use super::revisions::of_topic;
+use crate::dialect::Topic;
+
+/// Age at which a gateway asks the store itself, as a part of the time within which a change must
+/// take effect. A call without an answer and its repeat fit into the rest.
+const MAX_AGE_SHARE: f64 = 0.6;
+
+/// How this gateway received its copy of a topic.
+#[derive(Clone, Debug, Default, Display, PartialEq, Eq)]
+pub(crate) enum UpdateSource {
+    /// It has none yet.
+    #[default]
+    #[display("none")]
+    None,
+    /// A page of a list whose later pages have not arrived.
+    #[display("first_pages")]
+    FirstPages,
+    /// A full list.
+    #[display("list")]
+    List,
+    /// A full list that may have been some seconds old.
+    #[display("stale_list")]
+    StaleList,
+    /// A long poll.
+    #[display("watch")]
+    Watch,
+    /// A single request for the changes that relays did not supply.
+    #[display("catch_up")]
+    CatchUp,
+    /// A relay.
+    #[display("relay:{_0}")]
+    Relay(Arc<str>),
+}
+
+/// The copy of one topic.
+#[derive(Clone, Debug, Default)]
+struct TopicCopy {
+    source: UpdateSource,
+    /// Time up to which the store is known to have had no later change than the copy contains.
+    confirmed_at: Option<Millis>,
+}
+
+/// The copies of all topics.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Confirmations {
+    configuration: TopicCopy,
+    runners: TopicCopy,
+}
+
+impl Confirmations {
+    fn of(&mut self, topic: Topic) -> &mut TopicCopy {
+        match topic {
+            Topic::Configuration => &mut self.configuration,
+            Topic::Runners => &mut self.runners,
+        }
+    }
+}
+
+/// Time since the store confirmed each topic, as relays report it; `None` if it has not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct ConfirmationAges {
+    configuration: Option<Millis>,
+    runners: Option<Millis>,
+}
+
+/// What a request to a runner was decided by.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ListEvidence {
+    /// Revision of the store up to which the runner list is complete.
+    pub revision: u64,
+    /// Time since the store confirmed the list; `None` if it has not.
+    pub age: Option<Millis>,
+    /// How the list was received.
+    pub source: UpdateSource,
+    /// Revision of the runner's entry; 0 if the runner is no longer known.
+    pub entry_revision: u64,
+    /// Time since the runner's entry changed here.
+    pub entry_age: Millis,
+}
+
+impl SharedState {
+    /// Records that a topic was received, complete as of `confirmed_at`; `None` if the store may
+    /// have changed before it was received.
+    pub(crate) fn record_copy(
+        &self,
+        topic: Topic,
+        source: UpdateSource,
+        confirmed_at: Option<Millis>,
+    ) {
+        let mut confirmations = self.confirmations.lock();
+        let copy = confirmations.of(topic);
+        copy.source = source;
+        copy.confirmed_at = copy.confirmed_at.max(confirmed_at);
+    }
+
+    /// Records the confirmations of a relay that has received the changes up to `revisions`. They
+    /// apply to the topics of which this gateway has received all of these changes.
+    pub(crate) fn record_relay_confirmations(
+        &self,
+        relay: &str,
+        revisions: SeenRevisions,
+        ages: ConfirmationAges,
+    ) {
+        let topics = [(Topic::Configuration, ages.configuration), (Topic::Runners, ages.runners)];
+        for (topic, age) in topics {
+            let (seen, last_change) = (self.seen_revision(topic), of_topic(revisions, topic));
+            let is_complete = era_of(seen) == era_of(last_change) && last_change <= seen;
+            if let Some(age) = age.filter(|_| is_complete) {
+                let confirmed_at = Some(self.now().since(age));
+                self.record_copy(topic, UpdateSource::Relay(relay.into()), confirmed_at);
+            }
+        }
+    }
+
+    /// Time since the store confirmed a topic, directly or through a relay; `None` if it has not.
+    pub(crate) fn confirmation_age(&self, topic: Topic) -> Option<Millis> {
+        let confirmed_at = self.confirmations.lock().of(topic).confirmed_at;
+        confirmed_at.map(|at| self.now().since(at))
+    }
+
+    /// The ages of all topics.
+    pub(crate) fn confirmation_ages(&self) -> ConfirmationAges {
+        ConfirmationAges {
+            configuration: self.confirmation_age(Topic::Configuration),
+            runners: self.confirmation_age(Topic::Runners),
+        }
+    }
+
+    /// Time within which a change of a topic must take effect.
+    pub(crate) fn change_bound(&self, topic: Topic) -> Millis {
+        let cfg = self.cfg();
+        match topic {
+            Topic::Configuration => cfg.configuration_in_force,
+            Topic::Runners => cfg.runner_drained,
+        }
+    }
+
+    /// Returns once the store itself must confirm a topic, because no relay has for too long.
+    pub(crate) async fn wait_until_confirmation_due(&self, topic: Topic) {
+        let max_age = self.change_bound(topic).share(MAX_AGE_SHARE);
+        while let Some(age) = self.confirmation_age(topic).filter(|age| *age < max_age) {
+            tokio::time::sleep(max_age.since(age).duration()).await;
+        }
+    }
+
+    /// What a request that is sent to the runner now is decided by.
+    pub(crate) fn list_evidence(&self, runner: &Runner) -> ListEvidence {
+        let (entry_revision, changed_at) = self.with_runners(|runners, now| {
+            let revision = runners.directory.get(&runner.id, now).map_or(0, |it| it.revision);
+            (revision, runners.directory.changed_at(&runner.id).unwrap_or(now))
+        });
+        ListEvidence {
+            revision: self.seen_revision(Topic::Runners),
+            age: self.confirmation_age(Topic::Runners),
+            source: self.confirmations.lock().runners.source.clone(),
+            entry_revision,
+            entry_age: self.now().since(changed_at),
+        }
+    }
+}
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -2,7 +2,7 @@
 //! models.
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
-//! `runs`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `runner_list`, `switching`,
+//! `runs`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`, `switching`,
 //! `crashes`, `pressure`, `quotas`, `lease`. No lock is held across an await point.
 
 use std::collections::HashMap;
@@ -29,6 +29,7 @@
 use crate::settings::GatewayConfig;
 
 mod accounts;
+mod confirmations;
 mod crashes;
 mod health;
 mod memory;
@@ -38,12 +39,11 @@
 mod relayed;
 mod relays;
 mod revisions;
-mod runner_list;
 mod starts;
 
+pub(crate) use confirmations::{ConfirmationAges, ListEvidence, UpdateSource};
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
-pub(crate) use runner_list::{ListEvidence, ListSource};
 
 /// Minimum number of parts that the shared retry burst is split into. A gateway that restarts has a
 /// full part, and a gateway that receives no peer reports does not know the number of gateways.
@@ -73,8 +73,8 @@
     pauses: Mutex<HashMap<RunnerId, pauses::PauseStats>>,
     /// Revisions of the store that this gateway has received.
     revisions: Mutex<revisions::RevisionState>,
-    /// Age and origin of the runner list.
-    runner_list: Mutex<runner_list::RunnerListState>,
+    /// Age and origin of this gateway's copy of the store.
+    confirmations: Mutex<confirmations::Confirmations>,
     /// Runners that are switching stage, by service.
     switching: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Requests that crash runners.
@@ -136,7 +136,7 @@
             health: Mutex::new(RunnerHealth::new(HealthConfig::default())),
             pauses: Mutex::default(),
             revisions: Mutex::default(),
-            runner_list: Mutex::default(),
+            confirmations: Mutex::default(),
             switching: Mutex::default(),
             crashes: Mutex::new(crashes::CrashState::new(quarantine)),
             pressure: Mutex::new(pressure),
--- a/crates/bulrushusher_gateway/src/shared/relays.rs
+++ b/crates/bulrushusher_gateway/src/shared/relays.rs
@@ -115,6 +115,11 @@
         self.relay_view.borrow().runs_shared_duties
     }
 
+    /// True while other gateways rely on relays to receive changes.
+    pub(crate) fn has_listeners(&self) -> bool {
+        self.relay_view.borrow().has_listeners
+    }
+
     /// True while this gateway forwards changes.
     pub(crate) fn forwards_changes(&self) -> bool {
         self.relay_view.borrow().forwards
--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -14,13 +14,18 @@
 use futures_util::stream::FuturesUnordered;
 
 use crate::dialect::{Change, ChangeBatch, Freshness, NO_WAIT, PlatformStore, StoreError, Topic};
-use crate::shared::{ListSource, SharedState};
+use crate::shared::{SharedState, UpdateSource};
 use crate::store::intake::Intake;
 
-/// Length of one long poll where no peers watch the store, as a part of the
-/// `configuration_in_force` time.
+/// Length of one long poll where no peers watch the store, as a part of the time within which a
+/// change of the topic must take effect.
 const WAIT_SHARE: f64 = 0.5;
 
+/// Length of a relay's long poll, as a part of the same time. Each one confirms the copies of the
+/// listening gateways; two of them and the pause after a change are shorter than the age at which
+/// those ask the store themselves.
+const RELAY_WAIT_SHARE: f64 = 0.25;
+
 /// Time after which an unanswered request counts as lost, as a part of the same time. Together with
 /// the long poll above and a new list, an unresponsive connection costs less than the whole.
 const SLACK_SHARE: f64 = 0.2;
@@ -87,10 +92,11 @@
                     }
                     self.record_poll_answer(Millis(0));
                     self.intake.apply_list(self.topic, update);
-                    match freshness {
-                        Freshness::Latest => self.record_list(ListSource::List, Some(requested_at)),
-                        Freshness::AllowStale => self.record_list(ListSource::StaleList, None),
-                    }
+                    let (source, confirmed_at) = match freshness {
+                        Freshness::Latest => (UpdateSource::List, Some(requested_at)),
+                        Freshness::AllowStale => (UpdateSource::StaleList, None),
+                    };
+                    self.record_copy(source, confirmed_at);
                     self.shared.forward_due.notify_one();
                     if freshness == Freshness::Latest {
                         self.renew_lease(requested_at);
@@ -168,11 +174,20 @@
         }
     }
 
-    /// Waits until relays report a change that must be requested from the store.
+    /// Waits until a change must be requested from the store, because relays report it without
+    /// its content, or have not confirmed for too long that there is none.
     async fn follow_relays(&self) -> Freshness {
         match self.topic {
             Topic::Configuration => {
-                let peer_revision = self.shared.wait_for_newer_configuration().await;
+                let peer_revision = loop {
+                    tokio::select! {
+                        newer = self.shared.wait_for_newer_configuration() => break newer,
+                        () = self.shared.wait_until_confirmation_due(self.topic) => {}
+                    }
+                    if self.catch_up().await.is_err() {
+                        return Freshness::Latest;
+                    }
+                };
                 self.shared.revoke_lease();
                 log::info!("store: behind a relay topic={} revision={peer_revision}", self.topic);
                 // Only the latest state of the store renews the lease on the configuration, under
@@ -183,7 +198,10 @@
                 }
             }
             Topic::Runners => loop {
-                self.shared.store_poll_due.notified().await;
+                tokio::select! {
+                    () = self.shared.store_poll_due.notified() => {}
+                    () = self.shared.wait_until_confirmation_due(self.topic) => {}
+                }
                 if self.catch_up().await.is_err() {
                     return Freshness::Latest;
                 }
@@ -192,7 +210,7 @@
     }
 
     /// Requests from the store, in one call, all changes after the last revision that this gateway
-    /// has received. Called when relays could not supply the changes.
+    /// has received. Called when relays could not supply or confirm them.
     async fn catch_up(&self) -> Result<(), StoreError> {
         let requested_at = self.shared.now();
         let revision = self.shared.seen_revision(self.topic);
@@ -204,7 +222,8 @@
         let seen = update.revision;
         log::info!("store: caught up topic={} after={revision} revision={seen}", self.topic);
         self.intake.apply_changes(self.topic, revision, update);
-        self.record_list(ListSource::CatchUp, Some(requested_at));
+        self.record_copy(UpdateSource::CatchUp, Some(requested_at));
+        self.renew_lease(requested_at);
         Ok(())
     }
 
@@ -221,8 +240,11 @@
         loop {
             let revision = self.shared.seen_revision(self.topic);
             let requested_at = self.shared.now();
-            let polling_wait =
-                if checks_peers { self.shared.long_poll_wait(base_wait) } else { base_wait };
+            let polling_wait = match (checks_peers, self.shared.has_listeners()) {
+                (true, false) => self.shared.long_poll_wait(base_wait),
+                (false, false) => base_wait,
+                (_, true) => self.share(RELAY_WAIT_SHARE),
+            };
             let wait = first_wait.unwrap_or(polling_wait);
             let answer = tokio::select! {
                 answer = self.store.watch(self.topic, revision, wait, self.slack()) => answer,
@@ -249,7 +271,14 @@
                     self.record_poll_answer(wait);
                     let has_changed = !update.changes.is_empty();
                     self.intake.apply_changes(self.topic, revision, update);
-                    self.record_list(ListSource::Watch, Some(requested_at));
+                    let elapsed = self.shared.now().since(requested_at);
+                    // The store answers without changes at the end of the wait, and at once if
+                    // there is one.
+                    let confirmed_at = match has_changed || elapsed < wait {
+                        true => requested_at,
+                        false => requested_at.plus(wait),
+                    };
+                    self.record_copy(UpdateSource::Watch, Some(confirmed_at));
                     self.renew_lease(requested_at);
                     self.shared.forward_due.notify_one();
                     if has_changed {
@@ -284,11 +313,9 @@
         }
     }
 
-    /// Records how the runner list was received, complete as of `confirmed_at`.
-    fn record_list(&self, source: ListSource, confirmed_at: Option<Millis>) {
-        if self.topic == Topic::Runners {
-            self.shared.record_runner_list(source, confirmed_at);
-        }
+    /// Records how the topic was received, complete as of `confirmed_at`.
+    fn record_copy(&self, source: UpdateSource, confirmed_at: Option<Millis>) {
+        self.shared.record_copy(self.topic, source, confirmed_at);
     }
 
     fn record_restore(&self, revision: u64) {
@@ -341,7 +368,7 @@
     }
 
     fn share(&self, share: f64) -> Millis {
-        self.shared.cfg().configuration_in_force.share(share)
+        self.shared.change_bound(self.topic).share(share)
     }
 
     fn slack(&self) -> Millis {
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -10,7 +10,7 @@
 
 use crate::dialect::{Change, ChangeBatch, InvalidObject, Topic};
 use crate::runners::pool::RunnerPool;
-use crate::shared::{ListSource, SharedState};
+use crate::shared::{SharedState, UpdateSource};
 
 /// Maximum number of characters of another writer's text in one log line.
 const MAX_LOGGED_CHARS: usize = 80;
@@ -62,7 +62,7 @@
                 self.shared.put_runner(runner.clone());
             }
         }
-        self.shared.record_runner_list(ListSource::FirstPages, None);
+        self.shared.record_copy(Topic::Runners, UpdateSource::FirstPages, None);
     }
 
     /// Applies the changes in the store after a revision.
@@ -115,7 +115,7 @@
             }
         });
         changes.iter().for_each(|change| self.apply(change));
-        self.shared.record_runner_list(ListSource::Relay(relay.into()), None);
+        self.shared.record_copy(Topic::Runners, UpdateSource::Relay(relay.into()), None);
         self.shared.record_changes(request.after, revision, last_change, changes);
         self.shared.record_revisions(Topic::Runners, revision, last_change);
     }
--- a/crates/bulrushusher_gateway/src/store/renewing.rs
+++ b/crates/bulrushusher_gateway/src/store/renewing.rs
@@ -10,7 +10,7 @@
 use bulrushusher_time::Millis;
 
 use crate::dialect::{Change, ChangeBatch, Freshness, NO_WAIT, PlatformStore, StoreError, Topic};
-use crate::shared::SharedState;
+use crate::shared::{SharedState, UpdateSource};
 use crate::store::intake::Intake;
 
 /// Timeout of a call. A healthy store answers within milliseconds.
@@ -86,6 +86,7 @@
         self.metrics.record_store_call("configuration", result);
         let update = answer.map_err(|e| e.to_string())?;
         self.intake.apply_changes(topic, after, update);
+        self.shared.record_copy(topic, UpdateSource::CatchUp, Some(requested_at));
         self.shared.renew_lease(requested_at);
         Ok(())
     }
