List the store's current state at a start, not an old one

Cause: the first list was asked for with the store's cheaper read, which may be seconds old; requests were served from it before the watch told the changes since, so that a runner that drained before the start got calls. Change: the first list of both topics is the current one. A start costs two full calls in place of two cheap ones and, since ages are bounded, two calls to confirm them at gateways that listen.

--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -60,8 +60,8 @@
         let mut backoff = INITIAL_BACKOFF;
         let mut is_lost = false;
         let mut era = None;
-        // The first list may be some seconds old; the watch or a relay delivers the changes since.
-        let mut freshness = Freshness::AllowStale;
+        // Requests are served from the first list on, and an old one may contain runners that drain.
+        let mut freshness = Freshness::Latest;
         loop {
             let requested_at = self.shared.now();
             match self.list(freshness, &mut is_lost).await {
