Let a drain notice bind the start that becomes known after it

Cause: a notice belongs to a start. One that came while the runner's start was not known was kept for an unknown start, which is equal to none that is told later, so that the runner got work again once its entry told its start. Change: the first start that becomes known takes over a notice that was kept without one. Measured: a_drain_notice_binds_the_start_that_becomes_known_later failed before and passes; all tests of bulrushusher_forward pass.

--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -320,7 +320,7 @@
         if self.is_outdated(&runner) {
             return StartStatus::Stale;
         }
-        let status = self.starts.record(&runner.id, runner.born);
+        let status = self.record_born(&runner.id, runner.born);
         match status {
             StartStatus::Stale => {}
             StartStatus::Missing => self.forget(&runner.id),
@@ -339,13 +339,24 @@
 
     /// Records a start time that the runner reported itself, possibly before its entry shows it.
     pub fn record_start(&mut self, id: &RunnerId, born: Option<StartTime>) -> StartStatus {
-        let status = self.starts.record(id, born);
+        let status = self.record_born(id, born);
         if let (StartStatus::Newer, Some(known)) = (status, self.known.get_mut(id)) {
             known.runner.born = born;
         }
         status
     }
 
+    /// Records a reported start. The first one that becomes known may have sent a drain notice
+    /// before, which then binds it.
+    fn record_born(&mut self, id: &RunnerId, born: Option<StartTime>) -> StartStatus {
+        let is_first = self.starts.latest(id).is_none();
+        let status = self.starts.record(id, born);
+        if let Some(notice) = self.drain_notices.get_mut(id).filter(|_| is_first) {
+            notice.born = notice.born.or(born);
+        }
+        status
+    }
+
     /// True when a later start under the identity of `runner` is known; memory holds, KV caches and
     /// runs of the earlier one are lost.
     pub fn is_superseded(&self, runner: &Runner) -> bool {
