Check a runner once more right before a request goes out

Cause: what excludes a runner was asked when it was chosen; a connection of up to 250 ms, and further ones after a reused one that had ended, stood between. Entries and removals were asked for by held memory only, so that a call went out to a runner whose drain had become known meanwhile. Change: with the connection at hand and nothing awaited before the bytes, a caller's request asks again: the runner's entry, its start, drain notices and backoffs. What is withheld has not run, goes elsewhere and costs no repeat. Control requests are sent as before: a crash is found out by asking a runner that is no longer listed. No test reaches the window itself: on loopback a connection is made at once or not within its timeout.

--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -59,7 +59,7 @@
     /// The runner sent a Retry-After that has not expired.
     #[display("the runner's Retry-After time has not passed")]
     RetryAfter,
-    /// The runner signalled that it is leaving.
+    /// The runner signalled that it is leaving, or its entry says so or was removed.
     #[display("the runner is leaving")]
     Leaving,
     /// This gateway's share of the runner's rate limit is used up.
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -154,6 +154,28 @@
         })
     }
 
+    /// Checks, with the connection at hand, that the runner may still receive the request: what
+    /// excludes it may have become known while the connection was opened.
+    fn check_before_send(&self, runner: &Runner, spec: SendSpec<'_>) -> Result<(), ExchangeError> {
+        let is_callers = spec.id.is_some();
+        let checked = match spec.permit {
+            Permit::Exempt | Permit::Cleanup => return Ok(()),
+            Permit::Acquire | Permit::Acquired
+                if is_callers && !self.shared.accepts_work(runner) =>
+            {
+                Err(BackPressureError::Leaving)
+            }
+            Permit::Acquire | Permit::Acquired => self.shared.check_send(runner),
+        };
+        checked.map_err(|cause| {
+            if spec.permit == Permit::Acquire {
+                self.shared.release_permits(runner, 1);
+            }
+            self.metrics.record_withheld_send(withheld_label(cause));
+            ExchangeError::Withheld { cause }
+        })
+    }
+
     async fn send_without_timeout(
         &self,
         runner: &Runner,
@@ -169,6 +191,7 @@
                     .await
                     .map_err(|cause| ExchangeError::Unsent { cause })?,
             };
+            self.check_before_send(runner, spec)?;
             spec.trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
             match connection.sender.try_send_request(req).await {
                 Ok(reply) => return self.check_response(runner, spec.id, reply, connection),
