Let a relay vouch only for changes that it knows

A relay confirmed its list to listeners that had its last change; which runners were removed before its own first list, or between two lists, that last change does not show, so that a listener that had missed a removal was told for as long as nothing else changed that it is up to date. Before the ages nobody told it either.

--- a/crates/bulrushusher_forward/src/runner_changes.rs
+++ b/crates/bulrushusher_forward/src/runner_changes.rs
@@ -104,6 +104,11 @@
         self.revision
     }
 
+    /// The revision after which the log is complete.
+    pub fn base(&self) -> u64 {
+        self.base
+    }
+
     /// Clears the log; it continues from `revision`.
     pub fn restart(&mut self, revision: u64, last_change: u64) {
         self.changes.clear();
--- a/crates/bulrushusher_gateway/src/shared/confirmations.rs
+++ b/crates/bulrushusher_gateway/src/shared/confirmations.rs
@@ -75,6 +75,9 @@
 pub(crate) struct ConfirmationAges {
     configuration: Option<Millis>,
     runners: Option<Millis>,
+    /// Revision after which the relay knows each change of the runner list. Its list does not show
+    /// which runners were removed before.
+    runners_known_after: u64,
 }
 
 /// What a request to a runner was decided by.
@@ -115,10 +118,14 @@
         revisions: SeenRevisions,
         ages: ConfirmationAges,
     ) {
-        let topics = [(Topic::Configuration, ages.configuration), (Topic::Runners, ages.runners)];
-        for (topic, age) in topics {
+        let topics = [
+            (Topic::Configuration, ages.configuration, 0),
+            (Topic::Runners, ages.runners, ages.runners_known_after),
+        ];
+        for (topic, age, known_after) in topics {
             let (seen, last_change) = (self.seen_revision(topic), of_topic(revisions, topic));
-            let is_complete = era_of(seen) == era_of(last_change) && last_change <= seen;
+            let is_complete =
+                era_of(seen) == era_of(last_change) && last_change <= seen && known_after <= seen;
             if let Some(age) = age.filter(|_| is_complete) {
                 let confirmed_at = Some(self.now().since(age));
                 self.record_copy(topic, UpdateSource::Relay(relay.into()), confirmed_at);
@@ -137,6 +144,7 @@
         ConfirmationAges {
             configuration: self.confirmation_age(Topic::Configuration),
             runners: self.confirmation_age(Topic::Runners),
+            runners_known_after: self.oldest_recorded_revision(),
         }
     }
 
--- a/crates/bulrushusher_gateway/src/shared/relayed.rs
+++ b/crates/bulrushusher_gateway/src/shared/relayed.rs
@@ -75,6 +75,11 @@
         self.relayed.lock().log.revision()
     }
 
+    /// The revision after which all changes are recorded.
+    pub(super) fn oldest_recorded_revision(&self) -> u64 {
+        self.relayed.lock().log.base()
+    }
+
     /// The changes since a revision, for a gateway that requests them. `None` if they are no longer
     /// kept.
     pub(crate) fn delta_since(&self, req: &DeltaRequest) -> Option<RunnerDelta> {
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -37,6 +37,7 @@
                 Change::RunnerGone(removal) => self.remove(&removal),
             }
         }
+        let mut last_change = update.last_change;
         if topic == Topic::Runners {
             log::info!(
                 "runners: listed count={} unreadable={} revision={}",
@@ -47,9 +48,13 @@
             let mut changes = self.replace_runners(runners, update.revision);
             unreadable.iter().for_each(|change| self.apply(change));
             changes.extend(unreadable);
-            self.shared.record_list(update.revision, update.last_change, changes);
+            if changes.iter().any(|it| matches!(it, RunnerChange::Removed(_))) {
+                // The list does not tell when a runner was removed.
+                last_change = update.revision;
+            }
+            self.shared.record_list(update.revision, last_change, changes);
         }
-        self.record_applied(topic, old.as_deref(), update.revision, update.last_change);
+        self.record_applied(topic, old.as_deref(), update.revision, last_change);
     }
 
     /// Applies a page of the first list, so that requests are served before the last page arrives.
