Do not take a call without an answer for an outage of the store

A gateway that relies on relays makes no calls of its own; one of them unanswered, and the list after it, counted the time since its last call, a minute maybe, as an outage, and so did each later one: a removed runner stayed usable for two seconds after every one of them. A relay's own partition was told to listeners as an outage too. Change: silence is counted from the first call of a series; an expired entry's time is not extended; a relay's word of an outage counts only where no relay has confirmed the copy for as long as it takes to ask the store oneself.

--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -384,7 +384,11 @@
         match until {
             Some(until) if now < until => {
                 if let Some(known) = self.known.get_mut(id) {
-                    known.listing = Listing::Lapsed { until };
+                    known.listing = match known.listing {
+                        Listing::Listed => Listing::Lapsed { until },
+                        // A later outage is no reason to wait longer for its runner.
+                        lapsed @ Listing::Lapsed { .. } => lapsed,
+                    };
                 }
             }
             _ => drop(self.known.remove(id)),
--- a/crates/bulrushusher_forward/tests/revisions.rs
+++ b/crates/bulrushusher_forward/tests/revisions.rs
@@ -72,6 +72,24 @@
     assert!(gets_work(&runners), "the next start");
 }
 
+/// Guards against work for a removed runner beyond the time for which an expired entry stays
+/// usable, while each further outage ends with another list that lacks it.
+#[test]
+fn a_later_outage_does_not_extend_the_use_of_an_expired_entry() {
+    let cfg = RunnerDirectoryConfig::default();
+    let mut runners = directory();
+    runners.replace_all(vec![runner(5, false)], 5, NOW);
+    let outage_ends = [NOW.plus(Millis(2_000)), NOW.plus(Millis(3_900))];
+    for (revision, end) in (6..).zip(outage_ends) {
+        runners.store_answered(end);
+        runners.replace_all(Vec::new(), revision, end);
+    }
+    let id = runner(0, false).id;
+    let until = outage_ends[0].plus(cfg.return_grace);
+    assert!(runners.get(&id, until.since(Millis(1))).is_some(), "expired, and possibly alive");
+    assert!(runners.get(&id, until).is_none(), "not registered again in time");
+}
+
 /// The state of the runner in the store from a revision on: `None` if it has no entry.
 type History = Vec<Option<bool>>;
 
--- a/crates/bulrushusher_gateway/src/shared/confirmations.rs
+++ b/crates/bulrushusher_gateway/src/shared/confirmations.rs
@@ -157,14 +157,23 @@
         }
     }
 
-    /// Returns once the store itself must confirm a topic, because no relay has for too long.
+    /// True while the store itself must confirm a topic, because no relay has for too long.
+    pub(crate) fn is_confirmation_due(&self, topic: Topic) -> bool {
+        self.time_to_confirmation(topic) == Millis(0)
+    }
+
+    /// Returns once the store itself must confirm a topic.
     pub(crate) async fn wait_until_confirmation_due(&self, topic: Topic) {
-        let max_age = self.change_bound(topic).share(MAX_AGE_SHARE);
-        while let Some(age) = self.confirmation_age(topic).filter(|age| *age < max_age) {
-            tokio::time::sleep(max_age.since(age).duration()).await;
+        while !self.is_confirmation_due(topic) {
+            tokio::time::sleep(self.time_to_confirmation(topic).duration()).await;
         }
     }
 
+    fn time_to_confirmation(&self, topic: Topic) -> Millis {
+        let max_age = self.change_bound(topic).share(MAX_AGE_SHARE);
+        self.confirmation_age(topic).map_or(Millis(0), |age| max_age.since(age))
+    }
+
     /// What a request that is sent to the runner now is decided by.
     pub(crate) fn list_evidence(&self, runner: &Runner) -> ListEvidence {
         let (entry_revision, changed_at) = self.with_runners(|runners, now| {
--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -213,6 +213,7 @@
     /// has received. Called when relays could not supply or confirm them.
     async fn catch_up(&self) -> Result<(), StoreError> {
         let requested_at = self.shared.now();
+        self.begin_polling();
         let revision = self.shared.seen_revision(self.topic);
         let answer = self.store.watch(self.topic, revision, NO_WAIT, self.slack()).await;
         self.count_call(if answer.is_ok() { "caught_up" } else { "failed" });
@@ -231,8 +232,8 @@
     /// returns the earlier changes at once.
     async fn watch(&self, is_listed: bool) -> Freshness {
         let base_wait = self.share(WAIT_SHARE);
-        if self.topic == Topic::Runners && !is_listed {
-            self.shared.with_runners(|runners, now| runners.directory.begin_store_polling(now));
+        if !is_listed {
+            self.begin_polling();
         }
         // After a peer has reported a later change, the store is polled as often as without peers.
         let mut checks_peers = true;
@@ -341,6 +342,14 @@
         self.shared.record_contact(StoreContact::Watching);
     }
 
+    /// Records that this gateway calls the store after it made no calls, so that their absence does
+    /// not count as an outage.
+    fn begin_polling(&self) {
+        if self.topic == Topic::Runners {
+            self.shared.with_runners(|runners, now| runners.directory.begin_store_polling(now));
+        }
+    }
+
     /// Records that the store answered a call with the given wait. Only the feed of runners uses
     /// it, to decide whether entries may have expired.
     fn record_poll_answer(&self, wait: Millis) {
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -114,6 +114,8 @@
             changes.len(),
             request.after
         );
+        // A relay may have lost the store while others, or this gateway, did not.
+        let outage_age = outage_age.filter(|_| self.shared.is_confirmation_due(Topic::Runners));
         self.shared.with_runners(|runners, now| {
             if let Some(age) = outage_age {
                 runners.directory.record_outage_end(now.since(age));
