Trace only requests that have a log line; one place for what back-pressure withholds

A control request recorded what its send was decided by, with three locks and a shared name, though no line prints it; the check before the send wrote again what apply_permit does with its error. No behaviour changed.

--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -93,7 +93,8 @@
     pub permit: Permit,
     /// Timeout of the head of the response.
     pub timeout: Millis,
-    pub trace: &'a SendTrace,
+    /// Records what the send was decided by, for requests that have a log line of their own.
+    pub trace: Option<&'a SendTrace>,
 }
 
 /// Sends requests to runners.
@@ -148,10 +149,13 @@
                 Ok(())
             }
         };
-        permitted.map_err(|cause| {
-            self.metrics.record_withheld_send(withheld_label(cause));
-            ExchangeError::Withheld { cause }
-        })
+        permitted.map_err(|cause| self.withheld(cause))
+    }
+
+    /// The error of a request that back-pressure keeps from being sent, which it counts.
+    fn withheld(&self, cause: BackPressureError) -> ExchangeError {
+        self.metrics.record_withheld_send(withheld_label(cause));
+        ExchangeError::Withheld { cause }
     }
 
     /// Checks, with the connection at hand, that the runner may still receive the request: what
@@ -171,8 +175,7 @@
             if spec.permit == Permit::Acquire {
                 self.shared.release_permits(runner, 1);
             }
-            self.metrics.record_withheld_send(withheld_label(cause));
-            ExchangeError::Withheld { cause }
+            self.withheld(cause)
         })
     }
 
@@ -192,7 +195,9 @@
                     .map_err(|cause| ExchangeError::Unsent { cause })?,
             };
             self.check_before_send(runner, spec)?;
-            spec.trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
+            if let Some(trace) = spec.trace {
+                trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
+            }
             match connection.sender.try_send_request(req).await {
                 Ok(reply) => return self.check_response(runner, spec.id, reply, connection),
                 Err(mut e) => match e.take_message() {
@@ -272,8 +277,7 @@
         if let Ok(host) = host {
             req.headers_mut().insert(hyper::header::HOST, host);
         }
-        let trace = SendTrace::new(self.shared.now());
-        let spec = SendSpec { id: None, permit, timeout, trace: &trace };
+        let spec = SendSpec { id: None, permit, timeout, trace: None };
         let reply = self.send(runner, req, spec).await?;
         self.read_whole(runner, reply, timeout).await
     }
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -162,7 +162,7 @@
         let attempt = Attempt { runner: &runner.id, remaining, resume_after, account, step };
         let headers = self.dialect.attempt_headers(&fwd.request, &attempt);
         let req = build_request(fwd, headers);
-        let send = SendSpec { id: Some(&fwd.request.id), permit, timeout, trace };
+        let send = SendSpec { id: Some(&fwd.request.id), permit, timeout, trace: Some(trace) };
         self.exchanger.send(runner, req, send).await
     }
 
