Change log: answer no reader whose revision lies between two lists of the relay

Cause: a relay that was away lists the store anew and recorded the difference of the two lists as if it followed the last change that it knew. A runner that was registered and removed between the two lists is in neither of them. A listener that had received its entry, and asked for the changes after a revision between the lists, got a delta without the removal, and the relay's confirmations covered it as well. It kept the runner until the next list.

Change: `ChangeLog::record_list` keeps the interval between the two lists as a gap. `since` answers a reader at or before its start and at or after its end, and nobody between, who then reads the store in one call. The relay sends the same coverage with its confirmations (datagram version 6). At most eight gaps are kept; with the ninth the history before the end of the oldest is dropped.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -79,7 +79,8 @@
 pub use routing_delta::RoutingDelta;
 pub use runner::{Runner, Stage, StartTime};
 pub use runner_changes::{
-    ChangeLog, DeltaPages, DeltaRequest, PageOutcome, RunnerChange, RunnerDelta, RunnerRemoval,
+    ChangeLog, DeltaPages, DeltaRequest, LogCoverage, PageOutcome, RunnerChange, RunnerDelta,
+    RunnerRemoval,
 };
 pub use runner_directory::{DrainReport, RunnerDirectory, RunnerDirectoryConfig, RunnerListDiff};
 pub use runner_selection::{
--- a/crates/bulrushusher_forward/src/runner_changes.rs
+++ b/crates/bulrushusher_forward/src/runner_changes.rs
@@ -68,6 +68,59 @@
     pub outage_age: Option<Millis>,
 }
 
+/// Maximum number of list gaps in a log. A relay that lists this often within the history of its
+/// log has an unstable connection to the store, and gateways that lag behind read the store.
+const MAX_GAPS: usize = 8;
+
+/// Two revisions between which a log has only the difference of two lists. A runner that was
+/// registered and removed between them is in neither list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ListGap {
+    from: u64,
+    to: u64,
+}
+
+/// The revisions after which a log contains every change.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogCoverage {
+    base: u64,
+    /// In the order of their revisions.
+    gaps: Vec<ListGap>,
+}
+
+impl LogCoverage {
+    /// True if the log contains every change that a gateway with all changes up to `revision`
+    /// lacks.
+    ///
+    /// ```
+    /// let mut log = bulrushusher_forward::ChangeLog::new(100);
+    /// log.record_list(30, 28, vec![]);
+    /// log.record_list(36, 28, vec![]);
+    /// assert!(log.coverage().contains(30) && log.coverage().contains(36));
+    /// assert!(!log.coverage().contains(34), "a runner may have been removed at 35");
+    /// assert!(!log.coverage().contains(29));
+    /// ```
+    pub fn contains(&self, revision: u64) -> bool {
+        let is_inside = |gap: &ListGap| gap.from < revision && revision < gap.to;
+        revision >= self.base
+            && era_of(revision) == era_of(self.base)
+            && !self.gaps.iter().any(is_inside)
+    }
+
+    /// Drops the history before a revision.
+    fn begin_at(&mut self, base: u64) {
+        self.base = self.base.max(base);
+        self.gaps.retain(|gap| gap.to > base);
+    }
+
+    fn add_gap(&mut self, gap: ListGap) {
+        self.gaps.push(gap);
+        if self.gaps.len() > MAX_GAPS {
+            self.begin_at(self.gaps[0].to);
+        }
+    }
+}
+
 /// A bounded log of the latest changes, for answering requests.
 ///
 /// ```
@@ -85,8 +138,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ChangeLog {
     most: usize,
-    /// The log is complete after this revision.
-    base: u64,
+    coverage: LogCoverage,
     revision: u64,
     last_change: u64,
     /// Changes, each with the last revision of its batch.
@@ -104,15 +156,30 @@
         self.revision
     }
 
-    /// The revision after which the log is complete.
-    pub fn base(&self) -> u64 {
-        self.base
+    /// The revisions after which the log is complete.
+    pub fn coverage(&self) -> &LogCoverage {
+        &self.coverage
     }
 
     /// Clears the log; it continues from `revision`.
     pub fn restart(&mut self, revision: u64, last_change: u64) {
         self.changes.clear();
-        (self.base, self.revision, self.last_change) = (revision, revision, last_change);
+        self.coverage = LogCoverage { base: revision, gaps: Vec::new() };
+        (self.revision, self.last_change) = (revision, last_change);
+    }
+
+    /// Records a full list, which changed the state at the end of the log by `changes`. The first
+    /// list, and the first one after a restore of the store, begin the log.
+    pub fn record_list(&mut self, revision: u64, last_change: u64, changes: Vec<RunnerChange>) {
+        let from = self.revision;
+        if from == 0 || era_of(from) != era_of(revision) {
+            self.restart(revision, last_change);
+            return;
+        }
+        if revision > from + 1 {
+            self.coverage.add_gap(ListGap { from, to: revision });
+        }
+        self.record(from, revision, last_change, changes);
     }
 
     /// Appends the changes between two revisions.
@@ -131,14 +198,14 @@
         self.changes.extend(changes.into_iter().map(|change| (revision, change)));
         while self.changes.len() > self.most {
             let oldest = self.changes.pop_front();
-            self.base = oldest.map_or(self.base, |(at, _)| self.base.max(at));
+            self.coverage.begin_at(oldest.map_or(0, |(at, _)| at));
         }
     }
 
     /// One page of the changes after a revision, with at most `most` runners; `None` when the log
-    /// does not reach back that far.
+    /// does not contain all of them.
     pub fn since(&self, req: &DeltaRequest, most: usize) -> Option<RunnerDelta> {
-        if req.after < self.base || era_of(req.after) != era_of(self.revision) {
+        if !self.coverage.contains(req.after) {
             return None;
         }
         let later = self.changes.iter().filter(|(at, _)| *at > req.after);
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -15,7 +15,7 @@
 const MARK: u8 = 0xB5;
 
 /// Incremented with each change to the encoding of [`Datagram`] or of its contents.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// A datagram between two gateways.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -42,7 +42,7 @@
     StoreChanges(StoreChanges),
     /// Requests missed changes of the runner list from a relay.
     RequestRunners(DeltaRequest),
-    /// The requested changes are no longer kept; the store must be asked.
+    /// The sender does not know all of the requested changes; the store must be asked.
     HistoryGone,
 }
 
--- a/crates/bulrushusher_gateway/src/shared/confirmations.rs
+++ b/crates/bulrushusher_gateway/src/shared/confirmations.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{Runner, SeenRevisions, era_of};
+use bulrushusher_forward::{LogCoverage, Runner, SeenRevisions, era_of};
 use bulrushusher_time::Millis;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -71,13 +71,13 @@
 }
 
 /// Time since the store confirmed each topic, as relays report it; `None` if it has not.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ConfirmationAges {
     configuration: Option<Millis>,
     runners: Option<Millis>,
-    /// Revision after which the relay knows each change of the runner list. Its list does not show
-    /// which runners were removed before.
-    runners_known_after: u64,
+    /// Revisions after which the relay knows each change of the runner list. Its lists do not show
+    /// which runners were removed before them.
+    runners_coverage: LogCoverage,
 }
 
 /// What a request to a runner was decided by.
@@ -118,14 +118,14 @@
         revisions: SeenRevisions,
         ages: ConfirmationAges,
     ) {
-        let topics = [
-            (Topic::Configuration, ages.configuration, 0),
-            (Topic::Runners, ages.runners, ages.runners_known_after),
-        ];
-        for (topic, age, known_after) in topics {
+        for (topic, age) in
+            [(Topic::Configuration, ages.configuration), (Topic::Runners, ages.runners)]
+        {
             let (seen, last_change) = (self.seen_revision(topic), of_topic(revisions, topic));
+            // The configuration is one object, so its last change is all that can be missing.
+            let is_covered = topic == Topic::Configuration || ages.runners_coverage.contains(seen);
             let is_complete =
-                era_of(seen) == era_of(last_change) && last_change <= seen && known_after <= seen;
+                era_of(seen) == era_of(last_change) && last_change <= seen && is_covered;
             if let Some(age) = age.filter(|_| is_complete) {
                 let confirmed_at = Some(self.now().since(age));
                 self.record_copy(topic, UpdateSource::Relay(relay.into()), confirmed_at);
@@ -144,7 +144,7 @@
         ConfirmationAges {
             configuration: self.confirmation_age(Topic::Configuration),
             runners: self.confirmation_age(Topic::Runners),
-            runners_known_after: self.oldest_recorded_revision(),
+            runners_coverage: self.recorded_coverage(),
         }
     }
 
--- a/crates/bulrushusher_gateway/src/shared/relayed.rs
+++ b/crates/bulrushusher_gateway/src/shared/relayed.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    ChangeLog, DeltaPages, DeltaRequest, PageOutcome, RoutingConfig, RoutingDelta, RunnerChange,
-    RunnerDelta, SeenRevisions, StoreRole, era_of,
+    ChangeLog, DeltaPages, DeltaRequest, LogCoverage, PageOutcome, RoutingConfig, RoutingDelta,
+    RunnerChange, RunnerDelta, SeenRevisions, StoreRole, era_of,
 };
 use serde::{Deserialize, Serialize};
 
@@ -52,11 +52,7 @@
 impl SharedState {
     /// Records a list of runners and what it changed.
     pub(crate) fn record_list(&self, revision: u64, last_change: u64, changes: Vec<RunnerChange>) {
-        let log = &mut self.relayed.lock().log;
-        match era_of(log.revision()) == era_of(revision) && log.revision() > 0 {
-            true => log.record(log.revision(), revision, last_change, changes),
-            false => log.restart(revision, last_change),
-        }
+        self.relayed.lock().log.record_list(revision, last_change, changes);
     }
 
     /// Records the changes between two revisions.
@@ -75,13 +71,13 @@
         self.relayed.lock().log.revision()
     }
 
-    /// The revision after which all changes are recorded.
-    pub(super) fn oldest_recorded_revision(&self) -> u64 {
-        self.relayed.lock().log.base()
+    /// The revisions after which all changes are recorded.
+    pub(super) fn recorded_coverage(&self) -> LogCoverage {
+        self.relayed.lock().log.coverage().clone()
     }
 
-    /// The changes since a revision, for a gateway that requests them. `None` if they are no longer
-    /// kept.
+    /// The changes since a revision, for a gateway that requests them. `None` if some of
+    /// them are not known.
     pub(crate) fn delta_since(&self, req: &DeltaRequest) -> Option<RunnerDelta> {
         let outage_age = self.with_runners(|runners, now| runners.directory.outage_age(now));
         let delta = self.relayed.lock().log.since(req, PAGE_CHANGES)?;
