Change log: ignore changes that end before the log does

Cause: a listener's request to the store can be answered after a relay's delta that leads further. The directory keeps the later state by its revisions, but the log appended the earlier changes behind the later ones, and `since` takes the last one of each runner. A gateway that then became a relay sent the earlier entry as the state of the later revision.

Change: `ChangeLog::record` returns for a batch that ends before the log does, as a complete log contains it. The exhaustive test includes such batches.

--- a/crates/bulrushusher_forward/src/runner_changes.rs
+++ b/crates/bulrushusher_forward/src/runner_changes.rs
@@ -182,7 +182,8 @@
         self.record(from, revision, last_change, changes);
     }
 
-    /// Appends the changes between two revisions.
+    /// Appends the changes between two revisions. Changes that end before the log does arrived late,
+    /// and the log contains them or later ones.
     pub fn record(
         &mut self,
         after: u64,
@@ -193,7 +194,10 @@
         if after > self.revision || era_of(after) != era_of(self.revision) {
             self.restart(after, last_change);
         }
-        self.revision = self.revision.max(revision);
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
         self.last_change = self.last_change.max(last_change);
         self.changes.extend(changes.into_iter().map(|change| (revision, change)));
         while self.changes.len() > self.most {
--- a/crates/bulrushusher_forward/tests/change_log.rs
+++ b/crates/bulrushusher_forward/tests/change_log.rs
@@ -110,11 +110,11 @@
     Changes(u64, u64),
 }
 
-/// All receipts by a relay which is complete up to `known`, none of them older than that.
+/// All receipts by a relay which is complete up to `known`. Changes may have been read before, and
+/// then end earlier.
 fn receipts(known: u64) -> Vec<Receipt> {
     let lists = (known..=LAST_REVISION).map(Receipt::List);
-    let of =
-        |after| (known.max(after + 1)..=LAST_REVISION).map(move |to| Receipt::Changes(after, to));
+    let of = |after| (after + 1..=LAST_REVISION).map(move |to| Receipt::Changes(after, to));
     lists.chain((0..=known).flat_map(of)).collect()
 }
 
@@ -182,7 +182,8 @@
 }
 
 /// Lost removals: a runner that appeared and left between two lists of a relay is in neither list,
-/// and the relay's delta confirmed it to a gateway that knew it.
+/// and the relay's delta confirmed it to a gateway that knew it. An answer of the store that was
+/// read before a delta and arrived after it replaced the delta's later removal in the log.
 #[test]
 fn a_delta_leads_every_reader_to_the_state_of_its_revision() {
     let sequences = sequences();
