Paged deltas: end at the lowest revision of the pages

Cause: a listener gets first pages of two relays. The second page of the one that has received fewer changes was appended to the first page of the other, if both pages end at the same runner, and the delta kept the revision of the first page. Changes between the two revisions to runners of the second page were in no delta after it.

Change: an assembled delta ends at the lowest revision of its pages. Later changes that some pages contain arrive again with the next delta.

Measured: tests/change_log.rs tries all sequences of four replies of two relays for all histories of two runners and four revisions.

--- a/crates/bulrushusher_forward/src/runner_changes.rs
+++ b/crates/bulrushusher_forward/src/runner_changes.rs
@@ -284,8 +284,9 @@
         }
     }
 
-    /// Appends a page to the previous ones; `None` if they are missing. Changes made between two
-    /// pages arrive with the next delta, as the revision stays that of the first page.
+    /// Appends a page to the previous ones; `None` if they are missing. The delta ends at the lowest
+    /// revision of its pages, as another relay may have sent one of them. Later changes that some
+    /// pages contain arrive again with the next delta.
     fn append(&mut self, page: RunnerDelta) -> Option<RunnerDelta> {
         if page.request.page_after.is_none() {
             return Some(page);
@@ -297,6 +298,8 @@
         let mut first = self.partial.take().filter(follows)?;
         first.changes.extend(page.changes);
         first.next_page = page.next_page;
+        first.revision = first.revision.min(page.revision);
+        first.last_change = first.last_change.max(page.last_change).min(first.revision);
         Some(first)
     }
 }
--- a/crates/bulrushusher_forward/tests/change_log.rs
+++ b/crates/bulrushusher_forward/tests/change_log.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeMap;
 
 use bulrushusher_forward::{
-    ChangeLog, DeltaRequest, Runner, RunnerChange, RunnerDelta, RunnerDirectory,
-    RunnerDirectoryConfig, RunnerRemoval,
+    ChangeLog, DeltaPages, DeltaRequest, PageOutcome, Runner, RunnerChange, RunnerDelta,
+    RunnerDirectory, RunnerDirectoryConfig, RunnerRemoval,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
@@ -258,3 +258,75 @@
     assert!((2..=10).contains(&covered), "{covered} list revisions covered");
     assert!(log.coverage().contains(990) && !log.coverage().contains(995));
 }
+
+/// A reply of a relay to a request for the first or the second page.
+#[derive(Clone, Copy, Debug)]
+enum Reply {
+    First { relay: usize },
+    Second { relay: usize },
+}
+
+/// All sequences of four replies by two relays.
+fn reply_sequences() -> Vec<[Reply; 4]> {
+    let reply = |n: usize| match n / 2 {
+        0 => Reply::First { relay: n % 2 },
+        _ => Reply::Second { relay: n % 2 },
+    };
+    (0..4_usize.pow(4)).map(|n| [0, 1, 2, 3].map(|at| reply(n / 4_usize.pow(at) % 4))).collect()
+}
+
+/// Changes that are lost on the second page: it was of another relay, which had received fewer
+/// changes, and the delta had the revision of the first page.
+#[test]
+fn pages_of_several_relays_lose_no_change() {
+    let sequences = reply_sequences();
+    for history in History::all() {
+        for revisions in [[1, 4], [2, 4], [2, 3], [3, 4], [4, 4]] {
+            let logs = revisions
+                .map(|revision| relay(&history, 0, &[Receipt::Changes(0, revision)], ROOMY));
+            for replies in &sequences {
+                let (directory, seen) = read_pages(&history, &logs, replies);
+                let full = relay(&history, 0, &[Receipt::Changes(0, LAST_REVISION)], ROOMY);
+                check_catches_up(&history, directory, &full, seen, &(revisions, replies));
+            }
+        }
+    }
+}
+
+/// The runners of a gateway that has received these replies, and the revision that it has then.
+fn read_pages(
+    history: &History,
+    logs: &[ChangeLog; 2],
+    replies: &[Reply],
+) -> (RunnerDirectory, u64) {
+    let (mut directory, mut pages, mut seen) = (reader(history, 0), DeltaPages::default(), 0);
+    for reply in replies {
+        let page = match *reply {
+            Reply::First { relay } => logs[relay].since(&DeltaRequest::default(), 1),
+            Reply::Second { relay } => {
+                logs[relay].since(&DeltaRequest { after: 0, page_after: Some(id(0)) }, 1)
+            }
+        };
+        let page = page.expect("the log begins at the first revision");
+        if let PageOutcome::Apply(delta) = pages.add(page, seen) {
+            apply(&mut directory, &delta);
+            seen = delta.revision;
+            assert!(delta.last_change <= seen, "{delta:?}");
+        }
+    }
+    (directory, seen)
+}
+
+/// Checks that the changes after `seen` complete the directory.
+fn check_catches_up(
+    history: &History,
+    mut directory: RunnerDirectory,
+    log: &ChangeLog,
+    seen: u64,
+    what: &impl std::fmt::Debug,
+) {
+    let req = DeltaRequest { after: seen, page_after: None };
+    apply(&mut directory, &log.since(&req, RUNNERS).expect("the log begins at 0"));
+    let expected = history.entries_at(LAST_REVISION);
+    assert_eq!(entries_of(&directory), expected, "seen {seen}, {what:?}, {history:?}");
+}
