Report bucket levels as of now, also of accounts without own usage

Cause: a gateway that starts adopts the levels of a full report. They were those of the account's last request or report at the sender, without the refill since, so the new gateway refused accounts that had been idle. Accounts that the sender had not admitted itself were left out, although it knows the usage at other gateways; the new gateway took their buckets for full. A full report on request left out any accounts above the size limit, not those without recent activity. Without the change the new tests fail: adopted_levels_are_those_of_the_time_of_the_report: 0 units available, at least 28,900 expected levels_are_adopted_from_a_gateway_without_own_usage: left: 65500, right: 0 Change: a full report has refilled levels and lists accounts with own usage or a low level; both kinds of full report select accounts alike.

--- a/crates/bulrushusher_accounts/src/bucket.rs
+++ b/crates/bulrushusher_accounts/src/bucket.rs
@@ -105,12 +105,19 @@
     }
 
     pub(crate) fn refill(&mut self, cfg: &QuotaConfig, weight: f64, now: Millis) {
-        let Some(quota) = self.quota else { return };
+        if self.quota.is_some() {
+            self.level = self.level_at(cfg, weight, now);
+            self.refilled_at = self.refilled_at.max(now);
+        }
+    }
+
+    /// The level after a refill at the time `now`.
+    fn level_at(&self, cfg: &QuotaConfig, weight: f64, now: Millis) -> f64 {
+        let Some(quota) = self.quota else { return self.level };
         let passed = now.since(self.refilled_at).0 as f64;
-        self.refilled_at = self.refilled_at.max(now);
         let share = if self.start_grant > 0.0 { 1.0 } else { weight };
         let capacity = cfg.capacity(quota) * share;
-        self.level = (self.level + passed * refill_rate(cfg, quota, weight)).min(capacity);
+        (self.level + passed * refill_rate(cfg, quota, weight)).min(capacity)
     }
 
     /// Units short for a request; zero or less when it can be admitted.
@@ -165,12 +172,27 @@
         unreported > 0.0 && unreported >= cfg.unreported_allowance(quota, gateways) * fraction
     }
 
-    /// The counter for a report; only a full report includes the level.
-    pub(crate) fn counter(&self, cfg: &QuotaConfig, is_full: bool) -> UsageCounter {
+    /// True when a full report must list the account: this gateway has admitted requests of it, or
+    /// the bucket is low because of usage at other gateways.
+    pub(crate) fn is_active(&self, cfg: &QuotaConfig, weight: f64, now: Millis) -> bool {
+        self.quota.is_some() && (self.used > 0 || self.remaining(cfg, weight, now).is_some())
+    }
+
+    /// The counter for an incremental report.
+    pub(crate) fn counter(&self) -> UsageCounter {
+        UsageCounter { account: self.id, used: self.used, remaining: None }
+    }
+
+    /// The counter for a full report, with the level.
+    pub(crate) fn full_counter(&self, cfg: &QuotaConfig, weight: f64, now: Millis) -> UsageCounter {
+        UsageCounter { remaining: self.remaining(cfg, weight, now), ..self.counter() }
+    }
+
+    /// The level at the time `now`; `None` from [`REPORTED_BELOW`] on.
+    fn remaining(&self, cfg: &QuotaConfig, weight: f64, now: Millis) -> Option<i64> {
         let capacity = self.quota.map_or(0.0, |quota| cfg.capacity(quota));
-        let is_low = self.level < capacity * REPORTED_BELOW;
-        let remaining = (is_full && is_low).then_some(self.level as i64);
-        UsageCounter { account: self.id, used: self.used, remaining }
+        let level = self.level_at(cfg, weight, now);
+        (level < capacity * REPORTED_BELOW).then_some(level as i64)
     }
 
     /// Delay after which the client of a refused request may retry. Retries are scheduled one after
--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -5,6 +5,8 @@
 //! of the quota. Usage that the replicas do not know of yet is bounded by how soon it is reported.
 //! Gateways that receive no reports from each other fall back to their shares of the quota.
 
+use std::borrow::Borrow;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -27,6 +29,14 @@
 /// How long the computed [`Membership`] is cached.
 const MEMBERSHIP_TTL: Millis = Millis(50);
 
+/// Drops the accounts without recent activity from a report that exceeds the size limit.
+fn keep_reportable<B: Borrow<Bucket>>(buckets: &mut Vec<B>) {
+    if buckets.len() > MAX_REPORTED_ACCOUNTS {
+        buckets.sort_unstable_by_key(|bucket| Reverse(bucket.borrow().refilled_at));
+        buckets.truncate(MAX_REPORTED_ACCOUNTS);
+    }
+}
+
 /// Distributed rate limiter for the quotas of all accounts.
 ///
 /// ```
@@ -169,18 +179,20 @@
         if !self.cfg.uses_reports() {
             return report;
         }
-        let (cfg, gateways) = (self.cfg, self.membership.0.gateways);
+        let (cfg, membership) = (self.cfg, self.membership.0);
+        let weight = membership.live_fraction();
         let is_due = |bucket: &&mut Bucket| match is_full {
-            true => bucket.quota.is_some() && bucket.used > 0,
-            false => bucket.is_report_due(&cfg, gateways, EARLY_REPORT_FRACTION),
+            true => bucket.is_active(&cfg, weight, now),
+            false => bucket.is_report_due(&cfg, membership.gateways, EARLY_REPORT_FRACTION),
         };
         let mut due: Vec<&mut Bucket> = self.buckets.values_mut().filter(is_due).collect();
-        if due.len() > MAX_REPORTED_ACCOUNTS {
-            due.sort_unstable_by_key(|bucket| std::cmp::Reverse(bucket.refilled_at));
-            due.truncate(MAX_REPORTED_ACCOUNTS);
-        }
+        keep_reportable(&mut due);
         due.iter_mut().for_each(|bucket| bucket.reported = bucket.used);
-        report.accounts = due.into_iter().map(|bucket| bucket.counter(&cfg, is_full)).collect();
+        let counter = |bucket: &mut Bucket| match is_full {
+            true => bucket.full_counter(&cfg, weight, now),
+            false => bucket.counter(),
+        };
+        report.accounts = due.into_iter().map(counter).collect();
         report
     }
 
@@ -188,13 +200,16 @@
     /// as reported, because the other gateways do not receive this report.
     pub fn resync_report(&mut self, now: Millis) -> UsageReport {
         self.refresh(now);
-        let active = self.buckets.values().filter(|it| it.quota.is_some() && it.used > 0);
-        let counter = |bucket: &Bucket| bucket.counter(&self.cfg, true);
-        let accounts = match self.cfg.uses_reports() {
-            true => active.take(MAX_REPORTED_ACCOUNTS).map(counter).collect(),
-            false => Vec::new(),
-        };
-        UsageReport { synced: self.is_synced, accounts }
+        let mut report = UsageReport { synced: self.is_synced, accounts: Vec::new() };
+        if self.cfg.uses_reports() {
+            let (cfg, weight) = (&self.cfg, self.membership.0.live_fraction());
+            let is_active = |bucket: &&Bucket| bucket.is_active(cfg, weight, now);
+            let mut active: Vec<&Bucket> = self.buckets.values().filter(is_active).collect();
+            keep_reportable(&mut active);
+            let counter = |bucket: &Bucket| bucket.full_counter(cfg, weight, now);
+            report.accounts = active.into_iter().map(counter).collect();
+        }
+        report
     }
 
     /// Merges a report of another gateway. `incarnation` identifies the start of that gateway.
--- a/crates/bulrushusher_accounts/tests/restart.rs
+++ b/crates/bulrushusher_accounts/tests/restart.rs
@@ -173,3 +173,38 @@
         assert_eq!(charged_after(&reports), charged, "{reports:?}");
     }
 }
+
+/// A gateway that starts and adopts the levels of `peer`.
+fn adopted_from(peer: &mut Gateway, now: u64) -> Gateway {
+    let usage = peer.limiter.resync_report(Millis(now));
+    let mut restarted = Gateway::start(9, now, 1);
+    restarted.merge(peer, &usage, true, now);
+    restarted
+}
+
+/// Guards against levels as of an account's last request: a gateway that adopted them refused an
+/// account that had been idle since.
+#[test]
+fn adopted_levels_are_those_of_the_time_of_the_report() {
+    let now = CFG.window.0 + 1;
+    let mut peer = Gateway::start(0, 1, 0);
+    let account = &accounts()[0];
+    peer.limiter.admit(account, peer.available(account, now), Millis(now)).unwrap();
+    let later = now + 1_000;
+    let available = adopted_from(&mut peer, later).available(account, later);
+    assert!(available >= 28_900 && available <= peer.available(account, later), "{available}");
+}
+
+/// Guards against a full bucket for an account that the reporting gateway itself has not admitted:
+/// it knows the usage of others.
+#[test]
+fn levels_are_adopted_from_a_gateway_without_own_usage() {
+    let now = CFG.window.0 + 1;
+    let (mut peer, mut other) = (Gateway::start(0, 1, 1), Gateway::start(1, 1, 1));
+    let account = &accounts()[0];
+    other.limiter.admit(account, other.available(account, now), Millis(now)).unwrap();
+    peer.merge(&other, &report(true, &[]), true, now);
+    let usage = other.limiter.next_report(true, Millis(now));
+    peer.merge(&other, &usage, true, now);
+    assert_eq!(adopted_from(&mut peer, now).available(account, now), 0);
+}
