Adopt bucket levels only once the quotas are known

Cause: a starting gateway that found its peers before it had read the configuration had no buckets when it received their levels. It counted as synced all the same, and the buckets that the configuration created later were full.

--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -223,7 +223,7 @@
         now: Millis,
     ) {
         self.refresh(now);
-        let adopts = !self.is_synced && report.synced && is_full;
+        let adopts = !self.is_synced && report.synced && is_full && self.has_quotas();
         let is_recent = |peer: &Peer| now.since(peer.last_report_at) < self.cfg.silent_after;
         let previous = self.peers.remove(peer).filter(|known| known.incarnation == incarnation);
         let was_live = previous.as_ref().is_some_and(is_recent);
@@ -257,6 +257,11 @@
         bucket.record_usage(units, &cfg, now);
     }
 
+    /// True once the configuration has created buckets, which can adopt levels.
+    fn has_quotas(&self) -> bool {
+        self.buckets.values().any(|bucket| bucket.quota.is_some())
+    }
+
     /// Adopts the bucket levels of a gateway that is already synced.
     fn adopt(&mut self, report: &UsageReport, now: Millis) {
         self.is_synced = true;
--- a/crates/bulrushusher_accounts/tests/restart.rs
+++ b/crates/bulrushusher_accounts/tests/restart.rs
@@ -208,3 +208,32 @@
     peer.merge(&other, &usage, true, now);
     assert_eq!(adopted_from(&mut peer, now).available(account, now), 0);
 }
+
+/// Guards against full buckets where the peers are found before the configuration is read: there
+/// was no bucket yet that could have adopted a level.
+#[test]
+fn levels_are_not_adopted_before_the_quotas_are_known() {
+    let (mut peers, now) = running(2, 20, 0.6);
+    for peer in &mut peers {
+        let left = peer.available(&accounts()[0], now);
+        peer.limiter.admit(&accounts()[0], left, Millis(now)).unwrap();
+    }
+    let mut limiter = QuotaLimiter::new(CFG, Millis(now));
+    limiter.set_announced_peers(2);
+    let mut restarted = Gateway { limiter, ..Gateway::start(9, now, 2) };
+    for peer in &mut peers {
+        let usage = peer.limiter.resync_report(Millis(now));
+        restarted.merge(peer, &usage, true, now);
+    }
+    let quotas = accounts().map(|name| (name, Some(QUOTA)));
+    let quotas = quotas.iter().map(|(name, quota)| (name, *quota));
+    let now = now + 100;
+    restarted.limiter.set_quotas(quotas, Millis(now));
+    let allowance = (CFG.overage * QUOTA.in_window(CFG.window) + CFG.slack) as u64 / 4;
+    assert!(restarted.available(&accounts()[0], now) < allowance);
+    let usage = peers[0].limiter.resync_report(Millis(now));
+    restarted.merge(&peers[0], &usage, true, now);
+    let at_peer = peers[0].available(&accounts()[0], now);
+    assert_eq!(restarted.available(&accounts()[0], now), at_peer);
+    assert!(restarted.available(&accounts()[1], now) > 0);
+}
