Do not charge what an account used before it had a quota

Cause: the bucket of an account without a quota went negative by all that it used, without a bound. When the configuration gave the account a quota, it was refused until the quota had granted that much. Without the change the new test fails: usage_before_an_account_has_a_quota_is_not_charged: OverQuota { missing: 100000200.0, retry_after: Millis(3448283) } Change: a bucket that gets its first quota is full, as the one of a new account is.

--- a/crates/bulrushusher_accounts/src/bucket.rs
+++ b/crates/bulrushusher_accounts/src/bucket.rs
@@ -85,8 +85,13 @@
     }
 
     pub(crate) fn set_quota(&mut self, cfg: &QuotaConfig, quota: Option<Quota>) {
+        let was_unlimited = self.quota.is_none();
         self.quota = quota;
         if let Some(quota) = quota {
+            if was_unlimited {
+                // Usage while the account had no quota is not charged.
+                self.level = cfg.capacity(quota);
+            }
             self.level = self.level.min(cfg.capacity(quota));
             self.start_grant = self.start_grant.min(cfg.start_allowance(quota));
         }
--- a/crates/bulrushusher_accounts/tests/restart.rs
+++ b/crates/bulrushusher_accounts/tests/restart.rs
@@ -237,3 +237,16 @@
     assert_eq!(restarted.available(&accounts()[0], now), at_peer);
     assert!(restarted.available(&accounts()[1], now) > 0);
 }
+
+/// Guards against charging what an account used while it had no quota: it was refused for as long
+/// as the quota takes to grant that.
+#[test]
+fn usage_before_an_account_has_a_quota_is_not_charged() {
+    let account = &accounts()[0];
+    let mut limiter = QuotaLimiter::new(CFG, Millis(1));
+    limiter.set_quotas([(account, None)], Millis(1));
+    let now = Millis(CFG.window.0 + 1);
+    limiter.admit(account, 100_000_000, now).unwrap();
+    limiter.set_quotas([(account, Some(QUOTA))], now);
+    limiter.admit(account, 200, now).unwrap();
+}
