Do not charge usage of a silent peer when it is heard again

Cause: usage while a peer is silent is not charged, because a gateway keeps to its own share meanwhile. This held only for the accounts in the first report after the silence, which may be an incremental one; the next full report charged the others. Without the change the new test fails: usage_of_a_silent_peer_is_not_charged_when_it_is_heard_again: left: 0, right: 32700 Change: the counters of a peer that was silent are baselines again, as those of an unknown one. The tests of the allowance pass unchanged.

--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -226,13 +226,14 @@
         let adopts = !self.is_synced && report.synced && is_full && self.has_quotas();
         let is_recent = |peer: &Peer| now.since(peer.last_report_at) < self.cfg.silent_after;
         let previous = self.peers.remove(peer).filter(|known| known.incarnation == incarnation);
-        let was_live = previous.as_ref().is_some_and(is_recent);
         let is_start = previous.is_none() && !report.synced;
-        let mut known = previous.unwrap_or_else(|| Peer::new(incarnation, is_start));
+        // This gateway kept to its own share while the other one was silent, so the counters are
+        // baselines then.
+        let mut known =
+            previous.filter(is_recent).unwrap_or_else(|| Peer::new(incarnation, is_start));
         known.last_report_at = now;
         for counter in &report.accounts {
-            let before = known.update(counter);
-            if let Some(before) = before.filter(|_| was_live || is_start) {
+            if let Some(before) = known.update(counter) {
                 self.deduct(counter, before, now);
             }
         }
@@ -243,8 +244,7 @@
         }
     }
 
-    /// Deducts the usage that another gateway has added since its counter was `before`. Not called
-    /// for usage while that gateway was silent: this one kept to its own share in the meantime.
+    /// Deducts the usage that another gateway has added since its counter was `before`.
     fn deduct(&mut self, counter: &UsageCounter, before: u64, now: Millis) {
         let (cfg, weight) = (self.cfg, self.membership.0.live_fraction());
         let Some(name) = self.names.get(&counter.account) else { return };
--- a/crates/bulrushusher_accounts/tests/restart.rs
+++ b/crates/bulrushusher_accounts/tests/restart.rs
@@ -250,3 +250,19 @@
     limiter.set_quotas([(account, Some(QUOTA))], now);
     limiter.admit(account, 200, now).unwrap();
 }
+
+/// Guards against charging usage of a silent peer once it is heard again: the gateway kept to its
+/// own share meanwhile, and an incremental report does not list all accounts.
+#[test]
+fn usage_of_a_silent_peer_is_not_charged_when_it_is_heard_again() {
+    let (used, later) = (report(true, &[(1, 4_000)]), report(true, &[(1, 54_000)]));
+    let now = CFG.window.0 + 1;
+    let mut gateway = Gateway::start(0, 1, 1);
+    let peer = Gateway::start(1, 1, 1);
+    gateway.merge(&peer, &used, true, now);
+    let now = now + 5_000;
+    gateway.merge(&peer, &report(true, &[]), false, now);
+    let before = gateway.available(&accounts()[1], now);
+    gateway.merge(&peer, &later, true, now);
+    assert_eq!(gateway.available(&accounts()[1], now), before);
+}
