--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -5,6 +5,8 @@
 //! of the quota. Usage that the replicas do not know of yet is bounded by how soon it is reported.
 //! Gateways that receive no reports from each other fall back to their shares of the quota.
 
+use std::borrow::Borrow;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -13,8 +15,9 @@
 
 use crate::account::Quota;
 use crate::bucket::{Bucket, Membership, QuotaShare, REPORTED_BELOW};
+use crate::peer::Peer;
 use crate::quota::{AccountUsage, OverQuota, QuotaConfig, Sharing};
-use crate::report::{AccountId, UsageCounter, UsageReport};
+use crate::report::{AccountId, MAX_REPORTED_ACCOUNTS, UsageCounter, UsageReport};
 
 /// Fraction of an even share that a gateway keeps with [`Sharing::ByDemand`], whatever its demand.
 const MIN_DEMAND_SHARE: f64 = 0.25;
@@ -23,20 +26,15 @@
 /// this fraction of the amount that triggers a report.
 const EARLY_REPORT_FRACTION: f64 = 0.25;
 
-/// Maximum number of accounts in a report, so that it fits into one datagram.
-const MAX_REPORTED_ACCOUNTS: usize = 512;
-
 /// How long the computed [`Membership`] is cached.
 const MEMBERSHIP_TTL: Millis = Millis(50);
 
-/// State of another gateway, taken from its reports.
-#[derive(Clone, Debug)]
-struct Peer {
-    /// Identifies the start of the gateway; its counters restart at zero with a new one.
-    incarnation: u64,
-    last_report_at: Millis,
-    /// Last reported [`UsageCounter::used`] of each account.
-    used: HashMap<AccountId, u64>,
+/// Drops the accounts without recent activity from a report that exceeds the size limit.
+fn keep_reportable<B: Borrow<Bucket>>(buckets: &mut Vec<B>) {
+    if buckets.len() > MAX_REPORTED_ACCOUNTS {
+        buckets.sort_unstable_by_key(|bucket| Reverse(bucket.borrow().refilled_at));
+        buckets.truncate(MAX_REPORTED_ACCOUNTS);
+    }
 }
 
 /// Distributed rate limiter for the quotas of all accounts.
@@ -181,18 +179,20 @@
         if !self.cfg.uses_reports() {
             return report;
         }
-        let (cfg, gateways) = (self.cfg, self.membership.0.gateways);
+        let (cfg, membership) = (self.cfg, self.membership.0);
+        let weight = membership.live_fraction();
         let is_due = |bucket: &&mut Bucket| match is_full {
-            true => bucket.quota.is_some() && bucket.used > 0,
-            false => bucket.is_report_due(&cfg, gateways, EARLY_REPORT_FRACTION),
+            true => bucket.is_active(&cfg, weight, now),
+            false => bucket.is_report_due(&cfg, membership.gateways, EARLY_REPORT_FRACTION),
         };
         let mut due: Vec<&mut Bucket> = self.buckets.values_mut().filter(is_due).collect();
-        if due.len() > MAX_REPORTED_ACCOUNTS {
-            due.sort_unstable_by_key(|bucket| std::cmp::Reverse(bucket.refilled_at));
-            due.truncate(MAX_REPORTED_ACCOUNTS);
-        }
+        keep_reportable(&mut due);
         due.iter_mut().for_each(|bucket| bucket.reported = bucket.used);
-        report.accounts = due.into_iter().map(|bucket| bucket.counter(&cfg, is_full)).collect();
+        let counter = |bucket: &mut Bucket| match is_full {
+            true => bucket.full_counter(&cfg, weight, now),
+            false => bucket.counter(),
+        };
+        report.accounts = due.into_iter().map(counter).collect();
         report
     }
 
@@ -200,13 +200,16 @@
     /// as reported, because the other gateways do not receive this report.
     pub fn resync_report(&mut self, now: Millis) -> UsageReport {
         self.refresh(now);
-        let active = self.buckets.values().filter(|it| it.quota.is_some() && it.used > 0);
-        let counter = |bucket: &Bucket| bucket.counter(&self.cfg, true);
-        let accounts = match self.cfg.uses_reports() {
-            true => active.take(MAX_REPORTED_ACCOUNTS).map(counter).collect(),
-            false => Vec::new(),
-        };
-        UsageReport { synced: self.is_synced, accounts }
+        let mut report = UsageReport { synced: self.is_synced, accounts: Vec::new() };
+        if self.cfg.uses_reports() {
+            let (cfg, weight) = (&self.cfg, self.membership.0.live_fraction());
+            let is_active = |bucket: &&Bucket| bucket.is_active(cfg, weight, now);
+            let mut active: Vec<&Bucket> = self.buckets.values().filter(is_active).collect();
+            keep_reportable(&mut active);
+            let counter = |bucket: &Bucket| bucket.full_counter(cfg, weight, now);
+            report.accounts = active.into_iter().map(counter).collect();
+        }
+        report
     }
 
     /// Merges a report of another gateway. `incarnation` identifies the start of that gateway.
@@ -220,29 +223,28 @@
         now: Millis,
     ) {
         self.refresh(now);
-        let adopts = !self.is_synced && report.synced && is_full;
+        let adopts = !self.is_synced && report.synced && is_full && self.has_quotas();
         let is_recent = |peer: &Peer| now.since(peer.last_report_at) < self.cfg.silent_after;
         let previous = self.peers.remove(peer).filter(|known| known.incarnation == incarnation);
-        let was_live = previous.as_ref().is_some_and(is_recent);
-        // All usage of a gateway that has just started is new.
         let is_start = previous.is_none() && !report.synced;
+        // This gateway kept to its own share while the other one was silent, so the counters are
+        // baselines then.
         let mut known =
-            previous.unwrap_or(Peer { incarnation, last_report_at: now, used: HashMap::new() });
+            previous.filter(is_recent).unwrap_or_else(|| Peer::new(incarnation, is_start));
         known.last_report_at = now;
         for counter in &report.accounts {
-            let before = known.used.insert(counter.account, counter.used);
-            if was_live || is_start {
-                self.deduct(counter, before.unwrap_or(0), now);
+            if let Some(before) = known.update(counter) {
+                self.deduct(counter, before, now);
             }
         }
+        known.is_complete |= is_full && report.is_complete();
         self.peers.insert(peer.into(), known);
         if adopts {
             self.adopt(report, now);
         }
     }
 
-    /// Deducts the usage that another gateway has added since its counter was `before`. Not called
-    /// for usage while that gateway was silent: this one kept to its own share in the meantime.
+    /// Deducts the usage that another gateway has added since its counter was `before`.
     fn deduct(&mut self, counter: &UsageCounter, before: u64, now: Millis) {
         let (cfg, weight) = (self.cfg, self.membership.0.live_fraction());
         let Some(name) = self.names.get(&counter.account) else { return };
@@ -255,6 +257,11 @@
         bucket.record_usage(units, &cfg, now);
     }
 
+    /// True once the configuration has created buckets, which can adopt levels.
+    fn has_quotas(&self) -> bool {
+        self.buckets.values().any(|bucket| bucket.quota.is_some())
+    }
+
     /// Adopts the bucket levels of a gateway that is already synced.
     fn adopt(&mut self, report: &UsageReport, now: Millis) {
         self.is_synced = true;
