Learn the generation and prefill rates of each runner, and whether a pool is uneven

Cause: rates are learned for a whole service, so a pool in which a quarter of the runners generates 2.2 times as fast is treated as if all were alike. Change: RunnerSpeeds keeps the rates of each runner, merges the reports of peers by their number of measurements, and decides with hysteresis whether the pool is uneven. PaceMeter measures a run every 500 ms from the events that arrived. Peers report the pace in tokens per ms, not as a factor: the means of two gateways differ with the runners that they use. The bounds of a pace are relative to the median, because one wrong value would shift a mean and with it the bounds. A report names at most eight runners whose measurements changed, in turn, to bound the control traffic. Nothing uses it yet.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -23,6 +23,7 @@
 mod memory;
 mod moves;
 mod normal;
+mod pace_meter;
 mod pauses;
 mod peer_state;
 mod prefill_site;
@@ -40,6 +41,7 @@
 mod runner_changes;
 mod runner_directory;
 mod runner_selection;
+mod runner_speeds;
 mod runs;
 mod shutdown;
 mod signals;
@@ -63,6 +65,7 @@
 pub use long_poll::{LongPollConfig, SeenRevisions};
 pub use memory::{HoldConfig, tokens_to_hold};
 pub use moves::{MoveConfig, pick_for_move};
+pub use pace_meter::PaceMeter;
 pub use pauses::PauseModel;
 pub use prefill_site::{DecodeLoad, PrefillSite, PrefillSiteConfig, PrefillTask};
 pub use prefill_timing::PrefillTiming;
@@ -85,6 +88,7 @@
 pub use runner_selection::{
     CallSelection, SelectionContext, pick_for_call, pick_for_prefill, rank_for_decode,
 };
+pub use runner_speeds::{PoolChange, RunnerSpeeds, RunnerSpeedsConfig, SpeedReport};
 pub use runs::{DeltaOutcome, PeersConfig, RunNumber, Runs};
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use signals::RunnerSignals;
