Measure runners' speeds at the gateway and exchange them with peers; is_uneven

Cause: the learned speeds had no source. Change: streams measure the pace of their decode runner and prefills their duration relative to the service's mean. Full reports carry `speeds`; deltas do not. A measurement is discarded where the caller reads more slowly than the run generates. No decision changes yet.

--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -228,6 +228,7 @@
         match before.filter(|_| !is_due) {
             Some(before) => Message::Delta(GatewayDelta::between(&before, &report)),
             None => {
+                report.speeds = self.shared.take_speed_reports();
                 sent.full_sent_at = now;
                 sent.resent_at.clear();
                 sent.requested_at.clear();
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -169,7 +169,12 @@
     }
     let handle = prefilled.map_err(|failed| failed.result)?;
     let took = cx.now().since(started);
-    cx.shared.with_timing(&fwd.service, |pace| pace.record_prefill(queued + tokens, took));
+    let ratio = cx.shared.with_timing(&fwd.service, |pace| {
+        let expected = pace.prefill().expected_ms((queued + tokens) as f64);
+        pace.record_prefill(queued + tokens, took);
+        took.0 as f64 / expected.max(1.0)
+    });
+    cx.shared.record_prefill_ratio(&runner, ratio);
     Ok(KvCacheGuard::new(runner, handle, &cx.shared, &cx.exchanger, &cx.dialect))
 }
 
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -56,6 +56,7 @@
         (all, count(Stage::Prefill), count(Stage::Decode))
     });
     record_accounts(shared, metrics);
+    record_speeds(shared, metrics);
     if let Some(age) = shared.confirmation_age(Topic::Runners) {
         metrics.set_state("runner_list_age_ms", age.0);
     }
@@ -70,6 +71,20 @@
     metrics.set_state("decode_runners", decode);
 }
 
+/// Number of runners whose pace is a metric.
+const MAX_PACED_RUNNERS: usize = 100;
+
+/// Writes the paces of uneven pools. The metric has whole numbers, so the unit is tokens per second.
+fn record_speeds(shared: &SharedState, metrics: &GatewayMetrics) {
+    let routing = shared.routing();
+    let services = routing.iter().flat_map(|routing| routing.services());
+    let uneven = services.filter(|service| shared.is_uneven(&service.name)).count();
+    metrics.set_state("uneven_pools", uneven as u64);
+    for (runner, pace) in shared.runner_paces().into_iter().take(MAX_PACED_RUNNERS) {
+        metrics.set_runner_pace(runner.as_str(), (pace * 1_000.0) as u64);
+    }
+}
+
 /// Number of accounts with their own metrics; those with the highest usage are chosen.
 const MAX_ACCOUNTS: usize = 50;
 
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptPlan, EventSplitter, Runner};
+use bulrushusher_forward::{AttemptPlan, EventSplitter, PaceMeter, Runner};
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -109,6 +109,7 @@
     held: Option<MemoryHold<D>>,
     migration: Migration<D>,
     tokens_per_event: u64,
+    pace: PaceMeter,
     /// True once the run was silent for longer than its silence timeout.
     was_silent: bool,
     /// True while the run generates nothing.
@@ -137,6 +138,7 @@
         held,
         migration,
         tokens_per_event: cx.shared.tokens_per_event(&fwd.service),
+        pace: PaceMeter::new(fwd.route.gap_target),
         was_silent: false,
         is_stalled: false,
         silent_since: cx.now(),
@@ -223,8 +225,9 @@
     ) -> bool {
         let cx = self.cx;
         self.is_stalled = false;
-        self.silent_since = cx.now();
-        let (gap, is_slow) = progress.record_bytes(self.fwd.route.gap_target, cx.now());
+        let arrived = cx.now();
+        self.silent_since = arrived;
+        let (gap, is_slow) = progress.record_bytes(self.fwd.route.gap_target, arrived);
         cx.shared.record_stream_pause(&self.runner.id, gap);
         if is_slow {
             cx.shared.record_run_end(&self.runner, false);
@@ -233,6 +236,7 @@
             true => forward_events(progress, &bytes, self.tx).await,
             false => self.tx.send(Ok(bytes)).await.is_ok(),
         };
+        self.measure_pace(progress.last_event, arrived);
         if let (true, Some(held), Some(last)) = (is_sent, &self.held, progress.last_event) {
             held.progress(last * self.tokens_per_event);
             self.migration.start_if_due(cx, self.fwd, held);
@@ -240,6 +244,18 @@
         is_sent
     }
 
+    /// Measures the generation rate, unless the caller reads more slowly than the run generates.
+    fn measure_pace(&mut self, last_event: Option<u64>, arrived: Millis) {
+        if self.tx.capacity() == 0 {
+            self.pace.restart();
+            return;
+        }
+        let generated = last_event.unwrap_or(0) * self.tokens_per_event;
+        if let Some(tokens_per_ms) = self.pace.record(generated, arrived) {
+            self.cx.shared.record_pace(&self.runner, tokens_per_ms);
+        }
+    }
+
     /// Ends a stream that did not complete: its run was stopped for a migration, or the stream
     /// broke.
     async fn finish_interrupted(self, cause: String) -> RunEnd<D> {
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -209,6 +209,13 @@
         Some("0.92"),
         "Maximum share of a decode runner's memory that the forecast may use.",
     ),
+    setting(
+        "runners",
+        "speeds",
+        Kind::Choice(&["auto", "off"]),
+        Some("auto"),
+        "Whether decisions use each model runner's own speed where a pool's runners differ in it.",
+    ),
     setting(
         "stages",
         "prefill_share",
@@ -278,6 +285,8 @@
     pub forecast: ForecastConfig,
     /// Caution, in standard deviations, where runs can be migrated to another runner.
     pub caution_with_moves: f64,
+    /// True to use each model runner's own speed in pools whose runners differ in it.
+    pub runner_speeds: bool,
     /// Target ratio of prefill and decode runners.
     pub stages: StagesConfig,
     /// Weighting of the results recorded for runners.
@@ -367,6 +376,7 @@
                 max_fill: values.real("forecast", "fill"),
             },
             caution_with_moves: values.real("forecast", "caution_with_moves"),
+            runner_speeds: values.text("runners", "speeds") == "auto",
             stages: StagesConfig {
                 prefill_share: values.real("stages", "prefill_share"),
                 prefill_margin: values.real("stages", "prefill_margin"),
--- a/crates/bulrushusher_gateway/src/shared/health.rs
+++ b/crates/bulrushusher_gateway/src/shared/health.rs
@@ -39,6 +39,7 @@
     pub(crate) fn forget_run_ends(&self, runner: &RunnerId) {
         self.health.lock().forget(runner);
         self.forget_pauses(runner);
+        self.forget_speeds(runner);
     }
 
     /// Runners of the service that fail too many runs. Empty if too many runners fail, since the
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -130,7 +130,9 @@
         let (incarnation, usage) = (report.incarnation, std::mem::take(&mut report.spends));
         let limits = std::mem::take(&mut report.limits);
         let leaving = std::mem::take(&mut report.leaving);
+        let speeds = std::mem::take(&mut report.speeds);
         if self.runs.lock().apply_report(peer, report, now) {
+            self.merge_speeds(peer, speeds);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.merge_usage(peer, incarnation, &usage, true);
@@ -205,6 +207,7 @@
             spends: UsageReport::default(),
             limits,
             leaving,
+            speeds: Vec::new(),
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`, `switching`,
-//! `crashes`, `pressure`, `quotas`, `lease`. No lock is held across an await point.
+//! `crashes`, `pressure`, `quotas`, `lease`, `speeds`. No lock is held across an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,9 +14,9 @@
 use bulrushusher_forward::{
     AccountCost, AttemptEnd, AttemptPlan, BackPressure, BackPressureConfig, BackPressureView,
     CallResult, CallSelection, EngineSpec, HealthConfig, NextStep, PeersConfig, QueueRank,
-    RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads, Runs,
-    SelectionContext, TimingConfig, TimingModel, TypicalPatience, WaitQueue, pick_for_call,
-    pick_for_prefill,
+    RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads,
+    RunnerSpeeds, Runs, SelectionContext, TimingConfig, TimingModel, TypicalPatience, WaitQueue,
+    pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -39,6 +39,7 @@
 mod relayed;
 mod relays;
 mod revisions;
+mod speeds;
 mod starts;
 
 pub(crate) use confirmations::{ConfirmationAges, ListEvidence, UpdateSource};
@@ -85,6 +86,8 @@
     quotas: Mutex<QuotaLimiter>,
     /// How long API keys may be accepted without confirmation by the store.
     lease: Mutex<ConfigLease>,
+    /// Speeds of model runners, by service.
+    speeds: Mutex<HashMap<ServiceName, RunnerSpeeds>>,
     /// Selection of the gateways that watch the store.
     relays: Mutex<relays::RelayState>,
     /// Changes of the store that relays forward.
@@ -142,6 +145,7 @@
             pressure: Mutex::new(pressure),
             quotas: Mutex::new(quotas),
             lease: Mutex::default(),
+            speeds: Mutex::default(),
             relays: Mutex::new(relays),
             relayed: Mutex::default(),
             relay_view: watch::Sender::default(),
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -22,6 +22,7 @@
     withheld_sends: Counter<u64>,
     state: Gauge<u64>,
     account_usage: Gauge<u64>,
+    runner_pace: Gauge<u64>,
 }
 
 /// Quota use of a client account, in the unit of its quota.
@@ -100,10 +101,19 @@
                 .u64_gauge("bulrush_gateway_account")
                 .with_description("Use of quotas by the client accounts that use most")
                 .build(),
+            runner_pace: meter
+                .u64_gauge("bulrush_gateway_runner_pace")
+                .with_description("Tokens per second of a run, by runner of an uneven pool")
+                .build(),
             exporter,
         }
     }
 
+    /// Sets the generation rate of a run at a runner, in tokens per second.
+    pub fn set_runner_pace(&self, runner: &str, tokens_per_second: u64) {
+        self.runner_pace.record(tokens_per_second, &[KeyValue::new("runner", runner.to_owned())]);
+    }
+
     /// Sets the quota use of a client account.
     pub fn set_account_usage(&self, account: &str, usage: AccountMetrics) {
         let AccountMetrics { used, worst_window, quota, refused } = usage;
