In an uneven pool only gaps beyond the whole gap target exclude a runner

Cause: four consecutive gaps beyond half of the gap target mark a runner as failing for about nine seconds. A phase that is 2.5 times slower does that at a runner with a usual gap of 66 ms, though its streams are on time (target 300 ms). Change: LongGaps counts the gaps (moved from runs/forward.rs to the decisions); in an uneven pool the limit is the whole target. Stall detection, errors, broken connections and silence are as before; even pools too. Paces are reported in hundredths of tokens per second, since engines with a token per event generate some 0.02 tokens per ms.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod health;
 mod limit_share;
 mod load;
+mod long_gaps;
 mod long_poll;
 mod memory;
 mod moves;
@@ -62,6 +63,7 @@
 };
 pub use health::{HealthConfig, RunCounts, RunnerHealth};
 pub use load::{CallResult, LoadConfig, LoadEpoch, RunnerLoads};
+pub use long_gaps::LongGaps;
 pub use long_poll::{LongPollConfig, SeenRevisions};
 pub use memory::{HoldConfig, tokens_to_hold};
 pub use moves::{MoveConfig, pick_for_move};
--- a/crates/bulrushusher_forward/src/runner_speeds.rs
+++ b/crates/bulrushusher_forward/src/runner_speeds.rs
@@ -65,8 +65,8 @@
     pub runner: RunnerId,
     /// The process start of the runner that was measured, if it reports one.
     pub born: Option<StartTime>,
-    /// Generation rate of one run, in hundredths of tokens per ms; 0 if it was not measured.
-    pub pace: u16,
+    /// Generation rate of one run, in hundredths of tokens per second; 0 if it was not measured.
+    pub pace: u32,
     /// Number of measurements of the pace, at most 255.
     pub paces: u8,
     /// Duration of prefills relative to the service's mean, in hundredths; 0 if it was not
@@ -315,9 +315,9 @@
         let mut sums: HashMap<RunnerId, (Average, Average)> = own.collect();
         for (_, report) in self.peers.values().flat_map(HashMap::values) {
             let (pace, prefill) = sums.entry(report.runner.clone()).or_default();
-            pace.merge(from_hundredths(report.pace), u32::from(report.paces));
+            pace.merge(from_hundredths(report.pace) / 1_000.0, u32::from(report.paces));
             if report.prefill > 0 {
-                prefill.merge(from_hundredths(report.prefill), report.prefills);
+                prefill.merge(from_hundredths(report.prefill.into()), report.prefills);
             }
         }
         let min = self.cfg.min_measurements;
@@ -342,22 +342,22 @@
     min: u32,
 ) -> SpeedReport {
     let Measured { pace, prefill, .. } = *measured;
-    let value = |it: Average| if it.count >= min { to_hundredths(it.value) } else { 0 };
+    let value = |it: Average| if it.count >= min { it.value } else { 0.0 };
     SpeedReport {
         runner: runner.clone(),
         born,
-        pace: value(pace),
+        pace: to_hundredths(value(pace) * 1_000.0),
         paces: if pace.count >= min { pace.count.min(u32::from(u8::MAX)) as u8 } else { 0 },
-        prefill: value(prefill),
+        prefill: to_hundredths(value(prefill)).try_into().unwrap_or(u16::MAX),
         prefills: prefill.count,
     }
 }
 
-fn to_hundredths(value: f64) -> u16 {
-    (value * 100.0).round() as u16
+fn to_hundredths(value: f64) -> u32 {
+    (value * 100.0).round() as u32
 }
 
-fn from_hundredths(value: u16) -> f64 {
+fn from_hundredths(value: u32) -> f64 {
     f64::from(value) / 100.0
 }
 
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptPlan, EventSplitter, PaceMeter, Runner};
+use bulrushusher_forward::{AttemptPlan, EventSplitter, LongGaps, PaceMeter, Runner};
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -43,44 +43,41 @@
     last_bytes: Option<Millis>,
     /// The longest gap since the first bytes.
     pub longest_gap: Millis,
-    /// Consecutive long gaps; counted only for routes with a gap target.
-    consecutive_long_gaps: u32,
+    long_gaps: LongGaps,
     pub splitter: EventSplitter,
 }
 
-/// A gap beyond this share of the route's gap target is long: about three times the usual gap, and
-/// close to being late.
-const LONG_GAP_SHARE: f64 = 0.5;
+/// Share of the route's gap target after which a run without events counts as stalled: about three
+/// times the usual gap.
+const STALL_SHARE: f64 = 0.5;
 
 /// Lower bound of the stall timeout, for routes that have no gap target or a very short one; about
 /// the time of some events.
 const MIN_STALL_TIMEOUT: Millis = Millis(150);
 
-/// Consecutive long gaps after which a runner counts as slow. A prefill or a preemption causes one
-/// long gap, and rarely two.
-const SLOW_RUNNER_GAPS: u32 = 4;
-
 impl StreamProgress {
     pub(crate) fn new(last_event: Option<u64>) -> StreamProgress {
         StreamProgress {
             last_event,
             last_bytes: None,
             longest_gap: Millis(0),
-            consecutive_long_gaps: 0,
+            long_gaps: LongGaps::default(),
             splitter: EventSplitter::default(),
         }
     }
 
     /// Records that bytes arrived; returns the gap before them, and whether the runner now counts
     /// as slow.
-    fn record_bytes(&mut self, gap_target: Millis, now: Millis) -> (Millis, bool) {
+    fn record_bytes(
+        &mut self,
+        gap_target: Millis,
+        is_uneven: impl FnOnce() -> bool,
+        now: Millis,
+    ) -> (Millis, bool) {
         let Some(last) = self.last_bytes.replace(now) else { return (Millis(0), false) };
         let gap = now.since(last);
         self.longest_gap = self.longest_gap.max(gap);
-        let is_long = gap.0 as f64 > gap_target.0 as f64 * LONG_GAP_SHARE;
-        self.consecutive_long_gaps =
-            if is_long && gap_target > Millis(0) { self.consecutive_long_gaps + 1 } else { 0 };
-        (gap, self.consecutive_long_gaps == SLOW_RUNNER_GAPS)
+        (gap, self.long_gaps.record(gap, gap_target, is_uneven))
     }
 }
 
@@ -227,7 +224,8 @@
         self.is_stalled = false;
         let arrived = cx.now();
         self.silent_since = arrived;
-        let (gap, is_slow) = progress.record_bytes(self.fwd.route.gap_target, arrived);
+        let is_uneven = || cx.shared.is_uneven(&self.fwd.service);
+        let (gap, is_slow) = progress.record_bytes(self.fwd.route.gap_target, is_uneven, arrived);
         cx.shared.record_stream_pause(&self.runner.id, gap);
         if is_slow {
             cx.shared.record_run_end(&self.runner, false);
@@ -268,7 +266,7 @@
 
 /// Time without an event after which a run counts as stalled.
 fn stall_timeout(gap_target: Millis) -> Millis {
-    gap_target.share(LONG_GAP_SHARE).max(MIN_STALL_TIMEOUT)
+    gap_target.share(STALL_SHARE).max(MIN_STALL_TIMEOUT)
 }
 
 /// Only event streams are split at event boundaries; other bodies are forwarded as they arrive.
