Decide how long a late prefill is waited for

Cause: prefills are given up after 2.5 times their expected time and 200 ms, although nearly all of their runners work; the prompt is then processed twice.

Change: `LatePrefill::decide`, a pure function of what is known of the runner, the memory hold, the target and the other runner. `PrefillEnds` collects the evidence: prefills that ended at a runner, here and at peers, and its answers.

No effect on requests yet.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -25,6 +25,8 @@
 mod normal;
 mod pauses;
 mod peer_state;
+mod prefill_ends;
+mod prefill_patience;
 mod prefill_site;
 mod prefill_timing;
 mod rate_limit;
@@ -64,6 +66,11 @@
 pub use memory::{HoldConfig, tokens_to_hold};
 pub use moves::{MoveConfig, pick_for_move};
 pub use pauses::PauseModel;
+pub use prefill_ends::{PeerPrefills, PrefillEnds, PrefillEndsConfig, PrefillProgress};
+pub use prefill_patience::{
+    LatePrefill, OtherRunner, PatienceConfig, PatientPrefills, PrefillEvidence, PrefillPatience,
+    SentPrefill,
+};
 pub use prefill_site::{DecodeLoad, PrefillSite, PrefillSiteConfig, PrefillTask};
 pub use prefill_timing::PrefillTiming;
 pub use rate_limit::{RateLimit, RateLimitError};
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -115,6 +115,9 @@
     /// Start times of the runners in this report, for runners that report one. The receiver ignores
     /// statements about an earlier start than it knows.
     pub starts: BTreeMap<RunnerId, StartTime>,
+    /// Number of prefills of the gateway that ended at each runner since its start, wrapping; only
+    /// runners at which one ended in the last seconds.
+    pub prefill_ends: Vec<(RunnerId, u64)>,
 }
 
 impl GatewayReport {
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -205,6 +205,7 @@
             spends: UsageReport::default(),
             limits,
             leaving,
+            prefill_ends: Vec::new(),
         };
         report.add_starts(runs.starts());
         report
