Wait for late prefills while their runner works

Cause: a prefill was given up at its timeout whether its runner was dead or only slow, and the prompt was processed again elsewhere.

Ends of prefills are reported to the peers.

--- a/crates/bulrushusher_gateway/src/placement/mod.rs
+++ b/crates/bulrushusher_gateway/src/placement/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod attempts;
 pub(crate) mod holds;
+pub(crate) mod patience;
 pub(crate) mod place;
 pub(crate) mod prefill;
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -4,10 +4,12 @@
 
 use bulrushusher_forward::{CallResult, PrefillSite, PrefillSiteConfig, PrefillTask, Runner};
 use bulrushusher_time::Millis;
+use bulrushusher_world::RunnerId;
 
 use crate::dialect::{Dialect, Step};
 use crate::placement::attempts::{AttemptHistory, RunError};
 use crate::placement::holds::{KvCacheGuard, MemoryHold};
+use crate::placement::patience::PrefillWait;
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::ExchangeError;
 use crate::runners::permit::Permit;
@@ -60,8 +62,9 @@
             return Err(RunError::Unplaced("the prompt was not prefilled in time"));
         }
         tried.push(runner.id.clone());
-        let max_wait = held.remaining(cx.now());
-        match prefill_at(cx, fwd, history.resume_after, runner, max_wait).await {
+        let is_last = attempt + 1 == MAX_PREFILL_ATTEMPTS;
+        let spec = PrefillSpec { resume_after: history.resume_after, tried: &tried, is_last };
+        match prefill_at(cx, fwd, held, runner, spec).await {
             Ok(kv) => {
                 history.was_prefilled = true;
                 return Ok(Some(kv));
@@ -73,7 +76,7 @@
 }
 
 /// Selects which runner prefills the prompt.
-fn select_site<D: Dialect>(
+pub(crate) fn select_site<D: Dialect>(
     cx: &Router<D>,
     fwd: &ForwardedRequest,
     held: &MemoryHold<D>,
@@ -87,7 +90,7 @@
 }
 
 /// The prefill of the request's prompt, with the timing known for it.
-fn prefill_task<D: Dialect>(
+pub(crate) fn prefill_task<D: Dialect>(
     cx: &Router<D>,
     fwd: &ForwardedRequest,
     prefill: Option<&Runner>,
@@ -133,22 +136,56 @@
     }
 }
 
+/// One of the attempts to prefill a prompt.
+#[derive(Clone, Copy, Debug)]
+struct PrefillSpec<'a> {
+    resume_after: Option<u64>,
+    /// Runners of the attempts so far, including this one.
+    tried: &'a [RunnerId],
+    is_last: bool,
+}
+
 async fn prefill_at<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
-    resume_after: Option<u64>,
+    held: &MemoryHold<D>,
     runner: Runner,
-    max_wait: Millis,
+    spec: PrefillSpec<'_>,
 ) -> Result<KvCacheGuard<D>, CallResult> {
     let started = cx.now();
     let tokens = fwd.prompt_tokens();
     let queued = cx.shared.queued_prefill_tokens(&runner.id);
     let _load = LoadGuard::begin(&cx.shared, &runner.id, tokens);
     let timeout = cx.shared.with_timing(&fwd.service, |pace| pace.prefill_timeout(queued + tokens));
-    let timeout = timeout.min(max_wait).min(fwd.remaining(started));
+    let limit = held.remaining(started).min(fwd.remaining(started));
+    let timeout = timeout.min(limit);
     let watch = CrashWatch::begin(cx, fwd);
     let trace = SendTrace::new(started);
-    let prefilled = send_prefill(cx, fwd, resume_after, &runner, timeout, &trace).await;
+    let PrefillSpec { resume_after, tried, is_last } = spec;
+    let is_patient = timeout < limit && cx.shared.waits_for_late_prefills(&fwd.service);
+    let prefilled = match is_patient {
+        true => {
+            let (runner, trace) = (&runner, &trace);
+            let wait = PrefillWait {
+                cx,
+                fwd,
+                held,
+                runner,
+                trace,
+                started,
+                timeout,
+                limit,
+                queued,
+                tried,
+                is_last,
+            };
+            // The decision at the end of the limit comes before the exchange's own timeout.
+            let max_time = limit.plus(timeout);
+            let sending = send_prefill(cx, fwd, resume_after, runner, max_time, trace);
+            wait.run(sending).await.unwrap_or_else(|| Err(PrefillFailure::given_up(wait.elapsed())))
+        }
+        false => send_prefill(cx, fwd, resume_after, &runner, timeout, &trace).await,
+    };
     if prefilled.as_ref().is_err_and(|failed| failed.is_connection_lost) {
         watch.connection_lost(cx, &runner).await;
     }
@@ -169,6 +206,8 @@
     }
     let handle = prefilled.map_err(|failed| failed.result)?;
     let took = cx.now().since(started);
+    let sent = started.plus(trace.waited().unwrap_or_default());
+    cx.shared.record_prefill_end(&runner, sent);
     cx.shared.with_timing(&fwd.service, |pace| pace.record_prefill(queued + tokens, took));
     Ok(KvCacheGuard::new(runner, handle, &cx.shared, &cx.exchanger, &cx.dialect))
 }
@@ -181,6 +220,17 @@
     is_connection_lost: bool,
 }
 
+impl PrefillFailure {
+    /// The failure of a prefill that is no longer waited for.
+    fn given_up(waited: Millis) -> PrefillFailure {
+        PrefillFailure {
+            result: CallResult::Unreachable,
+            cause: format!("no answer (given up after {waited})"),
+            is_connection_lost: false,
+        }
+    }
+}
+
 /// Sends the prompt to a prefill runner; returns the handle of its KV cache.
 async fn send_prefill<D: Dialect>(
     cx: &Router<D>,
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -232,6 +232,7 @@
         }
         // Signals in the response of another runner at this address do not apply to this runner.
         if !info.wrong_runner {
+            self.shared.record_runner_answer(&runner.id);
             for kind in self.shared.record_signals(runner, info.signals) {
                 self.metrics.record_signal(kind);
             }
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -5,8 +5,8 @@
 use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
-    ForecastConfig, GatewayDirectoryConfig, HoldConfig, LoadConfig, QueueOrder, RetryAfterConfig,
-    RunnerDirectoryConfig, ShutdownConfig, StagesConfig, WaitQueueConfig,
+    ForecastConfig, GatewayDirectoryConfig, HoldConfig, LoadConfig, PatientPrefills, QueueOrder,
+    RetryAfterConfig, RunnerDirectoryConfig, ShutdownConfig, StagesConfig, WaitQueueConfig,
 };
 use bulrushusher_routing::{QuarantineConfig, RetryConfig};
 use bulrushusher_time::Millis;
@@ -223,6 +223,13 @@
         Some("0.48"),
         "Prefill runners beyond that share, as a multiple of the square root of the runner count.",
     ),
+    setting(
+        "runners",
+        "patient_prefills",
+        Kind::Choice(&["auto", "on", "off"]),
+        Some("auto"),
+        "Wait for late prefills while their runner works: auto where runners differ in speed.",
+    ),
 ];
 
 /// The gateway's configuration.
@@ -280,6 +287,8 @@
     pub caution_with_moves: f64,
     /// Target ratio of prefill and decode runners.
     pub stages: StagesConfig,
+    /// Where late prefills are waited for.
+    pub patient_prefills: PatientPrefills,
     /// Weighting of the results recorded for runners.
     pub loads: LoadConfig,
     /// Limits of the directory of runners.
@@ -372,6 +381,11 @@
                 prefill_margin: values.real("stages", "prefill_margin"),
                 ..StagesConfig::default()
             },
+            patient_prefills: match values.text("runners", "patient_prefills") {
+                "on" => PatientPrefills::On,
+                "off" => PatientPrefills::Off,
+                _ => PatientPrefills::Auto,
+            },
             loads: LoadConfig::default(),
             members: RunnerDirectoryConfig::default(),
         })
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -4,8 +4,9 @@
 
 use bulrushusher_accounts::UsageReport;
 use bulrushusher_forward::{
-    DecodeLoad, DeltaOutcome, GatewayDelta, GatewayReport, MemoryForecast, PrefillTask, RunNumber,
-    RunReport, RunShape, Runner, Stage, WaitQueue, rank_for_decode, should_request_memory,
+    DecodeLoad, DeltaOutcome, GatewayDelta, GatewayReport, MemoryForecast, PeerPrefills,
+    PrefillTask, RunNumber, RunReport, RunShape, Runner, Stage, WaitQueue, rank_for_decode,
+    should_request_memory,
 };
 use bulrushusher_world::{RunnerId, ServiceName};
 
@@ -130,9 +131,11 @@
         let (incarnation, usage) = (report.incarnation, std::mem::take(&mut report.spends));
         let limits = std::mem::take(&mut report.limits);
         let leaving = std::mem::take(&mut report.leaving);
+        let prefills = PeerPrefills::take(&mut report);
         if self.runs.lock().apply_report(peer, report, now) {
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
+            self.prefill_ends.lock().merge(peer, prefills, now);
             self.merge_usage(peer, incarnation, &usage, true);
         }
     }
@@ -144,10 +147,12 @@
         let (incarnation, usage) = (report.incarnation, std::mem::take(&mut report.spends));
         let limits = std::mem::take(&mut report.limits);
         let leaving = std::mem::take(&mut report.leaving);
+        let prefills = PeerPrefills::take(report);
         let outcome = self.runs.lock().apply_delta(peer, delta, now);
         if outcome != DeltaOutcome::Stale {
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
+            self.prefill_ends.lock().merge(peer, prefills, now);
             self.merge_usage(peer, incarnation, &usage, false);
         }
         outcome
@@ -186,6 +191,7 @@
         let failing = self.failure_reports();
         let limits = self.limit_reports();
         let leaving = self.with_runners(|runners, now| runners.directory.drain_reports(now));
+        let prefill_ends = self.prefill_ends.lock().report(self.now());
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
         let own = runs.own().cloned().collect();
@@ -205,7 +211,7 @@
             spends: UsageReport::default(),
             limits,
             leaving,
-            prefill_ends: Vec::new(),
+            prefill_ends,
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -2,7 +2,7 @@
 //! models.
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
-//! `runs`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`, `switching`,
+//! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`, `switching`,
 //! `crashes`, `pressure`, `quotas`, `lease`. No lock is held across an await point.
 
 use std::collections::HashMap;
@@ -13,10 +13,10 @@
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaLimiter};
 use bulrushusher_forward::{
     AccountCost, AttemptEnd, AttemptPlan, BackPressure, BackPressureConfig, BackPressureView,
-    CallResult, CallSelection, EngineSpec, HealthConfig, NextStep, PeersConfig, QueueRank,
-    RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads, Runs,
-    SelectionContext, TimingConfig, TimingModel, TypicalPatience, WaitQueue, pick_for_call,
-    pick_for_prefill,
+    CallResult, CallSelection, EngineSpec, HealthConfig, NextStep, PeersConfig, PrefillEnds,
+    PrefillEndsConfig, QueueRank, RelayView, Route, RoutingConfig, Runner, RunnerDirectory,
+    RunnerHealth, RunnerLoads, Runs, SelectionContext, TimingConfig, TimingModel, TypicalPatience,
+    WaitQueue, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -35,10 +35,12 @@
 mod memory;
 mod moves;
 mod pauses;
+mod prefills;
 mod pressure;
 mod relayed;
 mod relays;
 mod revisions;
+mod speeds;
 mod starts;
 
 pub(crate) use confirmations::{ConfirmationAges, ListEvidence, UpdateSource};
@@ -68,6 +70,8 @@
     timings: Mutex<HashMap<ServiceName, TimingModel>>,
     patience: Mutex<TypicalPatience>,
     runs: Mutex<Runs>,
+    /// Ends of prefills at this gateway and its peers, and answers of prefill runners.
+    prefill_ends: Mutex<PrefillEnds>,
     health: Mutex<RunnerHealth>,
     /// Pauses in this gateway's streams, by decode runner that is prefilling a prompt.
     pauses: Mutex<HashMap<RunnerId, pauses::PauseStats>>,
@@ -133,6 +137,7 @@
             timings: Mutex::default(),
             patience: Mutex::default(),
             runs: Mutex::new(Runs::new(PeersConfig::default())),
+            prefill_ends: Mutex::new(PrefillEnds::new(PrefillEndsConfig::default())),
             health: Mutex::new(RunnerHealth::new(HealthConfig::default())),
             pauses: Mutex::default(),
             revisions: Mutex::default(),
@@ -338,6 +343,11 @@
             && self.with_budget(service, |budget| plan.abandon(budget))
     }
 
+    /// True if the retry budget allows another attempt.
+    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+        self.with_budget(service, |budget| budget.has_retry())
+    }
+
     /// Takes one retry from the budget. Returns false if none is left.
     pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
         self.with_budget(service, RetryBudget::take)
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -15,6 +15,7 @@
     send_wait_ms: Histogram<f64>,
     attempt_ms: Histogram<f64>,
     memory_requests: Counter<u64>,
+    late_prefills: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
     crashes: Counter<u64>,
@@ -78,6 +79,10 @@
                 "Time of sends to runners, by step, in ms",
             ),
             memory_requests: counter("bulrush_gateway_holds", "Holds on decode memory, by result"),
+            late_prefills: counter(
+                "bulrush_gateway_late_prefills",
+                "Prefills past their timeout: waited for, given up, ended after a wait",
+            ),
             store_calls: counter("bulrush_gateway_store_calls", "Store calls, by topic and result"),
             orders: counter("bulrush_gateway_orders", "Orders to runners, by result"),
             crashes: counter(
@@ -139,6 +144,11 @@
         self.memory_requests.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records a decision on a prefill past its timeout, or the end of one that was waited for.
+    pub fn record_late_prefill(&self, outcome: &'static str) {
+        self.late_prefills.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the result of a call to the store.
     pub fn record_store_call(&self, topic: &'static str, result: &'static str) {
         let labels = [KeyValue::new("topic", topic), KeyValue::new("result", result)];
--- a/crates/bulrushusher_routing/src/retry.rs
+++ b/crates/bulrushusher_routing/src/retry.rs
@@ -38,8 +38,8 @@
 /// ```
 /// use bulrushusher_routing::{RetryBudget, RetryConfig};
 /// let mut budget = RetryBudget::new(RetryConfig { per_request: 0.5, max_saved: 1.0 });
-/// assert!(budget.take(), "a budget starts full");
-/// assert!(!budget.take());
+/// assert!(budget.has_retry() && budget.take(), "a budget starts full");
+/// assert!(!budget.has_retry() && !budget.take());
 /// budget.earn();
 /// budget.earn();
 /// assert!(budget.take());
@@ -67,9 +67,14 @@
         self.saved = (self.saved + self.cfg.per_request).min(self.cfg.max_saved);
     }
 
+    /// True if a retry is left.
+    pub fn has_retry(&self) -> bool {
+        self.saved >= 1.0
+    }
+
     /// Takes one retry; returns false if none is left.
     pub fn take(&mut self) -> bool {
-        if self.saved < 1.0 {
+        if !self.has_retry() {
             return false;
         }
         self.saved -= 1.0;
