Give a late prefill up for its hold only if it cannot end in time

Cause: at the last moment at which another runner could still end within the memory hold, a prefill was given up if its runner would miss the hold at the pace so far. Few ends are known in time, so that this pace is too low.

Change: it is given up if it would miss the hold even at the usual speed.

--- a/crates/bulrushusher_forward/src/prefill_patience.rs
+++ b/crates/bulrushusher_forward/src/prefill_patience.rs
@@ -102,10 +102,6 @@
     pub timing: PrefillTiming,
 }
 
-/// Largest slowdown that is inferred from the time that prefills took: runners in a slow phase are
-/// 2.5 times slower, on top of their usual difference.
-const MAX_SLOWDOWN: f64 = 4.0;
-
 impl SentPrefill {
     /// Tokens ahead of the prompt that were processed since it was sent; other prompts are taken to
     /// be as long as this one.
@@ -113,23 +109,12 @@
         progress.ended.saturating_mul(self.tokens).min(self.queued)
     }
 
-    /// Time until the prompt ends if the runner is as fast as usual from now on, in ms.
+    /// Time until the prompt ends if the runner is as fast as usual from now on, in ms. The time
+    /// since the last end was spent on the first of the prompts that are left.
     fn shortest_ms(&self, progress: &PrefillProgress) -> f64 {
-        self.left_ms(progress, 1.0)
-    }
-
-    /// Time until the prompt ends if the runner goes on as since the prompt was sent, in ms.
-    fn likely_ms(&self, progress: &PrefillProgress) -> f64 {
-        let usual = self.timing.expected_ms((self.processed(progress) + self.tokens) as f64);
-        let slowdown = self.elapsed.0 as f64 / usual.max(1.0);
-        self.left_ms(progress, slowdown.clamp(1.0, MAX_SLOWDOWN))
-    }
-
-    /// The time since the last end was spent on the first of the prompts that are left.
-    fn left_ms(&self, progress: &PrefillProgress, slowdown: f64) -> f64 {
         let left = self.queued - self.processed(progress) + self.tokens;
         let spent = progress.last_end_ago.unwrap_or(self.elapsed).min(self.elapsed);
-        (self.timing.expected_ms(left as f64) * slowdown - spent.0 as f64).max(0.0)
+        (self.timing.expected_ms(left as f64) - spent.0 as f64).max(0.0)
     }
 }
 
@@ -173,7 +158,8 @@
     /// A prompt that was sent later ended there, so this one is done or lost.
     #[display("later_prefill_ended")]
     LaterPrefillEnded,
-    /// The memory hold ends before this runner's end, and another runner can still end in time.
+    /// The memory hold ends before this runner's end even at its usual speed, and another runner
+    /// can still end in time; or the hold has ended.
     #[display("hold_ends")]
     HoldEnds,
     /// The target passes before this runner's end even at its usual speed, and another runner can
@@ -217,6 +203,7 @@
     /// assert_eq!(late.decide(cfg), waits);
     /// let silent = LatePrefill { progress: PrefillProgress::default(), ..late };
     /// assert_eq!(silent.decide(cfg), PrefillPatience::GiveUp(PrefillEvidence::None));
+    /// assert!(late.runner_works(cfg) && !silent.runner_works(cfg));
     /// ```
     pub fn decide(&self, cfg: PatienceConfig) -> PrefillPatience {
         if self.hold_left == Millis(0) {
@@ -239,10 +226,12 @@
         let Some(sent) = self.sent.filter(|_| self.runner_works(cfg)) else {
             return PrefillPatience::GiveUp(PrefillEvidence::None);
         };
-        if self.is_last_chance(other, cfg) && !self.ends_within_hold(&sent, evidence) {
+        let shortest_ms = sent.shortest_ms(&self.progress);
+        if self.is_last_chance(other, cfg) && shortest_ms > self.hold_left.0 as f64 {
             return PrefillPatience::GiveUp(PrefillEvidence::HoldEnds);
         }
-        if self.only_other_meets_target(&sent, other) {
+        let misses_target = shortest_ms > self.target_left.0 as f64;
+        if misses_target && other.prefill_time() <= self.target_left {
             return PrefillPatience::GiveUp(PrefillEvidence::TargetPasses);
         }
         wait(evidence, cfg.recheck)
@@ -269,15 +258,4 @@
         let needs = other.hold_time();
         self.hold_left >= needs && self.hold_left.since(needs) <= cfg.recheck
     }
-
-    /// A runner that only answers shows nothing about when it ends.
-    fn ends_within_hold(&self, sent: &SentPrefill, evidence: PrefillEvidence) -> bool {
-        evidence == PrefillEvidence::PrefillEnded
-            && sent.likely_ms(&self.progress) <= self.hold_left.0 as f64
-    }
-
-    fn only_other_meets_target(&self, sent: &SentPrefill, other: OtherRunner) -> bool {
-        other.prefill_time() <= self.target_left
-            && sent.shortest_ms(&self.progress) > self.target_left.0 as f64
-    }
 }
--- a/crates/bulrushusher_forward/tests/prefill_patience.rs
+++ b/crates/bulrushusher_forward/tests/prefill_patience.rs
@@ -40,6 +40,7 @@
     let passed = |ago| PrefillProgress { passed_ago: Some(Millis(ago)), ..ended(ago) };
     let queued = |queued| late().sent.map(|sent| SentPrefill { queued, ..sent });
     let working = LatePrefill { progress: ended(100), ..late() };
+    let much_left = LatePrefill { sent: queued(20_000), ..working };
     let answers = LatePrefill { has_answered: true, ..late() };
     let alone = LatePrefill { other: None, ..late() };
     let decode = Some(OtherRunner::Decode(Millis(300)));
@@ -75,32 +76,32 @@
         ),
         (
             "the hold ends before it, but not before the other",
-            LatePrefill { hold_left: Millis(180), ..answers },
+            LatePrefill { hold_left: Millis(180), ..much_left },
             Patience::GiveUp(Evidence::HoldEnds),
         ),
         (
             "neither ends within the hold",
-            LatePrefill { hold_left: Millis(140), ..answers },
-            wait(Evidence::Answers),
+            LatePrefill { hold_left: Millis(140), ..much_left },
+            wait(Evidence::PrefillEnded),
         ),
         (
-            "its end is near",
-            LatePrefill { hold_left: Millis(180), progress: ended(250), ..late() },
+            "it may end within the hold",
+            LatePrefill { hold_left: Millis(180), ..working },
             wait(Evidence::PrefillEnded),
         ),
         (
             "a decode runner needs no time of the hold",
-            LatePrefill { hold_left: Millis(180), other: decode, ..answers },
-            wait(Evidence::Answers),
+            LatePrefill { hold_left: Millis(180), other: decode, ..much_left },
+            wait(Evidence::PrefillEnded),
         ),
         (
             "the last moment to let the decode runner do it",
-            LatePrefill { hold_left: Millis(40), other: decode, ..answers },
+            LatePrefill { hold_left: Millis(40), other: decode, ..much_left },
             Patience::GiveUp(Evidence::HoldEnds),
         ),
         (
             "only the other runner meets the target",
-            LatePrefill { target_left: Millis(160), sent: queued(20_000), ..working },
+            LatePrefill { target_left: Millis(160), ..much_left },
             Patience::GiveUp(Evidence::TargetPasses),
         ),
         (
