Mark a run placed again without a KV cache as prefilled by its decode runner

Cause: the decode runner of a run is to prefill the prompt itself, and then its hold expires or the runner starts to drain. The run was placed again, but its new hold was not marked. The prompt was missing in the load that this gateway and its peers count for the new runner, and the attempt was logged as `step=generate`.

Change: the new hold is marked where there is no KV cache.

Result: the new process test failed before the change and passes; 28 tests of generations and late prefills pass.

--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -44,6 +44,9 @@
         log::info!("place: again id={} runner={}", fwd.request.id, held.runner.id);
         let until = cx.now().plus(REPLACEMENT_WAIT).min(fwd.deadline);
         held = place_or_refuse(cx, fwd, history, until).await?;
+        if kv.is_none() {
+            held.set_prefills_itself();
+        }
     }
     if kv.as_ref().is_some_and(KvCacheGuard::is_lost) {
         log::info!("read: again id={} cause=\"its runner started again\"", fwd.request.id);
