--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -117,6 +117,9 @@
     pub starts: BTreeMap<RunnerId, StartTime>,
     /// Measured speeds of some runners; empty in deltas.
     pub speeds: Vec<SpeedReport>,
+    /// Number of prefills of the gateway that ended at each runner since its start, wrapping; only
+    /// runners at which one ended in the last seconds.
+    pub prefill_ends: Vec<(RunnerId, u64)>,
 }
 
 impl GatewayReport {
