Relays: forward changes again after a restore of the store

Cause: a relay forwards the changes after the last revision that it forwarded. After a restore of the store, or once the log was cut beyond that revision, it is not in the log's history, so that there was no delta and the revision stayed what it was. Each listener then asked for each change, 0.25 s after it could have known it, for as long as the gateway stayed a relay.

Change: the revision is set to the end of the log with each forwarding.

Measured: `relays_forward_changes_unasked_after_a_restore_of_the_store` fails on the code before (listeners ask for each of four changes) and passes now; 158 tests of the gateway suite pass in a debug build beside a drain soak.

--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -158,9 +158,8 @@
                 continue;
             }
             let runners = delta.filter(|it| it.revision > after && !it.changes.is_empty());
-            if let Some(delta) = &runners {
-                self.forwarded_revision.store(delta.revision, Ordering::Relaxed);
-            }
+            // Also after a restore of the store, which begins a new history without `after`.
+            self.forwarded_revision.store(self.shared.recorded_revision(), Ordering::Relaxed);
             let revisions = self.shared.own_revisions();
             let ages = self.shared.confirmation_ages();
             let routing = self.unsent_routing_change(&mut forwarded_version);
