Adopt levels that arrived shortly before the quotas were known

Cause: a gateway that finds its peers before it has read the configuration had to wait for the next full report, up to a second with few gateways. Change: the last full report of a synced gateway is kept for 200 ms and adopted when the quotas arrive.

--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -29,6 +29,10 @@
 /// How long the computed [`Membership`] is cached.
 const MEMBERSHIP_TTL: Millis = Millis(50);
 
+/// Maximum age of levels that are adopted once the quotas are known. Usage in the meantime is not
+/// deducted from them. Of ten gateways or more, one sends a full report every 100 ms.
+const UNADOPTED_TTL: Millis = Millis(200);
+
 /// Drops the accounts without recent activity from a report that exceeds the size limit.
 fn keep_reportable<B: Borrow<Bucket>>(buckets: &mut Vec<B>) {
     if buckets.len() > MAX_REPORTED_ACCOUNTS {
@@ -63,6 +67,8 @@
     buckets: HashMap<ClientAccountName, Bucket>,
     names: HashMap<AccountId, ClientAccountName>,
     peers: HashMap<Arc<str>, Peer>,
+    /// The last full report of a synced gateway before the quotas were known, and its arrival.
+    unadopted: Option<(UsageReport, Millis)>,
     /// Number of other gateways that have announced themselves outside the reports.
     announced_peers: usize,
     /// The membership and the time at which it was computed.
@@ -80,6 +86,7 @@
             buckets: HashMap::new(),
             names: HashMap::new(),
             peers: HashMap::new(),
+            unadopted: None,
             announced_peers: 0,
             membership: (Membership { live: 1, gateways: 1 }, Millis(0)),
         }
@@ -109,6 +116,12 @@
                 bucket.start_unsynced(&self.cfg);
             }
         }
+        if !self.is_synced && self.has_quotas() {
+            let unadopted = self.unadopted.take();
+            if let Some((report, _)) = unadopted.filter(|(_, at)| now.since(*at) < UNADOPTED_TTL) {
+                self.adopt(&report, now);
+            }
+        }
     }
 
     /// Sets the number of other gateways that have announced themselves.
@@ -223,7 +236,7 @@
         now: Millis,
     ) {
         self.refresh(now);
-        let adopts = !self.is_synced && report.synced && is_full && self.has_quotas();
+        let adopts = !self.is_synced && report.synced && is_full;
         let is_recent = |peer: &Peer| now.since(peer.last_report_at) < self.cfg.silent_after;
         let previous = self.peers.remove(peer).filter(|known| known.incarnation == incarnation);
         let is_start = previous.is_none() && !report.synced;
@@ -240,7 +253,10 @@
         known.is_complete |= is_full && report.is_complete();
         self.peers.insert(peer.into(), known);
         if adopts {
-            self.adopt(report, now);
+            match self.has_quotas() {
+                true => self.adopt(report, now),
+                false => self.unadopted = Some((report.clone(), now)),
+            }
         }
     }
 
