In an uneven pool prompts go to the prefill runner with the earliest completion

Change: the choice is by (queued + tokens) * rate of the runner; timeout and prefill options use its own rate, and decode runners that process a prompt themselves are rated by theirs. All rates are relative to the service's timing model, which is scaled. The prefills at decode runners are measured too. In even pools all factors are 1.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -88,7 +88,7 @@
 };
 pub use runner_directory::{DrainReport, RunnerDirectory, RunnerDirectoryConfig, RunnerListDiff};
 pub use runner_selection::{
-    CallSelection, SelectionContext, pick_for_call, pick_for_prefill, rank_for_decode,
+    CallSelection, PrefillQueue, SelectionContext, pick_for_call, pick_for_prefill, rank_for_decode,
 };
 pub use runner_speeds::{PoolChange, RunnerSpeeds, RunnerSpeedsConfig, SpeedReport};
 pub use runs::{DeltaOutcome, PeersConfig, RunNumber, Runs};
--- a/crates/bulrushusher_forward/src/prefill_site.rs
+++ b/crates/bulrushusher_forward/src/prefill_site.rs
@@ -46,6 +46,8 @@
     /// Share of its memory that its runs are forecast to need. If they need all of it, a delay of
     /// these runs keeps other requests waiting for memory.
     pub fullness: f64,
+    /// Duration of its prefills relative to the mean of decode runners.
+    pub prefill_factor: f64,
 }
 
 /// Limits of the decision.
@@ -95,10 +97,15 @@
         self.cost_at_decode(decode) <= MAX_DECODE_COST
     }
 
+    /// Prefill times of this decode runner.
+    fn timing_at(&self, decode: DecodeLoad) -> PrefillTiming {
+        self.decode_timing.scaled(decode.prefill_factor)
+    }
+
     /// Cost of the prefill at the decode runner, in generations.
     fn cost_at_decode(&self, decode: DecodeLoad) -> f64 {
         let prefill_ms =
-            (decode.prefilling_tokens + self.tokens) as f64 * self.decode_timing.ms_per_token();
+            (decode.prefilling_tokens + self.tokens) as f64 * self.timing_at(decode).ms_per_token();
         let pause = prefill_ms + self.event_gap.0 as f64;
         let late_share = self.pauses.late_share(pause, self.gap_target.0 as f64);
         let delayed = decode.fullness.powi(4) * prefill_ms / self.generation_time.0.max(1) as f64;
@@ -125,7 +132,8 @@
     ///     generation_time: Millis(4_000),
     ///     time_to_target: Millis(800),
     /// };
-    /// let busy = DecodeLoad { prefilling_tokens: 0, runs: 7, fullness: 0.5 };
+    /// let busy =
+    ///     DecodeLoad { prefilling_tokens: 0, runs: 7, fullness: 0.5, prefill_factor: 1.0 };
     /// let cfg = PrefillSiteConfig::default();
     /// assert_eq!(prompt.select_site(busy, cfg), PrefillSite::Prefill, "300 ms are in time");
     /// let late = PrefillTask { queued_tokens: Some(40_000), ..prompt };
@@ -141,7 +149,7 @@
     pub fn select_site(&self, decode: DecodeLoad, cfg: PrefillSiteConfig) -> PrefillSite {
         let Some(prefill_runner_ms) = self.prefill_runner_ms() else { return PrefillSite::Decode };
         let decode_runner_ms =
-            self.decode_timing.expected_ms((decode.prefilling_tokens + self.tokens) as f64);
+            self.timing_at(decode).expected_ms((decode.prefilling_tokens + self.tokens) as f64);
         let left = self.time_to_target.since(cfg.first_event_delay).0 as f64;
         // If the prefill runner's queue is long but still in time, other runs take precedence.
         let max_cost =
--- a/crates/bulrushusher_forward/src/prefill_timing.rs
+++ b/crates/bulrushusher_forward/src/prefill_timing.rs
@@ -69,6 +69,23 @@
         self.add(tokens, ms, 1.0);
     }
 
+    /// The times at a runner whose prefills take `factor` times as long.
+    ///
+    /// ```
+    /// use bulrushusher_forward::PrefillTiming;
+    /// let timing = PrefillTiming::new(0.02).scaled(2.5);
+    /// assert_eq!(timing.expected_ms(5_000.0).round(), 250.0);
+    /// ```
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> PrefillTiming {
+        PrefillTiming {
+            ms: self.ms * factor,
+            tokens_by_ms: self.tokens_by_ms * factor,
+            error_squared: self.error_squared * factor * factor,
+            ..self
+        }
+    }
+
     fn add(&mut self, tokens: f64, ms: f64, weight: f64) {
         self.weight += weight;
         self.tokens += weight * tokens;
--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -86,25 +86,37 @@
     means.min_by(f64::total_cmp).unwrap_or(0.0)
 }
 
-/// Selects the prefill runner with the fewest queued prompt tokens, including the tokens queued by
-/// other gateways (`queued_by_peers`). Prefers the data centre of the decode runner.
+/// What is known of a prefill runner apart from the load of this gateway.
+#[derive(Clone, Copy, Debug)]
+pub struct PrefillQueue {
+    /// Prompt tokens that other gateways have queued there.
+    pub tokens_of_peers: u64,
+    /// Duration of its prefills relative to the service's mean.
+    pub factor: f64,
+}
+
+/// Selects the prefill runner at which a prompt of `tokens` is expected to be complete first. Where
+/// all are equally fast, that is the one with the fewest queued tokens. Prefers the data centre of
+/// the decode runner.
 pub fn pick_for_prefill(
     cx: SelectionContext<'_>,
     near: &DataCentreName,
     tried: &[RunnerId],
     draw: f64,
-    queued_by_peers: impl Fn(&RunnerId) -> u64,
+    tokens: u64,
+    queue: impl Fn(&RunnerId) -> PrefillQueue,
 ) -> Option<Runner> {
     let pool = available_of_stage(cx, Stage::Prefill, tried);
     let cost = |r: &Runner| {
-        let queued = (cx.loads.get(&r.id).queued_prompt_tokens + queued_by_peers(&r.id)) as f64;
+        let PrefillQueue { tokens_of_peers, factor } = queue(&r.id);
+        let queued = cx.loads.get(&r.id).queued_prompt_tokens + tokens_of_peers;
         let distance = if r.data_centre == *near { 0.0 } else { REMOTE_PREFILL_COST };
-        queued + distance
+        (queued + tokens) as f64 * factor + distance
     };
     lowest_cost(&pool, draw, cost).cloned()
 }
 
-/// Cost, in prompt tokens, of a prefill runner in another data centre: the KV transfer takes twice
+/// Cost, in prompt tokens at the mean rate, of a prefill runner in another data centre: the KV transfer takes twice
 /// as long there and is priced higher, which a queue shorter by a few hundred tokens does not make
 /// up for.
 const REMOTE_PREFILL_COST: f64 = 500.0;
--- a/crates/bulrushusher_forward/src/timing_model.rs
+++ b/crates/bulrushusher_forward/src/timing_model.rs
@@ -144,7 +144,20 @@
     /// Time after which a prefill is considered lost; `tokens` includes the prompts queued ahead of
     /// it.
     pub fn prefill_timeout(&self, tokens: u64) -> Millis {
-        let expected = self.prefill.expected_ms(tokens as f64) * self.cfg.prefill_timeout_factor;
+        self.prefill_timeout_at(tokens, 1.0)
+    }
+
+    /// The same at a runner whose prefills take `factor` times as long as the mean.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{TimingConfig, TimingModel};
+    /// use bulrushusher_time::Millis;
+    /// let timing = TimingModel::new(TimingConfig::default());
+    /// assert_eq!(timing.prefill_timeout_at(5_000, 2.0), Millis(700));
+    /// ```
+    pub fn prefill_timeout_at(&self, tokens: u64, factor: f64) -> Millis {
+        let expected = self.prefill.scaled(factor).expected_ms(tokens as f64)
+            * self.cfg.prefill_timeout_factor;
         Millis(expected as u64).plus(self.cfg.prefill_timeout_slack)
     }
 
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -49,7 +49,7 @@
             return Err(RunError::Unplaced("the prompt was not prefilled"));
         }
         let near = held.runner.data_centre.clone();
-        let runner = cx.shared.pick_for_prefill(&fwd.service, &tried, &near);
+        let runner = cx.shared.pick_for_prefill(&fwd.service, &tried, &near, fwd.prompt_tokens());
         let Some(runner) =
             runner.filter(|runner| select_site(cx, fwd, held, runner) == PrefillSite::Prefill)
         else {
@@ -94,10 +94,11 @@
 ) -> PrefillTask {
     let per_event = cx.shared.tokens_per_event(&fwd.service) as f64;
     let queued = prefill.map(|prefill| cx.shared.queued_prefill_tokens(&prefill.id));
+    let factor = prefill.map_or(1.0, |it| cx.shared.prefill_factor(&fwd.service, &it.id));
     cx.shared.with_timing(&fwd.service, |pace| PrefillTask {
         tokens: fwd.prompt_tokens(),
         queued_tokens: queued,
-        prefill_timing: pace.prefill(),
+        prefill_timing: pace.prefill().scaled(factor),
         decode_timing: pace.decode(),
         event_gap: Millis((per_event / pace.tokens_per_ms()) as u64),
         gap_target: fwd.route.gap_target,
@@ -122,7 +123,7 @@
     fwd: &ForwardedRequest,
 ) -> PrefillOptions {
     let near = &cx.shared.cfg().data_centre;
-    let prefill = cx.shared.pick_for_prefill(&fwd.service, &[], near);
+    let prefill = cx.shared.pick_for_prefill(&fwd.service, &[], near, fwd.prompt_tokens());
     let task = prefill_task(cx, fwd, prefill.as_ref());
     let remaining = task.time_to_target;
     let max_wait = if remaining > Millis(0) { remaining } else { MAX_PREFILL_WAIT };
@@ -144,7 +145,9 @@
     let tokens = fwd.prompt_tokens();
     let queued = cx.shared.queued_prefill_tokens(&runner.id);
     let _load = LoadGuard::begin(&cx.shared, &runner.id, tokens);
-    let timeout = cx.shared.with_timing(&fwd.service, |pace| pace.prefill_timeout(queued + tokens));
+    let factor = cx.shared.prefill_factor(&fwd.service, &runner.id);
+    let timeout =
+        cx.shared.with_timing(&fwd.service, |it| it.prefill_timeout_at(queued + tokens, factor));
     let timeout = timeout.min(max_wait).min(fwd.remaining(started));
     let watch = CrashWatch::begin(cx, fwd);
     let trace = SendTrace::new(started);
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -45,6 +45,7 @@
                         prefilling_tokens: runs.decode_prefill_tokens(&runner.id, cx.now),
                         runs: load.runs,
                         fullness: forecast.fullness(peak),
+                        prefill_factor: self.prefill_factor(service, &runner.id),
                     })
                 };
                 prefills_itself.as_ref().is_none_or(may_prefill).then_some(peak)
@@ -237,6 +238,7 @@
             prefilling_tokens: runs.decode_prefill_tokens(runner, now),
             runs: load.runs.saturating_sub(1),
             fullness: forecast.fullness(forecast.peak(&load)),
+            prefill_factor: self.prefill_factor(service, runner),
         }
     }
 
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -13,8 +13,8 @@
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaLimiter};
 use bulrushusher_forward::{
     AccountCost, AttemptEnd, AttemptPlan, BackPressure, BackPressureConfig, BackPressureView,
-    CallResult, CallSelection, EngineSpec, HealthConfig, NextStep, PeersConfig, QueueRank,
-    RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads,
+    CallResult, CallSelection, EngineSpec, HealthConfig, NextStep, PeersConfig, PrefillQueue,
+    QueueRank, RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads,
     RunnerSpeeds, Runs, SelectionContext, TimingConfig, TimingModel, TypicalPatience, WaitQueue,
     pick_for_call, pick_for_prefill,
 };
@@ -244,17 +244,21 @@
         })
     }
 
-    /// Selects a runner to prefill a prompt.
+    /// Selects a runner to prefill a prompt of `tokens`.
     pub(crate) fn pick_for_prefill(
         &self,
         service: &ServiceName,
         tried: &[RunnerId],
         near: &DataCentreName,
+        tokens: u64,
     ) -> Option<Runner> {
         let draw = self.draw();
         self.with_candidates(service, |cx, runs| {
-            let peer_tokens = |id: &RunnerId| runs.prefill_tokens_of_peers(id, cx.now);
-            pick_for_prefill(cx, near, tried, draw, peer_tokens)
+            let queue = |id: &RunnerId| PrefillQueue {
+                tokens_of_peers: runs.prefill_tokens_of_peers(id, cx.now),
+                factor: self.prefill_factor(service, id),
+            };
+            pick_for_prefill(cx, near, tried, draw, tokens, queue)
         })
     }
 
--- a/crates/bulrushusher_gateway/src/shared/pauses.rs
+++ b/crates/bulrushusher_gateway/src/shared/pauses.rs
@@ -21,7 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct PrefillTracker {
     shared: Arc<SharedState>,
-    runner: RunnerId,
+    runner: Runner,
     started: Millis,
     /// Prompt tokens that the runner prefills, including this prompt.
     prompt_tokens: u64,
@@ -30,10 +30,10 @@
 impl Drop for PrefillTracker {
     fn drop(&mut self) {
         let mut pauses = self.shared.pauses.lock();
-        if let Some(stats) = pauses.get_mut(&self.runner) {
+        if let Some(stats) = pauses.get_mut(&self.runner.id) {
             stats.prefills = stats.prefills.saturating_sub(1);
             if stats.prefills == 0 {
-                pauses.remove(&self.runner);
+                pauses.remove(&self.runner.id);
             }
         }
     }
@@ -45,7 +45,12 @@
     pub(crate) fn finish(self, service: &ServiceName, tokens: u64, gap_target: Millis) {
         let took = self.shared.now().since(self.started);
         if self.prompt_tokens <= tokens {
-            self.shared.with_timing(service, |timing| timing.record_decode_prefill(tokens, took));
+            let ratio = self.shared.with_timing(service, |timing| {
+                let expected = timing.decode().expected_ms(tokens as f64);
+                timing.record_decode_prefill(tokens, took);
+                took.0 as f64 / expected.max(1.0)
+            });
+            self.shared.record_prefill_ratio(&self.runner, ratio);
         }
         let service = service.clone();
         tokio::spawn(async move {
@@ -57,7 +62,7 @@
     /// Records the longest pause that was observed, with the pause that an uninterrupted prefill
     /// would cause.
     fn record_longest_pause(&self, service: &ServiceName) {
-        let stats = self.shared.pauses.lock().get(&self.runner).copied();
+        let stats = self.shared.pauses.lock().get(&self.runner.id).copied();
         let Some(longest) = stats.map(|stats| stats.longest).filter(|ms| *ms > Millis(0)) else {
             return;
         };
@@ -82,7 +87,7 @@
         let prompt_tokens = self.runs.lock().decode_prefill_tokens(&runner.id, self.now());
         self.pauses.lock().entry(runner.id.clone()).or_default().prefills += 1;
         let shared = self.clone();
-        PrefillTracker { shared, runner: runner.id.clone(), started: self.now(), prompt_tokens }
+        PrefillTracker { shared, runner: runner.clone(), started: self.now(), prompt_tokens }
     }
 
     /// Forgets the pauses at a runner that is gone.
--- a/crates/bulrushusher_gateway/src/shared/speeds.rs
+++ b/crates/bulrushusher_gateway/src/shared/speeds.rs
@@ -11,6 +11,14 @@
         self.uses_speeds() && self.speeds.lock().get(service).is_some_and(RunnerSpeeds::is_uneven)
     }
 
+    /// Duration of a prefill at the runner relative to the service's mean; 1 in an even pool.
+    pub(crate) fn prefill_factor(&self, service: &ServiceName, runner: &RunnerId) -> f64 {
+        if !self.uses_speeds() {
+            return 1.0;
+        }
+        self.speeds.lock().get(service).map_or(1.0, |pool| pool.prefill_factor(runner))
+    }
+
     /// Records the generation rate of a run, in tokens per ms. A measurement of an earlier process
     /// start is ignored.
     pub(crate) fn record_pace(&self, runner: &Runner, tokens_per_ms: f64) {
--- a/crates/bulrushusher_model/src/prefill_site.rs
+++ b/crates/bulrushusher_model/src/prefill_site.rs
@@ -273,6 +273,7 @@
             prefilling_tokens: prefilling as u64,
             runs: self.load.runs,
             fullness: self.load.fullness,
+            prefill_factor: 1.0,
         };
         let cfg = PrefillSiteConfig::default();
         let in_time = Millis(remaining as u64).since(cfg.first_event_delay);
