--- a/crates/bulrushusher_gateway/src/placement/patience.rs
+++ b/crates/bulrushusher_gateway/src/placement/patience.rs
@@ -145,7 +145,8 @@
             return None;
         }
         let near = &held.runner.data_centre;
-        let other = cx.shared.pick_for_prefill(&fwd.service, self.tried, near);
+        let tokens = fwd.prompt_tokens();
+        let other = cx.shared.pick_for_prefill(&fwd.service, self.tried, near, tokens);
         if let Some(other) =
             other.filter(|it| select_site(cx, fwd, held, it) == PrefillSite::Prefill)
         {
