Place plain calls by the load over all gateways

The totals count from the gateway's start, so that a lost or repeated report changes nothing.

First attempts are sent, wait at the gateway or are refused as CallPool decides. Later attempts are only chosen by it. A late repeatable call goes to a second runner only if that one is expected to answer within the time to the target. Generations and pools that are not shared are served as before.

Setting `[calls] sharing`, metric `call_pool`, log lines `route: waited` and `route: refused`.

--- a/crates/bulrushusher_forward/src/call_pool.rs
+++ b/crates/bulrushusher_forward/src/call_pool.rs
@@ -232,10 +232,15 @@
     /// True where so many gateways share so few slots that none of them knows the load from its
     /// own calls. `gateways` includes this one.
     pub fn is_scarce(&self, slots: u32, gateways: usize) -> bool {
-        gateways <= self.cfg.max_gateways
+        self.may_share(gateways)
             && f64::from(slots) < self.cfg.max_slots_per_gateway * gateways as f64
     }
 
+    /// True if so few gateways may share their calls. `gateways` includes this one.
+    pub fn may_share(&self, gateways: usize) -> bool {
+        gateways <= self.cfg.max_gateways
+    }
+
     /// Time between reports of a busy pool.
     pub fn report_interval(&self, gateways: usize) -> Millis {
         let interval = Millis(self.cfg.interval_per_gateway.0 * gateways as u64);
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    DrainReport, LimitReport, RunCounts, RunShape, SeenRevisions, StartTime, StartTimes,
-    StoreContact,
+    CallPoolReport, DrainReport, LimitReport, RunCounts, RunShape, SeenRevisions, StartTime,
+    StartTimes, StoreContact,
 };
 
 /// One run in a report.
@@ -115,6 +115,8 @@
     /// Start times of the runners in this report, for runners that report one. The receiver ignores
     /// statements about an earlier start than it knows.
     pub starts: BTreeMap<RunnerId, StartTime>,
+    /// Plain calls of the gateway, by runner.
+    pub calls: CallPoolReport,
 }
 
 impl GatewayReport {
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -174,8 +174,7 @@
         loop {
             // The first report is sent at once, so that newly discovered peers can receive it.
             if sequence > 0 {
-                let changed = self.shared.report_due.notified();
-                tokio::time::timeout(MAX_REPORT_INTERVAL.duration(), changed).await.ok();
+                self.wait_until_due().await;
             }
             sequence += 1;
             let message = self.next_message(self.shared.report(incarnation, sequence));
@@ -193,6 +192,22 @@
         }
     }
 
+    /// Waits until a report is due: after a change, while a pool of plain calls is busy, and at the
+    /// latest after [`MAX_REPORT_INTERVAL`].
+    async fn wait_until_due(&self) {
+        let began = self.shared.now();
+        loop {
+            let left = MAX_REPORT_INTERVAL.since(self.shared.now().since(began));
+            let interval = self.shared.call_report_interval().unwrap_or(MAX_REPORT_INTERVAL);
+            let changed = self.shared.report_due.notified();
+            let wait = interval.min(left).duration();
+            let is_changed = tokio::time::timeout(wait, changed).await.is_ok();
+            if is_changed || interval >= left || self.shared.is_call_report_due() {
+                return;
+            }
+        }
+    }
+
     /// Sends updates on requests that crash runners, at once and then repeatedly, since datagrams
     /// may be lost.
     async fn send_crash_updates(&self, socket: &UdpSocket) {
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::Stage;
-use bulrushusher_report::{AccountMetrics, GatewayMetrics};
+use bulrushusher_report::{AccountMetrics, CallPoolMetrics, GatewayMetrics};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -56,6 +56,7 @@
         (all, count(Stage::Prefill), count(Stage::Decode))
     });
     record_accounts(shared, metrics);
+    record_call_pools(shared, metrics);
     if let Some(age) = shared.confirmation_age(Topic::Runners) {
         metrics.set_state("runner_list_age_ms", age.0);
     }
@@ -70,6 +71,19 @@
     metrics.set_state("decode_runners", decode);
 }
 
+fn record_call_pools(shared: &SharedState, metrics: &GatewayMetrics) {
+    for (service, load, refused) in shared.call_pools() {
+        let figures = CallPoolMetrics {
+            in_flight: load.in_flight.round() as u64,
+            waiting: u64::from(load.waiting),
+            slots: u64::from(load.slots),
+            service_time_ms: load.service_ms.round() as u64,
+            refused,
+        };
+        metrics.set_call_pool(service.as_str(), figures);
+    }
+}
+
 /// Number of accounts with their own metrics; those with the highest usage are chosen.
 const MAX_ACCOUNTS: usize = 50;
 
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 
-use bulrushusher_forward::{AttemptEnd, AttemptPlan, CallResult, NextStep, Runner};
+use bulrushusher_forward::{AttemptEnd, AttemptPlan, CallPoolLoad, CallResult, NextStep, Runner};
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
 use bytes::Bytes;
@@ -17,6 +17,7 @@
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptRecord, AttemptSpec, ForwardedRequest, LoadGuard, Router};
 use crate::runners::send_trace::SendTrace;
+use crate::shared::{CallInFlight, CallPlacement, CallTimes, CallWait};
 
 /// Share of its target after which a repeatable call is late at its first runner: longer than
 /// nearly all responses take, and short enough for a second runner to respond on time.
@@ -25,6 +26,9 @@
 /// Retry-After of a failed plain call; short, as the pools of plain calls have no long queues.
 const CALL_RETRY_AFTER: Millis = Millis(300);
 
+/// Refusal reason of a call that the runners cannot answer before its deadline.
+const POOL_FULL: &str = "the pool is full";
+
 /// Result of one attempt.
 enum AttemptResult {
     /// A success, or a failure of the run that must not be retried.
@@ -48,6 +52,7 @@
     let mut plan = AttemptPlan::new(fwd.route.kind, fwd.route.max_runners);
     let mut tried: Vec<RunnerId> = Vec::new();
     let near = cx.shared.cfg().data_centre.clone();
+    let mut wait: Option<CallWait> = None;
     let retry_after = Millis(CALL_RETRY_AFTER.0.min(fwd.remaining(cx.now()).0 / 4));
     loop {
         let remaining = fwd.remaining(cx.now());
@@ -61,10 +66,25 @@
                 withheld.retry_after,
             ));
         }
-        let Some(runner) = cx.shared.pick_for_call(&fwd.service, &tried, &near) else {
-            let (reason, retry_after) = no_runner(cx, fwd, retry_after);
-            return Err(Refusal::after_attempts(plan.final_answer(), reason, retry_after));
+        let times = call_times(cx, fwd, wait.as_ref());
+        let runner = match cx.shared.place_call(&fwd.service, &tried, &near, times) {
+            CallPlacement::Send(runner) => runner,
+            CallPlacement::Wait(poll) => {
+                wait.get_or_insert_with(|| CallWait::begin(&cx.shared));
+                tokio::time::sleep(poll.duration()).await;
+                continue;
+            }
+            CallPlacement::Refuse { retry_after, load } => {
+                return Err(pool_full(fwd, times, load, retry_after));
+            }
+            CallPlacement::NoRunner => {
+                let (reason, retry_after) = no_runner(cx, fwd, retry_after);
+                return Err(Refusal::after_attempts(plan.final_answer(), reason, retry_after));
+            }
         };
+        if let Some(wait) = wait.take() {
+            log::info!("route: waited id={} ms={}", fwd.request.id, wait.length().0);
+        }
         let may_be_abandoned = plan.may_run_again() && tried.is_empty();
         let trace = SendTrace::new(cx.now());
         tried.push(runner.id.clone());
@@ -100,6 +120,43 @@
     }
 }
 
+fn call_times<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &ForwardedRequest,
+    wait: Option<&CallWait>,
+) -> CallTimes {
+    let now = cx.now();
+    CallTimes {
+        target: fwd.route.target,
+        left_to_target: fwd.remaining_to_target(now),
+        left: fwd.remaining(now),
+        waited: wait.map_or(Millis(0), |wait| wait.length().max(Millis(1))),
+    }
+}
+
+/// Refuses a call that the runners are not expected to answer before its deadline.
+fn pool_full(
+    fwd: &ForwardedRequest,
+    times: CallTimes,
+    load: CallPoolLoad,
+    retry_after: Millis,
+) -> Refusal {
+    log::info!(
+        "route: refused id={} reason=\"{POOL_FULL}\" expected_ms={:.0} left_ms={} waited_ms={} \
+         in_flight={:.0} waiting={} slots={} peers={} retry_after_ms={}",
+        fwd.request.id,
+        load.expected_ms,
+        times.left.0,
+        times.waited.0,
+        load.in_flight,
+        load.waiting,
+        load.slots,
+        load.peers,
+        retry_after.0,
+    );
+    Refusal::NotRun { reason: POOL_FULL, retry_after }
+}
+
 /// Why no runner may be called, and when to retry. Under back-pressure at all remaining runners,
 /// that is when the first of them may be called again.
 fn no_runner<D: Dialect>(
@@ -130,7 +187,11 @@
     if let Ok(ended) = in_time.await {
         return Some(ended);
     }
-    if cx.shared.abandon_late(&fwd.service, plan, std::slice::from_ref(&runner.id)) {
+    let tried = std::slice::from_ref(&runner.id);
+    let left = fwd.remaining_to_target(cx.now());
+    if cx.shared.may_answer_within(&fwd.service, tried, left)
+        && cx.shared.abandon_late(&fwd.service, plan, tried)
+    {
         let (result, detail) = (CallResult::Unreachable, "late, another runner is tried");
         let step = "whole";
         cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
@@ -161,6 +222,7 @@
 ) -> AttemptResult {
     let started = cx.now();
     let _load = LoadGuard::begin(&cx.shared, &runner.id, 0);
+    let mut in_flight = CallInFlight::begin(&cx.shared, &fwd.service, runner);
     let watch = CrashWatch::begin(cx, fwd);
     let resume_after = fwd.request.resume_after;
     let spec = AttemptSpec { resume_after, step: Step::Whole, permit: Permit::Acquire };
@@ -177,6 +239,7 @@
     }
     let ended = read.unwrap_or_else(failed_exchange);
     if matches!(ended, AttemptResult::Answer(..)) {
+        in_flight.record_answer();
         cx.shared.record_answer(fwd.digest);
     }
     let (result, detail) = match &ended {
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -160,6 +160,13 @@
         Some("0.2"),
         "Random spread of that time, as a share of it.",
     ),
+    setting(
+        "calls",
+        "sharing",
+        Kind::Choice(&["auto", "on", "off"]),
+        Some("auto"),
+        "Whether gateways share their plain calls; auto: where they outnumber the runners' slots.",
+    ),
     setting(
         "gateways",
         "gone_after_s",
@@ -268,6 +275,8 @@
     pub retry_after: Millis,
     /// Random spread of that time, as a share of it.
     pub retry_after_spread: f64,
+    /// Where gateways share their plain calls.
+    pub call_sharing: CallSharing,
     /// When a request that crashes runners is quarantined.
     pub quarantine: QuarantineConfig,
     /// When other gateways count as live or gone.
@@ -286,6 +295,17 @@
     pub members: RunnerDirectoryConfig,
 }
 
+/// Where gateways share their plain calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallSharing {
+    /// Where there are fewer than 0.75 slots for each gateway.
+    Auto,
+    /// At all plain services.
+    On,
+    /// Nowhere.
+    Off,
+}
+
 /// Part of the allowed retry share that gateways use: the limit holds in every sliding window, and
 /// requests add to the budget only while they are in the window.
 const RETRY_SHARE_USED: f64 = 0.75;
@@ -352,6 +372,7 @@
             },
             retry_after: values.millis("waiting", "return_after_ms"),
             retry_after_spread: values.real("waiting", "return_spread"),
+            call_sharing: call_sharing(values.text("calls", "sharing")),
             quarantine: QuarantineConfig {
                 crash_threshold: values.count("quarantine", "crashes") as u32,
                 duration: Millis((values.real("quarantine", "lasts_s") * 1_000.0) as u64),
@@ -378,6 +399,15 @@
     }
 }
 
+fn call_sharing(value: &str) -> CallSharing {
+    match value {
+        "on" => CallSharing::On,
+        "off" => CallSharing::Off,
+        // `auto`, the only other value that the setting accepts.
+        _ => CallSharing::Auto,
+    }
+}
+
 fn sharing(value: &str) -> Sharing {
     match value {
         "even" => Sharing::Even,
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -0,0 +1,290 @@
+//! Plain calls over all gateways: placement, waiting, and the calls of peers.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bulrushusher_forward::{
+    Admission, BackPressureView, CallPool, CallPoolConfig, CallPoolLoad, CallPoolReport,
+    CallTicket, CallToPlace, Runner, candidates_for_call,
+};
+use bulrushusher_time::Millis;
+use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
+
+use super::{Runners, SharedState};
+use crate::settings::CallSharing;
+
+/// Plain calls of this gateway and its peers.
+#[derive(Debug)]
+pub(super) struct CallState {
+    pool: CallPool,
+    /// Calls refused because the pool was full, by service.
+    refused: HashMap<ServiceName, u64>,
+    reported_at: Millis,
+}
+
+impl Default for CallState {
+    fn default() -> CallState {
+        let pool = CallPool::new(CallPoolConfig::default());
+        CallState { pool, refused: HashMap::new(), reported_at: Millis(0) }
+    }
+}
+
+impl CallState {
+    fn placement(
+        &mut self,
+        service: &ServiceName,
+        pool: &[&Runner],
+        admission: Admission,
+    ) -> CallPlacement {
+        match admission {
+            Admission::Send(id) => match pool.iter().find(|runner| runner.id == id) {
+                Some(runner) => CallPlacement::Send((*runner).clone()),
+                None => CallPlacement::NoRunner,
+            },
+            Admission::Wait => CallPlacement::Wait(self.pool.poll_interval()),
+            Admission::Refuse { retry_after, load } => {
+                *self.refused.entry(service.clone()).or_default() += 1;
+                CallPlacement::Refuse { retry_after, load }
+            }
+            Admission::NoRunner => CallPlacement::NoRunner,
+        }
+    }
+}
+
+/// Times of a call that needs a runner.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallTimes {
+    pub target: Millis,
+    pub left_to_target: Millis,
+    pub left: Millis,
+    pub waited: Millis,
+}
+
+/// Decision on an attempt of a call.
+#[derive(Debug)]
+pub(crate) enum CallPlacement {
+    Send(Runner),
+    /// Decide again after this time.
+    Wait(Millis),
+    Refuse {
+        retry_after: Millis,
+        load: CallPoolLoad,
+    },
+    NoRunner,
+}
+
+impl SharedState {
+    /// True where the gateways share their calls to a plain service.
+    fn shares_calls(&self, service: &ServiceName) -> bool {
+        let sharing = self.cfg.load().call_sharing;
+        if sharing == CallSharing::Off || self.engine(service).is_some() {
+            return false;
+        }
+        let gateways = self.runs.lock().peer_count(self.now()) + 1;
+        let slots = self.with_runners(|runners, now| {
+            runners.directory.usable(service, now).map(|runner| runner.slots).sum()
+        });
+        let calls = self.calls.lock();
+        match sharing {
+            CallSharing::On => calls.pool.may_share(gateways),
+            CallSharing::Auto => calls.pool.is_scarce(slots, gateways),
+            CallSharing::Off => false,
+        }
+    }
+
+    /// Services whose calls the gateways share.
+    fn shared_services(&self) -> Vec<ServiceName> {
+        let Some(routing) = self.routing() else { return Vec::new() };
+        let names = routing.services().map(|service| &service.name);
+        names.filter(|service| self.shares_calls(service)).cloned().collect()
+    }
+
+    /// Selects a runner for an attempt of a plain call. A later attempt neither waits nor is
+    /// refused.
+    pub(crate) fn place_call(
+        &self,
+        service: &ServiceName,
+        tried: &[RunnerId],
+        near: &DataCentreName,
+        times: CallTimes,
+    ) -> CallPlacement {
+        if !self.shares_calls(service) {
+            let picked = self.pick_for_call(service, tried, near);
+            return picked.map_or(CallPlacement::NoRunner, CallPlacement::Send);
+        }
+        let (draw, admission_draw) = (self.draw(), self.draw());
+        let CallTimes { target, left_to_target, left, waited } = times;
+        self.with_call_pool(service, tried, |runners, calls, pool, now| {
+            let call = CallToPlace {
+                data_centre: near,
+                loads: &runners.loads,
+                target,
+                left_to_target,
+                left,
+                waited,
+                draw,
+                admission_draw,
+            };
+            let admission = match tried {
+                [] => calls.pool.admit(pool, call, now),
+                _ => {
+                    calls.pool.choose(pool, call, now).map_or(Admission::NoRunner, Admission::Send)
+                }
+            };
+            calls.placement(service, pool, admission)
+        })
+    }
+
+    /// False if a runner outside `tried` is expected to answer later than `left`.
+    pub(crate) fn may_answer_within(
+        &self,
+        service: &ServiceName,
+        tried: &[RunnerId],
+        left: Millis,
+    ) -> bool {
+        !self.shares_calls(service)
+            || self.with_call_pool(service, tried, |_, calls, pool, now| {
+                calls.pool.load(pool, now).expected_ms <= left.0 as f64
+            })
+    }
+
+    fn with_call_pool<T>(
+        &self,
+        service: &ServiceName,
+        tried: &[RunnerId],
+        f: impl FnOnce(&Runners, &mut CallState, &[&Runner], Millis) -> T,
+    ) -> T {
+        let draw = self.draw();
+        self.with_runners(|runners, now| {
+            let pressure = self.pressure_at(now);
+            let view = BackPressureView { pressure: &pressure, draw };
+            let pool = candidates_for_call(runners.candidates(service, view, now), tried);
+            f(runners, &mut self.calls.lock(), &pool, now)
+        })
+    }
+
+    /// Time between reports while a pool is busy; `None` where gateways do not share calls.
+    pub(crate) fn call_report_interval(&self) -> Option<Millis> {
+        if !self.calls_shared.load(Ordering::Relaxed) {
+            return None;
+        }
+        let gateways = self.runs.lock().peer_count(self.now()) + 1;
+        Some(self.calls.lock().pool.report_interval(gateways))
+    }
+
+    /// True if the peers must be told of this gateway's calls before the usual time.
+    pub(crate) fn is_call_report_due(&self) -> bool {
+        let Some(interval) = self.call_report_interval() else { return false };
+        if self.now().since(self.calls.lock().reported_at) < interval {
+            return false;
+        }
+        self.shared_services().iter().any(|service| {
+            self.with_call_pool(service, &[], |_, calls, pool, now| {
+                calls.pool.is_report_due(pool, now)
+            })
+        })
+    }
+
+    /// This gateway's calls, for a report to the peers; empty where calls are not shared.
+    pub(super) fn call_report(&self) -> CallPoolReport {
+        let is_shared = !self.shared_services().is_empty();
+        self.calls_shared.store(is_shared, Ordering::Relaxed);
+        let now = self.now();
+        let mut calls = self.calls.lock();
+        calls.reported_at = now;
+        if is_shared { calls.pool.report() } else { CallPoolReport::default() }
+    }
+
+    /// Merges the calls of a peer.
+    pub(super) fn merge_calls(&self, peer: &str, incarnation: u64, report: CallPoolReport) {
+        if self.calls_shared.load(Ordering::Relaxed) {
+            let now = self.now();
+            self.calls.lock().pool.merge(peer, incarnation, report, now);
+        }
+    }
+
+    /// Forgets the calls at a runner that is gone or has restarted.
+    pub(super) fn forget_calls(&self, runner: &RunnerId) {
+        self.calls.lock().pool.forget(runner);
+    }
+
+    /// Load of each shared pool, with the number of calls refused there.
+    pub(crate) fn call_pools(&self) -> Vec<(ServiceName, CallPoolLoad, u64)> {
+        let of = |service: ServiceName| {
+            let (load, refused) = self.with_call_pool(&service, &[], |_, calls, pool, now| {
+                let refused = calls.refused.get(&service).copied().unwrap_or(0);
+                (calls.pool.load(pool, now), refused)
+            });
+            (service, load, refused)
+        };
+        self.shared_services().into_iter().map(of).collect()
+    }
+}
+
+/// Counts a call as waiting until dropped.
+#[derive(Debug)]
+pub(crate) struct CallWait {
+    shared: Arc<SharedState>,
+    since: Millis,
+}
+
+impl CallWait {
+    pub(crate) fn begin(shared: &Arc<SharedState>) -> CallWait {
+        shared.calls.lock().pool.begin_waiting();
+        CallWait { shared: shared.clone(), since: shared.now() }
+    }
+
+    /// Time since the call began to wait.
+    pub(crate) fn length(&self) -> Millis {
+        self.shared.now().since(self.since)
+    }
+}
+
+impl Drop for CallWait {
+    fn drop(&mut self) {
+        self.shared.calls.lock().pool.end_waiting();
+    }
+}
+
+/// Counts a call as in flight at its runner until dropped.
+#[derive(Debug)]
+pub(crate) struct CallInFlight {
+    shared: Arc<SharedState>,
+    runner: RunnerId,
+    /// `None` where calls are not shared.
+    ticket: Option<CallTicket>,
+    started: Millis,
+    is_answered: bool,
+}
+
+impl CallInFlight {
+    pub(crate) fn begin(
+        shared: &Arc<SharedState>,
+        service: &ServiceName,
+        runner: &Runner,
+    ) -> CallInFlight {
+        let started = shared.now();
+        let ticket =
+            shared.shares_calls(service).then(|| shared.calls.lock().pool.begin(runner, started));
+        if ticket.is_some() && shared.is_call_report_due() {
+            shared.report_due.notify_one();
+        }
+        let (shared, runner) = (shared.clone(), runner.id.clone());
+        CallInFlight { shared, runner, ticket, started, is_answered: false }
+    }
+
+    /// Records that the runner has answered the call.
+    pub(crate) fn record_answer(&mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for CallInFlight {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else { return };
+        let now = self.shared.now();
+        let response = self.is_answered.then(|| now.since(self.started));
+        self.shared.calls.lock().pool.end(&self.runner, ticket, response, now);
+    }
+}
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -130,7 +130,9 @@
         let (incarnation, usage) = (report.incarnation, std::mem::take(&mut report.spends));
         let limits = std::mem::take(&mut report.limits);
         let leaving = std::mem::take(&mut report.leaving);
+        let calls = std::mem::take(&mut report.calls);
         if self.runs.lock().apply_report(peer, report, now) {
+            self.merge_calls(peer, incarnation, calls);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.merge_usage(peer, incarnation, &usage, true);
@@ -144,8 +146,10 @@
         let (incarnation, usage) = (report.incarnation, std::mem::take(&mut report.spends));
         let limits = std::mem::take(&mut report.limits);
         let leaving = std::mem::take(&mut report.leaving);
+        let calls = std::mem::take(&mut report.calls);
         let outcome = self.runs.lock().apply_delta(peer, delta, now);
         if outcome != DeltaOutcome::Stale {
+            self.merge_calls(peer, incarnation, calls);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.merge_usage(peer, incarnation, &usage, false);
@@ -186,6 +190,7 @@
         let failing = self.failure_reports();
         let limits = self.limit_reports();
         let leaving = self.with_runners(|runners, now| runners.directory.drain_reports(now));
+        let calls = self.call_report();
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
         let own = runs.own().cloned().collect();
@@ -205,6 +210,7 @@
             spends: UsageReport::default(),
             limits,
             leaving,
+            calls,
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`, `switching`,
-//! `crashes`, `pressure`, `quotas`, `lease`. No lock is held across an await point.
+//! `crashes`, `pressure`, `quotas`, `lease`, `calls`. No lock is held across an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -29,6 +29,7 @@
 use crate::settings::GatewayConfig;
 
 mod accounts;
+mod calls;
 mod confirmations;
 mod crashes;
 mod health;
@@ -41,6 +42,7 @@
 mod revisions;
 mod starts;
 
+pub(crate) use calls::{CallInFlight, CallPlacement, CallTimes, CallWait};
 pub(crate) use confirmations::{ConfirmationAges, ListEvidence, UpdateSource};
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
@@ -85,6 +87,10 @@
     quotas: Mutex<QuotaLimiter>,
     /// How long API keys may be accepted without confirmation by the store.
     lease: Mutex<ConfigLease>,
+    /// Plain calls over all gateways.
+    calls: Mutex<calls::CallState>,
+    /// True while gateways share the calls to some service.
+    calls_shared: AtomicBool,
     /// Selection of the gateways that watch the store.
     relays: Mutex<relays::RelayState>,
     /// Changes of the store that relays forward.
@@ -142,6 +148,8 @@
             pressure: Mutex::new(pressure),
             quotas: Mutex::new(quotas),
             lease: Mutex::default(),
+            calls: Mutex::default(),
+            calls_shared: AtomicBool::new(false),
             relays: Mutex::new(relays),
             relayed: Mutex::default(),
             relay_view: watch::Sender::default(),
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -59,6 +59,7 @@
             runners.directory.forget(id);
             runners.loads.forget(id);
         });
+        self.forget_calls(id);
         self.forget_run_ends(id);
     }
 
@@ -77,6 +78,7 @@
             return;
         }
         self.with_runners(|runners, _| runners.loads.forget(id));
+        self.forget_calls(id);
         self.forget_run_ends(id);
         for switching in self.switching.lock().values_mut() {
             switching.retain(|runner| runner != id);
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -22,6 +22,7 @@
     withheld_sends: Counter<u64>,
     state: Gauge<u64>,
     account_usage: Gauge<u64>,
+    call_pool: Gauge<u64>,
 }
 
 /// Quota use of a client account, in the unit of its quota.
@@ -37,6 +38,21 @@
     pub refused: u64,
 }
 
+/// State of the runners of a plain service that all gateways share.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallPoolMetrics {
+    /// Calls in flight, over all gateways.
+    pub in_flight: u64,
+    /// Calls that wait for a runner, over all gateways.
+    pub waiting: u64,
+    /// Calls that the runners process concurrently.
+    pub slots: u64,
+    /// Mean service time in ms.
+    pub service_time_ms: u64,
+    /// Calls that this gateway refused because the pool was full.
+    pub refused: u64,
+}
+
 /// Upper bounds of the latency buckets in ms. They are dense around the response-time targets of
 /// plain calls (about 0.3 s) and generations (about 1 s) and reach up to the longest timeouts.
 const LATENCY_BUCKETS_MS: &[f64] = &[
@@ -100,6 +116,10 @@
                 .u64_gauge("bulrush_gateway_account")
                 .with_description("Use of quotas by the client accounts that use most")
                 .build(),
+            call_pool: meter
+                .u64_gauge("bulrush_gateway_call_pool")
+                .with_description("Load of plain services whose calls the gateways share")
+                .build(),
             exporter,
         }
     }
@@ -115,6 +135,21 @@
         }
     }
 
+    /// Sets the load of a plain service.
+    pub fn set_call_pool(&self, service: &str, load: CallPoolMetrics) {
+        let CallPoolMetrics { in_flight, waiting, slots, service_time_ms, refused } = load;
+        for (what, value) in [
+            ("in_flight", in_flight),
+            ("waiting", waiting),
+            ("slots", slots),
+            ("service_time_ms", service_time_ms),
+            ("refused", refused),
+        ] {
+            let service = KeyValue::new("service", service.to_owned());
+            self.call_pool.record(value, &[service, KeyValue::new("what", what)]);
+        }
+    }
+
     /// Records the end of a request and its response time in ms.
     pub fn record_request(&self, kind: &'static str, outcome: &'static str, response_ms: f64) {
         let kind = KeyValue::new("kind", kind);
--- a/crates/bulrushusher_report/src/lib.rs
+++ b/crates/bulrushusher_report/src/lib.rs
@@ -9,4 +9,4 @@
 pub use class_stats::{ClassReport, ClassStats, LatencyTargets, Percentiles};
 pub use entry::EntryMetrics;
 pub use exporter::Exporter;
-pub use gateway::{AccountMetrics, GatewayMetrics};
+pub use gateway::{AccountMetrics, CallPoolMetrics, GatewayMetrics};
