--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    DrainReport, LimitReport, RunCounts, RunShape, SeenRevisions, SpeedReport, StartTime,
-    StartTimes, StoreContact,
+    CallPoolReport, DrainReport, LimitReport, RunCounts, RunShape, SeenRevisions, SpeedReport,
+    StartTime, StartTimes, StoreContact,
 };
 
 /// One run in a report.
@@ -120,6 +120,8 @@
     /// Number of prefills of the gateway that ended at each runner since its start, wrapping; only
     /// runners at which one ended in the last seconds.
     pub prefill_ends: Vec<(RunnerId, u64)>,
+    /// Plain calls of the gateway, by runner.
+    pub calls: CallPoolReport,
 }
 
 impl GatewayReport {
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -134,8 +134,10 @@
         let leaving = std::mem::take(&mut report.leaving);
         let speeds = std::mem::take(&mut report.speeds);
         let prefills = PeerPrefills::take(&mut report);
+        let calls = std::mem::take(&mut report.calls);
         if self.runs.lock().apply_report(peer, report, now) {
             self.merge_speeds(peer, speeds);
+            self.merge_calls(peer, incarnation, calls);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.prefill_ends.lock().merge(peer, prefills, now);
@@ -151,8 +153,10 @@
         let limits = std::mem::take(&mut report.limits);
         let leaving = std::mem::take(&mut report.leaving);
         let prefills = PeerPrefills::take(report);
+        let calls = std::mem::take(&mut report.calls);
         let outcome = self.runs.lock().apply_delta(peer, delta, now);
         if outcome != DeltaOutcome::Stale {
+            self.merge_calls(peer, incarnation, calls);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.prefill_ends.lock().merge(peer, prefills, now);
@@ -195,6 +199,7 @@
         let limits = self.limit_reports();
         let leaving = self.with_runners(|runners, now| runners.directory.drain_reports(now));
         let prefill_ends = self.prefill_ends.lock().report(self.now());
+        let calls = self.call_report();
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
         let own = runs.own().cloned().collect();
@@ -216,6 +221,7 @@
             leaving,
             speeds: Vec::new(),
             prefill_ends,
+            calls,
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
-//! `switching`, `crashes`, `pressure`, `quotas`, `lease`, `speeds`. No lock is held across an await
-//! point.
+//! `switching`, `crashes`, `pressure`, `quotas`, `lease`, `speeds`, `calls`. No lock is held across
+//! an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -30,6 +30,7 @@
 use crate::settings::GatewayConfig;
 
 mod accounts;
+mod calls;
 mod confirmations;
 mod crashes;
 mod health;
@@ -44,6 +45,7 @@
 mod speeds;
 mod starts;
 
+pub(crate) use calls::{CallInFlight, CallPlacement, CallTimes, CallWait};
 pub(crate) use confirmations::{ConfirmationAges, ListEvidence, UpdateSource};
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
@@ -92,6 +94,10 @@
     lease: Mutex<ConfigLease>,
     /// Speeds of model runners, by service.
     speeds: Mutex<HashMap<ServiceName, RunnerSpeeds>>,
+    /// Plain calls over all gateways.
+    calls: Mutex<calls::CallState>,
+    /// True while gateways share the calls to some service.
+    calls_shared: AtomicBool,
     /// Selection of the gateways that watch the store.
     relays: Mutex<relays::RelayState>,
     /// Changes of the store that relays forward.
@@ -151,6 +157,8 @@
             quotas: Mutex::new(quotas),
             lease: Mutex::default(),
             speeds: Mutex::default(),
+            calls: Mutex::default(),
+            calls_shared: AtomicBool::new(false),
             relays: Mutex::new(relays),
             relayed: Mutex::default(),
             relay_view: watch::Sender::default(),
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -60,6 +60,7 @@
             runners.loads.forget(id);
         });
         self.prefill_ends.lock().forget(id);
+        self.forget_calls(id);
         self.forget_run_ends(id);
     }
 
@@ -79,6 +80,7 @@
         }
         self.with_runners(|runners, _| runners.loads.forget(id));
         self.prefill_ends.lock().forget(id);
+        self.forget_calls(id);
         self.forget_run_ends(id);
         for switching in self.switching.lock().values_mut() {
             switching.retain(|runner| runner != id);
