In an uneven pool decide moves of runs with their runner's own pace

Cause: the growth of other gateways' runs since their last full report, and the growth until a move is complete, were extrapolated at one rate; at fast runners memory ran out before the move. Change: run_due_to_move takes the pace of the runner. It then sums what the runs hold and skips the cached forecast, which is computed with the service's rate. Placement keeps the service's rate. Tests of bulrushusher_forward and the patterns of bulrushusher_model pass.

--- a/crates/bulrushusher_forward/src/forecast.rs
+++ b/crates/bulrushusher_forward/src/forecast.rs
@@ -133,6 +133,25 @@
 }
 
 impl MemoryForecast {
+    /// The forecast for a runner that generates at `pace` tokens per ms; `None` for the service's
+    /// rate.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{ForecastConfig, LengthModel, MemoryForecast};
+    /// let forecast = MemoryForecast {
+    ///     lengths: LengthModel::default(),
+    ///     tokens_per_ms: 1.4,
+    ///     memory: 20_000.0,
+    ///     cfg: ForecastConfig::default(),
+    /// };
+    /// assert_eq!(forecast.at_pace(Some(2.9)).tokens_per_ms, 2.9);
+    /// assert_eq!(forecast.at_pace(None).tokens_per_ms, 1.4);
+    /// ```
+    #[must_use]
+    pub fn at_pace(self, pace: Option<f64>) -> MemoryForecast {
+        MemoryForecast { tokens_per_ms: pace.unwrap_or(self.tokens_per_ms), ..self }
+    }
+
     /// Upper limit of the forecast peak of a runner's memory use, in tokens.
     pub fn room(&self) -> f64 {
         self.memory * self.cfg.max_fill
@@ -205,6 +224,12 @@
         need
     }
 
+    /// The memory that `runs` hold now, without a forecast.
+    pub(crate) fn held_by(runs: &[RunShape]) -> MemoryNeed {
+        let now = runs.iter().map(RunShape::size).sum();
+        MemoryNeed { runs: runs.len(), now, ..MemoryNeed::default() }
+    }
+
     /// The combined need of both sets of runs.
     #[must_use]
     pub fn with(&self, other: &MemoryNeed) -> MemoryNeed {
--- a/crates/bulrushusher_forward/src/moves.rs
+++ b/crates/bulrushusher_forward/src/moves.rs
@@ -87,15 +87,23 @@
 
 impl Runs {
     /// The run, if it should move now: its runner is about to run out of memory and would preempt
-    /// it.
+    /// it. `pace` is the generation rate of a run at this runner in tokens per ms, where it differs
+    /// from the service's. Placement keeps the service's rate: with own rates it preempted more
+    /// runs, as all runs at a fast runner also end sooner.
     pub fn run_due_to_move(
         &self,
         run: RunNumber,
         forecast: &MemoryForecast,
+        pace: Option<f64>,
         now: Millis,
     ) -> Option<&RunReport> {
         let report = self.get(run)?;
-        let at_runner = self.need_at(&report.runner, forecast, now);
+        let forecast = forecast.at_pace(pace);
+        // The cached need was computed with the service's rate.
+        let at_runner = match pace {
+            Some(pace) => MemoryNeed::held_by(&self.shapes_at(&report.runner, pace, now)),
+            None => self.need_at(&report.runner, &forecast, now),
+        };
         let is_due = forecast.overflows_soon(&at_runner, MoveConfig::default())
             && self.is_newest(run, forecast.tokens_per_ms, now);
         is_due.then_some(report)
--- a/crates/bulrushusher_gateway/src/shared/moves.rs
+++ b/crates/bulrushusher_gateway/src/shared/moves.rs
@@ -24,7 +24,10 @@
             return MoveDecision::Stay;
         }
         let forecast = self.forecast(service);
-        let is_due = self.runs.lock().run_due_to_move(run, &forecast, self.now()).cloned();
+        let runs = self.runs.lock();
+        let pace = runs.get(run).and_then(|report| self.pace(service, &report.runner));
+        let is_due = runs.run_due_to_move(run, &forecast, pace, self.now()).cloned();
+        drop(runs);
         let Some(report) = is_due else { return MoveDecision::Stay };
         let draw = self.draw();
         match self
--- a/crates/bulrushusher_gateway/src/shared/speeds.rs
+++ b/crates/bulrushusher_gateway/src/shared/speeds.rs
@@ -19,6 +19,11 @@
         self.speeds.lock().get(service).map_or(1.0, |pool| pool.prefill_factor(runner))
     }
 
+    /// Generation rate of a run at the runner, in tokens per ms; `None` in an even pool.
+    pub(crate) fn pace(&self, service: &ServiceName, runner: &RunnerId) -> Option<f64> {
+        self.speeds.lock().get(service).filter(|_| self.uses_speeds())?.pace(runner)
+    }
+
     /// Records the generation rate of a run, in tokens per ms. A measurement of an earlier process
     /// start is ignored.
     pub(crate) fn record_pace(&self, runner: &Runner, tokens_per_ms: f64) {
--- a/crates/bulrushusher_model/src/fleet.rs
+++ b/crates/bulrushusher_model/src/fleet.rs
@@ -48,6 +48,12 @@
     pub failure_share: f64,
     /// Factor by which the steps of another decode engine take longer.
     pub slowdown: f64,
+    /// Factor by which every fourth decode engine is faster.
+    pub speedup: f64,
+    /// Whether moves are decided with the learned generation rate of each engine instead of the mean.
+    pub uses_paces: bool,
+    /// Whether most reports are deltas, which omit the progress of runs, as between real gateways.
+    pub sends_deltas: bool,
     /// Whether gateways avoid engines whose runs fail.
     pub avoids_failing: bool,
     /// Whether runs move to another engine before memory runs out.
@@ -69,6 +75,9 @@
             engine_lost_at: None,
             failure_share: 0.0,
             slowdown: 1.0,
+            speedup: 1.0,
+            uses_paces: false,
+            sends_deltas: false,
             avoids_failing: true,
             runs_move: false,
         }
--- a/crates/bulrushusher_model/src/run_moves.rs
+++ b/crates/bulrushusher_model/src/run_moves.rs
@@ -26,7 +26,8 @@
         let CallerState::Running { run, .. } = self.callers[caller].state else { return None };
         let gateway = &self.gateways[self.callers[caller].gateway];
         let forecast = self.memory_forecast(gateway);
-        let report = gateway.runs.run_due_to_move(run, &forecast, now)?;
+        let pace = self.speeds.pace(&gateway.runs.get(run)?.runner);
+        let report = gateway.runs.run_due_to_move(run, &forecast, pace, now)?;
         let failing = self.failing_runners(gateway, now);
         let draw = self.rng.random();
         let candidates = self.selection_context(&failing, now);
--- a/crates/bulrushusher_model/src/simulation.rs
+++ b/crates/bulrushusher_model/src/simulation.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 
 use bulrushusher_forward::{
-    AccountCost, GatewayReport, HealthConfig, LoadConfig, PeersConfig, QueueRank, RunNumber,
-    Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerHealth, RunnerLoads, Runs, Stage,
-    TimingConfig, TimingModel, WaitQueue,
+    AccountCost, GatewayDelta, GatewayReport, HealthConfig, LoadConfig, PeersConfig, QueueRank,
+    RunNumber, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerHealth, RunnerLoads,
+    RunnerSpeeds, RunnerSpeedsConfig, Runs, Stage, TimingConfig, TimingModel, WaitQueue,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
@@ -35,6 +35,8 @@
 const FAILING_ENGINE: usize = 1;
 /// Index of the decode engine that is slow, if the fleet has one.
 const SLOW_ENGINE: usize = 2;
+/// One in this number of decode engines is faster than the others, if some are.
+const FAST_EVERY: usize = 4;
 
 /// State of a caller.
 #[derive(Clone, Copy, Debug)]
@@ -77,6 +79,8 @@
     pub health: RunnerHealth,
     /// Sequence number of the last report.
     reports_sent: u64,
+    /// The last report.
+    last_report: GatewayReport,
 }
 
 pub(crate) struct Simulation<'a> {
@@ -89,6 +93,8 @@
     pub gateways: Vec<Gateway>,
     pub prefills: Vec<PrefillEngine>,
     pub decodes: Vec<DecodeEngine>,
+    /// Generation rates of the decode engines, which all gateways learn within seconds.
+    pub speeds: RunnerSpeeds,
     /// Reservations of each decode engine: caller and tokens.
     pub reservations: Vec<Vec<(usize, f64)>>,
     pub callers: Vec<Caller>,
@@ -103,9 +109,19 @@
 struct InFlightReport {
     sent_at: Millis,
     from: usize,
-    report: GatewayReport,
+    message: Message,
 }
 
+/// A full report, or what changed since the report before it.
+#[derive(Clone)]
+enum Message {
+    Full(GatewayReport),
+    Delta(GatewayDelta),
+}
+
+/// Number of reports between two full ones of a gateway that sends deltas: they are a second apart.
+const DELTAS_PER_FULL_REPORT: u64 = 1_000 / STEP.0;
+
 /// Simulates the callers until all are served, refused, failed or disconnected.
 pub fn simulate(fleet: &Fleet, callers: &[Arrival], seed: u64) -> Outcome {
     let mut simulation = Simulation::new(fleet, callers, seed);
@@ -135,6 +151,7 @@
             timing: TimingModel::new(TimingConfig::default()),
             health: RunnerHealth::new(HealthConfig::default()),
             reports_sent: 0,
+            last_report: GatewayReport::default(),
         };
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let caller = |arrival: &Arrival| Caller {
@@ -155,6 +172,7 @@
             gateways: (0..fleet.gateways).map(|_| gateway()).collect(),
             prefills: vec![PrefillEngine::default(); fleet.prefills],
             decodes: vec![DecodeEngine::default(); fleet.decodes],
+            speeds: RunnerSpeeds::new(RunnerSpeedsConfig::default()),
             reservations: vec![Vec::new(); fleet.decodes],
             outcome: Outcome { callers: callers.len(), ..Outcome::default() },
             callers,
@@ -244,10 +262,18 @@
         self.outcome.failed += 1;
     }
 
+    /// Factor by which the steps of a decode engine take longer than usual.
+    fn slowness(&self, decode: usize) -> f64 {
+        match decode {
+            SLOW_ENGINE => self.fleet.slowdown,
+            _ if decode.is_multiple_of(FAST_EVERY) => 1.0 / self.fleet.speedup,
+            _ => 1.0,
+        }
+    }
+
     fn generate(&mut self, now: Millis) {
         for decode in 0..self.decodes.len() {
-            let times = if decode == SLOW_ENGINE { self.fleet.slowdown } else { 1.0 };
-            let engine = self.fleet.engine.slower(times);
+            let engine = self.fleet.engine.slower(self.slowness(decode));
             let result = self.decodes[decode].step(&engine, now, STEP);
             for run in result.ended {
                 self.end(run, decode, now);
@@ -299,7 +325,15 @@
         if is_large(&arrival, self.fleet) {
             self.outcome.large_served += 1;
         }
-        let duration = Millis((run.total * self.fleet.engine.step_ms * 1.25) as u64);
+        let duration = match self.fleet.speedup > 1.0 {
+            true => now.since(started),
+            false => Millis((run.total * self.fleet.engine.step_ms * 1.25) as u64),
+        };
+        if self.fleet.uses_paces && !preempted && duration > Millis(0) {
+            let pace = run.total / duration.0 as f64;
+            self.speeds.record_pace(&self.runner_ids[decode], pace);
+            self.speeds.evaluate(now);
+        }
         let (expected, generated) = (arrival.expected as u64, run.total as u64);
         self.gateways[gateway].timing.record_generation(duration, expected, generated);
         self.release(n);
@@ -398,7 +432,11 @@
         {
             for to in (0..self.gateways.len()).filter(|to| *to != sent.from) {
                 let name = format!("g{}", sent.from);
-                self.gateways[to].runs.apply_report(&name, sent.report.clone(), now);
+                let runs = &mut self.gateways[to].runs;
+                match sent.message.clone() {
+                    Message::Full(report) => drop(runs.apply_report(&name, report, now)),
+                    Message::Delta(delta) => drop(runs.apply_delta(&name, delta, now)),
+                }
             }
         }
         for from in 0..self.gateways.len() {
@@ -413,7 +451,20 @@
                 failing: sender.health.reports(&BTreeSet::new(), now),
                 ..GatewayReport::default()
             };
-            self.reports.push_back(InFlightReport { sent_at: now, from, report });
+            let message = self.next_message(from, report);
+            self.reports.push_back(InFlightReport { sent_at: now, from, message });
+        }
+    }
+
+    /// The message for a report: a delta, or a full report if one is due.
+    fn next_message(&mut self, from: usize, report: GatewayReport) -> Message {
+        let is_full = !self.fleet.sends_deltas
+            || report.sequence == 1
+            || (report.sequence + from as u64).is_multiple_of(DELTAS_PER_FULL_REPORT);
+        let before = std::mem::replace(&mut self.gateways[from].last_report, report.clone());
+        match is_full {
+            true => Message::Full(report),
+            false => Message::Delta(GatewayDelta::between(&before, &report)),
         }
     }
 
