Make the choice among candidates of a plain call reproducible

Candidates are now in the order of their names; the choice by own calls sorted them itself before. A test for lost and repeated reports.

--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -64,10 +64,13 @@
     lowest_cost(&pool, selection.draw, cost).cloned()
 }
 
-/// Runners that a plain call may be sent to, apart from those that it was already sent to.
+/// Runners that a plain call may be sent to, apart from those that it was already sent to; in the
+/// order of their names, so that a choice by a random number can be reproduced.
 pub fn candidates_for_call<'a>(cx: SelectionContext<'a>, tried: &[RunnerId]) -> Vec<&'a Runner> {
     let usable: Vec<&Runner> = cx.open().filter(|r| !tried.contains(&r.id)).collect();
-    without_full(cx, without_unreachable_or_failing(cx, usable))
+    let mut pool = without_full(cx, without_unreachable_or_failing(cx, usable));
+    pool.sort_by(|a, b| a.id.cmp(&b.id));
+    pool
 }
 
 /// Drops runners that refused a call or hold recently, unless no others are left. Each refusal
--- a/crates/bulrushusher_forward/tests/call_pool.rs
+++ b/crates/bulrushusher_forward/tests/call_pool.rs
@@ -161,6 +161,25 @@
     }
 }
 
+/// Lost and repeated reports change no totals, and the first report of a peer's start is a baseline:
+/// its calls may be hours old.
+#[test]
+fn each_reported_call_counts_once() {
+    let runners: Vec<Runner> = (1..3).map(runner).collect();
+    let members: Vec<&Runner> = runners.iter().collect();
+    let service_ms = |reports: &[(u64, u64)]| {
+        let mut pool = CallPool::new(CallPoolConfig::default());
+        for (incarnation, nth) in reports {
+            pool.merge("g1", *incarnation, report(1, 0, *nth), NOW);
+        }
+        pool.load(&members, NOW).service_ms
+    };
+    assert!(service_ms(&[(1, 9)]) == 0.0, "a baseline only");
+    assert!(service_ms(&[(1, 9), (2, 30)]) == 0.0, "a restart is another baseline");
+    assert!((service_ms(&[(1, 1), (1, 5)]) - 30.0).abs() < 0.1, "reports 2 to 4 were lost");
+    assert!((service_ms(&[(1, 1), (1, 5), (1, 5)]) - 30.0).abs() < 0.1);
+}
+
 /// A restarted runner has none of the calls of its previous start, and a call that ends late does
 /// not count against the new one.
 #[test]
