--- a/crates/bulrushusher_forward/src/call_pool.rs
+++ b/crates/bulrushusher_forward/src/call_pool.rs
@@ -87,7 +87,7 @@
             min_interval: Millis(50),
             max_interval: Millis(500),
             busy_share: 0.5,
-            calls_per_report: 4,
+            calls_per_report: 8,
             report_delay: Millis(20),
             forget_after_intervals: 3,
             min_forget_after: Millis(400),
