Let requests wait shortly for the usage that a starting gateway does not know yet

Cause: for the milliseconds between its first request and the first full report of a peer, a restarted gateway has only the start allowance of each account and refuses what exceeds it. A peer that still knows it at its address sends no full report by itself before its next periodic one, or before the gateway has asked after a gap. Change: a starting gateway requests a full report from the first four peers that it finds. A request that the bucket would refuse waits for the first full report of a synced peer, for at most 100 ms (`quota: waited for usage id=... ms=...`), and only within a second of finding the peers, so that a restart of all gateways delays few requests. No lock is held meanwhile and nothing is charged. Without an answer the request is refused as before.

--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -33,6 +33,10 @@
 /// deducted from them. Of ten gateways or more, one sends a full report every 100 ms.
 const UNADOPTED_TTL: Millis = Millis(200);
 
+/// Time after other gateways are first found in which their usage is expected. Without a report
+/// after a second, all of them have probably started as well, and waiting longer helps no request.
+const USAGE_EXPECTED_FOR: Millis = Millis(1_000);
+
 /// Drops the accounts without recent activity from a report that exceeds the size limit.
 fn keep_reportable<B: Borrow<Bucket>>(buckets: &mut Vec<B>) {
     if buckets.len() > MAX_REPORTED_ACCOUNTS {
@@ -71,6 +75,8 @@
     unadopted: Option<(UsageReport, Millis)>,
     /// Number of other gateways that have announced themselves outside the reports.
     announced_peers: usize,
+    /// When other gateways were first announced.
+    peers_found_at: Option<Millis>,
     /// The membership and the time at which it was computed.
     membership: (Membership, Millis),
 }
@@ -88,6 +94,7 @@
             peers: HashMap::new(),
             unadopted: None,
             announced_peers: 0,
+            peers_found_at: None,
             membership: (Membership { live: 1, gateways: 1 }, Millis(0)),
         }
     }
@@ -125,8 +132,11 @@
     }
 
     /// Sets the number of other gateways that have announced themselves.
-    pub fn set_announced_peers(&mut self, count: usize) {
+    pub fn set_announced_peers(&mut self, count: usize, now: Millis) {
         self.announced_peers = count;
+        if count > 0 {
+            self.peers_found_at.get_or_insert(now);
+        }
     }
 
     /// Admits a request and charges its cost, in units, to the account. An account without a
@@ -168,6 +178,43 @@
         Ok(())
     }
 
+    /// True when a request should wait for the reports of other gateways before [`Self::admit`]:
+    /// this gateway has just found them, does not know their usage yet, and would refuse the
+    /// request. Nothing is charged.
+    ///
+    /// ```
+    /// use bulrushusher_accounts::{Quota, QuotaConfig, QuotaLimiter, UsageReport};
+    /// use bulrushusher_time::Millis;
+    /// let name = "studio-7".try_into().unwrap();
+    /// let quota = Quota { per_second: 100.0, burst: 500.0 };
+    /// let mut limiter = QuotaLimiter::new(QuotaConfig::default(), Millis(0));
+    /// limiter.set_quotas([(&name, Some(quota))], Millis(0));
+    /// assert!(!limiter.awaits_usage(&name, 400, Millis(0)));
+    /// limiter.set_announced_peers(1, Millis(0));
+    /// assert!(limiter.awaits_usage(&name, 400, Millis(0)));
+    /// let usage = UsageReport { synced: true, accounts: Vec::new() };
+    /// limiter.merge_report("gateway-2", 1, &usage, true, Millis(30));
+    /// assert!(!limiter.awaits_usage(&name, 400, Millis(60)));
+    /// assert!(limiter.admit(&name, 400, Millis(60)).is_ok());
+    /// ```
+    pub fn awaits_usage(&mut self, account: &ClientAccountName, cost: u64, now: Millis) -> bool {
+        self.refresh(now);
+        let is_found = |at: Millis| now.since(at) < USAGE_EXPECTED_FOR;
+        if self.is_synced || !self.peers_found_at.is_some_and(is_found) {
+            return false;
+        }
+        let (cfg, weight) = (self.cfg, self.weight(account, now));
+        let Some(bucket) = self.buckets.get_mut(account) else { return false };
+        bucket.refill(&cfg, weight, now);
+        let missing = bucket.quota.map(|quota| bucket.shortfall(&cfg, quota, weight, cost as f64));
+        missing.is_some_and(|missing| missing > 0.0)
+    }
+
+    /// True once usage before this gateway's start is known or has left the window.
+    pub fn is_synced(&self) -> bool {
+        self.is_synced
+    }
+
     /// Refunds the cost of an admitted request that was not run.
     pub fn refund(&mut self, account: &ClientAccountName, cost: u64, now: Millis) {
         if let Some(bucket) = self.buckets.get_mut(account) {
--- a/crates/bulrushusher_accounts/tests/restart.rs
+++ b/crates/bulrushusher_accounts/tests/restart.rs
@@ -35,7 +35,7 @@
     fn start(nth: usize, now: u64, others: usize) -> Gateway {
         let mut limiter = QuotaLimiter::new(CFG, Millis(now));
         limiter.set_quotas(accounts().iter().map(|name| (name, Some(QUOTA))), Millis(now));
-        limiter.set_announced_peers(others);
+        limiter.set_announced_peers(others, Millis(now));
         Gateway { name: format!("gateway-{nth}"), incarnation: now, limiter }
     }
 
@@ -219,7 +219,7 @@
         peer.limiter.admit(&accounts()[0], left, Millis(now)).unwrap();
     }
     let mut limiter = QuotaLimiter::new(CFG, Millis(now));
-    limiter.set_announced_peers(2);
+    limiter.set_announced_peers(2, Millis(now));
     let mut restarted = Gateway { limiter, ..Gateway::start(9, now, 2) };
     for peer in &mut peers {
         let usage = peer.limiter.resync_report(Millis(now));
--- a/crates/bulrushusher_gateway/src/callers/admission.rs
+++ b/crates/bulrushusher_gateway/src/callers/admission.rs
@@ -12,11 +12,12 @@
 use crate::runners::router::Router;
 
 impl<D: Dialect> Router<D> {
-    /// Authenticates the caller and charges the request against its account's quota.
+    /// Authenticates the caller and charges the request against its account's quota. A gateway that
+    /// has just started may wait for the usage that others report.
     ///
     /// # Errors
     /// The refusal when access is denied or the quota is used up.
-    pub(crate) fn admit(
+    pub(crate) async fn admit(
         &self,
         routing: &RoutingConfig,
         route: &Route,
@@ -38,6 +39,9 @@
             }
         };
         let cost = account.cost(request.size.as_ref().map(|size| size.prompt + size.max_output));
+        if let Some(waited) = self.shared.wait_for_usage(&account.name, cost).await {
+            log::info!("quota: waited for usage id={} ms={}", request.id, waited.0);
+        }
         if let Err(over) = self.shared.charge(&account.name, cost) {
             log_over_quota(request, &account, cost, &over);
             return Err(Refusal::OverQuota { retry_after: over.retry_after });
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -143,7 +143,7 @@
         if let Some(refusal) = self.refuse_while_stopping(&fwd) {
             return (kind, Err(refusal));
         }
-        fwd.caller = match self.router.admit(&routing, &fwd.route, head, request) {
+        fwd.caller = match self.router.admit(&routing, &fwd.route, head, request).await {
             Ok(caller) => caller,
             Err(refusal) => return (kind, Err(refusal)),
         };
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -39,6 +39,10 @@
 /// milliseconds, unless the link is so congested that another request makes it worse.
 const FULL_REQUEST_INTERVAL: Millis = Millis(200);
 
+/// Number of peers that a starting gateway requests a full report from. Some of them may have just
+/// started too, and not know the usage of client accounts either.
+const FIRST_REQUESTS: usize = 4;
+
 /// Number of times that a crash update is sent. With 10 % datagram loss, one in a thousand peers
 /// receives none of three; it then learns of the crash from the store and the replies of peers.
 const CRASH_UPDATE_SENDS: u32 = 3;
@@ -74,10 +78,16 @@
         );
     }
 
-    /// Discovers peers by their announcements, and sends each new one a full report.
+    /// Discovers peers by their announcements, and sends each new one a full report. A gateway that
+    /// has just started requests one from the first few.
     async fn discover(&self, socket: &UdpSocket) {
         for nth in 0.. {
-            for address in self.announcer.read(nth).await {
+            let discovered = self.announcer.read(nth).await;
+            if self.shared.needs_usage() {
+                let asked = &discovered[..discovered.len().min(FIRST_REQUESTS)];
+                self.send_message(socket, Message::RequestFull, asked).await;
+            }
+            for address in discovered {
                 self.send_full_report(socket, address).await;
             }
         }
--- a/crates/bulrushusher_gateway/src/shared/accounts.rs
+++ b/crates/bulrushusher_gateway/src/shared/accounts.rs
@@ -10,6 +10,10 @@
 
 use super::SharedState;
 
+/// Maximum wait of a request for the usage at other gateways. They answer within milliseconds; a
+/// longer wait would use up the target of short calls.
+const MAX_USAGE_WAIT: Millis = Millis(100);
+
 impl SharedState {
     /// Renews the lease on the configuration: the store confirmed the configuration in response to
     /// a request sent at `requested_at`.
@@ -76,6 +80,28 @@
         Ok(())
     }
 
+    /// Waits for the usage that other gateways report if the request would be refused only because
+    /// this gateway has just started. Returns the time waited, or `None` if there was no wait.
+    pub(crate) async fn wait_for_usage(
+        &self,
+        account: &ClientAccountName,
+        cost: u64,
+    ) -> Option<Millis> {
+        let mut usage_known = self.usage_known.subscribe();
+        let began = self.now();
+        if !self.quotas.lock().awaits_usage(account, cost, began) {
+            return None;
+        }
+        let known = usage_known.wait_for(|is_known| *is_known);
+        tokio::time::timeout(MAX_USAGE_WAIT.duration(), known).await.ok();
+        Some(self.now().since(began))
+    }
+
+    /// True until the usage before this gateway's start is known or has left the window.
+    pub(crate) fn needs_usage(&self) -> bool {
+        !self.quotas.lock().is_synced()
+    }
+
     /// Refunds a charged request that has not run.
     pub(crate) fn refund(&self, account: &ClientAccountName, cost: u64) {
         self.quotas.lock().refund(account, cost, self.now());
@@ -99,13 +125,18 @@
         usage: &UsageReport,
         full: bool,
     ) {
-        self.quotas.lock().merge_report(peer, incarnation, usage, full, self.now());
+        let mut quotas = self.quotas.lock();
+        quotas.merge_report(peer, incarnation, usage, full, self.now());
+        let is_known = quotas.is_synced();
+        drop(quotas);
+        self.usage_known
+            .send_if_modified(|before| !std::mem::replace(before, is_known) && is_known);
     }
 
     /// Sets the number of other gateways that have announced themselves.
     pub(crate) fn set_announced_gateways(&self, others: usize) {
         self.pressure.lock().set_announced(others);
-        self.quotas.lock().set_announced_peers(others);
+        self.quotas.lock().set_announced_peers(others, self.now());
     }
 
     /// Usage of every account.
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -83,6 +83,8 @@
     pressure: Mutex<BackPressure>,
     /// Quota usage of client accounts.
     quotas: Mutex<QuotaLimiter>,
+    /// True once the usage of client accounts before this gateway's start is known.
+    usage_known: watch::Sender<bool>,
     /// How long API keys may be accepted without confirmation by the store.
     lease: Mutex<ConfigLease>,
     /// Selection of the gateways that watch the store.
@@ -141,6 +143,7 @@
             crashes: Mutex::new(crashes::CrashState::new(quarantine)),
             pressure: Mutex::new(pressure),
             quotas: Mutex::new(quotas),
+            usage_known: watch::Sender::default(),
             lease: Mutex::default(),
             relays: Mutex::new(relays),
             relayed: Mutex::default(),
--- a/crates/bulrushusher_model/src/quotas.rs
+++ b/crates/bulrushusher_model/src/quotas.rs
@@ -375,7 +375,7 @@
 ) -> Gateway {
     let mut limiter = QuotaLimiter::new(load.cfg, Millis(running_from));
     limiter.set_quotas([(account, Some(quota))], Millis(running_from));
-    limiter.set_announced_peers(load.gateways - 1);
+    limiter.set_announced_peers(load.gateways - 1, Millis(running_from));
     Gateway {
         limiter,
         incarnation: running_from,
