Do not fill buckets a second time a window after a restart of all gateways

Cause: gateways that all restart begin with low buckets. A window later each bucket got a whole capacity in addition, as the difference to one that had started full. At usual demand the refills had filled it meanwhile, so what was used up in the seconds before was granted again. The model also sums the entitled requests that were refused, and the test of rolling restarts covers the new pattern with it.

--- a/crates/bulrushusher_accounts/src/bucket.rs
+++ b/crates/bulrushusher_accounts/src/bucket.rs
@@ -49,6 +49,9 @@
     /// Part of the level granted to all gateways together after a restart of all of them; this
     /// gateway may use only its share of it.
     start_grant: f64,
+    /// Units that the bucket would hold in addition had it started full. Refills of a full bucket
+    /// are lost, so this shrinks to the room that is left.
+    start_missing: f64,
     pub refilled_at: Millis,
     /// Units admitted by this gateway, less refunds.
     pub used: u64,
@@ -73,6 +76,7 @@
             quota: None,
             level: 0.0,
             start_grant: 0.0,
+            start_missing: 0.0,
             refilled_at,
             used: 0,
             reported: 0,
@@ -102,17 +106,28 @@
     pub(crate) fn start_unsynced(&mut self, cfg: &QuotaConfig) {
         self.start_grant = self.quota.map_or(0.0, |quota| cfg.start_allowance(quota));
         self.level = self.start_grant;
+        self.start_missing = self.quota.map_or(0.0, |quota| cfg.capacity(quota)) - self.level;
+    }
+
+    /// Sets the level once usage before the start has left the window: the one that the bucket
+    /// would have had it started full.
+    pub(crate) fn finish_start(&mut self, cfg: &QuotaConfig, now: Millis) {
+        let capacity = self.quota.map_or(0.0, |quota| cfg.capacity(quota));
+        self.sync((self.level + self.start_missing).min(capacity), now);
     }
 
     /// Sets the level once earlier usage is known or has left the window.
     pub(crate) fn sync(&mut self, level: f64, now: Millis) {
-        (self.level, self.refilled_at, self.start_grant) = (level, now, 0.0);
+        (self.level, self.refilled_at) = (level, now);
+        (self.start_grant, self.start_missing) = (0.0, 0.0);
     }
 
     pub(crate) fn refill(&mut self, cfg: &QuotaConfig, weight: f64, now: Millis) {
         if self.quota.is_some() {
             self.level = self.level_at(cfg, weight, now);
             self.refilled_at = self.refilled_at.max(now);
+            let capacity = self.quota.map_or(0.0, |quota| cfg.capacity(quota));
+            self.start_missing = self.start_missing.min(capacity - self.level).max(0.0);
         }
     }
 
--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -410,8 +410,7 @@
         let weight = self.membership.0.live_fraction();
         for bucket in self.buckets.values_mut() {
             bucket.refill(&self.cfg, weight, now);
-            let capacity = bucket.quota.map_or(0.0, |quota| self.cfg.capacity(quota));
-            bucket.sync((bucket.level + capacity).min(capacity), now);
+            bucket.finish_start(&self.cfg, now);
         }
     }
 
--- a/crates/bulrushusher_model/src/quota_patterns.rs
+++ b/crates/bulrushusher_model/src/quota_patterns.rs
@@ -24,6 +24,10 @@
     /// Gateways restart one after the other at the usual demand.
     #[display("rolling restart, usual demand")]
     UsualRollingRestart,
+    /// All gateways are killed at the same time and restart a second later, once, at the usual
+    /// demand.
+    #[display("total restart, usual demand")]
+    UsualTotalRestart,
     /// A network partition into two halves while the account is hot.
     #[display("two halves")]
     Partition,
@@ -37,13 +41,14 @@
 
 impl QuotaPattern {
     /// All patterns.
-    pub const ALL: [QuotaPattern; 9] = [
+    pub const ALL: [QuotaPattern; 10] = [
         QuotaPattern::Usual,
         QuotaPattern::HotAccount,
         QuotaPattern::LoweredQuota,
         QuotaPattern::TotalRestart,
         QuotaPattern::RollingRestart,
         QuotaPattern::UsualRollingRestart,
+        QuotaPattern::UsualTotalRestart,
         QuotaPattern::Partition,
         QuotaPattern::TenthIsolated,
         QuotaPattern::LostReports,
@@ -51,8 +56,8 @@
 
     /// Whether demand is far above the quota for some seconds.
     pub(crate) fn is_hot(self) -> bool {
-        use QuotaPattern::{LoweredQuota, Usual, UsualRollingRestart};
-        !matches!(self, Usual | LoweredQuota | UsualRollingRestart)
+        use QuotaPattern::{LoweredQuota, Usual, UsualRollingRestart, UsualTotalRestart};
+        !matches!(self, Usual | LoweredQuota | UsualRollingRestart | UsualTotalRestart)
     }
 
     /// Share of lost reports between gateways.
--- a/crates/bulrushusher_model/src/quotas.rs
+++ b/crates/bulrushusher_model/src/quotas.rs
@@ -55,6 +55,8 @@
     pub admitted: f64,
     /// Entitled units in excess of the admitted ones, summed per window.
     pub lost: f64,
+    /// Entitled units of requests that a gateway refused, whatever was admitted instead.
+    pub refused: f64,
     /// Largest use in any window, relative to the allentitled use.
     pub worst_window: f64,
     /// Rate of non-empty reports from one gateway to another, per second.
@@ -62,6 +64,12 @@
 }
 
 impl QuotaOutcome {
+    /// Share of the entitled units whose requests were refused. Meaningful below the quota: a hot
+    /// account gets other requests admitted instead.
+    pub fn refused_share(&self) -> f64 {
+        self.refused / self.entitled.max(1.0)
+    }
+
     /// Share of the entitled units that was lost.
     pub fn lost_share(&self) -> f64 {
         self.lost / self.entitled.max(1.0)
@@ -205,7 +213,8 @@
             if self.gateways[nth].running_from > now {
                 continue;
             }
-            if self.ideal_bucket >= cost as f64 {
+            let is_entitled = self.ideal_bucket >= cost as f64;
+            if is_entitled {
                 self.ideal_bucket -= cost as f64;
                 entitled += cost as f64;
             }
@@ -213,6 +222,8 @@
             if gateway.limiter.admit(&self.account, cost, Millis(now)).is_ok() {
                 admitted += cost as f64;
                 gateway.is_report_due |= gateway.limiter.is_report_due(&self.account);
+            } else if is_entitled {
+                self.outcome.refused += cost as f64;
             }
         }
         self.entitled.push(entitled);
@@ -248,6 +259,9 @@
             QuotaPattern::TotalRestart if KILL_TIMES_MS.contains(&since) => {
                 (0..self.gateways.len()).for_each(|nth| self.restart(nth, now));
             }
+            QuotaPattern::UsualTotalRestart if since == KILL_TIMES_MS[0] => {
+                (0..self.gateways.len()).for_each(|nth| self.restart(nth, now));
+            }
             QuotaPattern::RollingRestart | QuotaPattern::UsualRollingRestart
                 if fault.span().contains(&now) =>
             {
--- a/crates/bulrushusher_model/tests/quotas.rs
+++ b/crates/bulrushusher_model/tests/quotas.rs
@@ -38,10 +38,14 @@
 /// Guards against gateways that charged usage of their peers again after a restart: they refused up
 /// to 4 % of the entitlement of an account far below its quota.
 #[test]
-fn a_rolling_restart_refuses_hardly_any_of_the_entitlement() {
-    for gateways in FLEETS {
-        let outcome = simulate(QuotaPattern::UsualRollingRestart, gateways, Sharing::Told);
-        assert!(outcome.lost_share() < 0.01, "{gateways}: {outcome:?}");
+fn a_restart_refuses_hardly_any_of_the_entitlement() {
+    use QuotaPattern::{UsualRollingRestart, UsualTotalRestart};
+    for pattern in [UsualRollingRestart, UsualTotalRestart] {
+        for gateways in FLEETS {
+            let outcome = simulate(pattern, gateways, Sharing::Told);
+            assert!(outcome.lost_share() < 0.01, "{pattern} {gateways}: {outcome:?}");
+            assert!(outcome.refused_share() < 0.01, "{pattern} {gateways}: {outcome:?}");
+        }
     }
 }
 
@@ -83,6 +87,8 @@
 /// restart of all of them, or a partition outlasted the time after which the others take over the
 /// share of an unreachable gateway. A gateway that had just started did not deduct what the
 /// unreachable ones could have used, and no gateway deducted the remaining content of the bucket.
+/// Also guards against buckets that were filled a second time a window after a restart of all
+/// gateways, although they had been full meanwhile.
 #[test]
 fn no_window_exceeds_the_allowance_under_any_pair_of_faults() {
     for first in QuotaPattern::ALL {
