Keep an adopted level until the other peers had time to report

Cause: a starting gateway that has adopted levels from its first peer counts the peers that it has not heard yet as silent. The next refill cut the levels to the share of those heard, 2 of 21 for instance, and they took seconds to come back. The rate of refills follows the share as before.

--- a/crates/bulrushusher_accounts/src/bucket.rs
+++ b/crates/bulrushusher_accounts/src/bucket.rs
@@ -52,6 +52,8 @@
     /// Units that the bucket would hold in addition had it started full. Refills of a full bucket
     /// are lost, so this shrinks to the room that is left.
     start_missing: f64,
+    /// Until then the level is not limited to this gateway's share, see [`Bucket::adopt`].
+    whole_until: Millis,
     pub refilled_at: Millis,
     /// Units admitted by this gateway, less refunds.
     pub used: u64,
@@ -77,6 +79,7 @@
             level: 0.0,
             start_grant: 0.0,
             start_missing: 0.0,
+            whole_until: Millis(0),
             refilled_at,
             used: 0,
             reported: 0,
@@ -122,6 +125,13 @@
         (self.start_grant, self.start_missing) = (0.0, 0.0);
     }
 
+    /// Sets the level that another gateway reports. It already is limited to the share of the
+    /// gateways that this one hears, and the others have yet to report to a gateway that starts.
+    pub(crate) fn adopt(&mut self, level: f64, cfg: &QuotaConfig, now: Millis) {
+        self.sync(level, now);
+        self.whole_until = now.plus(cfg.silent_after);
+    }
+
     pub(crate) fn refill(&mut self, cfg: &QuotaConfig, weight: f64, now: Millis) {
         if self.quota.is_some() {
             self.level = self.level_at(cfg, weight, now);
@@ -135,7 +145,8 @@
     fn level_at(&self, cfg: &QuotaConfig, weight: f64, now: Millis) -> f64 {
         let Some(quota) = self.quota else { return self.level };
         let passed = now.since(self.refilled_at).0 as f64;
-        let share = if self.start_grant > 0.0 { 1.0 } else { weight };
+        let is_whole = self.start_grant > 0.0 || now < self.whole_until;
+        let share = if is_whole { 1.0 } else { weight };
         let capacity = cfg.capacity(quota) * share;
         (self.level + passed * refill_rate(cfg, quota, weight)).min(capacity)
     }
--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -336,7 +336,7 @@
             let level = counters.get(&bucket.id).map(|counter| {
                 counter.remaining.map_or(capacity * REPORTED_BELOW, |remaining| remaining as f64)
             });
-            bucket.sync(level.unwrap_or(capacity).min(capacity), now);
+            bucket.adopt(level.unwrap_or(capacity).min(capacity), &self.cfg, now);
         }
     }
 
--- a/crates/bulrushusher_accounts/tests/restart.rs
+++ b/crates/bulrushusher_accounts/tests/restart.rs
@@ -209,6 +209,27 @@
     assert_eq!(adopted_from(&mut peer, now).available(account, now), 0);
 }
 
+/// Guards against adopted levels that were cut to the share of the peers heard so far: a starting
+/// gateway lost them within the milliseconds until it heard the others.
+#[test]
+fn an_adopted_level_is_kept_until_the_other_peers_had_time_to_report() {
+    let (mut peers, now) = running(10, 20, 0.6);
+    let usage = peers[0].limiter.resync_report(Millis(now));
+    let mut restarted = Gateway::start(10, now, peers.len());
+    restarted.merge(&peers[0], &usage, true, now);
+    let now = now + 60;
+    let account = &accounts()[0];
+    peers[0].limiter.admit(account, COST, Millis(now)).unwrap();
+    for peer in &mut peers {
+        let delta = peer.limiter.next_report(false, Millis(now));
+        restarted.merge(peer, &delta, false, now);
+    }
+    let later = now + 100;
+    let available = restarted.available(account, later);
+    let at_peer = peers[0].available(account, later);
+    assert!(available >= 25_000 && available <= at_peer, "{available}, at a peer {at_peer}");
+}
+
 /// Guards against full buckets where the peers are found before the configuration is read: there
 /// was no bucket yet that could have adopted a level.
 #[test]
