--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -336,7 +336,7 @@
             let level = counters.get(&bucket.id).map(|counter| {
                 counter.remaining.map_or(capacity * REPORTED_BELOW, |remaining| remaining as f64)
             });
-            bucket.sync(level.unwrap_or(capacity).min(capacity), now);
+            bucket.adopt(level.unwrap_or(capacity).min(capacity), &self.cfg, now);
         }
     }
 
@@ -410,8 +410,7 @@
         let weight = self.membership.0.live_fraction();
         for bucket in self.buckets.values_mut() {
             bucket.refill(&self.cfg, weight, now);
-            let capacity = bucket.quota.map_or(0.0, |quota| self.cfg.capacity(quota));
-            bucket.sync((bucket.level + capacity).min(capacity), now);
+            bucket.finish_start(&self.cfg, now);
         }
     }
 
