Report speeds and ended prefills only where peers can use them

Cause: speeds took 88 bytes a second to each peer and ended prefills some 20 bytes in each report, whatever the number of gateways and although even pools use neither: with 492 gateways that is some 40 KB/s each, where 8 KB/s are allowed for all control traffic (worked out, not measured). Change: ended prefills are reported only while a pool is uneven or late prefills are waited for by the settings; speeds only by fewer than 90 gateways, beyond which each relies on its own measurements. Measured: the process tests of late prefills, shared calls and speeds pass.

--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -198,7 +198,7 @@
         let failing = self.failure_reports();
         let limits = self.limit_reports();
         let leaving = self.with_runners(|runners, now| runners.directory.drain_reports(now));
-        let prefill_ends = self.prefill_ends.lock().report(self.now());
+        let prefill_ends = self.prefill_end_report();
         let calls = self.call_report();
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
--- a/crates/bulrushusher_gateway/src/shared/prefills.rs
+++ b/crates/bulrushusher_gateway/src/shared/prefills.rs
@@ -13,6 +13,19 @@
         setting.applies(self.is_uneven(service))
     }
 
+    /// True if late prefills of some service are waited for, so that peers must hear of ended ones.
+    fn waits_for_any_late_prefills(&self) -> bool {
+        self.cfg.load().patient_prefills.applies(self.has_uneven_pool())
+    }
+
+    /// Ended prefills of this gateway, for a report to the peers; empty where none uses them.
+    pub(super) fn prefill_end_report(&self) -> Vec<(RunnerId, u64)> {
+        match self.waits_for_any_late_prefills() {
+            true => self.prefill_ends.lock().report(self.now()),
+            false => Vec::new(),
+        }
+    }
+
     /// Records the end of a prefill whose prompt was sent at `sent`. It is reported to the peers
     /// with the next report. An end at an earlier process start is ignored.
     pub(crate) fn record_prefill_end(&self, runner: &Runner, sent: Millis) {
--- a/crates/bulrushusher_gateway/src/shared/speeds.rs
+++ b/crates/bulrushusher_gateway/src/shared/speeds.rs
@@ -5,12 +5,21 @@
 
 use super::SharedState;
 
+/// Gateways above which speeds are not reported: at 88 bytes a second to each peer, reports would
+/// take more than the network budget of 8 KB/s. Each gateway then relies on its own measurements.
+const MAX_REPORTING_GATEWAYS: usize = 90;
+
 impl SharedState {
     /// True while the model runners of the service differ in speed.
     pub(crate) fn is_uneven(&self, service: &ServiceName) -> bool {
         self.uses_speeds() && self.speeds.lock().get(service).is_some_and(RunnerSpeeds::is_uneven)
     }
 
+    /// True while the model runners of some service differ in speed.
+    pub(super) fn has_uneven_pool(&self) -> bool {
+        self.uses_speeds() && self.speeds.lock().values().any(RunnerSpeeds::is_uneven)
+    }
+
     /// Duration of a prefill at the runner relative to the service's mean; 1 in an even pool.
     pub(crate) fn prefill_factor(&self, service: &ServiceName, runner: &RunnerId) -> f64 {
         if !self.uses_speeds() {
@@ -38,6 +47,9 @@
     /// Measurements of this gateway for the next full report.
     pub(crate) fn take_speed_reports(&self) -> Vec<SpeedReport> {
         let (runs, now) = (self.runs.lock(), self.now());
+        if runs.peer_count(now) >= MAX_REPORTING_GATEWAYS {
+            return Vec::new();
+        }
         let mut speeds = self.speeds.lock();
         speeds.values_mut().flat_map(|pool| pool.take_reports(runs.starts(), now)).collect()
     }
