Settings and types for regions and residency; every selection of a runner takes the places of its request

Cause: no decision knew a place larger than a data centre. On three regions 30 ms apart, 68 % of generations ran in another region than their gateway, and regions to which requests are restricted were read nowhere.

Change: RegionName, Topology and Residency in bulrushusher_world; the settings region and data_centres; Route and Account have a residency. SelectionContext has a mandatory PlaceView, by which each list of candidates is filtered, and the gateway's selections take a Destination (service and residency in force) instead of a service. A name that no region can have matches nothing and does not keep the rest of a configuration from taking effect. The log line of a runner's entry shows its data centre.

Result: with one region all selections are as before; tests of the world, accounts and forward crates and of the settings template pass.

--- a/crates/bulrushusher_accounts/src/account.rs
+++ b/crates/bulrushusher_accounts/src/account.rs
@@ -1,7 +1,7 @@
 //! A validated client account.
 
 use bulrushusher_time::Millis;
-use bulrushusher_world::{ClientAccountName, NameError};
+use bulrushusher_world::{ClientAccountName, NameError, Residency};
 use derive_more::{Display, Error};
 
 use crate::KeyDigest;
@@ -58,6 +58,8 @@
     pub unit: Unit,
     /// Usage limit; `None` for an unlimited account.
     pub quota: Option<Quota>,
+    /// Where the account's requests may be processed.
+    pub residency: Residency,
 }
 
 impl Account {
@@ -81,7 +83,7 @@
 }
 
 /// A client account as configured, before validation.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct RawAccount<'a> {
     /// Unique name.
     pub name: &'a str,
@@ -95,6 +97,8 @@
     pub per_second: f64,
     /// Units that may be used at once on top of the rate.
     pub burst: f64,
+    /// Where the account's requests may be processed.
+    pub residency: Residency,
 }
 
 impl Default for RawAccount<'_> {
@@ -107,6 +111,7 @@
             unit: Unit::Requests,
             per_second: 0.0,
             burst: 0.0,
+            residency: Residency::Anywhere,
         }
     }
 }
@@ -170,6 +175,7 @@
             priority: raw.priority,
             unit: raw.unit,
             quota: (per_second > 0.0).then_some(Quota { per_second, burst }),
+            residency: raw.residency,
         })
     }
 }
--- a/crates/bulrushusher_accounts/tests/accounts.rs
+++ b/crates/bulrushusher_accounts/tests/accounts.rs
@@ -18,15 +18,15 @@
     assert!(matches!(error(RawAccount::default()), AccountError::InvalidName { .. }));
     let raw = RawAccount { name: "studio-7", ..RawAccount::default() };
     for (field, raw) in [
-        ("rate", RawAccount { per_second: -1.0, ..raw }),
-        ("rate", RawAccount { per_second: f64::NAN, ..raw }),
-        ("burst", RawAccount { burst: f64::INFINITY, ..raw }),
+        ("rate", RawAccount { per_second: -1.0, ..raw.clone() }),
+        ("rate", RawAccount { per_second: f64::NAN, ..raw.clone() }),
+        ("burst", RawAccount { burst: f64::INFINITY, ..raw.clone() }),
     ] {
         let text = error(raw).to_string();
         assert!(text.contains("studio-7") && text.contains(field), "{text}");
     }
     let keys = [SECRET.to_owned(), String::new()];
-    let error = error(RawAccount { keys: &keys, ..raw });
+    let error = error(RawAccount { keys: &keys, ..raw.clone() });
     assert!(matches!(error, AccountError::EmptyKey { nth: 2, .. }), "{error}");
 }
 
--- a/crates/bulrushusher_forward/benches/place.rs
+++ b/crates/bulrushusher_forward/benches/place.rs
@@ -3,9 +3,9 @@
 //! Run with `cargo bench -p bulrushusher_forward`.
 
 use bulrushusher_forward::{
-    ForecastConfig, GatewayReport, LengthModel, LoadConfig, MemoryForecast, PeersConfig, RunReport,
-    RunShape, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, Runs, SelectionContext,
-    Stage, rank_for_decode,
+    ForecastConfig, GatewayReport, LengthModel, LoadConfig, MemoryForecast, PeersConfig, PlaceView,
+    RunReport, RunShape, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, Runs,
+    SelectionContext, Stage, rank_for_decode,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
@@ -72,6 +72,7 @@
     fn rank(&self, draw: f64) -> usize {
         let now = Millis(20);
         let cx = SelectionContext {
+            places: PlaceView::ANYWHERE,
             members: &self.members,
             loads: &self.loads,
             service: &self.service,
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -31,6 +31,7 @@
 mod pace_meter;
 mod pauses;
 mod peer_state;
+mod places;
 mod prefill_ends;
 mod prefill_patience;
 mod prefill_site;
@@ -78,6 +79,7 @@
 pub use moves::{MoveConfig, pick_for_move};
 pub use pace_meter::PaceMeter;
 pub use pauses::PauseModel;
+pub use places::{PlaceScope, PlaceView, RegionDistances};
 pub use prefill_ends::{PeerPrefills, PrefillEnds, PrefillEndsConfig, PrefillProgress};
 pub use prefill_patience::{
     LatePrefill, OtherRunner, PatienceConfig, PatientPrefills, PrefillEvidence, PrefillPatience,
--- a/crates/bulrushusher_forward/src/route.rs
+++ b/crates/bulrushusher_forward/src/route.rs
@@ -5,7 +5,7 @@
 
 use bulrushusher_accounts::AccountTable;
 use bulrushusher_time::Millis;
-use bulrushusher_world::{RouteName, ServiceName};
+use bulrushusher_world::{Residency, RouteName, ServiceName};
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
@@ -71,6 +71,8 @@
     pub priority: u8,
     /// True where requests need no API key of a client account.
     pub is_open: bool,
+    /// Where its requests may be processed.
+    pub residency: Residency,
 }
 
 impl Route {
@@ -168,6 +170,7 @@
 ///     max_runners: 2,
 ///     priority: 2,
 ///     is_open: false,
+///     residency: Default::default(),
 /// };
 /// let limits = CallerLimits {
 ///     header_bytes: 16_384,
--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -5,7 +5,7 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 
-use crate::{BackPressureView, Runner, RunnerDirectory, RunnerLoads, Runs, Stage};
+use crate::{BackPressureView, PlaceView, Runner, RunnerDirectory, RunnerLoads, Runs, Stage};
 
 /// Inputs to the selection of a runner.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +24,8 @@
     /// Back-pressure that runners have signalled. It is binding even where no other runner is left,
     /// unlike estimates of load and health.
     pub pressure: Option<BackPressureView<'a>>,
+    /// Where the request may run; binding, like back-pressure.
+    pub places: PlaceView<'a>,
     /// The current time.
     pub now: Millis,
 }
@@ -31,8 +33,9 @@
 impl<'a> SelectionContext<'a> {
     /// Runners of the service that accept new work from this gateway now.
     fn open(self) -> impl Iterator<Item = &'a Runner> {
+        let is_permitted = move |r: &&Runner| self.places.permits(&r.data_centre);
         let is_open = move |r: &&Runner| self.pressure.is_none_or(|it| it.is_open(r, self.now));
-        self.members.usable(self.service, self.now).filter(is_open)
+        self.members.usable(self.service, self.now).filter(is_permitted).filter(is_open)
     }
 }
 
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -6,8 +6,8 @@
 use bulrushusher_forward::{
     Admission, AttemptEnd, AttemptPlan, CallPool, CallPoolConfig, CallPoolReport, CallResult,
     CallSelection, CallTicket, CallToPlace, FinalAnswer, LoadConfig, LoadEpoch, NextStep,
-    RouteKind, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, SelectionContext,
-    candidates_for_call, pick_for_call,
+    PlaceView, RouteKind, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads,
+    SelectionContext, candidates_for_call, pick_for_call,
 };
 use bulrushusher_routing::{RetryBudget, RetryConfig};
 use bulrushusher_time::Millis;
@@ -415,6 +415,7 @@
         let gateway = &mut self.gateways[state.gateway];
         let near = data_centre(state.gateway);
         let cx = SelectionContext {
+            places: PlaceView::ANYWHERE,
             members: &gateway.members,
             loads: &gateway.loads,
             service: &self.service,
@@ -619,6 +620,7 @@
         let gateway = &mut self.gateways[state.gateway];
         let near = data_centre(state.gateway);
         let cx = SelectionContext {
+            places: PlaceView::ANYWHERE,
             members: &gateway.members,
             loads: &gateway.loads,
             service: &self.service,
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -6,9 +6,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bulrushusher_forward::{
-    AttemptEnd, AttemptPlan, CallSelection, EventSplitter, FinalAnswer, NextStep, RouteKind,
-    Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, RunnerRemoval, Shutdown,
-    ShutdownConfig, pick_for_call,
+    AttemptEnd, AttemptPlan, CallSelection, EventSplitter, FinalAnswer, NextStep, PlaceView,
+    RouteKind, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, RunnerRemoval,
+    Shutdown, ShutdownConfig, pick_for_call,
 };
 use bulrushusher_forward::{LoadConfig, SelectionContext};
 use bulrushusher_routing::{RetryBudget, RetryConfig};
@@ -294,6 +294,7 @@
             let loads = RunnerLoads::new(LoadConfig::default());
             let service = service();
             let cx = SelectionContext {
+                places: PlaceView::ANYWHERE,
                 members: &members,
                 loads: &loads,
                 service: &service,
--- a/crates/bulrushusher_forward/tests/plain_calls.rs
+++ b/crates/bulrushusher_forward/tests/plain_calls.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use bulrushusher_forward::{
-    CallResult, CallSelection, LoadConfig, Runner, RunnerDirectory, RunnerDirectoryConfig,
-    RunnerLoads, SelectionContext, pick_for_call,
+    CallResult, CallSelection, LoadConfig, PlaceView, Runner, RunnerDirectory,
+    RunnerDirectoryConfig, RunnerLoads, SelectionContext, pick_for_call,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
@@ -48,6 +48,7 @@
         let data_centre = "dc-1".try_into().expect("valid name");
         let (members, loads, now) = (&self.members, &self.loads, self.now);
         let cx = SelectionContext {
+            places: PlaceView::ANYWHERE,
             members,
             loads,
             service: &service,
--- a/crates/bulrushusher_forward/tests/prefill_choice.rs
+++ b/crates/bulrushusher_forward/tests/prefill_choice.rs
@@ -1,9 +1,9 @@
 //! Selection of the prefill runner in pools of equal and of unequal speed.
 
 use bulrushusher_forward::{
-    DecodeLoad, LoadConfig, PauseModel, PrefillQueue, PrefillSite, PrefillSiteConfig, PrefillTask,
-    PrefillTiming, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, SelectionContext,
-    Stage, pick_for_prefill,
+    DecodeLoad, LoadConfig, PauseModel, PlaceView, PrefillQueue, PrefillSite, PrefillSiteConfig,
+    PrefillTask, PrefillTiming, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads,
+    SelectionContext, Stage, pick_for_prefill,
 };
 use bulrushusher_time::Millis;
 use proptest::prelude::*;
@@ -30,6 +30,7 @@
     members.replace_all(pool.collect(), 0, Millis(0));
     let (loads, service) = (RunnerLoads::new(LoadConfig::default()), "llm".try_into().unwrap());
     let cx = SelectionContext {
+        places: PlaceView::ANYWHERE,
         members: &members,
         loads: &loads,
         service: &service,
--- a/crates/bulrushusher_forward/tests/routing_delta.rs
+++ b/crates/bulrushusher_forward/tests/routing_delta.rs
@@ -22,6 +22,7 @@
         max_runners: 2,
         priority: 2,
         is_open: false,
+        residency: Default::default(),
     }
 }
 
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -147,6 +147,9 @@
             Ok(caller) => caller,
             Err(refusal) => return (kind, Err(refusal)),
         };
+        if let Some(account) = fwd.caller.account() {
+            fwd.residency = fwd.residency.and(&account.residency);
+        }
         if fwd.caller.strips_key() {
             fwd.request.headers.remove(AUTHORIZATION);
         }
@@ -226,6 +229,7 @@
             received,
             deadline: received.plus(timeout.min(route.timeout)),
             elapsed_before,
+            residency: route.residency.clone(),
         })
     }
 
--- a/crates/bulrushusher_gateway/src/placement/patience.rs
+++ b/crates/bulrushusher_gateway/src/placement/patience.rs
@@ -146,7 +146,7 @@
         }
         let near = &held.runner.data_centre;
         let tokens = fwd.prompt_tokens();
-        let other = cx.shared.pick_for_prefill(&fwd.service, self.tried, near, tokens);
+        let other = cx.shared.pick_for_prefill(&cx.destination(fwd), self.tried, near, tokens);
         if let Some(other) =
             other.filter(|it| select_site(cx, fwd, held, it) == PrefillSite::Prefill)
         {
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -135,8 +135,12 @@
         PrefillOptions::Decode(task) => Some(task),
     };
     let shape = RunShape::of(fwd.request.size.as_ref());
-    let mut runners =
-        cx.shared.rank_for_decode(&fwd.service, &history.excluded_decodes, shape, own_prefill);
+    let mut runners = cx.shared.rank_for_decode(
+        &cx.destination(fwd),
+        &history.excluded_decodes,
+        shape,
+        own_prefill,
+    );
     runners.truncate(if cx.shared.may_request_memory(runners.len()) { MAX_CANDIDATES } else { 0 });
     runners
 }
@@ -189,7 +193,7 @@
     let can_prefill = match prefill_options(cx, fwd) {
         PrefillOptions::Any => true,
         PrefillOptions::Decode(task) => {
-            !cx.shared.rank_for_decode(&fwd.service, &[], shape, Some(task)).is_empty()
+            !cx.shared.rank_for_decode(&cx.destination(fwd), &[], shape, Some(task)).is_empty()
         }
     };
     let bound = if outlook.runners == 0 {
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -51,7 +51,8 @@
             return Err(RunError::Unplaced("the prompt was not prefilled"));
         }
         let near = held.runner.data_centre.clone();
-        let runner = cx.shared.pick_for_prefill(&fwd.service, &tried, &near, fwd.prompt_tokens());
+        let runner =
+            cx.shared.pick_for_prefill(&cx.destination(fwd), &tried, &near, fwd.prompt_tokens());
         let Some(runner) =
             runner.filter(|runner| select_site(cx, fwd, held, runner) == PrefillSite::Prefill)
         else {
@@ -126,7 +127,7 @@
     fwd: &ForwardedRequest,
 ) -> PrefillOptions {
     let near = &cx.shared.cfg().data_centre;
-    let prefill = cx.shared.pick_for_prefill(&fwd.service, &[], near, fwd.prompt_tokens());
+    let prefill = cx.shared.pick_for_prefill(&cx.destination(fwd), &[], near, fwd.prompt_tokens());
     let task = prefill_task(cx, fwd, prefill.as_ref());
     let remaining = task.time_to_target;
     let max_wait = if remaining > Millis(0) { remaining } else { MAX_PREFILL_WAIT };
--- a/crates/bulrushusher_gateway/src/runners/mod.rs
+++ b/crates/bulrushusher_gateway/src/runners/mod.rs
@@ -2,6 +2,7 @@
 //! the tasks of requests share.
 
 pub(crate) mod crashes;
+pub(crate) mod destination;
 pub(crate) mod exchange;
 pub(crate) mod permit;
 pub(crate) mod pool;
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -6,7 +6,7 @@
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
-use bulrushusher_world::{RunnerId, ServiceName};
+use bulrushusher_world::{Residency, RunnerId, ServiceName};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{AUTHORIZATION, HOST};
@@ -17,6 +17,7 @@
 use crate::answers::answer::QUARANTINED;
 use crate::answers::answer::Withheld;
 use crate::dialect::{Attempt, CallerRequest, Dialect, Step};
+use crate::runners::destination::Destination;
 use crate::runners::exchange::{ExchangeError, Exchanger, Reply, SendSpec};
 use crate::runners::permit::Permit;
 use crate::runners::send_trace::SendTrace;
@@ -55,6 +56,8 @@
     pub deadline: Millis,
     /// Time between the caller's first attempt and this one.
     pub elapsed_before: Millis,
+    /// Where the request may be processed by the configuration under which it was accepted.
+    pub residency: Residency,
 }
 
 impl ForwardedRequest {
@@ -125,6 +128,15 @@
         }
     }
 
+    /// Where the request may be sent now. The configuration in force may be narrower than the one
+    /// under which the request was accepted; both bind.
+    pub(crate) fn destination(&self, fwd: &ForwardedRequest) -> Destination {
+        let routing = self.shared.routing();
+        let route = routing.as_ref().and_then(|it| it.route(&fwd.route.host, fwd.uri.path()));
+        let residency = route.map_or(fwd.residency.clone(), |it| fwd.residency.and(&it.residency));
+        Destination { service: fwd.service.clone(), residency }
+    }
+
     /// Retry-After while back-pressure applies at every runner that could serve the request: the
     /// time until the first of them accepts a request, plus a random spread. `None` when one
     /// accepts requests, or when there is no runner.
@@ -133,7 +145,7 @@
         fwd: &ForwardedRequest,
         stage: Option<Stage>,
     ) -> Option<Millis> {
-        let delay = self.shared.time_until_any_open(&fwd.service, stage)?;
+        let delay = self.shared.time_until_any_open(&self.destination(fwd), stage)?;
         let spread = 1.0 + RETRY_AFTER_SPREAD * self.shared.draw();
         Some(delay.max(MIN_RETRY_AFTER).share(spread))
     }
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -80,7 +80,8 @@
     history: &mut AttemptHistory,
 ) -> Result<Run<D>, RunError> {
     let near = cx.shared.cfg().data_centre.clone();
-    let Some(runner) = cx.shared.pick_for_call(&fwd.service, &history.excluded_decodes, &near)
+    let Some(runner) =
+        cx.shared.pick_for_call(&cx.destination(fwd), &history.excluded_decodes, &near)
     else {
         return Err(match cx.back_pressure_delay(fwd, None) {
             Some(retry_after) => {
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -67,7 +67,7 @@
             ));
         }
         let times = call_times(cx, fwd, wait.as_ref());
-        let runner = match cx.shared.place_call(&fwd.service, &tried, &near, times) {
+        let runner = match cx.shared.place_call(&cx.destination(fwd), &tried, &near, times) {
             CallPlacement::Send(runner) => runner,
             CallPlacement::Wait(poll) => {
                 wait.get_or_insert_with(|| CallWait::begin(&cx.shared));
@@ -189,9 +189,8 @@
     }
     let tried = std::slice::from_ref(&runner.id);
     let left = fwd.remaining_to_target(cx.now());
-    if cx.shared.may_answer_within(&fwd.service, tried, left)
-        && cx.shared.abandon_late(&fwd.service, plan, tried)
-    {
+    let to = cx.destination(fwd);
+    if cx.shared.may_answer_within(&to, tried, left) && cx.shared.abandon_late(&to, plan, tried) {
         let (result, detail) = (CallResult::Unreachable, "late, another runner is tried");
         let step = "whole";
         cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -77,7 +77,7 @@
             Migration::Idle { until } if cx.now() >= *until => {}
             Migration::Idle { .. } | Migration::Copying(_) | Migration::Stopped(_) => return,
         }
-        let cause = match cx.shared.move_decision(&fwd.service, held.run()) {
+        let cause = match cx.shared.move_decision(&cx.destination(fwd), held.run()) {
             MoveDecision::Stay => return,
             MoveDecision::NoCapacity => "no runner has room",
             // For the receiving runner this is a request beyond those of callers, so it needs a
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -10,7 +10,7 @@
 };
 use bulrushusher_routing::{QuarantineConfig, RetryConfig};
 use bulrushusher_time::Millis;
-use bulrushusher_world::{DataCentreName, VmName};
+use bulrushusher_world::{DataCentreName, Topology, VmName};
 
 /// The gateway's program.
 pub const PROGRAM: Program = Program {
@@ -22,6 +22,20 @@
 const SETTINGS: &[Setting] = &[
     setting("gateway", "name", Kind::Text, None, "Name of the VM, unique in the deployment."),
     setting("gateway", "data_centre", Kind::Text, None, "Data centre of the VM."),
+    setting(
+        "gateway",
+        "region",
+        Kind::Text,
+        Some("none"),
+        "Region of the VM; `none` without regions.",
+    ),
+    setting(
+        "gateway",
+        "data_centres",
+        Kind::Text,
+        Some("none"),
+        "Data centres with their regions, as `dc-1:region-a,dc-2:region-b`; `none` without regions.",
+    ),
     setting("gateway", "callers", Kind::Address, None, "Listen address for callers' HTTP."),
     setting("gateway", "ready", Kind::Address, None, "Listen address for readiness checks."),
     setting("gateway", "peers", Kind::Address, None, "UDP address for other gateways' reports."),
@@ -253,6 +267,8 @@
     pub name: VmName,
     /// Data centre of the VM.
     pub data_centre: DataCentreName,
+    /// The region of each data centre; empty without regions.
+    pub topology: Topology,
     /// Listen address for callers' HTTP.
     pub callers: SocketAddr,
     /// Listen address for readiness checks of the load balancer.
@@ -351,6 +367,7 @@
         Ok(GatewayConfig {
             name: values.checked("gateway", "name")?,
             data_centre: values.checked("gateway", "data_centre")?,
+            topology: topology(values)?,
             callers: values.address("gateway", "callers"),
             ready: values.address("gateway", "ready"),
             peers: values.address("gateway", "peers"),
@@ -423,6 +440,22 @@
     }
 }
 
+/// Value of a setting for a deployment without regions.
+const NO_REGIONS: &str = "none";
+
+/// The region of each data centre. A VM whose data centre the map lacks adds its own region.
+fn topology(values: &Values) -> Result<Topology, ConfigError> {
+    let data_centre: DataCentreName = values.checked("gateway", "data_centre")?;
+    let topology: Topology = match values.text("gateway", "data_centres") {
+        NO_REGIONS => Topology::default(),
+        _ => values.checked("gateway", "data_centres")?,
+    };
+    match values.text("gateway", "region") {
+        NO_REGIONS => Ok(topology),
+        _ => Ok(topology.with(data_centre, values.checked("gateway", "region")?)),
+    }
+}
+
 fn call_sharing(value: &str) -> CallSharing {
     match value {
         "on" => CallSharing::On,
--- a/crates/bulrushusher_gateway/src/shared/calls.rs
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -12,6 +12,7 @@
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 
 use super::{Runners, SharedState};
+use crate::runners::destination::Destination;
 use crate::settings::CallSharing;
 
 /// Plain calls of this gateway and its peers.
@@ -104,18 +105,19 @@
     /// refused.
     pub(crate) fn place_call(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         tried: &[RunnerId],
         near: &DataCentreName,
         times: CallTimes,
     ) -> CallPlacement {
+        let service = &to.service;
         if !self.shares_calls(service) {
-            let picked = self.pick_for_call(service, tried, near);
+            let picked = self.pick_for_call(to, tried, near);
             return picked.map_or(CallPlacement::NoRunner, CallPlacement::Send);
         }
         let (draw, admission_draw) = (self.draw(), self.draw());
         let CallTimes { target, left_to_target, left, waited } = times;
-        self.with_call_pool(service, tried, |runners, calls, pool, now| {
+        self.with_call_pool(to, tried, |runners, calls, pool, now| {
             let call = CallToPlace {
                 data_centre: near,
                 loads: &runners.loads,
@@ -139,19 +141,19 @@
     /// False if a runner outside `tried` is expected to answer later than `left`.
     pub(crate) fn may_answer_within(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         tried: &[RunnerId],
         left: Millis,
     ) -> bool {
-        !self.shares_calls(service)
-            || self.with_call_pool(service, tried, |_, calls, pool, now| {
+        !self.shares_calls(&to.service)
+            || self.with_call_pool(to, tried, |_, calls, pool, now| {
                 calls.pool.load(pool, now).expected_ms <= left.0 as f64
             })
     }
 
     fn with_call_pool<T>(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         tried: &[RunnerId],
         f: impl FnOnce(&Runners, &mut CallState, &[&Runner], Millis) -> T,
     ) -> T {
@@ -159,8 +161,11 @@
         self.with_runners(|runners, now| {
             let pressure = self.pressure_at(now);
             let view = BackPressureView { pressure: &pressure, draw };
-            let pool = candidates_for_call(runners.candidates(service, view, now), tried);
-            f(runners, &mut self.calls.lock(), &pool, now)
+            self.with_places(&to.residency, |places| {
+                let cx = runners.candidates(&to.service, view, places, now);
+                let pool = candidates_for_call(cx, tried);
+                f(runners, &mut self.calls.lock(), &pool, now)
+            })
         })
     }
 
@@ -180,7 +185,7 @@
             return false;
         }
         self.shared_services().iter().any(|service| {
-            self.with_call_pool(service, &[], |_, calls, pool, now| {
+            self.with_call_pool(&Destination::anywhere(service), &[], |_, calls, pool, now| {
                 calls.pool.is_report_due(pool, now)
             })
         })
@@ -212,7 +217,8 @@
     /// Load of each shared pool, with the number of calls refused there.
     pub(crate) fn call_pools(&self) -> Vec<(ServiceName, CallPoolLoad, u64)> {
         let of = |service: ServiceName| {
-            let (load, refused) = self.with_call_pool(&service, &[], |_, calls, pool, now| {
+            let to = Destination::anywhere(&service);
+            let (load, refused) = self.with_call_pool(&to, &[], |_, calls, pool, now| {
                 let refused = calls.refused.get(&service).copied().unwrap_or(0);
                 (calls.pool.load(pool, now), refused)
             });
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -11,6 +11,7 @@
 use bulrushusher_world::{RunnerId, ServiceName};
 
 use super::SharedState;
+use crate::runners::destination::Destination;
 
 /// The inputs of a memory forecast, for the log: the number of decode runners, the lowest forecast
 /// peak among them in tokens, the highest peak that is allowed in tokens, and the number of live
@@ -29,15 +30,16 @@
     /// restricts them to those that may prefill it themselves.
     pub(crate) fn rank_for_decode(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         tried: &[RunnerId],
         run: RunShape,
         prefills_itself: Option<PrefillTask>,
     ) -> Vec<Runner> {
         let draw = self.draw();
+        let service = &to.service;
         let forecast = self.forecast(service);
         let run = forecast.need(&[run]);
-        self.with_candidates(service, |cx, runs| {
+        self.with_candidates(to, |cx, runs| {
             let peak = |runner: &Runner| {
                 let load = runs.need_at(&runner.id, &forecast, cx.now);
                 let peak = forecast.peak_if_it_fits(&load, &run)?;
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
-//! `switching`, `crashes`, `pressure`, `quotas`, `lease`, `speeds`, `calls`. No lock is held across
+//! `switching`, `crashes`, `pressure`, `quotas`, `lease`, `speeds`, `calls`, `distances`. No lock is held across
 //! an await point.
 
 use std::collections::HashMap;
@@ -14,19 +14,21 @@
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaLimiter};
 use bulrushusher_forward::{
     AccountCost, AttemptEnd, AttemptPlan, BackPressure, BackPressureConfig, BackPressureView,
-    CallResult, CallSelection, EngineSpec, HealthConfig, NextStep, PeersConfig, PrefillEnds,
-    PrefillEndsConfig, PrefillQueue, QueueRank, RelayView, Route, RoutingConfig, Runner,
-    RunnerDirectory, RunnerHealth, RunnerLoads, RunnerSpeeds, Runs, SelectionContext, TimingConfig,
-    TimingModel, TypicalPatience, WaitQueue, pick_for_call, pick_for_prefill,
+    CallResult, CallSelection, EngineSpec, HealthConfig, NextStep, PeersConfig, PlaceScope,
+    PlaceView, PrefillEnds, PrefillEndsConfig, PrefillQueue, QueueRank, RegionDistances, RelayView,
+    Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads, RunnerSpeeds, Runs,
+    SelectionContext, TimingConfig, TimingModel, TypicalPatience, WaitQueue, pick_for_call,
+    pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
-use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
+use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName};
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::{Notify, watch};
 
+use crate::runners::destination::Destination;
 use crate::settings::GatewayConfig;
 
 mod accounts;
@@ -96,6 +98,8 @@
     lease: Mutex<ConfigLease>,
     /// Speeds of model runners, by service.
     speeds: Mutex<HashMap<ServiceName, RunnerSpeeds>>,
+    /// Round trips to the regions of the deployment.
+    distances: Mutex<RegionDistances>,
     /// Plain calls over all gateways.
     calls: Mutex<calls::CallState>,
     /// True while gateways share the calls to some service.
@@ -160,6 +164,7 @@
             usage_known: watch::Sender::default(),
             lease: Mutex::default(),
             speeds: Mutex::default(),
+            distances: Mutex::default(),
             calls: Mutex::default(),
             calls_shared: AtomicBool::new(false),
             relays: Mutex::new(relays),
@@ -247,7 +252,7 @@
     /// Selects a runner for a plain call.
     pub(crate) fn pick_for_call(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         tried: &[RunnerId],
         near: &DataCentreName,
     ) -> Option<Runner> {
@@ -256,23 +261,25 @@
         self.with_runners(|runners, now| {
             let pressure = self.pressure_at(now);
             let view = BackPressureView { pressure: &pressure, draw };
-            pick_for_call(runners.candidates(service, view, now), pick)
+            self.with_places(&to.residency, |places| {
+                pick_for_call(runners.candidates(&to.service, view, places, now), pick)
+            })
         })
     }
 
     /// Selects a runner to prefill a prompt of `tokens`.
     pub(crate) fn pick_for_prefill(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         tried: &[RunnerId],
         near: &DataCentreName,
         tokens: u64,
     ) -> Option<Runner> {
         let draw = self.draw();
-        self.with_candidates(service, |cx, runs| {
+        self.with_candidates(to, |cx, runs| {
             let queue = |id: &RunnerId| PrefillQueue {
                 tokens_of_peers: runs.prefill_tokens_of_peers(id, cx.now),
-                factor: self.prefill_factor(service, id),
+                factor: self.prefill_factor(&to.service, id),
             };
             pick_for_prefill(cx, near, tried, draw, tokens, queue)
         })
@@ -281,24 +288,38 @@
     /// Selects among the model runners of a service, with the runs and failures that peers report.
     fn with_candidates<T>(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         choose: impl FnOnce(SelectionContext<'_>, &Runs) -> T,
     ) -> T {
         let draw = self.draw();
         self.with_runners(|runners, now| {
             let runs = self.runs.lock();
-            let failing = self.failing(runners, &runs, service, now);
+            let failing = self.failing(runners, &runs, &to.service, now);
             let pressure = self.pressure_at(now);
             let view = BackPressureView { pressure: &pressure, draw };
-            let cx = SelectionContext {
-                runs: Some(&runs),
-                failing: Some(&failing),
-                ..runners.candidates(service, view, now)
-            };
-            choose(cx, &runs)
+            self.with_places(&to.residency, |places| {
+                let cx = SelectionContext {
+                    runs: Some(&runs),
+                    failing: Some(&failing),
+                    ..runners.candidates(&to.service, view, places, now)
+                };
+                choose(cx, &runs)
+            })
         })
     }
 
+    /// Passes on the places at which a request with this residency may run.
+    fn with_places<T>(&self, residency: &Residency, f: impl FnOnce(PlaceView<'_>) -> T) -> T {
+        let cfg = self.cfg.load();
+        let distances = self.distances.lock();
+        f(PlaceView::new(PlaceScope {
+            topology: &cfg.topology,
+            residency,
+            data_centre: &cfg.data_centre,
+            distances: &distances,
+        }))
+    }
+
     /// True if the runners of the service are split into prefill and decode runners.
     pub(crate) fn is_split(&self, service: &ServiceName) -> bool {
         self.with_runners(|runners, now| {
@@ -350,16 +371,16 @@
     /// allows another attempt. Returns whether it did.
     pub(crate) fn abandon_late(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         plan: &mut AttemptPlan,
         tried: &[RunnerId],
     ) -> bool {
         let near = self.cfg().data_centre.clone();
-        let other = self.pick_for_call(service, tried, &near);
+        let other = self.pick_for_call(to, tried, &near);
         let accepts_calls =
             |id: &RunnerId| self.with_runners(|it, now| it.loads.accepts_calls(id, now));
         other.is_some_and(|other| accepts_calls(&other.id))
-            && self.with_budget(service, |budget| plan.abandon(budget))
+            && self.with_budget(&to.service, |budget| plan.abandon(budget))
     }
 
     /// True if the retry budget allows another attempt.
@@ -451,6 +472,7 @@
         &'a self,
         service: &'a ServiceName,
         pressure: BackPressureView<'a>,
+        places: PlaceView<'a>,
         now: Millis,
     ) -> SelectionContext<'a> {
         SelectionContext {
@@ -460,6 +482,7 @@
             runs: None,
             failing: None,
             pressure: Some(pressure),
+            places,
             now,
         }
     }
--- a/crates/bulrushusher_gateway/src/shared/moves.rs
+++ b/crates/bulrushusher_gateway/src/shared/moves.rs
@@ -1,9 +1,9 @@
 //! Decides which run should move to another decode runner.
 
 use bulrushusher_forward::{RunNumber, RunReport, Runner, pick_for_move};
-use bulrushusher_world::ServiceName;
 
 use super::SharedState;
+use crate::runners::destination::Destination;
 
 /// Whether a run should move.
 #[derive(Clone, Debug)]
@@ -19,7 +19,8 @@
 impl SharedState {
     /// Decides whether the run should move now, because its runner is about to run out of memory
     /// and would preempt it.
-    pub(crate) fn move_decision(&self, service: &ServiceName, run: RunNumber) -> MoveDecision {
+    pub(crate) fn move_decision(&self, to: &Destination, run: RunNumber) -> MoveDecision {
+        let service = &to.service;
         if !self.engine(service).is_some_and(|engine| engine.can_move_runs) {
             return MoveDecision::Stay;
         }
@@ -30,8 +31,7 @@
         drop(runs);
         let Some(report) = is_due else { return MoveDecision::Stay };
         let draw = self.draw();
-        match self
-            .with_candidates(service, |cx, runs| pick_for_move(cx, runs, &forecast, &report, draw))
+        match self.with_candidates(to, |cx, runs| pick_for_move(cx, runs, &forecast, &report, draw))
         {
             Some(to) => MoveDecision::Move { to, report },
             None => MoveDecision::NoCapacity,
--- a/crates/bulrushusher_gateway/src/shared/pressure.rs
+++ b/crates/bulrushusher_gateway/src/shared/pressure.rs
@@ -5,10 +5,10 @@
     RunnerSignals, Stage,
 };
 use bulrushusher_time::Millis;
-use bulrushusher_world::ServiceName;
 use parking_lot::MutexGuard;
 
 use super::SharedState;
+use crate::runners::destination::Destination;
 
 impl SharedState {
     /// Records the back-pressure signals of a runner's response. Returns the kinds of signals that
@@ -149,7 +149,7 @@
     /// `stage` restricts the check to prefill or decode runners.
     pub(crate) fn time_until_any_open(
         &self,
-        service: &ServiceName,
+        to: &Destination,
         stage: Option<Stage>,
     ) -> Option<Millis> {
         self.with_runners(|runners, now| {
@@ -158,7 +158,9 @@
                 return None;
             }
             let of_stage = |r: &&Runner| stage.is_none() || r.stage == stage;
-            let usable = runners.directory.usable(service, now).filter(of_stage);
+            let is_permitted = |r: &&Runner| self.permits_place(&to.residency, r);
+            let usable = runners.directory.usable(&to.service, now).filter(is_permitted);
+            let usable = usable.filter(of_stage);
             let earliest = usable
                 .map(|r| pressure.time_until_open(r, now).unwrap_or(OTHER_GATEWAY_RETRY))
                 .min();
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -156,8 +156,9 @@
     fn put(&self, runner: &Runner) {
         let id = &runner.id;
         log::info!(
-            "runners: entry id={id} service={} stage={} leaving={} revision={} born={}",
+            "runners: entry id={id} service={} data_centre={} stage={} leaving={} revision={} born={}",
             runner.service,
+            runner.data_centre,
             runner.stage.map_or("none".to_owned(), |stage| stage.to_string()),
             runner.leaving,
             runner.revision,
--- a/crates/bulrushusher_model/src/memory.rs
+++ b/crates/bulrushusher_model/src/memory.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeSet;
 
 use bulrushusher_forward::{
-    ForecastConfig, MemoryForecast, RunReport, RunShape, Runner, SelectionContext, rank_for_decode,
-    should_request_memory,
+    ForecastConfig, MemoryForecast, PlaceView, RunReport, RunShape, Runner, SelectionContext,
+    rank_for_decode, should_request_memory,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
@@ -53,6 +53,7 @@
         now: Millis,
     ) -> SelectionContext<'b> {
         SelectionContext {
+            places: PlaceView::ANYWHERE,
             members: &self.runners,
             loads: &self.loads,
             service: &self.service,
--- a/crates/bulrushusher_world/src/lib.rs
+++ b/crates/bulrushusher_world/src/lib.rs
@@ -8,6 +8,7 @@
 mod endpoint;
 mod link;
 mod name;
+mod region;
 
 pub use account::{ClientAccount, RawClientAccount};
 pub use closing::{
@@ -17,8 +18,9 @@
 pub use link::Link;
 pub use name::{
     ClassName, ClientAccountName, ClosingName, DataCentreName, EndpointName, EntryName, ModelName,
-    NameError, RequestKey, RouteName, RunnerId, ServiceName, VmName,
+    NameError, RegionName, RequestKey, RouteName, RunnerId, ServiceName, VmName,
 };
+pub use region::{Residency, Topology, TopologyError};
 
 use derive_more::{Display, Error, From};
 
--- a/crates/bulrushusher_world/src/name.rs
+++ b/crates/bulrushusher_world/src/name.rs
@@ -113,6 +113,9 @@
     /// assert!(DataCentreName::try_from("ba petrzalka").is_err());
     /// ```
     DataCentreName, "data centre", check_name);
+name_type!(
+    /// Name of a region, a group of data centres that are close to each other.
+    RegionName, "region", check_name);
 name_type!(
     /// Name of an endpoint: one runner together with its agent.
     EndpointName, "endpoint", check_name);
