Decode and prefill runners, and moves, stay in their region while it has room

Cause: selections ignored regions, so on three regions two thirds of the generations ran in another region than their gateway, and two thirds of the pairs of prefill and decode runner were in two regions.

Change: rank_for_decode puts runners of the own region with room first; pick_for_move those of the region of the run's runner. pick_for_prefill prices the region of a prefill runner by round trips and KV transfer, from the place of the decode runner; PrefillTask has this time, so that a prefill in another region counts as in time only with it. Prefill times are recorded without the round trip to another region, and time-outs allow for it.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -105,8 +105,8 @@
 };
 pub use runner_directory::{DrainReport, RunnerDirectory, RunnerDirectoryConfig, RunnerListDiff};
 pub use runner_selection::{
-    CallSelection, PrefillQueue, SelectionContext, candidates_for_call, pick_for_call,
-    pick_for_prefill, rank_for_decode,
+    CallSelection, PrefillQueue, PrefillSelection, SelectionContext, candidates_for_call,
+    pick_for_call, pick_for_prefill, rank_for_decode,
 };
 pub use runner_speeds::{PoolChange, RunnerSpeeds, RunnerSpeedsConfig, SpeedReport};
 pub use runs::{DeltaOutcome, PeersConfig, RunNumber, Runs};
--- a/crates/bulrushusher_forward/src/moves.rs
+++ b/crates/bulrushusher_forward/src/moves.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     ForecastConfig, MemoryForecast, MemoryNeed, RunNumber, RunReport, Runner, Runs,
-    SelectionContext, rank_for_decode,
+    SelectionContext, runner_selection::rank_near_first,
 };
 
 /// Thresholds for moves.
@@ -110,8 +110,9 @@
     }
 }
 
-/// Selects the decode runner that a run should move to, one with a free slot and memory. `draw` is
-/// a random number in `0.0..1.0`.
+/// Selects the decode runner that a run should move to, one with a free slot and memory. Runners in
+/// the region of the run's current runner come first, as the KV cache has to be copied. `draw` is a
+/// random number in `0.0..1.0`.
 pub fn pick_for_move(
     cx: SelectionContext<'_>,
     runs: &Runs,
@@ -127,5 +128,10 @@
         has_slot.then(|| forecast.peak_after_move(&at_runner, &need, MoveConfig::default()))?
     };
     let current = std::slice::from_ref(&report.runner);
-    rank_for_decode(cx, current, draw, peak).into_iter().next()
+    let source = cx.members.get(&report.runner, now).map(|runner| &runner.data_centre);
+    let is_near = |runner: &Runner| match source {
+        Some(source) => cx.places.is_same_region(source, &runner.data_centre),
+        None => cx.places.is_near(&runner.data_centre),
+    };
+    rank_near_first(cx, current, draw, is_near, peak).into_iter().next()
 }
--- a/crates/bulrushusher_forward/src/places/view.rs
+++ b/crates/bulrushusher_forward/src/places/view.rs
@@ -4,6 +4,10 @@
 
 use crate::RegionDistances;
 
+/// Time to transfer a KV cache to another region, in ms: ten times as long as the 1 ms that 5,200
+/// tokens of 131 KB take at 5,900 Gbit/s inside a data centre.
+const REMOTE_TRANSFER_MS: f64 = 10.0;
+
 /// What decides on the places of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct PlaceScope<'a> {
@@ -77,6 +81,38 @@
             _ => 0.0,
         }
     }
+
+    /// Round trip between two data centres in ms, beyond one inside a region. Round trips between
+    /// two other regions are not measured; the longer of those from this gateway stands in.
+    fn between_ms(&self, a: &DataCentreName, b: &DataCentreName) -> f64 {
+        if self.is_same_region(a, b) { 0.0 } else { self.extra_ms(a).max(self.extra_ms(b)) }
+    }
+
+    /// Time in ms by which the region of a prefill runner delays the first event: the round trip
+    /// for the prompt, and the fetch of the KV cache by the decode runner.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{PlaceScope, PlaceView, RegionDistances};
+    /// use bulrushusher_world::{DataCentreName, Residency, Topology};
+    /// let topology = Topology::try_from("ba-a:west,ba-b:west,ke-a:east").unwrap();
+    /// let name = |text| DataCentreName::try_from(text).unwrap();
+    /// let (own, distances) = (name("ba-a"), RegionDistances::default());
+    /// let view = PlaceView::new(PlaceScope {
+    ///     topology: &topology,
+    ///     residency: &Residency::Anywhere,
+    ///     data_centre: &own,
+    ///     distances: &distances,
+    /// });
+    /// assert_eq!(view.prefill_extra_ms(&name("ba-b"), &own), 0.0);
+    /// assert_eq!(view.prefill_extra_ms(&name("ke-a"), &own), 130.0, "there, and the fetch");
+    /// assert_eq!(view.prefill_extra_ms(&name("ke-a"), &name("ke-a")), 60.0, "there");
+    /// ```
+    pub fn prefill_extra_ms(&self, prefill: &DataCentreName, decode: &DataCentreName) -> f64 {
+        if self.is_same_region(prefill, decode) {
+            return self.extra_ms(prefill);
+        }
+        self.extra_ms(prefill) + self.between_ms(prefill, decode) + REMOTE_TRANSFER_MS
+    }
 }
 
 /// Where the deployment has one region, or states none, all data centres are in the same one.
--- a/crates/bulrushusher_forward/src/prefill_site.rs
+++ b/crates/bulrushusher_forward/src/prefill_site.rs
@@ -20,6 +20,8 @@
     pub tokens: u64,
     /// Tokens queued at the least loaded prefill runner; `None` if there is no prefill runner.
     pub queued_tokens: Option<u64>,
+    /// Time by which the region of the prefill runner delays the first event, in ms.
+    pub distance_ms: f64,
     /// Prefill times of an idle prefill runner.
     pub prefill_timing: PrefillTiming,
     /// Prefill times of a decode runner that interleaves them with the tokens of its runs.
@@ -80,10 +82,13 @@
 const MAX_DECODE_COST_TO_SPARE: f64 = 0.02;
 
 impl PrefillTask {
-    /// Time in ms until the prefill runner has finished the prompt.
+    /// Time in ms until the prefill runner has finished the prompt, and the decode runner has its KV
+    /// cache.
     fn prefill_runner_ms(&self) -> Option<f64> {
-        self.queued_tokens
-            .map(|queued| self.prefill_timing.likely_ms((queued + self.tokens) as f64))
+        let likely_ms = |queued| {
+            self.prefill_timing.likely_ms((queued + self.tokens) as f64) + self.distance_ms
+        };
+        self.queued_tokens.map(likely_ms)
     }
 
     /// True if a prefill runner finishes the prompt within `longest`.
@@ -124,6 +129,7 @@
     /// let prompt = PrefillTask {
     ///     tokens: 5_000,
     ///     queued_tokens: Some(10_000),
+    ///     distance_ms: 0.0,
     ///     prefill_timing: PrefillTiming::new(0.02),
     ///     decode_timing: PrefillTiming::new(0.04),
     ///     event_gap: Millis(50),
--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -105,43 +105,87 @@
     pub factor: f64,
 }
 
-/// Selects the prefill runner at which a prompt of `tokens` is expected to be complete first. Where
-/// all are equally fast, that is the one with the fewest queued tokens. Prefers the data centre of
-/// the decode runner.
+/// Parameters of the selection of a prefill runner.
+#[derive(Clone, Copy, Debug)]
+pub struct PrefillSelection<'a> {
+    /// Data centre of the decode runner, which fetches the KV cache.
+    pub decode: &'a DataCentreName,
+    /// Prefill runners that the prompt was already sent to.
+    pub tried: &'a [RunnerId],
+    /// Tokens of the prompt.
+    pub tokens: u64,
+    /// Prefill time of a prompt token in ms, for the price of round trips.
+    pub ms_per_token: f64,
+    /// A random number in `0.0..1.0` that breaks ties.
+    pub draw: f64,
+}
+
+/// Selects the prefill runner at which the prompt is expected to be complete first. Where all are
+/// equally fast, that is the one with the fewest queued tokens. Prefers the data centre of the
+/// decode runner; in another region, round trips and the transfer of the KV cache count.
 pub fn pick_for_prefill(
     cx: SelectionContext<'_>,
-    near: &DataCentreName,
-    tried: &[RunnerId],
-    draw: f64,
-    tokens: u64,
+    selection: PrefillSelection<'_>,
     queue: impl Fn(&RunnerId) -> PrefillQueue,
 ) -> Option<Runner> {
+    let PrefillSelection { decode, tried, tokens, ms_per_token, draw } = selection;
     let pool = available_of_stage(cx, Stage::Prefill, tried);
     let cost = |r: &Runner| {
         let PrefillQueue { tokens_of_peers, factor } = queue(&r.id);
         let queued = cx.loads.get(&r.id).queued_prompt_tokens + tokens_of_peers;
-        let distance = if r.data_centre == *near { 0.0 } else { REMOTE_PREFILL_COST };
-        (queued + tokens) as f64 * factor + distance
+        let transfer = if r.data_centre == *decode { 0.0 } else { REMOTE_PREFILL_COST };
+        let distance_ms = cx.places.prefill_extra_ms(&r.data_centre, decode);
+        let distance = distance_ms / ms_per_token.max(MIN_MS_PER_TOKEN);
+        (queued + tokens) as f64 * factor + transfer + distance
     };
     lowest_cost(&pool, draw, cost).cloned()
 }
 
-/// Cost, in prompt tokens at the mean rate, of a prefill runner in another data centre: the KV transfer takes twice
-/// as long there and is priced higher, which a queue shorter by a few hundred tokens does not make
-/// up for.
+/// Cost, in prompt tokens at the mean rate, of a prefill runner in another data centre: the KV
+/// transfer takes twice as long there and is priced higher, which a queue shorter by a few hundred
+/// tokens does not make up for.
 const REMOTE_PREFILL_COST: f64 = 500.0;
 
+/// Lower bound of the prefill time of a token, in ms; it keeps the price of distance finite.
+const MIN_MS_PER_TOKEN: f64 = 1e-4;
+
 /// Ranks decode runners for a memory hold by `peak`, the forecast peak of their memory use with the
-/// run; `None` marks a runner without room. Runners that refused recently are left out.
+/// run; `None` marks a runner without room. Runners that refused recently are left out. Runners of
+/// the own region come first: a run in another region costs about two round trips before its first
+/// event, and its KV cache may have to cross as well, which a lower peak does not make up for.
 pub fn rank_for_decode(
     cx: SelectionContext<'_>,
     tried: &[RunnerId],
     draw: f64,
     peak: impl Fn(&Runner) -> Option<f64>,
+) -> Vec<Runner> {
+    rank_near_first(cx, tried, draw, |r| cx.places.is_near(&r.data_centre), peak)
+}
+
+/// The same, with the runners that `is_near` first.
+pub(crate) fn rank_near_first(
+    cx: SelectionContext<'_>,
+    tried: &[RunnerId],
+    draw: f64,
+    is_near: impl Fn(&Runner) -> bool,
+    peak: impl Fn(&Runner) -> Option<f64>,
 ) -> Vec<Runner> {
     let mut pool = available_of_stage(cx, Stage::Decode, tried);
     pool.retain(|r| !cx.loads.is_full(&r.id, cx.now));
     pool.sort_by(|a, b| a.id.cmp(&b.id));
+    let (near, far) = pool.into_iter().partition(|r| is_near(r));
+    // Each part is rotated by itself: rotated together, most draws would fall on the first runner
+    // of a part.
+    let ranked = rank_by_peak(near, draw, &peak).chain(rank_by_peak(far, draw, &peak));
+    ranked.cloned().collect()
+}
+
+/// The runners with room, the better of two random ones first and the rest by peak.
+fn rank_by_peak(
+    mut pool: Vec<&Runner>,
+    draw: f64,
+    peak: impl Fn(&Runner) -> Option<f64>,
+) -> impl Iterator<Item = &Runner> {
     rotate(&mut pool, draw);
     let with_room = pool.into_iter().filter_map(|r| Some((r, peak(r)?)));
     let mut with_room: Vec<(&Runner, f64)> = with_room.collect();
@@ -153,7 +197,7 @@
     with_room.sort_by(by_peak);
     let mut rest: Vec<(&Runner, f64)> = rest;
     rest.sort_by(by_peak);
-    with_room.into_iter().chain(rest).map(|(r, _)| r.clone()).collect()
+    with_room.into_iter().chain(rest).map(|(r, _)| r)
 }
 
 /// Runners compared ahead of all others (power of two choices).
--- a/crates/bulrushusher_forward/tests/prefill_choice.rs
+++ b/crates/bulrushusher_forward/tests/prefill_choice.rs
@@ -1,9 +1,9 @@
 //! Selection of the prefill runner in pools of equal and of unequal speed.
 
 use bulrushusher_forward::{
-    DecodeLoad, LoadConfig, PauseModel, PlaceView, PrefillQueue, PrefillSite, PrefillSiteConfig,
-    PrefillTask, PrefillTiming, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads,
-    SelectionContext, Stage, pick_for_prefill,
+    DecodeLoad, LoadConfig, PauseModel, PlaceView, PrefillQueue, PrefillSelection, PrefillSite,
+    PrefillSiteConfig, PrefillTask, PrefillTiming, Runner, RunnerDirectory, RunnerDirectoryConfig,
+    RunnerLoads, SelectionContext, Stage, pick_for_prefill,
 };
 use bulrushusher_time::Millis;
 use proptest::prelude::*;
@@ -45,7 +45,9 @@
         PrefillQueue { tokens_of_peers, factor }
     };
     let near = "dc-1".try_into().expect("valid name");
-    let picked = pick_for_prefill(cx, &near, &[], draw, 5_000, queue);
+    let selection =
+        PrefillSelection { decode: &near, tried: &[], tokens: 5_000, ms_per_token: 0.02, draw };
+    let picked = pick_for_prefill(cx, selection, queue);
     number(picked.expect("the pool has runners").id.as_str())
 }
 
@@ -79,6 +81,7 @@
     let task = PrefillTask {
         tokens: 5_000,
         queued_tokens: Some(40_000),
+        distance_ms: 0.0,
         prefill_timing: PrefillTiming::new(0.02),
         decode_timing: PrefillTiming::new(0.04),
         event_gap: Millis(50),
--- a/crates/bulrushusher_gateway/src/placement/patience.rs
+++ b/crates/bulrushusher_gateway/src/placement/patience.rs
@@ -37,6 +37,8 @@
     pub limit: Millis,
     /// Prompt tokens queued ahead.
     pub queued: u64,
+    /// Round trip to the runner beyond one inside this gateway's region.
+    pub extra: Millis,
     /// Runners that do not prefill this prompt again, including the present one.
     pub tried: &'a [RunnerId],
     /// True if no further attempt is made after this one.
@@ -50,7 +52,8 @@
         sending: impl Future<Output = Result<T, E>>,
     ) -> Option<Result<T, E>> {
         let mut sending = pin!(sending);
-        let mut wait = self.timeout.since(PROBE_LEAD);
+        let probe_lead = PROBE_LEAD.plus(self.extra);
+        let mut wait = self.timeout.since(probe_lead);
         if let Ok(done) = tokio::time::timeout(wait.duration(), &mut sending).await {
             return Some(done);
         }
@@ -120,11 +123,11 @@
         let sent = sent_at.map(|at| SentPrefill {
             tokens,
             queued: self.queued,
-            elapsed: now.since(at),
+            elapsed: now.since(at).since(self.extra),
             timing,
         });
         let progress = sent_at.map(|at| shared.prefill_progress(&self.runner.id, at));
-        let probed_at = self.started.plus(self.timeout.since(PROBE_LEAD));
+        let probed_at = self.started.plus(self.timeout.since(PROBE_LEAD.plus(self.extra)));
         let first_event_delay = PrefillSiteConfig::default().first_event_delay;
         LatePrefill {
             sent,
@@ -152,10 +155,11 @@
         {
             let tokens = cx.shared.queued_prefill_tokens(&other.id) + fwd.prompt_tokens();
             let timing = cx.shared.with_timing(&fwd.service, |pace| pace.prefill());
-            let ms = timing.likely_ms(tokens as f64);
+            let distance_ms = cx.shared.prefill_extra_ms(&other.data_centre, near);
+            let ms = timing.likely_ms(tokens as f64) + distance_ms;
             return Some(OtherRunner::Prefill(Millis(ms as u64)));
         }
-        let task = prefill_task(cx, fwd, None);
+        let task = prefill_task(cx, fwd, None, near);
         let load = cx.shared.decode_load(&fwd.service, &held.runner.id);
         let ms = task.decode_timing.expected_ms((load.prefilling_tokens + task.tokens) as f64);
         task.decode_may_prefill(load).then_some(OtherRunner::Decode(Millis(ms as u64)))
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_forward::{CallResult, PrefillSite, PrefillSiteConfig, PrefillTask, Runner};
 use bulrushusher_time::Millis;
-use bulrushusher_world::RunnerId;
+use bulrushusher_world::{DataCentreName, RunnerId};
 
 use crate::dialect::{Dialect, Step};
 use crate::placement::attempts::{AttemptHistory, RunError};
@@ -83,32 +83,39 @@
     held: &MemoryHold<D>,
     prefill: &Runner,
 ) -> PrefillSite {
-    let task = prefill_task(cx, fwd, Some(prefill));
+    let decode = &held.runner.data_centre;
+    let task = prefill_task(cx, fwd, Some(prefill), decode);
     let load = cx.shared.decode_load(&fwd.service, &held.runner.id);
     let site = task.select_site(load, PrefillSiteConfig::default());
     log::debug!("read: id={} reader={site:?} prompt={task:?} decode={load:?}", fwd.request.id);
     site
 }
 
-/// The prefill of the request's prompt, with the timing known for it.
+/// The prefill of the request's prompt for a decode runner in data centre `decode`, with the timing
+/// known for it.
 pub(crate) fn prefill_task<D: Dialect>(
     cx: &Router<D>,
     fwd: &ForwardedRequest,
     prefill: Option<&Runner>,
+    decode: &DataCentreName,
 ) -> PrefillTask {
     let per_event = cx.shared.tokens_per_event(&fwd.service) as f64;
     let queued = prefill.map(|prefill| cx.shared.queued_prefill_tokens(&prefill.id));
     let factor = prefill.map_or(1.0, |it| cx.shared.prefill_factor(&fwd.service, &it.id));
+    let distance = prefill.map(|it| cx.shared.prefill_extra_ms(&it.data_centre, decode));
+    // The first event of a run in another region takes a round trip longer.
+    let time_to_target = fwd.remaining_to_target(cx.now()).since(cx.shared.extra_time(decode));
     cx.shared.with_timing(&fwd.service, |pace| PrefillTask {
         tokens: fwd.prompt_tokens(),
         queued_tokens: queued,
+        distance_ms: distance.unwrap_or(0.0),
         prefill_timing: pace.prefill().scaled(factor),
         decode_timing: pace.decode(),
         event_gap: Millis((per_event / pace.tokens_per_ms()) as u64),
         gap_target: fwd.route.gap_target,
         pauses: pace.pauses(),
         generation_time: pace.mean_generation_time(),
-        time_to_target: fwd.remaining_to_target(cx.now()),
+        time_to_target,
     })
 }
 
@@ -128,7 +135,7 @@
 ) -> PrefillOptions {
     let near = &cx.shared.cfg().data_centre;
     let prefill = cx.shared.pick_for_prefill(&cx.destination(fwd), &[], near, fwd.prompt_tokens());
-    let task = prefill_task(cx, fwd, prefill.as_ref());
+    let task = prefill_task(cx, fwd, prefill.as_ref(), near);
     let remaining = task.time_to_target;
     let max_wait = if remaining > Millis(0) { remaining } else { MAX_PREFILL_WAIT };
     let max_wait = max_wait.since(PrefillSiteConfig::default().first_event_delay);
@@ -162,7 +169,8 @@
     let timeout =
         cx.shared.with_timing(&fwd.service, |it| it.prefill_timeout_at(queued + tokens, factor));
     let limit = held.remaining(started).min(fwd.remaining(started));
-    let timeout = timeout.min(limit);
+    let extra = cx.shared.extra_time(&runner.data_centre);
+    let timeout = timeout.plus(extra).min(limit);
     let watch = CrashWatch::begin(cx, fwd);
     let trace = SendTrace::new(started);
     let PrefillSpec { resume_after, tried, is_last } = spec;
@@ -180,6 +188,7 @@
                 timeout,
                 limit,
                 queued,
+                extra,
                 tried,
                 is_last,
             };
@@ -209,7 +218,8 @@
         CallResult::Unreachable | CallResult::Withheld => {}
     }
     let handle = prefilled.map_err(|failed| failed.result)?;
-    let took = cx.now().since(started);
+    // The timing is that of the runner alone: distance would look like a lower prefill rate.
+    let took = cx.now().since(started).since(extra);
     let sent = started.plus(trace.waited().unwrap_or_default());
     cx.shared.record_prefill_end(&runner, sent);
     let ratio = cx.shared.with_timing(&fwd.service, |pace| {
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -15,10 +15,10 @@
 use bulrushusher_forward::{
     AccountCost, AttemptEnd, AttemptPlan, BackPressure, BackPressureConfig, BackPressureView,
     CallResult, CallSelection, EngineSpec, HealthConfig, NextStep, PeersConfig, PlaceScope,
-    PlaceView, PrefillEnds, PrefillEndsConfig, PrefillQueue, QueueRank, RegionDistances, RelayView,
-    Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads, RunnerSpeeds, Runs,
-    SelectionContext, TimingConfig, TimingModel, TypicalPatience, WaitQueue, pick_for_call,
-    pick_for_prefill,
+    PlaceView, PrefillEnds, PrefillEndsConfig, PrefillQueue, PrefillSelection, QueueRank,
+    RegionDistances, RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth,
+    RunnerLoads, RunnerSpeeds, Runs, SelectionContext, TimingConfig, TimingModel, TypicalPatience,
+    WaitQueue, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -267,21 +267,23 @@
         })
     }
 
-    /// Selects a runner to prefill a prompt of `tokens`.
+    /// Selects a runner to prefill a prompt of `tokens` for a decode runner in data centre `decode`.
     pub(crate) fn pick_for_prefill(
         &self,
         to: &Destination,
         tried: &[RunnerId],
-        near: &DataCentreName,
+        decode: &DataCentreName,
         tokens: u64,
     ) -> Option<Runner> {
         let draw = self.draw();
+        let ms_per_token = self.with_timing(&to.service, |it| it.prefill().ms_per_token());
         self.with_candidates(to, |cx, runs| {
             let queue = |id: &RunnerId| PrefillQueue {
                 tokens_of_peers: runs.prefill_tokens_of_peers(id, cx.now),
                 factor: self.prefill_factor(&to.service, id),
             };
-            pick_for_prefill(cx, near, tried, draw, tokens, queue)
+            let selection = PrefillSelection { decode, tried, tokens, ms_per_token, draw };
+            pick_for_prefill(cx, selection, queue)
         })
     }
 
@@ -320,6 +322,20 @@
         }))
     }
 
+    /// Round trip to the data centre beyond one inside this gateway's region.
+    pub(crate) fn extra_time(&self, data_centre: &DataCentreName) -> Millis {
+        Millis(self.with_places(&Residency::Anywhere, |places| places.extra_ms(data_centre)) as u64)
+    }
+
+    /// Time in ms by which the region of a prefill runner delays the first event of a run.
+    pub(crate) fn prefill_extra_ms(
+        &self,
+        prefill: &DataCentreName,
+        decode: &DataCentreName,
+    ) -> f64 {
+        self.with_places(&Residency::Anywhere, |places| places.prefill_extra_ms(prefill, decode))
+    }
+
     /// True if the runners of the service are split into prefill and decode runners.
     pub(crate) fn is_split(&self, service: &ServiceName) -> bool {
         self.with_runners(|runners, now| {
--- a/crates/bulrushusher_gateway/src/shared/pauses.rs
+++ b/crates/bulrushusher_gateway/src/shared/pauses.rs
@@ -43,7 +43,8 @@
     /// Records that the prompt of `tokens` was prefilled. The delay of other runs shows with their
     /// next events, which arrive within the pause target `gap_target` or are late.
     pub(crate) fn finish(self, service: &ServiceName, tokens: u64, gap_target: Millis) {
-        let took = self.shared.now().since(self.started);
+        let extra = self.shared.extra_time(&self.runner.data_centre);
+        let took = self.shared.now().since(self.started).since(extra);
         if self.prompt_tokens <= tokens {
             let ratio = self.shared.with_timing(service, |timing| {
                 let expected = timing.decode().expected_ms(tokens as f64);
--- a/crates/bulrushusher_model/src/prefill_site.rs
+++ b/crates/bulrushusher_model/src/prefill_site.rs
@@ -261,6 +261,7 @@
         let prompt = PrefillTask {
             tokens: tokens as u64,
             queued_tokens: Some(queued as u64),
+            distance_ms: 0.0,
             prefill_timing: self.timing.prefill(),
             decode_timing: self.timing.decode(),
             event_gap: Millis(event_gap as u64),
