--- a/crates/bulrushusher_forward/src/places/mod.rs
+++ b/crates/bulrushusher_forward/src/places/mod.rs
@@ -1,7 +1,11 @@
 //! Where requests may run, and what distance costs them.
 
 mod distance;
+mod evacuations;
 mod view;
 
 pub use distance::RegionDistances;
+pub use evacuations::{
+    EvacuationChange, EvacuationDiff, EvacuationSet, EvacuationUpdate, Evacuations,
+};
 pub use view::{PlaceScope, PlaceView};
--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -7,7 +7,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Runner, RunnerRemoval, StartStatus, StartTime, StartTimes};
+use crate::{
+    EvacuationDiff, EvacuationUpdate, Evacuations, Runner, RunnerRemoval, StartStatus, StartTime,
+    StartTimes,
+};
 
 /// Time limits of the runner directory.
 #[derive(Clone, Copy, Debug)]
@@ -115,6 +118,7 @@
     is_restored: bool,
     /// Drain notices by runner.
     drain_notices: HashMap<RunnerId, DrainNotice>,
+    evacuations: Evacuations,
 }
 
 /// A runner's drain notice, as gateways pass it on to each other.
@@ -146,6 +150,7 @@
             list_revision: 0,
             is_restored: false,
             drain_notices: HashMap::new(),
+            evacuations: Evacuations::default(),
         }
     }
 
@@ -435,6 +440,15 @@
         &'a self,
         service: &'a ServiceName,
         now: Millis,
+    ) -> impl Iterator<Item = &'a Runner> {
+        self.staying(service, now).filter(|runner| !self.is_evacuated(runner))
+    }
+
+    /// Usable runners of a service that are not leaving, including those in evacuated data centres.
+    pub fn staying<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        now: Millis,
     ) -> impl Iterator<Item = &'a Runner> {
         self.known
             .values()
@@ -443,6 +457,49 @@
             .filter(|runner| !runner.leaving)
     }
 
+    /// True while the runner's data centre must get no new work. The runner stays known, and its runs
+    /// continue.
+    pub fn is_evacuated(&self, runner: &Runner) -> bool {
+        self.evacuations.contains(&runner.data_centre)
+    }
+
+    /// The evacuated data centres.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Applies what was received about evacuations.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{
+    ///     EvacuationSet, EvacuationUpdate, Runner, RunnerDirectory, RunnerDirectoryConfig,
+    /// };
+    /// use bulrushusher_time::Millis;
+    /// let runner = Runner {
+    ///     id: "i-1".try_into().unwrap(),
+    ///     born: None,
+    ///     service: "app".try_into().unwrap(),
+    ///     address: "10.0.0.1:80".parse().unwrap(),
+    ///     data_centre: "ba-a".try_into().unwrap(),
+    ///     slots: 1,
+    ///     stage: None,
+    ///     leaving: false,
+    ///     revision: 1,
+    /// };
+    /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
+    /// runners.put(runner.clone(), Millis(0));
+    /// let data_centres = [runner.data_centre.clone()].into();
+    /// let set = EvacuationSet { revision: 2, data_centres };
+    /// runners.update_evacuations(EvacuationUpdate::List(set));
+    /// assert!(runners.is_evacuated(&runner));
+    /// assert_eq!(runners.usable(&runner.service, Millis(0)).count(), 0);
+    /// assert_eq!(runners.staying(&runner.service, Millis(0)).count(), 1);
+    /// assert!(runners.get(&runner.id, Millis(0)).is_some(), "its runs continue");
+    /// ```
+    pub fn update_evacuations(&mut self, update: EvacuationUpdate) -> EvacuationDiff {
+        self.evacuations.update(update)
+    }
+
     /// All usable runners, including draining ones.
     pub fn all(&self, now: Millis) -> impl Iterator<Item = &Runner> {
         self.known.values().filter(move |known| known.is_usable(now)).map(|known| &known.runner)
