Send no new work into evacuated data centres

A data centre that must be emptied got work until each of its runners was drained. Gateways now follow evacuations as a third topic of the store where data_centre_evacuated_ms has a value: relays forward the whole set, a gateway serves only once it has a list, and selections and every check before a send (runs, prefills, memory holds, orders, runs that return to their source) leave out the runners there. Requests whose data centres are all evacuated are refused at once as not run.

--- a/crates/bulrushusher_config/src/settings.rs
+++ b/crates/bulrushusher_config/src/settings.rs
@@ -7,6 +7,9 @@
 use derive_more::{Display, Error};
 use ini::Ini;
 
+/// Value of an optional setting that is not set.
+const NO_VALUE: &str = "none";
+
 /// Type and range of a setting.
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
@@ -16,6 +19,8 @@
     Address,
     /// A whole number of milliseconds, minimum and maximum included.
     Millis(u64, u64),
+    /// The same, or `none`.
+    OptionalMillis(u64, u64),
     /// A whole number, minimum and maximum included.
     Count(u64, u64),
     /// A floating-point number, minimum and maximum included.
@@ -33,6 +38,7 @@
             Kind::Text => "text".to_owned(),
             Kind::Address => "IP:port, such as 127.0.0.1:7001".to_owned(),
             Kind::Millis(min, max) => format!("{min} to {max} milliseconds"),
+            Kind::OptionalMillis(min, max) => format!("`none`, or {min} to {max} milliseconds"),
             Kind::Count(min, max) => format!("a whole number from {min} to {max}"),
             Kind::Real(min, max) => format!("a number from {min} to {max}"),
             Kind::Flag => "`yes` or `no`".to_owned(),
@@ -47,6 +53,9 @@
             Kind::Millis(min, max) | Kind::Count(min, max) => {
                 text.parse().is_ok_and(|n: u64| (min..=max).contains(&n))
             }
+            Kind::OptionalMillis(min, max) => {
+                text == NO_VALUE || Kind::Millis(min, max).accepts(text)
+            }
             Kind::Real(min, max) => text.parse().is_ok_and(|n: f64| (min..=max).contains(&n)),
             Kind::Flag => matches!(text, "yes" | "no"),
             Kind::Choice(words) => words.contains(&text),
@@ -210,6 +219,26 @@
         bulrushusher_time::Millis(self.parsed(section, key))
     }
 
+    /// The value as a duration; `None` for `none`.
+    ///
+    /// ```
+    /// use bulrushusher_config::{Kind, Setting, Values, setting};
+    /// use bulrushusher_time::Millis;
+    /// const SETTINGS: &[Setting] = &[setting(
+    ///     "gate", "pause_ms", Kind::OptionalMillis(1, 60_000), Some("none"), "A pause.",
+    /// )];
+    /// let values = |text| Values::parse("a.ini", text, SETTINGS).unwrap();
+    /// assert_eq!(values("").optional_millis("gate", "pause_ms"), None);
+    /// let given = values("[gate]\npause_ms = 400\n");
+    /// assert_eq!(given.optional_millis("gate", "pause_ms"), Some(Millis(400)));
+    /// ```
+    ///
+    /// # Panics
+    /// When the setting is not declared with this type, which is a bug in the program.
+    pub fn optional_millis(&self, section: &str, key: &str) -> Option<bulrushusher_time::Millis> {
+        (self.text(section, key) != NO_VALUE).then(|| self.millis(section, key))
+    }
+
     /// The value as a whole number.
     ///
     /// # Panics
--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -62,6 +62,9 @@
     /// The runner signalled that it is leaving, or its entry says so or was removed.
     #[display("the runner is leaving")]
     Leaving,
+    /// The runner's data centre is evacuated.
+    #[display("the runner's data centre is evacuated")]
+    Evacuated,
     /// This gateway's share of the runner's rate limit is used up.
     #[display("this gateway's share of the runner's rate limit is used up")]
     RateLimit,
--- a/crates/bulrushusher_forward/src/long_poll.rs
+++ b/crates/bulrushusher_forward/src/long_poll.rs
@@ -16,6 +16,8 @@
     pub configuration: u64,
     /// Revision of the last change of a runner entry.
     pub runners: u64,
+    /// Revision of the last change of an evacuation.
+    pub evacuations: u64,
     /// Version of the configuration.
     pub version: u64,
 }
@@ -27,6 +29,7 @@
         SeenRevisions {
             configuration: self.configuration.max(other.configuration),
             runners: self.runners.max(other.runners),
+            evacuations: self.evacuations.max(other.evacuations),
             version: self.version.max(other.version),
         }
     }
--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -28,6 +28,9 @@
 pub(crate) const QUARANTINED: &str = "runners ended on this request each time it was run, and it is \
                                       run no more for now; change it, or ask the operator";
 
+/// Refusal reason when all data centres that could serve the request are evacuated.
+pub(crate) const EVACUATED: &str = "all data centres with runners for it are being emptied";
+
 /// Refusal reason when the gateway backs off from every runner, or has used up its share of their
 /// rate limits.
 pub(crate) const BACK_PRESSURE: &str = "all runners have asked for fewer requests";
--- a/crates/bulrushusher_gateway/src/dialect/store.rs
+++ b/crates/bulrushusher_gateway/src/dialect/store.rs
@@ -4,6 +4,7 @@
 
 use bulrushusher_forward::{RoutingConfig, Runner, RunnerRemoval};
 use bulrushusher_time::Millis;
+use bulrushusher_world::DataCentreName;
 use derive_more::{Display, Error};
 
 /// A kind of objects in the store, which can be listed and watched for changes.
@@ -15,6 +16,9 @@
     /// The runners' entries, one object each.
     #[display("runners")]
     Runners,
+    /// The data centres that must get no new work, one object each.
+    #[display("evacuations")]
+    Evacuations,
 }
 
 impl Topic {
@@ -23,6 +27,7 @@
         match self {
             Topic::Configuration => "configuration",
             Topic::Runners => "runners",
+            Topic::Evacuations => "evacuations",
         }
     }
 }
@@ -48,8 +53,12 @@
     Runner(Runner),
     /// An entry was removed.
     RunnerGone(RunnerRemoval),
+    /// The data centre must get no new work.
+    Evacuation(DataCentreName),
+    /// The evacuation of the data centre has ended.
+    EvacuationOver(DataCentreName),
     /// An object that cannot be parsed. A runner's entry of this kind makes the runner unusable; an
-    /// invalid configuration leaves the one in force.
+    /// invalid configuration leaves the one in force; an evacuation with a readable name counts.
     Invalid(InvalidObject),
 }
 
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -170,7 +170,8 @@
     }
 
     fn spawn_feeds<S: PlatformStore>(&self, store: &S, tasks: &mut JoinSet<()>) {
-        for topic in [Topic::Configuration, Topic::Runners] {
+        let evacuations = self.shared.evacuation_bound().map(|_| Topic::Evacuations);
+        for topic in [Topic::Configuration, Topic::Runners].into_iter().chain(evacuations) {
             let feed = Feed {
                 store: store.clone(),
                 topic,
@@ -227,6 +228,11 @@
             if (cfg.callers, cfg.ready, cfg.store) != (old.callers, old.ready, old.store) {
                 log::warn!("gateway: new addresses take effect at the next start");
             }
+            if cfg.data_centre_evacuated != shared.evacuation_bound() {
+                log::warn!(
+                    "gateway: a new data_centre_evacuated_ms takes effect at the next start"
+                );
+            }
             shared.reconfigure(cfg);
             log::info!("gateway: settings reloaded");
         }
--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
-use bulrushusher_forward::{DeltaRequest, PageOutcome, RunnerDelta, SeenRevisions};
+use bulrushusher_forward::{DeltaRequest, EvacuationSet, PageOutcome, RunnerDelta, SeenRevisions};
 use bulrushusher_time::Millis;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -36,6 +36,8 @@
     pub runners: Option<RunnerDelta>,
     /// The last change of the configuration.
     pub routing: Option<RoutingUpdate>,
+    /// The evacuated data centres, as a whole; `None` where there are no evacuations.
+    pub evacuations: Option<EvacuationSet>,
     /// Time since the store confirmed that `revisions` contains the last change of each topic.
     pub ages: ConfirmationAges,
 }
@@ -101,7 +103,8 @@
         let message = match self.shared.delta_since(req) {
             None => Message::HistoryGone,
             runners => {
-                let changes = StoreChanges { revisions, runners, routing: None, ages };
+                let evacuations = self.shared.evacuations_to_forward();
+                let changes = StoreChanges { revisions, runners, routing: None, evacuations, ages };
                 Message::StoreChanges(changes)
             }
         };
@@ -129,6 +132,9 @@
         if let Some(change) = changes.routing {
             self.shared.apply_routing_update(change);
         }
+        if let Some(set) = changes.evacuations {
+            self.shared.apply_relayed_evacuations(relay, set, changes.revisions, &changes.ages);
+        }
         self.shared.record_relay_confirmations(relay, changes.revisions, changes.ages);
         self.shared.record_relay_revisions(changes.revisions);
     }
@@ -163,7 +169,8 @@
             let revisions = self.shared.own_revisions();
             let ages = self.shared.confirmation_ages();
             let routing = self.unsent_routing_change(&mut forwarded_version);
-            let changes = StoreChanges { revisions, runners, routing, ages };
+            let evacuations = self.shared.evacuations_to_forward();
+            let changes = StoreChanges { revisions, runners, routing, evacuations, ages };
             self.send_message(socket, Message::StoreChanges(changes), &listeners).await;
         }
     }
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -61,6 +61,11 @@
     if let Some(age) = shared.confirmation_age(Topic::Runners) {
         metrics.set_state("runner_list_age_ms", age.0);
     }
+    if let Some(count) = shared.evacuated_count() {
+        metrics.set_state("evacuated_data_centres", count as u64);
+        let age = shared.confirmation_age(Topic::Evacuations).map_or(u64::MAX, |age| age.0);
+        metrics.set_state("evacuations_age_ms", age);
+    }
     metrics.set_state("quarantined_requests", shared.all_quarantined().len() as u64);
     let pressure = shared.pressure_counts();
     metrics.set_state("limited_runners", pressure.limited as u64);
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -144,7 +144,7 @@
             Permit::Cleanup if self.shared.is_backing_off(runner) => {
                 Err(BackPressureError::RetryAfter)
             }
-            Permit::Exempt | Permit::Cleanup => {
+            Permit::Exempt | Permit::Order | Permit::Cleanup => {
                 self.shared.charge_permit(runner);
                 Ok(())
             }
@@ -163,7 +163,10 @@
     fn check_before_send(&self, runner: &Runner, spec: SendSpec<'_>) -> Result<(), ExchangeError> {
         let is_callers = spec.id.is_some();
         let checked = match spec.permit {
-            Permit::Exempt | Permit::Cleanup => return Ok(()),
+            permit if (is_callers || permit.starts_work()) && self.shared.is_evacuated(runner) => {
+                Err(BackPressureError::Evacuated)
+            }
+            Permit::Exempt | Permit::Order | Permit::Cleanup => return Ok(()),
             Permit::Acquire | Permit::Acquired
                 if is_callers && !self.shared.accepts_work(runner) =>
             {
@@ -289,6 +292,7 @@
     match cause {
         BackPressureError::RetryAfter => "retry_after",
         BackPressureError::Leaving => "leaving",
+        BackPressureError::Evacuated => "evacuated",
         BackPressureError::RateLimit => "rate_limit",
     }
 }
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -14,8 +14,7 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use crate::access::caller::{Caller, KEY_NOT_CONFIRMED, KEY_RECHECK_DELAY};
-use crate::answers::answer::QUARANTINED;
-use crate::answers::answer::Withheld;
+use crate::answers::answer::{EVACUATED, QUARANTINED, Withheld};
 use crate::dialect::{Attempt, CallerRequest, Dialect, Step};
 use crate::runners::destination::Destination;
 use crate::runners::exchange::{ExchangeError, Exchanger, Reply, SendSpec};
@@ -114,7 +113,8 @@
         self.shared.now()
     }
 
-    /// Checks that the request may run now: it is not quarantined, and its API key is still valid.
+    /// Checks that the request may run now: it is not quarantined, its API key is still valid, and not
+    /// all data centres with runners for it are evacuated.
     ///
     /// # Errors
     /// The reason why it may not run, with the time after which to retry.
@@ -122,10 +122,14 @@
         if let Some(retry_after) = self.shared.quarantine_remaining(fwd.digest) {
             return Err(Withheld { reason: QUARANTINED, retry_after });
         }
-        match fwd.caller.is_authorized() {
-            true => Ok(()),
-            false => Err(Withheld { reason: KEY_NOT_CONFIRMED, retry_after: KEY_RECHECK_DELAY }),
+        if !fwd.caller.is_authorized() {
+            return Err(Withheld { reason: KEY_NOT_CONFIRMED, retry_after: KEY_RECHECK_DELAY });
         }
+        if self.shared.has_only_evacuated(&self.destination(fwd)) {
+            log::info!("evacuations: no runner left id={} service={}", fwd.request.id, fwd.service);
+            return Err(Withheld { reason: EVACUATED, retry_after: self.retry_after(fwd) });
+        }
+        Ok(())
     }
 
     /// Where the request may be sent now. The configuration in force may be narrower than the one
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -191,6 +191,10 @@
     to: &Runner,
     copy: CopyPhase,
 ) -> Result<KvCacheGuard<D>, String> {
+    // Neither copy is made in vain for a runner whose data centre is evacuated since it was selected.
+    if cx.shared.is_evacuated(to) {
+        return Err(format!("the data centre of {} is evacuated", to.id));
+    }
     // A migration that has begun is completed regardless of back-pressure; otherwise the run would
     // be stopped for nothing.
     let (stop_first, permit) = match copy {
@@ -229,6 +233,14 @@
     let mut run = run_at(cx, fwd, to, Some(held), spec).await;
     if let Err(RunError::Ended(AttemptEnd::NotRun | AttemptEnd::Unsent, cause)) = &run {
         let source = kv.runner().clone();
+        if cx.shared.is_evacuated(&source) {
+            log::info!(
+                "stream: run cannot go back id={} runner={} cause=\"its data centre is evacuated\"",
+                fwd.request.id,
+                source.id
+            );
+            return None;
+        }
         log::info!(
             "stream: run goes back id={} runner={} cause=\"{cause}\"",
             fwd.request.id,
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -111,6 +111,13 @@
         Some("5000"),
         "Time within which a revoked key must be refused, even while the store is unreachable.",
     ),
+    setting(
+        "bounds",
+        "data_centre_evacuated_ms",
+        Kind::OptionalMillis(200, 600_000),
+        Some("none"),
+        "Time after which an evacuated data centre must get no more work; none: no evacuations.",
+    ),
     setting(
         "quota",
         "window_s",
@@ -291,6 +298,9 @@
     pub runner_drained: Millis,
     /// Time within which a revoked API key must be refused.
     pub keys_revoked: Millis,
+    /// Time after which an evacuated data centre must get no more work; `None` where there are no
+    /// evacuations.
+    pub data_centre_evacuated: Option<Millis>,
     /// Enforcement of client accounts' quotas.
     pub quotas: QuotaConfig,
     /// Minimum time between orders of two successive holders of the ordering lease.
@@ -379,6 +389,7 @@
             configuration_in_force: values.millis("bounds", "configuration_in_force_ms"),
             runner_drained: values.millis("bounds", "runner_drained_ms"),
             keys_revoked: values.millis("bounds", "keys_revoked_ms"),
+            data_centre_evacuated: values.optional_millis("bounds", "data_centre_evacuated_ms"),
             quotas: QuotaConfig {
                 sharing: sharing(values.text("quota", "sharing")),
                 window: Millis((values.real("quota", "window_s") * 1_000.0) as u64),
--- a/crates/bulrushusher_gateway/src/shared/confirmations.rs
+++ b/crates/bulrushusher_gateway/src/shared/confirmations.rs
@@ -59,6 +59,7 @@
 pub(super) struct Confirmations {
     configuration: TopicCopy,
     runners: TopicCopy,
+    evacuations: TopicCopy,
 }
 
 impl Confirmations {
@@ -66,6 +67,7 @@
         match topic {
             Topic::Configuration => &mut self.configuration,
             Topic::Runners => &mut self.runners,
+            Topic::Evacuations => &mut self.evacuations,
         }
     }
 }
@@ -75,6 +77,7 @@
 pub(crate) struct ConfirmationAges {
     configuration: Option<Millis>,
     runners: Option<Millis>,
+    evacuations: Option<Millis>,
     /// Revisions after which the relay knows each change of the runner list. Its lists do not show
     /// which runners were removed before them.
     runners_coverage: LogCoverage,
@@ -133,6 +136,15 @@
         }
     }
 
+    /// Records that a relay, whose set of evacuations this gateway has or has replaced by a later one
+    /// of the same era, had it confirmed by the store.
+    pub(super) fn record_evacuations_confirmed(&self, relay: &str, ages: &ConfirmationAges) {
+        if let Some(age) = ages.evacuations {
+            let confirmed_at = Some(self.now().since(age));
+            self.record_copy(Topic::Evacuations, UpdateSource::Relay(relay.into()), confirmed_at);
+        }
+    }
+
     /// Time since the store confirmed a topic, directly or through a relay; `None` if it has not.
     pub(crate) fn confirmation_age(&self, topic: Topic) -> Option<Millis> {
         let confirmed_at = self.confirmations.lock().of(topic).confirmed_at;
@@ -144,6 +156,7 @@
         ConfirmationAges {
             configuration: self.confirmation_age(Topic::Configuration),
             runners: self.confirmation_age(Topic::Runners),
+            evacuations: self.confirmation_age(Topic::Evacuations),
             runners_coverage: self.recorded_coverage(),
         }
     }
@@ -154,6 +167,7 @@
         match topic {
             Topic::Configuration => cfg.configuration_in_force,
             Topic::Runners => cfg.runner_drained,
+            Topic::Evacuations => self.evacuation_bound().unwrap_or(cfg.runner_drained),
         }
     }
 
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -35,6 +35,7 @@
 mod calls;
 mod confirmations;
 mod crashes;
+mod evacuations;
 mod health;
 mod memory;
 mod moves;
@@ -82,6 +83,12 @@
     pauses: Mutex<HashMap<RunnerId, pauses::PauseStats>>,
     /// Revisions of the store that this gateway has received.
     revisions: Mutex<revisions::RevisionState>,
+    /// Time within which a data centre must get no more work, by the settings at the start; `None`
+    /// where there are no evacuations. A change takes effect at the next start, since the gateway
+    /// serves only with a list of the evacuations.
+    evacuation_bound: Option<Millis>,
+    /// When this gateway last learned of an evacuation that began while it ran.
+    evacuated_at: Mutex<Option<Millis>>,
     /// Age and origin of this gateway's copy of the store.
     confirmations: Mutex<confirmations::Confirmations>,
     /// Runners that are switching stage, by service.
@@ -137,6 +144,7 @@
         let quotas = QuotaLimiter::new(cfg.quotas, clock.now());
         let name = cfg.name.to_string().into();
         let relays = relays::RelayState::new(&cfg);
+        let evacuation_bound = cfg.data_centre_evacuated;
         let pressure = BackPressure::new(BackPressureConfig::default(), name);
         let runners = Runners {
             directory: RunnerDirectory::new(cfg.members),
@@ -156,6 +164,8 @@
             health: Mutex::new(RunnerHealth::new(HealthConfig::default())),
             pauses: Mutex::default(),
             revisions: Mutex::default(),
+            evacuation_bound,
+            evacuated_at: Mutex::default(),
             confirmations: Mutex::default(),
             switching: Mutex::default(),
             crashes: Mutex::new(crashes::CrashState::new(quarantine)),
@@ -234,14 +244,20 @@
         );
     }
 
-    /// True once requests can be served: a configuration is in force and some runners are known.
+    /// True once requests can be served: a configuration is in force, the evacuations are known, and
+    /// some runners are.
     pub(crate) fn can_serve(&self) -> bool {
-        self.routing.load().is_some() && self.runners.lock().directory.has_entries()
+        self.routing.load().is_some()
+            && self.knows_evacuations()
+            && self.runners.lock().directory.has_entries()
     }
 
-    /// True once a configuration is in force and the full list of runners is known.
+    /// True once a configuration is in force, and the evacuations and the full list of runners are
+    /// known.
     pub(crate) fn is_complete(&self) -> bool {
-        self.routing.load().is_some() && self.runners.lock().directory.has_full_list()
+        self.routing.load().is_some()
+            && self.knows_evacuations()
+            && self.runners.lock().directory.has_full_list()
     }
 
     pub(crate) fn with_runners<T>(&self, f: impl FnOnce(&mut Runners, Millis) -> T) -> T {
@@ -330,8 +346,10 @@
     /// True while this process start of the runner may receive new work.
     pub(crate) fn accepts_work(&self, runner: &Runner) -> bool {
         self.with_runners(|runners, now| {
-            let entry = runners.directory.get(&runner.id, now);
-            entry.is_some_and(|entry| !entry.leaving && !runners.directory.is_superseded(runner))
+            let directory = &runners.directory;
+            let entry = directory.get(&runner.id, now);
+            entry.is_some_and(|entry| !entry.leaving && !directory.is_evacuated(entry))
+                && !directory.is_superseded(runner)
         })
     }
 
--- a/crates/bulrushusher_gateway/src/shared/relayed.rs
+++ b/crates/bulrushusher_gateway/src/shared/relayed.rs
@@ -170,7 +170,7 @@
     pub(crate) fn min_list_revision(&self, topic: Topic) -> u64 {
         match topic {
             Topic::Configuration => self.reported_revision(topic),
-            Topic::Runners => self.seen_revision(topic),
+            Topic::Runners | Topic::Evacuations => self.seen_revision(topic),
         }
     }
 
--- a/crates/bulrushusher_gateway/src/shared/revisions.rs
+++ b/crates/bulrushusher_gateway/src/shared/revisions.rs
@@ -21,6 +21,7 @@
                 (&mut state.changes.configuration, &mut state.seen.configuration)
             }
             Topic::Runners => (&mut state.changes.runners, &mut state.seen.runners),
+            Topic::Evacuations => (&mut state.changes.evacuations, &mut state.seen.evacuations),
         };
         *changes = (*changes).max(last_change);
         *seen = (*seen).max(revision);
@@ -61,6 +62,8 @@
             Topic::Runners => {
                 self.with_runners(|runners, now| runners.directory.record_store_restore(now));
             }
+            // The list of a later era replaces the set.
+            Topic::Evacuations => {}
         }
     }
 
@@ -109,6 +112,7 @@
     match topic {
         Topic::Configuration => revisions.configuration,
         Topic::Runners => revisions.runners,
+        Topic::Evacuations => revisions.evacuations,
     }
 }
 
--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -124,7 +124,9 @@
         let pages = AtomicUsize::new(0);
         let on_page = |page: &[Change]| {
             pages.fetch_add(1, Ordering::Relaxed);
-            self.intake.apply_early_page(page);
+            if self.topic == Topic::Runners {
+                self.intake.apply_early_page(page);
+            }
         };
         let mut calls = FuturesUnordered::new();
         loop {
@@ -206,6 +208,16 @@
                     return Freshness::Latest;
                 }
             },
+            // Relays forward the whole set, so nothing has to be requested from them.
+            Topic::Evacuations => loop {
+                tokio::select! {
+                    _ = self.shared.wait_until_behind(self.topic) => {}
+                    () = self.shared.wait_until_confirmation_due(self.topic) => {}
+                }
+                if self.catch_up().await.is_err() {
+                    return Freshness::Latest;
+                }
+            },
         }
     }
 
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -3,10 +3,11 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    RoutingConfig, Runner, RunnerChange, RunnerDelta, RunnerListDiff, RunnerRemoval, StartStatus,
+    EvacuationChange, EvacuationSet, EvacuationUpdate, RoutingConfig, Runner, RunnerChange,
+    RunnerDelta, RunnerListDiff, RunnerRemoval, StartStatus,
 };
 use bulrushusher_report::GatewayMetrics;
-use bulrushusher_world::RunnerId;
+use bulrushusher_world::{DataCentreName, RunnerId};
 
 use crate::dialect::{Change, ChangeBatch, InvalidObject, Topic};
 use crate::runners::pool::RunnerPool;
@@ -26,6 +27,9 @@
 impl Intake {
     /// Applies a full list of the store.
     pub(crate) fn apply_list(&self, topic: Topic, update: ChangeBatch) {
+        if topic == Topic::Evacuations {
+            return self.apply_evacuation_list(update);
+        }
         let old = self.shared.routing();
         let mut runners = Vec::new();
         let mut unreadable = Vec::new();
@@ -35,6 +39,7 @@
                 Change::Invalid(bad) => unreadable.extend(self.skip_unreadable(topic, &bad)),
                 Change::Configuration(routing) => self.shared.apply_routing(routing),
                 Change::RunnerGone(removal) => self.remove(&removal),
+                Change::Evacuation(_) | Change::EvacuationOver(_) => {}
             }
         }
         let mut last_change = update.last_change;
@@ -72,6 +77,9 @@
 
     /// Applies the changes in the store after a revision.
     pub(crate) fn apply_changes(&self, topic: Topic, after: u64, update: ChangeBatch) {
+        if topic == Topic::Evacuations {
+            return self.apply_evacuation_changes(after, update);
+        }
         let old = self.shared.routing();
         let mut recorded = Vec::new();
         for change in update.changes {
@@ -83,6 +91,7 @@
                 Change::Runner(runner) => Some(RunnerChange::Entry(runner)),
                 Change::RunnerGone(removal) => Some(RunnerChange::Removed(removal)),
                 Change::Invalid(bad) => self.skip_unreadable(topic, &bad),
+                Change::Evacuation(_) | Change::EvacuationOver(_) => None,
             };
             change.iter().for_each(|change| self.apply(change));
             recorded.extend(change);
@@ -93,6 +102,44 @@
         self.record_applied(topic, old.as_deref(), update.revision, update.last_change);
     }
 
+    fn apply_evacuation_list(&self, update: ChangeBatch) {
+        let ChangeBatch { changes, revision, last_change } = update;
+        let listed = changes.iter().filter_map(|change| self.evacuation_change(change));
+        let data_centres = listed.filter_map(|change| match change {
+            EvacuationChange::Began(name) => Some(name),
+            EvacuationChange::Ended(_) => None,
+        });
+        let set = EvacuationSet { revision, data_centres: data_centres.collect() };
+        log::info!("evacuations: listed count={} revision={revision}", set.data_centres.len());
+        let diff = self.shared.update_evacuations(EvacuationUpdate::List(set), "list");
+        // The list does not tell when an evacuation ended.
+        let last_change = if diff.ended.is_empty() { last_change } else { revision };
+        self.shared.record_revisions(Topic::Evacuations, revision, last_change);
+    }
+
+    fn apply_evacuation_changes(&self, after: u64, update: ChangeBatch) {
+        let ChangeBatch { changes, revision, last_change } = update;
+        let changes = changes.iter().filter_map(|change| self.evacuation_change(change)).collect();
+        let update = EvacuationUpdate::Changes { after, revision, changes };
+        self.shared.update_evacuations(update, "changes");
+        self.shared.record_revisions(Topic::Evacuations, revision, last_change);
+    }
+
+    /// The evacuation that a change of the store stands for. An object that cannot be parsed counts
+    /// if its name can be: its content has no meaning.
+    fn evacuation_change(&self, change: &Change) -> Option<EvacuationChange> {
+        match change {
+            Change::Evacuation(name) => Some(EvacuationChange::Began(name.clone())),
+            Change::EvacuationOver(name) => Some(EvacuationChange::Ended(name.clone())),
+            Change::Invalid(bad) => {
+                self.skip_unreadable(Topic::Evacuations, bad);
+                let name = DataCentreName::try_from(bad.name.as_str()).ok()?;
+                Some(EvacuationChange::Began(name))
+            }
+            Change::Configuration(_) | Change::Runner(_) | Change::RunnerGone(_) => None,
+        }
+    }
+
     /// Records that a change is in force. Only from now on it is reported to peers and can be
     /// forwarded.
     fn record_applied(
--- a/crates/bulrushusher_gateway/src/store/orders.rs
+++ b/crates/bulrushusher_gateway/src/store/orders.rs
@@ -39,6 +39,10 @@
 /// been off for as long.
 const FOLLOW_UP_WINDOW: Millis = Millis(3_000);
 
+/// An imbalance that begins within this time after the gateway learned of an evacuation is caused by
+/// it, and is corrected at once. The ratio is checked more often than this.
+const EVACUATION_WINDOW: Millis = Millis(2_000);
+
 /// The number of runners must be stable for this time before an order is sent, since a list that is
 /// still filling up looks like a wrong ratio. Runners write their entries about once in this time.
 const STABLE_COUNT_TIME: Millis = Millis(1_200);
@@ -177,8 +181,14 @@
         let imbalanced_since = *state.imbalanced_since.get_or_insert(now);
         let is_follow_up = state.last_order.is_some_and(|at| now.since(at) < FOLLOW_UP_WINDOW);
         let is_first = !state.has_record;
-        let is_due =
-            is_follow_up || is_first || now.since(imbalanced_since) >= cfg.min_imbalance_time;
+        let is_evacuation = self
+            .shared
+            .last_evacuation()
+            .is_some_and(|at| imbalanced_since < at.plus(EVACUATION_WINDOW));
+        let is_due = is_follow_up
+            || is_first
+            || is_evacuation
+            || now.since(imbalanced_since) >= cfg.min_imbalance_time;
         if !is_due || now.since(state.runner_count.1) < STABLE_COUNT_TIME {
             return;
         }
@@ -323,7 +333,7 @@
         state.open.insert(runner.id.clone(), OpenOrder { stage, born: runner.born, known_since });
         state.last_order = Some(known_since);
         let answer =
-            self.exchanger.control_request(runner, call, Permit::Exempt, CALL_TIMEOUT).await;
+            self.exchanger.control_request(runner, call, Permit::Order, CALL_TIMEOUT).await;
         let (result, detail) = match answer {
             Ok((head, _)) if matches!(head.status, StatusCode::OK | StatusCode::ACCEPTED) => {
                 self.pause_while_switching(runner);
