Residency in force is decided from the accepted constraint, the route and the account

Cause: the residency of a request was intersected with the route in force only; an account that was narrowed after the request was accepted had no effect. No test covered the selections with a residency.

--- a/crates/bulrushusher_accounts/src/table.rs
+++ b/crates/bulrushusher_accounts/src/table.rs
@@ -1,6 +1,6 @@
-//! Lookup of client accounts by API key.
+//! Lookup of client accounts by API key and by name.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use bulrushusher_world::ClientAccountName;
@@ -27,7 +27,7 @@
     },
 }
 
-/// The client accounts of a configuration, indexed by key.
+/// The client accounts of a configuration, indexed by key and by name.
 ///
 /// ```
 /// use bulrushusher_accounts::{Account, AccountTable, KeyDigest, RawAccount};
@@ -36,12 +36,15 @@
 /// let table = AccountTable::new(vec![Account::try_from(raw).unwrap()]).unwrap();
 /// assert_eq!(table.find_by_key(KeyDigest::of("new-key")).unwrap().name.as_str(), "studio-7");
 /// assert!(table.find_by_key(KeyDigest::of("no-key")).is_none());
+/// assert!(table.find_by_name(&"studio-7".try_into().unwrap()).is_some());
+/// assert!(table.find_by_name(&"studio-8".try_into().unwrap()).is_none());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct AccountTable {
     accounts: Vec<Arc<Account>>,
     /// Indexed by a prefix of the digest; lookups compare the whole digest in constant time.
     by_prefix: HashMap<u64, Vec<(KeyDigest, Arc<Account>)>>,
+    by_name: HashMap<ClientAccountName, Arc<Account>>,
 }
 
 impl AccountTable {
@@ -51,9 +54,8 @@
     /// [`TableError`] names the first two accounts in conflict.
     pub fn new(accounts: Vec<Account>) -> Result<AccountTable, TableError> {
         let mut table = AccountTable::default();
-        let mut names = HashSet::new();
         for account in accounts {
-            if !names.insert(account.name.clone()) {
+            if table.by_name.contains_key(&account.name) {
                 return Err(TableError::DuplicateName { account: account.name });
             }
             table.insert(Arc::new(account))?;
@@ -72,6 +74,7 @@
             }
             self.by_prefix.entry(key.prefix()).or_default().push((*key, account.clone()));
         }
+        self.by_name.insert(account.name.clone(), account.clone());
         self.accounts.push(account);
         Ok(())
     }
@@ -82,6 +85,11 @@
         candidates.iter().find(|(digest, _)| *digest == key).map(|(_, account)| account)
     }
 
+    /// The account with that name.
+    pub fn find_by_name(&self, name: &ClientAccountName) -> Option<&Arc<Account>> {
+        self.by_name.get(name)
+    }
+
     /// All accounts, in the order of the configuration.
     pub fn accounts(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.accounts.iter()
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -79,7 +79,7 @@
 pub use moves::{MoveConfig, pick_for_move};
 pub use pace_meter::PaceMeter;
 pub use pauses::PauseModel;
-pub use places::{PlaceScope, PlaceView, RegionDistances};
+pub use places::{PlaceScope, PlaceView, RegionDistances, ResidencyScope};
 pub use prefill_ends::{PeerPrefills, PrefillEnds, PrefillEndsConfig, PrefillProgress};
 pub use prefill_patience::{
     LatePrefill, OtherRunner, PatienceConfig, PatientPrefills, PrefillEvidence, PrefillPatience,
--- /dev/null
+++ b/crates/bulrushusher_forward/src/places/residency.rs
@@ -0,0 +1,43 @@
+//! The residency of a request while the configuration changes.
+
+use bulrushusher_world::{ClientAccountName, Residency};
+
+use crate::RoutingConfig;
+
+/// What determines where a caller's request may be processed.
+///
+/// The route and the account are looked up again whenever the request is placed or sent: a
+/// configuration that came into force since the request was accepted may be narrower.
+///
+/// ```
+/// use bulrushusher_forward::ResidencyScope;
+/// use bulrushusher_world::{RegionName, Residency};
+/// let accepted = Residency::only([RegionName::try_from("west").unwrap()]);
+/// let scope = ResidencyScope { accepted: &accepted, host: "a.example", path: "/", account: None };
+/// assert_eq!(scope.in_force(None), accepted);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct ResidencyScope<'a> {
+    /// The residency under the configuration by which the request was accepted.
+    pub accepted: &'a Residency,
+    /// Host of the request's route.
+    pub host: &'a str,
+    /// Path of the request.
+    pub path: &'a str,
+    /// The client account, if the request has one.
+    pub account: Option<&'a ClientAccountName>,
+}
+
+impl ResidencyScope<'_> {
+    /// Where the request may be processed under `routing`, the configuration in force. A route or an
+    /// account that was removed restricts nothing further.
+    pub fn in_force(&self, routing: Option<&RoutingConfig>) -> Residency {
+        let Some(routing) = routing else { return self.accepted.clone() };
+        let route = routing.route(self.host, self.path);
+        let accounts = routing.accounts();
+        let account = accounts.and_then(|accounts| accounts.find_by_name(self.account?));
+        let of_route = route.map_or(&Residency::Anywhere, |route| &route.residency);
+        let of_account = account.map_or(&Residency::Anywhere, |account| &account.residency);
+        self.accepted.and(of_route).and(of_account)
+    }
+}
--- a/crates/bulrushusher_world/src/region.rs
+++ b/crates/bulrushusher_world/src/region.rs
@@ -73,6 +73,11 @@
         self.regions.values().any(|known| known == region)
     }
 
+    /// True if the deployment states no regions.
+    pub fn is_empty(&self) -> bool {
+        self.regions.is_empty()
+    }
+
     /// True where distance matters: the topology has two regions or more.
     pub fn has_many_regions(&self) -> bool {
         let mut regions = self.regions.values();
@@ -159,6 +164,32 @@
         }
     }
 
+    /// True if a request may be processed in some data centre of the topology. Otherwise only
+    /// another configuration can change that.
+    ///
+    /// ```
+    /// use bulrushusher_world::{RegionName, Residency, Topology};
+    /// let topology = Topology::try_from("ba-a:west,ke-a:east").unwrap();
+    /// let only = |name| Residency::only([RegionName::try_from(name).unwrap()]);
+    /// assert!(only("west").permits_any(&topology) && !only("north").permits_any(&topology));
+    /// assert!(Residency::Anywhere.permits_any(&Topology::default()));
+    /// ```
+    pub fn permits_any(&self, topology: &Topology) -> bool {
+        match self {
+            Residency::Anywhere => true,
+            Residency::Only(regions) => regions.iter().any(|region| topology.has_region(region)),
+        }
+    }
+
+    /// The regions to which requests are restricted; none where they are not restricted.
+    pub fn regions(&self) -> impl Iterator<Item = &RegionName> {
+        let regions = match self {
+            Residency::Anywhere => None,
+            Residency::Only(regions) => Some(regions),
+        };
+        regions.into_iter().flat_map(|regions| regions.iter())
+    }
+
     /// True if no region is permitted.
     pub fn is_empty(&self) -> bool {
         matches!(self, Residency::Only(regions) if regions.is_empty())
