Put the data centre behind the other fields that tests wait for in the line of a runner's entry

Cause: wrote the data centre between service and stage; two gateway tests wait for the old order (a_runner_that_leaves_or_is_removed_gets_no_more_work, a_removed_runner_that_reappears_from_a_backup_gets_no_calls) and failed 4 of 4 times.

Change: the field follows leaving.

--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -156,11 +156,11 @@
     fn put(&self, runner: &Runner) {
         let id = &runner.id;
         log::info!(
-            "runners: entry id={id} service={} data_centre={} stage={} leaving={} revision={} born={}",
+            "runners: entry id={id} service={} stage={} leaving={} data_centre={} revision={} born={}",
             runner.service,
-            runner.data_centre,
             runner.stage.map_or("none".to_owned(), |stage| stage.to_string()),
             runner.leaving,
+            runner.data_centre,
             runner.revision,
             runner.born.map_or(0, |born| born.0),
         );
