Requests stay in the regions of their route and account on every path to a runner

Cause: a request restricted to regions was kept to them by selections only, by the route only, and not once the configuration changed after the selection. Where no runner was in the regions, it waited until its deadline.

Change: a send carries the caller's request in SendSpec, and with the connection at hand the exchanger checks the residency accepted and in force for the runner and for the source or destination of a KV cache; a refused send counts as withheld. Memory and KV caches outside are placed again. A run outside does not move, and each copy checks both runners. Requests that no runner in their regions can serve are refused at once, logged and counted. Unknown regions and data centres are logged once.

--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -32,6 +32,10 @@
 /// rate limits.
 pub(crate) const BACK_PRESSURE: &str = "all runners have asked for fewer requests";
 
+/// Refusal reason when no runner is in the regions to which the request is restricted.
+pub(crate) const OUTSIDE_REGIONS: &str =
+    "no runner is in the regions that are allowed for this request";
+
 /// Why a request must not be sent to runners at present, and when to retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Withheld {
--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -9,7 +9,7 @@
 use bulrushusher_accounts::Credentials;
 use bulrushusher_forward::{PromptSize, RequestId, RunnerSignals, Stage, StartTime};
 use bulrushusher_time::Millis;
-use bulrushusher_world::{ClientAccountName, RunnerId};
+use bulrushusher_world::{ClientAccountName, DataCentreName, RunnerId};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::Method;
@@ -58,6 +58,8 @@
 pub struct KvCache {
     /// Address of that runner.
     pub address: SocketAddr,
+    /// Data centre of that runner; a request that fetches the cache must be permitted there too.
+    pub data_centre: DataCentreName,
     /// Handle of the cache at that runner.
     pub handle: Arc<str>,
 }
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -146,7 +146,8 @@
         exchanger: &Exchanger<D>,
         dialect: &D,
     ) -> KvCacheGuard<D> {
-        let cache = KvCache { address: runner.address, handle };
+        let data_centre = runner.data_centre.clone();
+        let cache = KvCache { address: runner.address, data_centre, handle };
         let (exchanger, dialect) = (exchanger.clone(), dialect.clone());
         KvCacheGuard { cache, runner, consumed: false, shared: shared.clone(), exchanger, dialect }
     }
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 use hyper::StatusCode;
 
-use crate::answers::answer::BACK_PRESSURE;
+use crate::answers::answer::{BACK_PRESSURE, OUTSIDE_REGIONS};
 use crate::dialect::Dialect;
 use crate::placement::attempts::AttemptHistory;
 use crate::placement::holds::{HoldTerms, MemoryHold};
@@ -18,6 +18,7 @@
 use crate::runners::exchange::{CONTROL_TIMEOUT, ExchangeError};
 use crate::runners::permit::Permit;
 use crate::runners::router::{ForwardedRequest, Router};
+use crate::runners::send_spec::CallerSend;
 use crate::shared::SharedState;
 
 /// Interval at which a queued request tries again: a fifth of the time between two completions of
@@ -65,6 +66,11 @@
         /// Time until the first of them accepts a request.
         retry_after: Millis,
     },
+    /// The configuration in force leaves no place for the request.
+    Residency {
+        /// Time after which to retry.
+        retry_after: Millis,
+    },
 }
 
 impl PlacementError {
@@ -77,6 +83,7 @@
             PlacementError::Memory => "no decode memory is free",
             PlacementError::NoTime => "too little time is left for the whole answer",
             PlacementError::BackPressure { .. } => BACK_PRESSURE,
+            PlacementError::Residency { .. } => OUTSIDE_REGIONS,
         }
     }
 }
@@ -100,6 +107,8 @@
     let queued = QueueGuard { shared: cx.shared.clone(), service: fwd.service.clone(), rank };
     let mut refusals = 0;
     loop {
+        cx.check_residency(fwd)
+            .map_err(|it| PlacementError::Residency { retry_after: it.retry_after })?;
         if !can_complete(cx, fwd, history) {
             return Err(reject_early(cx, fwd, PlacementError::NoTime));
         }
@@ -236,14 +245,23 @@
     let ttl = hold_ttl(cx, fwd);
     let shape = RunShape::of(fwd.request.size.as_ref());
     let request = cx.dialect.create_hold(&runner.id, tokens, ttl);
-    let answer =
-        cx.exchanger.control_request(&runner, request, Permit::Acquired, CONTROL_TIMEOUT).await;
+    let send = CallerSend { fwd, other: None };
+    let answer = cx
+        .exchanger
+        .control_request_for(send, &runner, request, Permit::Acquired, CONTROL_TIMEOUT)
+        .await;
     let (held, result) = match answer {
         Ok((head, body)) => {
             cx.shared.with_runners(|runners, now| runners.loads.record_reachable(&runner.id, now));
             let terms = HoldTerms { report: RunReport::new(runner.id.clone(), shape), ttl };
             read_hold(cx, runner.clone(), terms, head.status, &body)
         }
+        Err(e @ ExchangeError::Outside { .. }) => {
+            log::info!("place: runner={} cause=\"{e}\"", runner.id);
+            // Nothing was sent, so the permit of the hold is released as well.
+            cx.shared.release_permits(&runner, 1);
+            (None, "withheld")
+        }
         Err(e) => {
             record_unreachable(cx, &runner, &e);
             (None, "unreachable")
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -5,6 +5,7 @@
 use bulrushusher_forward::{AttemptEnd, BackPressureError, CallResult, RequestId, Runner};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
+use bulrushusher_world::DataCentreName;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,7 +16,7 @@
 use crate::dialect::{ControlRequest, Dialect, ResponseInfo};
 use crate::runners::permit::Permit;
 use crate::runners::pool::{RunnerConnection, RunnerPool};
-use crate::runners::send_trace::SendTrace;
+use crate::runners::send_spec::{CallerSend, SendPurpose, SendSpec};
 use crate::shared::SharedState;
 
 /// Largest response that is buffered, in bytes. Plain responses are some kilobytes; a larger one
@@ -44,6 +45,9 @@
     /// Nothing was sent to the runner because of its back-pressure.
     #[display("withheld ({cause})")]
     Withheld { cause: BackPressureError },
+    /// Nothing was sent, because the request's data may not be in this data centre.
+    #[display("withheld (data centre {data_centre} is outside the allowed regions)")]
+    Outside { data_centre: DataCentreName },
 }
 
 impl ExchangeError {
@@ -52,9 +56,10 @@
         matches!(self, ExchangeError::ConnectionLost { .. })
     }
 
-    /// True when back-pressure kept the request from being sent, which is no failure of the runner.
+    /// True when back-pressure or residency kept the request from being sent, which is no failure of
+    /// the runner.
     pub(crate) fn is_withheld(&self) -> bool {
-        matches!(self, ExchangeError::Withheld { .. })
+        matches!(self, ExchangeError::Withheld { .. } | ExchangeError::Outside { .. })
     }
 
     /// The result that is recorded for the runner.
@@ -68,7 +73,9 @@
     /// How the attempt ended.
     pub(crate) fn attempt_end(&self) -> AttemptEnd {
         match self {
-            ExchangeError::Unsent { .. } | ExchangeError::Withheld { .. } => AttemptEnd::Unsent,
+            ExchangeError::Unsent { .. }
+            | ExchangeError::Withheld { .. }
+            | ExchangeError::Outside { .. } => AttemptEnd::Unsent,
             ExchangeError::NoAnswer { .. }
             | ExchangeError::ConnectionLost { .. }
             | ExchangeError::Foreign => AttemptEnd::Unknown,
@@ -85,18 +92,6 @@
     pub connection: RunnerConnection,
 }
 
-/// How a request is sent.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SendSpec<'a> {
-    /// The caller's request id; `None` for a request of the gateway itself.
-    pub id: Option<&'a RequestId>,
-    pub permit: Permit,
-    /// Timeout of the head of the response.
-    pub timeout: Millis,
-    /// Records what the send was decided by, for requests that have a log line of their own.
-    pub trace: Option<&'a SendTrace>,
-}
-
 /// Sends requests to runners.
 #[derive(Clone, Debug)]
 pub(crate) struct Exchanger<D> {
@@ -161,7 +156,15 @@
     /// Checks, with the connection at hand, that the runner may still receive the request: what
     /// excludes it may have become known while the connection was opened.
     fn check_before_send(&self, runner: &Runner, spec: SendSpec<'_>) -> Result<(), ExchangeError> {
-        let is_callers = spec.id.is_some();
+        if let Some(data_centre) = self.find_outside(runner, spec.purpose) {
+            // An acquired permit is released by its owner.
+            if spec.permit != Permit::Acquired {
+                self.shared.release_permits(runner, 1);
+            }
+            self.metrics.record_withheld_send("residency");
+            return Err(ExchangeError::Outside { data_centre });
+        }
+        let is_callers = spec.purpose.id().is_some();
         let checked = match spec.permit {
             Permit::Exempt | Permit::Cleanup => return Ok(()),
             Permit::Acquire | Permit::Acquired
@@ -179,6 +182,15 @@
         })
     }
 
+    /// A data centre that the send would reach although the residency in force forbids it. It
+    /// applies regardless of the permit, also to a run that returns to its former runner.
+    fn find_outside(&self, runner: &Runner, purpose: SendPurpose<'_>) -> Option<DataCentreName> {
+        let CallerSend { fwd, other } = purpose.caller_send()?;
+        let residency = self.shared.residency_in_force(fwd);
+        let mut reached = std::iter::once(&runner.data_centre).chain(other);
+        reached.find(|it| !self.shared.permits_place(&residency, it)).cloned()
+    }
+
     async fn send_without_timeout(
         &self,
         runner: &Runner,
@@ -199,7 +211,9 @@
                 trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
             }
             match connection.sender.try_send_request(req).await {
-                Ok(reply) => return self.check_response(runner, spec.id, reply, connection),
+                Ok(reply) => {
+                    return self.check_response(runner, spec.purpose.id(), reply, connection);
+                }
                 Err(mut e) => match e.take_message() {
                     Some(unsent) if connection.reused => req = unsent,
                     Some(_) => return Err(ExchangeError::Unsent { cause: e.error().to_string() }),
@@ -259,13 +273,36 @@
         Ok((head, read.to_bytes()))
     }
 
-    /// Sends a control request and reads the whole response.
+    /// Sends a control request of the gateway itself and reads the whole response.
     pub(crate) async fn control_request(
         &self,
         runner: &Runner,
         request: ControlRequest,
         permit: Permit,
         timeout: Millis,
+    ) -> Result<(response::Parts, Bytes), ExchangeError> {
+        let spec = SendSpec { purpose: SendPurpose::Gateway, permit, timeout, trace: None };
+        self.send_control(runner, request, spec).await
+    }
+
+    /// Sends a control request on behalf of a caller's request and reads the whole response.
+    pub(crate) async fn control_request_for(
+        &self,
+        send: CallerSend<'_>,
+        runner: &Runner,
+        request: ControlRequest,
+        permit: Permit,
+        timeout: Millis,
+    ) -> Result<(response::Parts, Bytes), ExchangeError> {
+        let spec = SendSpec { purpose: SendPurpose::Control(send), permit, timeout, trace: None };
+        self.send_control(runner, request, spec).await
+    }
+
+    async fn send_control(
+        &self,
+        runner: &Runner,
+        request: ControlRequest,
+        spec: SendSpec<'_>,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
         let mut req = Request::new(Full::new(request.body));
         *req.method_mut() = request.method;
@@ -278,9 +315,8 @@
         if let Ok(host) = host {
             req.headers_mut().insert(hyper::header::HOST, host);
         }
-        let spec = SendSpec { id: None, permit, timeout, trace: None };
         let reply = self.send(runner, req, spec).await?;
-        self.read_whole(runner, reply, timeout).await
+        self.read_whole(runner, reply, spec.timeout).await
     }
 }
 
--- a/crates/bulrushusher_gateway/src/runners/mod.rs
+++ b/crates/bulrushusher_gateway/src/runners/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod permit;
 pub(crate) mod pool;
 pub(crate) mod router;
+pub(crate) mod send_spec;
 pub(crate) mod send_trace;
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, LoadEpoch, Route, Runner, Stage};
+use bulrushusher_forward::{CallResult, LoadEpoch, Route, RouteKind, Runner, Stage};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
@@ -17,9 +17,9 @@
 use crate::answers::answer::QUARANTINED;
 use crate::answers::answer::Withheld;
 use crate::dialect::{Attempt, CallerRequest, Dialect, Step};
-use crate::runners::destination::Destination;
-use crate::runners::exchange::{ExchangeError, Exchanger, Reply, SendSpec};
+use crate::runners::exchange::{ExchangeError, Exchanger, Reply};
 use crate::runners::permit::Permit;
+use crate::runners::send_spec::{CallerSend, SendPurpose, SendSpec};
 use crate::runners::send_trace::SendTrace;
 use crate::shared::SharedState;
 
@@ -29,6 +29,9 @@
 /// Lower bound of Retry-After: capacity that is free sooner may be taken by another caller already.
 const MIN_RETRY_AFTER: Millis = Millis(100);
 
+/// Retry-After of a failed plain call; short, as the pools of plain calls have no long queues.
+const CALL_RETRY_AFTER: Millis = Millis(300);
+
 /// The components that serving a request needs.
 #[derive(Clone, Debug)]
 pub(crate) struct Router<D> {
@@ -114,7 +117,8 @@
         self.shared.now()
     }
 
-    /// Checks that the request may run now: it is not quarantined, and its API key is still valid.
+    /// Checks that the request may run now: it is not quarantined, its API key is still valid, and
+    /// its residency leaves it a place.
     ///
     /// # Errors
     /// The reason why it may not run, with the time after which to retry.
@@ -123,20 +127,11 @@
             return Err(Withheld { reason: QUARANTINED, retry_after });
         }
         match fwd.caller.is_authorized() {
-            true => Ok(()),
+            true => self.check_residency(fwd),
             false => Err(Withheld { reason: KEY_NOT_CONFIRMED, retry_after: KEY_RECHECK_DELAY }),
         }
     }
 
-    /// Where the request may be sent now. The configuration in force may be narrower than the one
-    /// under which the request was accepted; both bind.
-    pub(crate) fn destination(&self, fwd: &ForwardedRequest) -> Destination {
-        let routing = self.shared.routing();
-        let route = routing.as_ref().and_then(|it| it.route(&fwd.route.host, fwd.uri.path()));
-        let residency = route.map_or(fwd.residency.clone(), |it| fwd.residency.and(&it.residency));
-        Destination { service: fwd.service.clone(), residency }
-    }
-
     /// Retry-After while back-pressure applies at every runner that could serve the request: the
     /// time until the first of them accepts a request, plus a random spread. `None` when one
     /// accepts requests, or when there is no runner.
@@ -150,6 +145,16 @@
         Some(delay.max(MIN_RETRY_AFTER).share(spread))
     }
 
+    /// Retry-After of a request of this kind that finds no runner.
+    pub(crate) fn usual_retry_after(&self, fwd: &ForwardedRequest) -> Millis {
+        match fwd.route.kind {
+            RouteKind::Stream { .. } => self.retry_after(fwd),
+            RouteKind::Idempotent | RouteKind::NonIdempotent => {
+                Millis(CALL_RETRY_AFTER.0.min(fwd.remaining(self.now()).0 / 4))
+            }
+        }
+    }
+
     /// Retry-After of a refused generation.
     pub(crate) fn retry_after(&self, fwd: &ForwardedRequest) -> Millis {
         let config = self.shared.cfg().retry_after_config();
@@ -174,7 +179,12 @@
         let attempt = Attempt { runner: &runner.id, remaining, resume_after, account, step };
         let headers = self.dialect.attempt_headers(&fwd.request, &attempt);
         let req = build_request(fwd, headers);
-        let send = SendSpec { id: Some(&fwd.request.id), permit, timeout, trace: Some(trace) };
+        let other = match step {
+            Step::Generate { kv, .. } => kv.map(|kv| &kv.data_centre),
+            Step::Whole | Step::Prefill => None,
+        };
+        let purpose = SendPurpose::Request(CallerSend { fwd, other });
+        let send = SendSpec { purpose, permit, timeout, trace: Some(trace) };
         self.exchanger.send(runner, req, send).await
     }
 
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -39,8 +39,9 @@
     // run.
     cx.may_run(fwd).map_err(RunError::Withheld)?;
     let mut kv = prefill_prompt(cx, fwd, history, &mut held).await?;
-    if !held.is_valid(cx.now()) {
-        // The runner began to leave or restarted, or the hold expired: it must not get the run.
+    if !held.is_valid(cx.now()) || !cx.permits(fwd, &held.runner) {
+        // The runner began to leave or restarted, the hold expired, or the configuration no longer
+        // permits its region: it must not get the run.
         log::info!("place: again id={} runner={}", fwd.request.id, held.runner.id);
         let until = cx.now().plus(REPLACEMENT_WAIT).min(fwd.deadline);
         held = place_or_refuse(cx, fwd, history, until).await?;
@@ -48,8 +49,12 @@
             held.set_prefills_itself();
         }
     }
-    if kv.as_ref().is_some_and(KvCacheGuard::is_lost) {
-        log::info!("read: again id={} cause=\"its runner started again\"", fwd.request.id);
+    let cause = kv.as_ref().and_then(|kv| match kv.is_lost() {
+        true => Some("its runner started again"),
+        false => (!cx.permits(fwd, kv.runner())).then_some("its region is no longer allowed"),
+    });
+    if let Some(cause) = cause {
+        log::info!("read: again id={} cause=\"{cause}\"", fwd.request.id);
         kv = prefill_prompt(cx, fwd, history, &mut held).await?;
     }
     // The request may have crashed another runner during the prefill, or its API key may be
@@ -66,7 +71,8 @@
 ) -> Result<MemoryHold<D>, RunError> {
     let held = place(cx, fwd, history, until).await;
     held.map_err(|e| match e {
-        PlacementError::BackPressure { retry_after } => {
+        PlacementError::BackPressure { retry_after }
+        | PlacementError::Residency { retry_after } => {
             RunError::Withheld(Withheld { reason: e.reason(), retry_after })
         }
         _ => RunError::Unplaced(e.reason()),
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -23,9 +23,6 @@
 /// nearly all responses take, and short enough for a second runner to respond on time.
 const FIRST_ATTEMPT_SHARE: f64 = 0.7;
 
-/// Retry-After of a failed plain call; short, as the pools of plain calls have no long queues.
-const CALL_RETRY_AFTER: Millis = Millis(300);
-
 /// Refusal reason of a call that the runners cannot answer before its deadline.
 const POOL_FULL: &str = "the pool is full";
 
@@ -53,7 +50,7 @@
     let mut tried: Vec<RunnerId> = Vec::new();
     let near = cx.shared.cfg().data_centre.clone();
     let mut wait: Option<CallWait> = None;
-    let retry_after = Millis(CALL_RETRY_AFTER.0.min(fwd.remaining(cx.now()).0 / 4));
+    let retry_after = cx.usual_retry_after(fwd);
     loop {
         let remaining = fwd.remaining(cx.now());
         if remaining == Millis(0) {
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -18,6 +18,7 @@
 use crate::placement::holds::{HoldTerms, KvCacheGuard, MemoryHold};
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptSpec, ForwardedRequest, Router};
+use crate::runners::send_spec::CallerSend;
 use crate::runs::begin::run_at;
 use crate::runs::run::Run;
 use crate::shared::MoveDecision;
@@ -80,6 +81,10 @@
         let cause = match cx.shared.move_decision(&cx.destination(fwd), held.run()) {
             MoveDecision::Stay => return,
             MoveDecision::NoCapacity => "no runner has room",
+            // The other runner must not fetch a KV cache from a region that is no longer allowed.
+            MoveDecision::Move { .. } if !cx.permits(fwd, &held.runner) => {
+                "the region of its runner is not allowed"
+            }
             // For the receiving runner this is a request beyond those of callers, so it needs a
             // retry from the budget.
             MoveDecision::Move { .. } if !cx.shared.take_retry(&fwd.service) => "no repeat is left",
@@ -199,7 +204,8 @@
     };
     let run = RunCopy { runner: &from.id, request: &fwd.request.id, to: to.address, stop_first };
     let request = cx.dialect.copy_run(&run);
-    let answer = cx.exchanger.control_request(from, request, permit, COPY_TIMEOUT).await;
+    let send = CallerSend { fwd, other: Some(&to.data_centre) };
+    let answer = cx.exchanger.control_request_for(send, from, request, permit, COPY_TIMEOUT).await;
     let (head, body) = answer.map_err(|e| e.to_string())?;
     // A stopped run is kept at its runner when the rest cannot be copied.
     let is_kept = head.status == StatusCode::SERVICE_UNAVAILABLE && stop_first;
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
-//! `switching`, `crashes`, `pressure`, `quotas`, `lease`, `speeds`, `calls`, `distances`. No lock is held across
+//! `switching`, `crashes`, `pressure`, `quotas`, `lease`, `speeds`, `calls`, `distances`, `unknown_places`. No lock is held across
 //! an await point.
 
 use std::collections::HashMap;
@@ -39,6 +39,7 @@
 mod memory;
 mod moves;
 mod pauses;
+mod places;
 mod prefills;
 mod pressure;
 mod relayed;
@@ -100,6 +101,8 @@
     speeds: Mutex<HashMap<ServiceName, RunnerSpeeds>>,
     /// Round trips to the regions of the deployment.
     distances: Mutex<RegionDistances>,
+    /// Data centres that were logged because the settings lack them.
+    unknown_places: Mutex<places::UnknownPlaces>,
     /// Plain calls over all gateways.
     calls: Mutex<calls::CallState>,
     /// True while gateways share the calls to some service.
@@ -165,6 +168,7 @@
             lease: Mutex::default(),
             speeds: Mutex::default(),
             distances: Mutex::default(),
+            unknown_places: Mutex::default(),
             calls: Mutex::default(),
             calls_shared: AtomicBool::new(false),
             relays: Mutex::new(relays),
@@ -225,6 +229,7 @@
         let (version, routes) = (routing.version, routing.route_count());
         let accounts = routing.accounts().map(AccountTable::len);
         self.set_quotas(&routing);
+        self.log_unknown_regions(&routing);
         self.routing.store(Some(Arc::new(routing)));
         // The task that renews the lease sleeps while no request needs an API key.
         self.lease_due.notify_one();
--- a/crates/bulrushusher_gateway/src/shared/pressure.rs
+++ b/crates/bulrushusher_gateway/src/shared/pressure.rs
@@ -158,7 +158,7 @@
                 return None;
             }
             let of_stage = |r: &&Runner| stage.is_none() || r.stage == stage;
-            let is_permitted = |r: &&Runner| self.permits_place(&to.residency, r);
+            let is_permitted = |r: &&Runner| self.permits_place(&to.residency, &r.data_centre);
             let usable = runners.directory.usable(&to.service, now).filter(is_permitted);
             let usable = usable.filter(of_stage);
             let earliest = usable
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -17,6 +17,7 @@
             self.forget_runner(&runner.id);
             return StartStatus::Missing;
         }
+        self.log_unknown_data_centre(&runner);
         let (id, born) = (runner.id.clone(), runner.born);
         let status = self.with_runners(|runners, now| runners.directory.put(runner, now));
         self.apply_start(&id, born, status);
@@ -29,6 +30,7 @@
         let implausible: Vec<RunnerId> =
             listed.iter().filter(|runner| is_bad(runner)).map(|r| r.id.clone()).collect();
         listed.retain(|runner| !is_bad(runner));
+        listed.iter().for_each(|runner| self.log_unknown_data_centre(runner));
         let starts: Vec<(RunnerId, Option<StartTime>)> =
             listed.iter().map(|runner| (runner.id.clone(), runner.born)).collect();
         let diff =
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -21,6 +21,7 @@
     crashes: Counter<u64>,
     signals: Counter<u64>,
     withheld_sends: Counter<u64>,
+    residency_refusals: Counter<u64>,
     state: Gauge<u64>,
     account_usage: Gauge<u64>,
     runner_pace: Gauge<u64>,
@@ -112,7 +113,11 @@
             ),
             withheld_sends: counter(
                 "bulrush_gateway_sends_withheld",
-                "Sends that did not go out by a runner's back-pressure, by signal",
+                "Sends that did not go out by a runner's back-pressure or residency, by signal",
+            ),
+            residency_refusals: counter(
+                "bulrush_gateway_residency_refusals",
+                "Requests refused because no runner is in their allowed regions",
             ),
             state: meter
                 .u64_gauge("bulrush_gateway_state")
@@ -215,7 +220,12 @@
         self.signals.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    /// Records a request that was not sent because of the runner's back-pressure.
+    /// Records a request that was refused because no runner is in its allowed regions.
+    pub fn record_residency_refusal(&self) {
+        self.residency_refusals.add(1, &[]);
+    }
+
+    /// Records a request that was not sent because of the runner's back-pressure or residency.
     pub fn record_withheld_send(&self, signal: &'static str) {
         self.withheld_sends.add(1, &[KeyValue::new("signal", signal)]);
     }
