--- a/crates/bulrushusher_gateway/src/runners/destination.rs
+++ b/crates/bulrushusher_gateway/src/runners/destination.rs
@@ -54,6 +54,9 @@
             return true;
         }
         self.with_runners(|runners, now| {
+            if !runners.directory.has_full_list() {
+                return false;
+            }
             let mut usable = runners.directory.usable(&to.service, now).peekable();
             usable.peek().is_some() && !usable.any(permits)
         })
--- a/crates/bulrushusher_gateway/src/shared/places.rs
+++ b/crates/bulrushusher_gateway/src/shared/places.rs
@@ -21,7 +21,7 @@
         for (region, user) in unknown_regions(routing, &self.cfg().topology) {
             log::warn!(
                 "residency: unknown region={region} first_used_by=\"{user}\" version={} \
-                 remedy=\"add it to data_centres in the settings, or correct allowed_regions\"",
+                 remedy=\"add it to data_centres in the settings, or correct the allowed regions\"",
                 routing.version
             );
         }
