--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -81,7 +81,7 @@
 pub use pauses::PauseModel;
 pub use places::{
     EvacuationChange, EvacuationDiff, EvacuationSet, EvacuationUpdate, Evacuations, PlaceScope,
-    PlaceView, RegionDistances,
+    PlaceView, RegionDistances, ResidencyScope,
 };
 pub use prefill_ends::{PeerPrefills, PrefillEnds, PrefillEndsConfig, PrefillProgress};
 pub use prefill_patience::{
--- a/crates/bulrushusher_forward/src/places/mod.rs
+++ b/crates/bulrushusher_forward/src/places/mod.rs
@@ -2,10 +2,12 @@
 
 mod distance;
 mod evacuations;
+mod residency;
 mod view;
 
 pub use distance::RegionDistances;
 pub use evacuations::{
     EvacuationChange, EvacuationDiff, EvacuationSet, EvacuationUpdate, Evacuations,
 };
+pub use residency::ResidencyScope;
 pub use view::{PlaceScope, PlaceView};
--- a/crates/bulrushusher_gateway/src/shared/evacuations.rs
+++ b/crates/bulrushusher_gateway/src/shared/evacuations.rs
@@ -96,7 +96,7 @@
             if directory.evacuations().is_empty() {
                 return false;
             }
-            let is_permitted = |r: &&Runner| self.permits_place(&to.residency, r);
+            let is_permitted = |r: &&Runner| self.permits_place(&to.residency, &r.data_centre);
             let mut runners = directory.staying(&to.service, now).filter(is_permitted).peekable();
             runners.peek().is_some() && runners.all(|runner| directory.is_evacuated(runner))
         })
