Forward evacuations to gateways that the store does not answer, also without relays

Below eight gateways each watches the store and none forwards, so that a gateway cut off from the store never learned of an evacuation (test of three gateways, two of them cut off: failed before). The others now send it the set. Selections are checked not to rely on the check before the send.

Omissions on a scratch edit: with evacuated runners in `usable`, and without the check before the send, one test each fails.

--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -147,12 +147,32 @@
         is_new.then_some(change)
     }
 
+    /// Forwards the evacuations to gateways that the store does not answer, where too few gateways
+    /// run for relays.
+    async fn forward_evacuations(&self, socket: &UdpSocket) {
+        let now = self.shared.now();
+        let gateways = self.announcer.directory.lock().active_gateways(now);
+        let cut_off = self.shared.cut_off(&gateways);
+        if cut_off.is_empty() {
+            return;
+        }
+        let revisions = self.shared.own_revisions();
+        let ages = self.shared.confirmation_ages();
+        let evacuations = self.shared.evacuations_to_forward();
+        if evacuations.is_some() {
+            let (runners, routing) = (None, None);
+            let changes = StoreChanges { revisions, runners, routing, evacuations, ages };
+            self.send_message(socket, Message::StoreChanges(changes), &cut_off).await;
+        }
+    }
+
     /// Forwards each change, and each confirmation of the store, while this gateway is a relay.
     pub(crate) async fn forward_changes(&self, socket: &UdpSocket) {
         let mut forwarded_version = 0;
         loop {
             self.shared.forward_due.notified().await;
             if !self.shared.forwards_changes() {
+                self.forward_evacuations(socket).await;
                 continue;
             }
             let after = self.forwarded_revision.load(Ordering::Relaxed);
--- a/crates/bulrushusher_gateway/src/shared/relays.rs
+++ b/crates/bulrushusher_gateway/src/shared/relays.rs
@@ -125,6 +125,17 @@
         self.relay_view.borrow().forwards
     }
 
+    /// Addresses of the `gateways` that the store does not answer, while it answers this one and
+    /// there are no relays. Empty where relays forward changes.
+    pub(crate) fn cut_off(&self, gateways: &[(Arc<str>, SocketAddr)]) -> Vec<SocketAddr> {
+        if self.has_listeners() || self.contact() != StoreContact::Watching {
+            return Vec::new();
+        }
+        let watching = self.relay_view.borrow().watching.clone();
+        let is_cut_off = |name: &Arc<str>| !watching.contains(name);
+        gateways.iter().filter(|(name, _)| is_cut_off(name)).map(|(_, address)| *address).collect()
+    }
+
     /// Addresses of the `gateways` to which this one forwards changes.
     pub(crate) fn listeners(&self, gateways: &[(Arc<str>, SocketAddr)]) -> Vec<SocketAddr> {
         let watching = self.relay_view.borrow().watching.clone();
