Plain calls weigh the distance; round trips to other regions are learned from holds

Cause: a runner of another region whose response time was not known yet, or whose calls are shared, counted as near as any other. The round trips were fixed start values.

Change: pick_for_call adds the round trip for runners without a measured time; the shared pool learns service times without it and weighs it in the choice. RegionDistances follows the low times of hold requests, which runners answer at once. Metrics: the estimate by region; work at runners of the own and of other regions, by step; KV transfers between regions.

Result: with one region nothing changes; the tests of distance, plain calls and shared calls pass.

--- a/crates/bulrushusher_forward/src/call_pool.rs
+++ b/crates/bulrushusher_forward/src/call_pool.rs
@@ -14,7 +14,7 @@
 use crate::call_peers::{PeerCalls, PeersCalls};
 use crate::call_stats::{RunnerStats, project_in_flight};
 use crate::water_filling::{RunnerLevel, pick_by_share};
-use crate::{CallPoolReport, Runner, RunnerCalls, RunnerLoads};
+use crate::{CallPoolReport, PlaceView, Runner, RunnerCalls, RunnerLoads};
 
 /// Parameters of a [`CallPool`].
 #[derive(Clone, Copy, Debug)]
@@ -114,6 +114,8 @@
     pub data_centre: &'a DataCentreName,
     /// Results of this gateway's calls; runners that fail most of them are avoided.
     pub loads: &'a RunnerLoads,
+    /// How far away the runners are.
+    pub places: PlaceView<'a>,
     /// Response-time target of the route; zero if it has none.
     pub target: Millis,
     /// Time left to the target, counted from the caller's first attempt.
@@ -272,7 +274,8 @@
         CallTicket { epoch, slots: runner.slots, in_flight }
     }
 
-    /// Records the end of a call; `response` is the response time of an answer. The end of a call
+    /// Records the end of a call; `response` is the response time of an answer without the round
+    /// trip to another region. The end of a call
     /// from before the runner was forgotten is ignored.
     pub fn end(
         &mut self,
@@ -458,11 +461,14 @@
         now: Millis,
     ) -> Vec<RunnerLevel> {
         let mean_ms = self.mean_service_ms(pool, now).unwrap_or(1.0).max(1.0);
-        let level = |runner: &&Runner| RunnerLevel {
-            in_flight: self.in_flight(&runner.id, runner.slots, now),
-            slots: slots(runner.slots),
-            service_ms: self.service_ms(&runner.id, mean_ms, now),
-            cost_factor: call.map_or(1.0, |call| call.cost_factor(runner)),
+        let level = |runner: &&Runner| {
+            let service_ms = self.service_ms(&runner.id, mean_ms, now);
+            RunnerLevel {
+                in_flight: self.in_flight(&runner.id, runner.slots, now),
+                slots: slots(runner.slots),
+                service_ms,
+                cost_factor: call.map_or(1.0, |call| call.cost_factor(runner, service_ms)),
+            }
         };
         pool.iter().map(level).collect()
     }
@@ -491,9 +497,12 @@
 const LOCAL_COST_FACTOR: f64 = 0.95;
 
 impl CallToPlace<'_> {
-    fn cost_factor(&self, runner: &Runner) -> f64 {
+    /// Factor of the cost of a runner with this service time. Service times are without the
+    /// distance, so that the gateways of all regions learn the same ones.
+    fn cost_factor(&self, runner: &Runner, service_ms: f64) -> f64 {
         let is_local = runner.data_centre == *self.data_centre;
         let locality = if is_local { LOCAL_COST_FACTOR } else { 1.0 };
-        locality * self.loads.failure_factor(&runner.id)
+        let distance = 1.0 + self.places.extra_ms(&runner.data_centre) / service_ms.max(1.0);
+        locality * distance * self.loads.failure_factor(&runner.id)
     }
 }
--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -62,7 +62,10 @@
     let cost = |r: &Runner| {
         let locality =
             if r.data_centre == *selection.data_centre { LOCAL_COST_FACTOR } else { 1.0 };
-        cx.loads.get(&r.id).expected_ms(r.slots, fastest_ms) * locality
+        let load = cx.loads.get(&r.id);
+        // A measured response time includes the distance.
+        let extra_ms = load.mean_ms().map_or(cx.places.extra_ms(&r.data_centre), |_| 0.0);
+        (load.expected_ms(r.slots, fastest_ms) + extra_ms) * locality
     };
     lowest_cost(&pool, selection.draw, cost).cloned()
 }
@@ -88,11 +91,15 @@
     if matching.is_empty() { pool } else { matching }
 }
 
-/// Mean response time of the fastest runner that has answered, in ms; 0 if none has. A runner that
-/// has just started is assumed to be as fast: it then gets calls soon even under low load, and does
-/// not attract a whole burst.
+/// Mean response time of the fastest runner that has answered, in ms without the distance; 0 if none
+/// has. A runner that has just started is assumed to be as fast: it then gets calls soon even under
+/// low load, and does not attract a whole burst.
 fn fastest_mean_ms(cx: SelectionContext<'_>, pool: &[&Runner]) -> f64 {
-    let means = pool.iter().filter_map(|r| cx.loads.get(&r.id).mean_ms());
+    let mean_ms = |r: &&Runner| {
+        let mean_ms = cx.loads.get(&r.id).mean_ms()?;
+        Some((mean_ms - cx.places.extra_ms(&r.data_centre)).max(0.0))
+    };
+    let means = pool.iter().filter_map(mean_ms);
     means.min_by(f64::total_cmp).unwrap_or(0.0)
 }
 
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -433,6 +433,7 @@
                 let pool = candidates_for_call(cx, &state.tried);
                 let elapsed = if state.returning || state.waiting.is_some() { spent } else { 0 };
                 let place = CallToPlace {
+                    places: PlaceView::ANYWHERE,
                     data_centre: &near,
                     loads: &gateway.loads,
                     target: Millis(TARGET),
@@ -638,6 +639,7 @@
             Choice::Shared(_) => {
                 let load = gateway.pool.load(&pool, now);
                 let place = CallToPlace {
+                    places: PlaceView::ANYWHERE,
                     data_centre: &near,
                     loads: &gateway.loads,
                     target: Millis(TARGET),
--- a/crates/bulrushusher_forward/tests/call_pool.rs
+++ b/crates/bulrushusher_forward/tests/call_pool.rs
@@ -1,8 +1,8 @@
 //! Plain calls of many gateways at few runners.
 
 use bulrushusher_forward::{
-    Admission, CallPool, CallPoolConfig, CallPoolReport, CallToPlace, LoadConfig, Runner,
-    RunnerCalls, RunnerLoads,
+    Admission, CallPool, CallPoolConfig, CallPoolReport, CallToPlace, LoadConfig, PlaceView,
+    Runner, RunnerCalls, RunnerLoads,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::DataCentreName;
@@ -95,6 +95,7 @@
 
 fn call<'a>(near: &'a DataCentreName, loads: &'a RunnerLoads, draw: f64) -> CallToPlace<'a> {
     CallToPlace {
+        places: PlaceView::ANYWHERE,
         data_centre: near,
         loads,
         target: Millis(TARGET),
--- a/crates/bulrushusher_forward/tests/distance.rs
+++ b/crates/bulrushusher_forward/tests/distance.rs
@@ -1,13 +1,14 @@
 //! Selection of runners in a deployment of several regions.
 
 use bulrushusher_forward::{
-    ForecastConfig, LengthModel, LoadConfig, MemoryForecast, PeersConfig, PlaceScope, PlaceView,
-    PrefillQueue, PrefillSelection, PrefillTask, PrefillTiming, RegionDistances, RunReport,
-    RunShape, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, Runs, SelectionContext,
-    Stage, pick_for_move, pick_for_prefill, rank_for_decode,
+    CallPool, CallPoolConfig, CallResult, CallSelection, CallToPlace, ForecastConfig, LengthModel,
+    LoadConfig, MemoryForecast, PeersConfig, PlaceScope, PlaceView, PrefillQueue, PrefillSelection,
+    PrefillTask, PrefillTiming, RegionDistances, RunReport, RunShape, Runner, RunnerDirectory,
+    RunnerDirectoryConfig, RunnerLoads, Runs, SelectionContext, Stage, pick_for_call,
+    pick_for_move, pick_for_prefill, rank_for_decode,
 };
 use bulrushusher_time::Millis;
-use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName, Topology};
+use bulrushusher_world::{DataCentreName, RegionName, Residency, RunnerId, ServiceName, Topology};
 use proptest::prelude::*;
 
 const REGIONS: &str = "w1:west,w2:west,e1:east,e2:east,s1:south";
@@ -259,3 +260,98 @@
     let elsewhere = moved(&runs);
     assert!(elsewhere.contains(&0) && !elsewhere.contains(&2), "{elsewhere:?}");
 }
+
+/// Guards against plain calls to another region because the response times of its runners are not
+/// known yet, or because its runners seem to have become slower.
+#[test]
+fn plain_calls_go_to_unmeasured_runners_nearby() {
+    let mut pool = Pool::new(REGIONS, &["w1", "w2", "e1", "s1"], Stage::Decode);
+    let pick = |pool: &Pool, draw| {
+        let call = CallSelection { tried: &[], data_centre: &pool.own, draw };
+        number(&pick_for_call(pool.context(pool.view()), call).expect("there are runners").id)
+    };
+    let id = |n: usize| RunnerId::try_from(format!("r-{n:02}").as_str()).unwrap();
+    let picks = |pool: &Pool| (0..20).map(|n| pick(pool, f64::from(n) / 20.0)).max();
+    assert_eq!(picks(&pool), Some(0), "the own data centre wins the tie");
+    pool.loads.record(&id(0), CallResult::Answered(Millis(60)), Millis(0));
+    assert!(picks(&pool) <= Some(1));
+    // A measured time includes the round trip, which then does not count twice.
+    pool.loads.record(&id(1), CallResult::Answered(Millis(300)), Millis(0));
+    pool.loads.record(&id(0), CallResult::Answered(Millis(900)), Millis(0));
+    pool.loads.record(&id(2), CallResult::Answered(Millis(110)), Millis(0));
+    pool.loads.record(&id(3), CallResult::Answered(Millis(130)), Millis(0));
+    assert_eq!(picks(&pool), Some(2));
+}
+
+/// Guards against a shared pool that ignores distance while the near runners have free slots, or
+/// that keeps calls in their region behind a long queue.
+#[test]
+fn shared_calls_cross_regions_only_past_a_queue() {
+    let pool = Pool::new(REGIONS, &["w1", "w2", "e1", "s1"], Stage::Decode);
+    let mut calls = CallPool::new(CallPoolConfig::default());
+    let runners: Vec<Runner> = ["w1", "w2", "e1", "s1"]
+        .iter()
+        .enumerate()
+        .map(|(n, place)| Runner { slots: 6, ..runner(n, place, Stage::Decode) })
+        .collect();
+    let listed: Vec<&Runner> = runners.iter().collect();
+    for runner in &listed {
+        let ticket = calls.begin(runner, Millis(0));
+        calls.end(&runner.id, ticket, Some(Millis(60)), Millis(60));
+    }
+    let far = |calls: &CallPool| {
+        let chosen = (0..40).map(|n| {
+            let call = CallToPlace {
+                places: pool.view(),
+                data_centre: &pool.own,
+                loads: &pool.loads,
+                target: Millis(400),
+                left_to_target: Millis(400),
+                left: Millis(4_000),
+                waited: Millis(0),
+                draw: f64::from(n) / 40.0,
+                admission_draw: 0.5,
+            };
+            number(&calls.choose(&listed, call, Millis(60)).expect("there are runners"))
+        });
+        chosen.filter(|n| *n >= 2).count()
+    };
+    assert_eq!(far(&calls), 0);
+    for runner in listed[..2].iter().cycle().take(10) {
+        calls.begin(runner, Millis(60));
+    }
+    assert_eq!(far(&calls), 0, "a slot is free at each near runner");
+    for runner in listed[..2].iter().cycle().take(20) {
+        calls.begin(runner, Millis(60));
+    }
+    assert_eq!(far(&calls), 40);
+}
+
+/// Guards against estimates that follow new connections (which take twice as long), a slow runner
+/// or a gateway that is far from its own region's runners, and against estimates that stay wrong.
+#[test]
+fn distances_follow_the_shortest_times() {
+    let (east, south) =
+        (RegionName::try_from("east").unwrap(), RegionName::try_from("south").unwrap());
+    let mut distances = RegionDistances::default();
+    for n in 0..200_u64 {
+        distances.record(None, Millis(if n % 3 == 0 { 8 } else { 4 }));
+        // Every second hold opens a connection; every fifth meets a runner that is 400 ms late.
+        let east_ms = 64 + 60 * (n % 2) + if n % 5 == 0 { 400 } else { 0 };
+        distances.record(Some(&east), Millis(east_ms));
+    }
+    let ms = |distances: &RegionDistances, region| distances.round_trip_ms(Some(region));
+    let learned = ms(&distances, &east);
+    assert!((58.0..70.0).contains(&learned), "{learned}");
+    assert_eq!(ms(&distances, &south), 60.0, "not measured");
+    assert_eq!(distances.round_trip_ms(None), 60.0);
+    for _ in 0..10 {
+        distances.record(Some(&south), Millis(14));
+    }
+    assert!(ms(&distances, &south) < 12.0, "a nearer region is found out at once");
+    for _ in 0..150 {
+        distances.record(Some(&south), Millis(104));
+    }
+    let longer = ms(&distances, &south);
+    assert!((85.0..101.0).contains(&longer), "a longer route is found out: {longer}");
+}
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -240,6 +240,7 @@
         cx.exchanger.control_request(&runner, request, Permit::Acquired, CONTROL_TIMEOUT).await;
     let (held, result) = match answer {
         Ok((head, body)) => {
+            cx.shared.record_round_trip(&runner, cx.now().since(started));
             cx.shared.with_runners(|runners, now| runners.loads.record_reachable(&runner.id, now));
             let terms = HoldTerms { report: RunReport::new(runner.id.clone(), shape), ttl };
             read_hold(cx, runner.clone(), terms, head.status, &body)
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -222,6 +222,7 @@
     let took = cx.now().since(started).since(extra);
     let sent = started.plus(trace.waited().unwrap_or_default());
     cx.shared.record_prefill_end(&runner, sent);
+    cx.record_work("kv_transfer", &held.runner.data_centre, &runner);
     let ratio = cx.shared.with_timing(&fwd.service, |pace| {
         let expected = pace.prefill().expected_ms((queued + tokens) as f64);
         pace.record_prefill(queued + tokens, took);
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -58,6 +58,9 @@
     record_accounts(shared, metrics);
     record_speeds(shared, metrics);
     record_call_pools(shared, metrics);
+    for (region, ms) in shared.region_distances() {
+        metrics.set_region_round_trip(region.as_str(), ms.round() as u64);
+    }
     if let Some(age) = shared.confirmation_age(Topic::Runners) {
         metrics.set_state("runner_list_age_ms", age.0);
     }
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -6,7 +6,7 @@
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
-use bulrushusher_world::{Residency, RunnerId, ServiceName};
+use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{AUTHORIZATION, HOST};
@@ -190,6 +190,7 @@
         self.metrics.record_attempt(record.step, label, took.0 as f64);
         if let Some(waited) = record.trace.waited() {
             self.metrics.record_send_wait(record.step, waited.0 as f64);
+            self.record_work(record.step, &self.shared.cfg().data_centre, record.runner);
         }
         log::info!(
             "route: attempt ended id={} step={} runner={} result={label} detail=\"{}\" ms={} \
@@ -204,6 +205,16 @@
         );
     }
 
+    /// Counts work at the runner as in the same region as data centre `from` or in another one;
+    /// nothing where there is one region.
+    pub(crate) fn record_work(&self, work: &'static str, from: &DataCentreName, runner: &Runner) {
+        let topology = &self.shared.cfg().topology;
+        if topology.has_many_regions() {
+            let is_same = topology.is_same_region(from, &runner.data_centre);
+            self.metrics.record_work(work, if is_same { "own" } else { "other" });
+        }
+    }
+
     /// Removes a runner that is gone, or whose address belongs to another one.
     pub(crate) fn remove_runner(&self, runner: &RunnerId, cause: &str) {
         log::info!("runners: gone id={runner} cause=\"{cause}\"");
--- a/crates/bulrushusher_gateway/src/shared/calls.rs
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -6,7 +6,7 @@
 
 use bulrushusher_forward::{
     Admission, BackPressureView, CallPool, CallPoolConfig, CallPoolLoad, CallPoolReport,
-    CallTicket, CallToPlace, Runner, candidates_for_call,
+    CallTicket, CallToPlace, PlaceView, Runner, candidates_for_call,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
@@ -117,10 +117,11 @@
         }
         let (draw, admission_draw) = (self.draw(), self.draw());
         let CallTimes { target, left_to_target, left, waited } = times;
-        self.with_call_pool(to, tried, |runners, calls, pool, now| {
+        self.with_call_pool(to, tried, |runners, places, calls, pool, now| {
             let call = CallToPlace {
                 data_centre: near,
                 loads: &runners.loads,
+                places,
                 target,
                 left_to_target,
                 left,
@@ -146,7 +147,7 @@
         left: Millis,
     ) -> bool {
         !self.shares_calls(&to.service)
-            || self.with_call_pool(to, tried, |_, calls, pool, now| {
+            || self.with_call_pool(to, tried, |_, _, calls, pool, now| {
                 calls.pool.load(pool, now).expected_ms <= left.0 as f64
             })
     }
@@ -155,7 +156,7 @@
         &self,
         to: &Destination,
         tried: &[RunnerId],
-        f: impl FnOnce(&Runners, &mut CallState, &[&Runner], Millis) -> T,
+        f: impl FnOnce(&Runners, PlaceView<'_>, &mut CallState, &[&Runner], Millis) -> T,
     ) -> T {
         let draw = self.draw();
         self.with_runners(|runners, now| {
@@ -164,7 +165,7 @@
             self.with_places(&to.residency, |places| {
                 let cx = runners.candidates(&to.service, view, places, now);
                 let pool = candidates_for_call(cx, tried);
-                f(runners, &mut self.calls.lock(), &pool, now)
+                f(runners, places, &mut self.calls.lock(), &pool, now)
             })
         })
     }
@@ -185,7 +186,7 @@
             return false;
         }
         self.shared_services().iter().any(|service| {
-            self.with_call_pool(&Destination::anywhere(service), &[], |_, calls, pool, now| {
+            self.with_call_pool(&Destination::anywhere(service), &[], |_, _, calls, pool, now| {
                 calls.pool.is_report_due(pool, now)
             })
         })
@@ -218,7 +219,7 @@
     pub(crate) fn call_pools(&self) -> Vec<(ServiceName, CallPoolLoad, u64)> {
         let of = |service: ServiceName| {
             let to = Destination::anywhere(&service);
-            let (load, refused) = self.with_call_pool(&to, &[], |_, calls, pool, now| {
+            let (load, refused) = self.with_call_pool(&to, &[], |_, _, calls, pool, now| {
                 let refused = calls.refused.get(&service).copied().unwrap_or(0);
                 (calls.pool.load(pool, now), refused)
             });
@@ -261,6 +262,8 @@
     /// `None` where calls are not shared.
     ticket: Option<CallTicket>,
     started: Millis,
+    /// Round trip to the runner beyond one inside this gateway's region.
+    extra: Millis,
     is_answered: bool,
 }
 
@@ -276,8 +279,9 @@
         if ticket.is_some() && shared.is_call_report_due() {
             shared.report_due.notify_one();
         }
+        let extra = shared.extra_time(&runner.data_centre);
         let (shared, runner) = (shared.clone(), runner.id.clone());
-        CallInFlight { shared, runner, ticket, started, is_answered: false }
+        CallInFlight { shared, runner, ticket, started, extra, is_answered: false }
     }
 
     /// Records that the runner has answered the call.
@@ -290,7 +294,7 @@
     fn drop(&mut self) {
         let Some(ticket) = self.ticket else { return };
         let now = self.shared.now();
-        let response = self.is_answered.then(|| now.since(self.started));
+        let response = self.is_answered.then(|| now.since(self.started).since(self.extra));
         self.shared.calls.lock().pool.end(&self.runner, ticket, response, now);
     }
 }
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -22,7 +22,7 @@
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
-use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName};
+use bulrushusher_world::{DataCentreName, RegionName, Residency, RunnerId, ServiceName};
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -322,6 +322,26 @@
         }))
     }
 
+    /// Records the time of a request that the runner answered at once.
+    pub(crate) fn record_round_trip(&self, runner: &Runner, took: Millis) {
+        let cfg = self.cfg.load();
+        if !cfg.topology.has_many_regions() {
+            return;
+        }
+        let region = cfg.topology.region_of(&runner.data_centre);
+        if cfg.topology.is_same_region(&cfg.data_centre, &runner.data_centre) {
+            self.distances.lock().record(None, took);
+        } else if let Some(region) = region {
+            self.distances.lock().record(Some(region), took);
+        }
+    }
+
+    /// The measured round trips to other regions, in ms.
+    pub(crate) fn region_distances(&self) -> Vec<(RegionName, f64)> {
+        let distances = self.distances.lock();
+        distances.measured().map(|(region, ms)| (region.clone(), ms)).collect()
+    }
+
     /// Round trip to the data centre beyond one inside this gateway's region.
     pub(crate) fn extra_time(&self, data_centre: &DataCentreName) -> Millis {
         Millis(self.with_places(&Residency::Anywhere, |places| places.extra_ms(data_centre)) as u64)
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -25,6 +25,8 @@
     account_usage: Gauge<u64>,
     runner_pace: Gauge<u64>,
     call_pool: Gauge<u64>,
+    region_round_trip_ms: Gauge<u64>,
+    work_by_region: Counter<u64>,
 }
 
 /// Quota use of a client account, in the unit of its quota.
@@ -130,6 +132,15 @@
                 .u64_gauge("bulrush_gateway_call_pool")
                 .with_description("Load of plain services whose calls the gateways share")
                 .build(),
+            region_round_trip_ms: meter
+                .u64_gauge("bulrush_gateway_region_round_trip_ms")
+                .with_description("Round trip to another region beyond one inside the own, in ms")
+                .build(),
+            work_by_region: counter(
+                "bulrush_gateway_work_by_region",
+                "Work sent to runners: decode runners and calls relative to the gateway's region, \
+                 prefills relative to their decode runner's",
+            ),
             exporter,
         }
     }
@@ -139,6 +150,23 @@
         self.runner_pace.record(tokens_per_second, &[KeyValue::new("runner", runner.to_owned())]);
     }
 
+    /// Sets the estimated round trip to another region, in ms.
+    pub fn set_region_round_trip(&self, region: &str, ms: u64) {
+        self.region_round_trip_ms.record(ms, &[KeyValue::new("region", region.to_owned())]);
+    }
+
+    /// Records work that was sent to a runner; `place` is `own` or `other`.
+    ///
+    /// ```
+    /// let metrics = bulrushusher_report::GatewayMetrics::new("front-1");
+    /// metrics.record_work("decode", "other");
+    /// assert!(metrics.render().contains("bulrush_gateway_work_by_region_total"));
+    /// ```
+    pub fn record_work(&self, work: &'static str, place: &'static str) {
+        let labels = [KeyValue::new("work", work), KeyValue::new("place", place)];
+        self.work_by_region.add(1, &labels);
+    }
+
     /// Sets the quota use of a client account.
     pub fn set_account_usage(&self, account: &str, usage: AccountMetrics) {
         let AccountMetrics { used, worst_window, quota, refused } = usage;
