Each region has a target of its own for prefill runners

Cause: one target for all regions left regions with too many prefill runners or none; their generations then ran or were prefilled in another region.

Change: needed_stage_changes sets the ratio in each region with at least four runners of the service; the others are counted together. The target of a region is midway between its share of the pool's headroom and that of a pool of its own: 9 of 49 runners in three regions (8 before). StagePacing times each region's deviation by itself, so that short deviations in turn send no order.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -53,6 +53,7 @@
 mod runs;
 mod shutdown;
 mod signals;
+mod stage_pacing;
 mod stages;
 mod start_times;
 mod timing_model;
@@ -112,7 +113,8 @@
 pub use runs::{DeltaOutcome, PeersConfig, RunNumber, Runs};
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use signals::RunnerSignals;
-pub use stages::{OrderLease, OrderLeaseConfig, StageChange, StagesConfig, next_stage_change};
+pub use stage_pacing::StagePacing;
+pub use stages::{OrderLease, OrderLeaseConfig, StageChange, StagesConfig, needed_stage_changes};
 pub use start_times::{StartStatus, StartTimes};
 pub use timing_model::{TimingConfig, TimingModel};
 pub use wait_queue::{
--- a/crates/bulrushusher_forward/src/stages.rs
+++ b/crates/bulrushusher_forward/src/stages.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use bulrushusher_time::Millis;
-use bulrushusher_world::{DataCentreName, RunnerId};
+use bulrushusher_world::{DataCentreName, RegionName, RunnerId, Topology};
 
 use crate::{Runner, Stage};
 
@@ -60,6 +60,30 @@
         let max_prefill = (runners / 2) as f64;
         target.max(self.min_prefill as f64).min(max_prefill)
     }
+
+    /// Target number of prefill runners among `runners`, which are part of a pool of `all`.
+    ///
+    /// The headroom is midway between the part's share of the pool's headroom and what the part
+    /// would need by itself, as a burst overflows into other regions, but late: 9 of 49 runners in
+    /// three regions, compared with 8 for all together and 11 for three separate pools. A single
+    /// prefill runner is enough, as those of other regions stand in for it.
+    ///
+    /// ```
+    /// use bulrushusher_forward::StagesConfig;
+    /// let cfg = StagesConfig::default();
+    /// assert_eq!(cfg.target_in_group(16, 49).round(), 3.0);
+    /// assert_eq!(cfg.target_in_group(17, 49).round(), 3.0);
+    /// assert_eq!(cfg.target_in_group(4, 12).round(), 1.0);
+    /// assert_eq!(cfg.target_in_group(49, 49), cfg.target_prefill(49));
+    /// ```
+    pub fn target_in_group(&self, runners: usize, all: usize) -> f64 {
+        if runners == all {
+            return self.target_prefill(all);
+        }
+        let (part, whole) = (runners as f64, all as f64);
+        let headroom = self.prefill_margin * f64::midpoint(part / whole.sqrt(), part.sqrt());
+        (part * self.prefill_share + headroom).max(1.0).min((runners / 2) as f64)
+    }
 }
 
 /// A stage change to order.
@@ -69,13 +93,25 @@
     pub runner: Runner,
     /// Its new stage.
     pub stage: Stage,
+    /// The region whose ratio is off; `None` for runners that are not counted by region.
+    pub region: Option<RegionName>,
 }
 
-/// The next change that brings the ratio closer to the target, if it is off. `ordered` maps runners
-/// with a pending change to their new stage.
+/// Minimum number of a service's runners in a region with a target of its own. With fewer, one
+/// prefill runner would be a third of them or more.
+const MIN_REGION_RUNNERS: usize = 4;
+
+/// The changes that bring the ratios closer to their targets, one for each region that is off,
+/// those furthest off first. `ordered` maps runners with a pending change to their new stage.
+///
+/// Each region with at least four runners has its own target. With one target for all, a region
+/// could end up with prefill runners only, or with none: its generations then run elsewhere or
+/// prefill elsewhere, which takes two round trips more before each first event. Regions with fewer
+/// runners are counted together.
 ///
 /// ```
-/// use bulrushusher_forward::{Runner, Stage, StagesConfig, next_stage_change};
+/// use bulrushusher_forward::{Runner, Stage, StagesConfig, needed_stage_changes};
+/// use bulrushusher_world::Topology;
 /// let runner = |n: u16, stage| Runner {
 ///     id: format!("i-{n}").as_str().try_into().unwrap(),
 ///     born: None,
@@ -89,16 +125,18 @@
 /// };
 /// let mut runners: Vec<Runner> = (0..4).map(|n| runner(n, Stage::Prefill)).collect();
 /// runners.extend((4..12).map(|n| runner(n, Stage::Decode)));
-/// let change = next_stage_change(&runners, &Default::default(), StagesConfig::default()).unwrap();
-/// assert_eq!(change.stage, Stage::Decode);
+/// let (topology, cfg) = (Topology::default(), StagesConfig::default());
+/// let changes = needed_stage_changes(&runners, &Default::default(), &topology, cfg);
+/// assert_eq!(changes[0].stage, Stage::Decode);
 /// ```
-pub fn next_stage_change(
+pub fn needed_stage_changes(
     runners: &[Runner],
     ordered: &BTreeMap<RunnerId, Stage>,
+    topology: &Topology,
     cfg: StagesConfig,
-) -> Option<StageChange> {
+) -> Vec<StageChange> {
     if cfg.prefill_share <= 0.0 {
-        return None;
+        return Vec::new();
     }
     let with_stage: Vec<(&Runner, Stage)> = runners
         .iter()
@@ -107,17 +145,44 @@
             Some((runner, stage))
         })
         .collect();
-    let prefill = with_stage.iter().filter(|(_, stage)| *stage == Stage::Prefill).count();
-    let target = cfg.target_prefill(with_stage.len());
-    let stage = if prefill as f64 > target + cfg.slack {
-        Stage::Decode
-    } else if (prefill as f64) < target - cfg.slack {
-        Stage::Prefill
-    } else {
-        return None;
+    let groups = by_region(&with_stage, topology);
+    let mut changes: Vec<(f64, StageChange)> = Vec::new();
+    for (region, group) in &groups {
+        let prefill = group.iter().filter(|(_, stage)| *stage == Stage::Prefill).count();
+        let excess = prefill as f64 - cfg.target_in_group(group.len(), with_stage.len());
+        if excess.abs() <= cfg.slack {
+            continue;
+        }
+        let stage = if excess > 0.0 { Stage::Decode } else { Stage::Prefill };
+        if let Some(runner) = runner_to_change(group, stage, ordered) {
+            let change = StageChange { runner: runner.clone(), stage, region: region.cloned() };
+            changes.push((excess.abs(), change));
+        }
+    }
+    changes.sort_by(|a, b| b.0.total_cmp(&a.0));
+    changes.into_iter().map(|(_, change)| change).collect()
+}
+
+/// The runners by region, those of small regions and without a known region under `None`. Where
+/// the deployment has one region, all are under `None`.
+fn by_region<'a, 'b>(
+    with_stage: &[(&'a Runner, Stage)],
+    topology: &'b Topology,
+) -> BTreeMap<Option<&'b RegionName>, Vec<(&'a Runner, Stage)>> {
+    let region_of = |runner: &Runner| {
+        topology.region_of(&runner.data_centre).filter(|_| topology.has_many_regions())
     };
-    let runner = runner_to_change(&with_stage, stage, ordered)?;
-    Some(StageChange { runner: runner.clone(), stage })
+    let mut counts: BTreeMap<Option<&RegionName>, usize> = BTreeMap::new();
+    for (runner, _) in with_stage {
+        *counts.entry(region_of(runner)).or_default() += 1;
+    }
+    let mut groups: BTreeMap<Option<&RegionName>, Vec<(&Runner, Stage)>> = BTreeMap::new();
+    for (runner, stage) in with_stage {
+        let region = region_of(runner);
+        let region = region.filter(|_| counts[&region] >= MIN_REGION_RUNNERS);
+        groups.entry(region).or_default().push((runner, *stage));
+    }
+    groups
 }
 
 /// A runner that may change to `to`, taken from the data centre with the most runners of the other
--- a/crates/bulrushusher_gateway/src/store/orders.rs
+++ b/crates/bulrushusher_gateway/src/store/orders.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    OrderLease, OrderLeaseConfig, Runner, Stage, StageChange, StagesConfig, StartStatus, StartTime,
-    next_stage_change,
+    OrderLease, OrderLeaseConfig, Runner, Stage, StageChange, StagePacing, StagesConfig,
+    StartStatus, StartTime, needed_stage_changes,
 };
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
@@ -35,10 +35,6 @@
 /// An order without effect after this time counts as lost. A runner may carry one out 12 s late.
 const ORDER_TIMEOUT: Millis = Millis(15_000);
 
-/// Further orders follow the first one at once within this time: a ratio that is off by two has
-/// been off for as long.
-const FOLLOW_UP_WINDOW: Millis = Millis(3_000);
-
 /// The number of runners must be stable for this time before an order is sent, since a list that is
 /// still filling up looks like a wrong ratio. Runners write their entries about once in this time.
 const STABLE_COUNT_TIME: Millis = Millis(1_200);
@@ -84,11 +80,9 @@
 struct OrderState {
     lease: OrderLease,
     open: BTreeMap<RunnerId, OpenOrder>,
-    imbalanced_since: Option<Millis>,
+    pacing: StagePacing,
     /// Number of listed runners, and since when it has not changed.
     runner_count: (usize, Millis),
-    /// When this process sent its last order.
-    last_order: Option<Millis>,
     /// True if the store holds a record, so some gateway has sent orders before.
     has_record: bool,
 }
@@ -154,9 +148,8 @@
         OrderState {
             lease,
             open: BTreeMap::new(),
-            imbalanced_since: None,
+            pacing: StagePacing::new(self.shared.cfg().stages.min_imbalance_time),
             runner_count: (0, Millis(0)),
-            last_order: None,
             has_record: false,
         }
     }
@@ -170,16 +163,11 @@
     async fn check_ratio(&self, service: &ServiceName, state: &mut OrderState) {
         let now = self.shared.now();
         let cfg = self.shared.cfg().stages;
-        if self.needed_change(service, state, cfg).is_none() {
-            state.imbalanced_since = None;
-            return;
-        }
-        let imbalanced_since = *state.imbalanced_since.get_or_insert(now);
-        let is_follow_up = state.last_order.is_some_and(|at| now.since(at) < FOLLOW_UP_WINDOW);
-        let is_first = !state.has_record;
-        let is_due =
-            is_follow_up || is_first || now.since(imbalanced_since) >= cfg.min_imbalance_time;
-        if !is_due || now.since(state.runner_count.1) < STABLE_COUNT_TIME {
+        let changes = self.needed_changes(service, state, cfg);
+        state.pacing.set_min_time(cfg.min_imbalance_time);
+        state.pacing.update(&changes, now);
+        let is_due = |change: &StageChange| state.pacing.is_due(change, !state.has_record, now);
+        if !changes.iter().any(is_due) || now.since(state.runner_count.1) < STABLE_COUNT_TIME {
             return;
         }
         if let Err(cause) = self.order_change(service, state, cfg).await {
@@ -187,13 +175,13 @@
         }
     }
 
-    /// The stage change that is needed, given the changes in progress.
-    fn needed_change(
+    /// The stage changes that are needed, given the changes in progress.
+    fn needed_changes(
         &self,
         service: &ServiceName,
         state: &mut OrderState,
         cfg: StagesConfig,
-    ) -> Option<StageChange> {
+    ) -> Vec<StageChange> {
         let runners: Vec<Runner> = self
             .shared
             .with_runners(|runners, now| runners.directory.usable(service, now).cloned().collect());
@@ -208,7 +196,7 @@
                 && now.since(open.known_since) < ORDER_TIMEOUT
         });
         let open_changes = state.open.iter().map(|(id, o)| (id.clone(), o.stage)).collect();
-        next_stage_change(&runners, &open_changes, cfg)
+        needed_stage_changes(&runners, &open_changes, &self.shared.cfg().topology, cfg)
     }
 
     async fn order_change(
@@ -220,11 +208,15 @@
         let name = format!("stages-{service}");
         let record = self.store.read_record(&name, CALL_TIMEOUT).await;
         let record = record.map_err(|e| e.to_string())?;
+        let is_first = !state.has_record;
         state.has_record = record.is_some();
         if let Some(record) = &record {
             self.merge_record(state, &read_record(&name, &record.value));
         }
-        let Some(change) = self.needed_change(service, state, cfg) else { return Ok(()) };
+        let changes = self.needed_changes(service, state, cfg);
+        let now = self.shared.now();
+        let due = changes.into_iter().find(|it| state.pacing.is_due(it, is_first, now));
+        let Some(change) = due else { return Ok(()) };
         let revision = record.map(|record| record.revision);
         if !state.lease.may_write(revision, self.shared.now()) {
             return Ok(());
@@ -321,7 +313,7 @@
         let call = self.dialect.change_stage(&order);
         let known_since = self.shared.now();
         state.open.insert(runner.id.clone(), OpenOrder { stage, born: runner.born, known_since });
-        state.last_order = Some(known_since);
+        state.pacing.record_order(change, !state.has_record, known_since);
         let answer =
             self.exchanger.control_request(runner, call, Permit::Exempt, CALL_TIMEOUT).await;
         let (result, detail) = match answer {
