--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -252,6 +252,7 @@
         .await;
     let (held, result) = match answer {
         Ok((head, body)) => {
+            cx.shared.record_round_trip(&runner, cx.now().since(started));
             cx.shared.with_runners(|runners, now| runners.loads.record_reachable(&runner.id, now));
             let terms = HoldTerms { report: RunReport::new(runner.id.clone(), shape), ttl };
             read_hold(cx, runner.clone(), terms, head.status, &body)
