Release memory that a decode runner grants after the gateway's timeout

A hold request that timed out after 200 ms, or whose caller disconnected, was abandoned with its response; if the runner had granted the hold, the memory stayed reserved until the hold expired. The exchange now runs in a task of its own, and a hold that is granted too late is released.

--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -86,7 +86,7 @@
 /// # Errors
 /// The constraint that was binding when no memory could be held.
 pub(crate) async fn place<D: Dialect>(
-    cx: &Router<D>,
+    cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     history: &AttemptHistory,
     until: Millis,
@@ -221,9 +221,9 @@
     bound
 }
 
-/// Requests a hold on memory at a runner; `None` when the runner refuses or is unreachable.
+/// Requests a hold on memory at a runner; `None` when the runner refuses or does not answer in time.
 async fn request_hold<D: Dialect>(
-    cx: &Router<D>,
+    cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     runner: Runner,
 ) -> Option<MemoryHold<D>> {
@@ -233,25 +233,16 @@
     }
     let tokens = hold_tokens(cx, fwd);
     cx.shared.with_runners(|runners, now| runners.loads.record_probe(&runner.id, now));
-    let ttl = hold_ttl(cx, fwd);
     let shape = RunShape::of(fwd.request.size.as_ref());
-    let request = cx.dialect.create_hold(&runner.id, tokens, ttl);
-    let answer =
-        cx.exchanger.control_request(&runner, request, Permit::Acquired, CONTROL_TIMEOUT).await;
-    let (held, result) = match answer {
-        Ok((head, body)) => {
-            cx.shared.with_runners(|runners, now| runners.loads.record_reachable(&runner.id, now));
-            let terms = HoldTerms { report: RunReport::new(runner.id.clone(), shape), ttl };
-            read_hold(cx, runner.clone(), terms, head.status, &body)
-        }
+    let terms =
+        HoldTerms { report: RunReport::new(runner.id.clone(), shape), ttl: hold_ttl(cx, fwd) };
+    let (held, result) = match exchange_hold(cx, &runner, tokens, terms).await {
+        Ok(answered) => answered,
         Err(e) => {
             record_unreachable(cx, &runner, &e);
             (None, "unreachable")
         }
     };
-    if held.is_none() {
-        cx.shared.release_permits(&runner, REQUESTS_PER_GENERATION - 1);
-    }
     cx.metrics.record_memory_request(result);
     log::info!(
         "place: asked for memory id={} runner={} tokens={tokens} result={result} waited_ms={} \
@@ -264,6 +255,38 @@
     held
 }
 
+/// Sends a hold request and waits up to [`CONTROL_TIMEOUT`] for the response. The exchange runs in a
+/// task of its own: when the runner grants the hold later, or after the caller has disconnected, the
+/// unused [`MemoryHold`] is dropped and so released, instead of keeping memory until it expires.
+async fn exchange_hold<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    runner: &Runner,
+    tokens: u64,
+    terms: HoldTerms,
+) -> Result<(Option<MemoryHold<D>>, &'static str), ExchangeError> {
+    let request = cx.dialect.create_hold(&runner.id, tokens, terms.ttl);
+    let (cx, runner, ttl) = (cx.clone(), runner.clone(), terms.ttl);
+    let exchange = tokio::spawn(async move {
+        let timeout = ttl.max(CONTROL_TIMEOUT);
+        let answer =
+            cx.exchanger.control_request(&runner, request, Permit::Acquired, timeout).await;
+        let answered = answer.map(|(head, body)| {
+            cx.shared.with_runners(|runners, now| runners.loads.record_reachable(&runner.id, now));
+            read_hold(&cx, runner.clone(), terms, head.status, &body)
+        });
+        if !matches!(answered, Ok((Some(_), _))) {
+            cx.shared.release_permits(&runner, REQUESTS_PER_GENERATION - 1);
+        }
+        answered
+    });
+    let no_answer = |cause| Err(ExchangeError::NoAnswer { cause });
+    match tokio::time::timeout(CONTROL_TIMEOUT.duration(), exchange).await {
+        Ok(Ok(answered)) => answered,
+        Ok(Err(e)) => no_answer(e.to_string()),
+        Err(_) => no_answer(format!("silent for {CONTROL_TIMEOUT}")),
+    }
+}
+
 /// Interprets the response to a hold request; the second value is the result in metrics and the
 /// log.
 fn read_hold<D: Dialect>(
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -59,7 +59,7 @@
 }
 
 async fn place_or_refuse<D: Dialect>(
-    cx: &Router<D>,
+    cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     history: &AttemptHistory,
     until: Millis,
