Send plain calls to peers as small updates of the last full report

Calls now go in full reports only; between them, a datagram of their own has what changed since the last full report. Each update is complete against that report, so a lost one leaves nothing to repair, and a lost full report is requested. A report that repeats the last one is left out while updates show that the gateway is live. The encoding version is 7.

--- a/crates/bulrushusher_forward/src/call_peers.rs
+++ b/crates/bulrushusher_forward/src/call_peers.rs
@@ -6,7 +6,12 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
 
-use crate::{CallPoolReport, RunnerCalls};
+use crate::call_report::BaseTag;
+use crate::{CallPoolReport, CallPoolUpdate, DeltaOutcome, RunnerCalls};
+
+/// Time for which the last report of a silent peer is kept; a quiet peer sends a full report every
+/// 1.4 s, and a few of them may be lost.
+const KEEP_SILENT: Millis = Millis(5_000);
 
 /// The last report of a peer.
 #[derive(Clone, Debug)]
@@ -15,12 +20,19 @@
     at: Millis,
     waiting: u32,
     runners: BTreeMap<RunnerId, RunnerCalls>,
+    base: Arc<CallPoolReport>,
+    tag: BaseTag,
+    /// Number of the last update of the base.
+    number: u32,
 }
 
 /// The last reports of all peers, with their sums: decisions are far more frequent than reports.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct PeersCalls {
     peers: BTreeMap<Arc<str>, PeerCalls>,
+    /// Peers whose calls no longer count. Their next update still builds on their last full report:
+    /// without it a burst after a quiet time would be seen a round trip later.
+    silent: BTreeMap<Arc<str>, PeerCalls>,
     in_flight: BTreeMap<RunnerId, u32>,
     waiting: u32,
     /// Sum of the times of the reports, in ms.
@@ -30,8 +42,36 @@
 
 impl PeerCalls {
     pub(crate) fn new(incarnation: u64, report: CallPoolReport, at: Millis) -> PeerCalls {
-        let by_runner = report.runners.into_iter().map(|calls| (calls.runner.clone(), calls));
-        PeerCalls { incarnation, at, waiting: report.waiting, runners: by_runner.collect() }
+        let tag = report.tag();
+        let runners = by_runner(&report);
+        let (waiting, base) = (report.waiting, Arc::new(report));
+        PeerCalls { incarnation, at, waiting, runners, base, tag, number: 0 }
+    }
+
+    /// The calls after an update.
+    ///
+    /// # Errors
+    /// [`DeltaOutcome::Stale`] if the update is not newer, [`DeltaOutcome::Gap`] if its base is not
+    /// known.
+    pub(crate) fn update(
+        &self,
+        update: &CallPoolUpdate,
+        at: Millis,
+    ) -> Result<PeerCalls, DeltaOutcome> {
+        if update.base() != self.tag {
+            return Err(DeltaOutcome::Gap);
+        }
+        if update.number() <= self.number {
+            return Err(DeltaOutcome::Stale);
+        }
+        let report = update.apply_to(&self.base);
+        let (waiting, runners) = (report.waiting, by_runner(&report));
+        Ok(PeerCalls { at, waiting, runners, number: update.number(), ..self.clone() })
+    }
+
+    /// True if an update of the same base was applied, so that the base itself is older.
+    fn is_newer_than(&self, base: &PeerCalls) -> bool {
+        self.number > 0 && (self.incarnation, self.tag) == (base.incarnation, base.tag)
     }
 
     /// Calls of this report with those of the report before it, for the runners in both.
@@ -45,10 +85,25 @@
     }
 }
 
+fn by_runner(report: &CallPoolReport) -> BTreeMap<RunnerId, RunnerCalls> {
+    report.runners.iter().map(|calls| (calls.runner.clone(), calls.clone())).collect()
+}
+
 impl PeersCalls {
+    /// The last report of a peer, also of a silent one.
+    pub(crate) fn get(&self, peer: &str) -> Option<&PeerCalls> {
+        self.peers.get(peer).or_else(|| self.silent.get(peer))
+    }
+
+    /// True if an update of the peer's calls was received after `calls` was written.
+    pub(crate) fn is_outdated(&self, peer: &str, calls: &PeerCalls) -> bool {
+        self.get(peer).is_some_and(|known| known.is_newer_than(calls))
+    }
+
     /// Replaces the report of a peer, and returns the one before.
     pub(crate) fn replace(&mut self, peer: &str, calls: PeerCalls) -> Option<PeerCalls> {
         let before = self.remove(peer);
+        self.silent.remove(peer);
         for (runner, calls) in &calls.runners {
             *self.in_flight.entry(runner.clone()).or_default() += calls.in_flight;
         }
@@ -77,8 +132,11 @@
         let silent: Vec<Arc<str>> =
             self.peers.iter().filter(is_silent).map(|(peer, _)| peer.clone()).collect();
         for peer in silent {
-            self.remove(&peer);
+            if let Some(calls) = self.remove(&peer) {
+                self.silent.insert(peer, calls);
+            }
         }
+        self.silent.retain(|_, calls| now.since(calls.at) < KEEP_SILENT);
     }
 
     /// Removes a runner from all reports.
--- a/crates/bulrushusher_forward/src/call_pool.rs
+++ b/crates/bulrushusher_forward/src/call_pool.rs
@@ -14,7 +14,7 @@
 use crate::call_peers::{PeerCalls, PeersCalls};
 use crate::call_stats::{RunnerStats, project_in_flight};
 use crate::water_filling::{RunnerLevel, pick_by_share};
-use crate::{CallPoolReport, Runner, RunnerCalls, RunnerLoads};
+use crate::{CallPoolReport, CallPoolUpdate, DeltaOutcome, Runner, RunnerCalls, RunnerLoads};
 
 /// Parameters of a [`CallPool`].
 #[derive(Clone, Copy, Debug)]
@@ -213,6 +213,9 @@
     stats: BTreeMap<RunnerId, RunnerStats>,
     started_since_report: u64,
     waiting: u32,
+    /// The last full report, and the number of its updates so far.
+    base: Option<CallPoolReport>,
+    updates: u32,
 }
 
 impl CallPool {
@@ -226,6 +229,8 @@
             stats: BTreeMap::new(),
             started_since_report: 0,
             waiting: 0,
+            base: None,
+            updates: 0,
         }
     }
 
@@ -318,9 +323,43 @@
         self.peers.forget(runner);
     }
 
-    /// This gateway's calls, for a report to the peers.
+    /// This gateway's calls, for a full report to the peers. Later updates build on it.
     pub fn report(&mut self) -> CallPoolReport {
         self.started_since_report = 0;
+        self.updates = 0;
+        let report = self.current();
+        self.base = Some(report.clone());
+        report
+    }
+
+    /// The last full report, for a peer that has missed it.
+    pub fn last_report(&self) -> Option<&CallPoolReport> {
+        self.base.as_ref()
+    }
+
+    /// What has changed since the last full report; `None` before the first one.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{CallPool, CallPoolConfig, DeltaOutcome};
+    /// use bulrushusher_time::Millis;
+    /// let mut pool = CallPool::new(CallPoolConfig::default());
+    /// assert_eq!(pool.update(), None);
+    /// let base = pool.report();
+    /// let update = pool.update().unwrap();
+    /// let mut peer = CallPool::new(CallPoolConfig::default());
+    /// assert_eq!(peer.merge_update("g1", &update, Millis(1)), DeltaOutcome::Gap);
+    /// peer.merge("g1", 1, base, Millis(2));
+    /// assert_eq!(peer.merge_update("g1", &update, Millis(3)), DeltaOutcome::Applied);
+    /// ```
+    pub fn update(&mut self) -> Option<CallPoolUpdate> {
+        let base = self.base.as_ref()?;
+        self.updates += 1;
+        let update = CallPoolUpdate::between(base, self.current(), self.updates);
+        self.started_since_report = 0;
+        Some(update)
+    }
+
+    fn current(&self) -> CallPoolReport {
         let calls = self.own.iter().map(|(runner, own)| RunnerCalls {
             runner: runner.clone(),
             in_flight: own.in_flight,
@@ -344,10 +383,35 @@
         pool.iter().map(in_flight).sum::<f64>() > self.cfg.busy_share * f64::from(slots)
     }
 
-    /// Merges the report of a peer. `incarnation` is the peer's start; the totals of its first
+    /// Merges the full report of a peer. `incarnation` is the peer's start; the totals of its first
     /// report are a baseline.
     pub fn merge(&mut self, peer: &str, incarnation: u64, report: CallPoolReport, now: Millis) {
         let calls = PeerCalls::new(incarnation, report, now);
+        if !self.peers.is_outdated(peer, &calls) {
+            self.replace_peer(peer, calls, now);
+        }
+    }
+
+    /// Merges an update of a peer. After [`DeltaOutcome::Gap`] nothing of it was applied, and the
+    /// full report that it builds on is needed.
+    pub fn merge_update(
+        &mut self,
+        peer: &str,
+        update: &CallPoolUpdate,
+        now: Millis,
+    ) -> DeltaOutcome {
+        match self.peers.get(peer).map(|known| known.update(update, now)) {
+            None => DeltaOutcome::Gap,
+            Some(Err(outcome)) => outcome,
+            Some(Ok(calls)) => {
+                self.replace_peer(peer, calls, now);
+                DeltaOutcome::Applied
+            }
+        }
+    }
+
+    fn replace_peer(&mut self, peer: &str, calls: PeerCalls, now: Millis) {
+        let incarnation = calls.incarnation;
         let before = self.peers.replace(peer, calls.clone());
         if let Some(before) = before.filter(|before| before.incarnation == incarnation) {
             for (old, new) in calls.since(&before) {
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -65,7 +65,7 @@
     LimitReport,
 };
 pub use call_pool::{Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace};
-pub use call_report::{CallPoolReport, RunnerCalls};
+pub use call_report::{CallPoolReport, CallPoolUpdate, RunnerCalls};
 pub use events::{CompleteEvents, EventSplitter};
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
 pub use gateway_directory::{
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -120,7 +120,7 @@
     /// Number of prefills of the gateway that ended at each runner since its start, wrapping; only
     /// runners at which one ended in the last seconds.
     pub prefill_ends: Vec<(RunnerId, u64)>,
-    /// Plain calls of the gateway, by runner.
+    /// Plain calls of the gateway, by runner; empty in deltas, see [`crate::CallPoolUpdate`].
     pub calls: CallPoolReport,
 }
 
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -191,6 +191,11 @@
         true
     }
 
+    /// Incarnation and sequence number of the last report of a peer.
+    pub fn latest_report(&self, peer: &str) -> Option<(u64, u64)> {
+        self.peers.get(peer).map(|known| (known.report.incarnation, known.report.sequence))
+    }
+
     /// Applies a delta to a peer's last report. If the report before it is missing, the delta is
     /// applied nevertheless; the full report that is then due closes the gap.
     pub fn apply_delta(&mut self, peer: &str, delta: GatewayDelta, now: Millis) -> DeltaOutcome {
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -4,10 +4,10 @@
 use std::collections::{BinaryHeap, VecDeque};
 
 use bulrushusher_forward::{
-    Admission, AttemptEnd, AttemptPlan, CallPool, CallPoolConfig, CallPoolReport, CallResult,
-    CallSelection, CallTicket, CallToPlace, FinalAnswer, LoadConfig, LoadEpoch, NextStep,
-    PlaceView, RouteKind, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads,
-    SelectionContext, candidates_for_call, pick_for_call,
+    Admission, AttemptEnd, AttemptPlan, CallPool, CallPoolConfig, CallPoolReport, CallPoolUpdate,
+    CallResult, CallSelection, CallTicket, CallToPlace, DeltaOutcome, FinalAnswer, GatewayReport,
+    LoadConfig, LoadEpoch, NextStep, PlaceView, RouteKind, Runner, RunnerDirectory,
+    RunnerDirectoryConfig, RunnerLoads, SelectionContext, candidates_for_call, pick_for_call,
 };
 use bulrushusher_routing::{RetryBudget, RetryConfig};
 use bulrushusher_time::Millis;
@@ -31,6 +31,13 @@
 /// Time for a message from a gateway to a runner or back.
 const TRANSFER: u64 = 1;
 const REPORT_LOSS: f64 = 0.02;
+/// Time between two full reports: the second wake-up of the loop after 0.7 s each.
+const FULL_INTERVAL: u64 = 1_400;
+/// Bytes of a datagram before its contents: mark, version, kind, and a name of eleven bytes with its
+/// length, which updates leave out.
+const HEAD_BYTES: usize = 3;
+const NAME_BYTES: usize = 12;
+const BIRTH: u64 = 1_764_716_400_000;
 
 /// How gateways choose.
 #[derive(Clone, Copy, Debug)]
@@ -98,6 +105,8 @@
     pub sent_on_time: u32,
     /// Calls that waited at their gateway.
     pub waited: u32,
+    /// Bytes of all reports sent while callers arrive.
+    pub report_bytes: u64,
 }
 
 impl std::fmt::Display for Outcome {
@@ -128,6 +137,7 @@
             sent: self.sent + other.sent,
             sent_on_time: self.sent_on_time + other.sent_on_time,
             waited: self.waited + other.waited,
+            report_bytes: self.report_bytes + other.report_bytes,
         }
     }
 
@@ -171,6 +181,15 @@
     Report {
         report: usize,
     },
+    /// A gateway has missed a full report of another one.
+    FullRequested {
+        of: usize,
+        by: usize,
+    },
+    FullSentAgain {
+        report: usize,
+        to: usize,
+    },
     SlowPhase {
         runner: usize,
         slow: bool,
@@ -212,6 +231,34 @@
     slow: bool,
 }
 
+#[derive(Clone)]
+enum Report {
+    Full(CallPoolReport),
+    Update(CallPoolUpdate),
+}
+
+impl Report {
+    /// Size of the datagram.
+    fn bytes(&self) -> u64 {
+        let size = match self {
+            Report::Full(calls) => {
+                let calls = calls.clone();
+                let report = GatewayReport {
+                    incarnation: BIRTH,
+                    sequence: 999,
+                    calls,
+                    ..Default::default()
+                };
+                NAME_BYTES + postcard::to_allocvec(&report).expect("it is encoded").len()
+            }
+            Report::Update(update) => {
+                1 + postcard::to_allocvec(update).expect("it is encoded").len()
+            }
+        };
+        (HEAD_BYTES + size) as u64
+    }
+}
+
 struct GatewayState {
     members: RunnerDirectory,
     loads: RunnerLoads,
@@ -219,6 +266,8 @@
     budget: RetryBudget,
     reported_at: u64,
     due_at: u64,
+    full_at: Option<u64>,
+    requested_at: Vec<Option<u64>>,
 }
 
 /// The simulation.
@@ -237,7 +286,7 @@
     callers: Vec<Caller>,
     calls: Vec<Call>,
     attempts: Vec<Attempt>,
-    reports: Vec<(usize, CallPoolReport)>,
+    reports: Vec<(usize, Report)>,
     service: ServiceName,
     out: Outcome,
 }
@@ -278,6 +327,8 @@
             budget: RetryBudget::new(retries),
             reported_at: 0,
             due_at: 0,
+            full_at: None,
+            requested_at: vec![None; GATEWAYS],
         }
     });
     let gateways = gateways.collect();
@@ -362,6 +413,8 @@
             Event::Late { attempt } => self.late(attempt),
             Event::ReportDue { gateway } => self.report(gateway),
             Event::Report { report } => self.receive(report),
+            Event::FullRequested { of, by } => self.send_full_again(of, by),
+            Event::FullSentAgain { report, to } => self.receive_at(report, to),
             Event::Gone => {
                 for gateway in &mut self.gateways {
                     gateway.members.replace_all(self.members[1..].to_vec(), 0, now);
@@ -705,23 +758,68 @@
         }
         state.reported_at = self.now;
         state.due_at = self.now + MAX_INTERVAL;
-        let report = state.pool.report();
+        let is_full = state.full_at.is_none_or(|at| self.now - at >= FULL_INTERVAL * 100);
+        let report = match state.pool.update().filter(|_| !is_full) {
+            Some(update) => Report::Update(update),
+            None => {
+                state.full_at = Some(self.now);
+                Report::Full(state.pool.report())
+            }
+        };
+        self.count_bytes((GATEWAYS as u64 - 1) * report.bytes());
         self.reports.push((gateway, report));
         let at = self.now + self.load.report_delay * 100;
         self.at(at, Event::Report { report: self.reports.len() - 1 });
         self.at(self.now + MAX_INTERVAL, Event::ReportDue { gateway });
     }
 
+    fn count_bytes(&mut self, bytes: u64) {
+        if self.now < self.load.length * 100 {
+            self.out.report_bytes += bytes;
+        }
+    }
+
+    fn send_full_again(&mut self, of: usize, by: usize) {
+        let base = self.gateways[of].pool.last_report().expect("an update was sent").clone();
+        let report = Report::Full(base);
+        self.count_bytes(report.bytes());
+        self.reports.push((of, report));
+        let at = self.now + self.load.report_delay * 100;
+        if self.draw() >= REPORT_LOSS {
+            self.at(at, Event::FullSentAgain { report: self.reports.len() - 1, to: by });
+        }
+    }
+
+    fn receive_at(&mut self, report: usize, gateway: usize) {
+        /// Minimum time between two requests to one peer.
+        const REQUEST_INTERVAL: u64 = 20_000;
+        let now = self.ms();
+        let (from, report) = self.reports[report].clone();
+        let (name, state) = (format!("g{from}"), &mut self.gateways[gateway]);
+        let outcome = match report {
+            Report::Full(report) => {
+                state.pool.merge(&name, 1, report, now);
+                return;
+            }
+            Report::Update(update) => state.pool.merge_update(&name, &update, now),
+        };
+        let last = state.requested_at[from];
+        if outcome == DeltaOutcome::Gap && last.is_none_or(|at| self.now - at >= REQUEST_INTERVAL) {
+            state.requested_at[from] = Some(self.now);
+            self.count_bytes((HEAD_BYTES + NAME_BYTES) as u64);
+            let at = self.now + self.load.report_delay * 100;
+            self.at(at, Event::FullRequested { of: from, by: gateway });
+        }
+    }
+
     fn receive(&mut self, report: usize) {
         if self.load.silent {
             return;
         }
-        let now = self.ms();
-        let (from, report) = self.reports[report].clone();
+        let from = self.reports[report].0;
         for gateway in 0..GATEWAYS {
             if gateway != from && self.draw() >= REPORT_LOSS {
-                let name = format!("g{from}");
-                self.gateways[gateway].pool.merge(&name, 1, report.clone(), now);
+                self.receive_at(report, gateway);
             }
         }
     }
--- a/crates/bulrushusher_forward/tests/call_pool.rs
+++ b/crates/bulrushusher_forward/tests/call_pool.rs
@@ -1,8 +1,8 @@
 //! Plain calls of many gateways at few runners.
 
 use bulrushusher_forward::{
-    Admission, CallPool, CallPoolConfig, CallPoolReport, CallToPlace, LoadConfig, Runner,
-    RunnerCalls, RunnerLoads,
+    Admission, CallPool, CallPoolConfig, CallPoolReport, CallToPlace, DeltaOutcome, LoadConfig,
+    Runner, RunnerCalls, RunnerLoads,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::DataCentreName;
@@ -70,6 +70,18 @@
     assert_eq!(total(&load, SHARED()).waited, 0);
 }
 
+/// All control traffic of a gateway must stay within 8 KB/s, also while the pool is full all the
+/// time. Full reports several times a second took twice that.
+#[test]
+fn reports_of_a_full_pool_stay_within_the_budget_of_control_traffic() {
+    for load in [Load::constant(1.2 * CAPACITY), Load::constant(1.6 * CAPACITY)] {
+        let shared = run(load.clone(), SHARED());
+        let per_second = shared.report_bytes * 1_000 / load.length / GATEWAYS as u64;
+        println!("{per_second} bytes per second and gateway");
+        assert!(per_second < 8_000, "{per_second} bytes per second and gateway");
+    }
+}
+
 fn report(in_flight: u32, waiting: u32, nth: u64) -> CallPoolReport {
     let calls = |n| RunnerCalls {
         runner: runner(n).id,
@@ -194,3 +206,38 @@
     pool.end(&restarted.id, ticket, None, NOW);
     assert_eq!(pool.report().runners[0].in_flight, 1);
 }
+
+/// Guards against wrong calls of a peer after lost and late datagrams: an update is complete by
+/// itself, and without the report that it builds on nothing of it is applied.
+#[test]
+fn lost_and_late_updates_leave_no_wrong_calls() {
+    let runners: Vec<Runner> = (1..3).map(runner).collect();
+    let members: Vec<&Runner> = runners.iter().collect();
+    let (mut sender, mut receiver) =
+        (CallPool::new(CallPoolConfig::default()), CallPool::new(CallPoolConfig::default()));
+    let in_flight = |pool: &CallPool| pool.load(&members, NOW).in_flight.round();
+    let first = sender.report();
+    sender.begin(&runners[0], NOW);
+    let lost = sender.update().expect("a report was sent");
+    sender.begin(&runners[1], NOW);
+    let late = sender.update().expect("a report was sent");
+    let tickets: Vec<_> = (0..3).map(|_| sender.begin(&runners[1], NOW)).collect();
+    let last = sender.update().expect("a report was sent");
+    assert_eq!(receiver.merge_update("g1", &last, NOW), DeltaOutcome::Gap);
+    receiver.merge("g1", 1, first.clone(), NOW);
+    assert_eq!(receiver.merge_update("g1", &last, NOW), DeltaOutcome::Applied);
+    assert_eq!(in_flight(&receiver), 5.0, "without the updates before");
+    assert_eq!(receiver.merge_update("g1", &late, NOW), DeltaOutcome::Stale);
+    receiver.merge("g1", 1, first, NOW);
+    assert_eq!(in_flight(&receiver), 5.0, "the repeated report is older than its updates");
+    let missed = sender.report();
+    tickets.into_iter().for_each(|it| sender.end(&runners[1].id, it, None, NOW));
+    sender.forget(&runners[0].id);
+    let next = sender.update().expect("a report was sent");
+    assert_eq!(receiver.merge_update("g1", &next, NOW), DeltaOutcome::Gap);
+    receiver.merge("g1", 1, missed, NOW);
+    assert_eq!(receiver.merge_update("g1", &lost, NOW), DeltaOutcome::Gap, "of the base before");
+    assert_eq!(receiver.merge_update("g1", &next, NOW), DeltaOutcome::Applied);
+    assert_eq!(receiver.load(&members[..1], NOW).in_flight.round(), 0.0, "it was forgotten");
+    assert_eq!(receiver.load(&members, NOW).in_flight.round(), 1.0);
+}
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -164,7 +164,8 @@
         let socket = UdpSocket::bind(cfg.peers).await?;
         let (shared, intake) = (self.shared.clone(), self.intake.clone());
         let (sent, forwarded_revision) = Default::default();
-        let peers = PeerMessenger { announcer, shared, intake, sent, forwarded_revision };
+        let names = parking_lot::Mutex::default();
+        let peers = PeerMessenger { announcer, shared, intake, sent, names, forwarded_revision };
         tasks.spawn(peers.run(socket));
         Ok(())
     }
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -4,7 +4,7 @@
 //! version are recognised by their first bytes and ignored. Their sender then counts as unreachable
 //! until it is upgraded too.
 
-use bulrushusher_forward::{DeltaRequest, GatewayDelta, GatewayReport};
+use bulrushusher_forward::{CallPoolUpdate, DeltaRequest, GatewayDelta, GatewayReport};
 use bulrushusher_routing::CrashUpdate;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
@@ -15,12 +15,13 @@
 const MARK: u8 = 0xB5;
 
 /// Incremented with each change to the encoding of [`Datagram`] or of its contents.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 
 /// A datagram between two gateways.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Datagram {
-    /// Name of the sender.
+    /// Name of the sender; empty in [`Message::Calls`], which is sent often: the receiver knows the
+    /// name by the address.
     pub from: String,
     pub message: Message,
 }
@@ -32,6 +33,8 @@
     Full(GatewayReport),
     /// Changes since the sender's previous report.
     Delta(GatewayDelta),
+    /// Changes of the sender's plain calls since its last full report.
+    Calls(CallPoolUpdate),
     /// Requests a full report, after a report was missed.
     RequestFull,
     /// Update on requests that crash runners.
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
+use bulrushusher_accounts::UsageReport;
 use bulrushusher_forward::{DeltaOutcome, GatewayDelta, GatewayReport};
 use bulrushusher_routing::CrashUpdate;
 use bulrushusher_time::Millis;
@@ -17,6 +18,7 @@
 
 use crate::dialect::PlatformStore;
 use crate::peers::announcing::Announcer;
+use crate::peers::call_updates::PeerNames;
 use crate::peers::report_codec::{self, Datagram, Message};
 use crate::shared::SharedState;
 use crate::store::intake::Intake;
@@ -25,7 +27,7 @@
 const MIN_REPORT_INTERVAL: Millis = Millis(8);
 
 /// Maximum time between two reports, so that peers see that this gateway is live.
-const MAX_REPORT_INTERVAL: Millis = Millis(700);
+pub(super) const MAX_REPORT_INTERVAL: Millis = Millis(700);
 
 /// Time between two full reports. Meanwhile the peers' estimates of runs are off by some tens of
 /// tokens.
@@ -60,6 +62,8 @@
     pub shared: Arc<SharedState>,
     pub intake: Arc<Intake>,
     pub sent: parking_lot::Mutex<SentReports>,
+    /// Names of the senders of datagrams.
+    pub names: parking_lot::Mutex<PeerNames>,
     /// Revision up to which this gateway has forwarded changes of the runner list.
     pub forwarded_revision: AtomicU64,
 }
@@ -71,6 +75,7 @@
             self.discover(&socket),
             self.receive(&socket),
             self.send_reports(&socket),
+            self.send_call_updates(&socket),
             self.send_crash_updates(&socket),
             self.announcer.keep_announced(),
             self.follow_relays(&socket),
@@ -115,9 +120,14 @@
                 }
             };
             match report_codec::decode(&buf[..len]) {
-                Ok(datagram) => {
-                    self.handle_message(socket, &datagram.from, datagram.message, from).await;
-                    self.record_sender(socket, &datagram.from, from).await;
+                Ok(Datagram { from: name, message }) => {
+                    let name = self.names.lock().resolve(&name, from);
+                    let Some(name) = name else {
+                        self.request_full(socket, from).await;
+                        continue;
+                    };
+                    self.handle_message(socket, &name, message, from).await;
+                    self.record_sender(socket, &name, from).await;
                 }
                 Err(e) => log::debug!("peers: datagram ignored from={from} cause=\"{e}\""),
             }
@@ -134,10 +144,13 @@
         match message {
             Message::Full(report) => self.shared.merge_report(name, report),
             Message::Delta(delta) => {
-                if self.shared.apply_delta(name, delta) == DeltaOutcome::Gap
-                    && self.may_request_full(from)
-                {
-                    self.send_message(socket, Message::RequestFull, &[from]).await;
+                if self.shared.apply_delta(name, delta) == DeltaOutcome::Gap {
+                    self.request_full(socket, from).await;
+                }
+            }
+            Message::Calls(update) => {
+                if self.shared.merge_call_update(name, &update) == DeltaOutcome::Gap {
+                    self.request_full(socket, from).await;
                 }
             }
             Message::RequestFull => self.send_full_report(socket, from).await,
@@ -158,10 +171,14 @@
         }
     }
 
-    /// True if no full report was requested from the peer a moment ago.
-    fn may_request_full(&self, peer: SocketAddr) -> bool {
+    /// Requests a full report, unless one was requested from the peer a moment ago.
+    async fn request_full(&self, socket: &UdpSocket, peer: SocketAddr) {
         let now = self.shared.now();
-        claim_interval(&mut self.sent.lock().requested_at, peer, FULL_REQUEST_INTERVAL, now)
+        let is_due =
+            claim_interval(&mut self.sent.lock().requested_at, peer, FULL_REQUEST_INTERVAL, now);
+        if is_due {
+            self.send_message(socket, Message::RequestFull, &[peer]).await;
+        }
     }
 
     /// Sends the last report in full to a peer that missed it.
@@ -174,6 +191,7 @@
         };
         if let Some(mut report) = report {
             report.spends = self.shared.resync_usage();
+            report.calls = self.shared.last_call_report();
             self.send_message(socket, Message::Full(report), &[to]).await;
         }
     }
@@ -183,11 +201,10 @@
         let mut sequence = 0;
         loop {
             // The first report is sent at once, so that newly discovered peers can receive it.
-            if sequence > 0 {
-                self.wait_until_due().await;
-            }
+            let is_changed = sequence == 0 || self.wait_until_due().await;
+            let report = self.shared.report(incarnation, sequence + 1);
+            let Some(message) = self.next_message(report, is_changed) else { continue };
             sequence += 1;
-            let message = self.next_message(self.shared.report(incarnation, sequence));
             let peers = {
                 let directory = self.announcer.directory.lock();
                 match message {
@@ -202,20 +219,11 @@
         }
     }
 
-    /// Waits until a report is due: after a change, while a pool of plain calls is busy, and at the
-    /// latest after [`MAX_REPORT_INTERVAL`].
-    async fn wait_until_due(&self) {
-        let began = self.shared.now();
-        loop {
-            let left = MAX_REPORT_INTERVAL.since(self.shared.now().since(began));
-            let interval = self.shared.call_report_interval().unwrap_or(MAX_REPORT_INTERVAL);
-            let changed = self.shared.report_due.notified();
-            let wait = interval.min(left).duration();
-            let is_changed = tokio::time::timeout(wait, changed).await.is_ok();
-            if is_changed || interval >= left || self.shared.is_call_report_due() {
-                return;
-            }
-        }
+    /// Waits until a report is due: after a change, and at the latest after
+    /// [`MAX_REPORT_INTERVAL`]. Returns whether something has changed.
+    async fn wait_until_due(&self) -> bool {
+        let changed = self.shared.report_due.notified();
+        tokio::time::timeout(MAX_REPORT_INTERVAL.duration(), changed).await.is_ok()
     }
 
     /// Sends updates on requests that crash runners, at once and then repeatedly, since datagrams
@@ -243,21 +251,27 @@
         }
     }
 
-    /// The message for a report: a delta, or a full report if one is due.
-    fn next_message(&self, mut report: GatewayReport) -> Message {
+    /// The message for a report: a delta, or a full report if one is due. `None` if nothing is due
+    /// and updates on plain calls show the peers that this gateway is live.
+    fn next_message(&self, mut report: GatewayReport, is_changed: bool) -> Option<Message> {
         let now = self.shared.now();
         let mut sent = self.sent.lock();
         let is_due = now.since(sent.full_sent_at) >= FULL_REPORT_INTERVAL;
         report.spends = self.shared.take_usage(is_due || sent.report.is_none());
+        let are_calls_recent = now.since(sent.calls_sent_at) < MAX_REPORT_INTERVAL;
+        if !is_due && !is_changed && are_calls_recent && sent.repeats(&report) {
+            return None;
+        }
         let before = sent.report.replace(report.clone());
         match before.filter(|_| !is_due) {
-            Some(before) => Message::Delta(GatewayDelta::between(&before, &report)),
+            Some(before) => Some(Message::Delta(GatewayDelta::between(&before, &report))),
             None => {
                 report.speeds = self.shared.take_speed_reports();
+                report.calls = self.shared.call_report();
                 sent.full_sent_at = now;
                 sent.resent_at.clear();
                 sent.requested_at.clear();
-                Message::Full(report)
+                Some(Message::Full(report))
             }
         }
     }
@@ -268,7 +282,10 @@
         message: Message,
         to: &[SocketAddr],
     ) {
-        let from = self.shared.cfg().name.to_string();
+        let from = match message {
+            Message::Calls(_) => String::new(),
+            _ => self.shared.cfg().name.to_string(),
+        };
         match report_codec::encode(&Datagram { from, message }) {
             Ok(bytes) if bytes.len() <= MAX_DATAGRAM => send_to_all(socket, &bytes, to).await,
             Ok(bytes) => log::warn!(
@@ -299,12 +316,24 @@
 pub(crate) struct SentReports {
     report: Option<GatewayReport>,
     full_sent_at: Millis,
+    /// When an update on plain calls was sent.
+    pub(super) calls_sent_at: Millis,
     /// Peers that requested a full report since, and when it was sent.
     resent_at: BTreeMap<SocketAddr, Millis>,
     /// Peers that a full report was requested from since, and when.
     requested_at: BTreeMap<SocketAddr, Millis>,
 }
 
+impl SentReports {
+    /// True if a report tells nothing that the last one did not.
+    fn repeats(&self, report: &GatewayReport) -> bool {
+        let Some(last) = &self.report else { return false };
+        let (sequence, spends) = (last.sequence, last.spends.clone());
+        report.spends == UsageReport::default()
+            && GatewayReport { sequence, spends, ..report.clone() } == *last
+    }
+}
+
 async fn send_to_all(socket: &UdpSocket, bytes: &[u8], peers: &[SocketAddr]) {
     for peer in peers {
         if let Err(e) = socket.send_to(bytes, peer).await {
--- a/crates/bulrushusher_gateway/src/shared/calls.rs
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -6,7 +6,7 @@
 
 use bulrushusher_forward::{
     Admission, BackPressureView, CallPool, CallPoolConfig, CallPoolLoad, CallPoolReport,
-    CallTicket, CallToPlace, Runner, candidates_for_call,
+    CallPoolUpdate, CallTicket, CallToPlace, DeltaOutcome, Runner, candidates_for_call,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
@@ -191,8 +191,8 @@
         })
     }
 
-    /// This gateway's calls, for a report to the peers; empty where calls are not shared.
-    pub(super) fn call_report(&self) -> CallPoolReport {
+    /// This gateway's calls, for a full report to the peers; empty where calls are not shared.
+    pub(crate) fn call_report(&self) -> CallPoolReport {
         let is_shared = !self.shared_services().is_empty();
         self.calls_shared.store(is_shared, Ordering::Relaxed);
         let now = self.now();
@@ -201,6 +201,24 @@
         if is_shared { calls.pool.report() } else { CallPoolReport::default() }
     }
 
+    /// The calls of the last full report, for a peer that has missed it.
+    pub(crate) fn last_call_report(&self) -> CallPoolReport {
+        let is_shared = self.calls_shared.load(Ordering::Relaxed);
+        let calls = self.calls.lock();
+        calls.pool.last_report().filter(|_| is_shared).cloned().unwrap_or_default()
+    }
+
+    /// Changes of this gateway's calls since the last full report; `None` where calls are not
+    /// shared.
+    pub(crate) fn call_update(&self) -> Option<CallPoolUpdate> {
+        let is_shared = self.calls_shared.load(Ordering::Relaxed);
+        let now = self.now();
+        let mut calls = self.calls.lock();
+        let update = if is_shared { calls.pool.update() } else { None }?;
+        calls.reported_at = now;
+        Some(update)
+    }
+
     /// Merges the calls of a peer.
     pub(super) fn merge_calls(&self, peer: &str, incarnation: u64, report: CallPoolReport) {
         if self.calls_shared.load(Ordering::Relaxed) {
@@ -209,6 +227,15 @@
         }
     }
 
+    /// Merges an update on the calls of a peer; a gateway that does not share calls ignores it.
+    pub(crate) fn merge_call_update(&self, peer: &str, update: &CallPoolUpdate) -> DeltaOutcome {
+        if !self.calls_shared.load(Ordering::Relaxed) {
+            return DeltaOutcome::Stale;
+        }
+        let now = self.now();
+        self.calls.lock().pool.merge_update(peer, update, now)
+    }
+
     /// Forgets the calls at a runner that is gone or has restarted.
     pub(super) fn forget_calls(&self, runner: &RunnerId) {
         self.calls.lock().pool.forget(runner);
@@ -274,7 +301,7 @@
         let ticket =
             shared.shares_calls(service).then(|| shared.calls.lock().pool.begin(runner, started));
         if ticket.is_some() && shared.is_call_report_due() {
-            shared.report_due.notify_one();
+            shared.call_report_due.notify_one();
         }
         let (shared, runner) = (shared.clone(), runner.id.clone());
         CallInFlight { shared, runner, ticket, started, is_answered: false }
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -4,9 +4,9 @@
 
 use bulrushusher_accounts::UsageReport;
 use bulrushusher_forward::{
-    DecodeLoad, DeltaOutcome, GatewayDelta, GatewayReport, MemoryForecast, PeerPrefills,
-    PrefillTask, RunNumber, RunReport, RunShape, Runner, Stage, WaitQueue, rank_for_decode,
-    should_request_memory,
+    CallPoolReport, DecodeLoad, DeltaOutcome, GatewayDelta, GatewayReport, MemoryForecast,
+    PeerPrefills, PrefillTask, RunNumber, RunReport, RunShape, Runner, Stage, WaitQueue,
+    rank_for_decode, should_request_memory,
 };
 use bulrushusher_world::{RunnerId, ServiceName};
 
@@ -137,7 +137,12 @@
         let speeds = std::mem::take(&mut report.speeds);
         let prefills = PeerPrefills::take(&mut report);
         let calls = std::mem::take(&mut report.calls);
-        if self.runs.lock().apply_report(peer, report, now) {
+        // A report that was requested for its calls only has the sequence number of the last delta.
+        let latest = (incarnation, report.sequence);
+        let is_repeated = self.runs.lock().latest_report(peer) == Some(latest);
+        if is_repeated {
+            self.merge_calls(peer, incarnation, calls);
+        } else if self.runs.lock().apply_report(peer, report, now) {
             self.merge_speeds(peer, speeds);
             self.merge_calls(peer, incarnation, calls);
             self.merge_limits(peer, &limits);
@@ -155,10 +160,8 @@
         let limits = std::mem::take(&mut report.limits);
         let leaving = std::mem::take(&mut report.leaving);
         let prefills = PeerPrefills::take(report);
-        let calls = std::mem::take(&mut report.calls);
         let outcome = self.runs.lock().apply_delta(peer, delta, now);
         if outcome != DeltaOutcome::Stale {
-            self.merge_calls(peer, incarnation, calls);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.prefill_ends.lock().merge(peer, prefills, now);
@@ -190,7 +193,7 @@
         (on_time as u32, (all - on_time) as u32)
     }
 
-    /// Builds the next report to the peers.
+    /// Builds the next report to the peers, without the calls, which only full reports contain.
     pub(crate) fn report(&self, incarnation: u64, sequence: u64) -> GatewayReport {
         let (prefill_tokens, silent) = self.with_runners(|runners, now| {
             (runners.loads.queued_prompts(), runners.loads.unreachable(now))
@@ -201,7 +204,6 @@
         let limits = self.limit_reports();
         let leaving = self.with_runners(|runners, now| runners.directory.drain_reports(now));
         let prefill_ends = self.prefill_end_report();
-        let calls = self.call_report();
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
         let own = runs.own().cloned().collect();
@@ -223,7 +225,7 @@
             leaving,
             speeds: Vec::new(),
             prefill_ends,
-            calls,
+            calls: CallPoolReport::default(),
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -118,6 +118,8 @@
     pub lease_due: Notify,
     /// Notified when a report to the peers is due.
     pub report_due: Notify,
+    /// Notified when the peers must be told of this gateway's plain calls.
+    pub call_report_due: Notify,
     /// Notified when the peers must receive an update on requests that crash runners.
     pub crash_update_due: Notify,
     /// Notified when a relay has changes of the store to forward.
@@ -177,6 +179,7 @@
             restores: watch::Sender::new(0),
             lease_due: Notify::new(),
             report_due: Notify::new(),
+            call_report_due: Notify::new(),
             crash_update_due: Notify::new(),
             quarantine_due: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
