Send deltas of reports to other regions every 150 ms

Every gateway sent each report to all others, also to those in regions 30 ms away, where it matters little. Gateways of other regions now get a stream of their own: full reports as before, the first change after a quiet time at once, further ones after 150 ms, quota use that is due and drain notices at once. A delta names the report that it builds on, so that a receiver detects a gap in either stream; after a gap it asks until a full report arrives, and accepts one with the number of the delta that revealed the gap.

Announcements name the data centre of the gateway (optional field); an unknown one counts as of the own region, and without regions all are. A gateway removes the announcement of its previous start before it writes another one, which a store that checks revisions refused. Metric peer_bytes_total{region}.

--- a/crates/bulrushusher_forward/src/gateway_directory.rs
+++ b/crates/bulrushusher_forward/src/gateway_directory.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use bulrushusher_time::Millis;
+use bulrushusher_world::DataCentreName;
 
 use crate::rendezvous::is_among_first;
 
@@ -51,6 +52,8 @@
     pub address: SocketAddr,
     /// Store revision of the announcement.
     pub revision: u64,
+    /// Data centre of its VM; `None` in announcements of earlier versions.
+    pub data_centre: Option<DataCentreName>,
 }
 
 #[derive(Clone, Debug)]
@@ -61,6 +64,8 @@
     last_message: Option<Millis>,
     /// Revision of its announcement, if it has one.
     announced_revision: Option<u64>,
+    /// Its data centre by its announcement.
+    data_centre: Option<DataCentreName>,
 }
 
 impl Gateway {
@@ -86,7 +91,7 @@
 /// let cfg = GatewayDirectoryConfig::default();
 /// let mut gateways = GatewayDirectory::new(cfg, "entry-1".into());
 /// let address = "10.0.0.2:7000".parse().unwrap();
-/// let announcement = GatewayAnnouncement { name: "entry-2".into(), address, revision: 9 };
+/// let announcement = GatewayAnnouncement { name: "entry-2".into(), address, revision: 9, data_centre: None };
 /// let diff = gateways.apply_announcements(&[announcement.clone()], Millis(0));
 /// assert_eq!((diff.discovered, diff.own_is_missing), (vec![announcement], true));
 /// // It is sent each change for a limited time, and full reports for as long as it is announced.
@@ -114,10 +119,13 @@
             gateway.last_message = Some(now);
             return false;
         }
-        let announced_revision =
-            self.gateways.get(name).and_then(|gateway| gateway.announced_revision);
+        let (announced_revision, data_centre) =
+            self.gateways.get(name).map_or((None, None), |gateway| {
+                (gateway.announced_revision, gateway.data_centre.clone())
+            });
         let last_message = Some(now);
-        let gateway = Gateway { address, changed_at: now, last_message, announced_revision };
+        let gateway =
+            Gateway { address, changed_at: now, last_message, announced_revision, data_centre };
         self.insert(name.into(), gateway);
         true
     }
@@ -159,14 +167,20 @@
                 gateway.changed_at = now;
             }
             gateway.announced_revision = revision;
+            gateway.data_centre.clone_from(&announcement.data_centre);
             let has_recent_message =
                 gateway.last_message.is_some_and(|at| now.since(at) < active_for);
             if gateway.address == address || has_recent_message {
                 return false;
             }
         }
-        let gateway =
-            Gateway { address, changed_at: now, last_message: None, announced_revision: revision };
+        let gateway = Gateway {
+            address,
+            changed_at: now,
+            last_message: None,
+            announced_revision: revision,
+            data_centre: announcement.data_centre.clone(),
+        };
         self.insert(announcement.name.clone(), gateway);
         true
     }
@@ -211,6 +225,11 @@
         self.gateways.values().map(|gateway| gateway.address).collect()
     }
 
+    /// Addresses of the gateways whose data centre is known, with it.
+    pub fn data_centres(&self) -> impl Iterator<Item = (SocketAddr, &DataCentreName)> {
+        self.gateways.values().filter_map(|it| Some((it.address, it.data_centre.as_ref()?)))
+    }
+
     /// Expired announcements for this gateway to remove, each on condition that its revision is
     /// unchanged. Empty while there is no recent message from any other gateway, as this one may
     /// then be the partitioned one. Among gateways that receive each other's messages, rendezvous
@@ -232,7 +251,9 @@
         let mut assigned: Vec<GatewayAnnouncement> = assigned
             .filter_map(|(name, gateway)| {
                 let (name, address) = (name.clone(), gateway.address);
-                Some(GatewayAnnouncement { name, address, revision: gateway.announced_revision? })
+                let data_centre = gateway.data_centre.clone();
+                let revision = gateway.announced_revision?;
+                Some(GatewayAnnouncement { name, address, revision, data_centre })
             })
             .collect();
         assigned.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod call_report;
 mod call_stats;
 mod events;
+mod far_reports;
 mod forecast;
 mod gateway_directory;
 mod health;
@@ -67,6 +68,7 @@
 pub use call_pool::{Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace};
 pub use call_report::{CallPoolReport, CallPoolUpdate, RunnerCalls};
 pub use events::{CompleteEvents, EventSplitter};
+pub use far_reports::FarReports;
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
 pub use gateway_directory::{
     AnnouncementDiff, GatewayAnnouncement, GatewayDirectory, GatewayDirectoryConfig,
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -174,7 +174,7 @@
     }
 }
 
-/// A delta between two consecutive reports: runs that are new, moved, began or stalled, and the
+/// A delta between two reports: runs that are new, moved, began or stalled, and the
 /// numbers of runs that ended. Progress of runs is omitted; all other fields are sent in full.
 ///
 /// ```
@@ -199,6 +199,9 @@
     pub report: GatewayReport,
     /// Numbers of runs that ended.
     pub ended: Vec<u64>,
+    /// Number of reports between the two, which the receiver was not sent; see
+    /// [`crate::FarReports`].
+    pub skipped: u64,
 }
 
 impl GatewayDelta {
@@ -207,7 +210,13 @@
         let (changed, ended) = now.diff(before);
         let runs = changed.into_iter().cloned().collect();
         let ended = ended.into_iter().map(|run| run.number).collect();
-        GatewayDelta { report: GatewayReport { runs, ..now.clone() }, ended }
+        let skipped = now.sequence.saturating_sub(before.sequence + 1);
+        GatewayDelta { report: GatewayReport { runs, ..now.clone() }, ended, skipped }
+    }
+
+    /// Sequence number of the report that the delta builds on.
+    pub(crate) fn base(&self) -> u64 {
+        self.report.sequence.saturating_sub(self.skipped.saturating_add(1))
     }
 
     /// True when the delta contains the run.
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -30,6 +30,8 @@
 pub(crate) struct Peer {
     pub number: PeerNumber,
     pub report: GatewayReport,
+    /// True if a delta did not follow the report before it, and no full report has arrived since.
+    pub has_gap: bool,
 }
 
 /// Result of applying a peer's delta.
@@ -39,7 +41,7 @@
     Applied,
     /// It is not newer than the last known report.
     Stale,
-    /// The report before it is missing; a full report is needed.
+    /// A report before it is missing; a full report is needed.
     Gap,
 }
 
@@ -175,19 +177,21 @@
         let live = self.peers.get(peer).filter(|known| self.is_peer_live(known, now));
         if let Some(known) = live {
             let latest = (known.report.incarnation, known.report.sequence);
-            if (report.incarnation, report.sequence) <= latest {
+            // The full report that is requested after a gap may be the delta's own.
+            let is_repair = known.has_gap && (report.incarnation, report.sequence) == latest;
+            if (report.incarnation, report.sequence) <= latest && !is_repair {
                 return false;
             }
         }
         let mut report = report;
         self.drop_superseded(&mut report);
-        let Peer { number, report: before } = match self.peers.remove(peer) {
-            Some(known) => known,
-            None => Peer { number: self.add_peer(now), report: GatewayReport::default() },
+        let (number, before) = match self.peers.remove(peer) {
+            Some(known) => (known.number, known.report),
+            None => (self.add_peer(now), GatewayReport::default()),
         };
         self.by_runner.replace(number, &before, &report, now);
         self.last_message.insert(number, now);
-        self.peers.insert(peer.into(), Peer { number, report });
+        self.peers.insert(peer.into(), Peer { number, report, has_gap: false });
         true
     }
 
@@ -211,7 +215,7 @@
         if report.incarnation != incarnation {
             return DeltaOutcome::Gap;
         }
-        let follows = report.sequence == last + 1;
+        let follows = delta.base() == last;
         let mut delta = delta;
         self.drop_superseded(&mut delta.report);
         let Some(known) = self.peers.get_mut(peer) else { return DeltaOutcome::Gap };
@@ -226,7 +230,8 @@
         for (runner, born) in before.starts {
             known.report.starts.entry(runner).or_insert(born);
         }
-        if follows { DeltaOutcome::Applied } else { DeltaOutcome::Gap }
+        known.has_gap |= !follows;
+        if known.has_gap { DeltaOutcome::Gap } else { DeltaOutcome::Applied }
     }
 
     /// Drops statements about earlier starts of runners. Done once on receipt, so that decisions
--- a/crates/bulrushusher_forward/tests/changes.rs
+++ b/crates/bulrushusher_forward/tests/changes.rs
@@ -196,12 +196,12 @@
 fn a_delta_that_does_not_follow_a_known_report_is_a_gap() {
     let mut runs = Runs::new(PeersConfig::default());
     let report = GatewayReport { incarnation: 1, sequence: 2, ..GatewayReport::default() };
-    let delta = GatewayDelta { report: report.clone(), ended: Vec::new() };
+    let delta = GatewayDelta { report: report.clone(), ..GatewayDelta::default() };
     assert_eq!(runs.apply_delta("g", delta.clone(), Millis(0)), DeltaOutcome::Gap);
     runs.apply_report("g", report, Millis(0));
     let next = |sequence, incarnation| GatewayDelta {
         report: GatewayReport { incarnation, sequence, ..delta.report.clone() },
-        ended: Vec::new(),
+        ..GatewayDelta::default()
     };
     assert_eq!(runs.apply_delta("g", next(3, 1), Millis(0)), DeltaOutcome::Applied);
     assert_eq!(runs.apply_delta("g", next(3, 1), Millis(0)), DeltaOutcome::Stale);
@@ -230,7 +230,7 @@
     runs.apply_report("g", report.clone(), Millis(0));
     let empty_delta = GatewayDelta {
         report: GatewayReport { sequence: 2, runs: Vec::new(), ..report },
-        ended: Vec::new(),
+        ..GatewayDelta::default()
     };
     runs.apply_delta("g", empty_delta, Millis(1_000));
     let generated = runs.shapes_at(&runner(1), 1.0, Millis(1_500))[0].generated;
--- a/crates/bulrushusher_forward/tests/gateways.rs
+++ b/crates/bulrushusher_forward/tests/gateways.rs
@@ -71,6 +71,7 @@
                 name: name(*n),
                 address: *address,
                 revision: *revision,
+                data_centre: None,
             })
             .collect();
         let mut missing = Vec::new();
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -163,9 +163,19 @@
     ) -> io::Result<()> {
         let socket = UdpSocket::bind(cfg.peers).await?;
         let (shared, intake) = (self.shared.clone(), self.intake.clone());
-        let (sent, forwarded_revision) = Default::default();
-        let names = parking_lot::Mutex::default();
-        let peers = PeerMessenger { announcer, shared, intake, sent, names, forwarded_revision };
+        let (sent, names, far_peers, far_due, forwarded_revision) = Default::default();
+        let metrics = self.metrics.clone();
+        let peers = PeerMessenger {
+            announcer,
+            shared,
+            intake,
+            sent,
+            names,
+            far_peers,
+            far_due,
+            metrics,
+            forwarded_revision,
+        };
         tasks.spawn(peers.run(socket));
         Ok(())
     }
--- a/crates/bulrushusher_gateway/src/peers/announcing.rs
+++ b/crates/bulrushusher_gateway/src/peers/announcing.rs
@@ -30,6 +30,9 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct AnnouncementValue {
     address: SocketAddr,
+    /// Data centre of the gateway; earlier versions announce none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    data_centre: Option<String>,
 }
 
 /// An announcement of this gateway that the store has accepted.
@@ -81,7 +84,9 @@
     /// Announces this gateway. Retries until it succeeds or the gateway stops.
     pub(crate) async fn announce(&self) {
         let cfg = self.shared.cfg();
-        let value = match serde_json::to_value(AnnouncementValue { address: self.address }) {
+        let data_centre = Some(cfg.data_centre.as_str().to_owned());
+        let value = AnnouncementValue { address: self.address, data_centre };
+        let value = match serde_json::to_value(value) {
             Ok(value) => value,
             Err(e) => return log::error!("peers: announcement cannot be written cause=\"{e}\""),
         };
@@ -107,18 +112,31 @@
         }
     }
 
-    /// Reuses the announcement of this gateway's previous start, if its address is the same. The
+    /// Reuses the announcement of this gateway's previous start, if its address and data centre are the same. The
     /// list is at most some seconds old, and a later read detects that the announcement is gone.
     fn take_over(&self, listed: &[Announcement]) -> bool {
-        let name = self.shared.cfg().name.to_string();
+        let cfg = self.shared.cfg();
+        let name = cfg.name.to_string();
         let last = listed.iter().find(|it| it.gateway == name).cloned().and_then(parse);
-        let Some(last) = last.filter(|it| it.address == self.address) else { return false };
+        let is_unchanged = |it: &GatewayAnnouncement| {
+            it.address == self.address && it.data_centre.as_ref() == Some(&cfg.data_centre)
+        };
+        let Some(last) = last.filter(is_unchanged) else { return false };
         let (revision, at) = (last.revision, self.shared.now());
         *self.own.lock() = Some(OwnAnnouncement { revision, at });
         log::info!("peers: reusing the announcement of the previous start revision={revision}");
         true
     }
 
+    /// Removes the announcement of this gateway's previous start, which the store would not replace.
+    async fn remove_previous(&self, listed: &[Announcement]) {
+        let name = self.shared.cfg().name.to_string();
+        let Some(last) = listed.iter().find(|it| it.gateway == name) else { return };
+        if let Err(e) = self.store.retract(&name, last.revision, STORE_TIMEOUT).await {
+            log::info!("peers: previous announcement not removed cause=\"{e}\"");
+        }
+    }
+
     /// Reads all announcements. Empty if the store does not answer.
     async fn read_announcements(&self) -> Vec<Announcement> {
         self.store.list_announcements(STORE_TIMEOUT).await.unwrap_or_else(|e| {
@@ -136,6 +154,7 @@
         if nth == 0 && !self.take_over(&announced) {
             // Announcing before the second read ensures that of gateways which start together at
             // least one discovers the other.
+            self.remove_previous(&announced).await;
             self.announce().await;
             announced = self.read_announcements().await;
         }
@@ -190,7 +209,9 @@
     let Announcement { gateway, value, revision } = announcement;
     match serde_json::from_value::<AnnouncementValue>(value) {
         Ok(value) => {
-            Some(GatewayAnnouncement { name: gateway.into(), address: value.address, revision })
+            let data_centre = value.data_centre.and_then(|name| name.as_str().try_into().ok());
+            let (name, address) = (gateway.into(), value.address);
+            Some(GatewayAnnouncement { name, address, revision, data_centre })
         }
         Err(e) => {
             log::warn!("peers: announcement cannot be read name={gateway} cause=\"{e}\"");
--- a/crates/bulrushusher_gateway/src/peers/mod.rs
+++ b/crates/bulrushusher_gateway/src/peers/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod relaying;
 pub(crate) mod report_codec;
 pub(crate) mod reporting;
+pub(crate) mod sending;
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -5,16 +5,18 @@
 //! other by their announcements in the store, and also report to every gateway that they receive a
 //! datagram from.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
 use bulrushusher_accounts::UsageReport;
-use bulrushusher_forward::{DeltaOutcome, GatewayDelta, GatewayReport};
+use bulrushusher_forward::{DeltaOutcome, FarReports, GatewayDelta, GatewayReport};
+use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::CrashUpdate;
 use bulrushusher_time::Millis;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::dialect::PlatformStore;
 use crate::peers::announcing::Announcer;
@@ -53,7 +55,7 @@
 const CRASH_RESEND_INTERVAL: Millis = Millis(300);
 
 /// Maximum datagram size in bytes, for a report with some hundreds of runs.
-const MAX_DATAGRAM: usize = 60_000;
+pub(super) const MAX_DATAGRAM: usize = 60_000;
 
 /// The task that communicates with the peers.
 #[derive(Debug)]
@@ -64,6 +66,11 @@
     pub sent: parking_lot::Mutex<SentReports>,
     /// Names of the senders of datagrams.
     pub names: parking_lot::Mutex<PeerNames>,
+    /// Addresses of the gateways of other regions.
+    pub far_peers: parking_lot::Mutex<HashSet<SocketAddr>>,
+    /// Notified when a report to them may be due.
+    pub far_due: Notify,
+    pub metrics: Arc<GatewayMetrics>,
     /// Revision up to which this gateway has forwarded changes of the runner list.
     pub forwarded_revision: AtomicU64,
 }
@@ -75,6 +82,7 @@
             self.discover(&socket),
             self.receive(&socket),
             self.send_reports(&socket),
+            self.send_far_reports(&socket),
             self.send_call_updates(&socket),
             self.send_crash_updates(&socket),
             self.announcer.keep_announced(),
@@ -88,6 +96,7 @@
     async fn discover(&self, socket: &UdpSocket) {
         for nth in 0.. {
             let discovered = self.announcer.read(nth).await;
+            self.update_far_peers();
             if self.shared.needs_usage() {
                 let asked = &discovered[..discovered.len().min(FIRST_REQUESTS)];
                 self.send_message(socket, Message::RequestFull, asked).await;
@@ -104,6 +113,7 @@
         let now = self.shared.now();
         if self.announcer.directory.lock().record_message(name, address, now) {
             log::info!("peers: found name={name} address={address}");
+            self.update_far_peers();
             self.send_full_report(socket, address).await;
         }
     }
@@ -187,7 +197,8 @@
         let report = {
             let mut sent = self.sent.lock();
             let is_due = claim_interval(&mut sent.resent_at, to, FULL_RESEND_INTERVAL, now);
-            sent.report.clone().filter(|_| is_due)
+            let last = if self.is_far(to) { sent.far.last() } else { sent.report.as_ref() };
+            last.cloned().filter(|_| is_due)
         };
         if let Some(mut report) = report {
             report.spends = self.shared.resync_usage();
@@ -205,14 +216,10 @@
             let report = self.shared.report(incarnation, sequence + 1);
             let Some(message) = self.next_message(report, is_changed) else { continue };
             sequence += 1;
-            let peers = {
-                let directory = self.announcer.directory.lock();
-                match message {
-                    // Full reports also go to gateways that were unreachable, so that they
-                    // reconnect.
-                    Message::Full(_) => directory.all_addresses(),
-                    _ => directory.active_addresses(self.shared.now()),
-                }
+            let peers = match message {
+                // Full reports also go to gateways that were unreachable, so that they reconnect.
+                Message::Full(_) => self.announcer.directory.lock().all_addresses(),
+                _ => self.active_peers().0,
             };
             self.send_message(socket, message, &peers).await;
             tokio::time::sleep(MIN_REPORT_INTERVAL.duration()).await;
@@ -264,8 +271,15 @@
         }
         let before = sent.report.replace(report.clone());
         match before.filter(|_| !is_due) {
-            Some(before) => Some(Message::Delta(GatewayDelta::between(&before, &report))),
+            Some(before) => {
+                if self.shared.cfg().topology.has_many_regions() {
+                    sent.far.record_change(&report, now);
+                    self.far_due.notify_one();
+                }
+                Some(Message::Delta(GatewayDelta::between(&before, &report)))
+            }
             None => {
+                sent.far.record_full(&report, now);
                 report.speeds = self.shared.take_speed_reports();
                 report.calls = self.shared.call_report();
                 sent.full_sent_at = now;
@@ -275,26 +289,6 @@
             }
         }
     }
-
-    pub(super) async fn send_message(
-        &self,
-        socket: &UdpSocket,
-        message: Message,
-        to: &[SocketAddr],
-    ) {
-        let from = match message {
-            Message::Calls(_) => String::new(),
-            _ => self.shared.cfg().name.to_string(),
-        };
-        match report_codec::encode(&Datagram { from, message }) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => send_to_all(socket, &bytes, to).await,
-            Ok(bytes) => log::warn!(
-                "peers: message exceeds the datagram size limit, not sent bytes={}",
-                bytes.len()
-            ),
-            Err(e) => log::error!("peers: message cannot be encoded cause=\"{e}\""),
-        }
-    }
 }
 
 /// Records a send to a peer, unless one was recorded within `interval`. Returns whether it did.
@@ -316,6 +310,8 @@
 pub(crate) struct SentReports {
     report: Option<GatewayReport>,
     full_sent_at: Millis,
+    /// What was sent to gateways of other regions.
+    pub(super) far: FarReports,
     /// When an update on plain calls was sent.
     pub(super) calls_sent_at: Millis,
     /// Peers that requested a full report since, and when it was sent.
@@ -333,11 +329,3 @@
             && GatewayReport { sequence, spends, ..report.clone() } == *last
     }
 }
-
-async fn send_to_all(socket: &UdpSocket, bytes: &[u8], peers: &[SocketAddr]) {
-    for peer in peers {
-        if let Err(e) = socket.send_to(bytes, peer).await {
-            log::debug!("peers: cannot send peer={peer} cause=\"{e}\"");
-        }
-    }
-}
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -140,11 +140,12 @@
         // A report that was requested for its calls only has the sequence number of the last delta.
         let latest = (incarnation, report.sequence);
         let is_repeated = self.runs.lock().latest_report(peer) == Some(latest);
-        if is_repeated {
+        let is_applied = self.runs.lock().apply_report(peer, report, now);
+        if is_applied || is_repeated {
             self.merge_calls(peer, incarnation, calls);
-        } else if self.runs.lock().apply_report(peer, report, now) {
+        }
+        if is_applied {
             self.merge_speeds(peer, speeds);
-            self.merge_calls(peer, incarnation, calls);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.prefill_ends.lock().merge(peer, prefills, now);
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -21,6 +21,7 @@
     crashes: Counter<u64>,
     signals: Counter<u64>,
     withheld_sends: Counter<u64>,
+    peer_bytes: Counter<u64>,
     state: Gauge<u64>,
     account_usage: Gauge<u64>,
     runner_pace: Gauge<u64>,
@@ -114,6 +115,10 @@
                 "bulrush_gateway_sends_withheld",
                 "Sends that did not go out by a runner's back-pressure, by signal",
             ),
+            peer_bytes: counter(
+                "bulrush_gateway_peer_bytes",
+                "Bytes of datagrams to other gateways, by region (own or other)",
+            ),
             state: meter
                 .u64_gauge("bulrush_gateway_state")
                 .with_description("Version in force, runners known, requests waiting and in flight")
@@ -220,6 +225,12 @@
         self.withheld_sends.add(1, &[KeyValue::new("signal", signal)]);
     }
 
+    /// Records the bytes of datagrams to gateways of the own region, and of other regions.
+    pub fn record_peer_bytes(&self, own: u64, other: u64) {
+        self.peer_bytes.add(own, &[KeyValue::new("region", "own")]);
+        self.peer_bytes.add(other, &[KeyValue::new("region", "other")]);
+    }
+
     /// Sets a gauge of the gateway's state, labelled `what`.
     pub fn set_state(&self, what: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("what", what)]);
