Limit requests to cold runners over all gateways

A runner that has just started tolerates few requests per second and crashes well above that. Gateways sent it its usual share.

The first few announced gateways in rendezvous order may each send a fixed number in any 1.1 s, which covers at most half of the bound; the other half covers gateways that see another list. A gateway without a certain list, or within 1.1 s of its start, sends nothing. Cold runners come after warm ones and cost twice; a pool of cold ones is refused with the time until one opens.

--- a/crates/bulrushusher_forward/benches/place.rs
+++ b/crates/bulrushusher_forward/benches/place.rs
@@ -44,6 +44,7 @@
                 slots: 64,
                 stage: Some(Stage::Decode),
                 leaving: false,
+                cold_for: Millis(0),
                 revision: 0,
             },
             Millis(0),
--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::limit_share::{LimitBucket, LimitShare, Sharers};
-use crate::{RateLimit, Runner, RunnerSignals, StartTime};
+use crate::{ColdLimiter, RateLimit, Runner, RunnerSignals, StartTime};
 
 /// Lifetimes of signals.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,6 +65,9 @@
     /// This gateway's share of the runner's rate limit is used up.
     #[display("this gateway's share of the runner's rate limit is used up")]
     RateLimit,
+    /// The runner is cold, and this gateway may send it no more requests now.
+    #[display("the runner is cold, and this gateway's share of its requests is used up")]
+    Cold,
 }
 
 /// Back-pressure of all runners, for one selection.
@@ -81,6 +84,11 @@
     pub fn is_open(&self, runner: &Runner, now: Millis) -> bool {
         self.pressure.is_open(runner, self.draw, now)
     }
+
+    /// True if the runner is cold and may be sent few requests.
+    pub fn is_cold(&self, runner: &Runner, now: Millis) -> bool {
+        self.pressure.cold.is_cold(runner, now)
+    }
 }
 
 /// Numbers of runners whose back-pressure restricts this gateway's requests, by kind.
@@ -90,6 +98,8 @@
     pub limited: usize,
     /// Runners that this gateway is backing off from.
     pub backing_off: usize,
+    /// Cold runners.
+    pub cold: usize,
 }
 
 /// A runner's rate limit, as reported between gateways.
@@ -139,6 +149,7 @@
 ///     slots: 6,
 ///     stage: None,
 ///     leaving: false,
+///     cold_for: Millis(0),
 ///     revision: 0,
 /// };
 /// let mut pressure = BackPressure::new(BackPressureConfig::default(), "entry-1".into());
@@ -166,6 +177,8 @@
     announced: usize,
     runners: HashMap<RunnerId, RunnerEntry>,
     shares_computed_at: Option<Millis>,
+    /// Limits on the requests to cold runners.
+    pub cold: ColdLimiter,
 }
 
 /// How long shares are kept before they are recomputed.
@@ -176,6 +189,7 @@
     pub fn new(cfg: BackPressureConfig, own: Arc<str>) -> BackPressure {
         BackPressure {
             cfg,
+            cold: ColdLimiter::new(own.clone()),
             own,
             gateways: HashMap::new(),
             announced: 0,
@@ -261,6 +275,9 @@
     /// selects the gateway that probes a limit for which no gateway has seen a signal for some
     /// time.
     pub fn is_open(&self, runner: &Runner, draw: f64, now: Millis) -> bool {
+        if !self.cold.is_open(runner, 1, now) {
+            return false;
+        }
         let Some(entry) = self.entry(runner) else { return true };
         let is_backing_off = entry.backoff.is_some_and(|backoff| backoff.is_active(&self.cfg, now));
         let probes_here = draw * ((self.gateways.len() + 1) as f64) < 1.0;
@@ -279,6 +296,21 @@
         runner: &Runner,
         requests: u32,
         now: Millis,
+    ) -> Result<(), BackPressureError> {
+        self.acquire_signalled(runner, requests, now)?;
+        let cold = self.cold.acquire(runner, requests, now);
+        if cold.is_err() {
+            self.release_limit(runner, requests, now);
+        }
+        cold
+    }
+
+    /// Acquires permits under the back-pressure that the runner has signalled.
+    fn acquire_signalled(
+        &mut self,
+        runner: &Runner,
+        requests: u32,
+        now: Millis,
     ) -> Result<(), BackPressureError> {
         let cfg = self.cfg;
         let Some(entry) = self.entry_mut(runner) else { return Ok(()) };
@@ -322,6 +354,11 @@
 
     /// Returns permits of requests that were not sent after all.
     pub fn release(&mut self, runner: &Runner, requests: u32, now: Millis) {
+        self.cold.release(runner, requests);
+        self.release_limit(runner, requests, now);
+    }
+
+    fn release_limit(&mut self, runner: &Runner, requests: u32, now: Millis) {
         if let Some(limit) = self.entry_mut(runner).and_then(|entry| entry.limit.as_mut()) {
             limit.charge(-f64::from(requests), now);
         }
@@ -371,6 +408,7 @@
         BackPressureCounts {
             limited,
             backing_off: self.runners.values().filter(is_backing_off).count(),
+            cold: self.cold.cold_count(now),
         }
     }
 
--- a/crates/bulrushusher_forward/src/gateway_directory.rs
+++ b/crates/bulrushusher_forward/src/gateway_directory.rs
@@ -9,8 +9,17 @@
 
 use bulrushusher_time::Millis;
 
+use crate::KnownGateways;
 use crate::rendezvous::is_among_first;
 
+/// Time between the announcement of this gateway and a list that is certain to contain all gateways
+/// that started together with it. Announcing takes up to 0.5 s, and a lost answer 0.7 s more.
+const LISTED_AFTER: Millis = Millis(3_000);
+
+/// Age of the last list, as a share of [`GatewayDirectoryConfig::gone_after`], up to which the other
+/// gateways cannot have removed the announcement of this one.
+const MAX_CERTAIN_SHARE: f64 = 0.8;
+
 /// Limits of the directory of other gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GatewayDirectoryConfig {
@@ -99,12 +108,21 @@
     cfg: GatewayDirectoryConfig,
     own_name: Arc<str>,
     gateways: HashMap<Arc<str>, Gateway>,
+    /// When this process wrote its announcement; `None` if its previous start did.
+    own_written_at: Option<Millis>,
+    certain_until: Option<Millis>,
 }
 
 impl GatewayDirectory {
     /// Creates an empty directory for the gateway named `own_name`.
     pub fn new(cfg: GatewayDirectoryConfig, own_name: Arc<str>) -> GatewayDirectory {
-        GatewayDirectory { cfg, own_name, gateways: HashMap::new() }
+        GatewayDirectory {
+            cfg,
+            own_name,
+            gateways: HashMap::new(),
+            own_written_at: None,
+            certain_until: None,
+        }
     }
 
     /// Records a message from a gateway; returns true when it is new or has a new address.
@@ -122,6 +140,35 @@
         true
     }
 
+    /// Records that this gateway wrote its announcement; the known gateways are certain only after a
+    /// later list. Not called where the announcement of its previous start is still in force.
+    pub fn record_own_announcement(&mut self, now: Millis) {
+        self.own_written_at = Some(now);
+        self.certain_until = None;
+    }
+
+    /// The other gateways, and until when they are certain: this gateway and all others must be in
+    /// each other's lists, but for the few announcements that change meanwhile.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{GatewayAnnouncement, GatewayDirectory, GatewayDirectoryConfig};
+    /// use bulrushusher_time::Millis;
+    /// let mut gateways =
+    ///     GatewayDirectory::new(GatewayDirectoryConfig::default(), "entry-1".into());
+    /// let address = "10.0.0.1:7000".parse().unwrap();
+    /// let own = GatewayAnnouncement { name: "entry-1".into(), address, revision: 9 };
+    /// gateways.record_own_announcement(Millis(0));
+    /// gateways.apply_announcements(&[own.clone()], Millis(1_000));
+    /// assert!(gateways.known_gateways().certain_until.is_none(), "others may be announcing now");
+    /// gateways.apply_announcements(&[own], Millis(4_000));
+    /// assert!(gateways.known_gateways().certain_until.is_some());
+    /// ```
+    pub fn known_gateways(&self) -> KnownGateways {
+        let mut others: Vec<Arc<str>> = self.gateways.keys().cloned().collect();
+        others.sort_unstable();
+        KnownGateways { others, certain_until: self.certain_until }
+    }
+
     /// Applies a full list of announcements. Gateways that are neither announced nor active are
     /// dropped.
     pub fn apply_announcements(
@@ -137,6 +184,10 @@
                 diff.discovered.push(announcement.clone());
             }
         }
+        let is_settled =
+            self.own_written_at.is_none_or(|written| now.since(written) >= LISTED_AFTER);
+        let certain_for = self.cfg.gone_after.share(MAX_CERTAIN_SHARE);
+        self.certain_until = (is_settled && !diff.own_is_missing).then(|| now.plus(certain_for));
         let active_for = self.cfg.active_for;
         let names: HashSet<&str> =
             announcements.iter().map(|announcement| &*announcement.name).collect();
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -79,7 +79,10 @@
 pub use moves::{MoveConfig, pick_for_move};
 pub use pace_meter::PaceMeter;
 pub use pauses::PauseModel;
-pub use places::{PlaceScope, PlaceView, RegionDistances};
+pub use places::{
+    ColdChange, ColdLimitConfig, ColdLimiter, ColdShare, KnownGateways, PlaceScope, PlaceView,
+    RegionDistances, SendKind,
+};
 pub use prefill_ends::{PeerPrefills, PrefillEnds, PrefillEndsConfig, PrefillProgress};
 pub use prefill_patience::{
     LatePrefill, OtherRunner, PatienceConfig, PatientPrefills, PrefillEvidence, PrefillPatience,
@@ -94,7 +97,7 @@
 pub use retry_after::{RetryAfterConfig, TypicalPatience};
 pub use revision::{era_of, number_in_era, revision_in_era};
 pub use route::{
-    CallerLimits, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
+    CallerLimits, ColdSpec, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
     WeightedService,
 };
 pub use routing_delta::RoutingDelta;
--- a/crates/bulrushusher_forward/src/places/mod.rs
+++ b/crates/bulrushusher_forward/src/places/mod.rs
@@ -1,7 +1,11 @@
 //! Where requests may run, and what distance costs them.
 
+mod cold_limit;
 mod distance;
 mod view;
 
+pub use cold_limit::{
+    ColdChange, ColdLimitConfig, ColdLimiter, ColdShare, KnownGateways, SendKind,
+};
 pub use distance::RegionDistances;
 pub use view::{PlaceScope, PlaceView};
--- a/crates/bulrushusher_forward/src/route.rs
+++ b/crates/bulrushusher_forward/src/route.rs
@@ -109,6 +109,15 @@
     pub can_move_runs: bool,
 }
 
+/// What the runners of a service tolerate shortly after their start.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdSpec {
+    /// Requests per second that a cold runner tolerates, over all gateways; above 0.
+    pub requests_per_second: f64,
+    /// How long a started runner is cold.
+    pub duration: Millis,
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
@@ -118,6 +127,8 @@
     pub max_connections: u32,
     /// Its engine, if it serves models.
     pub engine: Option<EngineSpec>,
+    /// What its runners tolerate while they are cold; `None` if it makes no difference.
+    pub cold: Option<ColdSpec>,
 }
 
 /// Limits on requests and connections of callers.
--- a/crates/bulrushusher_forward/src/runner.rs
+++ b/crates/bulrushusher_forward/src/runner.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -45,6 +46,8 @@
     pub stage: Option<Stage>,
     /// True while it drains and must get no new work.
     pub leaving: bool,
+    /// How long it stays cold after its entry was written; zero if it is warm.
+    pub cold_for: Millis,
     /// Revision of the store at which its entry was written, see
     /// [`revision_in_era`](crate::revision_in_era); 0 if that is not known.
     pub revision: u64,
--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -90,6 +90,7 @@
 ///     slots: 6,
 ///     stage: None,
 ///     leaving: false,
+///     cold_for: Millis(0),
 ///     revision: 0,
 /// };
 /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -37,6 +37,15 @@
         let is_open = move |r: &&Runner| self.pressure.is_none_or(|it| it.is_open(r, self.now));
         self.members.usable(self.service, self.now).filter(is_permitted).filter(is_open)
     }
+
+    /// Cost factor of the runner: a cold one is slower.
+    fn cold_factor(self, runner: &Runner) -> f64 {
+        if self.is_cold(runner) { COLD_COST_FACTOR } else { 1.0 }
+    }
+
+    fn is_cold(self, runner: &Runner) -> bool {
+        self.pressure.is_some_and(|it| it.is_cold(runner, self.now))
+    }
 }
 
 /// Parameters of the selection of a runner for a plain call, that is, a request that is not a text
@@ -51,6 +60,9 @@
     pub draw: f64,
 }
 
+/// Cost factor of cold runners.
+const COLD_COST_FACTOR: f64 = 2.0;
+
 /// Cost factor for runners in the gateway's own data centre. It keeps traffic local while loads are
 /// about even; runners with equal load are chosen by the random number.
 const LOCAL_COST_FACTOR: f64 = 0.95;
@@ -62,7 +74,7 @@
     let cost = |r: &Runner| {
         let locality =
             if r.data_centre == *selection.data_centre { LOCAL_COST_FACTOR } else { 1.0 };
-        cx.loads.get(&r.id).expected_ms(r.slots, fastest_ms) * locality
+        cx.loads.get(&r.id).expected_ms(r.slots, fastest_ms) * locality * cx.cold_factor(r)
     };
     lowest_cost(&pool, selection.draw, cost).cloned()
 }
@@ -121,7 +133,7 @@
         let PrefillQueue { tokens_of_peers, factor } = queue(&r.id);
         let queued = cx.loads.get(&r.id).queued_prompt_tokens + tokens_of_peers;
         let distance = if r.data_centre == *near { 0.0 } else { REMOTE_PREFILL_COST };
-        (queued + tokens) as f64 * factor + distance
+        (queued + tokens) as f64 * factor * cx.cold_factor(r) + distance
     };
     lowest_cost(&pool, draw, cost).cloned()
 }
@@ -153,7 +165,10 @@
     with_room.sort_by(by_peak);
     let mut rest: Vec<(&Runner, f64)> = rest;
     rest.sort_by(by_peak);
-    with_room.into_iter().chain(rest).map(|(r, _)| r.clone()).collect()
+    let mut ranked: Vec<&Runner> = with_room.into_iter().chain(rest).map(|(r, _)| r).collect();
+    // The sort is stable: cold runners follow all warm ones, in the same order among themselves.
+    ranked.sort_by_key(|r| cx.is_cold(r));
+    ranked.into_iter().cloned().collect()
 }
 
 /// Runners compared ahead of all others (power of two choices).
--- a/crates/bulrushusher_forward/src/stages.rs
+++ b/crates/bulrushusher_forward/src/stages.rs
@@ -76,6 +76,7 @@
 ///
 /// ```
 /// use bulrushusher_forward::{Runner, Stage, StagesConfig, next_stage_change};
+/// use bulrushusher_time::Millis;
 /// let runner = |n: u16, stage| Runner {
 ///     id: format!("i-{n}").as_str().try_into().unwrap(),
 ///     born: None,
@@ -85,6 +86,7 @@
 ///     slots: 64,
 ///     stage: Some(stage),
 ///     leaving: false,
+///     cold_for: Millis(0),
 ///     revision: 0,
 /// };
 /// let mut runners: Vec<Runner> = (0..4).map(|n| runner(n, Stage::Prefill)).collect();
--- a/crates/bulrushusher_forward/tests/back_pressure.rs
+++ b/crates/bulrushusher_forward/tests/back_pressure.rs
@@ -17,6 +17,7 @@
         slots: 6,
         stage: None,
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -252,6 +252,7 @@
         slots: SLOTS,
         stage: None,
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_forward/tests/change_log.rs
+++ b/crates/bulrushusher_forward/tests/change_log.rs
@@ -30,6 +30,7 @@
         slots: 1,
         stage: None,
         leaving: false,
+        cold_for: Millis(0),
         revision,
     }
 }
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -203,6 +203,7 @@
         slots: 4,
         stage: None,
         leaving,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_forward/tests/plain_calls.rs
+++ b/crates/bulrushusher_forward/tests/plain_calls.rs
@@ -31,6 +31,7 @@
         slots: SLOTS,
         stage: None,
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_forward/tests/prefill_choice.rs
+++ b/crates/bulrushusher_forward/tests/prefill_choice.rs
@@ -18,6 +18,7 @@
         slots: 8,
         stage: Some(Stage::Prefill),
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_forward/tests/relays.rs
+++ b/crates/bulrushusher_forward/tests/relays.rs
@@ -35,6 +35,7 @@
         slots,
         stage: None,
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     })
 }
--- a/crates/bulrushusher_forward/tests/revisions.rs
+++ b/crates/bulrushusher_forward/tests/revisions.rs
@@ -19,6 +19,7 @@
         slots: 4,
         stage: None,
         leaving,
+        cold_for: Millis(0),
         revision,
     }
 }
--- a/crates/bulrushusher_forward/tests/routing_delta.rs
+++ b/crates/bulrushusher_forward/tests/routing_delta.rs
@@ -37,7 +37,12 @@
         header_timeout: Millis(700),
         idle_timeout: Millis(5_000),
     };
-    let service = ServiceSpec { name: service_name(), max_connections: connections, engine: None };
+    let service = ServiceSpec {
+        name: service_name(),
+        max_connections: connections,
+        engine: None,
+        cold: None,
+    };
     let routes = routes.iter().map(|(name, timeout)| route(*name, *timeout)).collect();
     RoutingConfig::new(version, routes, vec![service], limits).expect("valid configuration")
 }
--- a/crates/bulrushusher_forward/tests/starts.rs
+++ b/crates/bulrushusher_forward/tests/starts.rs
@@ -21,6 +21,7 @@
         slots: 4,
         stage: None,
         leaving,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -72,6 +72,8 @@
     let announcer = components.announcer(&store, cfg.peers);
     components.spawn_peers(&cfg, announcer.clone(), &mut tasks).await?;
     tasks.spawn(components.lease_keeper(&store).run());
+    let shared = components.shared.clone();
+    tasks.spawn(async move { shared.watch_cold_runners().await });
     tasks.spawn(components.quarantine_keeper(&store).run());
     tasks.spawn(components.stage_keeper(store).run());
     let server = Arc::new(Server::new(components.front.clone(), clock));
--- a/crates/bulrushusher_gateway/src/peers/announcing.rs
+++ b/crates/bulrushusher_gateway/src/peers/announcing.rs
@@ -16,6 +16,9 @@
 /// Delays between reads of the announcements after the start. The last one repeats.
 const READ_DELAYS: [Millis; 4] = [Millis(0), Millis(1_000), Millis(3_000), Millis(15_000)];
 
+/// Maximum delay between reads until the gateways that share cold runners are certain.
+const UNCERTAIN_READ_DELAY: Millis = Millis(3_000);
+
 /// Delay before a failed announcement is retried.
 const ANNOUNCE_RETRY: Millis = Millis(700);
 
@@ -88,7 +91,10 @@
         while !self.lifecycle.is_stopping() {
             match self.store.announce(cfg.name.as_str(), value.clone(), STORE_TIMEOUT).await {
                 Ok(revision) => {
-                    *self.own.lock() = Some(OwnAnnouncement { revision, at: self.shared.now() });
+                    let at = self.shared.now();
+                    *self.own.lock() = Some(OwnAnnouncement { revision, at });
+                    self.directory.lock().record_own_announcement(at);
+                    self.publish_known_gateways();
                     return;
                 }
                 Err(e) => log::info!("peers: announcement failed, retrying cause=\"{e}\""),
@@ -130,7 +136,10 @@
     /// Waits for the `nth` read of the announcements, then reads them. Returns the addresses of
     /// newly discovered gateways.
     pub(crate) async fn read(&self, nth: usize) -> Vec<SocketAddr> {
-        let wait = READ_DELAYS[nth.min(READ_DELAYS.len() - 1)];
+        let mut wait = READ_DELAYS[nth.min(READ_DELAYS.len() - 1)];
+        if self.directory.lock().known_gateways().certain_until.is_none() {
+            wait = wait.min(UNCERTAIN_READ_DELAY);
+        }
         tokio::time::sleep(wait.duration()).await;
         let mut announced = self.read_announcements().await;
         if nth == 0 && !self.take_over(&announced) {
@@ -157,12 +166,19 @@
         let readable: Vec<GatewayAnnouncement> = announced.into_iter().filter_map(parse).collect();
         self.shared.set_announced_gateways(readable.len().saturating_sub(1));
         let diff = self.directory.lock().apply_announcements(&readable, self.shared.now());
+        self.publish_known_gateways();
         for GatewayAnnouncement { name, address, .. } in &diff.discovered {
             log::info!("peers: found name={name} address={address}");
         }
         diff
     }
 
+    /// Passes the known gateways on to the limits on cold runners.
+    pub(crate) fn publish_known_gateways(&self) {
+        let known = self.directory.lock().known_gateways();
+        self.shared.set_known_gateways(known);
+    }
+
     fn is_announcement_settled(&self) -> bool {
         let now = self.shared.now();
         self.own.lock().is_some_and(|own| now.since(own.at) >= MAX_LIST_AGE)
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -15,7 +15,7 @@
 const MARK: u8 = 0xB5;
 
 /// Incremented with each change to the encoding of [`Datagram`] or of its contents.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 
 /// A datagram between two gateways.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -99,6 +99,7 @@
         let now = self.shared.now();
         if self.announcer.directory.lock().record_message(name, address, now) {
             log::info!("peers: found name={name} address={address}");
+            self.announcer.publish_known_gateways();
             self.send_full_report(socket, address).await;
         }
     }
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -64,6 +64,7 @@
     metrics.set_state("quarantined_requests", shared.all_quarantined().len() as u64);
     let pressure = shared.pressure_counts();
     metrics.set_state("limited_runners", pressure.limited as u64);
+    metrics.set_state("cold_runners", pressure.cold as u64);
     let leaving = shared.with_runners(|runners, now| runners.directory.drain_reports(now).len());
     metrics.set_state("leaving_runners", leaving as u64);
     metrics.set_state("backoff_runners", pressure.backing_off as u64);
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, BackPressureError, CallResult, RequestId, Runner};
+use bulrushusher_forward::{
+    AttemptEnd, BackPressureError, CallResult, RequestId, Runner, SendKind,
+};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 use bytes::Bytes;
@@ -163,7 +165,7 @@
     fn check_before_send(&self, runner: &Runner, spec: SendSpec<'_>) -> Result<(), ExchangeError> {
         let is_callers = spec.id.is_some();
         let checked = match spec.permit {
-            Permit::Exempt | Permit::Cleanup => return Ok(()),
+            Permit::Exempt | Permit::Cleanup => Ok(()),
             Permit::Acquire | Permit::Acquired
                 if is_callers && !self.shared.accepts_work(runner) =>
             {
@@ -171,7 +173,9 @@
             }
             Permit::Acquire | Permit::Acquired => self.shared.check_send(runner),
         };
-        checked.map_err(|cause| {
+        let recorded =
+            checked.and_then(|()| self.shared.record_send(runner, send_kind(spec.permit)));
+        recorded.map_err(|cause| {
             if spec.permit == Permit::Acquire {
                 self.shared.release_permits(runner, 1);
             }
@@ -284,11 +288,21 @@
     }
 }
 
+/// How a request counts at a cold runner.
+fn send_kind(permit: Permit) -> SendKind {
+    match permit {
+        Permit::Acquire | Permit::Acquired => SendKind::Permitted,
+        Permit::Cleanup => SendKind::Optional,
+        Permit::Exempt => SendKind::Mandatory,
+    }
+}
+
 /// The cause's label in metrics.
 pub(crate) fn withheld_label(cause: BackPressureError) -> &'static str {
     match cause {
         BackPressureError::RetryAfter => "retry_after",
         BackPressureError::Leaving => "leaving",
         BackPressureError::RateLimit => "rate_limit",
+        BackPressureError::Cold => "cold",
     }
 }
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -5,8 +5,9 @@
 use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
-    ForecastConfig, GatewayDirectoryConfig, HoldConfig, LoadConfig, PatientPrefills, QueueOrder,
-    RetryAfterConfig, RunnerDirectoryConfig, ShutdownConfig, StagesConfig, WaitQueueConfig,
+    ColdLimitConfig, ForecastConfig, GatewayDirectoryConfig, HoldConfig, LoadConfig,
+    PatientPrefills, QueueOrder, RetryAfterConfig, RunnerDirectoryConfig, ShutdownConfig,
+    StagesConfig, WaitQueueConfig,
 };
 use bulrushusher_routing::{QuarantineConfig, RetryConfig};
 use bulrushusher_time::Millis;
@@ -111,6 +112,20 @@
         Some("5000"),
         "Time within which a revoked key must be refused, even while the store is unreachable.",
     ),
+    setting(
+        "bounds",
+        "cold_factor",
+        Kind::Real(0.0, 1_000.0),
+        Some("1"),
+        "Factor by which the requests to a cold runner may exceed the rate that its service states.",
+    ),
+    setting(
+        "bounds",
+        "cold_extra",
+        Kind::Real(0.0, 1_000_000.0),
+        Some("0"),
+        "Requests in a second that a cold runner may get beyond that, over all gateways.",
+    ),
     setting(
         "quota",
         "window_s",
@@ -291,6 +306,8 @@
     pub runner_drained: Millis,
     /// Time within which a revoked API key must be refused.
     pub keys_revoked: Millis,
+    /// Tolerance above the request rate that is stated for cold runners.
+    pub cold_limit: ColdLimitConfig,
     /// Enforcement of client accounts' quotas.
     pub quotas: QuotaConfig,
     /// Minimum time between orders of two successive holders of the ordering lease.
@@ -379,6 +396,10 @@
             configuration_in_force: values.millis("bounds", "configuration_in_force_ms"),
             runner_drained: values.millis("bounds", "runner_drained_ms"),
             keys_revoked: values.millis("bounds", "keys_revoked_ms"),
+            cold_limit: ColdLimitConfig {
+                overage: values.real("bounds", "cold_factor"),
+                slack: values.real("bounds", "cold_extra"),
+            },
             quotas: QuotaConfig {
                 sharing: sharing(values.text("quota", "sharing")),
                 window: Millis((values.real("quota", "window_s") * 1_000.0) as u64),
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -33,6 +33,7 @@
 
 mod accounts;
 mod calls;
+mod cold;
 mod confirmations;
 mod crashes;
 mod health;
@@ -204,6 +205,7 @@
         self.crashes.lock().quarantine.reconfigure(cfg.quarantine);
         self.quotas.lock().set_config(cfg.quotas);
         self.cfg.store(Arc::new(cfg));
+        self.update_cold_services();
     }
 
     /// The configuration in force.
@@ -226,6 +228,7 @@
         let accounts = routing.accounts().map(AccountTable::len);
         self.set_quotas(&routing);
         self.routing.store(Some(Arc::new(routing)));
+        self.update_cold_services();
         // The task that renews the lease sleeps while no request needs an API key.
         self.lease_due.notify_one();
         log::info!(
--- a/crates/bulrushusher_gateway/src/shared/pressure.rs
+++ b/crates/bulrushusher_gateway/src/shared/pressure.rs
@@ -154,7 +154,7 @@
     ) -> Option<Millis> {
         self.with_runners(|runners, now| {
             let pressure = self.pressure_at(now);
-            if pressure.is_empty() {
+            if pressure.is_empty() && !pressure.cold.has_cold(now) {
                 return None;
             }
             let of_stage = |r: &&Runner| stage.is_none() || r.stage == stage;
@@ -162,7 +162,11 @@
             let usable = runners.directory.usable(&to.service, now).filter(is_permitted);
             let usable = usable.filter(of_stage);
             let earliest = usable
-                .map(|r| pressure.time_until_open(r, now).unwrap_or(OTHER_GATEWAY_RETRY))
+                .map(|r| {
+                    let signalled = pressure.time_until_open(r, now);
+                    let cold = pressure.cold.time_until_open(r, requests_at(r.stage), now);
+                    signalled.unwrap_or(OTHER_GATEWAY_RETRY).max(cold)
+                })
                 .min();
             earliest.filter(|opens_in| *opens_in > Millis(0))
         })
@@ -175,6 +179,14 @@
     }
 }
 
+/// Requests that one attempt sends to a runner: a decode runner gets the hold and the run.
+fn requests_at(stage: Option<Stage>) -> u32 {
+    match stage {
+        Some(Stage::Decode) => 2,
+        Some(Stage::Prefill) | None => 1,
+    }
+}
+
 /// Retry-After time of a request that is refused because other gateways use the whole rate limit of
 /// the runner. The next attempt reaches another gateway.
 const OTHER_GATEWAY_RETRY: Millis = Millis(300);
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -18,7 +18,11 @@
             return StartStatus::Missing;
         }
         let (id, born) = (runner.id.clone(), runner.born);
+        let observed = runner.clone();
         let status = self.with_runners(|runners, now| runners.directory.put(runner, now));
+        if matches!(status, StartStatus::Current | StartStatus::Newer) {
+            self.observe_cold(&observed);
+        }
         self.apply_start(&id, born, status);
         status
     }
@@ -29,6 +33,7 @@
         let implausible: Vec<RunnerId> =
             listed.iter().filter(|runner| is_bad(runner)).map(|r| r.id.clone()).collect();
         listed.retain(|runner| !is_bad(runner));
+        listed.iter().for_each(|runner| self.observe_cold(runner));
         let starts: Vec<(RunnerId, Option<StartTime>)> =
             listed.iter().map(|runner| (runner.id.clone(), runner.born)).collect();
         let diff =
@@ -48,6 +53,9 @@
             return StartStatus::Missing;
         }
         let status = self.with_runners(|runners, _| runners.directory.record_start(id, born));
+        if status == StartStatus::Newer {
+            self.observe_cold_start(id, born);
+        }
         self.apply_start(id, born, status);
         status
     }
--- a/crates/bulrushusher_model/src/limits.rs
+++ b/crates/bulrushusher_model/src/limits.rs
@@ -439,6 +439,7 @@
         slots: 6,
         stage: None,
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_model/src/simulation.rs
+++ b/crates/bulrushusher_model/src/simulation.rs
@@ -489,6 +489,7 @@
         slots: 64,
         stage: Some(Stage::Decode),
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
