--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -83,8 +83,9 @@
 pub use pace_meter::PaceMeter;
 pub use pauses::PauseModel;
 pub use places::{
-    EvacuationChange, EvacuationDiff, EvacuationSet, EvacuationUpdate, Evacuations, PlaceScope,
-    PlaceView, RegionDistances, ResidencyScope,
+    ColdChange, ColdLimitConfig, ColdLimiter, ColdShare, EvacuationChange, EvacuationDiff,
+    EvacuationSet, EvacuationUpdate, Evacuations, KnownGateways, PlaceScope, PlaceView,
+    RegionDistances, ResidencyScope, SendKind,
 };
 pub use prefill_ends::{PeerPrefills, PrefillEnds, PrefillEndsConfig, PrefillProgress};
 pub use prefill_patience::{
@@ -100,7 +101,7 @@
 pub use retry_after::{RetryAfterConfig, TypicalPatience};
 pub use revision::{era_of, number_in_era, revision_in_era};
 pub use route::{
-    CallerLimits, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
+    CallerLimits, ColdSpec, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
     WeightedService,
 };
 pub use routing_delta::RoutingDelta;
--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -93,6 +93,7 @@
 ///     slots: 6,
 ///     stage: None,
 ///     leaving: false,
+///     cold_for: Millis(0),
 ///     revision: 0,
 /// };
 /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
@@ -484,6 +485,7 @@
     ///     slots: 1,
     ///     stage: None,
     ///     leaving: false,
+    ///     cold_for: Millis(0),
     ///     revision: 1,
     /// };
     /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -37,6 +37,15 @@
         let is_open = move |r: &&Runner| self.pressure.is_none_or(|it| it.is_open(r, self.now));
         self.members.usable(self.service, self.now).filter(is_permitted).filter(is_open)
     }
+
+    /// Cost factor of the runner: a cold one is slower.
+    fn cold_factor(self, runner: &Runner) -> f64 {
+        if self.is_cold(runner) { COLD_COST_FACTOR } else { 1.0 }
+    }
+
+    fn is_cold(self, runner: &Runner) -> bool {
+        self.pressure.is_some_and(|it| it.is_cold(runner, self.now))
+    }
 }
 
 /// Parameters of the selection of a runner for a plain call, that is, a request that is not a text
@@ -51,6 +60,9 @@
     pub draw: f64,
 }
 
+/// Cost factor of cold runners.
+const COLD_COST_FACTOR: f64 = 2.0;
+
 /// Cost factor for runners in the gateway's own data centre. It keeps traffic local while loads are
 /// about even; runners with equal load are chosen by the random number.
 const LOCAL_COST_FACTOR: f64 = 0.95;
@@ -65,7 +77,7 @@
         let load = cx.loads.get(&r.id);
         // A measured response time includes the distance.
         let extra_ms = load.mean_ms().map_or(cx.places.extra_ms(&r.data_centre), |_| 0.0);
-        (load.expected_ms(r.slots, fastest_ms) + extra_ms) * locality
+        (load.expected_ms(r.slots, fastest_ms) + extra_ms) * locality * cx.cold_factor(r)
     };
     lowest_cost(&pool, selection.draw, cost).cloned()
 }
@@ -143,7 +155,7 @@
         let transfer = if r.data_centre == *decode { 0.0 } else { REMOTE_PREFILL_COST };
         let distance_ms = cx.places.prefill_extra_ms(&r.data_centre, decode);
         let distance = distance_ms / ms_per_token.max(MIN_MS_PER_TOKEN);
-        (queued + tokens) as f64 * factor + transfer + distance
+        (queued + tokens) as f64 * factor * cx.cold_factor(r) + transfer + distance
     };
     lowest_cost(&pool, draw, cost).cloned()
 }
@@ -184,7 +196,10 @@
     // Each part is rotated by itself: rotated together, most draws would fall on the first runner
     // of a part.
     let ranked = rank_by_peak(near, draw, &peak).chain(rank_by_peak(far, draw, &peak));
-    ranked.cloned().collect()
+    let mut ranked: Vec<&Runner> = ranked.collect();
+    // The sort is stable: cold runners follow all warm ones, in the same order among themselves.
+    ranked.sort_by_key(|r| cx.is_cold(r));
+    ranked.into_iter().cloned().collect()
 }
 
 /// The runners with room, the better of two random ones first and the rest by peak.
--- a/crates/bulrushusher_forward/src/stage_pacing.rs
+++ b/crates/bulrushusher_forward/src/stage_pacing.rs
@@ -41,6 +41,7 @@
 ///     slots: 64,
 ///     stage: Some(Stage::Prefill),
 ///     leaving: false,
+///     cold_for: Millis(0),
 ///     revision: 0,
 /// };
 /// let change = StageChange { runner, stage: Stage::Decode, region: None };
--- a/crates/bulrushusher_forward/src/stages.rs
+++ b/crates/bulrushusher_forward/src/stages.rs
@@ -111,6 +111,7 @@
 ///
 /// ```
 /// use bulrushusher_forward::{Runner, Stage, StagesConfig, needed_stage_changes};
+/// use bulrushusher_time::Millis;
 /// use bulrushusher_world::Topology;
 /// let runner = |n: u16, stage| Runner {
 ///     id: format!("i-{n}").as_str().try_into().unwrap(),
@@ -121,6 +122,7 @@
 ///     slots: 64,
 ///     stage: Some(stage),
 ///     leaving: false,
+///     cold_for: Millis(0),
 ///     revision: 0,
 /// };
 /// let mut runners: Vec<Runner> = (0..4).map(|n| runner(n, Stage::Prefill)).collect();
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -301,6 +301,7 @@
         slots: SLOTS,
         stage: None,
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_forward/tests/distance.rs
+++ b/crates/bulrushusher_forward/tests/distance.rs
@@ -27,6 +27,7 @@
         slots: 16,
         stage: Some(stage),
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     }
 }
--- a/crates/bulrushusher_forward/tests/region_load.rs
+++ b/crates/bulrushusher_forward/tests/region_load.rs
@@ -112,6 +112,7 @@
                 slots: 16,
                 stage: Some(if n < prefill[region] { Stage::Prefill } else { Stage::Decode }),
                 leaving: false,
+                cold_for: Millis(0),
                 revision: 0,
             }));
         }
--- a/crates/bulrushusher_forward/tests/residency.rs
+++ b/crates/bulrushusher_forward/tests/residency.rs
@@ -144,6 +144,7 @@
             slots: 8,
             stage: *stage,
             leaving: false,
+            cold_for: Millis(0),
             revision: 0,
         });
         let runners: Vec<Runner> = runners.collect();
--- a/crates/bulrushusher_forward/tests/stages.rs
+++ b/crates/bulrushusher_forward/tests/stages.rs
@@ -26,6 +26,7 @@
         slots: 16,
         stage: Some(stage),
         leaving: false,
+        cold_for: Millis(0),
         revision: 0,
     };
     let mut runners = Vec::new();
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -114,6 +114,7 @@
         if self.announcer.directory.lock().record_message(name, address, now) {
             log::info!("peers: found name={name} address={address}");
             self.update_far_peers();
+            self.announcer.publish_known_gateways();
             self.send_full_report(socket, address).await;
         }
     }
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, BackPressureError, CallResult, RequestId, Runner};
+use bulrushusher_forward::{
+    AttemptEnd, BackPressureError, CallResult, RequestId, Runner, SendKind,
+};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 use bulrushusher_world::DataCentreName;
@@ -169,7 +171,7 @@
             permit if (is_callers || permit.starts_work()) && self.shared.is_evacuated(runner) => {
                 Err(BackPressureError::Evacuated)
             }
-            Permit::Exempt | Permit::Order | Permit::Cleanup => return Ok(()),
+            Permit::Exempt | Permit::Order | Permit::Cleanup => Ok(()),
             Permit::Acquire | Permit::Acquired
                 if is_callers && !self.shared.accepts_work(runner) =>
             {
@@ -177,7 +179,9 @@
             }
             Permit::Acquire | Permit::Acquired => self.shared.check_send(runner),
         };
-        checked.map_err(|cause| {
+        let recorded =
+            checked.and_then(|()| self.shared.record_send(runner, send_kind(spec.permit)));
+        recorded.map_err(|cause| {
             if spec.permit == Permit::Acquire {
                 self.shared.release_permits(runner, 1);
             }
@@ -323,6 +327,15 @@
     }
 }
 
+/// How a request counts at a cold runner.
+fn send_kind(permit: Permit) -> SendKind {
+    match permit {
+        Permit::Acquire | Permit::Acquired => SendKind::Permitted,
+        Permit::Cleanup => SendKind::Optional,
+        Permit::Exempt | Permit::Order => SendKind::Mandatory,
+    }
+}
+
 /// The cause's label in metrics.
 pub(crate) fn withheld_label(cause: BackPressureError) -> &'static str {
     match cause {
@@ -330,5 +343,6 @@
         BackPressureError::Leaving => "leaving",
         BackPressureError::Evacuated => "evacuated",
         BackPressureError::RateLimit => "rate_limit",
+        BackPressureError::Cold => "cold",
     }
 }
