Confirm unchanged evacuations no more often than listening gateways need

Each answer of the store for the third topic had its confirmation forwarded, beside those of the two other topics, which contain it too.

--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -160,6 +160,7 @@
         let ages = self.shared.confirmation_ages();
         let evacuations = self.shared.evacuations_to_forward();
         if evacuations.is_some() {
+            self.shared.record_forward();
             let (runners, routing) = (None, None);
             let changes = StoreChanges { revisions, runners, routing, evacuations, ages };
             self.send_message(socket, Message::StoreChanges(changes), &cut_off).await;
@@ -190,6 +191,7 @@
             let ages = self.shared.confirmation_ages();
             let routing = self.unsent_routing_change(&mut forwarded_version);
             let evacuations = self.shared.evacuations_to_forward();
+            self.shared.record_forward();
             let changes = StoreChanges { revisions, runners, routing, evacuations, ages };
             self.send_message(socket, Message::StoreChanges(changes), &listeners).await;
         }
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaLimiter};
@@ -116,6 +116,8 @@
     /// Changes of the store that relays forward.
     relayed: Mutex<relayed::RelayedChanges>,
     relay_view: watch::Sender<RelayView>,
+    /// When this gateway last forwarded changes or confirmations of the store, in ms.
+    forwarded_at: AtomicU64,
     /// True once this gateway is shutting down.
     shutting_down: AtomicBool,
     /// Number of times that the store was restored from an older copy.
@@ -180,6 +182,7 @@
             relays: Mutex::new(relays),
             relayed: Mutex::default(),
             relay_view: watch::Sender::default(),
+            forwarded_at: AtomicU64::new(0),
             shutting_down: AtomicBool::new(false),
             forward_due: Notify::new(),
             relay_revisions_changed: Notify::new(),
--- a/crates/bulrushusher_gateway/src/shared/relays.rs
+++ b/crates/bulrushusher_gateway/src/shared/relays.rs
@@ -125,6 +125,16 @@
         self.relay_view.borrow().forwards
     }
 
+    /// Records that this gateway forwards what it knows of the store.
+    pub(crate) fn record_forward(&self) {
+        self.forwarded_at.store(self.now().0, Ordering::Relaxed);
+    }
+
+    /// Time since this gateway last forwarded what it knows of the store.
+    pub(crate) fn time_since_forward(&self) -> Millis {
+        self.now().since(Millis(self.forwarded_at.load(Ordering::Relaxed)))
+    }
+
     /// Addresses of the `gateways` that the store does not answer, while it answers this one and
     /// there are no relays. Empty where relays forward changes.
     pub(crate) fn cut_off(&self, gateways: &[(Arc<str>, SocketAddr)]) -> Vec<SocketAddr> {
--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -35,6 +35,11 @@
 /// than this.
 const BATCH_SHARE: f64 = 0.05;
 
+/// Time after a message within which unchanged evacuations are not confirmed again, as a part of
+/// the same time. A copy is then confirmed at least every two long polls of a relay, before the age
+/// at which listening gateways ask the store themselves, and the third topic adds few messages.
+const CONFIRMED_SHARE: f64 = 0.1;
+
 /// First and longest backoff after a failed call. A store that is down receives a few calls per
 /// second from each gateway that watches it.
 const INITIAL_BACKOFF: Millis = Millis(60);
@@ -293,7 +298,7 @@
                     };
                     self.record_copy(UpdateSource::Watch, Some(confirmed_at));
                     self.renew_lease(requested_at);
-                    self.shared.forward_due.notify_one();
+                    self.notify_forwarding(has_changed);
                     if has_changed {
                         tokio::time::sleep(self.share(BATCH_SHARE).duration()).await;
                     }
@@ -384,6 +389,17 @@
         }
     }
 
+    /// Has an answer of the store forwarded. The confirmation of unchanged evacuations is left out
+    /// shortly after another message, which contained the one before.
+    fn notify_forwarding(&self, has_changed: bool) {
+        let is_repeated = self.topic == Topic::Evacuations
+            && !has_changed
+            && self.shared.time_since_forward() < self.share(CONFIRMED_SHARE);
+        if !is_repeated {
+            self.shared.forward_due.notify_one();
+        }
+    }
+
     fn count_call(&self, result: &'static str) {
         self.metrics.record_store_call(self.topic.label(), result);
     }
