--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -63,6 +63,11 @@
 /// Cost factor of cold runners.
 const COLD_COST_FACTOR: f64 = 2.0;
 
+/// Cost factor of cold runners for a call that was sent to another runner before. With the usual one
+/// a quarter of the runners, back in a burst, served no call while they were cold: other runners
+/// were full, but looked as if they had room.
+const COLD_RETRY_COST_FACTOR: f64 = 0.5;
+
 /// Cost factor for runners in the gateway's own data centre. It keeps traffic local while loads are
 /// about even; runners with equal load are chosen by the random number.
 const LOCAL_COST_FACTOR: f64 = 0.95;
@@ -71,13 +76,17 @@
 pub fn pick_for_call(cx: SelectionContext<'_>, selection: CallSelection<'_>) -> Option<Runner> {
     let pool = candidates_for_call(cx, selection.tried);
     let fastest_ms = fastest_mean_ms(cx, &pool);
+    let cold_factor = |r: &Runner| match cx.is_cold(r) {
+        true if !selection.tried.is_empty() => COLD_RETRY_COST_FACTOR,
+        _ => cx.cold_factor(r),
+    };
     let cost = |r: &Runner| {
         let locality =
             if r.data_centre == *selection.data_centre { LOCAL_COST_FACTOR } else { 1.0 };
         let load = cx.loads.get(&r.id);
         // A measured response time includes the distance.
         let extra_ms = load.mean_ms().map_or(cx.places.extra_ms(&r.data_centre), |_| 0.0);
-        (load.expected_ms(r.slots, fastest_ms) + extra_ms) * locality * cx.cold_factor(r)
+        (load.expected_ms(r.slots, fastest_ms) + extra_ms) * locality * cold_factor(r)
     };
     lowest_cost(&pool, selection.draw, cost).cloned()
 }
--- a/crates/bulrushusher_gateway/src/peers/announcing.rs
+++ b/crates/bulrushusher_gateway/src/peers/announcing.rs
@@ -36,6 +36,9 @@
     /// Data centre of the gateway; earlier versions announce none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     data_centre: Option<String>,
+    /// When it was written, by the clock of its VM; 0 if an earlier version of the gateway wrote it.
+    #[serde(default)]
+    written_at: Millis,
 }
 
 /// An announcement of this gateway that the store has accepted.
@@ -87,14 +90,17 @@
     /// Announces this gateway. Retries until it succeeds or the gateway stops.
     pub(crate) async fn announce(&self) {
         let cfg = self.shared.cfg();
-        let data_centre = Some(cfg.data_centre.as_str().to_owned());
-        let value = AnnouncementValue { address: self.address, data_centre };
-        let value = match serde_json::to_value(value) {
-            Ok(value) => value,
-            Err(e) => return log::error!("peers: announcement cannot be written cause=\"{e}\""),
-        };
         while !self.lifecycle.is_stopping() {
-            match self.store.announce(cfg.name.as_str(), value.clone(), STORE_TIMEOUT).await {
+            let data_centre = Some(cfg.data_centre.as_str().to_owned());
+            let written_at = self.shared.now();
+            let value = AnnouncementValue { address: self.address, data_centre, written_at };
+            let value = match serde_json::to_value(value) {
+                Ok(value) => value,
+                Err(e) => {
+                    return log::error!("peers: announcement cannot be written cause=\"{e}\"");
+                }
+            };
+            match self.store.announce(cfg.name.as_str(), value, STORE_TIMEOUT).await {
                 Ok(revision) => {
                     let at = self.shared.now();
                     *self.own.lock() = Some(OwnAnnouncement { revision, at });
@@ -118,18 +124,21 @@
         }
     }
 
-    /// Reuses the announcement of this gateway's previous start, if its address and data centre are the same. The
-    /// list is at most some seconds old, and a later read detects that the announcement is gone.
+    /// Reuses the announcement of this gateway's previous start, if its address and data centre are
+    /// the same. The list is at most some seconds old, and a later read detects that the
+    /// announcement is gone.
     fn take_over(&self, listed: &[Announcement]) -> bool {
         let cfg = self.shared.cfg();
         let name = cfg.name.to_string();
-        let last = listed.iter().find(|it| it.gateway == name).cloned().and_then(parse);
+        let own = listed.iter().find(|it| it.gateway == name).cloned();
+        let written_at = own.as_ref().map_or(Millis(0), written_at);
         let is_unchanged = |it: &GatewayAnnouncement| {
             it.address == self.address && it.data_centre.as_ref() == Some(&cfg.data_centre)
         };
-        let Some(last) = last.filter(is_unchanged) else { return false };
+        let Some(last) = own.and_then(parse).filter(is_unchanged) else { return false };
         let (revision, at) = (last.revision, self.shared.now());
         *self.own.lock() = Some(OwnAnnouncement { revision, at });
+        self.directory.lock().record_own_announcement(written_at);
         log::info!("peers: reusing the announcement of the previous start revision={revision}");
         true
     }
@@ -220,6 +229,12 @@
     }
 }
 
+/// When an announcement was written; 0 if that is not known.
+fn written_at(announcement: &Announcement) -> Millis {
+    let value = serde_json::from_value::<AnnouncementValue>(announcement.value.clone());
+    value.map_or(Millis(0), |value| value.written_at)
+}
+
 /// Parses an announcement. `None` if another writer has stored something else.
 fn parse(announcement: Announcement) -> Option<GatewayAnnouncement> {
     let Announcement { gateway, value, revision } = announcement;
