Share plain calls where a pool with few slots is seen to be full

Gateways shared their calls only with fewer than 0.75 slots for each of them. With 36 slots for 27 gateways none did, and full runners refused calls while others had room. A gateway now watches its own calls: with fewer than four slots for each gateway, a utilization of 0.8 (its mean of calls in flight times the gateways) or two refusals by runners within 2 s show the need, which ends 5 s after the last sign. Full reports carry the need, and peers then share too; a gateway that does not share reports no calls and is not counted. The rule of 0.75 slots applies as before, and sharing = on and off too.

--- a/crates/bulrushusher_forward/src/call_pool.rs
+++ b/crates/bulrushusher_forward/src/call_pool.rs
@@ -367,7 +367,7 @@
             answered: own.answered,
             service_ms: own.service_ms as u64,
         });
-        CallPoolReport { waiting: self.waiting, runners: calls.collect() }
+        CallPoolReport { waiting: self.waiting, runners: calls.collect(), is_needed: false }
     }
 
     /// True if a report is due before the usual time: the pool is busy, or this gateway has sent
@@ -418,6 +418,11 @@
                 self.record_difference(old, new, now);
             }
         }
+        self.remove_silent_peers(now);
+    }
+
+    /// Removes the calls of silent peers, before a decision: no merge may follow for 700 ms.
+    pub fn remove_silent_peers(&mut self, now: Millis) {
         let lifetime = self.peer_lifetime();
         self.peers.remove_silent(lifetime, now);
     }
--- a/crates/bulrushusher_forward/src/call_report.rs
+++ b/crates/bulrushusher_forward/src/call_report.rs
@@ -24,7 +24,7 @@
     pub service_ms: u64,
 }
 
-/// Plain calls of one gateway, by runner. Empty where gateways do not share their calls.
+/// Plain calls of one gateway, by runner.
 ///
 /// ```
 /// use bulrushusher_forward::{CallPool, CallPoolConfig, CallPoolReport};
@@ -37,6 +37,8 @@
     pub waiting: u32,
     /// The runners that this gateway has sent calls to.
     pub runners: Vec<RunnerCalls>,
+    /// True if this gateway sees that sharing is needed; its peers then share their calls too.
+    pub is_needed: bool,
 }
 
 impl CallPoolReport {
@@ -164,6 +166,6 @@
         let mut runners: Vec<RunnerCalls> = of_base.collect();
         runners.retain(|calls| others(&calls));
         runners.extend(self.others.iter().cloned());
-        CallPoolReport { waiting: self.waiting, runners }
+        CallPoolReport { waiting: self.waiting, runners, is_needed: base.is_needed }
     }
 }
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -52,6 +52,7 @@
 mod runner_selection;
 mod runner_speeds;
 mod runs;
+mod sharing_need;
 mod shutdown;
 mod signals;
 mod stages;
@@ -112,6 +113,7 @@
 };
 pub use runner_speeds::{PoolChange, RunnerSpeeds, RunnerSpeedsConfig, SpeedReport};
 pub use runs::{DeltaOutcome, PeersConfig, RunNumber, Runs};
+pub use sharing_need::{PoolSize, SharingNeed, SharingNeedConfig};
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use signals::RunnerSignals;
 pub use stages::{OrderLease, OrderLeaseConfig, StageChange, StagesConfig, next_stage_change};
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -120,8 +120,9 @@
     /// Number of prefills of the gateway that ended at each runner since its start, wrapping; only
     /// runners at which one ended in the last seconds.
     pub prefill_ends: Vec<(RunnerId, u64)>,
-    /// Plain calls of the gateway, by runner; empty in deltas, see [`crate::CallPoolUpdate`].
-    pub calls: CallPoolReport,
+    /// Plain calls of the gateway, by runner; `None` where it does not share them, and in deltas,
+    /// see [`crate::CallPoolUpdate`].
+    pub calls: Option<CallPoolReport>,
 }
 
 impl GatewayReport {
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -6,8 +6,9 @@
 use bulrushusher_forward::{
     Admission, AttemptEnd, AttemptPlan, CallPool, CallPoolConfig, CallPoolReport, CallPoolUpdate,
     CallResult, CallSelection, CallTicket, CallToPlace, DeltaOutcome, FinalAnswer, GatewayReport,
-    LoadConfig, LoadEpoch, NextStep, PlaceView, RouteKind, Runner, RunnerDirectory,
-    RunnerDirectoryConfig, RunnerLoads, SelectionContext, candidates_for_call, pick_for_call,
+    LoadConfig, LoadEpoch, NextStep, PlaceView, PoolSize, RouteKind, Runner, RunnerDirectory,
+    RunnerDirectoryConfig, RunnerLoads, SelectionContext, SharingNeed, SharingNeedConfig,
+    candidates_for_call, pick_for_call,
 };
 use bulrushusher_routing::{RetryBudget, RetryConfig};
 use bulrushusher_time::Millis;
@@ -17,6 +18,7 @@
 
 pub const GATEWAYS: usize = 31;
 pub const SLOTS: u32 = 6;
+const RUNNERS: usize = 3;
 const QUEUE: usize = 24;
 pub const TARGET: u64 = 150;
 const DEADLINE: u64 = 2_500;
@@ -27,7 +29,8 @@
 const SLOW_GAP_MS: f64 = 3_400.0;
 const ONCE_SHARE: f64 = 148.0 / 207.0;
 const FAILING_SHARE: f64 = 0.14;
-const LATE_AFTER: u64 = 105;
+/// Share of the target after which a repeatable call is late, in percent.
+const LATE_PERCENT: u64 = 70;
 /// Time for a message from a gateway to a runner or back.
 const TRANSFER: u64 = 1;
 const REPORT_LOSS: f64 = 0.02;
@@ -46,11 +49,33 @@
     Own,
     /// By the calls of all gateways.
     Shared(CallPoolConfig),
+    /// By the calls of all gateways while one of them sees that it is needed.
+    Observed(CallPoolConfig),
 }
 
+/// Gateways, runners and calls.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub gateways: usize,
+    /// Runners with [`SLOTS`] slots each.
+    pub runners: usize,
+    pub target: u64,
+    pub deadline: u64,
+    pub service_ms: f64,
+}
+
+const USUAL_SIZE: Size = Size {
+    gateways: GATEWAYS,
+    runners: RUNNERS,
+    target: TARGET,
+    deadline: DEADLINE,
+    service_ms: SERVICE_MS,
+};
+
 /// A load on the runners.
 #[derive(Clone, Debug)]
 pub struct Load {
+    pub size: Size,
     pub seed: u64,
     /// Length of the simulation.
     pub length: u64,
@@ -69,6 +94,7 @@
 impl Load {
     pub fn constant(rate: f64) -> Load {
         Load {
+            size: USUAL_SIZE,
             seed: 1,
             length: 20_000,
             rates: vec![(0, rate)],
@@ -242,7 +268,7 @@
     fn bytes(&self) -> u64 {
         let size = match self {
             Report::Full(calls) => {
-                let calls = calls.clone();
+                let calls = Some(calls.clone());
                 let report = GatewayReport {
                     incarnation: BIRTH,
                     sequence: 999,
@@ -268,6 +294,9 @@
     due_at: u64,
     full_at: Option<u64>,
     requested_at: Vec<Option<u64>>,
+    need: SharingNeed,
+    peer_needs_until: u64,
+    shares: bool,
 }
 
 /// The simulation.
@@ -311,13 +340,13 @@
 
 /// Runs the load and returns what became of the callers.
 pub fn run(load: Load, choice: Choice) -> Outcome {
-    let members: Vec<Runner> = (0..3).map(runner).collect();
-    let retries = RetryConfig { per_request: 0.15, max_saved: 50.0 }.split(GATEWAYS);
+    let members: Vec<Runner> = (0..load.size.runners).map(runner).collect();
+    let retries = RetryConfig { per_request: 0.15, max_saved: 50.0 }.split(load.size.gateways);
     let cfg = match choice {
         Choice::Own => CallPoolConfig::default(),
-        Choice::Shared(cfg) => cfg,
+        Choice::Shared(cfg) | Choice::Observed(cfg) => cfg,
     };
-    let gateways = (0..GATEWAYS).map(|_| {
+    let gateways = (0..load.size.gateways).map(|_| {
         let mut directory = RunnerDirectory::new(RunnerDirectoryConfig::default());
         directory.replace_all(members.clone(), 0, Millis(0));
         GatewayState {
@@ -328,7 +357,10 @@
             reported_at: 0,
             due_at: 0,
             full_at: None,
-            requested_at: vec![None; GATEWAYS],
+            requested_at: vec![None; load.size.gateways],
+            need: SharingNeed::new(SharingNeedConfig::default()),
+            peer_needs_until: 0,
+            shares: false,
         }
     });
     let gateways = gateways.collect();
@@ -376,14 +408,14 @@
             let begins = self.exponential(SLOW_GAP_MS) * 100;
             self.at(begins, Event::SlowPhase { runner, slow: true });
         }
-        for gateway in 0..GATEWAYS {
+        for gateway in 0..self.load.size.gateways {
             let first = (self.draw() * 70_000.0) as u64;
             self.at(first, Event::ReportDue { gateway });
         }
         if let Some(at) = self.load.gone_at {
             self.at(at * 100, Event::Gone);
         }
-        let end = (self.load.length + 2 * DEADLINE) * 100;
+        let end = (self.load.length + 2 * self.load.size.deadline) * 100;
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
                 break;
@@ -396,6 +428,29 @@
         self.out.callers = self.callers.len() as u32;
     }
 
+    /// True if the gateway shares its calls now. When it begins to, it reports at once.
+    fn update_sharing(&mut self, gateway: usize) -> bool {
+        let Choice::Observed(_) = self.choice else {
+            return matches!(self.choice, Choice::Shared(_));
+        };
+        let now = self.ms();
+        let Size { gateways, runners, .. } = self.load.size;
+        let size = PoolSize { slots: SLOTS * runners as u32, gateways };
+        let state = &mut self.gateways[gateway];
+        let shares = state.need.is_needed(size, now) || self.now < state.peer_needs_until;
+        if shares && !state.shares {
+            state.full_at = None;
+            state.due_at = self.now;
+            self.at(self.now, Event::ReportDue { gateway });
+        }
+        self.gateways[gateway].shares = shares;
+        shares
+    }
+
+    fn late_after(&self) -> u64 {
+        self.load.size.target * LATE_PERCENT / 100
+    }
+
     fn ms(&self) -> Millis {
         Millis(10_000 + self.now / 100)
     }
@@ -446,7 +501,7 @@
     }
 
     fn call(&mut self, caller: usize, at: u64) {
-        let gateway = (self.draw() * GATEWAYS as f64) as usize;
+        let gateway = (self.draw() * self.load.size.gateways as f64) as usize;
         let plan = AttemptPlan::new(self.callers[caller].kind, 2);
         let returning = self.callers[caller].refusals > 0;
         self.gateways[gateway].budget.earn();
@@ -460,8 +515,9 @@
     }
 
     fn attempt(&mut self, call: usize) {
-        let left = DEADLINE.saturating_sub(self.spent(call));
+        let left = self.load.size.deadline.saturating_sub(self.spent(call));
         let (draw, admission_draw) = (self.draw(), self.draw());
+        let shares = self.update_sharing(self.calls[call].gateway);
         let now = self.ms();
         let spent = self.spent(call);
         let state = &mut self.calls[call];
@@ -477,19 +533,19 @@
             pressure: None,
             now,
         };
-        let picked = match self.choice {
-            Choice::Own => {
+        let picked = match shares {
+            false => {
                 let pick = CallSelection { tried: &state.tried, data_centre: &near, draw };
                 pick_for_call(cx, pick).map(|runner| runner.id)
             }
-            Choice::Shared(_) => {
+            true => {
                 let pool = candidates_for_call(cx, &state.tried);
                 let elapsed = if state.returning || state.waiting.is_some() { spent } else { 0 };
                 let place = CallToPlace {
                     data_centre: &near,
                     loads: &gateway.loads,
-                    target: Millis(TARGET),
-                    left_to_target: Millis(TARGET.saturating_sub(elapsed)),
+                    target: Millis(self.load.size.target),
+                    left_to_target: Millis(self.load.size.target.saturating_sub(elapsed)),
                     left: Millis(left),
                     waited: Millis(state.waiting.map_or(0, |since| (self.now - since) / 100)),
                     draw,
@@ -540,10 +596,9 @@
         let state = &mut self.gateways[gateway];
         state.loads.record_probe(id, now);
         let epoch = state.loads.begin(id, 0);
-        let ticket = match self.choice {
-            Choice::Own => None,
-            Choice::Shared(_) => Some(state.pool.begin(&self.members[runner], now)),
-        };
+        state.need.begin(now);
+        let shares = state.shares || matches!(self.choice, Choice::Shared(_));
+        let ticket = shares.then(|| state.pool.begin(&self.members[runner], now));
         let sent = self.now;
         self.attempts.push(Attempt {
             call,
@@ -558,9 +613,9 @@
         self.calls[call].current = Some(attempt);
         self.at(self.now + TRANSFER * 100, Event::AtRunner { attempt });
         if may_be_abandoned {
-            self.at(self.now + LATE_AFTER * 100, Event::Late { attempt });
+            self.at(self.now + self.late_after() * 100, Event::Late { attempt });
         }
-        if matches!(self.choice, Choice::Shared(_)) {
+        if shares {
             self.report_if_due(gateway);
         }
     }
@@ -590,7 +645,8 @@
         // Sum of uniform numbers, for a nearly normal one.
         let normal: f64 = (0..12).map(|_| self.draw()).sum::<f64>() - 6.0;
         const SIGMA: f64 = 0.5;
-        let took = SERVICE_MS * slowness * (SIGMA * normal - SIGMA * SIGMA / 2.0).exp();
+        let took =
+            self.load.size.service_ms * slowness * (SIGMA * normal - SIGMA * SIGMA / 2.0).exp();
         self.at(self.now + (took * 100.0) as u64, Event::Served { attempt, runner });
     }
 
@@ -616,6 +672,10 @@
             CallResult::Answered(_) => CallResult::Answered(took),
             other => other,
         };
+        state.need.end(now);
+        if result == CallResult::NotRun {
+            state.need.record_refusal(now);
+        }
         state.loads.end(&id, epoch, 0);
         state.loads.record(&id, result, now);
         let response = match result {
@@ -653,7 +713,7 @@
 
     fn answered(&mut self, call: usize) {
         let caller = self.calls[call].caller;
-        let on_time = self.spent(call) <= TARGET;
+        let on_time = self.spent(call) <= self.load.size.target;
         let caller = &mut self.callers[caller];
         caller.done = true;
         self.out.answered += 1;
@@ -667,7 +727,7 @@
             return;
         }
         let now = self.ms();
-        let left = TARGET.saturating_sub(self.spent(call));
+        let left = self.load.size.target.saturating_sub(self.spent(call));
         let (draw, admission_draw) = (self.draw(), self.draw());
         let state = &mut self.calls[call];
         let gateway = &mut self.gateways[state.gateway];
@@ -683,17 +743,17 @@
             now,
         };
         let pool = candidates_for_call(cx, &state.tried);
-        let other = match self.choice {
-            Choice::Own => {
+        let other = match gateway.shares || matches!(self.choice, Choice::Shared(_)) {
+            false => {
                 let pick = CallSelection { tried: &state.tried, data_centre: &near, draw };
                 pick_for_call(cx, pick).map(|runner| runner.id)
             }
-            Choice::Shared(_) => {
+            true => {
                 let load = gateway.pool.load(&pool, now);
                 let place = CallToPlace {
                     data_centre: &near,
                     loads: &gateway.loads,
-                    target: Millis(TARGET),
+                    target: Millis(self.load.size.target),
                     left_to_target: Millis(left),
                     left: Millis(left),
                     waited: Millis(state.waiting.map_or(0, |since| (self.now - since) / 100)),
@@ -713,7 +773,7 @@
     }
 
     fn give_up(&mut self, call: usize, end: FinalAnswer) {
-        let left = DEADLINE.saturating_sub(self.spent(call));
+        let left = self.load.size.deadline.saturating_sub(self.spent(call));
         match end {
             FinalAnswer::NotRun => self.refuse(call, 300.min(left / 4)),
             FinalAnswer::OutcomeUnknown => {
@@ -742,7 +802,7 @@
         if !state.pool.is_report_due(&pool, now) {
             return;
         }
-        let interval = state.pool.report_interval(GATEWAYS).0 * 100;
+        let interval = state.pool.report_interval(self.load.size.gateways).0 * 100;
         let at = self.now.max(state.reported_at + interval);
         if at < state.due_at {
             state.due_at = at;
@@ -752,10 +812,18 @@
 
     fn report(&mut self, gateway: usize) {
         const MAX_INTERVAL: u64 = 70_000;
+        let shares = self.update_sharing(gateway);
+        let now = self.ms();
+        let Size { gateways, runners, .. } = self.load.size;
+        let size = PoolSize { slots: SLOTS * runners as u32, gateways };
         let state = &mut self.gateways[gateway];
         if self.now < state.due_at {
             return;
         }
+        if !shares && matches!(self.choice, Choice::Observed(_)) {
+            self.at(self.now + MAX_INTERVAL, Event::ReportDue { gateway });
+            return;
+        }
         state.reported_at = self.now;
         state.due_at = self.now + MAX_INTERVAL;
         let is_full = state.full_at.is_none_or(|at| self.now - at >= FULL_INTERVAL * 100);
@@ -763,10 +831,11 @@
             Some(update) => Report::Update(update),
             None => {
                 state.full_at = Some(self.now);
-                Report::Full(state.pool.report())
+                let is_needed = state.need.is_needed(size, now);
+                Report::Full(CallPoolReport { is_needed, ..state.pool.report() })
             }
         };
-        self.count_bytes((GATEWAYS as u64 - 1) * report.bytes());
+        self.count_bytes((self.load.size.gateways as u64 - 1) * report.bytes());
         self.reports.push((gateway, report));
         let at = self.now + self.load.report_delay * 100;
         self.at(at, Event::Report { report: self.reports.len() - 1 });
@@ -798,7 +867,15 @@
         let (name, state) = (format!("g{from}"), &mut self.gateways[gateway]);
         let outcome = match report {
             Report::Full(report) => {
+                if report.is_needed {
+                    let lifetime = SharingNeedConfig::default().peer_lifetime.0 * 100;
+                    state.peer_needs_until = self.now + lifetime;
+                }
                 state.pool.merge(&name, 1, report, now);
+                self.update_sharing(gateway);
+                return;
+            }
+            Report::Update(_) if !state.shares && matches!(self.choice, Choice::Observed(_)) => {
                 return;
             }
             Report::Update(update) => state.pool.merge_update(&name, &update, now),
@@ -817,7 +894,7 @@
             return;
         }
         let from = self.reports[report].0;
-        for gateway in 0..GATEWAYS {
+        for gateway in 0..self.load.size.gateways {
             if gateway != from && self.draw() >= REPORT_LOSS {
                 self.receive_at(report, gateway);
             }
--- a/crates/bulrushusher_forward/tests/call_pool.rs
+++ b/crates/bulrushusher_forward/tests/call_pool.rs
@@ -90,7 +90,7 @@
         answered: nth * 10,
         service_ms: nth * 300,
     };
-    CallPoolReport { waiting, runners: (0..3).map(calls).collect() }
+    CallPoolReport { waiting, runners: (0..3).map(calls).collect(), ..CallPoolReport::default() }
 }
 
 /// A pool that has heard two reports of each peer: the first runner is idle, each other one has
@@ -241,3 +241,40 @@
     assert_eq!(receiver.load(&members[..1], NOW).in_flight.round(), 0.0, "it was forgotten");
     assert_eq!(receiver.load(&members, NOW).in_flight.round(), 1.0);
 }
+/// 36 slots for 27 gateways, and a burst of 2.2 for 5 s.
+fn few_slots() -> Load {
+    let size = call_load::Size {
+        gateways: 27,
+        runners: 6,
+        target: 400,
+        deadline: 4_000,
+        service_ms: 60.0,
+    };
+    Load { size, rates: vec![(0, 236.0), (5_000, 519.0), (10_000, 236.0)], ..Load::constant(0.0) }
+}
+
+/// Guards against full runners that refuse calls while others have room, where the gateways are too
+/// few for the fixed rule: a gateway that knows its own calls only cannot tell. Also against reports
+/// while the pool is not full.
+#[test]
+fn gateways_share_their_calls_when_runners_are_seen_to_be_full() {
+    let observed = Choice::Observed(CallPoolConfig::default());
+    let load = few_slots();
+    let (own, shared) = (total(&load, Choice::Own), total(&load, observed));
+    let always = total(&load, SHARED());
+    println!("own {own}\nobserved {shared}\nalways {always}");
+    assert!(shared.refused_once * 2 < own.refused_once, "{shared} instead of {own}");
+    assert!(shared.on_time_share() > own.on_time_share(), "{shared} instead of {own}");
+    assert!(shared.unanswered_share() <= own.unanswered_share(), "{shared} instead of {own}");
+    assert!(bytes_per_second(&load, shared) < 8_000);
+    let calm = Load { rates: vec![(0, 120.0)], ..few_slots() };
+    let calm_bytes = bytes_per_second(&calm, total(&calm, observed));
+    println!("calm: {calm_bytes} bytes per second and gateway");
+    assert!(calm_bytes < 1_000);
+}
+
+fn bytes_per_second(load: &Load, of_three: Outcome) -> u64 {
+    let bytes = of_three.report_bytes * 1_000 / load.length / load.size.gateways as u64 / 3;
+    println!("{bytes} bytes per second and gateway");
+    bytes
+}
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -263,7 +263,8 @@
     fn next_message(&self, mut report: GatewayReport, is_changed: bool) -> Option<Message> {
         let now = self.shared.now();
         let mut sent = self.sent.lock();
-        let is_due = now.since(sent.full_sent_at) >= FULL_REPORT_INTERVAL;
+        let is_due = now.since(sent.full_sent_at) >= FULL_REPORT_INTERVAL
+            || self.shared.take_full_call_report_due();
         report.spends = self.shared.take_usage(is_due || sent.report.is_none());
         let are_calls_recent = now.since(sent.calls_sent_at) < MAX_REPORT_INTERVAL;
         if !is_due && !is_changed && are_calls_recent && sent.repeats(&report) {
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -248,6 +248,9 @@
         AttemptResult::NoAnswer(_, cause) => (CallResult::Unreachable, cause.as_str()),
         AttemptResult::Withheld(cause) => (CallResult::Withheld, cause.as_str()),
     };
+    if result == CallResult::NotRun {
+        cx.shared.record_full_runner(&fwd.service);
+    }
     let step = "whole";
     cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
     ended
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -179,7 +179,8 @@
         "sharing",
         Kind::Choice(&["auto", "on", "off"]),
         Some("auto"),
-        "Whether gateways share their plain calls; auto: where they outnumber the runners' slots.",
+        "Whether gateways share their plain calls; auto: where they outnumber the runners' slots, or \
+         while few slots for each gateway are seen to be full.",
     ),
     setting(
         "gateways",
@@ -332,7 +333,8 @@
 /// Where gateways share their plain calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallSharing {
-    /// Where there are fewer than 0.75 slots for each gateway.
+    /// Where there are fewer than 0.75 slots for each gateway, and with fewer than 4 while a gateway
+    /// sees that they are full.
     Auto,
     /// At all plain services.
     On,
--- a/crates/bulrushusher_gateway/src/shared/calls.rs
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -6,7 +6,8 @@
 
 use bulrushusher_forward::{
     Admission, BackPressureView, CallPool, CallPoolConfig, CallPoolLoad, CallPoolReport,
-    CallPoolUpdate, CallTicket, CallToPlace, DeltaOutcome, Runner, candidates_for_call,
+    CallPoolUpdate, CallTicket, CallToPlace, DeltaOutcome, PoolSize, Runner, SharingNeed,
+    SharingNeedConfig, candidates_for_call,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
@@ -22,16 +23,42 @@
     /// Calls refused because the pool was full, by service.
     refused: HashMap<ServiceName, u64>,
     reported_at: Millis,
+    /// Whether this gateway's calls show that sharing is needed, by service.
+    needs: HashMap<ServiceName, SharingNeed>,
+    need_cfg: SharingNeedConfig,
+    /// Until when a peer's need counts.
+    peer_needs_until: Millis,
+    /// True if peers need a full report of the calls at once, because sharing has begun.
+    is_full_due: bool,
 }
 
 impl Default for CallState {
     fn default() -> CallState {
         let pool = CallPool::new(CallPoolConfig::default());
-        CallState { pool, refused: HashMap::new(), reported_at: Millis(0) }
+        CallState {
+            pool,
+            refused: HashMap::new(),
+            reported_at: Millis(0),
+            needs: HashMap::new(),
+            need_cfg: SharingNeedConfig::default(),
+            peer_needs_until: Millis(0),
+            is_full_due: false,
+        }
     }
 }
 
 impl CallState {
+    fn need(&mut self, service: &ServiceName) -> &mut SharingNeed {
+        let cfg = self.need_cfg;
+        self.needs.entry(service.clone()).or_insert_with(|| SharingNeed::new(cfg))
+    }
+
+    /// True if this gateway or a peer sees that the calls to such a pool need to be shared.
+    fn is_sharing_needed(&mut self, service: &ServiceName, size: PoolSize, now: Millis) -> bool {
+        self.need(service).is_needed(size, now)
+            || (now < self.peer_needs_until && self.need_cfg.applies_to(size))
+    }
+
     fn placement(
         &mut self,
         service: &ServiceName,
@@ -82,16 +109,48 @@
         if sharing == CallSharing::Off || self.engine(service).is_some() {
             return false;
         }
+        let PoolSize { slots, gateways } = self.pool_size(service);
+        let now = self.now();
+        let mut calls = self.calls.lock();
+        match sharing {
+            CallSharing::On => calls.pool.may_share(gateways),
+            CallSharing::Auto if calls.pool.is_scarce(slots, gateways) => true,
+            CallSharing::Auto => {
+                calls.pool.may_share(gateways)
+                    && calls.is_sharing_needed(service, PoolSize { slots, gateways }, now)
+            }
+            CallSharing::Off => false,
+        }
+    }
+
+    fn pool_size(&self, service: &ServiceName) -> PoolSize {
         let gateways = self.runs.lock().peer_count(self.now()) + 1;
         let slots = self.with_runners(|runners, now| {
             runners.directory.usable(service, now).map(|runner| runner.slots).sum()
         });
-        let calls = self.calls.lock();
-        match sharing {
-            CallSharing::On => calls.pool.may_share(gateways),
-            CallSharing::Auto => calls.pool.is_scarce(slots, gateways),
-            CallSharing::Off => false,
+        PoolSize { slots, gateways }
+    }
+
+    /// Determines whether calls are shared now. When sharing begins, the peers are told at once.
+    fn update_calls_shared(&self) -> bool {
+        let is_shared = !self.shared_services().is_empty();
+        if is_shared && !self.calls_shared.swap(true, Ordering::Relaxed) {
+            log::info!("calls: sharing begins");
+            self.calls.lock().is_full_due = true;
+            self.report_due.notify_one();
         }
+        is_shared
+    }
+
+    /// True once after sharing has begun.
+    pub(crate) fn take_full_call_report_due(&self) -> bool {
+        std::mem::take(&mut self.calls.lock().is_full_due)
+    }
+
+    /// Records that a full runner refused a call.
+    pub(crate) fn record_full_runner(&self, service: &ServiceName) {
+        let now = self.now();
+        self.calls.lock().need(service).record_refusal(now);
     }
 
     /// Services whose calls the gateways share.
@@ -164,7 +223,9 @@
             self.with_places(&to.residency, |places| {
                 let cx = runners.candidates(&to.service, view, places, now);
                 let pool = candidates_for_call(cx, tried);
-                f(runners, &mut self.calls.lock(), &pool, now)
+                let mut calls = self.calls.lock();
+                calls.pool.remove_silent_peers(now);
+                f(runners, &mut calls, &pool, now)
             })
         })
     }
@@ -191,21 +252,35 @@
         })
     }
 
-    /// This gateway's calls, for a full report to the peers; empty where calls are not shared.
-    pub(crate) fn call_report(&self) -> CallPoolReport {
+    /// This gateway's calls, for a full report to the peers; `None` where calls are not shared.
+    pub(crate) fn call_report(&self) -> Option<CallPoolReport> {
         let is_shared = !self.shared_services().is_empty();
-        self.calls_shared.store(is_shared, Ordering::Relaxed);
+        match (self.calls_shared.swap(is_shared, Ordering::Relaxed), is_shared) {
+            (false, true) => log::info!("calls: sharing begins"),
+            (true, false) => log::info!("calls: sharing ends"),
+            _ => {}
+        }
+        let is_needed = is_shared && self.is_call_sharing_needed();
         let now = self.now();
         let mut calls = self.calls.lock();
         calls.reported_at = now;
-        if is_shared { calls.pool.report() } else { CallPoolReport::default() }
+        is_shared.then(|| CallPoolReport { is_needed, ..calls.pool.report() })
+    }
+
+    /// True if this gateway's own calls show that sharing is needed.
+    fn is_call_sharing_needed(&self) -> bool {
+        let now = self.now();
+        let services: Vec<ServiceName> = self.calls.lock().needs.keys().cloned().collect();
+        services.iter().any(|service| {
+            let size = self.pool_size(service);
+            self.calls.lock().need(service).is_needed(size, now)
+        })
     }
 
     /// The calls of the last full report, for a peer that has missed it.
-    pub(crate) fn last_call_report(&self) -> CallPoolReport {
+    pub(crate) fn last_call_report(&self) -> Option<CallPoolReport> {
         let is_shared = self.calls_shared.load(Ordering::Relaxed);
-        let calls = self.calls.lock();
-        calls.pool.last_report().filter(|_| is_shared).cloned().unwrap_or_default()
+        self.calls.lock().pool.last_report().filter(|_| is_shared).cloned()
     }
 
     /// Changes of this gateway's calls since the last full report; `None` where calls are not
@@ -221,8 +296,14 @@
 
     /// Merges the calls of a peer.
     pub(super) fn merge_calls(&self, peer: &str, incarnation: u64, report: CallPoolReport) {
-        if self.calls_shared.load(Ordering::Relaxed) {
-            let now = self.now();
+        let now = self.now();
+        if report.is_needed {
+            let mut calls = self.calls.lock();
+            calls.peer_needs_until = now.plus(calls.need_cfg.peer_lifetime);
+        }
+        if self.calls_shared.load(Ordering::Relaxed)
+            || (report.is_needed && self.update_calls_shared())
+        {
             self.calls.lock().pool.merge(peer, incarnation, report, now);
         }
     }
@@ -284,6 +365,7 @@
 #[derive(Debug)]
 pub(crate) struct CallInFlight {
     shared: Arc<SharedState>,
+    service: ServiceName,
     runner: RunnerId,
     /// `None` where calls are not shared.
     ticket: Option<CallTicket>,
@@ -298,13 +380,17 @@
         runner: &Runner,
     ) -> CallInFlight {
         let started = shared.now();
+        shared.calls.lock().need(service).begin(started);
         let ticket =
             shared.shares_calls(service).then(|| shared.calls.lock().pool.begin(runner, started));
+        if ticket.is_some() && !shared.calls_shared.load(Ordering::Relaxed) {
+            shared.update_calls_shared();
+        }
         if ticket.is_some() && shared.is_call_report_due() {
             shared.call_report_due.notify_one();
         }
-        let (shared, runner) = (shared.clone(), runner.id.clone());
-        CallInFlight { shared, runner, ticket, started, is_answered: false }
+        let (shared, service, runner) = (shared.clone(), service.clone(), runner.id.clone());
+        CallInFlight { shared, service, runner, ticket, started, is_answered: false }
     }
 
     /// Records that the runner has answered the call.
@@ -315,8 +401,9 @@
 
 impl Drop for CallInFlight {
     fn drop(&mut self) {
-        let Some(ticket) = self.ticket else { return };
         let now = self.shared.now();
+        self.shared.calls.lock().need(&self.service).end(now);
+        let Some(ticket) = self.ticket else { return };
         let response = self.is_answered.then(|| now.since(self.started));
         self.shared.calls.lock().pool.end(&self.runner, ticket, response, now);
     }
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -4,9 +4,9 @@
 
 use bulrushusher_accounts::UsageReport;
 use bulrushusher_forward::{
-    CallPoolReport, DecodeLoad, DeltaOutcome, GatewayDelta, GatewayReport, MemoryForecast,
-    PeerPrefills, PrefillTask, RunNumber, RunReport, RunShape, Runner, Stage, WaitQueue,
-    rank_for_decode, should_request_memory,
+    DecodeLoad, DeltaOutcome, GatewayDelta, GatewayReport, MemoryForecast, PeerPrefills,
+    PrefillTask, RunNumber, RunReport, RunShape, Runner, Stage, WaitQueue, rank_for_decode,
+    should_request_memory,
 };
 use bulrushusher_world::{RunnerId, ServiceName};
 
@@ -141,7 +141,7 @@
         let latest = (incarnation, report.sequence);
         let is_repeated = self.runs.lock().latest_report(peer) == Some(latest);
         let is_applied = self.runs.lock().apply_report(peer, report, now);
-        if is_applied || is_repeated {
+        if let Some(calls) = calls.filter(|_| is_applied || is_repeated) {
             self.merge_calls(peer, incarnation, calls);
         }
         if is_applied {
@@ -226,7 +226,7 @@
             leaving,
             speeds: Vec::new(),
             prefill_ends,
-            calls: CallPoolReport::default(),
+            calls: None,
         };
         report.add_starts(runs.starts());
         report
