--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -32,6 +32,7 @@
 use crate::settings::GatewayConfig;
 
 mod accounts;
+mod call_reports;
 mod calls;
 mod confirmations;
 mod crashes;
