--- a/crates/bulrushusher_forward/src/places/cold_limit.rs
+++ b/crates/bulrushusher_forward/src/places/cold_limit.rs
@@ -9,82 +9,16 @@
 use std::sync::Arc;
 
 use bulrushusher_time::Millis;
-use bulrushusher_world::{RunnerId, ServiceName};
+use bulrushusher_world::RunnerId;
 
+use crate::places::cold_runner::{COLD_MARGIN, PERMIT_TTL, RunnerState, Services, WINDOW};
+use crate::places::cold_share::{ColdLimitConfig, ColdShare, KnownGateways};
 use crate::rendezvous::is_among_first;
-use crate::{BackPressureError, ColdSpec, Runner, ServiceSpec, StartTime};
-
-/// Span in which the sends to a cold runner are limited. It exceeds a second by the difference in
-/// delivery time that is usual between two requests of one gateway.
-const WINDOW: Millis = Millis(1_100);
-
-/// Time for which a runner counts as cold after its own statement, for the delay of its entry and
-/// for clocks that run at different rates.
-const COLD_MARGIN: Millis = Millis(500);
-
-/// Time after which an acquired permit that was not used lapses. Holds on memory, the longest use,
-/// last up to two seconds.
-const PERMIT_TTL: Millis = Millis(3_000);
+use crate::{BackPressureError, Runner, ServiceSpec, StartTime};
 
 /// Number of runners beyond which the state of those without recent sends is dropped.
 const MAX_RUNNERS: usize = 4_096;
 
-/// Tolerance above the rate that a cold runner is stated to tolerate.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ColdLimitConfig {
-    /// Factor of the stated rate.
-    pub overage: f64,
-    /// Requests per second beyond that.
-    pub slack: f64,
-}
-
-impl Default for ColdLimitConfig {
-    fn default() -> ColdLimitConfig {
-        ColdLimitConfig { overage: 1.0, slack: 0.0 }
-    }
-}
-
-/// How the bound of a cold runner is divided among gateways.
-///
-/// ```
-/// use bulrushusher_forward::{ColdLimitConfig, ColdShare};
-/// let share = ColdShare::of(24.0, ColdLimitConfig { overage: 1.5, slack: 5.0 });
-/// assert_eq!(share, ColdShare { per_second: 5, sharers: 4, spare: 4 });
-/// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ColdShare {
-    /// Requests that one gateway may send to the runner in any second.
-    pub per_second: usize,
-    /// Number of gateways that may send to the runner; 0 where the bound is too low to be divided.
-    pub sharers: usize,
-    /// Number of further gateways that may send for a time because they see another list.
-    pub spare: usize,
-}
-
-impl ColdShare {
-    /// Divides the bound of a runner that tolerates `requests_per_second`. Each gateway may send at
-    /// least two requests where the bound allows it, as a generation needs two at its decode runner:
-    /// the hold and the run.
-    pub fn of(requests_per_second: f64, cfg: ColdLimitConfig) -> ColdShare {
-        // The conversion saturates, and gives 0 for a bound that is not a number.
-        let bound = (requests_per_second * cfg.overage + cfg.slack) as u32;
-        let half = bound as usize / 2;
-        let sharers = half.isqrt();
-        let per_second = half.checked_div(sharers).unwrap_or(0);
-        ColdShare { per_second, sharers, spare: sharers }
-    }
-}
-
-/// The other gateways, as [`GatewayDirectory`](crate::GatewayDirectory) knows them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct KnownGateways {
-    /// Names of the other gateways that are announced or have sent a message.
-    pub others: Vec<Arc<str>>,
-    /// Until when the list is certain to contain nearly all gateways, and theirs to contain this
-    /// one; `None` while it is not certain.
-    pub certain_until: Option<Millis>,
-}
-
 /// Kind of a send to a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendKind {
@@ -96,66 +30,6 @@
     Mandatory,
 }
 
-/// Services whose runners start cold.
-type Services = HashMap<ServiceName, (ColdSpec, ColdShare)>;
-
-#[derive(Clone, Debug)]
-struct RunnerState {
-    service: ServiceName,
-    born: Option<StartTime>,
-    /// Revision of the last entry.
-    revision: u64,
-    cold_until: Millis,
-    /// When a start was first known here that had begun recently. It is cold for at least the time
-    /// that the configuration states, as its own statement may be too short.
-    started_at: Option<Millis>,
-    /// True while this gateway is among those that may send to the cold runner.
-    is_sharer: bool,
-    /// Times of the latest sends, also those while it was warm.
-    sends: VecDeque<Millis>,
-    /// Times at which permits were acquired that are not used yet.
-    acquired: VecDeque<Millis>,
-    /// True from the report that it is cold to the report that it is warm.
-    is_reported_cold: bool,
-}
-
-impl RunnerState {
-    fn is_cold(&self, now: Millis) -> bool {
-        now < self.cold_until
-    }
-
-    /// Applies the time for which a started runner is cold.
-    fn apply_duration(&mut self, services: &Services) {
-        if let (Some(at), Some((spec, _))) = (self.started_at, services.get(&self.service)) {
-            self.cold_until = self.cold_until.max(at.plus(spec.duration).plus(COLD_MARGIN));
-        }
-    }
-
-    fn recent_sends(&self, now: Millis) -> usize {
-        count_since(&self.sends, WINDOW, now)
-    }
-
-    /// Sends in the window, and permits that are acquired and not used.
-    fn used(&self, now: Millis) -> usize {
-        self.recent_sends(now) + count_since(&self.acquired, PERMIT_TTL, now)
-    }
-
-    fn drop_expired(&mut self, now: Millis) {
-        drop_older(&mut self.sends, WINDOW, now);
-        drop_older(&mut self.acquired, PERMIT_TTL, now);
-    }
-}
-
-fn count_since(times: &VecDeque<Millis>, span: Millis, now: Millis) -> usize {
-    times.iter().rev().take_while(|at| now.since(**at) < span).count()
-}
-
-fn drop_older(times: &mut VecDeque<Millis>, span: Millis, now: Millis) {
-    while times.front().is_some_and(|at| now.since(*at) >= span) {
-        times.pop_front();
-    }
-}
-
 /// A runner that became cold or warm, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ColdChange {
@@ -449,17 +323,7 @@
     }
 
     fn state(&mut self, runner: &Runner) -> &mut RunnerState {
-        self.runners.entry(runner.id.clone()).or_insert_with(|| RunnerState {
-            service: runner.service.clone(),
-            born: runner.born,
-            revision: 0,
-            cold_until: Millis(0),
-            started_at: None,
-            is_sharer: false,
-            sends: VecDeque::new(),
-            acquired: VecDeque::new(),
-            is_reported_cold: false,
-        })
+        self.runners.entry(runner.id.clone()).or_insert_with(|| RunnerState::new(runner))
     }
 
     fn drop_unused(&mut self, now: Millis) {
--- a/crates/bulrushusher_forward/src/places/mod.rs
+++ b/crates/bulrushusher_forward/src/places/mod.rs
@@ -1,11 +1,12 @@
 //! Where requests may run, and what distance costs them.
 
 mod cold_limit;
+mod cold_runner;
+mod cold_share;
 mod distance;
 mod view;
 
-pub use cold_limit::{
-    ColdChange, ColdLimitConfig, ColdLimiter, ColdShare, KnownGateways, SendKind,
-};
+pub use cold_limit::{ColdChange, ColdLimiter, SendKind};
+pub use cold_share::{ColdLimitConfig, ColdShare, KnownGateways};
 pub use distance::RegionDistances;
 pub use view::{PlaceScope, PlaceView};
