--- a/crates/bulrushusher_forward/src/gateway_directory.rs
+++ b/crates/bulrushusher_forward/src/gateway_directory.rs
@@ -164,7 +164,8 @@
     /// let mut gateways =
     ///     GatewayDirectory::new(GatewayDirectoryConfig::default(), "entry-1".into());
     /// let address = "10.0.0.1:7000".parse().unwrap();
-    /// let own = GatewayAnnouncement { name: "entry-1".into(), address, revision: 9 };
+    /// let own =
+    ///     GatewayAnnouncement { name: "entry-1".into(), address, revision: 9, data_centre: None };
     /// gateways.record_own_announcement(Millis(0));
     /// gateways.apply_announcements(&[own.clone()], Millis(1_000));
     /// assert!(gateways.known_gateways().certain_until.is_none(), "others may be announcing now");
