Release the permit of a request that is not sent

Exchanger::send acquired a permit and released it only when the check before the send refused. A failed connection, a timeout before the send and a dropped request kept it: at a cold runner for three seconds, so that two refused connections closed a runner with two permits although it got nothing. A guard releases the permit now unless the check before the send has passed. It also keeps a send that is withheld by residency and had acquired no permit (Exempt, Order, Cleanup) from releasing that of another request.

calls_that_cannot_connect_use_up_nothing_of_a_cold_runner failed before (status 503 instead of 200) and passes.

--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -94,6 +94,22 @@
     pub connection: RunnerConnection,
 }
 
+/// A permit that [`Exchanger::send`] has acquired. It is released on drop unless the request was sent:
+/// the connection may fail, the timeout may pass first, or the caller may leave.
+struct UnusedPermit<'a> {
+    shared: &'a SharedState,
+    runner: &'a Runner,
+    is_used: bool,
+}
+
+impl Drop for UnusedPermit<'_> {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.shared.release_permits(self.runner, 1);
+        }
+    }
+}
+
 /// Sends requests to runners.
 #[derive(Clone, Debug)]
 pub(crate) struct Exchanger<D> {
@@ -126,7 +142,12 @@
     ) -> Result<Reply, ExchangeError> {
         let timeout = spec.timeout;
         self.apply_permit(runner, spec.permit)?;
-        let sending = self.send_without_timeout(runner, req, spec);
+        let unused = (spec.permit == Permit::Acquire).then(|| UnusedPermit {
+            shared: &self.shared,
+            runner,
+            is_used: false,
+        });
+        let sending = self.send_without_timeout(runner, req, spec, unused);
         match tokio::time::timeout(timeout.duration(), sending).await {
             Ok(done) => done,
             Err(_) => Err(ExchangeError::NoAnswer { cause: format!("silent for {timeout}") }),
@@ -159,10 +180,6 @@
     /// excludes it may have become known while the connection was opened.
     fn check_before_send(&self, runner: &Runner, spec: SendSpec<'_>) -> Result<(), ExchangeError> {
         if let Some(data_centre) = self.find_outside(runner, spec.purpose) {
-            // An acquired permit is released by its owner.
-            if spec.permit != Permit::Acquired {
-                self.shared.release_permits(runner, 1);
-            }
             self.metrics.record_withheld_send("residency");
             return Err(ExchangeError::Outside { data_centre });
         }
@@ -181,12 +198,7 @@
         };
         let recorded =
             checked.and_then(|()| self.shared.record_send(runner, send_kind(spec.permit)));
-        recorded.map_err(|cause| {
-            if spec.permit == Permit::Acquire {
-                self.shared.release_permits(runner, 1);
-            }
-            self.withheld(cause)
-        })
+        recorded.map_err(|cause| self.withheld(cause))
     }
 
     /// A data centre that the send would reach although the residency in force forbids it. It
@@ -203,6 +215,7 @@
         runner: &Runner,
         mut req: Request<Full<Bytes>>,
         spec: SendSpec<'_>,
+        mut unused: Option<UnusedPermit<'_>>,
     ) -> Result<Reply, ExchangeError> {
         loop {
             let mut connection = match self.pool.take_idle(&runner.id) {
@@ -214,6 +227,9 @@
                     .map_err(|cause| ExchangeError::Unsent { cause })?,
             };
             self.check_before_send(runner, spec)?;
+            if let Some(permit) = &mut unused {
+                permit.is_used = true;
+            }
             if let Some(trace) = spec.trace {
                 trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
             }
