Count a runner as reachable when its hold request is withheld

A hold request that was withheld since its runner became cold, began to leave, asked for a pause or was evacuated after its selection recorded the runner as unreachable, here and in the report to the peers. Only residency was excepted. The permit of the hold was also kept unless residency withheld it, and the task now releases what is not used, also after its caller stopped waiting.

--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    CallResult, QueueRank, RunReport, RunShape, Runner, Stage, tokens_to_hold,
+    AttemptEnd, CallResult, QueueRank, RunReport, RunShape, Runner, Stage, tokens_to_hold,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
@@ -247,10 +247,9 @@
         HoldTerms { report: RunReport::new(runner.id.clone(), shape), ttl: hold_ttl(cx, fwd) };
     let (held, result) = match exchange_hold(cx, fwd, &runner, tokens, terms).await {
         Ok(answered) => answered,
-        Err(e @ ExchangeError::Outside { .. }) => {
+        // The runner is not at fault: reported as unreachable, it would get no work from the peers.
+        Err(e) if e.is_withheld() => {
             log::info!("place: runner={} cause=\"{e}\"", runner.id);
-            // Nothing was sent, so the permit of the hold is released as well.
-            cx.shared.release_permits(&runner, 1);
             (None, "withheld")
         }
         Err(e) => {
@@ -295,9 +294,7 @@
             cx.shared.with_runners(|runners, now| runners.loads.record_reachable(&runner.id, now));
             read_hold(&cx, runner.clone(), terms, head.status, &body)
         });
-        if !matches!(answered, Ok((Some(_), _))) {
-            cx.shared.release_permits(&runner, REQUESTS_PER_GENERATION - 1);
-        }
+        cx.shared.release_permits(&runner, unused_permits(&answered));
         answered
     });
     let no_answer = |cause| Err(ExchangeError::NoAnswer { cause });
@@ -308,6 +305,18 @@
     }
 }
 
+/// Permits of a generation that its hold request leaves unused: that of the run unless memory is held,
+/// and that of the request itself if it was not sent.
+fn unused_permits<D: Dialect>(
+    answered: &Result<(Option<MemoryHold<D>>, &'static str), ExchangeError>,
+) -> u32 {
+    match answered {
+        Ok((Some(_), _)) => 0,
+        Err(e) if e.attempt_end() == AttemptEnd::Unsent => REQUESTS_PER_GENERATION,
+        Ok((None, _)) | Err(_) => REQUESTS_PER_GENERATION - 1,
+    }
+}
+
 /// Interprets the response to a hold request; the second value is the result in metrics and the
 /// log.
 fn read_hold<D: Dialect>(
