Release the permit of a move that fails while it copies

The permit for the run at its new runner was kept: at a cold runner for three seconds. The group moves of the gateway tests passes with the change.

--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -135,7 +135,13 @@
     let generated = report.generated;
     let held = hold_at(cx, &to, &report);
     let kv = match cx.shared.acquire_permits(&to, 1) {
-        Ok(()) => copy_and_stop(cx, fwd, &from, &to).await,
+        Ok(()) => {
+            let copied = copy_and_stop(cx, fwd, &from, &to).await;
+            if copied.is_err() {
+                cx.shared.release_permits(&to, 1);
+            }
+            copied
+        }
         Err(pressure) => Err(pressure.to_string()),
     };
     let took = cx.now().since(started);
