State the order in which the lock on distances is taken

Selections hold distances while they take speeds and calls; the stated order had it the other way round. No path takes them in the stated order, so there is no deadlock. evacuated_at is not held together with another lock.

--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
-//! `switching`, `crashes`, `pressure`, `quotas`, `lease`, `speeds`, `calls`, `distances`, `unknown_places`. No lock is held across
-//! an await point.
+//! `switching`, `crashes`, `pressure`, `distances`, `quotas`, `lease`, `speeds`, `calls`,
+//! `unknown_places`. `evacuated_at` is held by itself. No lock is held across an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
