--- a/crates/bulrushusher_forward/src/places/cold_limit.rs
+++ b/crates/bulrushusher_forward/src/places/cold_limit.rs
@@ -317,7 +317,7 @@
 
     /// True if any known runner is cold.
     pub fn has_cold(&self, now: Millis) -> bool {
-        self.cold_count(now) > 0
+        !self.services.is_empty() && self.cold_count(now) > 0
     }
 
     /// Number of cold runners.
