Release the permit of a run only if the run was not sent, and refuse where no decode runner is left

Cause: a run that was sent and failed released its permit when its hold was dropped, which credited the runner's rate limit or took another request's permit at a cold runner. Where all decode runners of a service were evacuated and prefill runners were not, a generation waited its full time before it was refused.

Change: the hold knows whether its run was sent; prefill runners do not count as places for a request.

Found by the review of the parts. No test of its own: the permit is seen from outside only under a race.

--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -22,6 +22,8 @@
     pub id: Option<Arc<str>>,
     run: RunNumber,
     prefills_itself: bool,
+    /// True until the run is sent: the permit that was acquired for it is unused.
+    has_run_permit: bool,
     created_at: Millis,
     expires: Millis,
     shared: Arc<SharedState>,
@@ -56,6 +58,7 @@
             id,
             run,
             prefills_itself: false,
+            has_run_permit: true,
             created_at,
             expires: created_at.plus(ttl).since(EXPIRY_MARGIN),
             shared: shared.clone(),
@@ -86,6 +89,11 @@
         self.progress(0);
     }
 
+    /// Records that the run was sent, whatever its response.
+    pub(crate) fn mark_sent(&mut self) {
+        self.has_run_permit = false;
+    }
+
     /// Records that the decode runner prefills the prompt itself.
     pub(crate) fn set_prefills_itself(&mut self) {
         self.prefills_itself = true;
@@ -119,9 +127,11 @@
         // A restarted runner no longer has the hold, and may have given its id to another one.
         if let Some(id) = self.id.take().filter(|_| !self.shared.is_superseded(&self.runner)) {
             let request = self.dialect.release_hold(&self.runner.id, &id);
-            // A permit was acquired for the run, which is not sent; this request is charged
+            // A permit was acquired for the run; if that is not sent, this request is charged
             // instead.
-            self.shared.release_permits(&self.runner, 1);
+            if self.has_run_permit {
+                self.shared.release_permits(&self.runner, 1);
+            }
             spawn_release(&self.exchanger, &self.runner, request, "hold");
         }
     }
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -161,6 +161,9 @@
     };
     let sending = cx.attempt(fwd, &runner, spec, timeout, &trace);
     let sent = watch_silence(cx, fwd, &runner, sending).await;
+    if let Some(held) = held.as_mut().filter(|_| trace.waited().is_some()) {
+        held.mark_sent();
+    }
     let error = match sent {
         Ok(reply) if reply.head.status.is_success() && reply.info.sealed => {
             if let Some(held) = &mut held {
--- a/crates/bulrushusher_gateway/src/shared/evacuations.rs
+++ b/crates/bulrushusher_gateway/src/shared/evacuations.rs
@@ -1,7 +1,7 @@
 //! Data centres that must get no new work.
 
 use bulrushusher_forward::{
-    EvacuationDiff, EvacuationSet, EvacuationUpdate, Runner, SeenRevisions, era_of,
+    EvacuationDiff, EvacuationSet, EvacuationUpdate, Runner, SeenRevisions, Stage, era_of,
 };
 use bulrushusher_time::Millis;
 
@@ -89,15 +89,18 @@
         self.with_runners(|runners, _| runners.directory.is_evacuated(runner))
     }
 
-    /// True if only evacuated data centres have runners for the request.
+    /// True if only evacuated data centres have runners for the request. Prefill runners elsewhere are
+    /// of no use without a decode runner.
     pub(crate) fn has_only_evacuated(&self, to: &Destination) -> bool {
         self.with_runners(|runners, now| {
             let directory = &runners.directory;
             if directory.evacuations().is_empty() {
                 return false;
             }
-            let is_permitted = |r: &&Runner| self.permits_place(&to.residency, &r.data_centre);
-            let mut runners = directory.staying(&to.service, now).filter(is_permitted).peekable();
+            let may_run = |r: &&Runner| {
+                r.stage != Some(Stage::Prefill) && self.permits_place(&to.residency, &r.data_centre)
+            };
+            let mut runners = directory.staying(&to.service, now).filter(may_run).peekable();
             runners.peek().is_some() && runners.all(|runner| directory.is_evacuated(runner))
         })
     }
