--- a/crates/bulrushusher_forward/src/call_pool.rs
+++ b/crates/bulrushusher_forward/src/call_pool.rs
@@ -14,7 +14,9 @@
 use crate::call_peers::{PeerCalls, PeersCalls};
 use crate::call_stats::{RunnerStats, project_in_flight};
 use crate::water_filling::{RunnerLevel, pick_by_share};
-use crate::{CallPoolReport, Runner, RunnerCalls, RunnerLoads};
+use crate::{
+    CallPoolReport, CallPoolUpdate, DeltaOutcome, PlaceView, Runner, RunnerCalls, RunnerLoads,
+};
 
 /// Parameters of a [`CallPool`].
 #[derive(Clone, Copy, Debug)]
@@ -114,6 +116,8 @@
     pub data_centre: &'a DataCentreName,
     /// Results of this gateway's calls; runners that fail most of them are avoided.
     pub loads: &'a RunnerLoads,
+    /// How far away the runners are.
+    pub places: PlaceView<'a>,
     /// Response-time target of the route; zero if it has none.
     pub target: Millis,
     /// Time left to the target, counted from the caller's first attempt.
@@ -213,6 +217,9 @@
     stats: BTreeMap<RunnerId, RunnerStats>,
     started_since_report: u64,
     waiting: u32,
+    /// The last full report, and the number of its updates so far.
+    base: Option<CallPoolReport>,
+    updates: u32,
 }
 
 impl CallPool {
@@ -226,6 +233,8 @@
             stats: BTreeMap::new(),
             started_since_report: 0,
             waiting: 0,
+            base: None,
+            updates: 0,
         }
     }
 
@@ -272,7 +281,8 @@
         CallTicket { epoch, slots: runner.slots, in_flight }
     }
 
-    /// Records the end of a call; `response` is the response time of an answer. The end of a call
+    /// Records the end of a call; `response` is the response time of an answer without the round
+    /// trip to another region. The end of a call
     /// from before the runner was forgotten is ignored.
     pub fn end(
         &mut self,
@@ -318,9 +328,43 @@
         self.peers.forget(runner);
     }
 
-    /// This gateway's calls, for a report to the peers.
+    /// This gateway's calls, for a full report to the peers. Later updates build on it.
     pub fn report(&mut self) -> CallPoolReport {
         self.started_since_report = 0;
+        self.updates = 0;
+        let report = self.current();
+        self.base = Some(report.clone());
+        report
+    }
+
+    /// The last full report, for a peer that has missed it.
+    pub fn last_report(&self) -> Option<&CallPoolReport> {
+        self.base.as_ref()
+    }
+
+    /// What has changed since the last full report; `None` before the first one.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{CallPool, CallPoolConfig, DeltaOutcome};
+    /// use bulrushusher_time::Millis;
+    /// let mut pool = CallPool::new(CallPoolConfig::default());
+    /// assert_eq!(pool.update(), None);
+    /// let base = pool.report();
+    /// let update = pool.update().unwrap();
+    /// let mut peer = CallPool::new(CallPoolConfig::default());
+    /// assert_eq!(peer.merge_update("g1", &update, Millis(1)), DeltaOutcome::Gap);
+    /// peer.merge("g1", 1, base, Millis(2));
+    /// assert_eq!(peer.merge_update("g1", &update, Millis(3)), DeltaOutcome::Applied);
+    /// ```
+    pub fn update(&mut self) -> Option<CallPoolUpdate> {
+        let base = self.base.as_ref()?;
+        self.updates += 1;
+        let update = CallPoolUpdate::between(base, self.current(), self.updates);
+        self.started_since_report = 0;
+        Some(update)
+    }
+
+    fn current(&self) -> CallPoolReport {
         let calls = self.own.iter().map(|(runner, own)| RunnerCalls {
             runner: runner.clone(),
             in_flight: own.in_flight,
@@ -328,7 +372,7 @@
             answered: own.answered,
             service_ms: own.service_ms as u64,
         });
-        CallPoolReport { waiting: self.waiting, runners: calls.collect() }
+        CallPoolReport { waiting: self.waiting, runners: calls.collect(), is_needed: false }
     }
 
     /// True if a report is due before the usual time: the pool is busy, or this gateway has sent
@@ -344,16 +388,46 @@
         pool.iter().map(in_flight).sum::<f64>() > self.cfg.busy_share * f64::from(slots)
     }
 
-    /// Merges the report of a peer. `incarnation` is the peer's start; the totals of its first
+    /// Merges the full report of a peer. `incarnation` is the peer's start; the totals of its first
     /// report are a baseline.
     pub fn merge(&mut self, peer: &str, incarnation: u64, report: CallPoolReport, now: Millis) {
         let calls = PeerCalls::new(incarnation, report, now);
+        if !self.peers.is_outdated(peer, &calls) {
+            self.replace_peer(peer, calls, now);
+        }
+    }
+
+    /// Merges an update of a peer. After [`DeltaOutcome::Gap`] nothing of it was applied, and the
+    /// full report that it builds on is needed.
+    pub fn merge_update(
+        &mut self,
+        peer: &str,
+        update: &CallPoolUpdate,
+        now: Millis,
+    ) -> DeltaOutcome {
+        match self.peers.get(peer).map(|known| known.update(update, now)) {
+            None => DeltaOutcome::Gap,
+            Some(Err(outcome)) => outcome,
+            Some(Ok(calls)) => {
+                self.replace_peer(peer, calls, now);
+                DeltaOutcome::Applied
+            }
+        }
+    }
+
+    fn replace_peer(&mut self, peer: &str, calls: PeerCalls, now: Millis) {
+        let incarnation = calls.incarnation;
         let before = self.peers.replace(peer, calls.clone());
         if let Some(before) = before.filter(|before| before.incarnation == incarnation) {
             for (old, new) in calls.since(&before) {
                 self.record_difference(old, new, now);
             }
         }
+        self.remove_silent_peers(now);
+    }
+
+    /// Removes the calls of silent peers, before a decision: no merge may follow for 700 ms.
+    pub fn remove_silent_peers(&mut self, now: Millis) {
         let lifetime = self.peer_lifetime();
         self.peers.remove_silent(lifetime, now);
     }
@@ -458,11 +532,14 @@
         now: Millis,
     ) -> Vec<RunnerLevel> {
         let mean_ms = self.mean_service_ms(pool, now).unwrap_or(1.0).max(1.0);
-        let level = |runner: &&Runner| RunnerLevel {
-            in_flight: self.in_flight(&runner.id, runner.slots, now),
-            slots: slots(runner.slots),
-            service_ms: self.service_ms(&runner.id, mean_ms, now),
-            cost_factor: call.map_or(1.0, |call| call.cost_factor(runner)),
+        let level = |runner: &&Runner| {
+            let service_ms = self.service_ms(&runner.id, mean_ms, now);
+            RunnerLevel {
+                in_flight: self.in_flight(&runner.id, runner.slots, now),
+                slots: slots(runner.slots),
+                service_ms,
+                cost_factor: call.map_or(1.0, |call| call.cost_factor(runner, service_ms)),
+            }
         };
         pool.iter().map(level).collect()
     }
@@ -491,9 +568,12 @@
 const LOCAL_COST_FACTOR: f64 = 0.95;
 
 impl CallToPlace<'_> {
-    fn cost_factor(&self, runner: &Runner) -> f64 {
+    /// Factor of the cost of a runner with this service time. Service times are without the
+    /// distance, so that the gateways of all regions learn the same ones.
+    fn cost_factor(&self, runner: &Runner, service_ms: f64) -> f64 {
         let is_local = runner.data_centre == *self.data_centre;
         let locality = if is_local { LOCAL_COST_FACTOR } else { 1.0 };
-        locality * self.loads.failure_factor(&runner.id)
+        let distance = 1.0 + self.places.extra_ms(&runner.data_centre) / service_ms.max(1.0);
+        locality * distance * self.loads.failure_factor(&runner.id)
     }
 }
--- a/crates/bulrushusher_forward/src/gateway_directory.rs
+++ b/crates/bulrushusher_forward/src/gateway_directory.rs
@@ -8,9 +8,19 @@
 use std::sync::Arc;
 
 use bulrushusher_time::Millis;
+use bulrushusher_world::DataCentreName;
 
+use crate::KnownGateways;
 use crate::rendezvous::is_among_first;
 
+/// Time between the announcement of this gateway and a list that is certain to contain all gateways
+/// that started together with it. Announcing takes up to 0.5 s, and a lost answer 0.7 s more.
+const LISTED_AFTER: Millis = Millis(3_000);
+
+/// Age of the last list, as a share of [`GatewayDirectoryConfig::gone_after`], up to which the other
+/// gateways cannot have removed the announcement of this one.
+const MAX_CERTAIN_SHARE: f64 = 0.8;
+
 /// Limits of the directory of other gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GatewayDirectoryConfig {
@@ -51,6 +61,8 @@
     pub address: SocketAddr,
     /// Store revision of the announcement.
     pub revision: u64,
+    /// Data centre of its VM; `None` in announcements of earlier versions.
+    pub data_centre: Option<DataCentreName>,
 }
 
 #[derive(Clone, Debug)]
@@ -61,6 +73,8 @@
     last_message: Option<Millis>,
     /// Revision of its announcement, if it has one.
     announced_revision: Option<u64>,
+    /// Its data centre by its announcement.
+    data_centre: Option<DataCentreName>,
 }
 
 impl Gateway {
@@ -86,7 +100,7 @@
 /// let cfg = GatewayDirectoryConfig::default();
 /// let mut gateways = GatewayDirectory::new(cfg, "entry-1".into());
 /// let address = "10.0.0.2:7000".parse().unwrap();
-/// let announcement = GatewayAnnouncement { name: "entry-2".into(), address, revision: 9 };
+/// let announcement = GatewayAnnouncement { name: "entry-2".into(), address, revision: 9, data_centre: None };
 /// let diff = gateways.apply_announcements(&[announcement.clone()], Millis(0));
 /// assert_eq!((diff.discovered, diff.own_is_missing), (vec![announcement], true));
 /// // It is sent each change for a limited time, and full reports for as long as it is announced.
@@ -99,12 +113,21 @@
     cfg: GatewayDirectoryConfig,
     own_name: Arc<str>,
     gateways: HashMap<Arc<str>, Gateway>,
+    /// When this gateway, or its previous start, wrote its announcement; `None` if it has none.
+    own_written_at: Option<Millis>,
+    certain_until: Option<Millis>,
 }
 
 impl GatewayDirectory {
     /// Creates an empty directory for the gateway named `own_name`.
     pub fn new(cfg: GatewayDirectoryConfig, own_name: Arc<str>) -> GatewayDirectory {
-        GatewayDirectory { cfg, own_name, gateways: HashMap::new() }
+        GatewayDirectory {
+            cfg,
+            own_name,
+            gateways: HashMap::new(),
+            own_written_at: None,
+            certain_until: None,
+        }
     }
 
     /// Records a message from a gateway; returns true when it is new or has a new address.
@@ -114,14 +137,47 @@
             gateway.last_message = Some(now);
             return false;
         }
-        let announced_revision =
-            self.gateways.get(name).and_then(|gateway| gateway.announced_revision);
+        let (announced_revision, data_centre) =
+            self.gateways.get(name).map_or((None, None), |gateway| {
+                (gateway.announced_revision, gateway.data_centre.clone())
+            });
         let last_message = Some(now);
-        let gateway = Gateway { address, changed_at: now, last_message, announced_revision };
+        let gateway =
+            Gateway { address, changed_at: now, last_message, announced_revision, data_centre };
         self.insert(name.into(), gateway);
         true
     }
 
+    /// Records when this gateway, or its previous start, wrote the announcement that is in force; the
+    /// known gateways are certain only after a later list.
+    pub fn record_own_announcement(&mut self, written_at: Millis) {
+        self.own_written_at = Some(written_at);
+        self.certain_until = None;
+    }
+
+    /// The other gateways, and until when they are certain: this gateway and all others must be in
+    /// each other's lists, but for the few announcements that change meanwhile.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{GatewayAnnouncement, GatewayDirectory, GatewayDirectoryConfig};
+    /// use bulrushusher_time::Millis;
+    /// let mut gateways =
+    ///     GatewayDirectory::new(GatewayDirectoryConfig::default(), "entry-1".into());
+    /// let address = "10.0.0.1:7000".parse().unwrap();
+    /// let own =
+    ///     GatewayAnnouncement { name: "entry-1".into(), address, revision: 9, data_centre: None };
+    /// gateways.record_own_announcement(Millis(0));
+    /// gateways.apply_announcements(&[own.clone()], Millis(1_000));
+    /// assert!(gateways.known_gateways().certain_until.is_none(), "others may be announcing now");
+    /// gateways.apply_announcements(&[own], Millis(4_000));
+    /// assert!(gateways.known_gateways().certain_until.is_some());
+    /// ```
+    pub fn known_gateways(&self) -> KnownGateways {
+        let mut others: Vec<Arc<str>> = self.gateways.keys().cloned().collect();
+        others.sort_unstable();
+        KnownGateways { others, certain_until: self.certain_until }
+    }
+
     /// Applies a full list of announcements. Gateways that are neither announced nor active are
     /// dropped.
     pub fn apply_announcements(
@@ -137,6 +193,10 @@
                 diff.discovered.push(announcement.clone());
             }
         }
+        let is_settled =
+            self.own_written_at.is_some_and(|written| now.since(written) >= LISTED_AFTER);
+        let certain_for = self.cfg.gone_after.share(MAX_CERTAIN_SHARE);
+        self.certain_until = (is_settled && !diff.own_is_missing).then(|| now.plus(certain_for));
         let active_for = self.cfg.active_for;
         let names: HashSet<&str> =
             announcements.iter().map(|announcement| &*announcement.name).collect();
@@ -159,14 +219,20 @@
                 gateway.changed_at = now;
             }
             gateway.announced_revision = revision;
+            gateway.data_centre.clone_from(&announcement.data_centre);
             let has_recent_message =
                 gateway.last_message.is_some_and(|at| now.since(at) < active_for);
             if gateway.address == address || has_recent_message {
                 return false;
             }
         }
-        let gateway =
-            Gateway { address, changed_at: now, last_message: None, announced_revision: revision };
+        let gateway = Gateway {
+            address,
+            changed_at: now,
+            last_message: None,
+            announced_revision: revision,
+            data_centre: announcement.data_centre.clone(),
+        };
         self.insert(announcement.name.clone(), gateway);
         true
     }
@@ -211,6 +277,11 @@
         self.gateways.values().map(|gateway| gateway.address).collect()
     }
 
+    /// Addresses of the gateways whose data centre is known, with it.
+    pub fn data_centres(&self) -> impl Iterator<Item = (SocketAddr, &DataCentreName)> {
+        self.gateways.values().filter_map(|it| Some((it.address, it.data_centre.as_ref()?)))
+    }
+
     /// Expired announcements for this gateway to remove, each on condition that its revision is
     /// unchanged. Empty while there is no recent message from any other gateway, as this one may
     /// then be the partitioned one. Among gateways that receive each other's messages, rendezvous
@@ -232,7 +303,9 @@
         let mut assigned: Vec<GatewayAnnouncement> = assigned
             .filter_map(|(name, gateway)| {
                 let (name, address) = (name.clone(), gateway.address);
-                Some(GatewayAnnouncement { name, address, revision: gateway.announced_revision? })
+                let data_centre = gateway.data_centre.clone();
+                let revision = gateway.announced_revision?;
+                Some(GatewayAnnouncement { name, address, revision, data_centre })
             })
             .collect();
         assigned.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -18,6 +18,7 @@
 mod call_report;
 mod call_stats;
 mod events;
+mod far_reports;
 mod forecast;
 mod gateway_directory;
 mod health;
@@ -51,8 +52,10 @@
 mod runner_selection;
 mod runner_speeds;
 mod runs;
+mod sharing_need;
 mod shutdown;
 mod signals;
+mod stage_pacing;
 mod stages;
 mod start_times;
 mod timing_model;
@@ -65,8 +68,9 @@
     LimitReport,
 };
 pub use call_pool::{Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace};
-pub use call_report::{CallPoolReport, RunnerCalls};
+pub use call_report::{CallPoolReport, CallPoolUpdate, RunnerCalls};
 pub use events::{CompleteEvents, EventSplitter};
+pub use far_reports::FarReports;
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
 pub use gateway_directory::{
     AnnouncementDiff, GatewayAnnouncement, GatewayDirectory, GatewayDirectoryConfig,
@@ -79,7 +83,11 @@
 pub use moves::{MoveConfig, pick_for_move};
 pub use pace_meter::PaceMeter;
 pub use pauses::PauseModel;
-pub use places::{PlaceScope, PlaceView, RegionDistances};
+pub use places::{
+    ColdChange, ColdLimitConfig, ColdLimiter, ColdShare, EvacuationChange, EvacuationDiff,
+    EvacuationSet, EvacuationUpdate, Evacuations, KnownGateways, PlaceScope, PlaceView,
+    RegionDistances, ResidencyScope, SendKind,
+};
 pub use prefill_ends::{PeerPrefills, PrefillEnds, PrefillEndsConfig, PrefillProgress};
 pub use prefill_patience::{
     LatePrefill, OtherRunner, PatienceConfig, PatientPrefills, PrefillEvidence, PrefillPatience,
@@ -94,7 +102,7 @@
 pub use retry_after::{RetryAfterConfig, TypicalPatience};
 pub use revision::{era_of, number_in_era, revision_in_era};
 pub use route::{
-    CallerLimits, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
+    CallerLimits, ColdSpec, EngineSpec, Route, RouteKind, RoutingConfig, RoutingError, ServiceSpec,
     WeightedService,
 };
 pub use routing_delta::RoutingDelta;
@@ -110,9 +118,11 @@
 };
 pub use runner_speeds::{PoolChange, RunnerSpeeds, RunnerSpeedsConfig, SpeedReport};
 pub use runs::{DeltaOutcome, PeersConfig, RunNumber, Runs};
+pub use sharing_need::{PoolSize, SharingNeed, SharingNeedConfig};
 pub use shutdown::{Shutdown, ShutdownConfig};
 pub use signals::RunnerSignals;
-pub use stages::{OrderLease, OrderLeaseConfig, StageChange, StagesConfig, next_stage_change};
+pub use stage_pacing::StagePacing;
+pub use stages::{OrderLease, OrderLeaseConfig, StageChange, StagesConfig, needed_stage_changes};
 pub use start_times::{StartStatus, StartTimes};
 pub use timing_model::{TimingConfig, TimingModel};
 pub use wait_queue::{
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -120,8 +120,9 @@
     /// Number of prefills of the gateway that ended at each runner since its start, wrapping; only
     /// runners at which one ended in the last seconds.
     pub prefill_ends: Vec<(RunnerId, u64)>,
-    /// Plain calls of the gateway, by runner.
-    pub calls: CallPoolReport,
+    /// Plain calls of the gateway, by runner; `None` where it does not share them, and in deltas,
+    /// see [`crate::CallPoolUpdate`].
+    pub calls: Option<CallPoolReport>,
 }
 
 impl GatewayReport {
@@ -174,7 +175,7 @@
     }
 }
 
-/// A delta between two consecutive reports: runs that are new, moved, began or stalled, and the
+/// A delta between two reports: runs that are new, moved, began or stalled, and the
 /// numbers of runs that ended. Progress of runs is omitted; all other fields are sent in full.
 ///
 /// ```
@@ -199,6 +200,9 @@
     pub report: GatewayReport,
     /// Numbers of runs that ended.
     pub ended: Vec<u64>,
+    /// Number of reports between the two, which the receiver was not sent; see
+    /// [`crate::FarReports`].
+    pub skipped: u64,
 }
 
 impl GatewayDelta {
@@ -207,7 +211,13 @@
         let (changed, ended) = now.diff(before);
         let runs = changed.into_iter().cloned().collect();
         let ended = ended.into_iter().map(|run| run.number).collect();
-        GatewayDelta { report: GatewayReport { runs, ..now.clone() }, ended }
+        let skipped = now.sequence.saturating_sub(before.sequence + 1);
+        GatewayDelta { report: GatewayReport { runs, ..now.clone() }, ended, skipped }
+    }
+
+    /// Sequence number of the report that the delta builds on.
+    pub(crate) fn base(&self) -> u64 {
+        self.report.sequence.saturating_sub(self.skipped.saturating_add(1))
     }
 
     /// True when the delta contains the run.
--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -37,6 +37,15 @@
         let is_open = move |r: &&Runner| self.pressure.is_none_or(|it| it.is_open(r, self.now));
         self.members.usable(self.service, self.now).filter(is_permitted).filter(is_open)
     }
+
+    /// Cost factor of the runner: a cold one is slower.
+    fn cold_factor(self, runner: &Runner) -> f64 {
+        if self.is_cold(runner) { COLD_COST_FACTOR } else { 1.0 }
+    }
+
+    fn is_cold(self, runner: &Runner) -> bool {
+        self.pressure.is_some_and(|it| it.is_cold(runner, self.now))
+    }
 }
 
 /// Parameters of the selection of a runner for a plain call, that is, a request that is not a text
@@ -51,6 +60,14 @@
     pub draw: f64,
 }
 
+/// Cost factor of cold runners.
+const COLD_COST_FACTOR: f64 = 2.0;
+
+/// Cost factor of cold runners for a call that was sent to another runner before. With the usual one
+/// a quarter of the runners, back in a burst, served no call while they were cold: other runners
+/// were full, but looked as if they had room.
+const COLD_RETRY_COST_FACTOR: f64 = 0.5;
+
 /// Cost factor for runners in the gateway's own data centre. It keeps traffic local while loads are
 /// about even; runners with equal load are chosen by the random number.
 const LOCAL_COST_FACTOR: f64 = 0.95;
@@ -59,10 +76,17 @@
 pub fn pick_for_call(cx: SelectionContext<'_>, selection: CallSelection<'_>) -> Option<Runner> {
     let pool = candidates_for_call(cx, selection.tried);
     let fastest_ms = fastest_mean_ms(cx, &pool);
+    let cold_factor = |r: &Runner| match cx.is_cold(r) {
+        true if !selection.tried.is_empty() => COLD_RETRY_COST_FACTOR,
+        _ => cx.cold_factor(r),
+    };
     let cost = |r: &Runner| {
         let locality =
             if r.data_centre == *selection.data_centre { LOCAL_COST_FACTOR } else { 1.0 };
-        cx.loads.get(&r.id).expected_ms(r.slots, fastest_ms) * locality
+        let load = cx.loads.get(&r.id);
+        // A measured response time includes the distance.
+        let extra_ms = load.mean_ms().map_or(cx.places.extra_ms(&r.data_centre), |_| 0.0);
+        (load.expected_ms(r.slots, fastest_ms) + extra_ms) * locality * cold_factor(r)
     };
     lowest_cost(&pool, selection.draw, cost).cloned()
 }
@@ -88,11 +112,15 @@
     if matching.is_empty() { pool } else { matching }
 }
 
-/// Mean response time of the fastest runner that has answered, in ms; 0 if none has. A runner that
-/// has just started is assumed to be as fast: it then gets calls soon even under low load, and does
-/// not attract a whole burst.
+/// Mean response time of the fastest runner that has answered, in ms without the distance; 0 if none
+/// has. A runner that has just started is assumed to be as fast: it then gets calls soon even under
+/// low load, and does not attract a whole burst.
 fn fastest_mean_ms(cx: SelectionContext<'_>, pool: &[&Runner]) -> f64 {
-    let means = pool.iter().filter_map(|r| cx.loads.get(&r.id).mean_ms());
+    let mean_ms = |r: &&Runner| {
+        let mean_ms = cx.loads.get(&r.id).mean_ms()?;
+        Some((mean_ms - cx.places.extra_ms(&r.data_centre)).max(0.0))
+    };
+    let means = pool.iter().filter_map(mean_ms);
     means.min_by(f64::total_cmp).unwrap_or(0.0)
 }
 
@@ -136,7 +164,7 @@
         let transfer = if r.data_centre == *decode { 0.0 } else { REMOTE_PREFILL_COST };
         let distance_ms = cx.places.prefill_extra_ms(&r.data_centre, decode);
         let distance = distance_ms / ms_per_token.max(MIN_MS_PER_TOKEN);
-        (queued + tokens) as f64 * factor + transfer + distance
+        (queued + tokens) as f64 * factor * cx.cold_factor(r) + transfer + distance
     };
     lowest_cost(&pool, draw, cost).cloned()
 }
@@ -177,7 +205,10 @@
     // Each part is rotated by itself: rotated together, most draws would fall on the first runner
     // of a part.
     let ranked = rank_by_peak(near, draw, &peak).chain(rank_by_peak(far, draw, &peak));
-    ranked.cloned().collect()
+    let mut ranked: Vec<&Runner> = ranked.collect();
+    // The sort is stable: cold runners follow all warm ones, in the same order among themselves.
+    ranked.sort_by_key(|r| cx.is_cold(r));
+    ranked.into_iter().cloned().collect()
 }
 
 /// The runners with room, the better of two random ones first and the rest by peak.
--- a/crates/bulrushusher_forward/tests/call_pool.rs
+++ b/crates/bulrushusher_forward/tests/call_pool.rs
@@ -1,8 +1,8 @@
 //! Plain calls of many gateways at few runners.
 
 use bulrushusher_forward::{
-    Admission, CallPool, CallPoolConfig, CallPoolReport, CallToPlace, LoadConfig, Runner,
-    RunnerCalls, RunnerLoads,
+    Admission, CallPool, CallPoolConfig, CallPoolReport, CallToPlace, DeltaOutcome, LoadConfig,
+    PlaceView, Runner, RunnerCalls, RunnerLoads,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::DataCentreName;
@@ -70,6 +70,18 @@
     assert_eq!(total(&load, SHARED()).waited, 0);
 }
 
+/// All control traffic of a gateway must stay within 8 KB/s, also while the pool is full all the
+/// time. Full reports several times a second took twice that.
+#[test]
+fn reports_of_a_full_pool_stay_within_the_budget_of_control_traffic() {
+    for load in [Load::constant(1.2 * CAPACITY), Load::constant(1.6 * CAPACITY)] {
+        let shared = run(load.clone(), SHARED());
+        let per_second = shared.report_bytes * 1_000 / load.length / GATEWAYS as u64;
+        println!("{per_second} bytes per second and gateway");
+        assert!(per_second < 8_000, "{per_second} bytes per second and gateway");
+    }
+}
+
 fn report(in_flight: u32, waiting: u32, nth: u64) -> CallPoolReport {
     let calls = |n| RunnerCalls {
         runner: runner(n).id,
@@ -78,7 +90,7 @@
         answered: nth * 10,
         service_ms: nth * 300,
     };
-    CallPoolReport { waiting, runners: (0..3).map(calls).collect() }
+    CallPoolReport { waiting, runners: (0..3).map(calls).collect(), ..CallPoolReport::default() }
 }
 
 /// A pool that has heard two reports of each peer: the first runner is idle, each other one has
@@ -95,6 +107,7 @@
 
 fn call<'a>(near: &'a DataCentreName, loads: &'a RunnerLoads, draw: f64) -> CallToPlace<'a> {
     CallToPlace {
+        places: PlaceView::ANYWHERE,
         data_centre: near,
         loads,
         target: Millis(TARGET),
@@ -194,3 +207,75 @@
     pool.end(&restarted.id, ticket, None, NOW);
     assert_eq!(pool.report().runners[0].in_flight, 1);
 }
+
+/// Guards against wrong calls of a peer after lost and late datagrams: an update is complete by
+/// itself, and without the report that it builds on nothing of it is applied.
+#[test]
+fn lost_and_late_updates_leave_no_wrong_calls() {
+    let runners: Vec<Runner> = (1..3).map(runner).collect();
+    let members: Vec<&Runner> = runners.iter().collect();
+    let (mut sender, mut receiver) =
+        (CallPool::new(CallPoolConfig::default()), CallPool::new(CallPoolConfig::default()));
+    let in_flight = |pool: &CallPool| pool.load(&members, NOW).in_flight.round();
+    let first = sender.report();
+    sender.begin(&runners[0], NOW);
+    let lost = sender.update().expect("a report was sent");
+    sender.begin(&runners[1], NOW);
+    let late = sender.update().expect("a report was sent");
+    let tickets: Vec<_> = (0..3).map(|_| sender.begin(&runners[1], NOW)).collect();
+    let last = sender.update().expect("a report was sent");
+    assert_eq!(receiver.merge_update("g1", &last, NOW), DeltaOutcome::Gap);
+    receiver.merge("g1", 1, first.clone(), NOW);
+    assert_eq!(receiver.merge_update("g1", &last, NOW), DeltaOutcome::Applied);
+    assert_eq!(in_flight(&receiver), 5.0, "without the updates before");
+    assert_eq!(receiver.merge_update("g1", &late, NOW), DeltaOutcome::Stale);
+    receiver.merge("g1", 1, first, NOW);
+    assert_eq!(in_flight(&receiver), 5.0, "the repeated report is older than its updates");
+    let missed = sender.report();
+    tickets.into_iter().for_each(|it| sender.end(&runners[1].id, it, None, NOW));
+    sender.forget(&runners[0].id);
+    let next = sender.update().expect("a report was sent");
+    assert_eq!(receiver.merge_update("g1", &next, NOW), DeltaOutcome::Gap);
+    receiver.merge("g1", 1, missed, NOW);
+    assert_eq!(receiver.merge_update("g1", &lost, NOW), DeltaOutcome::Gap, "of the base before");
+    assert_eq!(receiver.merge_update("g1", &next, NOW), DeltaOutcome::Applied);
+    assert_eq!(receiver.load(&members[..1], NOW).in_flight.round(), 0.0, "it was forgotten");
+    assert_eq!(receiver.load(&members, NOW).in_flight.round(), 1.0);
+}
+/// 36 slots for 27 gateways, and a burst of 2.2 for 5 s.
+fn few_slots() -> Load {
+    let size = call_load::Size {
+        gateways: 27,
+        runners: 6,
+        target: 400,
+        deadline: 4_000,
+        service_ms: 60.0,
+    };
+    Load { size, rates: vec![(0, 236.0), (5_000, 519.0), (10_000, 236.0)], ..Load::constant(0.0) }
+}
+
+/// Guards against full runners that refuse calls while others have room, where the gateways are too
+/// few for the fixed rule: a gateway that knows its own calls only cannot tell. Also against reports
+/// while the pool is not full.
+#[test]
+fn gateways_share_their_calls_when_runners_are_seen_to_be_full() {
+    let observed = Choice::Observed(CallPoolConfig::default());
+    let load = few_slots();
+    let (own, shared) = (total(&load, Choice::Own), total(&load, observed));
+    let always = total(&load, SHARED());
+    println!("own {own}\nobserved {shared}\nalways {always}");
+    assert!(shared.refused_once * 2 < own.refused_once, "{shared} instead of {own}");
+    assert!(shared.on_time_share() > own.on_time_share(), "{shared} instead of {own}");
+    assert!(shared.unanswered_share() <= own.unanswered_share(), "{shared} instead of {own}");
+    assert!(bytes_per_second(&load, shared) < 8_000);
+    let calm = Load { rates: vec![(0, 120.0)], ..few_slots() };
+    let calm_bytes = bytes_per_second(&calm, total(&calm, observed));
+    println!("calm: {calm_bytes} bytes per second and gateway");
+    assert!(calm_bytes < 1_000);
+}
+
+fn bytes_per_second(load: &Load, of_three: Outcome) -> u64 {
+    let bytes = of_three.report_bytes * 1_000 / load.length / load.size.gateways as u64 / 3;
+    println!("{bytes} bytes per second and gateway");
+    bytes
+}
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -72,6 +72,8 @@
     let announcer = components.announcer(&store, cfg.peers);
     components.spawn_peers(&cfg, announcer.clone(), &mut tasks).await?;
     tasks.spawn(components.lease_keeper(&store).run());
+    let shared = components.shared.clone();
+    tasks.spawn(async move { shared.watch_cold_runners().await });
     tasks.spawn(components.quarantine_keeper(&store).run());
     tasks.spawn(components.stage_keeper(store).run());
     let server = Arc::new(Server::new(components.front.clone(), clock));
@@ -163,14 +165,26 @@
     ) -> io::Result<()> {
         let socket = UdpSocket::bind(cfg.peers).await?;
         let (shared, intake) = (self.shared.clone(), self.intake.clone());
-        let (sent, forwarded_revision) = Default::default();
-        let peers = PeerMessenger { announcer, shared, intake, sent, forwarded_revision };
+        let (sent, names, far_peers, far_due, forwarded_revision) = Default::default();
+        let metrics = self.metrics.clone();
+        let peers = PeerMessenger {
+            announcer,
+            shared,
+            intake,
+            sent,
+            names,
+            far_peers,
+            far_due,
+            metrics,
+            forwarded_revision,
+        };
         tasks.spawn(peers.run(socket));
         Ok(())
     }
 
     fn spawn_feeds<S: PlatformStore>(&self, store: &S, tasks: &mut JoinSet<()>) {
-        for topic in [Topic::Configuration, Topic::Runners] {
+        let evacuations = self.shared.evacuation_bound().map(|_| Topic::Evacuations);
+        for topic in [Topic::Configuration, Topic::Runners].into_iter().chain(evacuations) {
             let feed = Feed {
                 store: store.clone(),
                 topic,
@@ -227,6 +241,11 @@
             if (cfg.callers, cfg.ready, cfg.store) != (old.callers, old.ready, old.store) {
                 log::warn!("gateway: new addresses take effect at the next start");
             }
+            if cfg.data_centre_evacuated != shared.evacuation_bound() {
+                log::warn!(
+                    "gateway: a new data_centre_evacuated_ms takes effect at the next start"
+                );
+            }
             shared.reconfigure(cfg);
             log::info!("gateway: settings reloaded");
         }
--- a/crates/bulrushusher_gateway/src/peers/announcing.rs
+++ b/crates/bulrushusher_gateway/src/peers/announcing.rs
@@ -16,6 +16,9 @@
 /// Delays between reads of the announcements after the start. The last one repeats.
 const READ_DELAYS: [Millis; 4] = [Millis(0), Millis(1_000), Millis(3_000), Millis(15_000)];
 
+/// Maximum delay between reads until the gateways that share cold runners are certain.
+const UNCERTAIN_READ_DELAY: Millis = Millis(3_000);
+
 /// Delay before a failed announcement is retried.
 const ANNOUNCE_RETRY: Millis = Millis(700);
 
@@ -30,6 +33,12 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct AnnouncementValue {
     address: SocketAddr,
+    /// Data centre of the gateway; earlier versions announce none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    data_centre: Option<String>,
+    /// When it was written, by the clock of its VM; 0 if an earlier version of the gateway wrote it.
+    #[serde(default)]
+    written_at: Millis,
 }
 
 /// An announcement of this gateway that the store has accepted.
@@ -81,14 +90,22 @@
     /// Announces this gateway. Retries until it succeeds or the gateway stops.
     pub(crate) async fn announce(&self) {
         let cfg = self.shared.cfg();
-        let value = match serde_json::to_value(AnnouncementValue { address: self.address }) {
-            Ok(value) => value,
-            Err(e) => return log::error!("peers: announcement cannot be written cause=\"{e}\""),
-        };
         while !self.lifecycle.is_stopping() {
-            match self.store.announce(cfg.name.as_str(), value.clone(), STORE_TIMEOUT).await {
+            let data_centre = Some(cfg.data_centre.as_str().to_owned());
+            let written_at = self.shared.now();
+            let value = AnnouncementValue { address: self.address, data_centre, written_at };
+            let value = match serde_json::to_value(value) {
+                Ok(value) => value,
+                Err(e) => {
+                    return log::error!("peers: announcement cannot be written cause=\"{e}\"");
+                }
+            };
+            match self.store.announce(cfg.name.as_str(), value, STORE_TIMEOUT).await {
                 Ok(revision) => {
-                    *self.own.lock() = Some(OwnAnnouncement { revision, at: self.shared.now() });
+                    let at = self.shared.now();
+                    *self.own.lock() = Some(OwnAnnouncement { revision, at });
+                    self.directory.lock().record_own_announcement(at);
+                    self.publish_known_gateways();
                     return;
                 }
                 Err(e) => log::info!("peers: announcement failed, retrying cause=\"{e}\""),
@@ -107,18 +124,34 @@
         }
     }
 
-    /// Reuses the announcement of this gateway's previous start, if its address is the same. The
-    /// list is at most some seconds old, and a later read detects that the announcement is gone.
+    /// Reuses the announcement of this gateway's previous start, if its address and data centre are
+    /// the same. The list is at most some seconds old, and a later read detects that the
+    /// announcement is gone.
     fn take_over(&self, listed: &[Announcement]) -> bool {
-        let name = self.shared.cfg().name.to_string();
-        let last = listed.iter().find(|it| it.gateway == name).cloned().and_then(parse);
-        let Some(last) = last.filter(|it| it.address == self.address) else { return false };
+        let cfg = self.shared.cfg();
+        let name = cfg.name.to_string();
+        let own = listed.iter().find(|it| it.gateway == name).cloned();
+        let written_at = own.as_ref().map_or(Millis(0), written_at);
+        let is_unchanged = |it: &GatewayAnnouncement| {
+            it.address == self.address && it.data_centre.as_ref() == Some(&cfg.data_centre)
+        };
+        let Some(last) = own.and_then(parse).filter(is_unchanged) else { return false };
         let (revision, at) = (last.revision, self.shared.now());
         *self.own.lock() = Some(OwnAnnouncement { revision, at });
+        self.directory.lock().record_own_announcement(written_at);
         log::info!("peers: reusing the announcement of the previous start revision={revision}");
         true
     }
 
+    /// Removes the announcement of this gateway's previous start, which the store would not replace.
+    async fn remove_previous(&self, listed: &[Announcement]) {
+        let name = self.shared.cfg().name.to_string();
+        let Some(last) = listed.iter().find(|it| it.gateway == name) else { return };
+        if let Err(e) = self.store.retract(&name, last.revision, STORE_TIMEOUT).await {
+            log::info!("peers: previous announcement not removed cause=\"{e}\"");
+        }
+    }
+
     /// Reads all announcements. Empty if the store does not answer.
     async fn read_announcements(&self) -> Vec<Announcement> {
         self.store.list_announcements(STORE_TIMEOUT).await.unwrap_or_else(|e| {
@@ -130,12 +163,16 @@
     /// Waits for the `nth` read of the announcements, then reads them. Returns the addresses of
     /// newly discovered gateways.
     pub(crate) async fn read(&self, nth: usize) -> Vec<SocketAddr> {
-        let wait = READ_DELAYS[nth.min(READ_DELAYS.len() - 1)];
+        let mut wait = READ_DELAYS[nth.min(READ_DELAYS.len() - 1)];
+        if self.directory.lock().known_gateways().certain_until.is_none() {
+            wait = wait.min(UNCERTAIN_READ_DELAY);
+        }
         tokio::time::sleep(wait.duration()).await;
         let mut announced = self.read_announcements().await;
         if nth == 0 && !self.take_over(&announced) {
             // Announcing before the second read ensures that of gateways which start together at
             // least one discovers the other.
+            self.remove_previous(&announced).await;
             self.announce().await;
             announced = self.read_announcements().await;
         }
@@ -157,12 +194,19 @@
         let readable: Vec<GatewayAnnouncement> = announced.into_iter().filter_map(parse).collect();
         self.shared.set_announced_gateways(readable.len().saturating_sub(1));
         let diff = self.directory.lock().apply_announcements(&readable, self.shared.now());
+        self.publish_known_gateways();
         for GatewayAnnouncement { name, address, .. } in &diff.discovered {
             log::info!("peers: found name={name} address={address}");
         }
         diff
     }
 
+    /// Passes the known gateways on to the limits on cold runners.
+    pub(crate) fn publish_known_gateways(&self) {
+        let known = self.directory.lock().known_gateways();
+        self.shared.set_known_gateways(known);
+    }
+
     fn is_announcement_settled(&self) -> bool {
         let now = self.shared.now();
         self.own.lock().is_some_and(|own| now.since(own.at) >= MAX_LIST_AGE)
@@ -185,12 +229,20 @@
     }
 }
 
+/// When an announcement was written; 0 if that is not known.
+fn written_at(announcement: &Announcement) -> Millis {
+    let value = serde_json::from_value::<AnnouncementValue>(announcement.value.clone());
+    value.map_or(Millis(0), |value| value.written_at)
+}
+
 /// Parses an announcement. `None` if another writer has stored something else.
 fn parse(announcement: Announcement) -> Option<GatewayAnnouncement> {
     let Announcement { gateway, value, revision } = announcement;
     match serde_json::from_value::<AnnouncementValue>(value) {
         Ok(value) => {
-            Some(GatewayAnnouncement { name: gateway.into(), address: value.address, revision })
+            let data_centre = value.data_centre.and_then(|name| name.as_str().try_into().ok());
+            let (name, address) = (gateway.into(), value.address);
+            Some(GatewayAnnouncement { name, address, revision, data_centre })
         }
         Err(e) => {
             log::warn!("peers: announcement cannot be read name={gateway} cause=\"{e}\"");
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -5,18 +5,22 @@
 //! other by their announcements in the store, and also report to every gateway that they receive a
 //! datagram from.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 
-use bulrushusher_forward::{DeltaOutcome, GatewayDelta, GatewayReport};
+use bulrushusher_accounts::UsageReport;
+use bulrushusher_forward::{DeltaOutcome, FarReports, GatewayDelta, GatewayReport};
+use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::CrashUpdate;
 use bulrushusher_time::Millis;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 
 use crate::dialect::PlatformStore;
 use crate::peers::announcing::Announcer;
+use crate::peers::call_updates::PeerNames;
 use crate::peers::report_codec::{self, Datagram, Message};
 use crate::shared::SharedState;
 use crate::store::intake::Intake;
@@ -25,7 +29,7 @@
 const MIN_REPORT_INTERVAL: Millis = Millis(8);
 
 /// Maximum time between two reports, so that peers see that this gateway is live.
-const MAX_REPORT_INTERVAL: Millis = Millis(700);
+pub(super) const MAX_REPORT_INTERVAL: Millis = Millis(700);
 
 /// Time between two full reports. Meanwhile the peers' estimates of runs are off by some tens of
 /// tokens.
@@ -51,7 +55,7 @@
 const CRASH_RESEND_INTERVAL: Millis = Millis(300);
 
 /// Maximum datagram size in bytes, for a report with some hundreds of runs.
-const MAX_DATAGRAM: usize = 60_000;
+pub(super) const MAX_DATAGRAM: usize = 60_000;
 
 /// The task that communicates with the peers.
 #[derive(Debug)]
@@ -60,6 +64,13 @@
     pub shared: Arc<SharedState>,
     pub intake: Arc<Intake>,
     pub sent: parking_lot::Mutex<SentReports>,
+    /// Names of the senders of datagrams.
+    pub names: parking_lot::Mutex<PeerNames>,
+    /// Addresses of the gateways of other regions.
+    pub far_peers: parking_lot::Mutex<HashSet<SocketAddr>>,
+    /// Notified when a report to them may be due.
+    pub far_due: Notify,
+    pub metrics: Arc<GatewayMetrics>,
     /// Revision up to which this gateway has forwarded changes of the runner list.
     pub forwarded_revision: AtomicU64,
 }
@@ -71,6 +82,8 @@
             self.discover(&socket),
             self.receive(&socket),
             self.send_reports(&socket),
+            self.send_far_reports(&socket),
+            self.send_call_updates(&socket),
             self.send_crash_updates(&socket),
             self.announcer.keep_announced(),
             self.follow_relays(&socket),
@@ -83,6 +96,7 @@
     async fn discover(&self, socket: &UdpSocket) {
         for nth in 0.. {
             let discovered = self.announcer.read(nth).await;
+            self.update_far_peers();
             if self.shared.needs_usage() {
                 let asked = &discovered[..discovered.len().min(FIRST_REQUESTS)];
                 self.send_message(socket, Message::RequestFull, asked).await;
@@ -99,6 +113,8 @@
         let now = self.shared.now();
         if self.announcer.directory.lock().record_message(name, address, now) {
             log::info!("peers: found name={name} address={address}");
+            self.update_far_peers();
+            self.announcer.publish_known_gateways();
             self.send_full_report(socket, address).await;
         }
     }
@@ -115,9 +131,14 @@
                 }
             };
             match report_codec::decode(&buf[..len]) {
-                Ok(datagram) => {
-                    self.handle_message(socket, &datagram.from, datagram.message, from).await;
-                    self.record_sender(socket, &datagram.from, from).await;
+                Ok(Datagram { from: name, message }) => {
+                    let name = self.names.lock().resolve(&name, from);
+                    let Some(name) = name else {
+                        self.request_full(socket, from).await;
+                        continue;
+                    };
+                    self.handle_message(socket, &name, message, from).await;
+                    self.record_sender(socket, &name, from).await;
                 }
                 Err(e) => log::debug!("peers: datagram ignored from={from} cause=\"{e}\""),
             }
@@ -134,10 +155,13 @@
         match message {
             Message::Full(report) => self.shared.merge_report(name, report),
             Message::Delta(delta) => {
-                if self.shared.apply_delta(name, delta) == DeltaOutcome::Gap
-                    && self.may_request_full(from)
-                {
-                    self.send_message(socket, Message::RequestFull, &[from]).await;
+                if self.shared.apply_delta(name, delta) == DeltaOutcome::Gap {
+                    self.request_full(socket, from).await;
+                }
+            }
+            Message::Calls(update) => {
+                if self.shared.merge_call_update(name, &update) == DeltaOutcome::Gap {
+                    self.request_full(socket, from).await;
                 }
             }
             Message::RequestFull => self.send_full_report(socket, from).await,
@@ -158,10 +182,14 @@
         }
     }
 
-    /// True if no full report was requested from the peer a moment ago.
-    fn may_request_full(&self, peer: SocketAddr) -> bool {
+    /// Requests a full report, unless one was requested from the peer a moment ago.
+    async fn request_full(&self, socket: &UdpSocket, peer: SocketAddr) {
         let now = self.shared.now();
-        claim_interval(&mut self.sent.lock().requested_at, peer, FULL_REQUEST_INTERVAL, now)
+        let is_due =
+            claim_interval(&mut self.sent.lock().requested_at, peer, FULL_REQUEST_INTERVAL, now);
+        if is_due {
+            self.send_message(socket, Message::RequestFull, &[peer]).await;
+        }
     }
 
     /// Sends the last report in full to a peer that missed it.
@@ -170,10 +198,12 @@
         let report = {
             let mut sent = self.sent.lock();
             let is_due = claim_interval(&mut sent.resent_at, to, FULL_RESEND_INTERVAL, now);
-            sent.report.clone().filter(|_| is_due)
+            let last = if self.is_far(to) { sent.far.last() } else { sent.report.as_ref() };
+            last.cloned().filter(|_| is_due)
         };
         if let Some(mut report) = report {
             report.spends = self.shared.resync_usage();
+            report.calls = self.shared.last_call_report();
             self.send_message(socket, Message::Full(report), &[to]).await;
         }
     }
@@ -183,39 +213,25 @@
         let mut sequence = 0;
         loop {
             // The first report is sent at once, so that newly discovered peers can receive it.
-            if sequence > 0 {
-                self.wait_until_due().await;
-            }
+            let is_changed = sequence == 0 || self.wait_until_due().await;
+            let report = self.shared.report(incarnation, sequence + 1);
+            let Some(message) = self.next_message(report, is_changed) else { continue };
             sequence += 1;
-            let message = self.next_message(self.shared.report(incarnation, sequence));
-            let peers = {
-                let directory = self.announcer.directory.lock();
-                match message {
-                    // Full reports also go to gateways that were unreachable, so that they
-                    // reconnect.
-                    Message::Full(_) => directory.all_addresses(),
-                    _ => directory.active_addresses(self.shared.now()),
-                }
+            let peers = match message {
+                // Full reports also go to gateways that were unreachable, so that they reconnect.
+                Message::Full(_) => self.announcer.directory.lock().all_addresses(),
+                _ => self.active_peers().0,
             };
             self.send_message(socket, message, &peers).await;
             tokio::time::sleep(MIN_REPORT_INTERVAL.duration()).await;
         }
     }
 
-    /// Waits until a report is due: after a change, while a pool of plain calls is busy, and at the
-    /// latest after [`MAX_REPORT_INTERVAL`].
-    async fn wait_until_due(&self) {
-        let began = self.shared.now();
-        loop {
-            let left = MAX_REPORT_INTERVAL.since(self.shared.now().since(began));
-            let interval = self.shared.call_report_interval().unwrap_or(MAX_REPORT_INTERVAL);
-            let changed = self.shared.report_due.notified();
-            let wait = interval.min(left).duration();
-            let is_changed = tokio::time::timeout(wait, changed).await.is_ok();
-            if is_changed || interval >= left || self.shared.is_call_report_due() {
-                return;
-            }
-        }
+    /// Waits until a report is due: after a change, and at the latest after
+    /// [`MAX_REPORT_INTERVAL`]. Returns whether something has changed.
+    async fn wait_until_due(&self) -> bool {
+        let changed = self.shared.report_due.notified();
+        tokio::time::timeout(MAX_REPORT_INTERVAL.duration(), changed).await.is_ok()
     }
 
     /// Sends updates on requests that crash runners, at once and then repeatedly, since datagrams
@@ -243,41 +259,38 @@
         }
     }
 
-    /// The message for a report: a delta, or a full report if one is due.
-    fn next_message(&self, mut report: GatewayReport) -> Message {
+    /// The message for a report: a delta, or a full report if one is due. `None` if nothing is due
+    /// and updates on plain calls show the peers that this gateway is live.
+    fn next_message(&self, mut report: GatewayReport, is_changed: bool) -> Option<Message> {
         let now = self.shared.now();
         let mut sent = self.sent.lock();
-        let is_due = now.since(sent.full_sent_at) >= FULL_REPORT_INTERVAL;
+        let is_due = now.since(sent.full_sent_at) >= FULL_REPORT_INTERVAL
+            || self.shared.take_full_call_report_due();
         report.spends = self.shared.take_usage(is_due || sent.report.is_none());
+        let are_calls_recent = now.since(sent.calls_sent_at) < MAX_REPORT_INTERVAL;
+        if !is_due && !is_changed && are_calls_recent && sent.repeats(&report) {
+            return None;
+        }
         let before = sent.report.replace(report.clone());
         match before.filter(|_| !is_due) {
-            Some(before) => Message::Delta(GatewayDelta::between(&before, &report)),
+            Some(before) => {
+                if self.shared.cfg().topology.has_many_regions() {
+                    sent.far.record_change(&report, now);
+                    self.far_due.notify_one();
+                }
+                Some(Message::Delta(GatewayDelta::between(&before, &report)))
+            }
             None => {
+                sent.far.record_full(&report, now);
                 report.speeds = self.shared.take_speed_reports();
+                report.calls = self.shared.call_report();
                 sent.full_sent_at = now;
                 sent.resent_at.clear();
                 sent.requested_at.clear();
-                Message::Full(report)
+                Some(Message::Full(report))
             }
         }
     }
-
-    pub(super) async fn send_message(
-        &self,
-        socket: &UdpSocket,
-        message: Message,
-        to: &[SocketAddr],
-    ) {
-        let from = self.shared.cfg().name.to_string();
-        match report_codec::encode(&Datagram { from, message }) {
-            Ok(bytes) if bytes.len() <= MAX_DATAGRAM => send_to_all(socket, &bytes, to).await,
-            Ok(bytes) => log::warn!(
-                "peers: message exceeds the datagram size limit, not sent bytes={}",
-                bytes.len()
-            ),
-            Err(e) => log::error!("peers: message cannot be encoded cause=\"{e}\""),
-        }
-    }
 }
 
 /// Records a send to a peer, unless one was recorded within `interval`. Returns whether it did.
@@ -299,16 +312,22 @@
 pub(crate) struct SentReports {
     report: Option<GatewayReport>,
     full_sent_at: Millis,
+    /// What was sent to gateways of other regions.
+    pub(super) far: FarReports,
+    /// When an update on plain calls was sent.
+    pub(super) calls_sent_at: Millis,
     /// Peers that requested a full report since, and when it was sent.
     resent_at: BTreeMap<SocketAddr, Millis>,
     /// Peers that a full report was requested from since, and when.
     requested_at: BTreeMap<SocketAddr, Millis>,
 }
 
-async fn send_to_all(socket: &UdpSocket, bytes: &[u8], peers: &[SocketAddr]) {
-    for peer in peers {
-        if let Err(e) = socket.send_to(bytes, peer).await {
-            log::debug!("peers: cannot send peer={peer} cause=\"{e}\"");
-        }
+impl SentReports {
+    /// True if a report tells nothing that the last one did not.
+    fn repeats(&self, report: &GatewayReport) -> bool {
+        let Some(last) = &self.report else { return false };
+        let (sequence, spends) = (last.sequence, last.spends.clone());
+        report.spends == UsageReport::default()
+            && GatewayReport { sequence, spends, ..report.clone() } == *last
     }
 }
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    CallResult, QueueRank, RunReport, RunShape, Runner, Stage, tokens_to_hold,
+    AttemptEnd, CallResult, QueueRank, RunReport, RunShape, Runner, Stage, tokens_to_hold,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
 use derive_more::Display;
 use hyper::StatusCode;
 
-use crate::answers::answer::BACK_PRESSURE;
+use crate::answers::answer::{BACK_PRESSURE, OUTSIDE_REGIONS};
 use crate::dialect::Dialect;
 use crate::placement::attempts::AttemptHistory;
 use crate::placement::holds::{HoldTerms, MemoryHold};
@@ -18,6 +18,7 @@
 use crate::runners::exchange::{CONTROL_TIMEOUT, ExchangeError};
 use crate::runners::permit::Permit;
 use crate::runners::router::{ForwardedRequest, Router};
+use crate::runners::send_spec::CallerSend;
 use crate::shared::SharedState;
 
 /// Interval at which a queued request tries again: a fifth of the time between two completions of
@@ -65,6 +66,11 @@
         /// Time until the first of them accepts a request.
         retry_after: Millis,
     },
+    /// The configuration in force leaves no place for the request.
+    Residency {
+        /// Time after which to retry.
+        retry_after: Millis,
+    },
 }
 
 impl PlacementError {
@@ -77,6 +83,7 @@
             PlacementError::Memory => "no decode memory is free",
             PlacementError::NoTime => "too little time is left for the whole answer",
             PlacementError::BackPressure { .. } => BACK_PRESSURE,
+            PlacementError::Residency { .. } => OUTSIDE_REGIONS,
         }
     }
 }
@@ -86,7 +93,7 @@
 /// # Errors
 /// The constraint that was binding when no memory could be held.
 pub(crate) async fn place<D: Dialect>(
-    cx: &Router<D>,
+    cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     history: &AttemptHistory,
     until: Millis,
@@ -100,6 +107,8 @@
     let queued = QueueGuard { shared: cx.shared.clone(), service: fwd.service.clone(), rank };
     let mut refusals = 0;
     loop {
+        cx.check_residency(fwd)
+            .map_err(|it| PlacementError::Residency { retry_after: it.retry_after })?;
         if !can_complete(cx, fwd, history) {
             return Err(reject_early(cx, fwd, PlacementError::NoTime));
         }
@@ -221,9 +230,9 @@
     bound
 }
 
-/// Requests a hold on memory at a runner; `None` when the runner refuses or is unreachable.
+/// Requests a hold on memory at a runner; `None` when the runner refuses or does not answer in time.
 async fn request_hold<D: Dialect>(
-    cx: &Router<D>,
+    cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     runner: Runner,
 ) -> Option<MemoryHold<D>> {
@@ -233,25 +242,21 @@
     }
     let tokens = hold_tokens(cx, fwd);
     cx.shared.with_runners(|runners, now| runners.loads.record_probe(&runner.id, now));
-    let ttl = hold_ttl(cx, fwd);
     let shape = RunShape::of(fwd.request.size.as_ref());
-    let request = cx.dialect.create_hold(&runner.id, tokens, ttl);
-    let answer =
-        cx.exchanger.control_request(&runner, request, Permit::Acquired, CONTROL_TIMEOUT).await;
-    let (held, result) = match answer {
-        Ok((head, body)) => {
-            cx.shared.with_runners(|runners, now| runners.loads.record_reachable(&runner.id, now));
-            let terms = HoldTerms { report: RunReport::new(runner.id.clone(), shape), ttl };
-            read_hold(cx, runner.clone(), terms, head.status, &body)
+    let terms =
+        HoldTerms { report: RunReport::new(runner.id.clone(), shape), ttl: hold_ttl(cx, fwd) };
+    let (held, result) = match exchange_hold(cx, fwd, &runner, tokens, terms).await {
+        Ok(answered) => answered,
+        // The runner is not at fault: reported as unreachable, it would get no work from the peers.
+        Err(e) if e.is_withheld() => {
+            log::info!("place: runner={} cause=\"{e}\"", runner.id);
+            (None, "withheld")
         }
         Err(e) => {
             record_unreachable(cx, &runner, &e);
             (None, "unreachable")
         }
     };
-    if held.is_none() {
-        cx.shared.release_permits(&runner, REQUESTS_PER_GENERATION - 1);
-    }
     cx.metrics.record_memory_request(result);
     log::info!(
         "place: asked for memory id={} runner={} tokens={tokens} result={result} waited_ms={} \
@@ -264,6 +269,54 @@
     held
 }
 
+/// Sends a hold request and waits up to [`CONTROL_TIMEOUT`] for the response. The exchange runs in a
+/// task of its own: when the runner grants the hold later, or after the caller has disconnected, the
+/// unused [`MemoryHold`] is dropped and so released, instead of keeping memory until it expires.
+async fn exchange_hold<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &ForwardedRequest,
+    runner: &Runner,
+    tokens: u64,
+    terms: HoldTerms,
+) -> Result<(Option<MemoryHold<D>>, &'static str), ExchangeError> {
+    let request = cx.dialect.create_hold(&runner.id, tokens, terms.ttl);
+    let (cx, fwd, runner, ttl) = (cx.clone(), fwd.clone(), runner.clone(), terms.ttl);
+    let started = cx.now();
+    let exchange = tokio::spawn(async move {
+        let timeout = ttl.max(CONTROL_TIMEOUT);
+        let send = CallerSend { fwd: &fwd, other: None };
+        let answer = cx
+            .exchanger
+            .control_request_for(send, &runner, request, Permit::Acquired, timeout)
+            .await;
+        let answered = answer.map(|(head, body)| {
+            cx.shared.record_round_trip(&runner, cx.now().since(started));
+            cx.shared.with_runners(|runners, now| runners.loads.record_reachable(&runner.id, now));
+            read_hold(&cx, runner.clone(), terms, head.status, &body)
+        });
+        cx.shared.release_permits(&runner, unused_permits(&answered));
+        answered
+    });
+    let no_answer = |cause| Err(ExchangeError::NoAnswer { cause });
+    match tokio::time::timeout(CONTROL_TIMEOUT.duration(), exchange).await {
+        Ok(Ok(answered)) => answered,
+        Ok(Err(e)) => no_answer(e.to_string()),
+        Err(_) => no_answer(format!("silent for {CONTROL_TIMEOUT}")),
+    }
+}
+
+/// Permits of a generation that its hold request leaves unused: that of the run unless memory is held,
+/// and that of the request itself if it was not sent.
+fn unused_permits<D: Dialect>(
+    answered: &Result<(Option<MemoryHold<D>>, &'static str), ExchangeError>,
+) -> u32 {
+    match answered {
+        Ok((Some(_), _)) => 0,
+        Err(e) if e.attempt_end() == AttemptEnd::Unsent => REQUESTS_PER_GENERATION,
+        Ok((None, _)) | Err(_) => REQUESTS_PER_GENERATION - 1,
+    }
+}
+
 /// Interprets the response to a hold request; the second value is the result in metrics and the
 /// log.
 fn read_hold<D: Dialect>(
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -58,12 +58,21 @@
     record_accounts(shared, metrics);
     record_speeds(shared, metrics);
     record_call_pools(shared, metrics);
+    for (region, ms) in shared.region_distances() {
+        metrics.set_region_round_trip(region.as_str(), ms.round() as u64);
+    }
     if let Some(age) = shared.confirmation_age(Topic::Runners) {
         metrics.set_state("runner_list_age_ms", age.0);
     }
+    if let Some(count) = shared.evacuated_count() {
+        metrics.set_state("evacuated_data_centres", count as u64);
+        let age = shared.confirmation_age(Topic::Evacuations).map_or(u64::MAX, |age| age.0);
+        metrics.set_state("evacuations_age_ms", age);
+    }
     metrics.set_state("quarantined_requests", shared.all_quarantined().len() as u64);
     let pressure = shared.pressure_counts();
     metrics.set_state("limited_runners", pressure.limited as u64);
+    metrics.set_state("cold_runners", pressure.cold as u64);
     let leaving = shared.with_runners(|runners, now| runners.directory.drain_reports(now).len());
     metrics.set_state("leaving_runners", leaving as u64);
     metrics.set_state("backoff_runners", pressure.backing_off as u64);
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -2,9 +2,12 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, BackPressureError, CallResult, RequestId, Runner};
+use bulrushusher_forward::{
+    AttemptEnd, BackPressureError, CallResult, RequestId, Runner, SendKind,
+};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
+use bulrushusher_world::DataCentreName;
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, Limited};
@@ -15,7 +18,7 @@
 use crate::dialect::{ControlRequest, Dialect, ResponseInfo};
 use crate::runners::permit::Permit;
 use crate::runners::pool::{RunnerConnection, RunnerPool};
-use crate::runners::send_trace::SendTrace;
+use crate::runners::send_spec::{CallerSend, SendPurpose, SendSpec};
 use crate::shared::SharedState;
 
 /// Largest response that is buffered, in bytes. Plain responses are some kilobytes; a larger one
@@ -44,6 +47,9 @@
     /// Nothing was sent to the runner because of its back-pressure.
     #[display("withheld ({cause})")]
     Withheld { cause: BackPressureError },
+    /// Nothing was sent, because the request's data may not be in this data centre.
+    #[display("withheld (data centre {data_centre} is outside the allowed regions)")]
+    Outside { data_centre: DataCentreName },
 }
 
 impl ExchangeError {
@@ -52,9 +58,10 @@
         matches!(self, ExchangeError::ConnectionLost { .. })
     }
 
-    /// True when back-pressure kept the request from being sent, which is no failure of the runner.
+    /// True when back-pressure or residency kept the request from being sent, which is no failure of
+    /// the runner.
     pub(crate) fn is_withheld(&self) -> bool {
-        matches!(self, ExchangeError::Withheld { .. })
+        matches!(self, ExchangeError::Withheld { .. } | ExchangeError::Outside { .. })
     }
 
     /// The result that is recorded for the runner.
@@ -68,7 +75,9 @@
     /// How the attempt ended.
     pub(crate) fn attempt_end(&self) -> AttemptEnd {
         match self {
-            ExchangeError::Unsent { .. } | ExchangeError::Withheld { .. } => AttemptEnd::Unsent,
+            ExchangeError::Unsent { .. }
+            | ExchangeError::Withheld { .. }
+            | ExchangeError::Outside { .. } => AttemptEnd::Unsent,
             ExchangeError::NoAnswer { .. }
             | ExchangeError::ConnectionLost { .. }
             | ExchangeError::Foreign => AttemptEnd::Unknown,
@@ -85,16 +94,20 @@
     pub connection: RunnerConnection,
 }
 
-/// How a request is sent.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct SendSpec<'a> {
-    /// The caller's request id; `None` for a request of the gateway itself.
-    pub id: Option<&'a RequestId>,
-    pub permit: Permit,
-    /// Timeout of the head of the response.
-    pub timeout: Millis,
-    /// Records what the send was decided by, for requests that have a log line of their own.
-    pub trace: Option<&'a SendTrace>,
+/// A permit that [`Exchanger::send`] has acquired. It is released on drop unless the request was sent:
+/// the connection may fail, the timeout may pass first, or the caller may leave.
+struct UnusedPermit<'a> {
+    shared: &'a SharedState,
+    runner: &'a Runner,
+    is_used: bool,
+}
+
+impl Drop for UnusedPermit<'_> {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.shared.release_permits(self.runner, 1);
+        }
+    }
 }
 
 /// Sends requests to runners.
@@ -129,7 +142,12 @@
     ) -> Result<Reply, ExchangeError> {
         let timeout = spec.timeout;
         self.apply_permit(runner, spec.permit)?;
-        let sending = self.send_without_timeout(runner, req, spec);
+        let unused = (spec.permit == Permit::Acquire).then(|| UnusedPermit {
+            shared: &self.shared,
+            runner,
+            is_used: false,
+        });
+        let sending = self.send_without_timeout(runner, req, spec, unused);
         match tokio::time::timeout(timeout.duration(), sending).await {
             Ok(done) => done,
             Err(_) => Err(ExchangeError::NoAnswer { cause: format!("silent for {timeout}") }),
@@ -144,7 +162,7 @@
             Permit::Cleanup if self.shared.is_backing_off(runner) => {
                 Err(BackPressureError::RetryAfter)
             }
-            Permit::Exempt | Permit::Cleanup => {
+            Permit::Exempt | Permit::Order | Permit::Cleanup => {
                 self.shared.charge_permit(runner);
                 Ok(())
             }
@@ -161,9 +179,16 @@
     /// Checks, with the connection at hand, that the runner may still receive the request: what
     /// excludes it may have become known while the connection was opened.
     fn check_before_send(&self, runner: &Runner, spec: SendSpec<'_>) -> Result<(), ExchangeError> {
-        let is_callers = spec.id.is_some();
+        if let Some(data_centre) = self.find_outside(runner, spec.purpose) {
+            self.metrics.record_withheld_send("residency");
+            return Err(ExchangeError::Outside { data_centre });
+        }
+        let is_callers = spec.purpose.id().is_some();
         let checked = match spec.permit {
-            Permit::Exempt | Permit::Cleanup => return Ok(()),
+            permit if (is_callers || permit.starts_work()) && self.shared.is_evacuated(runner) => {
+                Err(BackPressureError::Evacuated)
+            }
+            Permit::Exempt | Permit::Order | Permit::Cleanup => Ok(()),
             Permit::Acquire | Permit::Acquired
                 if is_callers && !self.shared.accepts_work(runner) =>
             {
@@ -171,12 +196,18 @@
             }
             Permit::Acquire | Permit::Acquired => self.shared.check_send(runner),
         };
-        checked.map_err(|cause| {
-            if spec.permit == Permit::Acquire {
-                self.shared.release_permits(runner, 1);
-            }
-            self.withheld(cause)
-        })
+        let recorded =
+            checked.and_then(|()| self.shared.record_send(runner, send_kind(spec.permit)));
+        recorded.map_err(|cause| self.withheld(cause))
+    }
+
+    /// A data centre that the send would reach although the residency in force forbids it. It
+    /// applies regardless of the permit, also to a run that returns to its former runner.
+    fn find_outside(&self, runner: &Runner, purpose: SendPurpose<'_>) -> Option<DataCentreName> {
+        let CallerSend { fwd, other } = purpose.caller_send()?;
+        let residency = self.shared.residency_in_force(fwd);
+        let mut reached = std::iter::once(&runner.data_centre).chain(other);
+        reached.find(|it| !self.shared.permits_place(&residency, it)).cloned()
     }
 
     async fn send_without_timeout(
@@ -184,6 +215,7 @@
         runner: &Runner,
         mut req: Request<Full<Bytes>>,
         spec: SendSpec<'_>,
+        mut unused: Option<UnusedPermit<'_>>,
     ) -> Result<Reply, ExchangeError> {
         loop {
             let mut connection = match self.pool.take_idle(&runner.id) {
@@ -195,11 +227,16 @@
                     .map_err(|cause| ExchangeError::Unsent { cause })?,
             };
             self.check_before_send(runner, spec)?;
+            if let Some(permit) = &mut unused {
+                permit.is_used = true;
+            }
             if let Some(trace) = spec.trace {
                 trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
             }
             match connection.sender.try_send_request(req).await {
-                Ok(reply) => return self.check_response(runner, spec.id, reply, connection),
+                Ok(reply) => {
+                    return self.check_response(runner, spec.purpose.id(), reply, connection);
+                }
                 Err(mut e) => match e.take_message() {
                     Some(unsent) if connection.reused => req = unsent,
                     Some(_) => return Err(ExchangeError::Unsent { cause: e.error().to_string() }),
@@ -259,13 +296,36 @@
         Ok((head, read.to_bytes()))
     }
 
-    /// Sends a control request and reads the whole response.
+    /// Sends a control request of the gateway itself and reads the whole response.
     pub(crate) async fn control_request(
         &self,
         runner: &Runner,
         request: ControlRequest,
         permit: Permit,
         timeout: Millis,
+    ) -> Result<(response::Parts, Bytes), ExchangeError> {
+        let spec = SendSpec { purpose: SendPurpose::Gateway, permit, timeout, trace: None };
+        self.send_control(runner, request, spec).await
+    }
+
+    /// Sends a control request on behalf of a caller's request and reads the whole response.
+    pub(crate) async fn control_request_for(
+        &self,
+        send: CallerSend<'_>,
+        runner: &Runner,
+        request: ControlRequest,
+        permit: Permit,
+        timeout: Millis,
+    ) -> Result<(response::Parts, Bytes), ExchangeError> {
+        let spec = SendSpec { purpose: SendPurpose::Control(send), permit, timeout, trace: None };
+        self.send_control(runner, request, spec).await
+    }
+
+    async fn send_control(
+        &self,
+        runner: &Runner,
+        request: ControlRequest,
+        spec: SendSpec<'_>,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
         let mut req = Request::new(Full::new(request.body));
         *req.method_mut() = request.method;
@@ -278,9 +338,17 @@
         if let Ok(host) = host {
             req.headers_mut().insert(hyper::header::HOST, host);
         }
-        let spec = SendSpec { id: None, permit, timeout, trace: None };
         let reply = self.send(runner, req, spec).await?;
-        self.read_whole(runner, reply, timeout).await
+        self.read_whole(runner, reply, spec.timeout).await
+    }
+}
+
+/// How a request counts at a cold runner.
+fn send_kind(permit: Permit) -> SendKind {
+    match permit {
+        Permit::Acquire | Permit::Acquired => SendKind::Permitted,
+        Permit::Cleanup => SendKind::Optional,
+        Permit::Exempt | Permit::Order => SendKind::Mandatory,
     }
 }
 
@@ -289,6 +357,8 @@
     match cause {
         BackPressureError::RetryAfter => "retry_after",
         BackPressureError::Leaving => "leaving",
+        BackPressureError::Evacuated => "evacuated",
         BackPressureError::RateLimit => "rate_limit",
+        BackPressureError::Cold => "cold",
     }
 }
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, LoadEpoch, Route, Runner, Stage};
+use bulrushusher_forward::{CallResult, LoadEpoch, Route, RouteKind, Runner, Stage};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
-use bulrushusher_world::{Residency, RunnerId, ServiceName};
+use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{AUTHORIZATION, HOST};
@@ -14,12 +14,11 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use crate::access::caller::{Caller, KEY_NOT_CONFIRMED, KEY_RECHECK_DELAY};
-use crate::answers::answer::QUARANTINED;
-use crate::answers::answer::Withheld;
+use crate::answers::answer::{EVACUATED, QUARANTINED, Withheld};
 use crate::dialect::{Attempt, CallerRequest, Dialect, Step};
-use crate::runners::destination::Destination;
-use crate::runners::exchange::{ExchangeError, Exchanger, Reply, SendSpec};
+use crate::runners::exchange::{ExchangeError, Exchanger, Reply};
 use crate::runners::permit::Permit;
+use crate::runners::send_spec::{CallerSend, SendPurpose, SendSpec};
 use crate::runners::send_trace::SendTrace;
 use crate::shared::SharedState;
 
@@ -29,6 +28,9 @@
 /// Lower bound of Retry-After: capacity that is free sooner may be taken by another caller already.
 const MIN_RETRY_AFTER: Millis = Millis(100);
 
+/// Retry-After of a failed plain call; short, as the pools of plain calls have no long queues.
+const CALL_RETRY_AFTER: Millis = Millis(300);
+
 /// The components that serving a request needs.
 #[derive(Clone, Debug)]
 pub(crate) struct Router<D> {
@@ -114,7 +116,8 @@
         self.shared.now()
     }
 
-    /// Checks that the request may run now: it is not quarantined, and its API key is still valid.
+    /// Checks that the request may run now: it is not quarantined, its API key is still valid, its
+    /// residency leaves it a place, and not all data centres with runners for it are evacuated.
     ///
     /// # Errors
     /// The reason why it may not run, with the time after which to retry.
@@ -122,19 +125,15 @@
         if let Some(retry_after) = self.shared.quarantine_remaining(fwd.digest) {
             return Err(Withheld { reason: QUARANTINED, retry_after });
         }
-        match fwd.caller.is_authorized() {
-            true => Ok(()),
-            false => Err(Withheld { reason: KEY_NOT_CONFIRMED, retry_after: KEY_RECHECK_DELAY }),
+        if !fwd.caller.is_authorized() {
+            return Err(Withheld { reason: KEY_NOT_CONFIRMED, retry_after: KEY_RECHECK_DELAY });
         }
-    }
-
-    /// Where the request may be sent now. The configuration in force may be narrower than the one
-    /// under which the request was accepted; both bind.
-    pub(crate) fn destination(&self, fwd: &ForwardedRequest) -> Destination {
-        let routing = self.shared.routing();
-        let route = routing.as_ref().and_then(|it| it.route(&fwd.route.host, fwd.uri.path()));
-        let residency = route.map_or(fwd.residency.clone(), |it| fwd.residency.and(&it.residency));
-        Destination { service: fwd.service.clone(), residency }
+        self.check_residency(fwd)?;
+        if self.shared.has_only_evacuated(&self.destination(fwd)) {
+            log::info!("evacuations: no runner left id={} service={}", fwd.request.id, fwd.service);
+            return Err(Withheld { reason: EVACUATED, retry_after: self.retry_after(fwd) });
+        }
+        Ok(())
     }
 
     /// Retry-After while back-pressure applies at every runner that could serve the request: the
@@ -150,6 +149,16 @@
         Some(delay.max(MIN_RETRY_AFTER).share(spread))
     }
 
+    /// Retry-After of a request of this kind that finds no runner.
+    pub(crate) fn usual_retry_after(&self, fwd: &ForwardedRequest) -> Millis {
+        match fwd.route.kind {
+            RouteKind::Stream { .. } => self.retry_after(fwd),
+            RouteKind::Idempotent | RouteKind::NonIdempotent => {
+                Millis(CALL_RETRY_AFTER.0.min(fwd.remaining(self.now()).0 / 4))
+            }
+        }
+    }
+
     /// Retry-After of a refused generation.
     pub(crate) fn retry_after(&self, fwd: &ForwardedRequest) -> Millis {
         let config = self.shared.cfg().retry_after_config();
@@ -174,7 +183,12 @@
         let attempt = Attempt { runner: &runner.id, remaining, resume_after, account, step };
         let headers = self.dialect.attempt_headers(&fwd.request, &attempt);
         let req = build_request(fwd, headers);
-        let send = SendSpec { id: Some(&fwd.request.id), permit, timeout, trace: Some(trace) };
+        let other = match step {
+            Step::Generate { kv, .. } => kv.map(|kv| &kv.data_centre),
+            Step::Whole | Step::Prefill => None,
+        };
+        let purpose = SendPurpose::Request(CallerSend { fwd, other });
+        let send = SendSpec { purpose, permit, timeout, trace: Some(trace) };
         self.exchanger.send(runner, req, send).await
     }
 
@@ -190,6 +204,7 @@
         self.metrics.record_attempt(record.step, label, took.0 as f64);
         if let Some(waited) = record.trace.waited() {
             self.metrics.record_send_wait(record.step, waited.0 as f64);
+            self.record_work(record.step, &self.shared.cfg().data_centre, record.runner);
         }
         log::info!(
             "route: attempt ended id={} step={} runner={} result={label} detail=\"{}\" ms={} \
@@ -204,6 +219,16 @@
         );
     }
 
+    /// Counts work at the runner as in the same region as data centre `from` or in another one;
+    /// nothing where there is one region.
+    pub(crate) fn record_work(&self, work: &'static str, from: &DataCentreName, runner: &Runner) {
+        let topology = &self.shared.cfg().topology;
+        if topology.has_many_regions() {
+            let is_same = topology.is_same_region(from, &runner.data_centre);
+            self.metrics.record_work(work, if is_same { "own" } else { "other" });
+        }
+    }
+
     /// Removes a runner that is gone, or whose address belongs to another one.
     pub(crate) fn remove_runner(&self, runner: &RunnerId, cause: &str) {
         log::info!("runners: gone id={runner} cause=\"{cause}\"");
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -18,6 +18,7 @@
 use crate::placement::holds::{HoldTerms, KvCacheGuard, MemoryHold};
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptSpec, ForwardedRequest, Router};
+use crate::runners::send_spec::CallerSend;
 use crate::runs::begin::run_at;
 use crate::runs::run::Run;
 use crate::shared::MoveDecision;
@@ -80,6 +81,10 @@
         let cause = match cx.shared.move_decision(&cx.destination(fwd), held.run()) {
             MoveDecision::Stay => return,
             MoveDecision::NoCapacity => "no runner has room",
+            // The other runner must not fetch a KV cache from a region that is no longer allowed.
+            MoveDecision::Move { .. } if !cx.permits(fwd, &held.runner) => {
+                "the region of its runner is not allowed"
+            }
             // For the receiving runner this is a request beyond those of callers, so it needs a
             // retry from the budget.
             MoveDecision::Move { .. } if !cx.shared.take_retry(&fwd.service) => "no repeat is left",
@@ -130,7 +135,13 @@
     let generated = report.generated;
     let held = hold_at(cx, &to, &report);
     let kv = match cx.shared.acquire_permits(&to, 1) {
-        Ok(()) => copy_and_stop(cx, fwd, &from, &to).await,
+        Ok(()) => {
+            let copied = copy_and_stop(cx, fwd, &from, &to).await;
+            if copied.is_err() {
+                cx.shared.release_permits(&to, 1);
+            }
+            copied
+        }
         Err(pressure) => Err(pressure.to_string()),
     };
     let took = cx.now().since(started);
@@ -191,6 +202,10 @@
     to: &Runner,
     copy: CopyPhase,
 ) -> Result<KvCacheGuard<D>, String> {
+    // Neither copy is made in vain for a runner whose data centre is evacuated since it was selected.
+    if cx.shared.is_evacuated(to) {
+        return Err(format!("the data centre of {} is evacuated", to.id));
+    }
     // A migration that has begun is completed regardless of back-pressure; otherwise the run would
     // be stopped for nothing.
     let (stop_first, permit) = match copy {
@@ -199,7 +214,8 @@
     };
     let run = RunCopy { runner: &from.id, request: &fwd.request.id, to: to.address, stop_first };
     let request = cx.dialect.copy_run(&run);
-    let answer = cx.exchanger.control_request(from, request, permit, COPY_TIMEOUT).await;
+    let send = CallerSend { fwd, other: Some(&to.data_centre) };
+    let answer = cx.exchanger.control_request_for(send, from, request, permit, COPY_TIMEOUT).await;
     let (head, body) = answer.map_err(|e| e.to_string())?;
     // A stopped run is kept at its runner when the rest cannot be copied.
     let is_kept = head.status == StatusCode::SERVICE_UNAVAILABLE && stop_first;
@@ -229,6 +245,14 @@
     let mut run = run_at(cx, fwd, to, Some(held), spec).await;
     if let Err(RunError::Ended(AttemptEnd::NotRun | AttemptEnd::Unsent, cause)) = &run {
         let source = kv.runner().clone();
+        if cx.shared.is_evacuated(&source) {
+            log::info!(
+                "stream: run cannot go back id={} runner={} cause=\"its data centre is evacuated\"",
+                fwd.request.id,
+                source.id
+            );
+            return None;
+        }
         log::info!(
             "stream: run goes back id={} runner={} cause=\"{cause}\"",
             fwd.request.id,
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -5,8 +5,9 @@
 use bulrushusher_accounts::{QuotaConfig, Sharing};
 use bulrushusher_config::{ConfigError, Kind, Program, Setting, Values, setting};
 use bulrushusher_forward::{
-    ForecastConfig, GatewayDirectoryConfig, HoldConfig, LoadConfig, PatientPrefills, QueueOrder,
-    RetryAfterConfig, RunnerDirectoryConfig, ShutdownConfig, StagesConfig, WaitQueueConfig,
+    ColdLimitConfig, ForecastConfig, GatewayDirectoryConfig, HoldConfig, LoadConfig,
+    PatientPrefills, QueueOrder, RetryAfterConfig, RunnerDirectoryConfig, ShutdownConfig,
+    StagesConfig, WaitQueueConfig,
 };
 use bulrushusher_routing::{QuarantineConfig, RetryConfig};
 use bulrushusher_time::Millis;
@@ -111,6 +112,27 @@
         Some("5000"),
         "Time within which a revoked key must be refused, even while the store is unreachable.",
     ),
+    setting(
+        "bounds",
+        "data_centre_evacuated_ms",
+        Kind::OptionalMillis(200, 600_000),
+        Some("none"),
+        "Time after which an evacuated data centre must get no more work; none: no evacuations.",
+    ),
+    setting(
+        "bounds",
+        "cold_factor",
+        Kind::Real(0.0, 1_000.0),
+        Some("1"),
+        "Factor by which the requests to a cold runner may exceed the rate that its service states.",
+    ),
+    setting(
+        "bounds",
+        "cold_extra",
+        Kind::Real(0.0, 1_000_000.0),
+        Some("0"),
+        "Requests in a second that a cold runner may get beyond that, over all gateways.",
+    ),
     setting(
         "quota",
         "window_s",
@@ -179,7 +201,8 @@
         "sharing",
         Kind::Choice(&["auto", "on", "off"]),
         Some("auto"),
-        "Whether gateways share their plain calls; auto: where they outnumber the runners' slots.",
+        "Whether gateways share their plain calls; auto: where they outnumber the runners' slots, or \
+         while few slots for each gateway are seen to be full.",
     ),
     setting(
         "gateways",
@@ -291,6 +314,11 @@
     pub runner_drained: Millis,
     /// Time within which a revoked API key must be refused.
     pub keys_revoked: Millis,
+    /// Time after which an evacuated data centre must get no more work; `None` where there are no
+    /// evacuations.
+    pub data_centre_evacuated: Option<Millis>,
+    /// Tolerance above the request rate that is stated for cold runners.
+    pub cold_limit: ColdLimitConfig,
     /// Enforcement of client accounts' quotas.
     pub quotas: QuotaConfig,
     /// Minimum time between orders of two successive holders of the ordering lease.
@@ -332,7 +360,8 @@
 /// Where gateways share their plain calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallSharing {
-    /// Where there are fewer than 0.75 slots for each gateway.
+    /// Where there are fewer than 0.75 slots for each gateway, and with fewer than 4 while a gateway
+    /// sees that they are full.
     Auto,
     /// At all plain services.
     On,
@@ -379,6 +408,11 @@
             configuration_in_force: values.millis("bounds", "configuration_in_force_ms"),
             runner_drained: values.millis("bounds", "runner_drained_ms"),
             keys_revoked: values.millis("bounds", "keys_revoked_ms"),
+            data_centre_evacuated: values.optional_millis("bounds", "data_centre_evacuated_ms"),
+            cold_limit: ColdLimitConfig {
+                overage: values.real("bounds", "cold_factor"),
+                slack: values.real("bounds", "cold_extra"),
+            },
             quotas: QuotaConfig {
                 sharing: sharing(values.text("quota", "sharing")),
                 window: Millis((values.real("quota", "window_s") * 1_000.0) as u64),
--- a/crates/bulrushusher_gateway/src/shared/calls.rs
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::Ordering;
 
 use bulrushusher_forward::{
-    Admission, BackPressureView, CallPool, CallPoolConfig, CallPoolLoad, CallPoolReport,
-    CallTicket, CallToPlace, Runner, candidates_for_call,
+    Admission, BackPressureView, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace,
+    PlaceView, PoolSize, Runner, SharingNeed, SharingNeedConfig, candidates_for_call,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
@@ -18,20 +18,46 @@
 /// Plain calls of this gateway and its peers.
 #[derive(Debug)]
 pub(super) struct CallState {
-    pool: CallPool,
+    pub(super) pool: CallPool,
     /// Calls refused because the pool was full, by service.
     refused: HashMap<ServiceName, u64>,
-    reported_at: Millis,
+    pub(super) reported_at: Millis,
+    /// Whether this gateway's calls show that sharing is needed, by service.
+    pub(super) needs: HashMap<ServiceName, SharingNeed>,
+    pub(super) need_cfg: SharingNeedConfig,
+    /// Until when a peer's need counts.
+    pub(super) peer_needs_until: Millis,
+    /// True if peers need a full report of the calls at once, because sharing has begun.
+    pub(super) is_full_due: bool,
 }
 
 impl Default for CallState {
     fn default() -> CallState {
         let pool = CallPool::new(CallPoolConfig::default());
-        CallState { pool, refused: HashMap::new(), reported_at: Millis(0) }
+        CallState {
+            pool,
+            refused: HashMap::new(),
+            reported_at: Millis(0),
+            needs: HashMap::new(),
+            need_cfg: SharingNeedConfig::default(),
+            peer_needs_until: Millis(0),
+            is_full_due: false,
+        }
     }
 }
 
 impl CallState {
+    pub(super) fn need(&mut self, service: &ServiceName) -> &mut SharingNeed {
+        let cfg = self.need_cfg;
+        self.needs.entry(service.clone()).or_insert_with(|| SharingNeed::new(cfg))
+    }
+
+    /// True if this gateway or a peer sees that the calls to such a pool need to be shared.
+    fn is_sharing_needed(&mut self, service: &ServiceName, size: PoolSize, now: Millis) -> bool {
+        self.need(service).is_needed(size, now)
+            || (now < self.peer_needs_until && self.need_cfg.applies_to(size))
+    }
+
     fn placement(
         &mut self,
         service: &ServiceName,
@@ -82,20 +108,30 @@
         if sharing == CallSharing::Off || self.engine(service).is_some() {
             return false;
         }
-        let gateways = self.runs.lock().peer_count(self.now()) + 1;
-        let slots = self.with_runners(|runners, now| {
-            runners.directory.usable(service, now).map(|runner| runner.slots).sum()
-        });
-        let calls = self.calls.lock();
+        let PoolSize { slots, gateways } = self.pool_size(service);
+        let now = self.now();
+        let mut calls = self.calls.lock();
         match sharing {
             CallSharing::On => calls.pool.may_share(gateways),
-            CallSharing::Auto => calls.pool.is_scarce(slots, gateways),
+            CallSharing::Auto if calls.pool.is_scarce(slots, gateways) => true,
+            CallSharing::Auto => {
+                calls.pool.may_share(gateways)
+                    && calls.is_sharing_needed(service, PoolSize { slots, gateways }, now)
+            }
             CallSharing::Off => false,
         }
     }
 
+    pub(super) fn pool_size(&self, service: &ServiceName) -> PoolSize {
+        let gateways = self.runs.lock().peer_count(self.now()) + 1;
+        let slots = self.with_runners(|runners, now| {
+            runners.directory.usable(service, now).map(|runner| runner.slots).sum()
+        });
+        PoolSize { slots, gateways }
+    }
+
     /// Services whose calls the gateways share.
-    fn shared_services(&self) -> Vec<ServiceName> {
+    pub(super) fn shared_services(&self) -> Vec<ServiceName> {
         let Some(routing) = self.routing() else { return Vec::new() };
         let names = routing.services().map(|service| &service.name);
         names.filter(|service| self.shares_calls(service)).cloned().collect()
@@ -117,10 +153,11 @@
         }
         let (draw, admission_draw) = (self.draw(), self.draw());
         let CallTimes { target, left_to_target, left, waited } = times;
-        self.with_call_pool(to, tried, |runners, calls, pool, now| {
+        self.with_call_pool(to, tried, |runners, places, calls, pool, now| {
             let call = CallToPlace {
                 data_centre: near,
                 loads: &runners.loads,
+                places,
                 target,
                 left_to_target,
                 left,
@@ -146,16 +183,16 @@
         left: Millis,
     ) -> bool {
         !self.shares_calls(&to.service)
-            || self.with_call_pool(to, tried, |_, calls, pool, now| {
+            || self.with_call_pool(to, tried, |_, _, calls, pool, now| {
                 calls.pool.load(pool, now).expected_ms <= left.0 as f64
             })
     }
 
-    fn with_call_pool<T>(
+    pub(super) fn with_call_pool<T>(
         &self,
         to: &Destination,
         tried: &[RunnerId],
-        f: impl FnOnce(&Runners, &mut CallState, &[&Runner], Millis) -> T,
+        f: impl FnOnce(&Runners, PlaceView<'_>, &mut CallState, &[&Runner], Millis) -> T,
     ) -> T {
         let draw = self.draw();
         self.with_runners(|runners, now| {
@@ -164,61 +201,18 @@
             self.with_places(&to.residency, |places| {
                 let cx = runners.candidates(&to.service, view, places, now);
                 let pool = candidates_for_call(cx, tried);
-                f(runners, &mut self.calls.lock(), &pool, now)
-            })
-        })
-    }
-
-    /// Time between reports while a pool is busy; `None` where gateways do not share calls.
-    pub(crate) fn call_report_interval(&self) -> Option<Millis> {
-        if !self.calls_shared.load(Ordering::Relaxed) {
-            return None;
-        }
-        let gateways = self.runs.lock().peer_count(self.now()) + 1;
-        Some(self.calls.lock().pool.report_interval(gateways))
-    }
-
-    /// True if the peers must be told of this gateway's calls before the usual time.
-    pub(crate) fn is_call_report_due(&self) -> bool {
-        let Some(interval) = self.call_report_interval() else { return false };
-        if self.now().since(self.calls.lock().reported_at) < interval {
-            return false;
-        }
-        self.shared_services().iter().any(|service| {
-            self.with_call_pool(&Destination::anywhere(service), &[], |_, calls, pool, now| {
-                calls.pool.is_report_due(pool, now)
+                let mut calls = self.calls.lock();
+                calls.pool.remove_silent_peers(now);
+                f(runners, places, &mut calls, &pool, now)
             })
         })
     }
 
-    /// This gateway's calls, for a report to the peers; empty where calls are not shared.
-    pub(super) fn call_report(&self) -> CallPoolReport {
-        let is_shared = !self.shared_services().is_empty();
-        self.calls_shared.store(is_shared, Ordering::Relaxed);
-        let now = self.now();
-        let mut calls = self.calls.lock();
-        calls.reported_at = now;
-        if is_shared { calls.pool.report() } else { CallPoolReport::default() }
-    }
-
-    /// Merges the calls of a peer.
-    pub(super) fn merge_calls(&self, peer: &str, incarnation: u64, report: CallPoolReport) {
-        if self.calls_shared.load(Ordering::Relaxed) {
-            let now = self.now();
-            self.calls.lock().pool.merge(peer, incarnation, report, now);
-        }
-    }
-
-    /// Forgets the calls at a runner that is gone or has restarted.
-    pub(super) fn forget_calls(&self, runner: &RunnerId) {
-        self.calls.lock().pool.forget(runner);
-    }
-
     /// Load of each shared pool, with the number of calls refused there.
     pub(crate) fn call_pools(&self) -> Vec<(ServiceName, CallPoolLoad, u64)> {
         let of = |service: ServiceName| {
             let to = Destination::anywhere(&service);
-            let (load, refused) = self.with_call_pool(&to, &[], |_, calls, pool, now| {
+            let (load, refused) = self.with_call_pool(&to, &[], |_, _, calls, pool, now| {
                 let refused = calls.refused.get(&service).copied().unwrap_or(0);
                 (calls.pool.load(pool, now), refused)
             });
@@ -257,10 +251,13 @@
 #[derive(Debug)]
 pub(crate) struct CallInFlight {
     shared: Arc<SharedState>,
+    service: ServiceName,
     runner: RunnerId,
     /// `None` where calls are not shared.
     ticket: Option<CallTicket>,
     started: Millis,
+    /// Round trip to the runner beyond one inside this gateway's region.
+    extra: Millis,
     is_answered: bool,
 }
 
@@ -271,13 +268,18 @@
         runner: &Runner,
     ) -> CallInFlight {
         let started = shared.now();
+        shared.calls.lock().need(service).begin(started);
         let ticket =
             shared.shares_calls(service).then(|| shared.calls.lock().pool.begin(runner, started));
+        if ticket.is_some() && !shared.calls_shared.load(Ordering::Relaxed) {
+            shared.update_calls_shared();
+        }
         if ticket.is_some() && shared.is_call_report_due() {
-            shared.report_due.notify_one();
+            shared.call_report_due.notify_one();
         }
-        let (shared, runner) = (shared.clone(), runner.id.clone());
-        CallInFlight { shared, runner, ticket, started, is_answered: false }
+        let extra = shared.extra_time(&runner.data_centre);
+        let (shared, service, runner) = (shared.clone(), service.clone(), runner.id.clone());
+        CallInFlight { shared, service, runner, ticket, started, extra, is_answered: false }
     }
 
     /// Records that the runner has answered the call.
@@ -288,9 +290,10 @@
 
 impl Drop for CallInFlight {
     fn drop(&mut self) {
-        let Some(ticket) = self.ticket else { return };
         let now = self.shared.now();
-        let response = self.is_answered.then(|| now.since(self.started));
+        self.shared.calls.lock().need(&self.service).end(now);
+        let Some(ticket) = self.ticket else { return };
+        let response = self.is_answered.then(|| now.since(self.started).since(self.extra));
         self.shared.calls.lock().pool.end(&self.runner, ticket, response, now);
     }
 }
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -137,9 +137,15 @@
         let speeds = std::mem::take(&mut report.speeds);
         let prefills = PeerPrefills::take(&mut report);
         let calls = std::mem::take(&mut report.calls);
-        if self.runs.lock().apply_report(peer, report, now) {
-            self.merge_speeds(peer, speeds);
+        // A report that was requested for its calls only has the sequence number of the last delta.
+        let latest = (incarnation, report.sequence);
+        let is_repeated = self.runs.lock().latest_report(peer) == Some(latest);
+        let is_applied = self.runs.lock().apply_report(peer, report, now);
+        if let Some(calls) = calls.filter(|_| is_applied || is_repeated) {
             self.merge_calls(peer, incarnation, calls);
+        }
+        if is_applied {
+            self.merge_speeds(peer, speeds);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.prefill_ends.lock().merge(peer, prefills, now);
@@ -155,10 +161,8 @@
         let limits = std::mem::take(&mut report.limits);
         let leaving = std::mem::take(&mut report.leaving);
         let prefills = PeerPrefills::take(report);
-        let calls = std::mem::take(&mut report.calls);
         let outcome = self.runs.lock().apply_delta(peer, delta, now);
         if outcome != DeltaOutcome::Stale {
-            self.merge_calls(peer, incarnation, calls);
             self.merge_limits(peer, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.prefill_ends.lock().merge(peer, prefills, now);
@@ -190,7 +194,7 @@
         (on_time as u32, (all - on_time) as u32)
     }
 
-    /// Builds the next report to the peers.
+    /// Builds the next report to the peers, without the calls, which only full reports contain.
     pub(crate) fn report(&self, incarnation: u64, sequence: u64) -> GatewayReport {
         let (prefill_tokens, silent) = self.with_runners(|runners, now| {
             (runners.loads.queued_prompts(), runners.loads.unreachable(now))
@@ -201,7 +205,6 @@
         let limits = self.limit_reports();
         let leaving = self.with_runners(|runners, now| runners.directory.drain_reports(now));
         let prefill_ends = self.prefill_end_report();
-        let calls = self.call_report();
         let runs = self.runs.lock();
         let starts = BTreeMap::new();
         let own = runs.own().cloned().collect();
@@ -223,7 +226,7 @@
             leaving,
             speeds: Vec::new(),
             prefill_ends,
-            calls,
+            calls: None,
         };
         report.add_starts(runs.starts());
         report
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -3,12 +3,12 @@
 //!
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
-//! `switching`, `crashes`, `pressure`, `quotas`, `lease`, `speeds`, `calls`, `distances`. No lock is held across
-//! an await point.
+//! `switching`, `crashes`, `pressure`, `distances`, `quotas`, `lease`, `speeds`, `calls`,
+//! `unknown_places`. `evacuated_at` is held by itself. No lock is held across an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaLimiter};
@@ -22,7 +22,7 @@
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
-use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName};
+use bulrushusher_world::{DataCentreName, RegionName, Residency, RunnerId, ServiceName};
 use parking_lot::Mutex;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -32,13 +32,17 @@
 use crate::settings::GatewayConfig;
 
 mod accounts;
+mod call_reports;
 mod calls;
+mod cold;
 mod confirmations;
 mod crashes;
+mod evacuations;
 mod health;
 mod memory;
 mod moves;
 mod pauses;
+mod places;
 mod prefills;
 mod pressure;
 mod relayed;
@@ -82,6 +86,12 @@
     pauses: Mutex<HashMap<RunnerId, pauses::PauseStats>>,
     /// Revisions of the store that this gateway has received.
     revisions: Mutex<revisions::RevisionState>,
+    /// Time within which a data centre must get no more work, by the settings at the start; `None`
+    /// where there are no evacuations. A change takes effect at the next start, since the gateway
+    /// serves only with a list of the evacuations.
+    evacuation_bound: Option<Millis>,
+    /// When this gateway last learned of an evacuation that began while it ran.
+    evacuated_at: Mutex<Option<Millis>>,
     /// Age and origin of this gateway's copy of the store.
     confirmations: Mutex<confirmations::Confirmations>,
     /// Runners that are switching stage, by service.
@@ -100,6 +110,8 @@
     speeds: Mutex<HashMap<ServiceName, RunnerSpeeds>>,
     /// Round trips to the regions of the deployment.
     distances: Mutex<RegionDistances>,
+    /// Data centres that were logged because the settings lack them.
+    unknown_places: Mutex<places::UnknownPlaces>,
     /// Plain calls over all gateways.
     calls: Mutex<calls::CallState>,
     /// True while gateways share the calls to some service.
@@ -109,6 +121,8 @@
     /// Changes of the store that relays forward.
     relayed: Mutex<relayed::RelayedChanges>,
     relay_view: watch::Sender<RelayView>,
+    /// When this gateway last forwarded changes or confirmations of the store, in ms.
+    forwarded_at: AtomicU64,
     /// True once this gateway is shutting down.
     shutting_down: AtomicBool,
     /// Number of times that the store was restored from an older copy.
@@ -118,6 +132,8 @@
     pub lease_due: Notify,
     /// Notified when a report to the peers is due.
     pub report_due: Notify,
+    /// Notified when the peers must be told of this gateway's plain calls.
+    pub call_report_due: Notify,
     /// Notified when the peers must receive an update on requests that crash runners.
     pub crash_update_due: Notify,
     /// Notified when a relay has changes of the store to forward.
@@ -137,6 +153,7 @@
         let quotas = QuotaLimiter::new(cfg.quotas, clock.now());
         let name = cfg.name.to_string().into();
         let relays = relays::RelayState::new(&cfg);
+        let evacuation_bound = cfg.data_centre_evacuated;
         let pressure = BackPressure::new(BackPressureConfig::default(), name);
         let runners = Runners {
             directory: RunnerDirectory::new(cfg.members),
@@ -156,6 +173,8 @@
             health: Mutex::new(RunnerHealth::new(HealthConfig::default())),
             pauses: Mutex::default(),
             revisions: Mutex::default(),
+            evacuation_bound,
+            evacuated_at: Mutex::default(),
             confirmations: Mutex::default(),
             switching: Mutex::default(),
             crashes: Mutex::new(crashes::CrashState::new(quarantine)),
@@ -165,11 +184,13 @@
             lease: Mutex::default(),
             speeds: Mutex::default(),
             distances: Mutex::default(),
+            unknown_places: Mutex::default(),
             calls: Mutex::default(),
             calls_shared: AtomicBool::new(false),
             relays: Mutex::new(relays),
             relayed: Mutex::default(),
             relay_view: watch::Sender::default(),
+            forwarded_at: AtomicU64::new(0),
             shutting_down: AtomicBool::new(false),
             forward_due: Notify::new(),
             relay_revisions_changed: Notify::new(),
@@ -177,6 +198,7 @@
             restores: watch::Sender::new(0),
             lease_due: Notify::new(),
             report_due: Notify::new(),
+            call_report_due: Notify::new(),
             crash_update_due: Notify::new(),
             quarantine_due: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -204,6 +226,7 @@
         self.crashes.lock().quarantine.reconfigure(cfg.quarantine);
         self.quotas.lock().set_config(cfg.quotas);
         self.cfg.store(Arc::new(cfg));
+        self.update_cold_services();
     }
 
     /// The configuration in force.
@@ -225,7 +248,9 @@
         let (version, routes) = (routing.version, routing.route_count());
         let accounts = routing.accounts().map(AccountTable::len);
         self.set_quotas(&routing);
+        self.log_unknown_regions(&routing);
         self.routing.store(Some(Arc::new(routing)));
+        self.update_cold_services();
         // The task that renews the lease sleeps while no request needs an API key.
         self.lease_due.notify_one();
         log::info!(
@@ -234,14 +259,20 @@
         );
     }
 
-    /// True once requests can be served: a configuration is in force and some runners are known.
+    /// True once requests can be served: a configuration is in force, the evacuations are known, and
+    /// some runners are.
     pub(crate) fn can_serve(&self) -> bool {
-        self.routing.load().is_some() && self.runners.lock().directory.has_entries()
+        self.routing.load().is_some()
+            && self.knows_evacuations()
+            && self.runners.lock().directory.has_entries()
     }
 
-    /// True once a configuration is in force and the full list of runners is known.
+    /// True once a configuration is in force, and the evacuations and the full list of runners are
+    /// known.
     pub(crate) fn is_complete(&self) -> bool {
-        self.routing.load().is_some() && self.runners.lock().directory.has_full_list()
+        self.routing.load().is_some()
+            && self.knows_evacuations()
+            && self.runners.lock().directory.has_full_list()
     }
 
     pub(crate) fn with_runners<T>(&self, f: impl FnOnce(&mut Runners, Millis) -> T) -> T {
@@ -322,6 +353,26 @@
         }))
     }
 
+    /// Records the time of a request that the runner answered at once.
+    pub(crate) fn record_round_trip(&self, runner: &Runner, took: Millis) {
+        let cfg = self.cfg.load();
+        if !cfg.topology.has_many_regions() {
+            return;
+        }
+        let region = cfg.topology.region_of(&runner.data_centre);
+        if cfg.topology.is_same_region(&cfg.data_centre, &runner.data_centre) {
+            self.distances.lock().record(None, took);
+        } else if let Some(region) = region {
+            self.distances.lock().record(Some(region), took);
+        }
+    }
+
+    /// The measured round trips to other regions, in ms.
+    pub(crate) fn region_distances(&self) -> Vec<(RegionName, f64)> {
+        let distances = self.distances.lock();
+        distances.measured().map(|(region, ms)| (region.clone(), ms)).collect()
+    }
+
     /// Round trip to the data centre beyond one inside this gateway's region.
     pub(crate) fn extra_time(&self, data_centre: &DataCentreName) -> Millis {
         Millis(self.with_places(&Residency::Anywhere, |places| places.extra_ms(data_centre)) as u64)
@@ -346,8 +397,10 @@
     /// True while this process start of the runner may receive new work.
     pub(crate) fn accepts_work(&self, runner: &Runner) -> bool {
         self.with_runners(|runners, now| {
-            let entry = runners.directory.get(&runner.id, now);
-            entry.is_some_and(|entry| !entry.leaving && !runners.directory.is_superseded(runner))
+            let directory = &runners.directory;
+            let entry = directory.get(&runner.id, now);
+            entry.is_some_and(|entry| !entry.leaving && !directory.is_evacuated(entry))
+                && !directory.is_superseded(runner)
         })
     }
 
--- a/crates/bulrushusher_gateway/src/shared/relays.rs
+++ b/crates/bulrushusher_gateway/src/shared/relays.rs
@@ -125,6 +125,27 @@
         self.relay_view.borrow().forwards
     }
 
+    /// Records that this gateway forwards what it knows of the store.
+    pub(crate) fn record_forward(&self) {
+        self.forwarded_at.store(self.now().0, Ordering::Relaxed);
+    }
+
+    /// Time since this gateway last forwarded what it knows of the store.
+    pub(crate) fn time_since_forward(&self) -> Millis {
+        self.now().since(Millis(self.forwarded_at.load(Ordering::Relaxed)))
+    }
+
+    /// Addresses of the `gateways` that the store does not answer, while it answers this one and
+    /// there are no relays. Empty where relays forward changes.
+    pub(crate) fn cut_off(&self, gateways: &[(Arc<str>, SocketAddr)]) -> Vec<SocketAddr> {
+        if self.has_listeners() || self.contact() != StoreContact::Watching {
+            return Vec::new();
+        }
+        let watching = self.relay_view.borrow().watching.clone();
+        let is_cut_off = |name: &Arc<str>| !watching.contains(name);
+        gateways.iter().filter(|(name, _)| is_cut_off(name)).map(|(_, address)| *address).collect()
+    }
+
     /// Addresses of the `gateways` to which this one forwards changes.
     pub(crate) fn listeners(&self, gateways: &[(Arc<str>, SocketAddr)]) -> Vec<SocketAddr> {
         let watching = self.relay_view.borrow().watching.clone();
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -17,8 +17,13 @@
             self.forget_runner(&runner.id);
             return StartStatus::Missing;
         }
+        self.log_unknown_data_centre(&runner);
         let (id, born) = (runner.id.clone(), runner.born);
+        let observed = runner.clone();
         let status = self.with_runners(|runners, now| runners.directory.put(runner, now));
+        if matches!(status, StartStatus::Current | StartStatus::Newer) {
+            self.observe_cold(&observed);
+        }
         self.apply_start(&id, born, status);
         status
     }
@@ -29,6 +34,10 @@
         let implausible: Vec<RunnerId> =
             listed.iter().filter(|runner| is_bad(runner)).map(|r| r.id.clone()).collect();
         listed.retain(|runner| !is_bad(runner));
+        for runner in &listed {
+            self.log_unknown_data_centre(runner);
+            self.observe_cold(runner);
+        }
         let starts: Vec<(RunnerId, Option<StartTime>)> =
             listed.iter().map(|runner| (runner.id.clone(), runner.born)).collect();
         let diff =
@@ -48,6 +57,9 @@
             return StartStatus::Missing;
         }
         let status = self.with_runners(|runners, _| runners.directory.record_start(id, born));
+        if status == StartStatus::Newer {
+            self.observe_cold_start(id, born);
+        }
         self.apply_start(id, born, status);
         status
     }
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -21,10 +21,14 @@
     crashes: Counter<u64>,
     signals: Counter<u64>,
     withheld_sends: Counter<u64>,
+    residency_refusals: Counter<u64>,
+    peer_bytes: Counter<u64>,
     state: Gauge<u64>,
     account_usage: Gauge<u64>,
     runner_pace: Gauge<u64>,
     call_pool: Gauge<u64>,
+    region_round_trip_ms: Gauge<u64>,
+    work_by_region: Counter<u64>,
 }
 
 /// Quota use of a client account, in the unit of its quota.
@@ -112,7 +116,15 @@
             ),
             withheld_sends: counter(
                 "bulrush_gateway_sends_withheld",
-                "Sends that did not go out by a runner's back-pressure, by signal",
+                "Sends that did not go out by a runner's back-pressure or residency, by signal",
+            ),
+            residency_refusals: counter(
+                "bulrush_gateway_residency_refusals",
+                "Requests refused because no runner is in their allowed regions",
+            ),
+            peer_bytes: counter(
+                "bulrush_gateway_peer_bytes",
+                "Bytes of datagrams to other gateways, by region (own or other)",
             ),
             state: meter
                 .u64_gauge("bulrush_gateway_state")
@@ -130,6 +142,15 @@
                 .u64_gauge("bulrush_gateway_call_pool")
                 .with_description("Load of plain services whose calls the gateways share")
                 .build(),
+            region_round_trip_ms: meter
+                .u64_gauge("bulrush_gateway_region_round_trip_ms")
+                .with_description("Round trip to another region beyond one inside the own, in ms")
+                .build(),
+            work_by_region: counter(
+                "bulrush_gateway_work_by_region",
+                "Work sent to runners: decode runners and calls relative to the gateway's region, \
+                 prefills relative to their decode runner's",
+            ),
             exporter,
         }
     }
@@ -139,6 +160,23 @@
         self.runner_pace.record(tokens_per_second, &[KeyValue::new("runner", runner.to_owned())]);
     }
 
+    /// Sets the estimated round trip to another region, in ms.
+    pub fn set_region_round_trip(&self, region: &str, ms: u64) {
+        self.region_round_trip_ms.record(ms, &[KeyValue::new("region", region.to_owned())]);
+    }
+
+    /// Records work that was sent to a runner; `place` is `own` or `other`.
+    ///
+    /// ```
+    /// let metrics = bulrushusher_report::GatewayMetrics::new("front-1");
+    /// metrics.record_work("decode", "other");
+    /// assert!(metrics.render().contains("bulrush_gateway_work_by_region_total"));
+    /// ```
+    pub fn record_work(&self, work: &'static str, place: &'static str) {
+        let labels = [KeyValue::new("work", work), KeyValue::new("place", place)];
+        self.work_by_region.add(1, &labels);
+    }
+
     /// Sets the quota use of a client account.
     pub fn set_account_usage(&self, account: &str, usage: AccountMetrics) {
         let AccountMetrics { used, worst_window, quota, refused } = usage;
@@ -215,11 +253,22 @@
         self.signals.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    /// Records a request that was not sent because of the runner's back-pressure.
+    /// Records a request that was refused because no runner is in its allowed regions.
+    pub fn record_residency_refusal(&self) {
+        self.residency_refusals.add(1, &[]);
+    }
+
+    /// Records a request that was not sent because of the runner's back-pressure or residency.
     pub fn record_withheld_send(&self, signal: &'static str) {
         self.withheld_sends.add(1, &[KeyValue::new("signal", signal)]);
     }
 
+    /// Records the bytes of datagrams to gateways of the own region, and of other regions.
+    pub fn record_peer_bytes(&self, own: u64, other: u64) {
+        self.peer_bytes.add(own, &[KeyValue::new("region", "own")]);
+        self.peer_bytes.add(other, &[KeyValue::new("region", "other")]);
+    }
+
     /// Sets a gauge of the gateway's state, labelled `what`.
     pub fn set_state(&self, what: &'static str, value: u64) {
         self.state.record(value, &[KeyValue::new("what", what)]);
