--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -59,7 +59,7 @@
     /// The runner sent a Retry-After that has not expired.
     #[display("the runner's Retry-After time has not passed")]
     RetryAfter,
-    /// The runner signalled that it is leaving, or its entry says so or was removed.
+    /// The runner signalled that it is leaving, or its entry is marked as leaving or was removed.
     #[display("the runner is leaving")]
     Leaving,
     /// The runner's data centre is evacuated.
@@ -136,7 +136,7 @@
     limit_ended_at: Option<Millis>,
 }
 
-/// Back-pressure of all runners, as this gateway knows it.
+/// Back-pressure of all runners, as recorded at this gateway.
 ///
 /// ```
 /// use bulrushusher_forward::{
--- a/crates/bulrushusher_forward/src/places/cold_limit.rs
+++ b/crates/bulrushusher_forward/src/places/cold_limit.rs
@@ -91,7 +91,7 @@
 }
 
 impl ColdLimiter {
-    /// Creates a limiter for the gateway named `own`, which knows no other gateways yet.
+    /// Creates a limiter for the gateway named `own`, without other gateways yet.
     pub fn new(own: Arc<str>) -> ColdLimiter {
         let (services, runners) = (HashMap::new(), HashMap::new());
         ColdLimiter { own, gateways: KnownGateways::default(), opens_at: None, services, runners }
--- a/crates/bulrushusher_forward/src/places/cold_runner.rs
+++ b/crates/bulrushusher_forward/src/places/cold_runner.rs
@@ -1,4 +1,4 @@
-//! What a gateway knows of one runner that may be cold, and what it has sent to it.
+//! One gateway's record of a runner that may be cold, and of its sends to it.
 
 use std::collections::{HashMap, VecDeque};
 
--- a/crates/bulrushusher_forward/src/places/evacuations.rs
+++ b/crates/bulrushusher_forward/src/places/evacuations.rs
@@ -1,4 +1,4 @@
-//! The data centres that must get no new work, as one gateway knows them.
+//! The data centres that must get no new work, as recorded at one gateway.
 //!
 //! The set changes by lists and changes of the store, and by whole sets from relays. These arrive in
 //! any order. Each has the revision of the store up to which it is complete, and a set is only ever
@@ -56,7 +56,7 @@
     pub ended: Vec<DataCentreName>,
 }
 
-/// The evacuations that a gateway knows.
+/// The evacuations known at a gateway.
 ///
 /// ```
 /// use bulrushusher_forward::{EvacuationChange, EvacuationSet, EvacuationUpdate, Evacuations};
--- a/crates/bulrushusher_forward/src/prefill_ends.rs
+++ b/crates/bulrushusher_forward/src/prefill_ends.rs
@@ -81,7 +81,7 @@
 #[derive(Clone, Debug, Default)]
 struct PeerEnds {
     incarnation: u64,
-    heard: Millis,
+    received_at: Millis,
     counters: HashMap<RunnerId, u64>,
     /// Runners at which the peer had prompts in flight.
     in_flight: HashSet<RunnerId>,
@@ -162,12 +162,13 @@
             Some(before) => self.count_ends(before, &ends, now),
             None => {
                 let forget_peer = self.cfg.forget_peer;
-                self.peers.retain(|_, it| now.since(it.heard) < forget_peer);
+                self.peers.retain(|_, it| now.since(it.received_at) < forget_peer);
                 HashMap::new()
             }
         };
         counters.extend(ends);
-        self.peers.insert(peer.into(), PeerEnds { incarnation, heard: now, counters, in_flight });
+        self.peers
+            .insert(peer.into(), PeerEnds { incarnation, received_at: now, counters, in_flight });
     }
 
     /// Records the ends between two reports of a peer; returns the earlier counters.
@@ -183,8 +184,8 @@
             let count = before.counters.get(runner).map_or(1, |old| counter.wrapping_sub(*old));
             // A counter that went back starts anew.
             if count > 0 && count < u64::MAX / 2 {
-                let sent_after = (!before.in_flight.contains(runner)).then_some(before.heard);
-                self.push(runner, Ends { count, after: before.heard, at: now, sent_after });
+                let sent_after = (!before.in_flight.contains(runner)).then_some(before.received_at);
+                self.push(runner, Ends { count, after: before.received_at, at: now, sent_after });
             }
         }
         before.counters
--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -156,7 +156,7 @@
     }
 
     /// Records that a start of a runner announced its drain in a response; it gets no new work from
-    /// then on, whatever its store entry says. The runner updates that entry later, and the store
+    /// then on, whatever its store entry states. The runner updates that entry later, and the store
     /// may be unavailable or restored from an older backup. Returns true when the notice is new.
     pub fn record_drain_notice(&mut self, report: &DrainReport, now: Millis) -> bool {
         let DrainReport { runner, born } = report;
--- a/crates/bulrushusher_forward/src/sharing_need.rs
+++ b/crates/bulrushusher_forward/src/sharing_need.rs
@@ -6,7 +6,7 @@
 /// Parameters of a [`SharingNeed`].
 #[derive(Clone, Copy, Debug)]
 pub struct SharingNeedConfig {
-    /// Number of slots for each gateway from which a gateway knows the load from its own calls.
+    /// Number of slots for each gateway from which a gateway's own calls show the load.
     pub max_slots_per_gateway: f64,
     /// Time constant of the mean number of calls in flight.
     pub memory: Millis,
--- a/crates/bulrushusher_forward/tests/far_reports.rs
+++ b/crates/bulrushusher_forward/tests/far_reports.rs
@@ -30,7 +30,7 @@
 }
 
 /// Guards against wrong runs at a receiver that has lost a datagram: it detects the gap at the next
-/// one, and after a full report it knows exactly the sender's runs. Also against as many deltas as
+/// one, and after a full report it has exactly the sender's runs. Also against as many deltas as
 /// inside the region.
 #[test]
 fn a_lost_datagram_leaves_no_wrong_runs() {
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -20,7 +20,7 @@
 /// A datagram between two gateways.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Datagram {
-    /// Name of the sender; empty in [`Message::Calls`], which is sent often: the receiver knows the
+    /// Name of the sender; empty in [`Message::Calls`], which is sent often: the receiver has the
     /// name by the address.
     pub from: String,
     pub message: Message,
--- a/crates/bulrushusher_gateway/src/shared/call_reports.rs
+++ b/crates/bulrushusher_gateway/src/shared/call_reports.rs
@@ -10,7 +10,7 @@
 use crate::runners::destination::Destination;
 
 impl SharedState {
-    /// Determines whether calls are shared now. When sharing begins, the peers are told at once.
+    /// Determines whether calls are shared now. When sharing begins, it is reported to the peers at once.
     pub(super) fn update_calls_shared(&self) -> bool {
         let is_shared = !self.shared_services().is_empty();
         if is_shared && !self.calls_shared.swap(true, Ordering::Relaxed) {
@@ -41,7 +41,7 @@
         Some(self.calls.lock().pool.report_interval(gateways))
     }
 
-    /// True if the peers must be told of this gateway's calls before the usual time.
+    /// True if this gateway's calls must be reported to the peers before the usual time.
     pub(crate) fn is_call_report_due(&self) -> bool {
         let Some(interval) = self.call_report_interval() else { return false };
         if self.now().since(self.calls.lock().reported_at) < interval {
--- a/crates/bulrushusher_gateway/src/shared/cold.rs
+++ b/crates/bulrushusher_gateway/src/shared/cold.rs
@@ -1,4 +1,4 @@
-//! Cold runners: what this gateway knows of them, and what it may send them.
+//! Cold runners: which they are, and what this gateway may send them.
 
 use bulrushusher_forward::{BackPressureError, KnownGateways, Runner, SendKind, StartTime};
 use bulrushusher_time::Millis;
--- a/crates/bulrushusher_gateway/src/shared/confirmations.rs
+++ b/crates/bulrushusher_gateway/src/shared/confirmations.rs
@@ -78,7 +78,7 @@
     configuration: Option<Millis>,
     runners: Option<Millis>,
     evacuations: Option<Millis>,
-    /// Revisions after which the relay knows each change of the runner list. Its lists do not show
+    /// Revisions after which the relay has each change of the runner list. Its lists do not show
     /// which runners were removed before them.
     runners_coverage: LogCoverage,
 }
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -132,7 +132,7 @@
     pub lease_due: Notify,
     /// Notified when a report to the peers is due.
     pub report_due: Notify,
-    /// Notified when the peers must be told of this gateway's plain calls.
+    /// Notified when a report of this gateway's plain calls is due.
     pub call_report_due: Notify,
     /// Notified when the peers must receive an update on requests that crash runners.
     pub crash_update_due: Notify,
--- a/crates/bulrushusher_gateway/src/shared/relays.rs
+++ b/crates/bulrushusher_gateway/src/shared/relays.rs
@@ -125,12 +125,12 @@
         self.relay_view.borrow().forwards
     }
 
-    /// Records that this gateway forwards what it knows of the store.
+    /// Records that this gateway forwards its copy of the store.
     pub(crate) fn record_forward(&self) {
         self.forwarded_at.store(self.now().0, Ordering::Relaxed);
     }
 
-    /// Time since this gateway last forwarded what it knows of the store.
+    /// Time since this gateway last forwarded its copy of the store.
     pub(crate) fn time_since_forward(&self) -> Millis {
         self.now().since(Millis(self.forwarded_at.load(Ordering::Relaxed)))
     }
