Untie the modules of prefill placement and of peer messages

Which runner could prefill a prompt, the message of relays and the names of peers have modules of their own; imports of placement/{patience, prefill} and peers/{relaying, report_codec, reporting, call_updates} now run one way. Code only moves.

--- a/crates/bulrushusher_gateway/src/peers/mod.rs
+++ b/crates/bulrushusher_gateway/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod announcing;
 pub(crate) mod call_updates;
+pub(crate) mod peer_names;
 pub(crate) mod relaying;
 pub(crate) mod report_codec;
 pub(crate) mod reporting;
--- a/crates/bulrushusher_gateway/src/peers/relaying.rs
+++ b/crates/bulrushusher_gateway/src/peers/relaying.rs
@@ -3,15 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 
-use bulrushusher_forward::{DeltaRequest, EvacuationSet, PageOutcome, RunnerDelta, SeenRevisions};
+use bulrushusher_forward::{DeltaRequest, PageOutcome};
 use bulrushusher_time::Millis;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::dialect::{PlatformStore, Topic};
-use crate::peers::report_codec::Message;
+use crate::peers::report_codec::{Message, StoreChanges};
 use crate::peers::reporting::PeerMessenger;
-use crate::shared::{ConfirmationAges, RoutingUpdate};
+use crate::shared::RoutingUpdate;
 
 /// How often the relay selection is repeated and missed changes are detected.
 const CHECK_INTERVAL: Millis = Millis(100);
@@ -27,21 +26,6 @@
 /// Number of unanswered requests after which the store itself is asked.
 const MAX_REQUESTS: u32 = 6;
 
-/// Changes of the store, as a relay forwards them.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct StoreChanges {
-    /// Revision of the last change of each topic that the relay has received.
-    pub revisions: SeenRevisions,
-    /// Changes of the runner list.
-    pub runners: Option<RunnerDelta>,
-    /// The last change of the configuration.
-    pub routing: Option<RoutingUpdate>,
-    /// The evacuated data centres, as a whole; `None` where there are no evacuations.
-    pub evacuations: Option<EvacuationSet>,
-    /// Time since the store confirmed that `revisions` contains the last change of each topic.
-    pub ages: ConfirmationAges,
-}
-
 /// A change that other gateways have received and this one has not.
 #[derive(Clone, Copy, Debug, Default)]
 struct Backlog {
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -4,12 +4,30 @@
 //! version are recognised by their first bytes and ignored. Their sender then counts as unreachable
 //! until it is upgraded too.
 
-use bulrushusher_forward::{CallPoolUpdate, DeltaRequest, GatewayDelta, GatewayReport};
+use bulrushusher_forward::{
+    CallPoolUpdate, DeltaRequest, EvacuationSet, GatewayDelta, GatewayReport, RunnerDelta,
+    SeenRevisions,
+};
 use bulrushusher_routing::CrashUpdate;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::peers::relaying::StoreChanges;
+use crate::shared::{ConfirmationAges, RoutingUpdate};
+
+/// Changes of the store, as a relay forwards them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct StoreChanges {
+    /// Revision of the last change of each topic that the relay has received.
+    pub revisions: SeenRevisions,
+    /// Changes of the runner list.
+    pub runners: Option<RunnerDelta>,
+    /// The last change of the configuration.
+    pub routing: Option<RoutingUpdate>,
+    /// The evacuated data centres, as a whole; `None` where there are no evacuations.
+    pub evacuations: Option<EvacuationSet>,
+    /// Time since the store confirmed that `revisions` contains the last change of each topic.
+    pub ages: ConfirmationAges,
+}
 
 /// First byte of every datagram between gateways.
 const MARK: u8 = 0xB5;
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -20,7 +20,7 @@
 
 use crate::dialect::PlatformStore;
 use crate::peers::announcing::Announcer;
-use crate::peers::call_updates::PeerNames;
+use crate::peers::peer_names::PeerNames;
 use crate::peers::report_codec::{self, Datagram, Message};
 use crate::shared::SharedState;
 use crate::store::intake::Intake;
--- a/crates/bulrushusher_gateway/src/placement/mod.rs
+++ b/crates/bulrushusher_gateway/src/placement/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod patience;
 pub(crate) mod place;
 pub(crate) mod prefill;
+pub(crate) mod prefill_site;
--- a/crates/bulrushusher_gateway/src/placement/patience.rs
+++ b/crates/bulrushusher_gateway/src/placement/patience.rs
@@ -12,7 +12,7 @@
 
 use crate::dialect::Dialect;
 use crate::placement::holds::MemoryHold;
-use crate::placement::prefill::{prefill_task, select_site};
+use crate::placement::prefill_site::{prefill_task, select_site};
 use crate::runners::exchange::CONTROL_TIMEOUT;
 use crate::runners::permit::Permit;
 use crate::runners::router::{ForwardedRequest, Router};
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -14,7 +14,7 @@
 use crate::dialect::Dialect;
 use crate::placement::attempts::AttemptHistory;
 use crate::placement::holds::{HoldTerms, MemoryHold};
-use crate::placement::prefill::{PrefillOptions, prefill_options};
+use crate::placement::prefill_site::{PrefillOptions, prefill_options};
 use crate::runners::exchange::{CONTROL_TIMEOUT, ExchangeError};
 use crate::runners::permit::Permit;
 use crate::runners::router::{ForwardedRequest, Router};
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -2,14 +2,15 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, PrefillSite, PrefillSiteConfig, PrefillTask, Runner};
+use bulrushusher_forward::{CallResult, PrefillSite, Runner};
 use bulrushusher_time::Millis;
-use bulrushusher_world::{DataCentreName, RunnerId};
+use bulrushusher_world::RunnerId;
 
 use crate::dialect::{Dialect, Step};
 use crate::placement::attempts::{AttemptHistory, RunError};
 use crate::placement::holds::{KvCacheGuard, MemoryHold};
 use crate::placement::patience::PrefillWait;
+use crate::placement::prefill_site::select_site;
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::ExchangeError;
 use crate::runners::permit::Permit;
@@ -19,10 +20,6 @@
 /// Prefill attempts for one prompt while its memory is held.
 const MAX_PREFILL_ATTEMPTS: usize = 2;
 
-/// Longest prefill for which memory is held. A hold lasts 2 s, and prompts of other gateways may
-/// lengthen the queue at a prefill runner meanwhile.
-const MAX_PREFILL_WAIT: Millis = Millis(1_200);
-
 /// Pause of a prefill runner that refused a prompt, about the time of a few prefills: the runner is
 /// full or changes its stage.
 const REFUSED_PREFILL_PAUSE: Millis = Millis(300);
@@ -76,75 +73,6 @@
     Err(RunError::Unplaced("the prompt was not prefilled"))
 }
 
-/// Selects which runner prefills the prompt.
-pub(crate) fn select_site<D: Dialect>(
-    cx: &Router<D>,
-    fwd: &ForwardedRequest,
-    held: &MemoryHold<D>,
-    prefill: &Runner,
-) -> PrefillSite {
-    let decode = &held.runner.data_centre;
-    let task = prefill_task(cx, fwd, Some(prefill), decode);
-    let load = cx.shared.decode_load(&fwd.service, &held.runner.id);
-    let site = task.select_site(load, PrefillSiteConfig::default());
-    log::debug!("read: id={} reader={site:?} prompt={task:?} decode={load:?}", fwd.request.id);
-    site
-}
-
-/// The prefill of the request's prompt for a decode runner in data centre `decode`, with the timing
-/// known for it.
-pub(crate) fn prefill_task<D: Dialect>(
-    cx: &Router<D>,
-    fwd: &ForwardedRequest,
-    prefill: Option<&Runner>,
-    decode: &DataCentreName,
-) -> PrefillTask {
-    let per_event = cx.shared.tokens_per_event(&fwd.service) as f64;
-    let queued = prefill.map(|prefill| cx.shared.queued_prefill_tokens(&prefill.id));
-    let factor = prefill.map_or(1.0, |it| cx.shared.prefill_factor(&fwd.service, &it.id));
-    let distance = prefill.map(|it| cx.shared.prefill_extra_ms(&it.data_centre, decode));
-    // The first event of a run in another region takes a round trip longer.
-    let time_to_target = fwd.remaining_to_target(cx.now()).since(cx.shared.extra_time(decode));
-    cx.shared.with_timing(&fwd.service, |pace| PrefillTask {
-        tokens: fwd.prompt_tokens(),
-        queued_tokens: queued,
-        distance_ms: distance.unwrap_or(0.0),
-        prefill_timing: pace.prefill().scaled(factor),
-        decode_timing: pace.decode(),
-        event_gap: Millis((per_event / pace.tokens_per_ms()) as u64),
-        gap_target: fwd.route.gap_target,
-        pauses: pace.pauses(),
-        generation_time: pace.mean_generation_time(),
-        time_to_target,
-    })
-}
-
-/// The runners that could prefill a prompt in time for a run that is placed now.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum PrefillOptions {
-    /// A prefill runner, and possibly decode runners.
-    Any,
-    /// Only decode runners for which the task permits it.
-    Decode(PrefillTask),
-}
-
-/// The runners that could prefill the prompt in time for a run that is placed now.
-pub(crate) fn prefill_options<D: Dialect>(
-    cx: &Router<D>,
-    fwd: &ForwardedRequest,
-) -> PrefillOptions {
-    let near = &cx.shared.cfg().data_centre;
-    let prefill = cx.shared.pick_for_prefill(&cx.destination(fwd), &[], near, fwd.prompt_tokens());
-    let task = prefill_task(cx, fwd, prefill.as_ref(), near);
-    let remaining = task.time_to_target;
-    let max_wait = if remaining > Millis(0) { remaining } else { MAX_PREFILL_WAIT };
-    let max_wait = max_wait.since(PrefillSiteConfig::default().first_event_delay);
-    match task.prefill_runner_is_in_time(max_wait.min(MAX_PREFILL_WAIT)) {
-        true => PrefillOptions::Any,
-        false => PrefillOptions::Decode(task),
-    }
-}
-
 /// One of the attempts to prefill a prompt.
 #[derive(Clone, Copy, Debug)]
 struct PrefillSpec<'a> {
