Share plain calls by observation only with several regions, or where the setting asks for it

Cause: with sharing = auto, deployments of one region with 0.75 to 4 slots for each gateway would have shared their calls under load, which they did not before; new behaviour is to take effect only where a deployment's configuration calls for it.

Change: the choice observed; auto is the earlier rule with one region and observed with several, where a gateway sees little of the load that the gateways of other regions place on its runners.

--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -199,10 +199,11 @@
     setting(
         "calls",
         "sharing",
-        Kind::Choice(&["auto", "on", "off"]),
+        Kind::Choice(&["auto", "observed", "on", "off"]),
         Some("auto"),
-        "Whether gateways share their plain calls; auto: where they outnumber the runners' slots, or \
-         while few slots for each gateway are seen to be full.",
+        "Whether gateways share their plain calls; auto: where they outnumber the runners' slots; \
+         observed: also while few slots for each gateway are seen to be full, as auto does with \
+         several regions.",
     ),
     setting(
         "gateways",
@@ -360,9 +361,10 @@
 /// Where gateways share their plain calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallSharing {
-    /// Where there are fewer than 0.75 slots for each gateway, and with fewer than 4 while a gateway
-    /// sees that they are full.
+    /// Where there are fewer than 0.75 slots for each gateway; with several regions as `Observed`.
     Auto,
+    /// Also with fewer than 4 slots for each gateway while a gateway sees that they are full.
+    Observed,
     /// At all plain services.
     On,
     /// Nowhere.
@@ -493,6 +495,7 @@
 fn call_sharing(value: &str) -> CallSharing {
     match value {
         "on" => CallSharing::On,
+        "observed" => CallSharing::Observed,
         "off" => CallSharing::Off,
         // `auto`, the only other value that the setting accepts.
         _ => CallSharing::Auto,
--- a/crates/bulrushusher_gateway/src/shared/calls.rs
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -104,7 +104,7 @@
 impl SharedState {
     /// True where the gateways share their calls to a plain service.
     fn shares_calls(&self, service: &ServiceName) -> bool {
-        let sharing = self.cfg.load().call_sharing;
+        let sharing = self.effective_call_sharing();
         if sharing == CallSharing::Off || self.engine(service).is_some() {
             return false;
         }
@@ -113,15 +113,26 @@
         let mut calls = self.calls.lock();
         match sharing {
             CallSharing::On => calls.pool.may_share(gateways),
-            CallSharing::Auto if calls.pool.is_scarce(slots, gateways) => true,
-            CallSharing::Auto => {
-                calls.pool.may_share(gateways)
-                    && calls.is_sharing_needed(service, PoolSize { slots, gateways }, now)
+            CallSharing::Auto => calls.pool.is_scarce(slots, gateways),
+            CallSharing::Observed => {
+                calls.pool.is_scarce(slots, gateways)
+                    || (calls.pool.may_share(gateways)
+                        && calls.is_sharing_needed(service, PoolSize { slots, gateways }, now))
             }
             CallSharing::Off => false,
         }
     }
 
+    /// Where gateways share their calls. With several regions a gateway sees mostly the runners of its
+    /// own, and less of the load that others place there than the number of slots suggests.
+    pub(super) fn effective_call_sharing(&self) -> CallSharing {
+        let cfg = self.cfg.load();
+        match cfg.call_sharing {
+            CallSharing::Auto if cfg.topology.has_many_regions() => CallSharing::Observed,
+            sharing => sharing,
+        }
+    }
+
     pub(super) fn pool_size(&self, service: &ServiceName) -> PoolSize {
         let gateways = self.runs.lock().peer_count(self.now()) + 1;
         let slots = self.with_runners(|runners, now| {
