Log cold runners at an interval only, not for each entry

Cause: each entry of a list went through all known runners to find those that became cold, so a list of n runners cost n squared steps at each start of a gateway, also where no service limits requests to cold runners.

Change: the check that already ran every 500 ms logs both directions; the limits are unchanged, a line comes up to 500 ms later.

The cost at a start with 3,000 runners was read from the code and not measured.

--- a/crates/bulrushusher_gateway/src/shared/cold.rs
+++ b/crates/bulrushusher_gateway/src/shared/cold.rs
@@ -6,8 +6,9 @@
 
 use super::SharedState;
 
-/// Delay up to which the log reports that a runner became warm.
-const WARM_LOG_INTERVAL: Millis = Millis(500);
+/// Delay up to which the log reports that a runner became cold or warm. A check for each entry would
+/// go through all runners for each runner of a list.
+const LOG_INTERVAL: Millis = Millis(500);
 
 impl SharedState {
     /// Applies the services of the configuration and the settings to the limits on cold runners.
@@ -28,14 +29,12 @@
     pub(super) fn observe_cold(&self, runner: &Runner) {
         let now = self.now();
         self.pressure.lock().cold.observe(runner, now);
-        self.log_cold_changes();
     }
 
     /// Records a start of a runner that is known before its entry.
     pub(super) fn observe_cold_start(&self, id: &RunnerId, born: Option<StartTime>) {
         let now = self.now();
         self.pressure.lock().cold.observe_start(id, born, now);
-        self.log_cold_changes();
     }
 
     /// Records a request whose bytes are written next.
@@ -52,10 +51,10 @@
         self.pressure.lock().cold.record_send(runner, kind, now)
     }
 
-    /// Logs when runners become warm, until the gateway stops.
+    /// Logs when runners become cold or warm, until the gateway stops.
     pub(crate) async fn watch_cold_runners(&self) {
         loop {
-            tokio::time::sleep(WARM_LOG_INTERVAL.duration()).await;
+            tokio::time::sleep(LOG_INTERVAL.duration()).await;
             self.log_cold_changes();
         }
     }
