Look up the residency in force only where a configuration restricts something

Cause: each selection and each send searched the routes of the host again, with a lower-case copy of its name, also where no route and no account is restricted to regions.

Change: a configuration knows whether it restricts any request; without that the residency in force is the accepted one.

The gain was not measured.

--- a/crates/bulrushusher_forward/src/places/residency.rs
+++ b/crates/bulrushusher_forward/src/places/residency.rs
@@ -32,7 +32,10 @@
     /// Where the request may be processed under `routing`, the configuration in force. A route or an
     /// account that was removed restricts nothing further.
     pub fn in_force(&self, routing: Option<&RoutingConfig>) -> Residency {
-        let Some(routing) = routing else { return self.accepted.clone() };
+        // Each placement and each send asks; the lookups are left out where nothing is restricted.
+        let Some(routing) = routing.filter(|routing| routing.has_residency()) else {
+            return self.accepted.clone();
+        };
         let route = routing.route(self.host, self.path);
         let accounts = routing.accounts();
         let account = accounts.and_then(|accounts| accounts.find_by_name(self.account?));
--- a/crates/bulrushusher_forward/src/route.rs
+++ b/crates/bulrushusher_forward/src/route.rs
@@ -202,6 +202,8 @@
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, ServiceSpec>,
     accounts: Option<AccountTable>,
+    /// True if some route or account is restricted to regions.
+    has_residency: bool,
 }
 
 impl RoutingConfig {
@@ -225,13 +227,24 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_start.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
-        Ok(RoutingConfig { version, limits, routes: by_host, services, accounts: None })
+        let has_residency =
+            by_host.values().flatten().any(|route| route.residency != Residency::Anywhere);
+        let accounts = None;
+        Ok(RoutingConfig { version, limits, routes: by_host, services, accounts, has_residency })
     }
 
     /// Adds client accounts: requests then need an API key, except on open routes.
     #[must_use]
     pub fn with_accounts(self, accounts: AccountTable) -> RoutingConfig {
-        RoutingConfig { accounts: Some(accounts), ..self }
+        let is_restricted =
+            accounts.accounts().any(|account| account.residency != Residency::Anywhere);
+        let has_residency = self.has_residency || is_restricted;
+        RoutingConfig { accounts: Some(accounts), has_residency, ..self }
+    }
+
+    /// True if some route or account is restricted to regions.
+    pub fn has_residency(&self) -> bool {
+        self.has_residency
     }
 
     /// The client accounts; `None` where callers need no API key.
