Log and count arrivals of requests at runners beyond the first

Cause: the hypotheses on the exceeded retry budget cannot be told apart: a full budget at each start, shares that add up to more than the whole, or arrivals that nobody pays for. No line tells what a gateway may spend, and retries are counted where they are decided, not where they leave. Change: RequestArrivals counts the arrivals of each request where its bytes are written; the first accepted prefill does not count. Each arrival beyond the first is logged and counted (retries_total). Each retry taken from the budget is logged with the savings, the share, the number of sharers and the age of the process. No decision changed.

--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -230,6 +230,7 @@
             deadline: received.plus(timeout.min(route.timeout)),
             elapsed_before,
             residency: route.residency.clone(),
+            arrivals: Arc::default(),
         })
     }
 
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -146,6 +146,7 @@
         CallResult::Unreachable | CallResult::Withheld => {}
     }
     let handle = prefilled.map_err(|failed| failed.result)?;
+    fwd.arrivals.lock().accept_prefill();
     // The timing is that of the runner alone: distance would look like a lower prefill rate.
     let took = cx.now().since(started).since(extra);
     let sent = started.plus(trace.waited().unwrap_or_default());
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -210,6 +210,25 @@
         reached.find(|it| !self.shared.permits_place(&residency, it)).cloned()
     }
 
+    /// Counts the arrival of a caller's request at a runner, just before its bytes are written.
+    fn record_arrival(&self, runner: &Runner, purpose: SendPurpose<'_>) {
+        let SendPurpose::Request(CallerSend { fwd, .. }) = purpose else { return };
+        let retries = {
+            let mut arrivals = fwd.arrivals.lock();
+            arrivals.record();
+            arrivals.retries()
+        };
+        if retries > 0 {
+            self.metrics.record_retry();
+            log::info!(
+                "retries: sent id={} service={} runner={} retries={retries}",
+                fwd.request.id,
+                fwd.service,
+                runner.id,
+            );
+        }
+    }
+
     async fn send_without_timeout(
         &self,
         runner: &Runner,
@@ -230,6 +249,7 @@
             if let Some(permit) = &mut unused {
                 permit.is_used = true;
             }
+            self.record_arrival(runner, spec.purpose);
             if let Some(trace) = spec.trace {
                 trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
             }
@@ -238,8 +258,13 @@
                     return self.check_response(runner, spec.purpose.id(), reply, connection);
                 }
                 Err(mut e) => match e.take_message() {
-                    Some(unsent) if connection.reused => req = unsent,
-                    Some(_) => return Err(ExchangeError::Unsent { cause: e.error().to_string() }),
+                    Some(unsent) => {
+                        withdraw_arrival(spec.purpose);
+                        if !connection.reused {
+                            return Err(ExchangeError::Unsent { cause: e.error().to_string() });
+                        }
+                        req = unsent;
+                    }
                     None => {
                         return Err(ExchangeError::ConnectionLost { cause: e.error().to_string() });
                     }
@@ -343,6 +368,12 @@
     }
 }
 
+fn withdraw_arrival(purpose: SendPurpose<'_>) {
+    if let SendPurpose::Request(CallerSend { fwd, .. }) = purpose {
+        fwd.arrivals.lock().withdraw();
+    }
+}
+
 /// How a request counts at a cold runner.
 fn send_kind(permit: Permit) -> SendKind {
     match permit {
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CallResult, LoadEpoch, Route, RouteKind, Runner, Stage};
+use bulrushusher_forward::{
+    CallResult, LoadEpoch, RequestArrivals, Route, RouteKind, Runner, Stage,
+};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
@@ -12,6 +14,7 @@
 use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request;
 use hyper::{HeaderMap, Method, Request, Uri};
+use parking_lot::Mutex;
 
 use crate::access::caller::{Caller, KEY_NOT_CONFIRMED, KEY_RECHECK_DELAY};
 use crate::answers::answer::{EVACUATED, QUARANTINED, Withheld};
@@ -60,6 +63,8 @@
     pub elapsed_before: Millis,
     /// Where the request may be processed by the configuration under which it was accepted.
     pub residency: Residency,
+    /// Its arrivals at runners.
+    pub arrivals: Arc<Mutex<RequestArrivals>>,
 }
 
 impl ForwardedRequest {
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -71,6 +71,7 @@
 #[derive(Debug)]
 pub(crate) struct SharedState {
     pub clock: Clock,
+    started_at: Millis,
     cfg: ArcSwap<GatewayConfig>,
     routing: ArcSwapOption<RoutingConfig>,
     runners: Mutex<Runners>,
@@ -160,6 +161,7 @@
             loads: RunnerLoads::new(cfg.loads),
         };
         SharedState {
+            started_at: clock.now(),
             clock,
             cfg: ArcSwap::from_pointee(cfg),
             routing: ArcSwapOption::empty(),
@@ -468,7 +470,18 @@
         let mut budgets = self.retry_budgets.lock();
         let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg));
         budget.reconfigure(cfg);
-        f(budget)
+        let before = budget.saved();
+        let result = f(budget);
+        if budget.saved() < before {
+            log::info!(
+                "retries: taken service={service} saved={:.2} share={:.2} sharers={gateways} \
+                 up_ms={}",
+                budget.saved(),
+                cfg.max_saved,
+                self.now().since(self.started_at).0,
+            );
+        }
+        result
     }
 
     /// Adds a request to the queue of a service.
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -22,6 +22,7 @@
     signals: Counter<u64>,
     withheld_sends: Counter<u64>,
     residency_refusals: Counter<u64>,
+    retries: Counter<u64>,
     peer_bytes: Counter<u64>,
     state: Gauge<u64>,
     account_usage: Gauge<u64>,
@@ -122,6 +123,10 @@
                 "bulrush_gateway_residency_refusals",
                 "Requests refused because no runner is in their allowed regions",
             ),
+            retries: counter(
+                "bulrush_gateway_retries",
+                "Arrivals of requests at runners beyond the first of each",
+            ),
             peer_bytes: counter(
                 "bulrush_gateway_peer_bytes",
                 "Bytes of datagrams to other gateways, by region (own or other)",
@@ -258,6 +263,11 @@
         self.residency_refusals.add(1, &[]);
     }
 
+    /// Records an arrival of a request at a runner beyond its first.
+    pub fn record_retry(&self) {
+        self.retries.add(1, &[]);
+    }
+
     /// Records a request that was not sent because of the runner's back-pressure or residency.
     pub fn record_withheld_send(&self, signal: &'static str) {
         self.withheld_sends.add(1, &[KeyValue::new("signal", signal)]);
--- a/crates/bulrushusher_routing/src/retry.rs
+++ b/crates/bulrushusher_routing/src/retry.rs
@@ -67,6 +67,11 @@
         self.saved = (self.saved + self.cfg.per_request).min(self.cfg.max_saved);
     }
 
+    /// Retries saved up.
+    pub fn saved(&self) -> f64 {
+        self.saved
+    }
+
     /// True if a retry is left.
     pub fn has_retry(&self) -> bool {
         self.saved >= 1.0
