Retry budget: count a window, and give a process its burst only after a whole one

What callers saw: after all gateways were killed under failing runners, retries beyond the budget added load to the pool that failed (398 arrivals beyond the first where 271 are allowed). Cause: RetryBudget held savings, full at each start, while the bound counts a window over all processes whatever their age. Change: the budget counts requests and retries in buckets of a twentieth of the window. A retry must fit into each window that ends from now until a window from now, against half the requests of that window and the one before it, plus the burst. Nothing is carried over, so what is allowed follows from counts that add up over processes, and a start adds nothing. The burst is there once the process has run for a whole window, when nothing that a previous start spent is left in it. The own interface has no total over its entries and keeps its burst from the start.

--- a/crates/bulrushusher_entry/src/config.rs
+++ b/crates/bulrushusher_entry/src/config.rs
@@ -72,7 +72,7 @@
         "per_request",
         Kind::Real(0.0, 10.0),
         Some("0.2"),
-        "Retries added to the retry budget by each request.",
+        "Retries that each request adds to the budget of its window.",
     ),
     setting(
         "streams",
--- a/crates/bulrushusher_entry/src/entry.rs
+++ b/crates/bulrushusher_entry/src/entry.rs
@@ -43,7 +43,7 @@
     pub(crate) incarnation: u64,
     pub(crate) table: Mutex<PairingTable>,
     pub(crate) quotas: Mutex<QuotaLimiter>,
-    pub(crate) retries: Mutex<RetryBudget>,
+    retries: Mutex<RetryBudget>,
     /// Prompts that crash the engines that run them.
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) configuration: ArcSwap<Configuration>,
@@ -70,7 +70,8 @@
             incarnation,
             table: Mutex::new(PairingTable::new(cfg.pairing)),
             quotas: Mutex::new(QuotaLimiter::new(cfg.quotas, Millis(0))),
-            retries: Mutex::new(RetryBudget::new(cfg.retries)),
+            // No total is stated for all entries, so each has its burst from the start.
+            retries: Mutex::new(RetryBudget::new(cfg.retries, Millis(0))),
             quarantine: Mutex::new(Quarantine::new(QuarantineConfig::default())),
             configuration: ArcSwap::default(),
             configuration_lock: Mutex::new(()),
@@ -88,6 +89,20 @@
         }
     }
 
+    /// Credits the retry budget for a new request.
+    pub(crate) fn earn_retry(&self) {
+        let mut budget = self.retries.lock();
+        budget.advance(self.clock.now());
+        budget.earn();
+    }
+
+    /// Takes one retry from the budget. Returns false if none is left.
+    pub(crate) fn take_retry(&self) -> bool {
+        let mut budget = self.retries.lock();
+        budget.advance(self.clock.now());
+        budget.take()
+    }
+
     /// Refuses a request if this entry is shutting down or has too many requests in flight.
     pub(crate) fn admit(&self) -> Result<(), ApiError> {
         if self.shutting_down.load(Ordering::SeqCst) {
--- a/crates/bulrushusher_entry/src/prompt_task.rs
+++ b/crates/bulrushusher_entry/src/prompt_task.rs
@@ -50,7 +50,7 @@
     let blocks = block_hashes(&prompt.prompt);
     let mut execution = Execution::new(shared, prompt.job.clone(), tx, !prompt.stream);
     execution.prompt = Some(prompt.digest());
-    shared.retries.lock().earn();
+    shared.earn_retry();
     let result = run_attempts(shared, prompt, &blocks, &mut execution).await;
     result.map_err(|e| execution.caller_error(e))
 }
@@ -75,8 +75,7 @@
 /// Takes a retry from the retry budget. Patient requests may retry even if it is used up.
 pub(crate) fn take_retry(shared: &Shared, job: &Job) -> Result<(), ApiError> {
     const RETRY_AFTER: Millis = Millis(1_000);
-    let has_budget = shared.retries.lock().take();
-    if has_budget || job.class.patience == Patience::Patient {
+    if shared.take_retry() || job.class.patience == Patience::Patient {
         return Ok(());
     }
     let message = "attempts keep failing and the retry budget is used up";
--- a/crates/bulrushusher_entry/src/service_task.rs
+++ b/crates/bulrushusher_entry/src/service_task.rs
@@ -25,7 +25,7 @@
     tx: &PartSender,
 ) -> Result<(), ApiError> {
     let mut execution = Execution::new(shared, job.clone(), tx, true);
-    shared.retries.lock().earn();
+    shared.earn_retry();
     let result = run_attempts(shared, call, &mut execution).await;
     result.map_err(|e| execution.caller_error(e))
 }
--- a/crates/bulrushusher_forward/src/attempt_plan.rs
+++ b/crates/bulrushusher_forward/src/attempt_plan.rs
@@ -42,7 +42,10 @@
 /// ```
 /// use bulrushusher_forward::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep, RouteKind};
 /// use bulrushusher_routing::{RetryBudget, RetryConfig};
-/// let mut budget = RetryBudget::new(RetryConfig::default());
+/// use bulrushusher_time::Millis;
+/// let cfg = RetryConfig::default();
+/// let mut budget = RetryBudget::new(cfg, Millis(0));
+/// budget.advance(cfg.window);
 /// let mut plan = AttemptPlan::new(RouteKind::NonIdempotent, 2);
 /// assert_eq!(plan.next_step(AttemptEnd::NotRun, &mut budget), NextStep::Retry);
 /// let end = plan.next_step(AttemptEnd::Unknown, &mut budget);
@@ -96,10 +99,12 @@
     /// ```
     /// use bulrushusher_forward::{AttemptPlan, RouteKind};
     /// use bulrushusher_routing::{RetryBudget, RetryConfig};
-    /// let none = RetryConfig { per_request: 0.0, max_saved: 0.0 };
+    /// use bulrushusher_time::Millis;
+    /// let cfg = RetryConfig::default();
+    /// let mut budget = RetryBudget::new(cfg, Millis(0));
     /// let mut plan = AttemptPlan::new(RouteKind::Idempotent, 2);
-    /// assert!(!plan.abandon(&mut RetryBudget::new(none)));
-    /// let mut budget = RetryBudget::new(RetryConfig::default());
+    /// assert!(!plan.abandon(&mut budget), "no retry is left");
+    /// budget.advance(cfg.window);
     /// assert!(plan.abandon(&mut budget) && !plan.abandon(&mut budget), "two runners at most");
     /// ```
     pub fn abandon(&mut self, budget: &mut RetryBudget) -> bool {
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -342,7 +342,8 @@
 /// Runs the load and returns what became of the callers.
 pub fn run(load: Load, choice: Choice) -> Outcome {
     let members: Vec<Runner> = (0..load.size.runners).map(runner).collect();
-    let retries = RetryConfig { per_request: 0.15, max_saved: 50.0 }.split(load.size.gateways);
+    let retries = RetryConfig { per_request: 0.15, ..RetryConfig::default() };
+    let retries = retries.split(load.size.gateways);
     let cfg = match choice {
         Choice::Own => CallPoolConfig::default(),
         Choice::Shared(cfg) | Choice::Observed(cfg) => cfg,
@@ -354,7 +355,7 @@
             members: directory,
             loads: RunnerLoads::new(LoadConfig::default()),
             pool: CallPool::new(cfg),
-            budget: RetryBudget::new(retries),
+            budget: RetryBudget::new(retries, Millis(0)),
             reported_at: 0,
             due_at: 0,
             full_at: None,
@@ -505,6 +506,8 @@
         let gateway = (self.draw() * self.load.size.gateways as f64) as usize;
         let plan = AttemptPlan::new(self.callers[caller].kind, 2);
         let returning = self.callers[caller].refusals > 0;
+        let now = self.ms();
+        self.gateways[gateway].budget.advance(now);
         self.gateways[gateway].budget.earn();
         let (tried, current, waiting) = (Vec::new(), None, None);
         self.calls.push(Call { caller, gateway, plan, tried, returning, waiting, current });
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -133,8 +133,9 @@
     fn requests_run_at_most_once_not_run_is_true_and_retries_respect_the_budget(
         requests in prop::collection::vec((kinds(), 1_u32..4, behaviours()), 1..40),
     ) {
-        let cfg = RetryConfig { per_request: 0.2, max_saved: 3.0 };
-        let mut budget = RetryBudget::new(cfg);
+        let cfg = RetryConfig { per_request: 0.2, burst: 3.0, ..RetryConfig::default() };
+        let mut budget = RetryBudget::new(cfg, Millis(0));
+        budget.advance(cfg.window);
         let mut retries = 0;
         for (n, (kind, max_runners, behaviours)) in requests.iter().enumerate() {
             budget.earn();
@@ -144,7 +145,7 @@
             let is_true = !outcome.reported_not_run || outcome.runs == 0;
             prop_assert!(is_true, "reported as not run, but it ran");
             retries += outcome.retries;
-            let allowed = cfg.max_saved + cfg.per_request * (n + 1) as f64;
+            let allowed = cfg.burst + cfg.per_request * (n + 1) as f64;
             // A send that does not reach a runner is free; the next one is the first to arrive.
             let unsent = behaviours.iter().filter(|it| matches!(it, Behaviour::NeverSent)).count();
             if unsent == 0 {
@@ -153,13 +154,15 @@
         }
         let never_sent = |behaviours: &[Behaviour]| matches!(behaviours[0], Behaviour::NeverSent);
         let first_send_unsent = requests.iter().filter(|r| never_sent(&r.2)).count();
-        let allowed = cfg.max_saved + cfg.per_request * requests.len() as f64;
+        let allowed = cfg.burst + cfg.per_request * requests.len() as f64;
         prop_assert!(f64::from(retries) <= allowed + first_send_unsent as f64 + 1e-6);
     }
 
     #[test]
     fn every_request_ends(kind in kinds(), max_runners in 1_u32..4, behaviour in behaviours()) {
-        let mut budget = RetryBudget::new(RetryConfig { per_request: 1.0, max_saved: 100.0 });
+        let cfg = RetryConfig { per_request: 1.0, burst: 100.0, ..RetryConfig::default() };
+        let mut budget = RetryBudget::new(cfg, Millis(0));
+        budget.advance(cfg.window);
         let endless: Vec<Behaviour> = behaviour.iter().cycle().take(20).copied().collect();
         prop_assert!(simulate(kind, max_runners, &endless, &mut budget).ended);
     }
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -87,7 +87,7 @@
     setting(
         "bounds",
         "retry_share",
-        Kind::Real(0.0, 1.0),
+        Kind::Real(0.0, 100.0),
         Some("0.2"),
         "Retries allowed per request, over all gateways.",
     ),
@@ -96,7 +96,14 @@
         "retry_burst",
         Kind::Real(0.0, 1_000_000.0),
         Some("50"),
-        "Retries allowed beyond that share, over all gateways.",
+        "Retries allowed beyond that share in any window, over all gateways.",
+    ),
+    setting(
+        "bounds",
+        "retry_window_s",
+        Kind::Real(0.1, 3_600.0),
+        Some("10"),
+        "Length of the windows in which retries are limited.",
     ),
     setting(
         "bounds",
@@ -371,8 +378,9 @@
     Off,
 }
 
-/// Part of the allowed retry share that gateways use: the limit holds in every sliding window, and
-/// requests add to the budget only while they are in the window.
+/// Part of the allowed retry share that gateways use: more retries than this make a full pool fuller.
+/// The rest also covers the time from a caller's send to the gateway's count, and from the gateway's
+/// count to the arrival at a runner.
 const RETRY_SHARE_USED: f64 = 0.75;
 
 /// Time for which requests are accepted after the signal. The load balancer checks once a second
@@ -425,7 +433,8 @@
             order_spacing: values.millis("bounds", "order_spacing_ms"),
             retries: RetryConfig {
                 per_request: values.real("bounds", "retry_share") * RETRY_SHARE_USED,
-                max_saved: values.real("bounds", "retry_burst"),
+                burst: values.real("bounds", "retry_burst"),
+                window: Millis((values.real("bounds", "retry_window_s") * 1_000.0) as u64),
             },
             shutdown: ShutdownConfig {
                 grace,
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -468,17 +468,20 @@
         let gateways = self.runs.lock().peer_count(self.now()) + 1;
         let cfg = self.cfg.load().retries.split(gateways.max(MIN_RETRY_SHARERS));
         let mut budgets = self.retry_budgets.lock();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(cfg));
+        let now = self.now();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(cfg, self.started_at));
         budget.reconfigure(cfg);
-        let before = budget.saved();
+        budget.advance(now);
+        let before = budget.spent();
         let result = f(budget);
-        if budget.saved() < before {
+        if budget.spent() > before {
             log::info!(
-                "retries: taken service={service} saved={:.2} share={:.2} sharers={gateways} \
-                 up_ms={}",
-                budget.saved(),
-                cfg.max_saved,
-                self.now().since(self.started_at).0,
+                "retries: taken service={service} spent={} share={:.2} sharers={gateways} up_ms={}",
+                budget.spent(),
+                budget.burst(),
+                now.since(self.started_at).0,
             );
         }
         result
--- a/crates/bulrushusher_routing/src/retry.rs
+++ b/crates/bulrushusher_routing/src/retry.rs
@@ -1,88 +1,163 @@
 //! A retry budget, so that retries do not add load to a pool that is failing.
 
+use std::collections::VecDeque;
+
+use bulrushusher_time::Millis;
+
+/// Parts of a window in which requests and retries are counted.
+const BUCKETS: u64 = 20;
+
 /// Limits of a retry budget.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryConfig {
-    /// Retries earned by each first attempt, usually a fraction.
+    /// Retries allowed for each request, usually a fraction.
     pub per_request: f64,
-    /// Maximum number of retries saved up.
-    pub max_saved: f64,
+    /// Retries allowed beyond that in any window.
+    pub burst: f64,
+    /// Length of the window.
+    pub window: Millis,
 }
 
 impl Default for RetryConfig {
     fn default() -> RetryConfig {
-        RetryConfig { per_request: 0.2, max_saved: 50.0 }
+        RetryConfig { per_request: 0.2, burst: 50.0, window: Millis(10_000) }
     }
 }
 
 impl RetryConfig {
     /// The share of each of `processes`, so that all together stay within the total budget when
-    /// they spend their savings at once. Each may save up at least one retry if the total allows
-    /// any; otherwise it could never retry.
+    /// they spend their bursts at once. Each may spend at least one retry if the total allows any;
+    /// otherwise it could never retry.
     ///
     /// ```
     /// use bulrushusher_routing::RetryConfig;
-    /// let total = RetryConfig { per_request: 0.2, max_saved: 54.0 };
-    /// assert_eq!(total.split(27).max_saved, 2.0);
+    /// let total = RetryConfig { burst: 54.0, ..RetryConfig::default() };
+    /// assert_eq!(total.split(27).burst, 2.0);
     /// assert_eq!(total.split(27).per_request, 0.2, "each earns by its own requests");
     /// ```
     #[must_use]
     pub fn split(self, processes: usize) -> RetryConfig {
-        let share = self.max_saved / processes.max(1) as f64;
-        RetryConfig { max_saved: share.max(self.max_saved.min(1.0)), ..self }
+        let share = self.burst / processes.max(1) as f64;
+        RetryConfig { burst: share.max(self.burst.min(1.0)), ..self }
+    }
+
+    fn bucket_at(&self, at: Millis) -> u64 {
+        at.0 / (self.window.0 / BUCKETS).max(1)
     }
 }
 
-/// The retries still allowed, as a token bucket filled by first attempts.
+/// What was counted within one part of a window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    requests: u32,
+    retries: u32,
+}
+
+/// The retries of one process that are still allowed.
+///
+/// In any window, retries are at most `per_request` times the mean number of requests in that window
+/// and in the one before it, plus the burst. The counts of all processes may therefore be added up:
+/// together they stay within the same limit. A process has its burst only once it has run for a whole
+/// window, as its previous start may have spent the same burst within the window.
 ///
 /// ```
 /// use bulrushusher_routing::{RetryBudget, RetryConfig};
-/// let mut budget = RetryBudget::new(RetryConfig { per_request: 0.5, max_saved: 1.0 });
-/// assert!(budget.has_retry() && budget.take(), "a budget starts full");
+/// use bulrushusher_time::Millis;
+/// let cfg = RetryConfig { per_request: 0.5, burst: 1.0, window: Millis(1_000) };
+/// let mut budget = RetryBudget::new(cfg, Millis(0));
+/// assert!(!budget.take(), "a previous start may have spent the burst");
+/// budget.advance(Millis(1_000));
+/// assert!(budget.has_retry() && budget.take());
 /// assert!(!budget.has_retry() && !budget.take());
-/// budget.earn();
-/// budget.earn();
-/// assert!(budget.take());
+/// for _ in 0..4 {
+///     budget.earn();
+/// }
+/// assert!(budget.take() && !budget.take());
+/// budget.advance(Millis(5_000));
+/// assert!(budget.take(), "the former retries are out of the window");
 /// ```
 #[derive(Debug)]
 pub struct RetryBudget {
     cfg: RetryConfig,
-    saved: f64,
+    started_at: Millis,
+    now: Millis,
+    /// Two windows up to now, the newest last.
+    buckets: VecDeque<Bucket>,
 }
 
 impl RetryBudget {
-    /// A full budget.
-    pub fn new(cfg: RetryConfig) -> RetryBudget {
-        RetryBudget { cfg, saved: cfg.max_saved }
+    /// The budget of a process that starts at `now`.
+    pub fn new(cfg: RetryConfig, now: Millis) -> RetryBudget {
+        let buckets = VecDeque::from([Bucket::default()]);
+        RetryBudget { cfg, started_at: now, now, buckets }
     }
 
-    /// Replaces the limits; savings above the new maximum are discarded.
+    /// Replaces the limits. A window of another length discards what was counted, and the burst with
+    /// it for the length of the new window.
     pub fn reconfigure(&mut self, cfg: RetryConfig) {
+        if self.cfg.window != cfg.window {
+            *self = RetryBudget::new(cfg, self.now);
+        }
         self.cfg = cfg;
-        self.saved = self.saved.min(cfg.max_saved);
     }
 
-    /// Records a first attempt.
+    /// Sets the current time. An earlier time than before changes nothing.
+    pub fn advance(&mut self, now: Millis) {
+        let passed = self.cfg.bucket_at(now).saturating_sub(self.cfg.bucket_at(self.now));
+        self.now = self.now.max(now);
+        for _ in 0..passed.min(2 * BUCKETS) {
+            self.buckets.push_back(Bucket::default());
+        }
+        let excess = self.buckets.len().saturating_sub(2 * BUCKETS as usize);
+        self.buckets.drain(..excess);
+    }
+
+    /// Records a request.
     pub fn earn(&mut self) {
-        self.saved = (self.saved + self.cfg.per_request).min(self.cfg.max_saved);
+        if let Some(newest) = self.buckets.back_mut() {
+            newest.requests = newest.requests.saturating_add(1);
+        }
+    }
+
+    /// The burst that the process has now.
+    pub fn burst(&self) -> f64 {
+        match self.now.since(self.started_at) >= self.cfg.window {
+            true => self.cfg.burst,
+            false => 0.0,
+        }
     }
 
-    /// Retries saved up.
-    pub fn saved(&self) -> f64 {
-        self.saved
+    /// Retries within the window that ends now.
+    pub fn spent(&self) -> u32 {
+        self.buckets.iter().rev().take(BUCKETS as usize + 1).map(|it| it.retries).sum()
     }
 
     /// True if a retry is left.
     pub fn has_retry(&self) -> bool {
-        self.saved >= 1.0
+        // A retry is in each window that ends from now until a window from now, and must fit into
+        // all of them. `newest_*` sum over the buckets that are still in such a window.
+        let burst = self.burst();
+        let mut newest_retries = 0;
+        let mut newest_requests: u32 =
+            self.buckets.iter().rev().take(BUCKETS as usize - 1).map(|it| it.requests).sum();
+        let counted = |nth: usize| {
+            let nth = self.buckets.len().checked_sub(nth + 1);
+            nth.and_then(|nth| self.buckets.get(nth)).copied().unwrap_or_default()
+        };
+        (0..=BUCKETS as usize).all(|nth| {
+            newest_retries += counted(nth).retries;
+            newest_requests += counted(nth + BUCKETS as usize - 1).requests;
+            let allowed = self.cfg.per_request * f64::from(newest_requests) / 2.0 + burst;
+            f64::from(newest_retries) + 1.0 <= allowed
+        })
     }
 
     /// Takes one retry; returns false if none is left.
     pub fn take(&mut self) -> bool {
-        if !self.has_retry() {
-            return false;
+        let has_retry = self.has_retry();
+        if let (true, Some(newest)) = (has_retry, self.buckets.back_mut()) {
+            newest.retries += 1;
         }
-        self.saved -= 1.0;
-        true
+        has_retry
     }
 }
--- a/crates/bulrushusher_routing/tests/retry.rs
+++ b/crates/bulrushusher_routing/tests/retry.rs
@@ -1,6 +1,18 @@
 //! Tests of a retry budget that several processes share.
 
 use bulrushusher_routing::{RetryBudget, RetryConfig};
+use bulrushusher_time::Millis;
+
+/// The budget of a process that has run for a whole window.
+fn settled(cfg: RetryConfig) -> RetryBudget {
+    let mut budget = RetryBudget::new(cfg, Millis(0));
+    budget.advance(cfg.window);
+    budget
+}
+
+fn config(per_request: f64, burst: f64) -> RetryConfig {
+    RetryConfig { per_request, burst, ..RetryConfig::default() }
+}
 
 fn spend_all(budget: &mut RetryBudget) -> u32 {
     let mut spent = 0;
@@ -10,21 +22,20 @@
     spent
 }
 
-/// All processes lose the same runner and spend all their savings at once.
+/// All processes lose the same runner and spend all their bursts at once.
 #[test]
 fn processes_that_spend_at_once_stay_within_the_whole() {
     for processes in [1, 5, 10, 27, 54] {
-        let total = RetryConfig { per_request: 0.2, max_saved: 54.0 };
-        let budget = || RetryBudget::new(total.split(processes));
+        let total = config(0.2, 54.0);
+        let budget = || settled(total.split(processes));
         let spent: u32 = (0..processes).map(|_| spend_all(&mut budget())).sum();
-        assert!(f64::from(spent) <= total.max_saved, "{processes} processes spent {spent}");
+        assert!(f64::from(spent) <= total.burst, "{processes} processes spent {spent}");
     }
 }
 
 #[test]
 fn a_process_with_a_small_share_can_still_spend_an_earned_retry() {
-    let total = RetryConfig { per_request: 0.2, max_saved: 20.0 };
-    let mut budget = RetryBudget::new(total.split(380));
+    let mut budget = settled(config(0.2, 20.0).split(380));
     assert_eq!(spend_all(&mut budget), 1);
     for _ in 0..10 {
         budget.earn();
@@ -33,15 +44,77 @@
 }
 
 #[test]
-fn a_smaller_share_discards_excess_savings() {
-    let total = RetryConfig { per_request: 0.2, max_saved: 50.0 };
-    let mut budget = RetryBudget::new(total);
+fn a_smaller_share_applies_at_once() {
+    let total = config(0.2, 50.0);
+    let mut budget = settled(total);
     budget.reconfigure(total.split(10));
     assert_eq!(spend_all(&mut budget), 5);
 }
 
 #[test]
 fn no_process_retries_if_the_total_allows_none() {
-    let total = RetryConfig { per_request: 0.0, max_saved: 0.0 };
-    assert_eq!(spend_all(&mut RetryBudget::new(total.split(10))), 0);
+    assert_eq!(spend_all(&mut settled(config(0.0, 0.0).split(10))), 0);
+}
+
+/// Guards against a budget that is spent once for each start of a process.
+#[test]
+fn a_process_that_is_started_again_and_again_spends_its_burst_once_a_window() {
+    let cfg = config(0.0, 5.0);
+    let mut spent = spend_all(&mut settled(cfg));
+    for start in [10_500, 12_000, 15_000, 17_000] {
+        let mut budget = RetryBudget::new(cfg, Millis(start));
+        budget.advance(Millis(start + 1_400));
+        spent += spend_all(&mut budget);
+    }
+    assert_eq!(spent, 5);
+    let mut budget = RetryBudget::new(cfg, Millis(17_000));
+    budget.advance(Millis(27_000));
+    assert_eq!(spend_all(&mut budget), 5, "a whole window has passed");
+}
+
+#[test]
+fn retries_are_allowed_again_once_the_former_ones_are_out_of_the_window() {
+    let cfg = config(0.0, 3.0);
+    let mut budget = settled(cfg);
+    assert_eq!(spend_all(&mut budget), 3);
+    budget.advance(Millis(19_900));
+    assert_eq!(spend_all(&mut budget), 0);
+    budget.advance(Millis(20_600));
+    assert_eq!(spend_all(&mut budget), 3);
+}
+
+/// Requests that are older than the windows that count no longer pay.
+#[test]
+fn requests_pay_only_while_they_are_in_the_window() {
+    let mut budget = RetryBudget::new(config(0.2, 0.0), Millis(0));
+    (0..100).for_each(|_| budget.earn());
+    assert!(budget.has_retry());
+    budget.advance(Millis(30_000));
+    assert!(!budget.has_retry());
+}
+
+#[test]
+fn steady_requests_earn_their_share() {
+    let mut budget = RetryBudget::new(config(0.2, 0.0), Millis(0));
+    let mut spent = 0;
+    for at in 0..60_000_u64 {
+        budget.advance(Millis(at));
+        if at % 10 == 0 {
+            budget.earn();
+            if budget.take() && at >= 50_000 {
+                spent += 1;
+            }
+        }
+    }
+    assert!((185..=200).contains(&spent), "{spent} of 200 allowed for 1000 requests");
+}
+
+#[test]
+fn another_window_starts_a_new_budget() {
+    let cfg = config(0.2, 5.0);
+    let mut budget = settled(cfg);
+    budget.reconfigure(RetryConfig { window: Millis(1_000), ..cfg });
+    assert!(!budget.has_retry());
+    budget.advance(Millis(11_000));
+    assert_eq!(spend_all(&mut budget), 5);
 }
