Retry budget: pay for each arrival at a runner where its bytes are written

What callers saw: more arrivals at runners than retries were taken from the budget. Cause: retries were taken where a repeat was decided, each place by its own rule. A resumed stream began with a fresh history, so its prefill counted as the free first one; a migrated run that its receiver refused returned to its former runner unpaid. Change: PaidArrivals, one for each request, reserves retries when a repeat is decided and pays in the exchanger, just before the bytes of a request leave; a send beyond the first without a retry left is withheld. The first prefill that a runner accepts stays free, and what was paid for it before covers the run. A move reserves both ways; what is not spent is released, also when the request ends. Where the budget does not allow a prefill and a run, the decode runner prefills the prompt itself if its load allows it. AttemptPlan no longer knows the budget.

--- a/crates/bulrushusher_forward/src/attempt_plan.rs
+++ b/crates/bulrushusher_forward/src/attempt_plan.rs
@@ -1,7 +1,5 @@
 //! What may follow an attempt: an answer, a retry, a refusal or an error.
 
-use bulrushusher_routing::RetryBudget;
-
 use crate::RouteKind;
 
 /// How an attempt at a runner ended without a usable answer.
@@ -41,14 +39,9 @@
 ///
 /// ```
 /// use bulrushusher_forward::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep, RouteKind};
-/// use bulrushusher_routing::{RetryBudget, RetryConfig};
-/// use bulrushusher_time::Millis;
-/// let cfg = RetryConfig::default();
-/// let mut budget = RetryBudget::new(cfg, Millis(0));
-/// budget.advance(cfg.window);
 /// let mut plan = AttemptPlan::new(RouteKind::NonIdempotent, 2);
-/// assert_eq!(plan.next_step(AttemptEnd::NotRun, &mut budget), NextStep::Retry);
-/// let end = plan.next_step(AttemptEnd::Unknown, &mut budget);
+/// assert_eq!(plan.next_step(AttemptEnd::NotRun, || true), NextStep::Retry);
+/// let end = plan.next_step(AttemptEnd::Unknown, || true);
 /// assert_eq!(end, NextStep::Finish(FinalAnswer::OutcomeUnknown));
 /// ```
 #[derive(Clone, Copy, Debug)]
@@ -74,16 +67,17 @@
         }
     }
 
-    /// The step after an attempt with this end. Takes the cost of a retry from the budget.
-    pub fn next_step(&mut self, end: AttemptEnd, budget: &mut RetryBudget) -> NextStep {
+    /// The step after an attempt with this end. `reserve` takes a retry from the budget; it is called
+    /// only if a retry is otherwise allowed.
+    pub fn next_step(&mut self, end: AttemptEnd, reserve: impl FnOnce() -> bool) -> NextStep {
         self.sends_left = self.sends_left.saturating_sub(1);
         let again = match end {
             AttemptEnd::Unsent => self.sends_left > 0,
-            AttemptEnd::NotRun => self.sends_left > 0 && budget.take(),
+            AttemptEnd::NotRun => self.sends_left > 0 && reserve(),
             AttemptEnd::RunFailed | AttemptEnd::Unknown => {
                 self.may_have_run = true;
                 self.runs_left = self.runs_left.saturating_sub(1);
-                self.may_run_again() && budget.take()
+                self.may_run_again() && reserve()
             }
         };
         match (again, end) {
@@ -98,23 +92,18 @@
     ///
     /// ```
     /// use bulrushusher_forward::{AttemptPlan, RouteKind};
-    /// use bulrushusher_routing::{RetryBudget, RetryConfig};
-    /// use bulrushusher_time::Millis;
-    /// let cfg = RetryConfig::default();
-    /// let mut budget = RetryBudget::new(cfg, Millis(0));
     /// let mut plan = AttemptPlan::new(RouteKind::Idempotent, 2);
-    /// assert!(!plan.abandon(&mut budget), "no retry is left");
-    /// budget.advance(cfg.window);
-    /// assert!(plan.abandon(&mut budget) && !plan.abandon(&mut budget), "two runners at most");
+    /// assert!(!plan.abandon(|| false), "no retry is left");
+    /// assert!(plan.abandon(|| true) && !plan.abandon(|| true), "two runners at most");
     /// ```
-    pub fn abandon(&mut self, budget: &mut RetryBudget) -> bool {
+    pub fn abandon(&mut self, reserve: impl FnOnce() -> bool) -> bool {
         let abandoned = AttemptPlan {
             runs_left: self.runs_left.saturating_sub(1),
             sends_left: self.sends_left.saturating_sub(1),
             may_have_run: true,
             ..*self
         };
-        let may_follow = abandoned.may_run_again() && budget.take();
+        let may_follow = abandoned.may_run_again() && reserve();
         if may_follow {
             *self = abandoned;
         }
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -709,7 +709,7 @@
         self.end_attempt(attempt, result);
         let state = &mut self.calls[call];
         state.current = None;
-        match state.plan.next_step(end, &mut self.gateways[state.gateway].budget) {
+        match state.plan.next_step(end, || self.gateways[state.gateway].budget.take()) {
             NextStep::Retry => self.attempt(call),
             NextStep::ForwardError => self.callers[self.calls[call].caller].done = true,
             NextStep::Finish(end) => self.give_up(call, end),
@@ -771,7 +771,7 @@
             }
         };
         let accepts = other.is_some_and(|id| gateway.loads.accepts_calls(&id, now));
-        if accepts && state.plan.abandon(&mut gateway.budget) {
+        if accepts && state.plan.abandon(|| gateway.budget.take()) {
             self.attempts[attempt].abandoned = true;
             self.end_attempt(attempt, CallResult::Unreachable);
             self.attempt(call);
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -110,7 +110,7 @@
             }
             Behaviour::LosesRequest => AttemptEnd::Unknown,
         };
-        match plan.next_step(end, budget) {
+        match plan.next_step(end, || budget.take()) {
             NextStep::Retry => {}
             NextStep::ForwardError => {
                 outcome.ended = true;
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -23,6 +23,7 @@
 use crate::connection::CallerConnection;
 use crate::dialect::{CallerRequest, Dialect};
 use crate::lifecycle::Lifecycle;
+use crate::runners::arrivals::PaidArrivals;
 use crate::runners::router::{ForwardedRequest, Router, origin_form};
 use crate::runs::call::call;
 use crate::runs::generation::generate;
@@ -217,6 +218,8 @@
             Some(timeout) => self.router.shared.elapsed_before(route, timeout),
             None => Millis(0),
         };
+        let arrivals = PaidArrivals::new(self.router.shared.clone(), service.clone());
+        let arrivals = Arc::new(arrivals);
         Ok(ForwardedRequest {
             request: request.clone(),
             caller: Caller::Unchecked,
@@ -230,7 +233,7 @@
             deadline: received.plus(timeout.min(route.timeout)),
             elapsed_before,
             residency: route.residency.clone(),
-            arrivals: Arc::default(),
+            arrivals,
         })
     }
 
--- a/crates/bulrushusher_gateway/src/placement/attempts.rs
+++ b/crates/bulrushusher_gateway/src/placement/attempts.rs
@@ -29,6 +29,4 @@
     /// True when the decode runner must prefill the prompt, because the KV cache of a prefill
     /// runner could not be fetched.
     pub prefill_at_decode: bool,
-    /// True when a prefill runner has prefilled the prompt; another prefill counts as a retry.
-    pub was_prefilled: bool,
 }
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -10,7 +10,7 @@
 use crate::placement::attempts::{AttemptHistory, RunError};
 use crate::placement::holds::{KvCacheGuard, MemoryHold};
 use crate::placement::patience::PrefillWait;
-use crate::placement::prefill_site::select_site;
+use crate::placement::prefill_site::{decode_may_prefill, select_site};
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::ExchangeError;
 use crate::runners::permit::Permit;
@@ -28,24 +28,22 @@
 pub(crate) async fn prefill_prompt<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
-    history: &mut AttemptHistory,
+    history: &AttemptHistory,
     held: &mut MemoryHold<D>,
 ) -> Result<Option<KvCacheGuard<D>>, RunError> {
     if history.prefill_at_decode {
         held.set_prefills_itself();
         return Ok(None);
     }
-    if history.was_prefilled && !cx.shared.take_retry(&fwd.service) {
-        return Err(RunError::Unplaced(
-            "the retry budget does not allow another prefill of the prompt",
-        ));
-    }
     let mut tried = Vec::new();
-    let mut has_failed = false;
     for attempt in 0..MAX_PREFILL_ATTEMPTS {
-        // A further attempt after one that was sent and failed counts as a retry, at any runner.
-        if has_failed && !cx.shared.take_retry(&fwd.service) {
-            return Err(RunError::Unplaced("the prompt was not prefilled"));
+        // The run must be paid for as well, or the prefill would be in vain.
+        if !fwd.arrivals.reserve(fwd.arrivals.sends_with_prefill()) {
+            if fwd.arrivals.reserve(1) && decode_may_prefill(cx, fwd, held) {
+                held.set_prefills_itself();
+                return Ok(None);
+            }
+            return Err(RunError::Unplaced("the retry budget does not allow a prefill and a run"));
         }
         let near = held.runner.data_centre.clone();
         let runner =
@@ -62,12 +60,8 @@
         tried.push(runner.id.clone());
         let is_last = attempt + 1 == MAX_PREFILL_ATTEMPTS;
         let spec = PrefillSpec { resume_after: history.resume_after, tried: &tried, is_last };
-        match prefill_at(cx, fwd, held, runner, spec).await {
-            Ok(kv) => {
-                history.was_prefilled = true;
-                return Ok(Some(kv));
-            }
-            Err(result) => has_failed = result != CallResult::Withheld,
+        if let Some(kv) = prefill_at(cx, fwd, held, runner, spec).await {
+            return Ok(Some(kv));
         }
     }
     Err(RunError::Unplaced("the prompt was not prefilled"))
@@ -82,13 +76,14 @@
     is_last: bool,
 }
 
+/// Prefills the prompt at one runner; `None` if that fails.
 async fn prefill_at<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     held: &MemoryHold<D>,
     runner: Runner,
     spec: PrefillSpec<'_>,
-) -> Result<KvCacheGuard<D>, CallResult> {
+) -> Option<KvCacheGuard<D>> {
     let started = cx.now();
     let tokens = fwd.prompt_tokens();
     let queued = cx.shared.queued_prefill_tokens(&runner.id);
@@ -145,8 +140,8 @@
         // A queue that is too long looks the same; the pause after it is sufficient.
         CallResult::Unreachable | CallResult::Withheld => {}
     }
-    let handle = prefilled.map_err(|failed| failed.result)?;
-    fwd.arrivals.lock().accept_prefill();
+    let handle = prefilled.ok()?;
+    fwd.arrivals.accept_prefill();
     // The timing is that of the runner alone: distance would look like a lower prefill rate.
     let took = cx.now().since(started).since(extra);
     let sent = started.plus(trace.waited().unwrap_or_default());
@@ -158,7 +153,7 @@
         took.0 as f64 / expected.max(1.0)
     });
     cx.shared.record_prefill_ratio(&runner, ratio);
-    Ok(KvCacheGuard::new(runner, handle, &cx.shared, &cx.exchanger, &cx.dialect))
+    Some(KvCacheGuard::new(runner, handle, &cx.shared, &cx.exchanger, &cx.dialect))
 }
 
 /// Why a prefill failed.
--- a/crates/bulrushusher_gateway/src/placement/prefill_site.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill_site.rs
@@ -27,6 +27,16 @@
     site
 }
 
+/// True if the decode runner that holds memory for the run may prefill the prompt itself.
+pub(crate) fn decode_may_prefill<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &ForwardedRequest,
+    held: &MemoryHold<D>,
+) -> bool {
+    let load = cx.shared.decode_load(&fwd.service, &held.runner.id);
+    prefill_task(cx, fwd, None, &held.runner.data_centre).decode_may_prefill(load)
+}
+
 /// The prefill of the request's prompt for a decode runner in data centre `decode`, with the timing
 /// known for it.
 pub(crate) fn prefill_task<D: Dialect>(
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -50,6 +50,9 @@
     /// Nothing was sent, because the request's data may not be in this data centre.
     #[display("withheld (data centre {data_centre} is outside the allowed regions)")]
     Outside { data_centre: DataCentreName },
+    /// Nothing was sent, because the retry budget does not allow another arrival.
+    #[display("withheld (the retry budget is used up)")]
+    OverBudget,
 }
 
 impl ExchangeError {
@@ -58,10 +61,15 @@
         matches!(self, ExchangeError::ConnectionLost { .. })
     }
 
-    /// True when back-pressure or residency kept the request from being sent, which is no failure of
-    /// the runner.
+    /// True when back-pressure, residency or the retry budget kept the request from being sent, which
+    /// is no failure of the runner.
     pub(crate) fn is_withheld(&self) -> bool {
-        matches!(self, ExchangeError::Withheld { .. } | ExchangeError::Outside { .. })
+        matches!(
+            self,
+            ExchangeError::Withheld { .. }
+                | ExchangeError::Outside { .. }
+                | ExchangeError::OverBudget
+        )
     }
 
     /// The result that is recorded for the runner.
@@ -77,7 +85,8 @@
         match self {
             ExchangeError::Unsent { .. }
             | ExchangeError::Withheld { .. }
-            | ExchangeError::Outside { .. } => AttemptEnd::Unsent,
+            | ExchangeError::Outside { .. }
+            | ExchangeError::OverBudget => AttemptEnd::Unsent,
             ExchangeError::NoAnswer { .. }
             | ExchangeError::ConnectionLost { .. }
             | ExchangeError::Foreign => AttemptEnd::Unknown,
@@ -210,13 +219,17 @@
         reached.find(|it| !self.shared.permits_place(&residency, it)).cloned()
     }
 
-    /// Counts the arrival of a caller's request at a runner, just before its bytes are written.
-    fn record_arrival(&self, runner: &Runner, purpose: SendPurpose<'_>) {
-        let SendPurpose::Request(CallerSend { fwd, .. }) = purpose else { return };
-        let retries = {
-            let mut arrivals = fwd.arrivals.lock();
-            arrivals.record();
-            arrivals.retries()
+    /// Counts the arrival of a caller's request at a runner, just before its bytes are written, and
+    /// pays for it. No request reaches a runner in another way.
+    fn pay_for_arrival(
+        &self,
+        runner: &Runner,
+        purpose: SendPurpose<'_>,
+    ) -> Result<(), ExchangeError> {
+        let SendPurpose::Request(CallerSend { fwd, .. }) = purpose else { return Ok(()) };
+        let Some(retries) = fwd.arrivals.record() else {
+            self.metrics.record_withheld_send("retry_budget");
+            return Err(ExchangeError::OverBudget);
         };
         if retries > 0 {
             self.metrics.record_retry();
@@ -227,6 +240,7 @@
                 runner.id,
             );
         }
+        Ok(())
     }
 
     async fn send_without_timeout(
@@ -246,10 +260,10 @@
                     .map_err(|cause| ExchangeError::Unsent { cause })?,
             };
             self.check_before_send(runner, spec)?;
+            self.pay_for_arrival(runner, spec.purpose)?;
             if let Some(permit) = &mut unused {
                 permit.is_used = true;
             }
-            self.record_arrival(runner, spec.purpose);
             if let Some(trace) = spec.trace {
                 trace.record_sent(self.shared.now(), self.shared.list_evidence(runner));
             }
@@ -370,7 +384,7 @@
 
 fn withdraw_arrival(purpose: SendPurpose<'_>) {
     if let SendPurpose::Request(CallerSend { fwd, .. }) = purpose {
-        fwd.arrivals.lock().withdraw();
+        fwd.arrivals.withdraw();
     }
 }
 
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{
-    CallResult, LoadEpoch, RequestArrivals, Route, RouteKind, Runner, Stage,
-};
+use bulrushusher_forward::{CallResult, LoadEpoch, Route, RouteKind, Runner, Stage};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
@@ -14,11 +12,11 @@
 use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request;
 use hyper::{HeaderMap, Method, Request, Uri};
-use parking_lot::Mutex;
 
 use crate::access::caller::{Caller, KEY_NOT_CONFIRMED, KEY_RECHECK_DELAY};
 use crate::answers::answer::{EVACUATED, QUARANTINED, Withheld};
 use crate::dialect::{Attempt, CallerRequest, Dialect, Step};
+use crate::runners::arrivals::PaidArrivals;
 use crate::runners::exchange::{ExchangeError, Exchanger, Reply};
 use crate::runners::permit::Permit;
 use crate::runners::send_spec::{CallerSend, SendPurpose, SendSpec};
@@ -64,7 +62,7 @@
     /// Where the request may be processed by the configuration under which it was accepted.
     pub residency: Residency,
     /// Its arrivals at runners.
-    pub arrivals: Arc<Mutex<RequestArrivals>>,
+    pub arrivals: Arc<PaidArrivals>,
 }
 
 impl ForwardedRequest {
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -98,7 +98,7 @@
             AttemptResult::NoAnswer(end, cause) => (end, None, cause),
             AttemptResult::Withheld(cause) => (AttemptEnd::Unsent, None, cause),
         };
-        match cx.shared.next_step(&fwd.service, &mut plan, end) {
+        match plan.next_step(end, || fwd.arrivals.reserve(1)) {
             NextStep::Retry => {}
             NextStep::ForwardError => {
                 if let Some((head, body)) = failed {
@@ -187,7 +187,9 @@
     let tried = std::slice::from_ref(&runner.id);
     let left = fwd.remaining_to_target(cx.now());
     let to = cx.destination(fwd);
-    if cx.shared.may_answer_within(&to, tried, left) && cx.shared.abandon_late(&to, plan, tried) {
+    let may_abandon =
+        cx.shared.may_answer_within(&to, tried, left) && cx.shared.has_other_runner(&to, tried);
+    if may_abandon && plan.abandon(|| fwd.arrivals.reserve(1)) {
         let (result, detail) = (CallResult::Unreachable, "late, another runner is tried");
         let step = "whole";
         cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
--- a/crates/bulrushusher_gateway/src/runs/generation.rs
+++ b/crates/bulrushusher_gateway/src/runs/generation.rs
@@ -50,7 +50,7 @@
             }
             Err(RunError::Ended(end, reason)) => (end, reason, None),
         };
-        match cx.shared.next_step(&fwd.service, &mut plan, end) {
+        match plan.next_step(end, || fwd.arrivals.reserve(1)) {
             NextStep::Retry => {}
             NextStep::ForwardError => {
                 let Some((head, body)) = failed else {
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -85,9 +85,8 @@
             MoveDecision::Move { .. } if !cx.permits(fwd, &held.runner) => {
                 "the region of its runner is not allowed"
             }
-            // For the receiving runner this is a request beyond those of callers, so it needs a
-            // retry from the budget.
-            MoveDecision::Move { .. } if !cx.shared.take_retry(&fwd.service) => "no repeat is left",
+            // The receiving runner may refuse the run, which then returns to its former runner.
+            MoveDecision::Move { .. } if !fwd.arrivals.reserve(2) => "no repeat is left",
             MoveDecision::Move { to, report } => {
                 let (cx, fwd, from) = (cx.clone(), fwd.clone(), held.runner.clone());
                 let copying = async move { copy(&cx, &fwd, from, to, report).await };
@@ -144,6 +143,9 @@
         }
         Err(pressure) => Err(pressure.to_string()),
     };
+    if kv.is_err() {
+        fwd.arrivals.release();
+    }
     let took = cx.now().since(started);
     let (result, cause) = match &kv {
         Ok(_) => ("stopped", ""),
@@ -263,6 +265,7 @@
         run = run_at(cx, fwd, source, Some(held), return_spec).await;
         run = run.map(|run| Run { migrate_after: cx.now().plus(MIGRATION_RETRY_DELAY), ..run });
     }
+    fwd.arrivals.release();
     let run = run.ok()?;
     kv.mark_consumed();
     Some(run)
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -125,7 +125,7 @@
 ) -> Option<Run<D>> {
     let mut end = AttemptEnd::Unknown;
     loop {
-        match cx.shared.next_step(&fwd.service, plan, end) {
+        match plan.next_step(end, || fwd.arrivals.reserve(1)) {
             NextStep::Retry => {}
             NextStep::ForwardError | NextStep::Finish(_) => return None,
         }
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -13,12 +13,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaLimiter};
 use bulrushusher_forward::{
-    AccountCost, AttemptEnd, AttemptPlan, BackPressure, BackPressureConfig, BackPressureView,
-    CallResult, CallSelection, EngineSpec, HealthConfig, KnownGateways, NextStep, PeersConfig,
-    PlaceScope, PlaceView, PrefillEnds, PrefillEndsConfig, PrefillQueue, PrefillSelection,
-    QueueRank, RegionDistances, RelayView, Route, RoutingConfig, Runner, RunnerDirectory,
-    RunnerHealth, RunnerLoads, RunnerSpeeds, Runs, SelectionContext, TimingConfig, TimingModel,
-    TypicalPatience, WaitQueue, pick_for_call, pick_for_prefill,
+    AccountCost, BackPressure, BackPressureConfig, BackPressureView, CallResult, CallSelection,
+    EngineSpec, HealthConfig, KnownGateways, PeersConfig, PlaceScope, PlaceView, PrefillEnds,
+    PrefillEndsConfig, PrefillQueue, PrefillSelection, QueueRank, RegionDistances, RelayView,
+    Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads, RunnerSpeeds, Runs,
+    SelectionContext, TimingConfig, TimingModel, TypicalPatience, WaitQueue, pick_for_call,
+    pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -427,30 +427,13 @@
         self.with_budget(service, RetryBudget::earn);
     }
 
-    /// Decides what follows an attempt.
-    pub(crate) fn next_step(
-        &self,
-        service: &ServiceName,
-        plan: &mut AttemptPlan,
-        end: AttemptEnd,
-    ) -> NextStep {
-        self.with_budget(service, |budget| plan.next_step(end, budget))
-    }
-
-    /// Abandons a late attempt if a runner outside `tried` accepts calls and the retry budget
-    /// allows another attempt. Returns whether it did.
-    pub(crate) fn abandon_late(
-        &self,
-        to: &Destination,
-        plan: &mut AttemptPlan,
-        tried: &[RunnerId],
-    ) -> bool {
+    /// True if a runner outside `tried` accepts calls.
+    pub(crate) fn has_other_runner(&self, to: &Destination, tried: &[RunnerId]) -> bool {
         let near = self.cfg().data_centre.clone();
         let other = self.pick_for_call(to, tried, &near);
         let accepts_calls =
             |id: &RunnerId| self.with_runners(|it, now| it.loads.accepts_calls(id, now));
         other.is_some_and(|other| accepts_calls(&other.id))
-            && self.with_budget(&to.service, |budget| plan.abandon(budget))
     }
 
     /// True if the retry budget allows another attempt.
@@ -458,9 +441,33 @@
         self.with_budget(service, |budget| budget.has_retry())
     }
 
-    /// Takes one retry from the budget. Returns false if none is left.
-    pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
-        self.with_budget(service, RetryBudget::take)
+    /// Reserves retries; returns false and reserves none if fewer are left.
+    pub(crate) fn reserve_retries(&self, service: &ServiceName, count: u32) -> bool {
+        count == 0
+            || self.with_budget(service, |budget| {
+                let reserved = (0..count).take_while(|_| budget.reserve()).count() as u32;
+                if reserved < count {
+                    (0..reserved).for_each(|_| budget.release());
+                }
+                reserved == count
+            })
+    }
+
+    /// Releases reserved retries.
+    pub(crate) fn release_retries(&self, service: &ServiceName, count: u32) {
+        if count > 0 {
+            self.with_budget(service, |budget| (0..count).for_each(|_| budget.release()));
+        }
+    }
+
+    /// Spends one retry, which may be reserved. Returns false if the budget does not allow it.
+    pub(crate) fn spend_retry(&self, service: &ServiceName, is_reserved: bool) -> bool {
+        self.with_budget(service, |budget| {
+            if is_reserved {
+                budget.release();
+            }
+            budget.take()
+        })
     }
 
     fn with_budget<T>(&self, service: &ServiceName, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
--- a/crates/bulrushusher_routing/src/retry.rs
+++ b/crates/bulrushusher_routing/src/retry.rs
@@ -82,6 +82,7 @@
     cfg: RetryConfig,
     started_at: Millis,
     now: Millis,
+    reserved: u32,
     /// Two windows up to now, the newest last.
     buckets: VecDeque<Bucket>,
 }
@@ -90,14 +91,15 @@
     /// The budget of a process that starts at `now`.
     pub fn new(cfg: RetryConfig, now: Millis) -> RetryBudget {
         let buckets = VecDeque::from([Bucket::default()]);
-        RetryBudget { cfg, started_at: now, now, buckets }
+        RetryBudget { cfg, started_at: now, now, reserved: 0, buckets }
     }
 
     /// Replaces the limits. A window of another length discards what was counted, and the burst with
     /// it for the length of the new window.
     pub fn reconfigure(&mut self, cfg: RetryConfig) {
         if self.cfg.window != cfg.window {
-            *self = RetryBudget::new(cfg, self.now);
+            let reserved = self.reserved;
+            *self = RetryBudget { reserved, ..RetryBudget::new(cfg, self.now) };
         }
         self.cfg = cfg;
     }
@@ -133,7 +135,7 @@
         self.buckets.iter().rev().take(BUCKETS as usize + 1).map(|it| it.retries).sum()
     }
 
-    /// True if a retry is left.
+    /// True if a retry is left beyond those that are reserved.
     pub fn has_retry(&self) -> bool {
         // A retry is in each window that ends from now until a window from now, and must fit into
         // all of them. `newest_*` sum over the buckets that are still in such a window.
@@ -149,10 +151,34 @@
             newest_retries += counted(nth).retries;
             newest_requests += counted(nth + BUCKETS as usize - 1).requests;
             let allowed = self.cfg.per_request * f64::from(newest_requests) / 2.0 + burst;
-            f64::from(newest_retries) + 1.0 <= allowed
+            f64::from(newest_retries) + f64::from(self.reserved) + 1.0 <= allowed
         })
     }
 
+    /// Reserves one retry until it is released; returns false if none is left. To spend it, release
+    /// and take it: requests may have left the window in the meantime.
+    ///
+    /// ```
+    /// use bulrushusher_routing::{RetryBudget, RetryConfig};
+    /// use bulrushusher_time::Millis;
+    /// let cfg = RetryConfig { burst: 1.0, ..RetryConfig::default() };
+    /// let mut budget = RetryBudget::new(cfg, Millis(0));
+    /// budget.advance(cfg.window);
+    /// assert!(budget.reserve() && !budget.take());
+    /// budget.release();
+    /// assert!(budget.take());
+    /// ```
+    pub fn reserve(&mut self) -> bool {
+        let has_retry = self.has_retry();
+        self.reserved += u32::from(has_retry);
+        has_retry
+    }
+
+    /// Releases one reserved retry.
+    pub fn release(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
     /// Takes one retry; returns false if none is left.
     pub fn take(&mut self) -> bool {
         let has_retry = self.has_retry();
