Read the software version of runners and which stream a caller resumes, and log them

Cause: the hypotheses on streams that went on at another software version cannot be told apart: no line has a version, and a caller's return looks like a new request. parse_runner checked that an entry has a version and dropped it; Resumes was not read. The line of each attempt has the version of its runner, that of an accepted request which attempt it resumes. No decision changed.

--- a/crates/bulrushusher_forward/benches/place.rs
+++ b/crates/bulrushusher_forward/benches/place.rs
@@ -46,6 +46,7 @@
                 leaving: false,
                 cold_for: Millis(0),
                 revision: 0,
+                version: "v1".into(),
             },
             Millis(0),
         );
--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -154,6 +154,7 @@
 ///     leaving: false,
 ///     cold_for: Millis(0),
 ///     revision: 0,
+///     version: "v1".into(),
 /// };
 /// let mut pressure = BackPressure::new(BackPressureConfig::default(), "entry-1".into());
 /// let signals = RunnerSignals { retry_after: Some(Millis(3_000)), ..RunnerSignals::default() };
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -108,7 +108,7 @@
     WeightedService,
 };
 pub use routing_delta::RoutingDelta;
-pub use runner::{Runner, Stage, StartTime};
+pub use runner::{Runner, SoftwareVersion, Stage, StartTime};
 pub use runner_changes::{
     ChangeLog, DeltaPages, DeltaRequest, LogCoverage, PageOutcome, RunnerChange, RunnerDelta,
     RunnerRemoval,
--- a/crates/bulrushusher_forward/src/places/cold_limit.rs
+++ b/crates/bulrushusher_forward/src/places/cold_limit.rs
@@ -60,6 +60,7 @@
 ///     leaving: false,
 ///     cold_for: Millis(3_000),
 ///     revision: 0,
+///     version: "v1".into(),
 /// };
 /// let cold = ColdSpec { requests_per_second: 2.0, duration: Millis(3_000) };
 /// let service = ServiceSpec {
--- a/crates/bulrushusher_forward/src/runner.rs
+++ b/crates/bulrushusher_forward/src/runner.rs
@@ -1,6 +1,7 @@
 //! Runners as the platform lists them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
@@ -27,6 +28,42 @@
 )]
 pub struct StartTime(pub u64);
 
+/// Version of a runner's software, as the runner states it; any text. What two versions write does not
+/// fit together: a stream and its KV cache stay at one version.
+///
+/// ```
+/// use bulrushusher_forward::SoftwareVersion;
+/// assert_eq!(SoftwareVersion::from("v1.2").as_str(), "v1.2");
+/// ```
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// The version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for SoftwareVersion {
+    fn from(text: &str) -> SoftwareVersion {
+        SoftwareVersion(text.into())
+    }
+}
+
+impl From<String> for SoftwareVersion {
+    fn from(text: String) -> SoftwareVersion {
+        SoftwareVersion(text.into())
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> String {
+        version.0.to_string()
+    }
+}
+
 /// One start of a runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Runner {
@@ -51,4 +88,6 @@
     /// Revision of the store at which its entry was written, see
     /// [`revision_in_era`](crate::revision_in_era); 0 if that is not known.
     pub revision: u64,
+    /// Version of its software.
+    pub version: SoftwareVersion,
 }
--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -95,6 +95,7 @@
 ///     leaving: false,
 ///     cold_for: Millis(0),
 ///     revision: 0,
+///     version: "v1".into(),
 /// };
 /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
 /// runners.store_answered(Millis(0));
@@ -487,6 +488,7 @@
     ///     leaving: false,
     ///     cold_for: Millis(0),
     ///     revision: 1,
+    ///     version: "v1".into(),
     /// };
     /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
     /// runners.put(runner.clone(), Millis(0));
--- a/crates/bulrushusher_forward/src/stage_pacing.rs
+++ b/crates/bulrushusher_forward/src/stage_pacing.rs
@@ -43,6 +43,7 @@
 ///     leaving: false,
 ///     cold_for: Millis(0),
 ///     revision: 0,
+///     version: "v1".into(),
 /// };
 /// let change = StageChange { runner, stage: Stage::Decode, region: None };
 /// let mut pacing = StagePacing::new(Millis(8_000));
--- a/crates/bulrushusher_forward/src/stages.rs
+++ b/crates/bulrushusher_forward/src/stages.rs
@@ -124,6 +124,7 @@
 ///     leaving: false,
 ///     cold_for: Millis(0),
 ///     revision: 0,
+///     version: "v1".into(),
 /// };
 /// let mut runners: Vec<Runner> = (0..4).map(|n| runner(n, Stage::Prefill)).collect();
 /// runners.extend((4..12).map(|n| runner(n, Stage::Decode)));
--- a/crates/bulrushusher_forward/tests/back_pressure.rs
+++ b/crates/bulrushusher_forward/tests/back_pressure.rs
@@ -19,6 +19,7 @@
         leaving: false,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -332,6 +332,7 @@
         leaving: false,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/change_log.rs
+++ b/crates/bulrushusher_forward/tests/change_log.rs
@@ -32,6 +32,7 @@
         leaving: false,
         cold_for: Millis(0),
         revision,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/cold_limit.rs
+++ b/crates/bulrushusher_forward/tests/cold_limit.rs
@@ -137,6 +137,7 @@
         leaving: false,
         cold_for: Millis(cold_for),
         revision: born,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/cold_return.rs
+++ b/crates/bulrushusher_forward/tests/cold_return.rs
@@ -41,6 +41,7 @@
         leaving: false,
         cold_for: Millis(cold_for),
         revision: start,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/distance.rs
+++ b/crates/bulrushusher_forward/tests/distance.rs
@@ -29,6 +29,7 @@
         leaving: false,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -208,6 +208,7 @@
         leaving,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/prefill_choice.rs
+++ b/crates/bulrushusher_forward/tests/prefill_choice.rs
@@ -20,6 +20,7 @@
         leaving: false,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/region_load.rs
+++ b/crates/bulrushusher_forward/tests/region_load.rs
@@ -114,6 +114,7 @@
                 leaving: false,
                 cold_for: Millis(0),
                 revision: 0,
+                version: "v1".into(),
             }));
         }
         let mut members = RunnerDirectory::new(RunnerDirectoryConfig::default());
--- a/crates/bulrushusher_forward/tests/relays.rs
+++ b/crates/bulrushusher_forward/tests/relays.rs
@@ -37,6 +37,7 @@
         leaving: false,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     })
 }
 
--- a/crates/bulrushusher_forward/tests/residency.rs
+++ b/crates/bulrushusher_forward/tests/residency.rs
@@ -146,6 +146,7 @@
             leaving: false,
             cold_for: Millis(0),
             revision: 0,
+            version: "v1".into(),
         });
         let runners: Vec<Runner> = runners.collect();
         let mut loads = RunnerLoads::new(LoadConfig::default());
--- a/crates/bulrushusher_forward/tests/revisions.rs
+++ b/crates/bulrushusher_forward/tests/revisions.rs
@@ -21,6 +21,7 @@
         leaving,
         cold_for: Millis(0),
         revision,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_forward/tests/stages.rs
+++ b/crates/bulrushusher_forward/tests/stages.rs
@@ -28,6 +28,7 @@
         leaving: false,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     };
     let mut runners = Vec::new();
     for (place, prefill, decode) in places {
--- a/crates/bulrushusher_forward/tests/starts.rs
+++ b/crates/bulrushusher_forward/tests/starts.rs
@@ -23,6 +23,7 @@
         leaving,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     }
 }
 
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -162,7 +162,7 @@
         log::info!(
             "front: accepted id={} digest={} route={} service={} kind={kind} left_ms={} \
              elapsed_before_ms={} configuration={} target_ms={} pause_target_ms={} prompt={} \
-             account={} cost={}",
+             account={} cost={} resumes={}",
             request.id,
             fwd.digest,
             fwd.route.name,
@@ -175,6 +175,7 @@
             fwd.prompt_tokens(),
             fwd.caller.account_name().map_or("none", |name| name.as_str()),
             fwd.caller.cost(),
+            request.resumes.as_ref().map_or("none", |id| id.as_str()),
         );
         if let Err(withheld) = self.router.may_run(&fwd) {
             let Withheld { reason, retry_after } = withheld;
--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -35,6 +35,8 @@
     pub size: Option<PromptSize>,
     /// Id of the last event that the caller received, when it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of that stream.
+    pub resumes: Option<RequestId>,
     /// The headers to forward, without those that only the router may set.
     pub headers: HeaderMap,
 }
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -210,11 +210,12 @@
             self.record_work(record.step, &self.shared.cfg().data_centre, record.runner);
         }
         log::info!(
-            "route: attempt ended id={} step={} runner={} result={label} detail=\"{}\" ms={} \
-             left_ms={} {}",
+            "route: attempt ended id={} step={} runner={} version={} result={label} \
+             detail=\"{}\" ms={} left_ms={} {}",
             fwd.request.id,
             record.step,
             record.runner.id,
+            record.runner.version,
             record.detail,
             took.0,
             fwd.remaining(self.now()).0,
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -89,7 +89,7 @@
             MoveDecision::Move { .. } if !fwd.arrivals.reserve(2) => "no repeat is left",
             MoveDecision::Move { to, report } => {
                 let (cx, fwd, from) = (cx.clone(), fwd.clone(), held.runner.clone());
-                let copying = async move { copy(&cx, &fwd, from, to, report).await };
+                let copying = async move { copy(&cx, &fwd, from, *to, report).await };
                 *self = Migration::Copying(Box::pin(copying));
                 return;
             }
--- a/crates/bulrushusher_gateway/src/shared/moves.rs
+++ b/crates/bulrushusher_gateway/src/shared/moves.rs
@@ -13,7 +13,7 @@
     /// The run should move, but no runner has room for it.
     NoCapacity,
     /// The run should continue at the runner `to`.
-    Move { to: Runner, report: RunReport },
+    Move { to: Box<Runner>, report: RunReport },
 }
 
 impl SharedState {
@@ -33,7 +33,7 @@
         let draw = self.draw();
         match self.with_candidates(to, |cx, runs| pick_for_move(cx, runs, &forecast, &report, draw))
         {
-            Some(to) => MoveDecision::Move { to, report },
+            Some(to) => MoveDecision::Move { to: Box::new(to), report },
             None => MoveDecision::NoCapacity,
         }
     }
--- a/crates/bulrushusher_model/src/limits.rs
+++ b/crates/bulrushusher_model/src/limits.rs
@@ -441,5 +441,6 @@
         leaving: false,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     }
 }
--- a/crates/bulrushusher_model/src/simulation.rs
+++ b/crates/bulrushusher_model/src/simulation.rs
@@ -491,6 +491,7 @@
         leaving: false,
         cold_for: Millis(0),
         revision: 0,
+        version: "v1".into(),
     }
 }
 
