--- a/crates/bulrushusher_forward/benches/place.rs
+++ b/crates/bulrushusher_forward/benches/place.rs
@@ -75,6 +75,7 @@
         let now = Millis(20);
         let cx = SelectionContext {
             places: PlaceView::ANYWHERE,
+            version: None,
             members: &self.members,
             loads: &self.loads,
             service: &self.service,
--- a/crates/bulrushusher_forward/src/gateway_directory.rs
+++ b/crates/bulrushusher_forward/src/gateway_directory.rs
@@ -11,7 +11,7 @@
 use bulrushusher_world::DataCentreName;
 
 use crate::KnownGateways;
-use crate::rendezvous::is_among_first;
+use crate::rendezvous::{is_among_first, ranking};
 
 /// Time between the announcement of this gateway and a list that is certain to contain all gateways
 /// that started together with it. Announcing takes up to 0.5 s, and a lost answer 0.7 s more.
@@ -266,6 +266,28 @@
             .filter(move |(_, gateway)| now.since(gateway.last_activity()) < self.cfg.active_for)
     }
 
+    /// Addresses of the active gateways that come first in rendezvous order for a key, at most
+    /// `count`. Gateways that know the same others find the same ones.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{GatewayDirectory, GatewayDirectoryConfig};
+    /// use bulrushusher_time::Millis;
+    /// let mut gateways =
+    ///     GatewayDirectory::new(GatewayDirectoryConfig::default(), "entry-1".into());
+    /// let address = |nth: u8| ([10, 0, 0, nth], 7_000).into();
+    /// (2..9).for_each(|nth| {
+    ///     gateways.record_message(&format!("entry-{nth}"), address(nth), Millis(0));
+    /// });
+    /// let first = gateways.first_for("key", 2, Millis(0));
+    /// assert_eq!(first, gateways.first_for("key", 4, Millis(0))[..2]);
+    /// ```
+    pub fn first_for(&self, key: &str, count: usize, now: Millis) -> Vec<SocketAddr> {
+        let mut active: Vec<(&Arc<str>, &Gateway)> = self.active(now).collect();
+        let rank = ranking(key);
+        active.sort_unstable_by_key(|(name, _)| std::cmp::Reverse(rank(name)));
+        active.into_iter().take(count).map(|(_, gateway)| gateway.address).collect()
+    }
+
     /// Address at which a gateway receives messages.
     pub fn address_of(&self, name: &str) -> Option<SocketAddr> {
         self.gateways.get(name).map(|gateway| gateway.address)
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -59,6 +59,7 @@
 mod stage_pacing;
 mod stages;
 mod start_times;
+mod stream_versions;
 mod timing_model;
 mod wait_queue;
 mod water_filling;
@@ -126,6 +127,7 @@
 pub use stage_pacing::StagePacing;
 pub use stages::{OrderLease, OrderLeaseConfig, StageChange, StagesConfig, needed_stage_changes};
 pub use start_times::{StartStatus, StartTimes};
+pub use stream_versions::{StreamKey, StreamRecord, StreamVersions, VersionHistory};
 pub use timing_model::{TimingConfig, TimingModel};
 pub use wait_queue::{
     AccountCost, QueueOrder, QueueRank, WaitQueue, WaitQueueConfig, should_request_memory,
--- a/crates/bulrushusher_forward/src/rendezvous.rs
+++ b/crates/bulrushusher_forward/src/rendezvous.rs
@@ -9,8 +9,13 @@
     own: &str,
     others: impl Iterator<Item = &'a str>,
 ) -> bool {
-    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-    let rank = |gateway: &str| xxh3_64_with_seed(gateway.as_bytes(), seed);
+    let rank = ranking(key);
     let own = rank(own);
     others.filter(|other| rank(other) > own).take(count).count() < count
 }
+
+/// Rank of each gateway for `key`; the highest comes first.
+pub(crate) fn ranking(key: &str) -> impl Fn(&str) -> u64 {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    move |gateway| xxh3_64_with_seed(gateway.as_bytes(), seed)
+}
--- a/crates/bulrushusher_forward/src/runner_selection.rs
+++ b/crates/bulrushusher_forward/src/runner_selection.rs
@@ -5,7 +5,9 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
 
-use crate::{BackPressureView, PlaceView, Runner, RunnerDirectory, RunnerLoads, Runs, Stage};
+use crate::{
+    BackPressureView, PlaceView, Runner, RunnerDirectory, RunnerLoads, Runs, SoftwareVersion, Stage,
+};
 
 /// Inputs to the selection of a runner.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +28,8 @@
     pub pressure: Option<BackPressureView<'a>>,
     /// Where the request may run; binding, like back-pressure.
     pub places: PlaceView<'a>,
+    /// The software version that the request is bound to; `None` if any may serve it.
+    pub version: Option<&'a SoftwareVersion>,
     /// The current time.
     pub now: Millis,
 }
@@ -35,7 +39,9 @@
     fn open(self) -> impl Iterator<Item = &'a Runner> {
         let is_permitted = move |r: &&Runner| self.places.permits(&r.data_centre);
         let is_open = move |r: &&Runner| self.pressure.is_none_or(|it| it.is_open(r, self.now));
-        self.members.usable(self.service, self.now).filter(is_permitted).filter(is_open)
+        let is_of_version = move |r: &&Runner| self.version.is_none_or(|it| r.version == *it);
+        let permitted = self.members.usable(self.service, self.now).filter(is_permitted);
+        permitted.filter(is_of_version).filter(is_open)
     }
 
     /// Cost factor of the runner: a cold one is slower.
--- /dev/null
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -0,0 +1,207 @@
+//! Which software version began each stream, and which versions serve.
+//!
+//! A stream continues only at the version that began it. The gateway that begins a stream keeps its
+//! version and sends it to a few others, which answer for it when the caller returns elsewhere.
+
+use std::collections::HashMap;
+
+use bulrushusher_time::Millis;
+use bulrushusher_world::ServiceName;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::{RequestId, SoftwareVersion};
+
+/// Maximum number of records; at 300 bytes each they take 20 MB. Beyond it only expired ones make
+/// room.
+const MAX_RECORDS: usize = 65_536;
+
+/// Number of times that a record is sent to the gateways that keep it, until they confirm it.
+const MAX_SENDS: u32 = 3;
+
+/// Time between these sends: a peer answers within some milliseconds, in another region within 60.
+const RESEND_INTERVAL: Millis = Millis(80);
+
+/// Identifies a stream by the id of the attempt that brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct StreamKey(u128);
+
+impl StreamKey {
+    /// The key of the stream that this attempt began.
+    pub fn of(id: &RequestId) -> StreamKey {
+        StreamKey(xxh3_128(id.as_str().as_bytes()))
+    }
+
+    /// The key as text, for rendezvous hashing.
+    pub fn to_hex(self) -> String {
+        format!("{:032x}", self.0)
+    }
+}
+
+/// The version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamRecord {
+    /// The stream.
+    pub key: StreamKey,
+    /// The version of the runner that began it.
+    pub version: SoftwareVersion,
+    /// For how long the caller may still return.
+    pub lifetime: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    version: SoftwareVersion,
+    expires_at: Millis,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Unconfirmed {
+    due_at: Millis,
+    sends_left: u32,
+    confirmations_left: u32,
+}
+
+/// The streams whose version is known here.
+///
+/// ```
+/// use bulrushusher_forward::{RequestId, StreamKey, StreamRecord, StreamVersions};
+/// use bulrushusher_time::Millis;
+/// let key = StreamKey::of(&RequestId::from("r-1"));
+/// let record = StreamRecord { key, version: "v2".into(), lifetime: Millis(14_000) };
+/// let mut streams = StreamVersions::default();
+/// streams.record_own(record.clone(), 2, Millis(0));
+/// assert_eq!(streams.take_due(Millis(0)), [record]);
+/// assert!(streams.take_due(Millis(10)).is_empty(), "it is sent again only later");
+/// assert_eq!(streams.find(key, Millis(4_000)).unwrap().lifetime, Millis(10_000));
+/// assert!(streams.find(key, Millis(14_000)).is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct StreamVersions {
+    known: HashMap<StreamKey, Known>,
+    /// Own records that the gateways which keep them have not all confirmed.
+    unconfirmed: HashMap<StreamKey, Unconfirmed>,
+}
+
+impl StreamVersions {
+    /// Records a stream that this gateway began, to be confirmed by `keepers` other gateways.
+    pub fn record_own(&mut self, record: StreamRecord, keepers: u32, now: Millis) {
+        let key = record.key;
+        if self.record(record, now) && keepers > 0 {
+            let unconfirmed =
+                Unconfirmed { due_at: now, sends_left: MAX_SENDS, confirmations_left: keepers };
+            self.unconfirmed.insert(key, unconfirmed);
+        }
+    }
+
+    /// Records what another gateway knows of a stream; false if it was known or there is no room. The
+    /// version of a stream never changes, so the first record stays.
+    pub fn record(&mut self, record: StreamRecord, now: Millis) -> bool {
+        if self.known.len() >= MAX_RECORDS {
+            self.known.retain(|_, it| now < it.expires_at);
+        }
+        let is_new = self.find(record.key, now).is_none() && self.known.len() < MAX_RECORDS;
+        if is_new {
+            let expires_at = now.plus(record.lifetime);
+            self.known.insert(record.key, Known { version: record.version, expires_at });
+        }
+        is_new
+    }
+
+    /// What is known of a stream.
+    pub fn find(&self, key: StreamKey, now: Millis) -> Option<StreamRecord> {
+        let known = self.known.get(&key).filter(|it| now < it.expires_at)?;
+        let lifetime = known.expires_at.since(now);
+        Some(StreamRecord { key, version: known.version.clone(), lifetime })
+    }
+
+    /// Records that one of the gateways that keep an own record has it.
+    pub fn confirm(&mut self, key: StreamKey) {
+        let Some(unconfirmed) = self.unconfirmed.get_mut(&key) else { return };
+        unconfirmed.confirmations_left = unconfirmed.confirmations_left.saturating_sub(1);
+        if unconfirmed.confirmations_left == 0 {
+            self.unconfirmed.remove(&key);
+        }
+    }
+
+    /// Own records to be sent now to the gateways that keep them.
+    pub fn take_due(&mut self, now: Millis) -> Vec<StreamRecord> {
+        let mut due = Vec::new();
+        self.unconfirmed.retain(|key, it| {
+            if now >= it.due_at {
+                due.push(*key);
+                it.sends_left = it.sends_left.saturating_sub(1);
+                it.due_at = now.plus(RESEND_INTERVAL);
+            }
+            it.sends_left > 0
+        });
+        due.into_iter().filter_map(|key| self.find(key, now)).collect()
+    }
+
+    /// Time until the next own record is due; `None` if none is.
+    pub fn time_until_due(&self, now: Millis) -> Option<Millis> {
+        self.unconfirmed.values().map(|it| it.due_at.since(now)).min()
+    }
+
+    /// Number of records, for metrics.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// True without any record.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Drops expired records.
+    pub fn drop_expired(&mut self, now: Millis) {
+        self.known.retain(|_, it| now < it.expires_at);
+    }
+}
+
+/// The software versions of each service that were seen, and when last.
+///
+/// ```
+/// use bulrushusher_forward::VersionHistory;
+/// use bulrushusher_time::Millis;
+/// let service = "llm".try_into().unwrap();
+/// let mut history = VersionHistory::default();
+/// history.observe(&service, &"v1".into(), Millis(0));
+/// assert_eq!(history.sole(&service, Millis(0)), Some("v1".into()));
+/// history.observe(&service, &"v2".into(), Millis(500));
+/// assert_eq!(history.sole(&service, Millis(0)), None, "two serve");
+/// assert_eq!(history.sole(&service, Millis(500)), Some("v2".into()));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct VersionHistory {
+    seen: HashMap<ServiceName, Vec<(SoftwareVersion, Millis)>>,
+}
+
+impl VersionHistory {
+    /// Records that a runner of the version is listed.
+    pub fn observe(&mut self, service: &ServiceName, version: &SoftwareVersion, now: Millis) {
+        let versions = match self.seen.get_mut(service) {
+            Some(versions) => versions,
+            None => self.seen.entry(service.clone()).or_default(),
+        };
+        match versions.iter_mut().find(|(seen, _)| seen == version) {
+            Some((_, at)) => *at = now.max(*at),
+            None => versions.push((version.clone(), now)),
+        }
+    }
+
+    /// The only version that was seen at `since` or later; `None` if there were several, or none.
+    pub fn sole(&self, service: &ServiceName, since: Millis) -> Option<SoftwareVersion> {
+        let mut recent = self.seen.get(service)?.iter().filter(|(_, at)| *at >= since);
+        match (recent.next(), recent.next()) {
+            (Some((version, _)), None) => Some(version.clone()),
+            _ => None,
+        }
+    }
+
+    /// Drops versions that were last seen before `since`.
+    pub fn forget_before(&mut self, since: Millis) {
+        self.seen.values_mut().for_each(|versions| versions.retain(|(_, at)| *at >= since));
+        self.seen.retain(|_, versions| !versions.is_empty());
+    }
+}
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -530,6 +530,7 @@
         let near = data_centre(state.gateway);
         let cx = SelectionContext {
             places: PlaceView::ANYWHERE,
+            version: None,
             members: &gateway.members,
             loads: &gateway.loads,
             service: &self.service,
@@ -740,6 +741,7 @@
         let near = data_centre(state.gateway);
         let cx = SelectionContext {
             places: PlaceView::ANYWHERE,
+            version: None,
             members: &gateway.members,
             loads: &gateway.loads,
             service: &self.service,
--- a/crates/bulrushusher_forward/tests/cold_return.rs
+++ b/crates/bulrushusher_forward/tests/cold_return.rs
@@ -94,6 +94,7 @@
             failing: None,
             pressure: Some(view),
             places: PlaceView::ANYWHERE,
+            version: None,
             now: Millis(now),
         };
         let tried: Vec<_> = tried.iter().map(|runner| runner.id.clone()).collect();
--- a/crates/bulrushusher_forward/tests/distance.rs
+++ b/crates/bulrushusher_forward/tests/distance.rs
@@ -80,6 +80,7 @@
             failing: None,
             pressure: None,
             places,
+            version: None,
             now: Millis(0),
         }
     }
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -300,6 +300,7 @@
             let service = service();
             let cx = SelectionContext {
                 places: PlaceView::ANYWHERE,
+                version: None,
                 members: &members,
                 loads: &loads,
                 service: &service,
--- a/crates/bulrushusher_forward/tests/plain_calls.rs
+++ b/crates/bulrushusher_forward/tests/plain_calls.rs
@@ -51,6 +51,7 @@
         let (members, loads, now) = (&self.members, &self.loads, self.now);
         let cx = SelectionContext {
             places: PlaceView::ANYWHERE,
+            version: None,
             members,
             loads,
             service: &service,
--- a/crates/bulrushusher_forward/tests/prefill_choice.rs
+++ b/crates/bulrushusher_forward/tests/prefill_choice.rs
@@ -33,6 +33,7 @@
     let (loads, service) = (RunnerLoads::new(LoadConfig::default()), "llm".try_into().unwrap());
     let cx = SelectionContext {
         places: PlaceView::ANYWHERE,
+        version: None,
         members: &members,
         loads: &loads,
         service: &service,
--- a/crates/bulrushusher_forward/tests/region_load.rs
+++ b/crates/bulrushusher_forward/tests/region_load.rs
@@ -199,6 +199,7 @@
                 data_centre: &gateway.data_centre,
                 distances: &self.distances,
             }),
+            version: None,
             now: self.now,
         }
     }
--- a/crates/bulrushusher_forward/tests/residency.rs
+++ b/crates/bulrushusher_forward/tests/residency.rs
@@ -169,6 +169,7 @@
             failing: None,
             pressure: None,
             places,
+            version: None,
             now: Millis(0),
         };
         let near = data_centre(0);
--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -39,6 +39,15 @@
 pub(crate) const OUTSIDE_REGIONS: &str =
     "no runner is in the regions that are allowed for this request";
 
+/// Refusal reason when a caller continues a stream and no gateway knows which software version began
+/// it, while several serve.
+pub(crate) const VERSION_UNKNOWN: &str =
+    "the software version that began the stream is not known; begin it anew";
+
+/// Refusal reason when a stream cannot continue for lack of runners of its version.
+pub(crate) const VERSION_GONE: &str =
+    "no runner of the software version that began the stream is left; begin it anew";
+
 /// Why a request must not be sent to runners at present, and when to retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Withheld {
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -177,7 +177,11 @@
             fwd.caller.cost(),
             request.resumes.as_ref().map_or("none", |id| id.as_str()),
         );
-        if let Err(withheld) = self.router.may_run(&fwd) {
+        let may_run = match self.router.may_run(&fwd) {
+            Ok(()) => self.router.bind_to_stream(&fwd).await,
+            withheld => withheld,
+        };
+        if let Err(withheld) = may_run {
             let Withheld { reason, retry_after } = withheld;
             let refusal = Refusal::NotRun { reason, retry_after };
             return (kind, Err(refusal));
@@ -235,6 +239,7 @@
             elapsed_before,
             residency: route.residency.clone(),
             arrivals,
+            version: Arc::default(),
         })
     }
 
--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 
 use bulrushusher_accounts::Credentials;
-use bulrushusher_forward::{PromptSize, RequestId, RunnerSignals, Stage, StartTime};
+use bulrushusher_forward::{
+    PromptSize, RequestId, RunnerSignals, SoftwareVersion, Stage, StartTime,
+};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{ClientAccountName, DataCentreName, RunnerId};
 use bytes::Bytes;
@@ -16,6 +18,8 @@
 use hyper::header::HeaderMap;
 use hyper::http::{request, response};
 
+use crate::runners::send_spec::TransferPeer;
+
 mod store;
 
 pub(crate) use store::NO_WAIT;
@@ -62,10 +66,18 @@
     pub address: SocketAddr,
     /// Data centre of that runner; a request that fetches the cache must be permitted there too.
     pub data_centre: DataCentreName,
+    /// Software version of that runner; only runners of the same version can read the cache.
+    pub version: SoftwareVersion,
     /// Handle of the cache at that runner.
     pub handle: Arc<str>,
 }
 
+impl KvCache {
+    pub(crate) fn holder(&self) -> TransferPeer<'_> {
+        TransferPeer { data_centre: &self.data_centre, version: &self.version }
+    }
+}
+
 /// The part of a request that a runner is to carry out.
 #[derive(Clone, Copy, Debug)]
 pub enum Step<'a> {
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -74,6 +74,8 @@
     tasks.spawn(components.lease_keeper(&store).run());
     let shared = components.shared.clone();
     tasks.spawn(async move { shared.watch_cold_runners().await });
+    let shared = components.shared.clone();
+    tasks.spawn(async move { shared.watch_versions().await });
     tasks.spawn(components.quarantine_keeper(&store).run());
     tasks.spawn(components.stage_keeper(store).run());
     let server = Arc::new(Server::new(components.front.clone(), clock));
--- a/crates/bulrushusher_gateway/src/peers/mod.rs
+++ b/crates/bulrushusher_gateway/src/peers/mod.rs
@@ -7,3 +7,4 @@
 pub(crate) mod report_codec;
 pub(crate) mod reporting;
 pub(crate) mod sending;
+pub(crate) mod stream_records;
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -6,7 +6,7 @@
 
 use bulrushusher_forward::{
     CallPoolUpdate, DeltaRequest, EvacuationSet, GatewayDelta, GatewayReport, RunnerDelta,
-    SeenRevisions,
+    SeenRevisions, StreamKey, StreamRecord,
 };
 use bulrushusher_routing::CrashUpdate;
 use derive_more::{Display, Error};
@@ -65,6 +65,14 @@
     RequestRunners(DeltaRequest),
     /// The sender does not know all of the requested changes; the store must be asked.
     HistoryGone,
+    /// The version of a stream that the sender began, for the receiver to keep.
+    KeepStream(StreamRecord),
+    /// The receiver of such a message keeps it.
+    StreamKept(StreamKey),
+    /// Asks for the version of a stream.
+    FindStream(StreamKey),
+    /// The version of a stream that the receiver asked for.
+    StreamFound(StreamRecord),
 }
 
 /// Why a datagram cannot be decoded.
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -88,6 +88,7 @@
             self.announcer.keep_announced(),
             self.follow_relays(&socket),
             self.forward_changes(&socket),
+            self.send_stream_records(&socket),
         );
     }
 
@@ -179,6 +180,18 @@
             }
             Message::RequestRunners(req) => self.send_delta(socket, &req, from).await,
             Message::HistoryGone => self.shared.store_poll_due.notify_one(),
+            Message::KeepStream(record) => {
+                let key = record.key;
+                self.shared.keep_stream(record);
+                self.send_message(socket, Message::StreamKept(key), &[from]).await;
+            }
+            Message::StreamKept(key) => self.shared.confirm_stream(key),
+            Message::FindStream(key) => {
+                if let Some(record) = self.shared.find_stream(key) {
+                    self.send_message(socket, Message::StreamFound(record), &[from]).await;
+                }
+            }
+            Message::StreamFound(record) => self.shared.keep_stream(record),
         }
     }
 
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -157,7 +157,12 @@
         dialect: &D,
     ) -> KvCacheGuard<D> {
         let data_centre = runner.data_centre.clone();
-        let cache = KvCache { address: runner.address, data_centre, handle };
+        let cache = KvCache {
+            address: runner.address,
+            data_centre,
+            version: runner.version.clone(),
+            handle,
+        };
         let (exchanger, dialect) = (exchanger.clone(), dialect.clone());
         KvCacheGuard { cache, runner, consumed: false, shared: shared.clone(), exchanger, dialect }
     }
--- a/crates/bulrushusher_gateway/src/placement/patience.rs
+++ b/crates/bulrushusher_gateway/src/placement/patience.rs
@@ -149,7 +149,12 @@
         }
         let near = &held.runner.data_centre;
         let tokens = fwd.prompt_tokens();
-        let other = cx.shared.pick_for_prefill(&cx.destination(fwd), self.tried, near, tokens);
+        let other = cx.shared.pick_for_prefill(
+            &cx.prefill_destination(fwd, &held.runner),
+            self.tried,
+            near,
+            tokens,
+        );
         if let Some(other) =
             other.filter(|it| select_site(cx, fwd, held, it) == PrefillSite::Prefill)
         {
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 use hyper::StatusCode;
 
-use crate::answers::answer::{BACK_PRESSURE, OUTSIDE_REGIONS};
+use crate::answers::answer::{BACK_PRESSURE, OUTSIDE_REGIONS, VERSION_GONE};
 use crate::dialect::Dialect;
 use crate::placement::attempts::AttemptHistory;
 use crate::placement::holds::{HoldTerms, MemoryHold};
@@ -66,6 +66,11 @@
         /// Time until the first of them accepts a request.
         retry_after: Millis,
     },
+    /// No runner of the software version that began the stream is left.
+    Version {
+        /// Time after which to retry.
+        retry_after: Millis,
+    },
     /// The configuration in force leaves no place for the request.
     Residency {
         /// Time after which to retry.
@@ -83,6 +88,7 @@
             PlacementError::Memory => "no decode memory is free",
             PlacementError::NoTime => "too little time is left for the whole answer",
             PlacementError::BackPressure { .. } => BACK_PRESSURE,
+            PlacementError::Version { .. } => VERSION_GONE,
             PlacementError::Residency { .. } => OUTSIDE_REGIONS,
         }
     }
@@ -109,6 +115,8 @@
     loop {
         cx.check_residency(fwd)
             .map_err(|it| PlacementError::Residency { retry_after: it.retry_after })?;
+        cx.check_version(fwd, &history.excluded_decodes)
+            .map_err(|it| PlacementError::Version { retry_after: it.retry_after })?;
         if !can_complete(cx, fwd, history) {
             return Err(reject_early(cx, fwd, PlacementError::NoTime));
         }
@@ -139,17 +147,10 @@
     if yields || !cx.shared.with_queue(&queued.service, |l| l.may_request_memory(&queued.rank)) {
         return Vec::new();
     }
-    let own_prefill = match prefill_options(cx, fwd) {
-        PrefillOptions::Any => None,
-        PrefillOptions::Decode(task) => Some(task),
-    };
+    let options = prefill_options(cx, fwd);
     let shape = RunShape::of(fwd.request.size.as_ref());
-    let mut runners = cx.shared.rank_for_decode(
-        &cx.destination(fwd),
-        &history.excluded_decodes,
-        shape,
-        own_prefill,
-    );
+    let mut runners =
+        cx.shared.rank_for_decode(&cx.destination(fwd), &history.excluded_decodes, shape, options);
     runners.truncate(if cx.shared.may_request_memory(runners.len()) { MAX_CANDIDATES } else { 0 });
     runners
 }
@@ -200,9 +201,9 @@
     let shape = RunShape::of(fwd.request.size.as_ref());
     let outlook = cx.shared.forecast_summary(&fwd.service, shape);
     let can_prefill = match prefill_options(cx, fwd) {
-        PrefillOptions::Any => true,
-        PrefillOptions::Decode(task) => {
-            !cx.shared.rank_for_decode(&cx.destination(fwd), &[], shape, Some(task)).is_empty()
+        PrefillOptions::Any(_) => true,
+        options @ PrefillOptions::Decode(_) => {
+            !cx.shared.rank_for_decode(&cx.destination(fwd), &[], shape, options).is_empty()
         }
     };
     let bound = if outlook.runners == 0 {
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -46,8 +46,12 @@
             return Err(RunError::Unplaced("the retry budget does not allow a prefill and a run"));
         }
         let near = held.runner.data_centre.clone();
-        let runner =
-            cx.shared.pick_for_prefill(&cx.destination(fwd), &tried, &near, fwd.prompt_tokens());
+        let runner = cx.shared.pick_for_prefill(
+            &cx.prefill_destination(fwd, &held.runner),
+            &tried,
+            &near,
+            fwd.prompt_tokens(),
+        );
         let Some(runner) =
             runner.filter(|runner| select_site(cx, fwd, held, runner) == PrefillSite::Prefill)
         else {
--- a/crates/bulrushusher_gateway/src/placement/prefill_site.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill_site.rs
@@ -68,8 +68,9 @@
 /// The runners that could prefill a prompt in time for a run that is placed now.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum PrefillOptions {
-    /// A prefill runner, and possibly decode runners.
-    Any,
+    /// A prefill runner, and the decode runners without one of their version for which the task permits
+    /// it.
+    Any(PrefillTask),
     /// Only decode runners for which the task permits it.
     Decode(PrefillTask),
 }
@@ -86,7 +87,7 @@
     let max_wait = if remaining > Millis(0) { remaining } else { MAX_PREFILL_WAIT };
     let max_wait = max_wait.since(PrefillSiteConfig::default().first_event_delay);
     match task.prefill_runner_is_in_time(max_wait.min(MAX_PREFILL_WAIT)) {
-        true => PrefillOptions::Any,
+        true => PrefillOptions::Any(task),
         false => PrefillOptions::Decode(task),
     }
 }
--- a/crates/bulrushusher_gateway/src/runners/destination.rs
+++ b/crates/bulrushusher_gateway/src/runners/destination.rs
@@ -1,7 +1,7 @@
 //! The service and the places that a request may be sent to.
 
-use bulrushusher_forward::{ResidencyScope, Runner};
-use bulrushusher_world::{DataCentreName, Residency, ServiceName};
+use bulrushusher_forward::{ResidencyScope, Runner, SoftwareVersion, Stage};
+use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName};
 
 use crate::answers::answer::{OUTSIDE_REGIONS, Withheld};
 use crate::dialect::Dialect;
@@ -15,12 +15,14 @@
     pub service: ServiceName,
     /// Where it may be processed.
     pub residency: Residency,
+    /// The software version that must handle it; `None` if any may.
+    pub version: Option<SoftwareVersion>,
 }
 
 impl Destination {
     /// All runners of a service.
     pub(crate) fn anywhere(service: &ServiceName) -> Destination {
-        Destination { service: service.clone(), residency: Residency::Anywhere }
+        Destination { service: service.clone(), residency: Residency::Anywhere, version: None }
     }
 }
 
@@ -42,6 +44,23 @@
         residency.permits(&self.cfg().topology, at)
     }
 
+    /// True if the runners that could continue a stream, apart from `excluded`, are all of other
+    /// versions. Without any runner, one of the version may still come.
+    pub(crate) fn is_version_gone(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        excluded: &[RunnerId],
+    ) -> bool {
+        self.with_runners(|runners, now| {
+            let staying = runners.directory.staying(service, now);
+            let (own, others): (Vec<&Runner>, Vec<&Runner>) = staying
+                .filter(|r| r.stage != Some(Stage::Prefill))
+                .partition(|r| r.version == *version);
+            !others.is_empty() && own.iter().all(|r| excluded.contains(&r.id))
+        })
+    }
+
     /// True if waiting for a runner is of no use, because of the residency: no data centre of the
     /// deployment is permitted, or the service has runners only in others.
     fn is_out_of_reach(&self, to: &Destination) -> bool {
@@ -67,7 +86,17 @@
     /// Where the request may be sent now.
     pub(crate) fn destination(&self, fwd: &ForwardedRequest) -> Destination {
         let residency = self.shared.residency_in_force(fwd);
-        Destination { service: fwd.service.clone(), residency }
+        let version = fwd.version.get().cloned();
+        Destination { service: fwd.service.clone(), residency, version }
+    }
+
+    /// Where the prompt of a request may be prefilled whose run is at the decode runner.
+    pub(crate) fn prefill_destination(
+        &self,
+        fwd: &ForwardedRequest,
+        decode: &Runner,
+    ) -> Destination {
+        Destination { version: Some(decode.version.clone()), ..self.destination(fwd) }
     }
 
     /// True if the request may be processed at the runner now.
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    AttemptEnd, BackPressureError, CallResult, RequestId, Runner, SendKind,
+    AttemptEnd, BackPressureError, CallResult, RequestId, RouteKind, Runner, SendKind,
+    SoftwareVersion,
 };
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
@@ -50,6 +51,9 @@
     /// Nothing was sent, because the request's data may not be in this data centre.
     #[display("withheld (data centre {data_centre} is outside the allowed regions)")]
     Outside { data_centre: DataCentreName },
+    /// Nothing was sent, because the request is bound to another software version than the runner's.
+    #[display("withheld (version {found} instead of {expected})")]
+    OtherVersion { expected: SoftwareVersion, found: SoftwareVersion },
     /// Nothing was sent, because the retry budget does not allow another arrival.
     #[display("withheld (the retry budget is used up)")]
     OverBudget,
@@ -68,6 +72,7 @@
             self,
             ExchangeError::Withheld { .. }
                 | ExchangeError::Outside { .. }
+                | ExchangeError::OtherVersion { .. }
                 | ExchangeError::OverBudget
         )
     }
@@ -86,6 +91,7 @@
             ExchangeError::Unsent { .. }
             | ExchangeError::Withheld { .. }
             | ExchangeError::Outside { .. }
+            | ExchangeError::OtherVersion { .. }
             | ExchangeError::OverBudget => AttemptEnd::Unsent,
             ExchangeError::NoAnswer { .. }
             | ExchangeError::ConnectionLost { .. }
@@ -192,6 +198,10 @@
             self.metrics.record_withheld_send("residency");
             return Err(ExchangeError::Outside { data_centre });
         }
+        if let Some((expected, found)) = self.find_other_version(runner, spec.purpose) {
+            self.metrics.record_withheld_send("version");
+            return Err(ExchangeError::OtherVersion { expected, found });
+        }
         let is_callers = spec.purpose.id().is_some();
         let checked = match spec.permit {
             permit if (is_callers || permit.starts_work()) && self.shared.is_evacuated(runner) => {
@@ -210,11 +220,31 @@
         recorded.map_err(|cause| self.withheld(cause))
     }
 
+    /// The version that the send is bound to and another one that it would reach: that of the runner,
+    /// as listed now, must be the one that was known when the runner was chosen, the one of the stream,
+    /// and that of the other runner that takes part.
+    fn find_other_version(
+        &self,
+        runner: &Runner,
+        purpose: SendPurpose<'_>,
+    ) -> Option<(SoftwareVersion, SoftwareVersion)> {
+        let CallerSend { fwd, other } = purpose.caller_send()?;
+        if !matches!(fwd.route.kind, RouteKind::Stream { .. }) {
+            return None;
+        }
+        let listed = self.shared.listed_version(runner);
+        let mut bound =
+            [fwd.version.get(), other.map(|it| it.version), listed.as_ref()].into_iter().flatten();
+        let differs = bound.find(|version| **version != runner.version)?;
+        Some((differs.clone(), runner.version.clone()))
+    }
+
     /// A data centre that the send would reach although the residency in force forbids it. It
     /// applies regardless of the permit, also to a run that returns to its former runner.
     fn find_outside(&self, runner: &Runner, purpose: SendPurpose<'_>) -> Option<DataCentreName> {
         let CallerSend { fwd, other } = purpose.caller_send()?;
         let residency = self.shared.residency_in_force(fwd);
+        let other = other.map(|other| other.data_centre);
         let mut reached = std::iter::once(&runner.data_centre).chain(other);
         reached.find(|it| !self.shared.permits_place(&residency, it)).cloned()
     }
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -1,8 +1,10 @@
 //! The context that the tasks of requests share, and the forwarded request.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
-use bulrushusher_forward::{CallResult, LoadEpoch, Route, RouteKind, Runner, Stage};
+use bulrushusher_forward::{
+    CallResult, LoadEpoch, Route, RouteKind, Runner, SoftwareVersion, Stage,
+};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::RequestDigest;
 use bulrushusher_time::Millis;
@@ -15,7 +17,7 @@
 
 use crate::access::caller::{Caller, KEY_NOT_CONFIRMED, KEY_RECHECK_DELAY};
 use crate::answers::answer::{EVACUATED, QUARANTINED, Withheld};
-use crate::dialect::{Attempt, CallerRequest, Dialect, Step};
+use crate::dialect::{Attempt, CallerRequest, Dialect, KvCache, Step};
 use crate::runners::arrivals::PaidArrivals;
 use crate::runners::exchange::{ExchangeError, Exchanger, Reply};
 use crate::runners::permit::Permit;
@@ -63,6 +65,8 @@
     pub residency: Residency,
     /// Its arrivals at runners.
     pub arrivals: Arc<PaidArrivals>,
+    /// The software version that began its stream, once it has begun.
+    pub version: Arc<OnceLock<SoftwareVersion>>,
 }
 
 impl ForwardedRequest {
@@ -132,6 +136,7 @@
             return Err(Withheld { reason: KEY_NOT_CONFIRMED, retry_after: KEY_RECHECK_DELAY });
         }
         self.check_residency(fwd)?;
+        self.check_version(fwd, &[])?;
         if self.shared.has_only_evacuated(&self.destination(fwd)) {
             log::info!("evacuations: no runner left id={} service={}", fwd.request.id, fwd.service);
             return Err(Withheld { reason: EVACUATED, retry_after: self.retry_after(fwd) });
@@ -187,7 +192,7 @@
         let headers = self.dialect.attempt_headers(&fwd.request, &attempt);
         let req = build_request(fwd, headers);
         let other = match step {
-            Step::Generate { kv, .. } => kv.map(|kv| &kv.data_centre),
+            Step::Generate { kv, .. } => kv.map(KvCache::holder),
             Step::Whole | Step::Prefill => None,
         };
         let purpose = SendPurpose::Request(CallerSend { fwd, other });
--- a/crates/bulrushusher_gateway/src/runners/send_spec.rs
+++ b/crates/bulrushusher_gateway/src/runners/send_spec.rs
@@ -1,7 +1,7 @@
 //! What is sent to a runner: a request of the gateway itself, or one with the residency of a caller's
 //! request.
 
-use bulrushusher_forward::RequestId;
+use bulrushusher_forward::{RequestId, Runner, SoftwareVersion};
 use bulrushusher_time::Millis;
 use bulrushusher_world::DataCentreName;
 
@@ -14,9 +14,21 @@
 pub(crate) struct CallerSend<'a> {
     /// The request, which determines the places that are permitted at the moment of the send.
     pub fwd: &'a ForwardedRequest,
-    /// Data centre of the other runner that takes part: the source of a KV cache that the runner
-    /// fetches, or the destination of a copy that it makes.
-    pub other: Option<&'a DataCentreName>,
+    /// The other runner that takes part.
+    pub other: Option<TransferPeer<'a>>,
+}
+
+/// The source of a KV cache that a runner fetches, or the destination of a copy that it makes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TransferPeer<'a> {
+    pub data_centre: &'a DataCentreName,
+    pub version: &'a SoftwareVersion,
+}
+
+impl<'a> From<&'a Runner> for TransferPeer<'a> {
+    fn from(runner: &'a Runner) -> TransferPeer<'a> {
+        TransferPeer { data_centre: &runner.data_centre, version: &runner.version }
+    }
 }
 
 /// What a request to a runner is for.
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -51,6 +51,7 @@
     }
     let cause = kv.as_ref().and_then(|kv| match kv.is_lost() {
         true => Some("its runner started again"),
+        false if kv.runner().version != held.runner.version => Some("its version is another one"),
         false => (!cx.permits(fwd, kv.runner())).then_some("its region is no longer allowed"),
     });
     if let Some(cause) = cause {
@@ -72,6 +73,7 @@
     let held = place(cx, fwd, history, until).await;
     held.map_err(|e| match e {
         PlacementError::BackPressure { retry_after }
+        | PlacementError::Version { retry_after }
         | PlacementError::Residency { retry_after } => {
             RunError::Withheld(Withheld { reason: e.reason(), retry_after })
         }
@@ -174,6 +176,7 @@
             }
             let result = CallResult::Answered(Millis(0));
             record(step_label(prefills), result, "");
+            cx.pin_version(fwd, &runner.version);
             let migrate_after = Millis(0);
             crash_watch.run_started(cx.now());
             let watch = crash_watch;
--- a/crates/bulrushusher_gateway/src/runs/mod.rs
+++ b/crates/bulrushusher_gateway/src/runs/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod forward;
 pub(crate) mod generation;
 pub(crate) mod migration;
+pub(crate) mod returns;
 pub(crate) mod run;
 pub(crate) mod stream;
--- /dev/null
+++ b/crates/bulrushusher_gateway/src/runs/returns.rs
@@ -0,0 +1,143 @@
+//! Callers that return to continue a stream: which software version began it.
+
+use bulrushusher_forward::{RouteKind, SoftwareVersion, StreamKey};
+use bulrushusher_time::Millis;
+use bulrushusher_world::RunnerId;
+use derive_more::Display;
+
+use crate::answers::answer::{VERSION_GONE, VERSION_UNKNOWN, Withheld};
+use crate::dialect::Dialect;
+use crate::runners::router::{ForwardedRequest, Router};
+
+/// Longest wait for other gateways that may know a stream. They answer within some milliseconds, in
+/// another region within 60; a lost datagram is sent again.
+const LOOKUP_TIMEOUT: Millis = Millis(150);
+
+/// Time after which other gateways are asked once more.
+const LOOKUP_RESEND: Millis = Millis(70);
+
+/// Retry-After of a stream that cannot continue: its caller has to begin anew, and need not wait.
+const BEGIN_ANEW: Millis = Millis(50);
+
+/// Time by which the clocks of a caller and of this gateway may differ on the end of a stream.
+const LIFETIME_MARGIN: Millis = Millis(1_000);
+
+/// Whence the version of a stream is known.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum VersionSource {
+    #[display("own_record")]
+    Own,
+    #[display("peer")]
+    Peer,
+    #[display("one_version")]
+    OneVersion,
+}
+
+impl VersionSource {
+    fn label(self) -> &'static str {
+        match self {
+            VersionSource::Own => "own_record",
+            VersionSource::Peer => "peer",
+            VersionSource::OneVersion => "one_version",
+        }
+    }
+}
+
+impl<D: Dialect> Router<D> {
+    /// Binds a request that continues a stream to the version that began it.
+    ///
+    /// # Errors
+    /// The refusal, if that version is not known or no runner of it is left.
+    pub(crate) async fn bind_to_stream(&self, fwd: &ForwardedRequest) -> Result<(), Withheld> {
+        let is_stream = matches!(fwd.route.kind, RouteKind::Stream { .. });
+        if !is_stream || fwd.request.resume_after.is_none() {
+            return Ok(());
+        }
+        let started = self.now();
+        let found = self.find_version(fwd).await;
+        let waited = self.now().since(started);
+        let resumes = fwd.request.resumes.as_ref().map_or("none", |id| id.as_str());
+        let Some((version, source)) = found else {
+            self.metrics.record_resumed_stream("unknown_version");
+            log::info!(
+                "streams: refused id={} resumes={resumes} service={} reason=\"{VERSION_UNKNOWN}\" \
+                 waited_ms={}",
+                fwd.request.id,
+                fwd.service,
+                waited.0,
+            );
+            return Err(Withheld { reason: VERSION_UNKNOWN, retry_after: BEGIN_ANEW });
+        };
+        log::info!(
+            "streams: resumes id={} resumes={resumes} service={} version={version} source={source} \
+             waited_ms={}",
+            fwd.request.id,
+            fwd.service,
+            waited.0,
+        );
+        self.pin_version(fwd, &version);
+        self.check_version(fwd, &[])?;
+        self.metrics.record_resumed_stream(source.label());
+        Ok(())
+    }
+
+    async fn find_version(
+        &self,
+        fwd: &ForwardedRequest,
+    ) -> Option<(SoftwareVersion, VersionSource)> {
+        let shared = &self.shared;
+        let key = fwd.request.resumes.as_ref().map(StreamKey::of);
+        if let Some(record) = key.and_then(|key| shared.find_stream(key)) {
+            return Some((record.version, VersionSource::Own));
+        }
+        let (sole, is_certain) = shared.sole_version(&fwd.service);
+        let sole = sole.map(|version| (version, VersionSource::OneVersion));
+        let Some(key) = key.filter(|_| sole.is_none() || !is_certain) else { return sole };
+        for longest in [LOOKUP_RESEND, LOOKUP_TIMEOUT.since(LOOKUP_RESEND)] {
+            shared.ask_for_stream(key);
+            if let Some(record) = shared.wait_for_stream(key, longest).await {
+                return Some((record.version, VersionSource::Peer));
+            }
+        }
+        sole
+    }
+
+    /// Binds a request to the version of the runner that serves its stream. The first call for a
+    /// request counts.
+    pub(crate) fn pin_version(&self, fwd: &ForwardedRequest, version: &SoftwareVersion) {
+        if fwd.version.set(version.clone()).is_err() {
+            return;
+        }
+        let key = match fwd.request.resume_after {
+            None => Some(&fwd.request.id),
+            Some(_) => fwd.request.resumes.as_ref(),
+        };
+        let patience = fwd.request.timeout.unwrap_or(fwd.route.timeout);
+        if let Some(id) = key {
+            let lifetime = patience.plus(LIFETIME_MARGIN);
+            self.shared.record_stream(StreamKey::of(id), version, lifetime);
+        }
+    }
+
+    /// Checks that a runner of the version that the request is bound to is left, apart from `excluded`.
+    ///
+    /// # Errors
+    /// The refusal, which is logged and counted.
+    pub(crate) fn check_version(
+        &self,
+        fwd: &ForwardedRequest,
+        excluded: &[RunnerId],
+    ) -> Result<(), Withheld> {
+        let Some(version) = fwd.version.get() else { return Ok(()) };
+        if !self.shared.is_version_gone(&fwd.service, version, excluded) {
+            return Ok(());
+        }
+        self.metrics.record_resumed_stream("no_runner");
+        log::info!(
+            "streams: refused id={} service={} version={version} reason=\"{VERSION_GONE}\"",
+            fwd.request.id,
+            fwd.service,
+        );
+        Err(Withheld { reason: VERSION_GONE, retry_after: BEGIN_ANEW })
+    }
+}
--- a/crates/bulrushusher_gateway/src/shared/calls.rs
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -210,7 +210,7 @@
             let pressure = self.pressure_at(now);
             let view = BackPressureView { pressure: &pressure, draw };
             self.with_places(&to.residency, |places| {
-                let cx = runners.candidates(&to.service, view, places, now);
+                let cx = runners.candidates(to, view, places, now);
                 let pool = candidates_for_call(cx, tried);
                 let mut calls = self.calls.lock();
                 calls.pool.remove_silent_peers(now);
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -1,16 +1,17 @@
 //! Forecasts of memory at decode runners, and prompts at prefill runners, over all gateways.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bulrushusher_accounts::UsageReport;
 use bulrushusher_forward::{
     DecodeLoad, DeltaOutcome, GatewayDelta, GatewayReport, MemoryForecast, PeerPrefills,
-    PrefillTask, RunNumber, RunReport, RunShape, Runner, Stage, WaitQueue, rank_for_decode,
-    should_request_memory,
+    PrefillTask, RunNumber, RunReport, RunShape, Runner, SoftwareVersion, Stage, WaitQueue,
+    rank_for_decode, should_request_memory,
 };
 use bulrushusher_world::{RunnerId, ServiceName};
 
 use super::SharedState;
+use crate::placement::prefill_site::PrefillOptions;
 use crate::runners::destination::Destination;
 
 /// The inputs of a memory forecast, for the log: the number of decode runners, the lowest forecast
@@ -26,20 +27,27 @@
 
 impl SharedState {
     /// Decode runners that are forecast to have room for the run, in the order in which to request
-    /// memory from them. If no prefill runner can prefill the prompt in time, `prefills_itself`
-    /// restricts them to those that may prefill it themselves.
+    /// memory from them. Those for which no prefill runner can prefill the prompt in time, or none of
+    /// their version, are left out unless they may prefill it themselves.
     pub(crate) fn rank_for_decode(
         &self,
         to: &Destination,
         tried: &[RunnerId],
         run: RunShape,
-        prefills_itself: Option<PrefillTask>,
+        options: PrefillOptions,
     ) -> Vec<Runner> {
         let draw = self.draw();
         let service = &to.service;
         let forecast = self.forecast(service);
         let run = forecast.need(&[run]);
         self.with_candidates(to, |cx, runs| {
+            let is_prefill = |r: &&Runner| r.stage == Some(Stage::Prefill);
+            let prefills = cx.members.usable(service, cx.now).filter(is_prefill);
+            let versions: BTreeSet<&SoftwareVersion> = prefills.map(|r| &r.version).collect();
+            let own_prefill = |runner: &Runner| match &options {
+                PrefillOptions::Any(_) if versions.contains(&runner.version) => None,
+                PrefillOptions::Any(task) | PrefillOptions::Decode(task) => Some(*task),
+            };
             let peak = |runner: &Runner| {
                 let load = runs.need_at(&runner.id, &forecast, cx.now);
                 let peak = forecast.peak_if_it_fits(&load, &run)?;
@@ -51,7 +59,7 @@
                         prefill_factor: self.prefill_factor(service, &runner.id),
                     })
                 };
-                prefills_itself.as_ref().is_none_or(may_prefill).then_some(peak)
+                own_prefill(runner).as_ref().is_none_or(may_prefill).then_some(peak)
             };
             rank_for_decode(cx, tried, draw, peak)
         })
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -4,7 +4,8 @@
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
 //! `switching`, `crashes`, `pressure`, `distances`, `quotas`, `lease`, `speeds`, `calls`,
-//! `unknown_places`. `evacuated_at` and `known_gateways` are held by themselves. No lock is held across an await point.
+//! `unknown_places`. `evacuated_at`, `known_gateways`, `streams`, and
+//! `asked_streams` are held by themselves. `version_history` is taken after `runners`. No lock is held across an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -17,8 +18,8 @@
     EngineSpec, HealthConfig, KnownGateways, PeersConfig, PlaceScope, PlaceView, PrefillEnds,
     PrefillEndsConfig, PrefillQueue, PrefillSelection, QueueRank, RegionDistances, RelayView,
     Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads, RunnerSpeeds, Runs,
-    SelectionContext, TimingConfig, TimingModel, TypicalPatience, WaitQueue, pick_for_call,
-    pick_for_prefill,
+    SelectionContext, StreamKey, StreamVersions, TimingConfig, TimingModel, TypicalPatience,
+    VersionHistory, WaitQueue, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -50,11 +51,13 @@
 mod revisions;
 mod speeds;
 mod starts;
+mod streams;
 
 pub(crate) use calls::{CallInFlight, CallPlacement, CallTimes, CallWait};
 pub(crate) use confirmations::{ConfirmationAges, ListEvidence, UpdateSource};
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
+pub(crate) use streams::KEEPERS;
 
 /// The runner directory, and the load that this gateway has placed on each runner.
 #[derive(Debug)]
@@ -143,6 +146,16 @@
     pub store_poll_due: Notify,
     /// Notified when the quarantine record in the store must be read or written.
     pub quarantine_due: Notify,
+    /// Software versions of streams.
+    streams: Mutex<StreamVersions>,
+    /// Streams to ask other gateways for.
+    asked_streams: Mutex<Vec<StreamKey>>,
+    /// Notified when records of streams are due, or questions for them.
+    pub stream_records_due: Notify,
+    /// Notified when another gateway has told the version of a stream.
+    stream_found: Notify,
+    /// Software versions that were listed.
+    version_history: Mutex<VersionHistory>,
     draws: Mutex<ChaCha8Rng>,
 }
 
@@ -202,6 +215,11 @@
             call_report_due: Notify::new(),
             crash_update_due: Notify::new(),
             quarantine_due: Notify::new(),
+            streams: Mutex::default(),
+            asked_streams: Mutex::default(),
+            stream_records_due: Notify::new(),
+            stream_found: Notify::new(),
+            version_history: Mutex::default(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         }
     }
@@ -294,7 +312,7 @@
             let pressure = self.pressure_at(now);
             let view = BackPressureView { pressure: &pressure, draw };
             self.with_places(&to.residency, |places| {
-                pick_for_call(runners.candidates(&to.service, view, places, now), pick)
+                pick_for_call(runners.candidates(to, view, places, now), pick)
             })
         })
     }
@@ -335,7 +353,7 @@
                 let cx = SelectionContext {
                     runs: Some(&runs),
                     failing: Some(&failing),
-                    ..runners.candidates(&to.service, view, places, now)
+                    ..runners.candidates(to, view, places, now)
                 };
                 choose(cx, &runs)
             })
@@ -562,7 +580,7 @@
 impl Runners {
     fn candidates<'a>(
         &'a self,
-        service: &'a ServiceName,
+        to: &'a Destination,
         pressure: BackPressureView<'a>,
         places: PlaceView<'a>,
         now: Millis,
@@ -570,11 +588,12 @@
         SelectionContext {
             members: &self.directory,
             loads: &self.loads,
-            service,
+            service: &to.service,
             runs: None,
             failing: None,
             pressure: Some(pressure),
             places,
+            version: to.version.as_ref(),
             now,
         }
     }
--- a/crates/bulrushusher_model/src/memory.rs
+++ b/crates/bulrushusher_model/src/memory.rs
@@ -54,6 +54,7 @@
     ) -> SelectionContext<'b> {
         SelectionContext {
             places: PlaceView::ANYWHERE,
+            version: None,
             members: &self.runners,
             loads: &self.loads,
             service: &self.service,
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -23,6 +23,7 @@
     withheld_sends: Counter<u64>,
     residency_refusals: Counter<u64>,
     retries: Counter<u64>,
+    resumed_streams: Counter<u64>,
     peer_bytes: Counter<u64>,
     state: Gauge<u64>,
     account_usage: Gauge<u64>,
@@ -127,6 +128,10 @@
                 "bulrush_gateway_retries",
                 "Arrivals of requests at runners beyond the first of each",
             ),
+            resumed_streams: counter(
+                "bulrush_gateway_resumed_streams",
+                "Callers that continue a stream, by how its version is known, or why it ends",
+            ),
             peer_bytes: counter(
                 "bulrush_gateway_peer_bytes",
                 "Bytes of datagrams to other gateways, by region (own or other)",
@@ -268,6 +273,11 @@
         self.retries.add(1, &[]);
     }
 
+    /// Records a caller that continues a stream, or why the stream cannot continue.
+    pub fn record_resumed_stream(&self, outcome: &'static str) {
+        self.resumed_streams.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records a request that was not sent because of the runner's back-pressure or residency.
     pub fn record_withheld_send(&self, signal: &'static str) {
         self.withheld_sends.add(1, &[KeyValue::new("signal", signal)]);
