Record in the store which software versions serve side by side

What callers would see: after all gateways were killed, a stream continued at the only version left in the list of runners, though another one that had just left the list had begun it. Cause: a gateway that has just started knows no version but those listed now, and the records of streams ended with the processes. Change: while several versions of a service were listed within a minute, two gateways by rendezvous keep a record of them in the store, written within half a second and every ten seconds. A gateway that has run for less than a minute reads it once, when a return would be bound to the only version listed; without an answer it asks the other gateways and otherwise refuses. With one version the first such return waits for one read. Two calls for each of two gateways in ten seconds while versions are mixed, and one read for a gateway that needs it.

--- a/crates/bulrushusher_forward/src/places/cold_share.rs
+++ b/crates/bulrushusher_forward/src/places/cold_share.rs
@@ -4,6 +4,8 @@
 
 use bulrushusher_time::Millis;
 
+use crate::rendezvous::is_among_first;
+
 /// Tolerance above the rate that a cold runner is stated to tolerate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdLimitConfig {
@@ -61,6 +63,11 @@
 }
 
 impl KnownGateways {
+    /// True if the gateway `own` is one of the first `count` in rendezvous order for a key.
+    pub fn is_among_first(&self, count: usize, key: &str, own: &str) -> bool {
+        is_among_first(count, key, own, self.others.iter().map(|name| &**name))
+    }
+
     /// Number of gateways including this one; `None` while it is not certain.
     ///
     /// ```
--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -199,6 +199,19 @@
         }
     }
 
+    /// The versions of services of which several are known, and when each was last seen; in the order of
+    /// their names.
+    pub fn mixed(&self) -> Vec<(ServiceName, SoftwareVersion, Millis)> {
+        let services = self.seen.iter().filter(|(_, versions)| versions.len() > 1);
+        let mut mixed: Vec<_> = services
+            .flat_map(|(service, versions)| {
+                versions.iter().map(|(version, at)| (service.clone(), version.clone(), *at))
+            })
+            .collect();
+        mixed.sort_unstable();
+        mixed
+    }
+
     /// Drops versions that were last seen before `since`.
     pub fn forget_before(&mut self, since: Millis) {
         self.seen.values_mut().for_each(|versions| versions.retain(|(_, at)| *at >= since));
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::store::orders::StageKeeper;
 use crate::store::quarantine::QuarantineKeeper;
 use crate::store::renewing::LeaseKeeper;
+use crate::store::versions::VersionKeeper;
 
 /// Length of the accept queue; large enough for a burst, as a full queue delays callers by a
 /// second.
@@ -77,6 +78,7 @@
     let shared = components.shared.clone();
     tasks.spawn(async move { shared.watch_versions().await });
     tasks.spawn(components.quarantine_keeper(&store).run());
+    tasks.spawn(components.version_keeper(&store).run());
     tasks.spawn(components.stage_keeper(store).run());
     let server = Arc::new(Server::new(components.front.clone(), clock));
     let sweeper = server.clone();
@@ -154,6 +156,11 @@
         QuarantineKeeper { store: store.clone(), shared, metrics }
     }
 
+    fn version_keeper<S: PlatformStore>(&self, store: &S) -> VersionKeeper<S> {
+        let (shared, metrics) = (self.shared.clone(), self.metrics.clone());
+        VersionKeeper { store: store.clone(), shared, metrics }
+    }
+
     fn announcer<S: PlatformStore>(&self, store: &S, address: SocketAddr) -> Arc<Announcer<S>> {
         let (shared, lifecycle) = (self.shared.clone(), self.lifecycle.clone());
         Arc::new(Announcer::new(store.clone(), shared, lifecycle, address))
--- a/crates/bulrushusher_gateway/src/runs/returns.rs
+++ b/crates/bulrushusher_gateway/src/runs/returns.rs
@@ -16,6 +16,9 @@
 /// Time after which other gateways are asked once more.
 const LOOKUP_RESEND: Millis = Millis(70);
 
+/// Longest wait for the store's record of versions, which a gateway reads once after its start.
+const RECORD_TIMEOUT: Millis = Millis(150);
+
 /// Retry-After of a stream that cannot continue: its caller has to begin anew, and need not wait.
 const BEGIN_ANEW: Millis = Millis(50);
 
@@ -90,16 +93,25 @@
         if let Some(record) = key.and_then(|key| shared.find_stream(key)) {
             return Some((record.version, VersionSource::Own));
         }
-        let (sole, is_certain) = shared.sole_version(&fwd.service);
-        let sole = sole.map(|version| (version, VersionSource::OneVersion));
-        let Some(key) = key.filter(|_| sole.is_none() || !is_certain) else { return sole };
+        let (mut sole, is_certain) = shared.sole_version(&fwd.service);
+        if sole.is_some() && !is_certain {
+            // A version that has left the list since may have begun the stream.
+            sole = match shared.wait_for_versions(RECORD_TIMEOUT).await {
+                true => shared.sole_version(&fwd.service).0,
+                false => None,
+            };
+        }
+        if let Some(version) = sole {
+            return Some((version, VersionSource::OneVersion));
+        }
+        let key = key?;
         for longest in [LOOKUP_RESEND, LOOKUP_TIMEOUT.since(LOOKUP_RESEND)] {
             shared.ask_for_stream(key);
             if let Some(record) = shared.wait_for_stream(key, longest).await {
                 return Some((record.version, VersionSource::Peer));
             }
         }
-        sole
+        None
     }
 
     /// Binds a request to the version of the runner that serves its stream. The first call for a
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -57,7 +57,7 @@
 pub(crate) use confirmations::{ConfirmationAges, ListEvidence, UpdateSource};
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
-pub(crate) use streams::KEEPERS;
+pub(crate) use streams::{KEEPERS, VersionSighting};
 
 /// The runner directory, and the load that this gateway has placed on each runner.
 #[derive(Debug)]
@@ -156,6 +156,10 @@
     stream_found: Notify,
     /// Software versions that were listed.
     version_history: Mutex<VersionHistory>,
+    /// True once the store's record of versions was read.
+    versions_read: watch::Sender<bool>,
+    /// Notified when that record must be read.
+    pub versions_wanted: Notify,
     draws: Mutex<ChaCha8Rng>,
 }
 
@@ -220,6 +224,8 @@
             stream_records_due: Notify::new(),
             stream_found: Notify::new(),
             version_history: Mutex::default(),
+            versions_read: watch::Sender::new(false),
+            versions_wanted: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         }
     }
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -14,6 +14,17 @@
 /// this long before.
 const OBSERVE_INTERVAL: Millis = Millis(500);
 
+/// Number of gateways that keep the store's record of versions that serve side by side.
+const RECORD_KEEPERS: usize = 2;
+
+/// A software version of a service, and when it was last listed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct VersionSighting {
+    pub service: ServiceName,
+    pub version: SoftwareVersion,
+    pub at: Millis,
+}
+
 /// Number of other gateways that keep the record of a stream.
 pub(crate) const KEEPERS: usize = 2;
 
@@ -92,12 +103,57 @@
 
     /// The only version that may have begun a stream of the service that still lasts; `None` if several
     /// may have. The second value is false if this gateway has not run for as long as a stream may last,
-    /// so that it may have missed a version.
+    /// nor read the store's record, so that it may have missed a version.
     pub(crate) fn sole_version(&self, service: &ServiceName) -> (Option<SoftwareVersion>, bool) {
         self.observe_versions();
         let now = self.now();
         let sole = self.version_history.lock().sole(service, now.since(MAX_STREAM_LIFETIME));
-        (sole, now.since(self.started_at) >= MAX_STREAM_LIFETIME)
+        let is_certain = now.since(self.started_at) >= MAX_STREAM_LIFETIME;
+        (sole, is_certain || *self.versions_read.borrow())
+    }
+
+    /// Waits up to `longest` until the store's record of versions was read.
+    pub(crate) async fn wait_for_versions(&self, longest: Millis) -> bool {
+        self.versions_wanted.notify_one();
+        let mut read = self.versions_read.subscribe();
+        let waiting = read.wait_for(|is_read| *is_read);
+        tokio::time::timeout(longest.duration(), waiting).await.is_ok_and(|read| read.is_ok())
+    }
+
+    /// Records that the store's record of versions was read.
+    pub(crate) fn set_versions_read(&self) {
+        self.versions_read.send_replace(true);
+    }
+
+    /// Records versions that other gateways have seen.
+    pub(crate) fn learn_versions(&self, sightings: &[VersionSighting]) {
+        let mut history = self.version_history.lock();
+        for VersionSighting { service, version, at } in sightings {
+            history.observe(service, version, *at);
+        }
+    }
+
+    /// The versions of services of which several are recent.
+    pub(crate) fn mixed_versions(&self) -> Vec<VersionSighting> {
+        let mixed = self.version_history.lock().mixed();
+        mixed
+            .into_iter()
+            .map(|(service, version, at)| VersionSighting { service, version, at })
+            .collect()
+    }
+
+    /// Time before which a version that was last listed no longer counts.
+    pub(crate) fn oldest_version_sighting(&self) -> Millis {
+        self.now().since(MAX_STREAM_LIFETIME)
+    }
+
+    /// True if this gateway is one of those that keep the store's record of versions.
+    pub(crate) fn keeps_version_record(&self) -> bool {
+        self.known_gateways.lock().is_among_first(
+            RECORD_KEEPERS,
+            "versions",
+            self.cfg().name.as_str(),
+        )
     }
 
     /// Records the versions of the listed runners.
--- a/crates/bulrushusher_gateway/src/store/mod.rs
+++ b/crates/bulrushusher_gateway/src/store/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod orders;
 pub(crate) mod quarantine;
 pub(crate) mod renewing;
+pub(crate) mod versions;
