Write the record of versions only with a certain list of gateways

Cause: a gateway that knows no other yet counts itself first in rendezvous order, so many gateways that start together while versions are mixed would all write the record. Change: only gateways whose list of gateways is certain write it.

--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -149,11 +149,9 @@
 
     /// True if this gateway is one of those that keep the store's record of versions.
     pub(crate) fn keeps_version_record(&self) -> bool {
-        self.known_gateways.lock().is_among_first(
-            RECORD_KEEPERS,
-            "versions",
-            self.cfg().name.as_str(),
-        )
+        let known = self.known_gateways.lock();
+        known.certain_count(self.now()).is_some()
+            && known.is_among_first(RECORD_KEEPERS, "versions", self.cfg().name.as_str())
     }
 
     /// Records the versions of the listed runners.
