Recognise the end of a later prefill also after a report of it in flight

What callers saw: a prompt that its runner had lost was waited for until its memory hold ended, although a peer's later prompt had ended there. Cause: a peer's prompt counted as sent later only if no report came while it was in flight. With a report in between, the moment of its send was taken as unknown. Change: a report with a prompt in flight keeps the moment after which the peer sent all of them: that of the last report without one.

--- a/crates/bulrushusher_forward/src/prefill_ends.rs
+++ b/crates/bulrushusher_forward/src/prefill_ends.rs
@@ -83,8 +83,17 @@
     incarnation: u64,
     received_at: Millis,
     counters: HashMap<RunnerId, u64>,
-    /// Runners at which the peer had prompts in flight.
-    in_flight: HashSet<RunnerId>,
+    /// Runners at which the peer had prompts in flight, and the moment after which it sent all of them;
+    /// `None` if that is unknown.
+    in_flight: HashMap<RunnerId, Option<Millis>>,
+}
+
+impl PeerEnds {
+    /// The moment after which the peer sent all prompts that may have ended at the runner since this
+    /// report: that of the report, or an earlier one if it had some in flight.
+    fn sent_after(&self, runner: &RunnerId) -> Option<Millis> {
+        self.in_flight.get(runner).copied().unwrap_or(Some(self.received_at))
+    }
 }
 
 /// What is known of a runner since a prompt was sent to it.
@@ -158,6 +167,9 @@
     pub fn merge(&mut self, peer: &str, report: PeerPrefills, now: Millis) {
         let PeerPrefills { incarnation, ends, in_flight } = report;
         let known = self.peers.remove(peer).filter(|it| it.incarnation == incarnation);
+        let sent_after = |runner: &RunnerId| known.as_ref()?.sent_after(runner);
+        let in_flight =
+            in_flight.into_iter().map(|runner| (runner.clone(), sent_after(&runner))).collect();
         let mut counters = match known {
             Some(before) => self.count_ends(before, &ends, now),
             None => {
@@ -184,7 +196,7 @@
             let count = before.counters.get(runner).map_or(1, |old| counter.wrapping_sub(*old));
             // A counter that went back starts anew.
             if count > 0 && count < u64::MAX / 2 {
-                let sent_after = (!before.in_flight.contains(runner)).then_some(before.received_at);
+                let sent_after = before.sent_after(runner);
                 self.push(runner, Ends { count, after: before.received_at, at: now, sent_after });
             }
         }
--- a/crates/bulrushusher_forward/tests/prefill_patience.rs
+++ b/crates/bulrushusher_forward/tests/prefill_patience.rs
@@ -168,6 +168,20 @@
     assert_eq!(passed(&ends, Millis(1_350)), Some(Millis(50)), "known since 1,300");
 }
 
+/// Guards against a later prompt that is not recognised because a report came while it was in flight.
+#[test]
+fn the_end_of_a_later_prompt_is_recognised_after_reports_of_it_in_flight() {
+    let mut ends = PrefillEnds::new(PrefillEndsConfig::default());
+    let passed = |ends: &PrefillEnds, now| ends.progress(&id("p0"), Millis(1_000), now).passed_ago;
+    hear(&mut ends, 1, 0, 5_000, 1_100);
+    hear(&mut ends, 1, 1, 0, 1_210);
+    assert_eq!(passed(&ends, Millis(1_210)), None, "it may have been sent before this one");
+    hear(&mut ends, 1, 1, 5_000, 1_300);
+    hear(&mut ends, 1, 1, 5_000, 1_400);
+    hear(&mut ends, 1, 2, 0, 1_500);
+    assert_eq!(passed(&ends, Millis(1_550)), Some(Millis(50)), "the peer had none there at 1,210");
+}
+
 #[test]
 fn reports_list_runners_with_recent_prefills_only() {
     let mut ends = PrefillEnds::new(PrefillEndsConfig::default());
