Bind a return to the only version listed only while the list is current

What callers would see: a gateway that is cut off from the store and from relays continued a stream at the one version in its list, though another gateway had begun it at a version that was released since. Cause: a list without the other version was taken for the proof that there is none, whatever its age.

--- a/crates/bulrushusher_gateway/src/runs/returns.rs
+++ b/crates/bulrushusher_gateway/src/runs/returns.rs
@@ -3,7 +3,6 @@
 use bulrushusher_forward::{RouteKind, SoftwareVersion, StreamKey};
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
-use derive_more::Display;
 
 use crate::answers::answer::{VERSION_GONE, VERSION_UNKNOWN, Withheld};
 use crate::dialect::Dialect;
@@ -26,17 +25,18 @@
 const LIFETIME_MARGIN: Millis = Millis(1_000);
 
 /// Whence the version of a stream is known.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum VersionSource {
-    #[display("own_record")]
+    /// A record at this gateway.
     Own,
-    #[display("peer")]
+    /// The record of another gateway.
     Peer,
-    #[display("one_version")]
+    /// No other version was listed.
     OneVersion,
 }
 
 impl VersionSource {
+    /// Its label in the log and in metrics.
     fn label(self) -> &'static str {
         match self {
             VersionSource::Own => "own_record",
@@ -72,10 +72,11 @@
             return Err(Withheld { reason: VERSION_UNKNOWN, retry_after: BEGIN_ANEW });
         };
         log::info!(
-            "streams: resumes id={} resumes={resumes} service={} version={version} source={source} \
+            "streams: resumes id={} resumes={resumes} service={} version={version} source={} \
              waited_ms={}",
             fwd.request.id,
             fwd.service,
+            source.label(),
             waited.0,
         );
         self.pin_version(fwd, &version);
--- a/crates/bulrushusher_gateway/src/shared/confirmations.rs
+++ b/crates/bulrushusher_gateway/src/shared/confirmations.rs
@@ -188,6 +188,12 @@
         self.confirmation_age(topic).map_or(Millis(0), |age| max_age.since(age))
     }
 
+    /// True if the copy of the topic is no older than the age at which this gateway asks the store itself.
+    pub(super) fn is_copy_current(&self, topic: Topic) -> bool {
+        let max_age = self.change_bound(topic).share(MAX_AGE_SHARE);
+        self.confirmation_age(topic).is_some_and(|age| age <= max_age)
+    }
+
     /// What a request that is sent to the runner now is decided by.
     pub(crate) fn list_evidence(&self, runner: &Runner) -> ListEvidence {
         let (entry_revision, changed_at) = self.with_runners(|runners, now| {
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -5,6 +5,7 @@
 use bulrushusher_world::ServiceName;
 
 use super::SharedState;
+use crate::dialect::Topic;
 
 /// Longest time from the beginning of a stream to a caller's last return. A version that was listed
 /// within this time may have begun a stream.
@@ -102,9 +103,13 @@
     }
 
     /// The only version that may have begun a stream of the service that still lasts; `None` if several
-    /// may have. The second value is false if this gateway has not run for as long as a stream may last,
-    /// nor read the store's record, so that it may have missed a version.
+    /// may have, or if the list of runners is too old to tell. The second value is false if this gateway
+    /// has not run for as long as a stream may last, nor read the store's record, so that it may have
+    /// missed a version.
     pub(crate) fn sole_version(&self, service: &ServiceName) -> (Option<SoftwareVersion>, bool) {
+        if !self.is_copy_current(Topic::Runners) {
+            return (None, false);
+        }
         self.observe_versions();
         let now = self.now();
         let sole = self.version_history.lock().sole(service, now.since(MAX_STREAM_LIFETIME));
