--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -73,6 +73,7 @@
 }
 
 impl KvCache {
+    /// The runner that has the cache.
     pub(crate) fn holder(&self) -> TransferPeer<'_> {
         TransferPeer { data_centre: &self.data_centre, version: &self.version }
     }
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -220,9 +220,8 @@
         recorded.map_err(|cause| self.withheld(cause))
     }
 
-    /// The version that the send is bound to and another one that it would reach: that of the runner,
-    /// as listed now, must be the one that was known when the runner was chosen, the one of the stream,
-    /// and that of the other runner that takes part.
+    /// A version that differs from the runner's: that of the stream, of the other runner that takes part,
+    /// or the one that the runner has in the list by now. The second value is the runner's.
     fn find_other_version(
         &self,
         runner: &Runner,
--- a/crates/bulrushusher_gateway/src/runs/returns.rs
+++ b/crates/bulrushusher_gateway/src/runs/returns.rs
@@ -24,7 +24,7 @@
 /// Time by which the clocks of a caller and of this gateway may differ on the end of a stream.
 const LIFETIME_MARGIN: Millis = Millis(1_000);
 
-/// Whence the version of a stream is known.
+/// How the version of a stream is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum VersionSource {
     /// A record at this gateway.
--- a/crates/bulrushusher_gateway/src/store/mod.rs
+++ b/crates/bulrushusher_gateway/src/store/mod.rs
@@ -6,3 +6,14 @@
 pub(crate) mod quarantine;
 pub(crate) mod renewing;
 pub(crate) mod versions;
+
+use serde::de::DeserializeOwned;
+
+/// Parses a record that gateways keep in the store. A record of another writer counts as empty and is
+/// overwritten by the next write.
+fn parse_record<T: Default + DeserializeOwned>(name: &str, value: serde_json::Value) -> T {
+    serde_json::from_value(value).unwrap_or_else(|e| {
+        log::warn!("{name}: record passed over name={name} cause=\"{e}\"");
+        T::default()
+    })
+}
--- a/crates/bulrushusher_gateway/src/store/quarantine.rs
+++ b/crates/bulrushusher_gateway/src/store/quarantine.rs
@@ -13,6 +13,7 @@
 
 use crate::dialect::{PlatformStore, RecordWrite};
 use crate::shared::SharedState;
+use crate::store::parse_record;
 
 /// Name of the record in the store.
 const RECORD: &str = "quarantine";
@@ -61,7 +62,10 @@
         let record = record.map_err(|e| e.to_string())?;
         self.metrics.record_store_call("quarantine", "read");
         let (revision, stored) = match record {
-            Some(record) => (Some(record.revision), parse_record(record.value).requests),
+            Some(record) => (
+                Some(record.revision),
+                parse_record::<QuarantineRecord>(RECORD, record.value).requests,
+            ),
             None => (None, Vec::new()),
         };
         let added = self.shared.insert_quarantined(&stored);
@@ -94,12 +98,3 @@
         }
     }
 }
-
-/// Parses the record. A record of another writer counts as empty and is overwritten by the next
-/// write.
-fn parse_record(value: serde_json::Value) -> QuarantineRecord {
-    serde_json::from_value(value).unwrap_or_else(|e| {
-        log::warn!("quarantine: record passed over name={RECORD} cause=\"{e}\"");
-        QuarantineRecord::default()
-    })
-}
--- a/crates/bulrushusher_gateway/src/store/versions.rs
+++ b/crates/bulrushusher_gateway/src/store/versions.rs
@@ -14,6 +14,7 @@
 
 use crate::dialect::{PlatformStore, RecordWrite};
 use crate::shared::{SharedState, VersionSighting};
+use crate::store::parse_record;
 
 /// Name of the record in the store.
 const RECORD: &str = "versions";
@@ -115,7 +116,7 @@
         let record = record.map_err(|e| e.to_string())?;
         self.metrics.record_store_call("versions", "read");
         let (revision, mut stored) = match record {
-            Some(record) => (Some(record.revision), parse_record(record.value)),
+            Some(record) => (Some(record.revision), parse_record(RECORD, record.value)),
             None => (None, VersionRecord::default()),
         };
         self.shared.learn_versions(&stored.sightings());
@@ -138,12 +139,3 @@
         }
     }
 }
-
-/// Parses the record. A record of another writer counts as empty and is overwritten by the next
-/// write.
-fn parse_record(value: serde_json::Value) -> VersionRecord {
-    serde_json::from_value(value).unwrap_or_else(|e| {
-        log::warn!("versions: record passed over name={RECORD} cause=\"{e}\"");
-        VersionRecord::default()
-    })
-}
