bulrushctl gateways: what each gateway knows of its runners, repeated and refused

Cause: evacuations, cold runners, refusals by residency, retries and continued streams were in metrics and logs only. Reading and parsing of metrics is shared with bulrushctl quotas.

--- a/crates/bulrushusher_ctl/src/cli.rs
+++ b/crates/bulrushusher_ctl/src/cli.rs
@@ -14,7 +14,7 @@
 use crate::apply::read_desired;
 use crate::reconcile::apply;
 use crate::show::{self, OutputFormat, Rows};
-use crate::{losses, quotas};
+use crate::{gateways, losses, quotas};
 
 pub(crate) type Client = OperatorClient<Channel>;
 
@@ -119,6 +119,7 @@
         .subcommand(command_with_name("undrain", "Resume sending work to an endpoint"))
         .subcommand(losses::command())
         .subcommand(quotas::command())
+        .subcommand(gateways::command())
         .subcommand(
             Command::new("status").about("Show the applied revision of an entry and its endpoints"),
         )
@@ -146,6 +147,7 @@
         Some(("account", args)) => account(&mut connect(&first).await?, args).await?,
         Some(("losses", args)) => return losses::losses(args, output),
         Some(("quotas", args)) => return quotas::quotas(args, output).await,
+        Some(("gateways", args)) => return gateways::gateways(args, output).await,
         Some(("apply", args)) => {
             let file = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
             let desired = read_desired(&file)?;
--- a/crates/bulrushusher_ctl/src/lib.rs
+++ b/crates/bulrushusher_ctl/src/lib.rs
@@ -3,7 +3,9 @@
 mod apply;
 mod cli;
 mod error;
+mod gateways;
 mod losses;
+mod metrics;
 mod quotas;
 mod reconcile;
 mod show;
--- a/crates/bulrushusher_ctl/src/quotas.rs
+++ b/crates/bulrushusher_ctl/src/quotas.rs
@@ -2,33 +2,23 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use bulrushusher_http::{HttpClient, HttpError, RequestParts};
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 
 use crate::CtlError;
+use crate::metrics::{Sample, gateways_arg, read_metrics};
 use crate::show::{OutputFormat, Rows};
 
 const HEADING: [&str; 5] = ["account", "used", "quota", "worst_window", "refused"];
 
-/// Timeout for reading the metrics of one gateway.
-const METRICS_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Prefix of the metric with one line per value and client account.
-const ACCOUNT_METRIC_PREFIX: &str = "bulrush_gateway_account{";
+/// Metric with one line per value and client account.
+const ACCOUNT_METRIC: &str = "bulrush_gateway_account";
 
 pub(crate) fn command() -> Command {
-    let gateways = Arg::new("gateway")
-        .required(true)
-        .num_args(1..)
-        .value_name("IP:PORT")
-        .value_parser(value_parser!(SocketAddr))
-        .help("Metrics addresses of gateways");
     Command::new("quotas")
         .about("Show the quota use of client accounts, from gateway metrics")
         .after_help("Example: bulrushctl quotas 10.1.0.35:9464 10.1.0.36:9464")
-        .arg(gateways)
+        .arg(gateways_arg())
 }
 
 /// Quota use of one client account. Each gateway exports its estimate of the use at all gateways,
@@ -45,17 +35,7 @@
 pub(crate) async fn quotas(args: &ArgMatches, output: OutputFormat) -> Result<String, CtlError> {
     let mut accounts: BTreeMap<String, AccountUse> = BTreeMap::new();
     for gateway in args.get_many::<SocketAddr>("gateway").unwrap_or_default() {
-        let parts = RequestParts {
-            method: "GET",
-            path: "/metrics",
-            headers: &[],
-            body: Default::default(),
-        };
-        let reply = HttpClient::new().call(*gateway, parts, METRICS_TIMEOUT).await;
-        let unavailable =
-            |e: HttpError| CtlError::MetricsUnavailable { gateway: *gateway, cause: e.to_string() };
-        let reply = reply.map_err(unavailable)?;
-        merge_metrics(&mut accounts, &String::from_utf8_lossy(&reply.body));
+        merge_metrics(&mut accounts, &read_metrics(*gateway).await?);
     }
     let row = |(name, account): (&String, &AccountUse)| {
         let values = [account.used, account.quota, account.worst_window, account.refused];
@@ -67,7 +47,12 @@
 
 /// Merges the metrics of one gateway into `accounts`.
 fn merge_metrics(accounts: &mut BTreeMap<String, AccountUse>, metrics: &str) {
-    for (account, what, value) in metrics.lines().filter_map(parse_metric) {
+    let samples = metrics.lines().filter_map(Sample::parse);
+    for sample in samples.filter(|sample| sample.name == ACCOUNT_METRIC) {
+        let Some((account, what)) = sample.label("account").zip(sample.label("what")) else {
+            continue;
+        };
+        let value = sample.value;
         let total = accounts.entry(account.to_owned()).or_default();
         match what {
             "used" => total.used = total.used.max(value),
@@ -78,13 +63,3 @@
         }
     }
 }
-
-/// Parses account, label `what` and value of a line; `None` for other metrics.
-fn parse_metric(line: &str) -> Option<(&str, &str, u64)> {
-    let (labels, value) = line.strip_prefix(ACCOUNT_METRIC_PREFIX)?.split_once("} ")?;
-    let label = |name: &str| {
-        let (_, rest) = labels.split_once(&format!("{name}=\""))?;
-        rest.split_once('"').map(|(value, _)| value)
-    };
-    Some((label("account")?, label("what")?, value.trim().parse::<f64>().ok()? as u64))
-}
--- a/crates/bulrushusher_ctl/tests/cli.rs
+++ b/crates/bulrushusher_ctl/tests/cli.rs
@@ -125,3 +125,42 @@
     assert_eq!(code, Some(4), "{message}");
     assert!(message.contains("give a gateway's metrics address"), "{message}");
 }
+
+#[test]
+fn gateways_shows_a_row_for_each_gateway() {
+    let first = serve_metrics(
+        "# TYPE bulrush_gateway_state gauge\n\
+         bulrush_gateway_state{gateway=\"g1\",what=\"runners\"} 12\n\
+         bulrush_gateway_state{gateway=\"g1\",what=\"runner_list_age_ms\"} 140\n\
+         bulrush_gateway_state{gateway=\"g1\",what=\"evacuated_data_centres\"} 1\n\
+         bulrush_gateway_state{gateway=\"g1\",what=\"cold_runners\"} 2\n\
+         bulrush_gateway_state{gateway=\"g1\",what=\"limited_runners\"} 0\n\
+         bulrush_gateway_state{gateway=\"g1\",what=\"leaving_runners\"} 3\n\
+         bulrush_gateway_residency_refusals_total{gateway=\"g1\"} 4\n\
+         bulrush_gateway_retries_total{gateway=\"g1\"} 7\n\
+         bulrush_gateway_resumed_streams_total{gateway=\"g1\",outcome=\"own_record\"} 5\n\
+         bulrush_gateway_resumed_streams_total{gateway=\"g1\",outcome=\"peer\"} 2\n\
+         bulrush_gateway_resumed_streams_total{gateway=\"g1\",outcome=\"no_runner\"} 1\n\
+         bulrush_gateway_resumed_streams_total{gateway=\"g1\",outcome=\"unknown_version\"} 3\n",
+    );
+    let second = serve_metrics("bulrush_gateway_state{what=\"runners\"} 11\nnot a metric\n");
+    let args = ["--output", "json", "gateways", &first.to_string(), &second.to_string()];
+    let output = Command::new(PROGRAM).args(args).output().expect("bulrushctl starts");
+    let rows: serde_json::Value =
+        serde_json::from_slice(&output.stdout).expect("the output is JSON");
+    let expected = serde_json::json!([
+        {
+            "gateway": first.to_string(), "runners": 12, "list_age_ms": 140, "evacuated": 1,
+            "cold": 2, "limited": 0, "leaving": 3, "residency_refusals": 4, "retries": 7,
+            "streams_resumed": 7, "streams_refused": 4,
+        },
+        {
+            "gateway": second.to_string(), "runners": 11, "list_age_ms": null, "evacuated": null,
+            "cold": null, "limited": null, "leaving": null, "residency_refusals": 0, "retries": 0,
+            "streams_resumed": 0, "streams_refused": 0,
+        },
+    ]);
+    assert_eq!(rows, expected);
+    let (code, message) = run(&["gateways", CLOSED_ADDRESS]);
+    assert_eq!(code, Some(4), "{message}");
+}
