Gateway: no import from the shared state into placement; shared constants of the stores' records

Cause: read again, the change had made two twins and a circle. shared/memory.rs imported PrefillOptions from placement, which itself builds on the shared state; the keeper of versions repeated the timeout and the retry delay of the keeper of quarantined requests, with the same reasons. Change: PrefillOptions moves to shared/memory.rs; the two constants stand once, beside the parser that both keepers use.

--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -14,12 +14,12 @@
 use crate::dialect::Dialect;
 use crate::placement::attempts::AttemptHistory;
 use crate::placement::holds::{HoldTerms, MemoryHold};
-use crate::placement::prefill_site::{PrefillOptions, prefill_options};
+use crate::placement::prefill_site::prefill_options;
 use crate::runners::exchange::{CONTROL_TIMEOUT, ExchangeError};
 use crate::runners::permit::Permit;
 use crate::runners::router::{ForwardedRequest, Router};
 use crate::runners::send_spec::CallerSend;
-use crate::shared::SharedState;
+use crate::shared::{PrefillOptions, SharedState};
 
 /// Interval at which a queued request tries again: a fifth of the time between two completions of
 /// generations in a busy pool of some ten runners.
--- a/crates/bulrushusher_gateway/src/placement/prefill_site.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill_site.rs
@@ -7,6 +7,7 @@
 use crate::dialect::Dialect;
 use crate::placement::holds::MemoryHold;
 use crate::runners::router::{ForwardedRequest, Router};
+use crate::shared::PrefillOptions;
 
 /// Longest prefill for which memory is held. A hold lasts 2 s, and prompts of other gateways may
 /// lengthen the queue at a prefill runner meanwhile.
@@ -65,16 +66,6 @@
     })
 }
 
-/// The runners that could prefill a prompt in time for a run that is placed now.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum PrefillOptions {
-    /// A prefill runner, and the decode runners without one of their version for which the task permits
-    /// it.
-    Any(PrefillTask),
-    /// Only decode runners for which the task permits it.
-    Decode(PrefillTask),
-}
-
 /// The runners that could prefill the prompt in time for a run that is placed now.
 pub(crate) fn prefill_options<D: Dialect>(
     cx: &Router<D>,
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -11,7 +11,6 @@
 use bulrushusher_world::{RunnerId, ServiceName};
 
 use super::SharedState;
-use crate::placement::prefill_site::PrefillOptions;
 use crate::runners::destination::Destination;
 
 /// The inputs of a memory forecast, for the log: the number of decode runners, the lowest forecast
@@ -25,6 +24,16 @@
     pub peers: usize,
 }
 
+/// The runners that could prefill a prompt in time for a run that is placed now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum PrefillOptions {
+    /// A prefill runner, and the decode runners without one of their version for which the task permits
+    /// it.
+    Any(PrefillTask),
+    /// Only decode runners for which the task permits it.
+    Decode(PrefillTask),
+}
+
 impl SharedState {
     /// Decode runners that are forecast to have room for the run, in the order in which to request
     /// memory from them. Those for which no prefill runner can prefill the prompt in time, or none of
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -4,8 +4,8 @@
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
 //! `switching`, `crashes`, `pressure`, `distances`, `quotas`, `lease`, `speeds`, `calls`,
-//! `unknown_places`. `evacuated_at`, `known_gateways`, `streams`, and
-//! `asked_streams` are held by themselves. `version_history` is taken after `runners`. No lock is held across an await point.
+//! `unknown_places`. `evacuated_at`, `known_gateways`, `streams`, and `asked_streams` are held by
+//! themselves. `version_history` is taken after `runners`. No lock is held across an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -56,6 +56,7 @@
 
 pub(crate) use calls::{CallInFlight, CallPlacement, CallTimes, CallWait};
 pub(crate) use confirmations::{ConfirmationAges, ListEvidence, UpdateSource};
+pub(crate) use memory::PrefillOptions;
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
 pub(crate) use streams::{KEEPERS, VersionSighting};
--- a/crates/bulrushusher_gateway/src/store/mod.rs
+++ b/crates/bulrushusher_gateway/src/store/mod.rs
@@ -7,8 +7,15 @@
 pub(crate) mod renewing;
 pub(crate) mod versions;
 
+use bulrushusher_time::Millis;
 use serde::de::DeserializeOwned;
 
+/// Timeout of a call for a record that gateways keep in the store. A healthy store answers within milliseconds.
+const CALL_TIMEOUT: Millis = Millis(500);
+
+/// Delay before a retry after a failed call or a conflicting write of another gateway.
+const RETRY_DELAY: Millis = Millis(700);
+
 /// Parses a record that gateways keep in the store. A record of another writer counts as empty and is
 /// overwritten by the next write.
 fn parse_record<T: Default + DeserializeOwned>(name: &str, value: serde_json::Value) -> T {
--- a/crates/bulrushusher_gateway/src/store/quarantine.rs
+++ b/crates/bulrushusher_gateway/src/store/quarantine.rs
@@ -8,22 +8,15 @@
 
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_routing::Quarantined;
-use bulrushusher_time::Millis;
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::{PlatformStore, RecordWrite};
 use crate::shared::SharedState;
-use crate::store::parse_record;
+use crate::store::{CALL_TIMEOUT, RETRY_DELAY, parse_record};
 
 /// Name of the record in the store.
 const RECORD: &str = "quarantine";
 
-/// Timeout of a call to the store. A healthy store answers within milliseconds.
-const CALL_TIMEOUT: Millis = Millis(500);
-
-/// Delay before a retry after a failed call or a conflicting write of another gateway.
-const RETRY_DELAY: Millis = Millis(700);
-
 /// Contents of the record.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct QuarantineRecord {
--- a/crates/bulrushusher_gateway/src/store/versions.rs
+++ b/crates/bulrushusher_gateway/src/store/versions.rs
@@ -14,17 +14,11 @@
 
 use crate::dialect::{PlatformStore, RecordWrite};
 use crate::shared::{SharedState, VersionSighting};
-use crate::store::parse_record;
+use crate::store::{CALL_TIMEOUT, RETRY_DELAY, parse_record};
 
 /// Name of the record in the store.
 const RECORD: &str = "versions";
 
-/// Timeout of a call to the store. A healthy store answers within milliseconds.
-const CALL_TIMEOUT: Millis = Millis(500);
-
-/// Delay before a retry after a failed call or a conflicting write of another gateway.
-const RETRY_DELAY: Millis = Millis(700);
-
 /// Interval of the checks for a version that is not in the record.
 const CHECK_INTERVAL: Millis = Millis(500);
 
