Log the parts of each prompt, when a stream began and how its end is marked

Cause: from the logs of the incident it could not be told whether the requests that ended runners share a part of their prompts, nor whether a runner that ended before its first event would look like a complete answer. Change: the dialect parses the list of prompt parts (PromptParts, at most 32 of a list; a malformed one is ignored and forwarded as before); front: accepted names them; stream: run ended tells began_ms and framing.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -38,6 +38,7 @@
 mod prefill_patience;
 mod prefill_site;
 mod prefill_timing;
+mod prompt_parts;
 mod rate_limit;
 mod relays;
 mod rendezvous;
@@ -98,6 +99,7 @@
 };
 pub use prefill_site::{DecodeLoad, PrefillSite, PrefillSiteConfig, PrefillTask};
 pub use prefill_timing::PrefillTiming;
+pub use prompt_parts::{MAX_PROMPT_PARTS, PartId, PromptParts, PromptPartsError};
 pub use rate_limit::{RateLimit, RateLimitError};
 pub use relays::{RelayPeer, RelayView, Relays, RelaysConfig, StoreContact, StoreRole};
 pub use report::{GatewayDelta, GatewayReport, RunReport};
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -162,7 +162,7 @@
         log::info!(
             "front: accepted id={} digest={} route={} service={} kind={kind} left_ms={} \
              elapsed_before_ms={} configuration={} target_ms={} pause_target_ms={} prompt={} \
-             account={} cost={} resumes={}",
+             account={} cost={} resumes={} parts={}",
             request.id,
             fwd.digest,
             fwd.route.name,
@@ -176,6 +176,7 @@
             fwd.caller.account_name().map_or("none", |name| name.as_str()),
             fwd.caller.cost(),
             request.resumes.as_ref().map_or("none", |id| id.as_str()),
+            request.parts,
         );
         let may_run = match self.router.may_run(&fwd) {
             Ok(()) => self.router.bind_to_stream(&fwd).await,
--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -8,7 +8,7 @@
 
 use bulrushusher_accounts::Credentials;
 use bulrushusher_forward::{
-    PromptSize, RequestId, RunnerSignals, SoftwareVersion, Stage, StartTime,
+    PromptParts, PromptSize, RequestId, RunnerSignals, SoftwareVersion, Stage, StartTime,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{ClientAccountName, DataCentreName, RunnerId};
@@ -37,6 +37,8 @@
     pub timeout: Option<Millis>,
     /// Size of the generation, if the request is one.
     pub size: Option<PromptSize>,
+    /// The parts of the prompt; empty if the request states none.
+    pub parts: PromptParts,
     /// Id of the last event that the caller received, when it resumes a stream.
     pub resume_after: Option<u64>,
     /// Id of the caller's attempt that brought the first event of that stream.
--- a/crates/bulrushusher_gateway/src/runners/mod.rs
+++ b/crates/bulrushusher_gateway/src/runners/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod crashes;
 pub(crate) mod destination;
 pub(crate) mod exchange;
+pub(crate) mod framing;
 pub(crate) mod permit;
 pub(crate) mod pool;
 pub(crate) mod router;
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -39,6 +39,8 @@
 pub(crate) struct StreamProgress {
     /// Id of the last event that was forwarded.
     pub last_event: Option<u64>,
+    /// When the first event of the present run arrived.
+    pub began: Option<Millis>,
     /// When the last bytes arrived.
     last_bytes: Option<Millis>,
     /// The longest gap since the first bytes.
@@ -59,6 +61,7 @@
     pub(crate) fn new(last_event: Option<u64>) -> StreamProgress {
         StreamProgress {
             last_event,
+            began: None,
             last_bytes: None,
             longest_gap: Millis(0),
             long_gaps: LongGaps::default(),
@@ -66,6 +69,12 @@
         }
     }
 
+    /// Prepares for the events of another run.
+    pub(crate) fn begin_run(&mut self) {
+        self.splitter = EventSplitter::default();
+        self.began = None;
+    }
+
     /// Records that bytes arrived; returns the gap before them, and whether the runner now counts
     /// as slow.
     fn record_bytes(
@@ -230,6 +239,7 @@
         if is_slow {
             cx.shared.record_run_end(&self.runner, false);
         }
+        progress.began.get_or_insert(arrived);
         let is_sent = match has_events {
             true => forward_events(progress, &bytes, self.tx).await,
             false => self.tx.send(Ok(bytes)).await.is_ok(),
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, AttemptPlan, EventSplitter, NextStep};
+use bulrushusher_forward::{AttemptEnd, AttemptPlan, NextStep};
 use bulrushusher_time::Millis;
 use hyper::Response;
 use tokio::sync::mpsc::{self, Sender};
@@ -12,6 +12,7 @@
 use crate::answers::body::{ReplyBody, ResponseAborted, StreamPart};
 use crate::dialect::Dialect;
 use crate::placement::attempts::{AttemptHistory, RunError};
+use crate::runners::framing::BodyFraming;
 use crate::runners::router::{ForwardedRequest, Router};
 use crate::runs::begin::start_run;
 use crate::runs::forward::{RunEnd, StreamProgress, forward_run};
@@ -54,6 +55,7 @@
     loop {
         let runner = run.runner.clone();
         let (started, watch) = (run.started, run.watch.clone());
+        let framing = BodyFraming::of(&run.reply.head.headers);
         let end = forward_run(cx, fwd, &plan, run, &mut progress, &tx).await;
         let took = cx.now().since(started);
         let last = progress.last_event.unwrap_or(0);
@@ -67,9 +69,10 @@
         let cause = if let RunEnd::Broken(cause) = &end { cause.as_str() } else { "" };
         log::info!(
             "stream: run ended id={} runner={} result={result} cause=\"{cause}\" \
-             last_event={last} longest_gap_ms={} ms={}",
+             last_event={last} began_ms={} framing={framing} longest_gap_ms={} ms={}",
             fwd.request.id,
             runner.id,
+            progress.began.map_or("never".to_owned(), |at| at.since(started).0.to_string()),
             progress.longest_gap.0,
             took.0,
         );
@@ -88,7 +91,7 @@
             }
             RunEnd::CallerGone => return,
             RunEnd::Migrated(moved) => {
-                progress.splitter = EventSplitter::default();
+                progress.begin_run();
                 let resumed = migration::resume(cx, fwd, progress.last_event, moved);
                 let next = tokio::select! {
                     next = resumed => next,
@@ -129,7 +132,7 @@
             NextStep::Retry => {}
             NextStep::ForwardError | NextStep::Finish(_) => return None,
         }
-        progress.splitter = EventSplitter::default();
+        progress.begin_run();
         let until = placement_deadline(fwd, cx.now());
         history.resume_after = progress.last_event;
         let next = start_run(cx, fwd, history, until);
