Quarantine parts of prompts on which runners crash

Cause: a quarantine was kept for the digest of one whole request. No two of these requests are alike, so each was new to it (a limit kept for one request on something that outlives it). An answer cleared a request, but for parts that says nothing: sound requests share all other parts. Change: one quarantine with two kinds of key (whole request, part of a prompt at a service). A part is refused after 3 crashes in a row without a run that outlived the crash window (5 if runners survived it before); of parts that cannot be told apart only requests with all of them. Every send and copy asks in check_before_send, those that wait for memory are told at once. Released by [quarantine] release.

--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use bulrushusher_once::{Ballot, RunStatus, Settled};
-use bulrushusher_routing::RequestDigest;
+use bulrushusher_routing::{RequestDigest, RequestKeys, SentRequest};
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{ApiError, ErrorCode, OrderRejection, RunOrder, RunState, Work};
 use bulrushusher_world::{Endpoint, EndpointName};
@@ -223,15 +223,17 @@
             work,
         };
         slot.mark_order_sent();
-        let crashes_before =
-            self.prompt.map_or(0, |prompt| self.shared.quarantine.lock().crash_count(prompt));
+        let sent = self.prompt.map(|prompt| {
+            let keys = RequestKeys::from(prompt);
+            self.shared.quarantine.lock().record_send(&keys, self.shared.clock.now())
+        });
         let sent_before = self.tokens_sent;
         let mut reader = self.reader(&endpoint);
         let end = reader.run(&order, &mut open).await;
         self.tokens_sent = reader.tokens_sent;
         match &end {
             StreamEnd::EngineEnded if self.tokens_sent <= sent_before + CRASH_WINDOW_TOKENS => {
-                self.record_crash(&endpoint, crashes_before);
+                self.record_crash(&endpoint, sent);
             }
             StreamEnd::Complete => self.record_answer(),
             _ => {}
@@ -239,12 +241,11 @@
         self.handle_stream_end(end, &ballot).await
     }
 
-    /// Records that an engine ended shortly after it had started the prompt. `crashes_before` is
-    /// the crash count of the prompt when the order was sent.
-    fn record_crash(&self, endpoint: &Endpoint, crashes_before: u32) {
-        let Some(prompt) = self.prompt else { return };
+    /// Records that an engine ended shortly after it had started the prompt.
+    fn record_crash(&self, endpoint: &Endpoint, sent: Option<SentRequest>) {
+        let (Some(prompt), Some(sent)) = (self.prompt, sent) else { return };
         let now = self.shared.clock.now();
-        let verdict = self.shared.quarantine.lock().record_crash(prompt, crashes_before, now);
+        let verdict = self.shared.quarantine.lock().record_crash(&sent, now);
         log::warn!(
             "{LOG} the engine of {} ended on {} digest={prompt}: {verdict:?}",
             endpoint.name,
@@ -256,16 +257,18 @@
     pub(crate) fn refuse_quarantined(&self) -> Result<(), ApiError> {
         let Some(prompt) = self.prompt else { return Ok(()) };
         let now = self.shared.clock.now();
-        let Some(remaining) = self.shared.quarantine.lock().remaining(prompt, now) else {
+        let Some(found) = self.shared.quarantine.lock().find(&RequestKeys::from(prompt), now)
+        else {
             return Ok(());
         };
         let message = "this prompt is in quarantine because engines crashed each time they ran it";
-        Err(ApiError::not_run(ErrorCode::Quarantined, message).with_retry_after(remaining))
+        Err(ApiError::not_run(ErrorCode::Quarantined, message).with_retry_after(found.remaining))
     }
 
     fn record_answer(&self) {
         if let Some(prompt) = self.prompt {
-            self.shared.quarantine.lock().record_answer(prompt);
+            let now = self.shared.clock.now();
+            self.shared.quarantine.lock().record_sound_run(&RequestKeys::from(prompt), now);
         }
     }
 
--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -28,6 +28,12 @@
 pub(crate) const QUARANTINED: &str = "runners ended on this request each time it was run, and it is \
                                       run no more for now; change it, or ask the operator";
 
+/// Refusal reason of a request with a quarantined part of its prompt; a retry within minutes cannot
+/// succeed.
+pub(crate) const PART_QUARANTINED: &str = "runners ended on a part of its prompt each time they ran it, and \
+                                           the part is run no more for now; leave it out, or ask \
+                                           the operator";
+
 /// Refusal reason when all data centres that could serve the request are evacuated.
 pub(crate) const EVACUATED: &str = "all data centres with runners for it are being emptied";
 
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bulrushusher_forward::{CallerLimits, RouteKind, RoutingConfig};
-use bulrushusher_routing::RequestDigest;
+use bulrushusher_routing::{RequestDigest, RequestKeys};
 use bulrushusher_time::Millis;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -235,6 +235,7 @@
             uri: origin_form(head),
             body: Bytes::new(),
             digest: RequestDigest::default(),
+            crash_keys: RequestKeys::default(),
             received,
             deadline: received.plus(timeout.min(route.timeout)),
             elapsed_before,
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -10,7 +10,7 @@
 use derive_more::Display;
 use hyper::StatusCode;
 
-use crate::answers::answer::{BACK_PRESSURE, OUTSIDE_REGIONS, VERSION_GONE};
+use crate::answers::answer::{BACK_PRESSURE, OUTSIDE_REGIONS, VERSION_GONE, Withheld};
 use crate::dialect::Dialect;
 use crate::placement::attempts::AttemptHistory;
 use crate::placement::holds::{HoldTerms, MemoryHold};
@@ -66,6 +66,8 @@
         /// Time until the first of them accepts a request.
         retry_after: Millis,
     },
+    /// Runners crash on such requests.
+    Quarantined(Withheld),
     /// No runner of the software version that began the stream is left.
     Version {
         /// Time after which to retry.
@@ -88,6 +90,7 @@
             PlacementError::Memory => "no decode memory is free",
             PlacementError::NoTime => "too little time is left for the whole answer",
             PlacementError::BackPressure { .. } => BACK_PRESSURE,
+            PlacementError::Quarantined(withheld) => withheld.reason,
             PlacementError::Version { .. } => VERSION_GONE,
             PlacementError::Residency { .. } => OUTSIDE_REGIONS,
         }
@@ -113,6 +116,7 @@
     let queued = QueueGuard { shared: cx.shared.clone(), service: fwd.service.clone(), rank };
     let mut refusals = 0;
     loop {
+        cx.check_quarantine(fwd).map_err(PlacementError::Quarantined)?;
         cx.check_residency(fwd)
             .map_err(|it| PlacementError::Residency { retry_after: it.retry_after })?;
         cx.check_version(fwd, &history.excluded_decodes)
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -69,7 +69,12 @@
         let age = shared.confirmation_age(Topic::Evacuations).map_or(u64::MAX, |age| age.0);
         metrics.set_state("evacuations_age_ms", age);
     }
-    metrics.set_state("quarantined_requests", shared.all_quarantined().len() as u64);
+    let quarantined = shared.all_quarantined();
+    metrics.set_state("quarantined_requests", quarantined.len() as u64);
+    let (duration, now) = (shared.cfg().quarantine.duration, shared.now());
+    metrics.set_quarantines(
+        quarantined.iter().map(|it| (it.keys.to_string(), it.since.plus(duration).since(now).0)),
+    );
     let pressure = shared.pressure_counts();
     metrics.set_state("limited_runners", pressure.limited as u64);
     metrics.set_state("cold_runners", pressure.cold as u64);
--- a/crates/bulrushusher_gateway/src/runners/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -1,12 +1,15 @@
-//! Detects whether a runner crashed on the request that it had just started.
+//! Detects whether a runner crashed on the request that it had just started, and refuses requests on
+//! which runners crash.
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{RequestId, Runner};
-use bulrushusher_routing::{CrashVerdict, RequestDigest};
+use bulrushusher_forward::{PartId, RequestId, Runner};
+use bulrushusher_routing::{CrashKey, CrashVerdict, KeySet, RequestDigest, SentRequest, Suspect};
 use bulrushusher_time::Millis;
 use hyper::StatusCode;
+use tokio::task::JoinHandle;
 
+use crate::answers::answer::{PART_QUARANTINED, QUARANTINED, Withheld};
 use crate::dialect::Dialect;
 use crate::runners::exchange::CONTROL_TIMEOUT;
 use crate::runners::permit::Permit;
@@ -28,41 +31,84 @@
 pub(crate) struct CrashWatch {
     id: RequestId,
     digest: RequestDigest,
-    /// Consecutive crashes that were known when the request was sent.
-    crashes_before: u32,
+    /// The shared parts of the prompt and their keys.
+    parts: Arc<[(PartId, CrashKey)]>,
+    sent: SentRequest,
     started: Millis,
+    phase: RunPhase,
+}
+
+/// How far a runner has come with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunPhase {
+    /// It was sent. For prefills and plain calls this lasts until the response.
+    Sent,
+    /// The head of its stream has arrived; the run may still wait for its turn at the runner.
+    Accepted,
+    /// Its first event has arrived.
+    Generating,
 }
 
 impl CrashWatch {
     /// Starts the watch when the request is sent to a runner.
     pub(crate) fn begin<D: Dialect>(cx: &Router<D>, fwd: &ForwardedRequest) -> CrashWatch {
-        let crashes_before = cx.shared.crash_count(fwd.digest);
-        let (id, digest) = (fwd.request.id.clone(), fwd.digest);
-        CrashWatch { id, digest, crashes_before, started: cx.now() }
+        let parts = fwd.request.parts.shared().iter();
+        CrashWatch {
+            id: fwd.request.id.clone(),
+            digest: fwd.digest,
+            parts: parts.map(|part| (*part, CrashKey::Part(fwd.part_digest(*part)))).collect(),
+            sent: cx.shared.record_crash_risk(&fwd.crash_keys),
+            started: cx.now(),
+            phase: RunPhase::Sent,
+        }
     }
 
-    /// Restarts the watch when the run starts, as the request may have been queued at the runner.
-    pub(crate) fn run_started(&mut self, now: Millis) {
-        self.started = now;
+    /// Records the head of the run's stream.
+    pub(crate) fn run_accepted(&mut self, now: Millis) {
+        (self.started, self.phase) = (now, RunPhase::Accepted);
+    }
+
+    /// Records when the first event of the run arrived.
+    pub(crate) fn run_began(&mut self, at: Millis) {
+        (self.started, self.phase) = (at, RunPhase::Generating);
     }
 
     /// Handles a connection that broke before the response was complete. A separate task probes
     /// whether the runner crashed, as connections to live runners break too; this returns when the
     /// verdict is known or after [`VERDICT_TIMEOUT`].
     pub(crate) async fn connection_lost<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) {
-        let ran_for = cx.now().since(self.started);
-        if !cx.shared.in_crash_window(ran_for) {
-            return;
+        if self.may_have_crashed(cx) {
+            let judged = self.spawn_judge(cx, runner);
+            tokio::time::timeout(VERDICT_TIMEOUT.duration(), judged).await.ok();
+        }
+    }
+
+    /// True if the runner has not yet gone on for longer than the crash window after it began to
+    /// answer.
+    fn may_have_crashed<D: Dialect>(&self, cx: &Router<D>) -> bool {
+        match self.phase {
+            // Nothing tells when its turn came.
+            RunPhase::Accepted => true,
+            RunPhase::Sent | RunPhase::Generating => {
+                cx.shared.in_crash_window(cx.now().since(self.started))
+            }
         }
+    }
+
+    /// Probes the runner and records the crash if its process has ended.
+    fn spawn_judge<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) -> JoinHandle<()> {
+        let (ran_for, may_have_crashed) = (cx.now().since(self.started), self.may_have_crashed(cx));
         let (cx, watch, runner) = (cx.clone(), self.clone(), runner.clone());
-        let probing = tokio::spawn(async move {
-            let Some(sign) = find_crash_sign(&cx, &runner).await else {
-                log::info!("quarantine: runner lives id={} runner={}", watch.id, runner.id);
-                return cx.metrics.record_crash("runner_lives");
-            };
-            watch.record_crash(&cx, &runner, ran_for, &sign);
-        });
-        tokio::time::timeout(VERDICT_TIMEOUT.duration(), probing).await.ok();
+        tokio::spawn(async move {
+            match find_crash_sign(&cx, &runner).await {
+                Some(sign) if may_have_crashed => watch.record_crash(&cx, &runner, ran_for, &sign),
+                Some(_) => {}
+                None => {
+                    log::info!("quarantine: runner lives id={} runner={}", watch.id, runner.id);
+                    cx.metrics.record_crash("runner_lives");
+                }
+            }
+        })
     }
 
     fn record_crash<D: Dialect>(
@@ -72,21 +118,87 @@
         ran_for: Millis,
         sign: &str,
     ) {
-        let verdict = cx.shared.record_crash(self.digest, self.crashes_before);
-        let (result, crashes) = match verdict {
-            CrashVerdict::Suspected { crashes } => ("suspected", crashes),
-            CrashVerdict::Quarantined => ("quarantined", self.crashes_before + 1),
-            CrashVerdict::Known => ("known", self.crashes_before),
+        let verdict = cx.shared.record_crash(&self.sent);
+        let (result, entries, suspects) = match &verdict {
+            CrashVerdict::Known => ("known", &[][..], &[][..]),
+            CrashVerdict::Suspected { suspects } => ("suspected", &[][..], &suspects[..]),
+            CrashVerdict::Quarantined { entries, suspects } => {
+                ("quarantined", &entries[..], &suspects[..])
+            }
         };
         cx.metrics.record_crash(result);
+        let crashes = suspects.iter().map(|suspect| suspect.crashes).max().unwrap_or(0);
         log::info!(
-            "quarantine: runner ended id={} digest={} runner={} ran_for_ms={} sign=\"{sign}\" \
-             crashes={crashes} result={result}",
+            "quarantine: runner ended id={} digest={} runner={} phase={:?} ran_for_ms={} \
+             sign=\"{sign}\" crashes={crashes} suspects={} result={result}",
             self.id,
             self.digest,
             runner.id,
+            self.phase,
             ran_for.0,
+            self.describe_suspects(suspects),
+        );
+        for entry in entries {
+            log::info!(
+                "quarantine: verdict keys={} parts={} since_ms={} source=own id={} crashes={} sound_runs={}",
+                entry.keys,
+                self.describe_parts(&entry.keys),
+                entry.since.0,
+                self.id,
+                entry.crashes,
+                entry.keys.iter().map(|key| cx.shared.sound_runs(key)).max().unwrap_or(0),
+            );
+        }
+    }
+
+    /// The suspected parts with the crashes of each, and those that are not suspected with a dash.
+    fn describe_suspects(&self, suspects: &[Suspect]) -> String {
+        let describe = |(part, key): &(PartId, CrashKey)| match suspects
+            .iter()
+            .find(|suspect| suspect.key == *key)
+        {
+            Some(suspect) => format!("{part}:{}", suspect.crashes),
+            None => format!("{part}:-"),
+        };
+        join_or_none(self.parts.iter().map(describe))
+    }
+
+    fn describe_parts(&self, keys: &KeySet) -> String {
+        let parts = self.parts.iter().filter(|(_, key)| keys.contains(*key));
+        join_or_none(parts.map(|(part, _)| part.to_string()))
+    }
+}
+
+fn join_or_none(texts: impl Iterator<Item = String>) -> String {
+    let texts: Vec<String> = texts.collect();
+    if texts.is_empty() { "none".to_owned() } else { texts.join(",") }
+}
+
+impl<D: Dialect> Router<D> {
+    /// Checks that runners do not crash on such requests.
+    ///
+    /// # Errors
+    /// The refusal, which is logged and counted.
+    pub(crate) fn check_quarantine(&self, fwd: &ForwardedRequest) -> Result<(), Withheld> {
+        let Some(found) = self.shared.find_quarantine(&fwd.crash_keys) else { return Ok(()) };
+        let keys = &found.entry.keys;
+        let is_part = |key| matches!(key, CrashKey::Part(_));
+        let (kind, reason) = match keys.iter().any(is_part) {
+            true => ("part", PART_QUARANTINED),
+            false => ("request", QUARANTINED),
+        };
+        self.metrics.record_quarantine_refusal(kind);
+        let parts = fwd.request.parts.shared().iter();
+        let parts = parts.filter(|it| keys.contains(CrashKey::Part(fwd.part_digest(**it))));
+        log::info!(
+            "quarantine: refused id={} keys={keys} parts={} since_ms={} crashes={} remaining_ms={}",
+            fwd.request.id,
+            join_or_none(parts.map(PartId::to_string)),
+            found.entry.since.0,
+            found.entry.crashes,
+            found.remaining.0,
         );
+        Err(Withheld { reason, retry_after: found.remaining })
     }
 }
 
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -57,6 +57,9 @@
     /// Nothing was sent, because the retry budget does not allow another arrival.
     #[display("withheld (the retry budget is used up)")]
     OverBudget,
+    /// Nothing was sent, because runners crash on such requests.
+    #[display("withheld (it is in quarantine)")]
+    Quarantined,
 }
 
 impl ExchangeError {
@@ -65,8 +68,8 @@
         matches!(self, ExchangeError::ConnectionLost { .. })
     }
 
-    /// True when back-pressure, residency or the retry budget kept the request from being sent, which
-    /// is no failure of the runner.
+    /// True when back-pressure, residency, the retry budget or the quarantine kept the request from
+    /// being sent, which is no failure of the runner.
     pub(crate) fn is_withheld(&self) -> bool {
         matches!(
             self,
@@ -74,6 +77,7 @@
                 | ExchangeError::Outside { .. }
                 | ExchangeError::OtherVersion { .. }
                 | ExchangeError::OverBudget
+                | ExchangeError::Quarantined
         )
     }
 
@@ -92,7 +96,8 @@
             | ExchangeError::Withheld { .. }
             | ExchangeError::Outside { .. }
             | ExchangeError::OtherVersion { .. }
-            | ExchangeError::OverBudget => AttemptEnd::Unsent,
+            | ExchangeError::OverBudget
+            | ExchangeError::Quarantined => AttemptEnd::Unsent,
             ExchangeError::NoAnswer { .. }
             | ExchangeError::ConnectionLost { .. }
             | ExchangeError::Foreign => AttemptEnd::Unknown,
@@ -194,6 +199,12 @@
     /// Checks, with the connection at hand, that the runner may still receive the request: what
     /// excludes it may have become known while the connection was opened.
     fn check_before_send(&self, runner: &Runner, spec: SendSpec<'_>) -> Result<(), ExchangeError> {
+        if let Some(CallerSend { fwd, .. }) = spec.purpose.caller_send()
+            && self.shared.is_quarantined(&fwd.crash_keys)
+        {
+            self.metrics.record_withheld_send("quarantine");
+            return Err(ExchangeError::Quarantined);
+        }
         if let Some(data_centre) = self.find_outside(runner, spec.purpose) {
             self.metrics.record_withheld_send("residency");
             return Err(ExchangeError::Outside { data_centre });
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -3,10 +3,10 @@
 use std::sync::{Arc, OnceLock};
 
 use bulrushusher_forward::{
-    CallResult, LoadEpoch, Route, RouteKind, Runner, SoftwareVersion, Stage,
+    CallResult, LoadEpoch, PartId, Route, RouteKind, Runner, SoftwareVersion, Stage,
 };
 use bulrushusher_report::GatewayMetrics;
-use bulrushusher_routing::RequestDigest;
+use bulrushusher_routing::{RequestDigest, RequestKeys};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName};
 use bytes::Bytes;
@@ -16,7 +16,7 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 
 use crate::access::caller::{Caller, KEY_NOT_CONFIRMED, KEY_RECHECK_DELAY};
-use crate::answers::answer::{EVACUATED, QUARANTINED, Withheld};
+use crate::answers::answer::{EVACUATED, Withheld};
 use crate::dialect::{Attempt, CallerRequest, Dialect, KvCache, Step};
 use crate::runners::arrivals::PaidArrivals;
 use crate::runners::exchange::{ExchangeError, Exchanger, Reply};
@@ -55,6 +55,8 @@
     pub body: Bytes,
     /// Digest of the request and its caller; a retry of the same request has the same digest.
     pub digest: RequestDigest,
+    /// What the request is recognised by when runners crash on it.
+    pub crash_keys: RequestKeys,
     /// When the head was read.
     pub received: Millis,
     /// When the caller must have its final response.
@@ -87,10 +89,18 @@
         own.unwrap_or(self.route.priority)
     }
 
-    /// Sets the body and computes the digest.
+    /// Sets the body and computes the digests.
     pub(crate) fn set_body(&mut self, body: Bytes) {
         self.body = body;
         self.digest = self.compute_digest();
+        let parts = self.request.parts.shared().iter().map(|part| self.part_digest(*part));
+        self.crash_keys = RequestKeys::new(self.digest, parts);
+    }
+
+    /// Digest of a part of the prompt at the engines of the service. All versions of their software
+    /// count as one: which of them a part crashes is not known before it has crashed each.
+    pub(crate) fn part_digest(&self, part: PartId) -> RequestDigest {
+        RequestDigest::of([self.service.as_str().as_bytes(), &part.to_bytes()])
     }
 
     fn compute_digest(&self) -> RequestDigest {
@@ -129,9 +139,7 @@
     /// # Errors
     /// The reason why it may not run, with the time after which to retry.
     pub(crate) fn may_run(&self, fwd: &ForwardedRequest) -> Result<(), Withheld> {
-        if let Some(retry_after) = self.shared.quarantine_remaining(fwd.digest) {
-            return Err(Withheld { reason: QUARANTINED, retry_after });
-        }
+        self.check_quarantine(fwd)?;
         if !fwd.caller.is_authorized() {
             return Err(Withheld { reason: KEY_NOT_CONFIRMED, retry_after: KEY_RECHECK_DELAY });
         }
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -77,6 +77,7 @@
         | PlacementError::Residency { retry_after } => {
             RunError::Withheld(Withheld { reason: e.reason(), retry_after })
         }
+        PlacementError::Quarantined(withheld) => RunError::Withheld(withheld),
         _ => RunError::Unplaced(e.reason()),
     })
 }
@@ -178,7 +179,7 @@
             record(step_label(prefills), result, "");
             cx.pin_version(fwd, &runner.version);
             let migrate_after = Millis(0);
-            crash_watch.run_started(cx.now());
+            crash_watch.run_accepted(cx.now());
             let watch = crash_watch;
             return Ok(Run { runner, reply, started, held, migrate_after, watch, _load: load });
         }
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -238,7 +238,7 @@
     let ended = read.unwrap_or_else(failed_exchange);
     if matches!(ended, AttemptResult::Answer(..)) {
         in_flight.record_answer();
-        cx.shared.record_answer(fwd.digest);
+        cx.shared.record_sound_run(&fwd.crash_keys);
     }
     let (result, detail) = match &ended {
         AttemptResult::Answer(..) => (CallResult::Answered(Millis(0)), ""),
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -33,6 +33,8 @@
     DeadlinePassed,
     /// The stream broke off, for the given reason.
     Broken(String),
+    /// The runner was silent for too long, and the run may be resumed elsewhere.
+    Silent(String),
 }
 
 /// How much of the stream the caller has received.
@@ -121,6 +123,8 @@
     /// True while the run generates nothing.
     is_stalled: bool,
     silent_since: Millis,
+    /// True once the run has outlived the crash window.
+    is_sound: bool,
 }
 
 /// Forwards the stream of `run` until the run ends or is migrated.
@@ -148,6 +152,7 @@
         was_silent: false,
         is_stalled: false,
         silent_since: cx.now(),
+        is_sound: false,
     };
     loop {
         match stream.next_event(&mut body).await {
@@ -159,7 +164,7 @@
             }
             StreamEvent::Silence { at_deadline: true } => return RunEnd::DeadlinePassed,
             StreamEvent::Silence { .. } if plan.may_run_again() => {
-                return RunEnd::Broken(format!("silent for {}", silence_timeout(fwd)));
+                return RunEnd::Silent(format!("silent for {}", silence_timeout(fwd)));
             }
             StreamEvent::Silence { .. } => stream.record_silence(),
             StreamEvent::Bytes(bytes) => {
@@ -239,7 +244,11 @@
         if is_slow {
             cx.shared.record_run_end(&self.runner, false);
         }
-        progress.began.get_or_insert(arrived);
+        let began = *progress.began.get_or_insert(arrived);
+        if !self.is_sound && !cx.shared.in_crash_window(arrived.since(began)) {
+            self.is_sound = true;
+            cx.shared.record_sound_run(&self.fwd.crash_keys);
+        }
         let is_sent = match has_events {
             true => forward_events(progress, &bytes, self.tx).await,
             false => self.tx.send(Ok(bytes)).await.is_ok(),
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -54,9 +54,12 @@
     let first_start = run.started;
     loop {
         let runner = run.runner.clone();
-        let (started, watch) = (run.started, run.watch.clone());
+        let (started, mut watch) = (run.started, run.watch.clone());
         let framing = BodyFraming::of(&run.reply.head.headers);
         let end = forward_run(cx, fwd, &plan, run, &mut progress, &tx).await;
+        if let Some(began) = progress.began {
+            watch.run_began(began);
+        }
         let took = cx.now().since(started);
         let last = progress.last_event.unwrap_or(0);
         let result = match &end {
@@ -65,8 +68,12 @@
             RunEnd::CallerGone => "caller_gone",
             RunEnd::DeadlinePassed => "time_over",
             RunEnd::Broken(_) => "broken",
+            RunEnd::Silent(_) => "silent",
+        };
+        let cause = match &end {
+            RunEnd::Broken(cause) | RunEnd::Silent(cause) => cause.as_str(),
+            _ => "",
         };
-        let cause = if let RunEnd::Broken(cause) = &end { cause.as_str() } else { "" };
         log::info!(
             "stream: run ended id={} runner={} result={result} cause=\"{cause}\" \
              last_event={last} began_ms={} framing={framing} longest_gap_ms={} ms={}",
@@ -79,7 +86,7 @@
         cx.metrics.record_attempt("stream", result, took.0 as f64);
         match end {
             RunEnd::Complete => {
-                cx.shared.record_answer(fwd.digest);
+                cx.shared.record_sound_run(&fwd.crash_keys);
                 cx.shared.record_run_end(&runner, true);
                 let expected = fwd.request.size.map_or(0, |size| size.expected());
                 let generated = last * cx.shared.tokens_per_event(&fwd.service);
@@ -107,6 +114,7 @@
                 watch.connection_lost(cx, &runner).await;
                 cx.shared.record_run_end(&runner, false);
             }
+            RunEnd::Silent(_) => cx.shared.record_run_end(&runner, false),
         }
         match resume_elsewhere(cx, fwd, &mut plan, &mut progress, &mut history, &tx).await {
             Some(next) => run = next,
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -9,7 +9,7 @@
     PatientPrefills, QueueOrder, RetryAfterConfig, RunnerDirectoryConfig, ShutdownConfig,
     StagesConfig, WaitQueueConfig,
 };
-use bulrushusher_routing::{QuarantineConfig, RetryConfig};
+use bulrushusher_routing::{KeySet, QuarantineConfig, RetryConfig};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, Topology, VmName};
 
@@ -20,6 +20,9 @@
     settings: SETTINGS,
 };
 
+/// Value of the setting that names released keys, if there are none.
+const NO_RELEASE: &str = "none";
+
 const SETTINGS: &[Setting] = &[
     setting("gateway", "name", Kind::Text, None, "Name of the VM, unique in the deployment."),
     setting("gateway", "data_centre", Kind::Text, None, "Data centre of the VM."),
@@ -226,6 +229,28 @@
         Some("2"),
         "Consecutive runner crashes on a request after which it is quarantined.",
     ),
+    setting(
+        "quarantine",
+        "part_crashes",
+        Kind::Count(1, 100),
+        Some("3"),
+        "Consecutive runner crashes on requests with a part of a prompt after which it is quarantined.",
+    ),
+    setting(
+        "quarantine",
+        "sound_part_crashes",
+        Kind::Count(1, 100),
+        Some("5"),
+        "The same for a part that runners have survived before.",
+    ),
+    setting(
+        "quarantine",
+        "release",
+        Kind::Text,
+        Some(NO_RELEASE),
+        "Keys whose quarantine ends at once, as `bulrushctl quarantine` shows them, separated by commas; \
+         or `none`.",
+    ),
     setting(
         "quarantine",
         "lasts_s",
@@ -345,6 +370,8 @@
     pub call_sharing: CallSharing,
     /// When a request that crashes runners is quarantined.
     pub quarantine: QuarantineConfig,
+    /// Keys whose quarantine the operator has ended.
+    pub released_keys: KeySet,
     /// When other gateways count as live or gone.
     pub gateways: GatewayDirectoryConfig,
     /// Amount of memory that is held for a generation.
@@ -455,9 +482,12 @@
             call_sharing: call_sharing(values.text("calls", "sharing")),
             quarantine: QuarantineConfig {
                 crash_threshold: values.count("quarantine", "crashes") as u32,
+                part_threshold: values.count("quarantine", "part_crashes") as u32,
+                sound_part_threshold: values.count("quarantine", "sound_part_crashes") as u32,
                 duration: Millis((values.real("quarantine", "lasts_s") * 1_000.0) as u64),
                 ..QuarantineConfig::default()
             },
+            released_keys: released_keys(values)?,
             gateways: GatewayDirectoryConfig {
                 gone_after: Millis((values.real("gateways", "gone_after_s") * 1_000.0) as u64),
                 ..GatewayDirectoryConfig::default()
@@ -501,6 +531,14 @@
     }
 }
 
+/// The keys whose quarantine the operator has ended.
+fn released_keys(values: &Values) -> Result<KeySet, ConfigError> {
+    match values.text("quarantine", "release") {
+        NO_RELEASE => Ok(KeySet::default()),
+        _ => values.checked("quarantine", "release"),
+    }
+}
+
 fn call_sharing(value: &str) -> CallSharing {
     match value {
         "on" => CallSharing::On,
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -168,6 +168,7 @@
 impl SharedState {
     pub(crate) fn new(cfg: GatewayConfig, clock: Clock, seed: u64) -> SharedState {
         let quarantine = Quarantine::new(cfg.quarantine);
+        let released_keys = cfg.released_keys.clone();
         let quotas = QuotaLimiter::new(cfg.quotas, clock.now());
         let name = cfg.name.to_string().into();
         let relays = relays::RelayState::new(&cfg);
@@ -197,7 +198,7 @@
             evacuated_at: Mutex::default(),
             confirmations: Mutex::default(),
             switching: Mutex::default(),
-            crashes: Mutex::new(crashes::CrashState::new(quarantine)),
+            crashes: Mutex::new(crashes::CrashState::new(quarantine, released_keys)),
             pressure: Mutex::new(pressure),
             quotas: Mutex::new(quotas),
             usage_known: watch::Sender::default(),
@@ -251,6 +252,7 @@
             queue.reconfigure(cfg.waiting);
         }
         self.crashes.lock().quarantine.reconfigure(cfg.quarantine);
+        self.set_released(cfg.released_keys.clone());
         self.quotas.lock().set_config(cfg.quotas);
         self.cfg.store(Arc::new(cfg));
         self.update_cold_services();
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -1,7 +1,10 @@
 //! Metrics of a gateway.
 
+use std::collections::BTreeSet;
+
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use parking_lot::Mutex;
 
 use crate::Exporter;
 
@@ -19,6 +22,10 @@
     store_calls: Counter<u64>,
     orders: Counter<u64>,
     crashes: Counter<u64>,
+    quarantine_refusals: Counter<u64>,
+    quarantine: Gauge<u64>,
+    /// Keys that the gauge shows with a time.
+    quarantines_shown: Mutex<BTreeSet<String>>,
     signals: Counter<u64>,
     withheld_sends: Counter<u64>,
     residency_refusals: Counter<u64>,
@@ -112,6 +119,15 @@
                 "bulrush_gateway_crashes",
                 "Connections that broke just after a run began, by what became of the runner",
             ),
+            quarantine_refusals: counter(
+                "bulrush_gateway_quarantine_refusals",
+                "Requests refused because runners crash on them, by what is in quarantine",
+            ),
+            quarantine: meter
+                .u64_gauge("bulrush_gateway_quarantine_ms")
+                .with_description("Time until a quarantine ends, by its keys, in ms")
+                .build(),
+            quarantines_shown: Mutex::default(),
             signals: counter(
                 "bulrush_gateway_runner_signals",
                 "Changes of runners' back-pressure signals, by kind",
@@ -258,6 +274,30 @@
         self.crashes.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records a request that was refused because of a quarantine of `kind`: `request` or `part`.
+    ///
+    /// ```
+    /// let metrics = bulrushusher_report::GatewayMetrics::new("front-1");
+    /// metrics.record_quarantine_refusal("part");
+    /// assert!(metrics.render().contains("bulrush_gateway_quarantine_refusals_total"));
+    /// ```
+    pub fn record_quarantine_refusal(&self, kind: &'static str) {
+        self.quarantine_refusals.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Sets the keys in quarantine, with the time until the quarantine of each ends, in ms. Former ones
+    /// are set to 0.
+    pub fn set_quarantines(&self, entries: impl IntoIterator<Item = (String, u64)>) {
+        let mut shown = self.quarantines_shown.lock();
+        let former = std::mem::take(&mut *shown).into_iter().map(|keys| (keys, 0));
+        for (keys, remaining_ms) in former.chain(entries) {
+            if remaining_ms > 0 {
+                shown.insert(keys.clone());
+            }
+            self.quarantine.record(remaining_ms, &[KeyValue::new("keys", keys)]);
+        }
+    }
+
     /// Records a change of the back-pressure signals in a runner's responses.
     pub fn record_signal(&self, kind: &'static str) {
         self.signals.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/bulrushusher_routing/src/lib.rs
+++ b/crates/bulrushusher_routing/src/lib.rs
@@ -21,7 +21,8 @@
 pub use policy::Policy;
 pub use prefix::{PrefixConfig, PrefixIndex};
 pub use quarantine::{
-    CrashUpdate, CrashVerdict, Quarantine, QuarantineConfig, Quarantined, Suspect,
+    CrashKey, CrashKeyError, CrashUpdate, CrashVerdict, KeySet, Quarantine, QuarantineConfig,
+    QuarantineMatch, Quarantined, RequestKeys, SentRequest, Suspect,
 };
 pub use retry::{RetryBudget, RetryConfig};
 
--- a/crates/bulrushusher_routing/tests/quarantine.rs
+++ b/crates/bulrushusher_routing/tests/quarantine.rs
@@ -4,7 +4,8 @@
 //! and which requests it had just started.
 
 use bulrushusher_routing::{
-    CrashUpdate, CrashVerdict, Quarantine, QuarantineConfig, Quarantined, RequestDigest, Suspect,
+    CrashKey, CrashUpdate, CrashVerdict, KeySet, Quarantine, QuarantineConfig, Quarantined,
+    RequestDigest, RequestKeys, SentRequest,
 };
 use bulrushusher_time::Millis;
 use proptest::prelude::*;
@@ -23,6 +24,20 @@
     RequestDigest::of([&[request as u8][..]])
 }
 
+fn keys(request: usize) -> RequestKeys {
+    RequestKeys::from(digest(request))
+}
+
+fn is_quarantined(quarantine: &Quarantine, request: usize, now: Millis) -> bool {
+    quarantine.find(&keys(request), now).is_some()
+}
+
+/// The verdict that the request is suspected, with its number of crashes.
+fn suspected_with(verdict: &CrashVerdict, crashes: u32) -> bool {
+    let CrashVerdict::Suspected { suspects } = verdict else { return false };
+    suspects.len() == 1 && suspects[0].crashes == crashes
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// The crashing request arrives. `beside`: another gateway with its request that has just
@@ -70,20 +85,20 @@
         Fleet { gateways, store: Vec::new(), now: Millis(1_000_000), crashed: 0, uninformed: 0 }
     }
 
+    fn send(&self, gateway: usize, request: usize) -> SentRequest {
+        self.gateways[gateway].record_send(&keys(request), self.now)
+    }
+
     /// A runner ends while it runs a request; peers are informed unless their datagram is lost.
-    fn crash(&mut self, gateway: usize, request: usize, before: u32, lost: &[bool]) {
-        let now = self.now;
-        let verdict = self.gateways[gateway].record_crash(digest(request), before, now);
+    fn crash(&mut self, gateway: usize, sent: &SentRequest, lost: &[bool]) {
+        let verdict = self.gateways[gateway].record_crash(sent, self.now);
         let mut update = CrashUpdate::default();
         match verdict {
             CrashVerdict::Known => {}
-            CrashVerdict::Suspected { crashes } => {
-                update.suspects.push(Suspect { digest: digest(request), crashes });
-            }
-            CrashVerdict::Quarantined => {
-                let entry = Quarantined { digest: digest(request), since: now };
-                update.quarantined.push(entry);
-                self.store.push(entry);
+            CrashVerdict::Suspected { suspects } => update.suspects = suspects,
+            CrashVerdict::Quarantined { entries, .. } => {
+                self.store.extend(entries.clone());
+                update.quarantined = entries;
             }
         }
         self.broadcast(gateway, &update, lost);
@@ -104,7 +119,7 @@
     fn restart(&mut self, gateway: usize) {
         let mut restarted = Quarantine::new(QuarantineConfig::default());
         for entry in &self.store {
-            restarted.insert(*entry, self.now);
+            restarted.insert(entry, self.now);
         }
         self.gateways[gateway] = restarted;
     }
@@ -113,34 +128,35 @@
         self.now = self.now.plus(STEP);
         match step {
             Step::Crash { gateway, beside, lost } => {
-                if self.gateways[*gateway].remaining(digest(0), self.now).is_some() {
+                if is_quarantined(&self.gateways[*gateway], 0, self.now) {
                     return;
                 }
                 self.crashed += 1;
                 let before = self.gateways[*gateway].crash_count(digest(0));
                 let knows_more = |it: &Quarantine| {
-                    it.remaining(digest(0), self.now).is_some()
-                        || it.crash_count(digest(0)) > before
+                    is_quarantined(it, 0, self.now) || it.crash_count(digest(0)) > before
                 };
                 self.uninformed += usize::from(self.gateways.iter().any(knows_more));
-                self.crash(*gateway, 0, before, lost);
+                let sent = self.send(*gateway, 0);
+                self.crash(*gateway, &sent, lost);
                 if let Some((other, request)) = beside {
-                    let before = self.gateways[*other].crash_count(digest(*request));
-                    self.crash(*other, *request, before, lost);
+                    let sent = self.send(*other, *request);
+                    self.crash(*other, &sent, lost);
                 }
             }
             Step::Answer { gateway, request } => {
-                if self.gateways[*gateway].record_answer(digest(*request)) {
-                    let cleared = vec![digest(*request)];
+                let keys = keys(*request);
+                let cleared = self.gateways[*gateway].record_sound_run(&keys, self.now);
+                if !cleared.is_empty() {
                     let update = CrashUpdate { cleared, ..CrashUpdate::default() };
                     self.broadcast(*gateway, &update, &[]);
                 }
             }
             Step::EndTogether { request } => {
-                let before: Vec<u32> =
-                    self.gateways.iter().map(|it| it.crash_count(digest(*request))).collect();
-                for (gateway, before) in before.into_iter().enumerate() {
-                    self.crash(gateway, *request, before, &[]);
+                let sent: Vec<SentRequest> =
+                    (0..GATEWAYS).map(|gateway| self.send(gateway, *request)).collect();
+                for (gateway, sent) in sent.iter().enumerate() {
+                    self.crash(gateway, sent, &[]);
                 }
             }
             Step::Restart { gateway } => self.restart(*gateway),
@@ -199,7 +215,7 @@
             fleet.apply(&Step::Answer { gateway: 3, request: 1 });
         }
         let now = fleet.now;
-        prop_assert!(fleet.gateways.iter().all(|it| it.remaining(digest(1), now).is_none()));
+        prop_assert!(fleet.gateways.iter().all(|it| !is_quarantined(it, 1, now)));
     }
 }
 
@@ -207,10 +223,11 @@
 fn an_answer_between_two_crashes_clears_a_request() {
     let mut quarantine = Quarantine::new(QuarantineConfig::default());
     for round in 0..20 {
-        let before = quarantine.crash_count(digest(1));
-        let verdict = quarantine.record_crash(digest(1), before, Millis(round * 1_000));
-        assert_eq!(verdict, CrashVerdict::Suspected { crashes: 1 });
-        assert!(quarantine.record_answer(digest(1)));
+        let now = Millis(round * 1_000);
+        let sent = quarantine.record_send(&keys(1), now);
+        let verdict = quarantine.record_crash(&sent, now);
+        assert!(suspected_with(&verdict, 1), "{verdict:?}");
+        assert_eq!(quarantine.record_sound_run(&keys(1), now), [CrashKey::Request(digest(1))]);
     }
 }
 
@@ -219,18 +236,21 @@
     let cfg = QuarantineConfig::default();
     let mut quarantine = Quarantine::new(cfg);
     let crash = |quarantine: &mut Quarantine, now| {
-        let before = quarantine.crash_count(digest(1));
-        quarantine.record_crash(digest(1), before, now)
+        let sent = quarantine.record_send(&keys(1), now);
+        quarantine.record_crash(&sent, now)
     };
-    assert_eq!(crash(&mut quarantine, Millis(0)), CrashVerdict::Suspected { crashes: 1 });
-    assert_eq!(crash(&mut quarantine, Millis(10)), CrashVerdict::Quarantined);
-    assert_eq!(quarantine.remaining(digest(1), Millis(20)), Some(Millis(cfg.duration.0 - 10)));
+    assert!(suspected_with(&crash(&mut quarantine, Millis(0)), 1));
+    let verdict = crash(&mut quarantine, Millis(10));
+    assert!(matches!(verdict, CrashVerdict::Quarantined { .. }), "{verdict:?}");
+    let found = quarantine.find(&keys(1), Millis(20)).unwrap();
+    assert_eq!(found.remaining, Millis(cfg.duration.0 - 10));
     let over = Millis(10).plus(cfg.duration);
-    assert_eq!(quarantine.remaining(digest(1), over), None);
-    assert_eq!(crash(&mut quarantine, over), CrashVerdict::Suspected { crashes: 1 });
+    assert_eq!(quarantine.find(&keys(1), over), None);
+    assert!(suspected_with(&crash(&mut quarantine, over), 1));
     // Expired suspects are removed when another request crashes a runner.
     let later = over.plus(cfg.suspect_ttl);
-    quarantine.record_crash(digest(2), 0, later);
+    let sent = quarantine.record_send(&keys(2), later);
+    quarantine.record_crash(&sent, later);
     assert_eq!(quarantine.crash_count(digest(1)), 0);
 }
 
@@ -240,9 +260,10 @@
     let mut quarantine = Quarantine::new(cfg);
     for request in 0..100 {
         let now = Millis(request as u64);
-        quarantine.record_crash(digest(request), 0, now);
-        quarantine.record_crash(digest(request), 1, now);
-        quarantine.record_crash(digest(100 + request), 0, now);
+        for request in [request, request, 100 + request] {
+            let sent = quarantine.record_send(&keys(request), now);
+            quarantine.record_crash(&sent, now);
+        }
     }
     assert_eq!(quarantine.entries(Millis(100)).len(), 8);
     let known = (100..200).filter(|request| quarantine.crash_count(digest(*request)) > 0).count();
@@ -253,7 +274,9 @@
 fn a_quarantine_by_a_gateway_whose_clock_is_ahead_lasts_no_longer() {
     let cfg = QuarantineConfig::default();
     let mut quarantine = Quarantine::new(cfg);
-    let ahead = Quarantined { digest: digest(1), since: Millis(9_000_000) };
-    assert!(quarantine.insert(ahead, Millis(1_000)));
-    assert_eq!(quarantine.remaining(digest(1), Millis(1_000)), Some(cfg.duration));
+    let of_request = KeySet::from(CrashKey::Request(digest(1)));
+    let ahead = Quarantined { keys: of_request, since: Millis(9_000_000), crashes: 2 };
+    assert!(quarantine.insert(&ahead, Millis(1_000)));
+    let found = quarantine.find(&keys(1), Millis(1_000)).unwrap();
+    assert_eq!(found.remaining, cfg.duration);
 }
