An answer that ends with its connection speaks for a request only if its runner lives

Callers saw: an answer cut off by the end of its runner, in a body without length or chunks, looked complete; and such a crash cleared the suspicion of its request and parts. Cause: the end of the connection was taken as the end of the answer, also before the first event. Change: a stream that ends so before its first event has broken off; at the end of an event its runner is asked whether it lives (40 ms at most), and only then it is complete and counts as sound. A plain answer is its caller's, and its runner is asked beside it. A prefill without a handle counts as broken. Such connections are never kept.

--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -13,6 +13,7 @@
 use crate::placement::prefill_site::{decode_may_prefill, select_site};
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::ExchangeError;
+use crate::runners::framing::BodyFraming;
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptRecord, AttemptSpec, ForwardedRequest, LoadGuard, Router};
 use crate::runners::send_trace::SendTrace;
@@ -197,6 +198,7 @@
     let spec = AttemptSpec { resume_after, step: Step::Prefill, permit: Permit::Acquire };
     let reply = cx.attempt(fwd, runner, spec, timeout, trace).await.map_err(lost)?;
     let info = reply.info.clone();
+    let framing = BodyFraming::of(&reply.head.headers);
     let (head, body) = cx.exchanger.read_whole(runner, reply, timeout).await.map_err(lost)?;
     if info.wrong_runner {
         cx.remove_runner(&runner.id, "another runner has its address");
@@ -207,7 +209,11 @@
     if !head.status.is_success() {
         return Err(failed(CallResult::Failed, format!("status {}", head.status.as_u16())));
     }
-    let unreadable =
-        || failed(CallResult::Failed, "the response contains no cache handle".to_owned());
+    let unreadable = || PrefillFailure {
+        result: CallResult::Failed,
+        cause: "the response contains no cache handle".to_owned(),
+        // Without a mark of its end it may have been cut off by a crash.
+        is_connection_lost: framing == BodyFraming::Close,
+    };
     cx.dialect.parse_cache_handle(&body).ok_or_else(unreadable)
 }
--- a/crates/bulrushusher_gateway/src/runners/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -78,11 +78,28 @@
     /// verdict is known or after [`VERDICT_TIMEOUT`].
     pub(crate) async fn connection_lost<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) {
         if self.may_have_crashed(cx) {
-            let judged = self.spawn_judge(cx, runner);
+            let judged = self.spawn_judge(cx, runner, false);
             tokio::time::timeout(VERDICT_TIMEOUT.duration(), judged).await.ok();
         }
     }
 
+    /// Handles a whole response that ended with its connection, as that of a crashed runner does. The
+    /// response is the caller's all the same, so the verdict is not waited for.
+    pub(crate) fn connection_ended<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) {
+        drop(self.spawn_judge(cx, runner, true));
+    }
+
+    /// True unless the runner has ended, as far as can be found out within [`VERDICT_TIMEOUT`]: a stream
+    /// without a mark of its end is complete only if its runner lives on.
+    pub(crate) async fn runner_lives<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) -> bool {
+        let sign = tokio::time::timeout(VERDICT_TIMEOUT.duration(), find_crash_sign(cx, runner));
+        let lives = sign.await.map(|sign| sign.is_none());
+        if lives == Ok(true) {
+            cx.shared.record_sound_run(self.sent.keys());
+        }
+        lives.unwrap_or(true)
+    }
+
     /// True if the runner has not yet gone on for longer than the crash window after it began to
     /// answer.
     fn may_have_crashed<D: Dialect>(&self, cx: &Router<D>) -> bool {
@@ -95,8 +112,14 @@
         }
     }
 
-    /// Probes the runner and records the crash if its process has ended.
-    fn spawn_judge<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) -> JoinHandle<()> {
+    /// Probes the runner and records the crash if its process has ended. A runner that lives speaks for
+    /// the request if it `answered`.
+    fn spawn_judge<D: Dialect>(
+        &self,
+        cx: &Router<D>,
+        runner: &Runner,
+        answered: bool,
+    ) -> JoinHandle<()> {
         let (ran_for, may_have_crashed) = (cx.now().since(self.started), self.may_have_crashed(cx));
         let (cx, watch, runner) = (cx.clone(), self.clone(), runner.clone());
         tokio::spawn(async move {
@@ -106,6 +129,9 @@
                 None => {
                     log::info!("quarantine: runner lives id={} runner={}", watch.id, runner.id);
                     cx.metrics.record_crash("runner_lives");
+                    if answered {
+                        cx.shared.record_sound_run(watch.sent.keys());
+                    }
                 }
             }
         })
--- a/crates/bulrushusher_gateway/src/runners/pool.rs
+++ b/crates/bulrushusher_gateway/src/runners/pool.rs
@@ -19,6 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::runners::framing::BodyFraming;
+
 /// Timeout of a new connection. The round trip to runners takes half a millisecond; a lost SYN is
 /// retransmitted only after a second or more, by which time another runner has long responded.
 const CONNECT_TIMEOUT: Millis = Millis(250);
@@ -100,13 +102,17 @@
         Ok(RunnerConnection { sender, reused: false, _driver: driver })
     }
 
-    /// Returns a connection whose last response was read to its end, unless the runner closes it.
+    /// Returns a connection whose last response was read to its end, unless the runner closes it or its
+    /// end was that of the response.
     pub(crate) fn keep(
         &self,
         runner: &RunnerId,
         mut connection: RunnerConnection,
         head: &HeaderMap,
     ) {
+        if BodyFraming::of(head) == BodyFraming::Close {
+            return;
+        }
         let Some(idle_timeout) = idle_timeout(head) else { return };
         connection.reused = true;
         let until = self.clock.now().plus(idle_timeout).since(IDLE_MARGIN);
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -14,6 +14,7 @@
 use crate::dialect::{Dialect, Step};
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::{ExchangeError, Reply};
+use crate::runners::framing::BodyFraming;
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptRecord, AttemptSpec, ForwardedRequest, LoadGuard, Router};
 use crate::runners::send_trace::SendTrace;
@@ -225,8 +226,10 @@
     let resume_after = fwd.request.resume_after;
     let spec = AttemptSpec { resume_after, step: Step::Whole, permit: Permit::Acquire };
     let reply = cx.attempt(fwd, runner, spec, timeout, trace).await;
+    let mut framing = BodyFraming::Marked;
     let read = match reply {
         Ok(reply) => {
+            framing = BodyFraming::of(&reply.head.headers);
             let remaining = timeout.since(cx.now().since(started)).plus(Millis(1));
             read_response(cx, runner, reply, remaining).await
         }
@@ -238,7 +241,10 @@
     let ended = read.unwrap_or_else(failed_exchange);
     if matches!(ended, AttemptResult::Answer(..)) {
         in_flight.record_answer();
-        cx.shared.record_sound_run(&fwd.crash_keys);
+        match framing {
+            BodyFraming::Marked => cx.shared.record_sound_run(&fwd.crash_keys),
+            BodyFraming::Close => watch.connection_ended(cx, runner),
+        }
     }
     let (result, detail) = match &ended {
         AttemptResult::Answer(..) => (CallResult::Answered(Millis(0)), ""),
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -14,6 +14,7 @@
 use crate::dialect::Dialect;
 use crate::placement::holds::MemoryHold;
 use crate::runners::exchange::Reply;
+use crate::runners::framing::BodyFraming;
 use crate::runners::router::{ForwardedRequest, Router};
 use crate::runs::migration::{MigratedRun, Migration};
 use crate::runs::run::{Run, silence_timeout};
@@ -139,6 +140,7 @@
     let Run { runner, reply, held, migrate_after, _load, .. } = run;
     let Reply { head, mut body, connection, .. } = reply;
     let has_events = is_event_stream(&head.headers);
+    let framing = BodyFraming::of(&head.headers);
     let migration = Migration::not_before(migrate_after);
     let mut stream = RunStream {
         cx,
@@ -173,9 +175,15 @@
                 }
             }
             StreamEvent::End => {
-                let is_complete = progress.splitter.rest().is_empty();
+                let cause = match (framing, progress.began) {
+                    // A runner that crashed before its first event closes the connection too.
+                    (BodyFraming::Close, None) => "it ended before its first event",
+                    _ => "it ended inside an event",
+                };
+                let is_empty = framing == BodyFraming::Close && progress.began.is_none();
+                let is_complete = !is_empty && progress.splitter.rest().is_empty();
                 let runner = stream.runner.id.clone();
-                let end = stream.finish_interrupted("it ended inside an event".to_owned()).await;
+                let end = stream.finish_interrupted(cause.to_owned()).await;
                 if !(is_complete && matches!(end, RunEnd::Broken(_))) {
                     return end;
                 }
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -56,10 +56,16 @@
         let runner = run.runner.clone();
         let (started, mut watch) = (run.started, run.watch.clone());
         let framing = BodyFraming::of(&run.reply.head.headers);
-        let end = forward_run(cx, fwd, &plan, run, &mut progress, &tx).await;
+        let mut end = forward_run(cx, fwd, &plan, run, &mut progress, &tx).await;
         if let Some(began) = progress.began {
             watch.run_began(began);
         }
+        if matches!(end, RunEnd::Complete)
+            && framing == BodyFraming::Close
+            && !watch.runner_lives(cx, &runner).await
+        {
+            end = RunEnd::Broken("its runner ended with it".to_owned());
+        }
         let took = cx.now().since(started);
         let last = progress.last_event.unwrap_or(0);
         let result = match &end {
@@ -86,7 +92,9 @@
         cx.metrics.record_attempt("stream", result, took.0 as f64);
         match end {
             RunEnd::Complete => {
-                cx.shared.record_sound_run(&fwd.crash_keys);
+                if framing == BodyFraming::Marked {
+                    cx.shared.record_sound_run(&fwd.crash_keys);
+                }
                 cx.shared.record_run_end(&runner, true);
                 let expected = fwd.request.size.map_or(0, |size| size.expected());
                 let generated = last * cx.shared.tokens_per_event(&fwd.service);
