Turn new connections away unread while the gateway is late

Callers would see: while a load balancer hands most new connections to one gateway, nearly everything that it reads is answered too late, and what was read may not be sent elsewhere. Cause: accept took whatever came up to max_connections; nothing looked at how late the process is. Change: AcceptGate: the least time within 100 ms from the accept (or from the moment since which the listener was never empty) until a connection's task runs; above 30 ms the accepted share shrinks by 0.6, else it grows by 0.05. No constant of a deployment: the share follows the process's own lateness (as in DAGOR; Breakwater's credits need callers that cooperate, and gradients of response times measure the runners). Also while request bodies fill 0.8 of their memory. Open connections keep their service; the readiness check stays, since closed callers go elsewhere by themselves.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -10,6 +10,7 @@
 //! shutdown. Nothing here does I/O or reads a clock; callers pass in [`bulrushusher_time::Millis`]
 //! and random draws.
 
+mod accept_gate;
 mod arrivals;
 mod attempt_plan;
 mod back_pressure;
@@ -65,6 +66,7 @@
 mod wait_queue;
 mod water_filling;
 
+pub use accept_gate::{AcceptGate, AcceptGateConfig};
 pub use arrivals::RequestArrivals;
 pub use attempt_plan::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep};
 pub use back_pressure::{
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -56,7 +56,17 @@
     }
 }
 
+/// Part of the memory for request bodies from which on no further connections are accepted; the rest is
+/// for those that are open.
+const BUFFER_SHARE: f64 = 0.8;
+
 impl<D: Dialect> Front<D> {
+    /// True if the body of another caller may find no memory.
+    pub(crate) fn is_short_of_memory(&self) -> bool {
+        let max = self.router.shared.cfg().max_buffered_bytes as f64;
+        self.buffered.load(Ordering::Relaxed) as f64 > max * BUFFER_SHARE
+    }
+
     /// Responds to one request. Never fails: errors become refusals.
     pub(crate) async fn serve(
         self: Arc<Self>,
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -23,6 +23,7 @@
     orders: Counter<u64>,
     crashes: Counter<u64>,
     quarantine_refusals: Counter<u64>,
+    turned_away: Counter<u64>,
     quarantine: Gauge<u64>,
     /// Keys that the gauge shows with a time.
     quarantines_shown: Mutex<BTreeSet<String>>,
@@ -123,6 +124,10 @@
                 "bulrush_gateway_quarantine_refusals",
                 "Requests refused because runners crash on them, by what is in quarantine",
             ),
+            turned_away: counter(
+                "bulrush_gateway_turned_away",
+                "New connections closed unread because the gateway is overloaded",
+            ),
             quarantine: meter
                 .u64_gauge("bulrush_gateway_quarantine_ms")
                 .with_description("Time until a quarantine ends, by its keys, in ms")
@@ -285,6 +290,11 @@
         self.quarantine_refusals.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Records a new connection that was closed unread because the gateway is overloaded.
+    pub fn record_turned_away(&self) {
+        self.turned_away.add(1, &[]);
+    }
+
     /// Sets the keys in quarantine, with the time until the quarantine of each ends, in ms. Former ones
     /// are set to 0.
     pub fn set_quarantines(&self, entries: impl IntoIterator<Item = (String, u64)>) {
