Entries quarantine prompt blocks on which engines crash

Change: an entry's quarantine also has the first 32 complete blocks of 1,024 bytes of each prompt, whatever stands before them; a run that went past the crash window speaks for them. Entries still do not tell each other.

--- a/crates/bulrushusher_entry/src/execution.rs
+++ b/crates/bulrushusher_entry/src/execution.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use bulrushusher_once::{Ballot, RunStatus, Settled};
-use bulrushusher_routing::{RequestDigest, RequestKeys, SentRequest};
+use bulrushusher_routing::{CrashKey, KeySet, RequestKeys, SentRequest};
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{ApiError, ErrorCode, OrderRejection, RunOrder, RunState, Work};
 use bulrushusher_world::{Endpoint, EndpointName};
@@ -53,8 +53,8 @@
     /// True if the caller receives nothing before the answer is complete, so that a further attempt
     /// may start it over.
     restartable: bool,
-    /// Digest of the request, if it is a prompt.
-    pub(crate) prompt: Option<RequestDigest>,
+    /// What the request is recognised by when engines crash on it, if it is a prompt.
+    pub(crate) prompt: Option<RequestKeys>,
     /// Tokens sent to the caller's HTTP task so far.
     tokens_sent: u32,
     assignment: Option<Assignment>,
@@ -223,9 +223,8 @@
             work,
         };
         slot.mark_order_sent();
-        let sent = self.prompt.map(|prompt| {
-            let keys = RequestKeys::from(prompt);
-            self.shared.quarantine.lock().record_send(&keys, self.shared.clock.now())
+        let sent = self.prompt.as_ref().map(|prompt| {
+            self.shared.quarantine.lock().record_send(prompt, self.shared.clock.now())
         });
         let sent_before = self.tokens_sent;
         let mut reader = self.reader(&endpoint);
@@ -235,7 +234,8 @@
             StreamEnd::EngineEnded if self.tokens_sent <= sent_before + CRASH_WINDOW_TOKENS => {
                 self.record_crash(&endpoint, sent);
             }
-            StreamEnd::Complete => self.record_answer(),
+            StreamEnd::Complete => self.record_sound_run(),
+            _ if self.tokens_sent > sent_before + CRASH_WINDOW_TOKENS => self.record_sound_run(),
             _ => {}
         }
         self.handle_stream_end(end, &ballot).await
@@ -243,32 +243,38 @@
 
     /// Records that an engine ended shortly after it had started the prompt.
     fn record_crash(&self, endpoint: &Endpoint, sent: Option<SentRequest>) {
-        let (Some(prompt), Some(sent)) = (self.prompt, sent) else { return };
+        let Some(sent) = sent else { return };
         let now = self.shared.clock.now();
         let verdict = self.shared.quarantine.lock().record_crash(&sent, now);
         log::warn!(
-            "{LOG} the engine of {} ended on {} digest={prompt}: {verdict:?}",
+            "{LOG} the engine of {} ended on {} keys={}: {verdict:?}",
             endpoint.name,
             self.job.key,
+            KeySet::from(sent.keys().iter().collect::<Vec<_>>()),
         );
     }
 
     /// Refuses a prompt in quarantine, because it crashed the engines that ran it.
     pub(crate) fn refuse_quarantined(&self) -> Result<(), ApiError> {
-        let Some(prompt) = self.prompt else { return Ok(()) };
+        let Some(prompt) = &self.prompt else { return Ok(()) };
         let now = self.shared.clock.now();
-        let Some(found) = self.shared.quarantine.lock().find(&RequestKeys::from(prompt), now)
-        else {
+        let Some(found) = self.shared.quarantine.lock().find(prompt, now) else {
             return Ok(());
         };
-        let message = "this prompt is in quarantine because engines crashed each time they ran it";
+        let message = match found.entry.keys.sole() {
+            Some(CrashKey::Request(_)) => {
+                "this prompt is in quarantine because engines crashed each time they ran it"
+            }
+            _ => "a part of this prompt is in quarantine because engines crashed on it",
+        };
         Err(ApiError::not_run(ErrorCode::Quarantined, message).with_retry_after(found.remaining))
     }
 
-    fn record_answer(&self) {
-        if let Some(prompt) = self.prompt {
+    /// Records that an engine survived the prompt.
+    fn record_sound_run(&self) {
+        if let Some(prompt) = &self.prompt {
             let now = self.shared.clock.now();
-            self.shared.quarantine.lock().record_sound_run(&RequestKeys::from(prompt), now);
+            self.shared.quarantine.lock().record_sound_run(prompt, now);
         }
     }
 
--- a/crates/bulrushusher_entry/src/prompt_task.rs
+++ b/crates/bulrushusher_entry/src/prompt_task.rs
@@ -13,12 +13,10 @@
 use crate::entry::Shared;
 use crate::execution::{Assigned, Execution, NextStep};
 use crate::guards::ReservedSlot;
-use crate::request::{Job, PromptJob};
+use crate::request::{BLOCK_BYTES, Job, PromptJob};
 use crate::reservation::{ReservationError, SlotCriteria, first_slot_wait_until, reserve_slot};
 use crate::run_stream::{PartSender, supervise};
 
-/// Size of a prompt block in the prefix index.
-const BLOCK_BYTES: usize = 1_024;
 /// How long a prefill result may wait for a decode slot if none was reserved before the prefill.
 const DECODE_SLOT_WAIT: Millis = Millis(600);
 /// Pause between two attempts.
@@ -49,7 +47,7 @@
 ) -> Result<(), ApiError> {
     let blocks = block_hashes(&prompt.prompt);
     let mut execution = Execution::new(shared, prompt.job.clone(), tx, !prompt.stream);
-    execution.prompt = Some(prompt.digest());
+    execution.prompt = Some(prompt.crash_keys());
     shared.earn_retry();
     let result = run_attempts(shared, prompt, &blocks, &mut execution).await;
     result.map_err(|e| execution.caller_error(e))
--- a/crates/bulrushusher_entry/src/request.rs
+++ b/crates/bulrushusher_entry/src/request.rs
@@ -1,6 +1,6 @@
 //! Parsing and validation of callers' requests, before any resource is reserved for them.
 
-use bulrushusher_routing::RequestDigest;
+use bulrushusher_routing::{RequestDigest, RequestKeys};
 use bulrushusher_time::Millis;
 use bulrushusher_wire::{ApiError, ErrorCode};
 use bulrushusher_world::{
@@ -82,6 +82,12 @@
 }
 
 /// A prompt to complete.
+/// Size of a prompt block, for the prefix index and for the quarantine.
+pub(crate) const BLOCK_BYTES: usize = 1_024;
+
+/// Blocks of a prompt of which the quarantine keeps crashes.
+const MAX_CRASH_BLOCKS: usize = 32;
+
 #[derive(Clone, Debug)]
 pub(crate) struct PromptJob {
     pub(crate) job: Job,
@@ -102,6 +108,14 @@
             &self.max_tokens.to_le_bytes(),
         ])
     }
+
+    /// What the prompt is recognised by when engines crash on it: the whole, and each of its first
+    /// complete blocks, whichever stand before it.
+    pub(crate) fn crash_keys(&self) -> RequestKeys {
+        let service = self.job.service.as_str().as_bytes();
+        let blocks = self.prompt.as_bytes().chunks_exact(BLOCK_BYTES).take(MAX_CRASH_BLOCKS);
+        RequestKeys::new(self.digest(), blocks.map(|block| RequestDigest::of([service, block])))
+    }
 }
 
 #[derive(Debug, Deserialize)]
--- a/tools/bulrushusher_testbed/tests/crashes.rs
+++ b/tools/bulrushusher_testbed/tests/crashes.rs
@@ -18,6 +18,9 @@
 /// Crashes that an entry may cause before it attributes them to the prompt.
 const MAX_CRASHES_PER_ENTRY: u64 = 3;
 
+/// Crashes that an entry may cause before it attributes them to a block that prompts share.
+const MAX_CRASHES_PER_BLOCK: u64 = 5;
+
 /// How long the caller waits for the answer to the crashing prompt.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -54,3 +57,35 @@
     let other = caller.send(&request("other"), 0).await;
     assert!(matches!(other, Outcome::Answered { .. }), "another prompt is served: {other:?}");
 }
+
+/// Size of a prompt block in an entry.
+const BLOCK: usize = 1_024;
+
+/// A prompt unlike all others that shares its first two blocks with those of the same `middle`.
+fn long_request(mark: &str, middle: char, own: usize) -> Request {
+    let blocks = "a".repeat(BLOCK) + &middle.to_string().repeat(BLOCK);
+    let prompt = format!("{blocks} number {own} #{mark}");
+    let kind = RequestKind::Prompt { model: "guide-llm".to_owned(), prompt, max_tokens: 5 };
+    Request { kind, ..request(mark) }
+}
+
+/// Guards against prompts that share the block on which engines crash and differ in the rest: each was
+/// new to the quarantine.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_block_that_crashes_engines_is_stopped() {
+    let testbed = Testbed::start(Deployment::authority(), Policy::Paired, 5).await.unwrap();
+    let entries = testbed.callers().len();
+    let faults = Faults { crashes_on: Some(CRASH_MARK), ..Faults::default() };
+    testbed.runners.iter().for_each(|runner| runner.set_faults(faults));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let caller = Caller::new(testbed.callers());
+    for own in 0..5 * entries {
+        let crashing = long_request(CRASH_MARK, 'x', own);
+        let _ = tokio::time::timeout(CALLER_TIMEOUT, caller.send(&crashing, own)).await;
+    }
+    let crashes: u64 = testbed.counts().iter().map(|counts| counts.crashes).sum();
+    println!("{crashes} engine crashes at {entries} entries");
+    assert!(crashes <= MAX_CRASHES_PER_BLOCK * entries as u64, "{crashes} engine crashes");
+    let other = caller.send(&long_request("other", 'y', 0), 0).await;
+    assert!(matches!(other, Outcome::Answered { .. }), "it shares the first block: {other:?}");
+}
