Convict a part only if meanwhile prompts without it survive; list and release quarantines

All that began was cut off by crashes of other runs at the same runners, so that no part had been survived yet, and the parts of a bystander had as many crashes as the guilty one. Cause: crashes alone do not tell the guilty part from those that are always beside it; only sound runs do. Change: a part needs a run without it that outlived the window since its first crash (told to peers and kept in the store with the suspicion), else five crashes and two seconds. bulrushctl quarantine lists the keys with gateways and time left; [quarantine] release ends them.

--- a/crates/bulrushusher_ctl/src/cli.rs
+++ b/crates/bulrushusher_ctl/src/cli.rs
@@ -14,7 +14,7 @@
 use crate::apply::read_desired;
 use crate::reconcile::apply;
 use crate::show::{self, OutputFormat, Rows};
-use crate::{gateways, losses, quotas};
+use crate::{gateways, losses, quarantine, quotas};
 
 pub(crate) type Client = OperatorClient<Channel>;
 
@@ -120,6 +120,7 @@
         .subcommand(losses::command())
         .subcommand(quotas::command())
         .subcommand(gateways::command())
+        .subcommand(quarantine::command())
         .subcommand(
             Command::new("status").about("Show the applied revision of an entry and its endpoints"),
         )
@@ -148,6 +149,7 @@
         Some(("losses", args)) => return losses::losses(args, output),
         Some(("quotas", args)) => return quotas::quotas(args, output).await,
         Some(("gateways", args)) => return gateways::gateways(args, output).await,
+        Some(("quarantine", args)) => return quarantine::quarantine(args, output).await,
         Some(("apply", args)) => {
             let file = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
             let desired = read_desired(&file)?;
--- a/crates/bulrushusher_ctl/src/lib.rs
+++ b/crates/bulrushusher_ctl/src/lib.rs
@@ -6,6 +6,7 @@
 mod gateways;
 mod losses;
 mod metrics;
+mod quarantine;
 mod quotas;
 mod reconcile;
 mod show;
--- a/crates/bulrushusher_ctl/tests/cli.rs
+++ b/crates/bulrushusher_ctl/tests/cli.rs
@@ -164,3 +164,23 @@
     let (code, message) = run(&["gateways", CLOSED_ADDRESS]);
     assert_eq!(code, Some(4), "{message}");
 }
+
+#[test]
+fn quarantine_shows_the_keys_that_gateways_refuse() {
+    let part = "part:00000000000000ff";
+    let first = serve_metrics(
+        "bulrush_gateway_quarantine_ms{gateway=\"g1\",keys=\"part:00000000000000ff\"} 90500\n\
+         bulrush_gateway_quarantine_ms{gateway=\"g1\",keys=\"request:0000000000000001\"} 0\n",
+    );
+    let second = serve_metrics(
+        "bulrush_gateway_quarantine_ms{gateway=\"g2\",keys=\"part:00000000000000ff\"} 90100\n",
+    );
+    let args = ["--output", "json", "quarantine", &first.to_string(), &second.to_string()];
+    let output = Command::new(PROGRAM).args(args).output().expect("bulrushctl starts");
+    let rows: serde_json::Value =
+        serde_json::from_slice(&output.stdout).expect("the output is JSON");
+    let expected = serde_json::json!([{"keys": part, "gateways": 2, "remaining_s": 91}]);
+    assert_eq!(rows, expected, "a quarantine that has ended is not shown");
+    let (code, message) = run(&["quarantine", CLOSED_ADDRESS]);
+    assert_eq!(code, Some(4), "{message}");
+}
--- a/crates/bulrushusher_routing/src/quarantine/mod.rs
+++ b/crates/bulrushusher_routing/src/quarantine/mod.rs
@@ -12,8 +12,8 @@
 //! request.
 //!
 //! Sound requests share parts with those that crash runners. A part is quarantined after a few crashes
-//! in a row without a sound run; while several parts cannot be told apart, only requests with all of
-//! them are refused.
+//! in a row without a sound run, if meanwhile runs without it outlive the window; while several parts
+//! cannot be told apart, only requests with all of them are refused.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -38,8 +38,11 @@
     /// Consecutive crashes that put a part of prompts into quarantine that no runner is known to have
     /// survived.
     pub part_threshold: u32,
-    /// The same for a part that runners have survived before.
+    /// The same for a part that runners have survived before, and while no run of any prompt outlives
+    /// the crash window: then all that begins is cut off, and nothing tells the parts apart.
     pub sound_part_threshold: u32,
+    /// Time from the first crash to a quarantine while no run of any request outlives the crash window.
+    pub no_contrast_wait: Millis,
     /// How long the crashes of a key are kept after the last one.
     pub suspect_ttl: Millis,
     /// How long a quarantine lasts.
@@ -66,6 +69,7 @@
             crash_threshold: 2,
             part_threshold: 3,
             sound_part_threshold: 5,
+            no_contrast_wait: Millis(2_000),
             suspect_ttl: Millis(600_000),
             duration: Millis(3_600_000),
             max_entries: 512,
@@ -127,7 +131,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Crashes {
     consecutive: u32,
+    first_at: Millis,
     last_at: Millis,
+    /// True if a runner has survived a prompt without the key since the first of them.
+    has_contrast: bool,
 }
 
 /// The quarantine of a set of keys.
@@ -216,7 +223,14 @@
                 continue;
             }
             let crashes = before.saturating_add(1).max(self.crash_count(key));
-            let suspect = Suspect { key, crashes, was_sound: sound.is_some() };
+            let known = self.suspects.get(&key);
+            let suspect = Suspect {
+                key,
+                crashes,
+                was_sound: sound.is_some(),
+                has_contrast: known.is_some_and(|known| known.has_contrast),
+                since: known.map_or(now, |known| known.first_at),
+            };
             self.add_suspect(suspect, now);
             suspects.push(suspect);
         }
@@ -234,6 +248,7 @@
             self.sound.record(key, self.cfg.max_sound_parts, now);
         }
         let keys: Vec<CrashKey> = keys.iter().collect();
+        self.record_contrast(&keys);
         self.clear(&keys)
     }
 
@@ -245,6 +260,7 @@
         for key in cleared.iter().filter(|key| matches!(key, CrashKey::Part(_))) {
             self.sound.record_elsewhere(*key, self.cfg.max_sound_parts, now);
         }
+        self.record_contrast(cleared);
         self.clear(cleared);
         let mut missing = CrashUpdate::default();
         for entry in update.quarantined.iter().take(max) {
@@ -259,7 +275,7 @@
             self.add_suspect(*suspect, now);
             if known > suspect.crashes || (was_sound && !suspect.was_sound) {
                 let crashes = known.max(suspect.crashes);
-                missing.suspects.push(Suspect { key: suspect.key, crashes, was_sound });
+                missing.suspects.push(Suspect { crashes, was_sound, ..*suspect });
             }
         }
         let suspects = update.suspects.iter().take(max);
@@ -346,6 +362,8 @@
                 key: *key,
                 crashes: it.consecutive,
                 was_sound: self.was_sound(*key),
+                has_contrast: it.has_contrast,
+                since: it.first_at,
             })
             .collect();
         parts.sort_unstable_by_key(|suspect| suspect.key);
@@ -364,13 +382,19 @@
 
     /// Records a key's crashes, as another gateway or the store has them.
     pub fn add_suspect(&mut self, suspect: Suspect, now: Millis) {
-        let Suspect { key, crashes, was_sound } = suspect;
+        let Suspect { key, crashes, was_sound, has_contrast, since } = suspect;
         if was_sound && !self.was_sound(key) {
             self.sound.record_elsewhere(key, self.cfg.max_sound_parts, Millis(0));
         }
         self.expire_suspects(now);
-        let consecutive = crashes.max(self.crash_count(key));
-        self.suspects.insert(key, Crashes { consecutive, last_at: now });
+        // The clock of another gateway may be ahead.
+        let first_at = since.min(now);
+        let first = Crashes { consecutive: 0, first_at, last_at: now, has_contrast };
+        let known = self.suspects.entry(key).or_insert(first);
+        known.has_contrast |= has_contrast;
+        known.consecutive = known.consecutive.max(crashes);
+        known.first_at = known.first_at.min(first_at);
+        known.last_at = now;
         if self.suspects.len() > self.cfg.max_entries {
             let rank = |(key, it): &(&CrashKey, &Crashes)| (it.consecutive, it.last_at, **key);
             if let Some(weakest) = self.suspects.iter().min_by_key(rank).map(|(key, _)| *key) {
@@ -382,7 +406,7 @@
     /// Puts those suspects into quarantine that have enough crashes: the whole request, and the parts as
     /// one entry, since any of them may be the one that crashes runners.
     fn quarantine_due(&mut self, suspects: &[Suspect], now: Millis) -> Vec<Quarantined> {
-        let is_due = |suspect: &&Suspect| suspect.crashes >= self.threshold(suspect);
+        let is_due = |suspect: &&Suspect| self.is_due(suspect, now);
         let (requests, parts): (Vec<CrashKey>, Vec<CrashKey>) = suspects
             .iter()
             .filter(is_due)
@@ -400,12 +424,20 @@
         self.suspects.retain(|_, crashes| now.since(crashes.last_at) < ttl);
     }
 
-    fn threshold(&self, suspect: &Suspect) -> u32 {
-        match suspect.key {
-            CrashKey::Request(_) => self.cfg.crash_threshold,
-            CrashKey::Part(_) if suspect.was_sound => self.cfg.sound_part_threshold,
-            CrashKey::Part(_) => self.cfg.part_threshold,
+    fn is_due(&self, suspect: &Suspect, now: Millis) -> bool {
+        let is_part = matches!(suspect.key, CrashKey::Part(_));
+        if !is_part {
+            return suspect.crashes >= self.cfg.crash_threshold;
+        }
+        if !suspect.has_contrast {
+            return suspect.crashes >= self.cfg.sound_part_threshold
+                && now.since(suspect.since) >= self.cfg.no_contrast_wait;
         }
+        let threshold = match suspect.was_sound {
+            true => self.cfg.sound_part_threshold,
+            false => self.cfg.part_threshold,
+        };
+        suspect.crashes >= threshold
     }
 
     /// True if a run with the key has outlived the crash window after the entry was made.
@@ -413,6 +445,14 @@
         self.sound.get(key).is_some_and(|runs| runs.last_at > entry.since)
     }
 
+    /// Records that a runner survived a prompt with the keys, which tells them from the other suspects.
+    fn record_contrast(&mut self, keys: &[CrashKey]) {
+        if keys.iter().any(|key| matches!(key, CrashKey::Part(_))) {
+            let others = self.suspects.iter_mut().filter(|(key, _)| !keys.contains(key));
+            others.for_each(|(_, crashes)| crashes.has_contrast = true);
+        }
+    }
+
     /// Clears keys. Returns those that were suspects or in quarantine.
     fn clear(&mut self, keys: &[CrashKey]) -> Vec<CrashKey> {
         let is_quarantined = |key: &CrashKey| self.verdicts.keys().any(|it| it.contains(*key));
--- a/crates/bulrushusher_routing/src/quarantine/update.rs
+++ b/crates/bulrushusher_routing/src/quarantine/update.rs
@@ -14,6 +14,11 @@
     pub crashes: u32,
     /// True if runners are known to have survived the key before.
     pub was_sound: bool,
+    /// True if a runner has survived a prompt without the key since the first of these crashes.
+    pub has_contrast: bool,
+    /// When the first of these crashes was recorded: Unix time in ms by the clock of that gateway.
+    #[serde(rename = "since_ms")]
+    pub since: Millis,
 }
 
 /// Keys in quarantine: requests with all of them are refused.
--- a/crates/bulrushusher_routing/tests/quarantine_parts.rs
+++ b/crates/bulrushusher_routing/tests/quarantine_parts.rs
@@ -46,11 +46,23 @@
         self.quarantine.record_crash(&sent, self.now)
     }
 
+    fn crash_with_contrast(&mut self, parts: &[&str], times: usize) {
+        for _ in 0..times {
+            self.contrast();
+            self.crash(parts);
+        }
+    }
+
     fn survive(&mut self, parts: &[&str]) -> Vec<CrashKey> {
         let n = self.next();
         self.quarantine.record_sound_run(&prompt(n, parts), self.now)
     }
 
+    /// A request with no part in common with others survives.
+    fn contrast(&mut self) {
+        self.survive(&["elsewhere"]);
+    }
+
     fn refuses(&mut self, parts: &[&str]) -> bool {
         let n = self.next();
         self.quarantine.find(&prompt(n, parts), self.now).is_some()
@@ -64,6 +76,7 @@
     for _ in 0..3 {
         assert!(!gateway.refuses(&[FIRST, GUILTY]));
         gateway.crash(&[FIRST, GUILTY]);
+        gateway.contrast();
     }
     assert!(gateway.refuses(&[FIRST, GUILTY]) && gateway.refuses(&[GUILTY]));
     assert!(!gateway.refuses(&[FIRST]) && !gateway.refuses(&[FIRST, OTHER]));
@@ -74,7 +87,7 @@
 #[test]
 fn of_parts_that_always_come_together_only_both_are_refused() {
     let mut gateway = Gateway::new();
-    (0..3).for_each(|_| drop(gateway.crash(&[OTHER, GUILTY])));
+    gateway.crash_with_contrast(&[OTHER, GUILTY], 3);
     assert!(gateway.refuses(&[OTHER, GUILTY]));
     assert!(!gateway.refuses(&[OTHER]) && !gateway.refuses(&[GUILTY]));
     assert!(gateway.survive(&[OTHER]).contains(&part(OTHER)));
@@ -86,10 +99,10 @@
 fn a_part_that_runners_survived_before_needs_more_crashes_in_a_row() {
     let mut gateway = Gateway::new();
     gateway.survive(&[FIRST]);
-    (0..4).for_each(|_| drop(gateway.crash(&[FIRST])));
+    gateway.crash_with_contrast(&[FIRST], 4);
     assert!(!gateway.refuses(&[FIRST]));
     gateway.survive(&[FIRST]);
-    (0..4).for_each(|_| drop(gateway.crash(&[FIRST])));
+    gateway.crash_with_contrast(&[FIRST], 4);
     assert!(!gateway.refuses(&[FIRST]), "the run between began the count anew");
     gateway.crash(&[FIRST]);
     assert!(gateway.refuses(&[FIRST]));
@@ -100,8 +113,8 @@
     let mut gateway = Gateway::new();
     gateway.survive(&[FIRST]);
     for _ in 0..3 {
-        gateway.crash(&[FIRST, GUILTY]);
-        gateway.crash(&[FIRST, OTHER]);
+        gateway.crash_with_contrast(&[FIRST, GUILTY], 1);
+        gateway.crash_with_contrast(&[FIRST, OTHER], 1);
     }
     assert!(gateway.refuses(&[FIRST, GUILTY]) && gateway.refuses(&[FIRST, OTHER]));
     assert!(!gateway.refuses(&[FIRST]));
@@ -155,21 +168,42 @@
     let CrashVerdict::Suspected { suspects } = here.crash(&[FIRST]) else { panic!("suspected") };
     let update = CrashUpdate { suspects, ..CrashUpdate::default() };
     let reply = there.quarantine.apply_update(&update, there.now);
-    let survived = Suspect { key: part(FIRST), crashes: 1, was_sound: true };
-    assert!(reply.suspects.contains(&survived), "{reply:?}");
+    let survived = |it: &Suspect| it.key == part(FIRST) && it.crashes == 1 && it.was_sound;
+    assert!(reply.suspects.iter().any(survived), "{reply:?}");
     here.quarantine.apply_update(&reply, here.now);
-    (0..3).for_each(|_| drop(here.crash(&[FIRST])));
+    here.crash_with_contrast(&[FIRST], 3);
     assert!(!here.refuses(&[FIRST]));
 }
 
 #[test]
 fn what_the_operator_releases_may_run_again() {
     let mut gateway = Gateway::new();
-    (0..3).for_each(|_| drop(gateway.crash(&[GUILTY])));
+    gateway.crash_with_contrast(&[GUILTY], 3);
     let entry = gateway.quarantine.entries(gateway.now).remove(0);
     assert_eq!(entry.crashes, 3);
     assert_eq!(gateway.quarantine.release(&entry.keys), std::slice::from_ref(&entry.keys));
     assert!(!gateway.refuses(&[GUILTY]));
-    (0..2).for_each(|_| drop(gateway.crash(&[GUILTY])));
+    gateway.crash_with_contrast(&[GUILTY], 2);
     assert!(!gateway.refuses(&[GUILTY]), "the count began anew");
 }
+
+/// Guards against the refusal of sound prompts while all gateways have just started: all that begins at
+/// a runner is cut off by the crash of another run there, before any run could have shown that its parts
+/// are sound.
+#[test]
+fn while_nothing_survives_no_part_is_refused_in_haste() {
+    let mut gateway = Gateway::new();
+    (0..8).for_each(|_| drop(gateway.crash(&[FIRST, OTHER])));
+    assert!(!gateway.refuses(&[FIRST, OTHER]));
+    gateway.survive(&[FIRST, OTHER]);
+    gateway.crash_with_contrast(&[FIRST, GUILTY], 3);
+    assert!(gateway.refuses(&[FIRST, GUILTY]) && !gateway.refuses(&[FIRST, OTHER]));
+}
+
+/// Without other traffic a part is refused after some more crashes and seconds.
+#[test]
+fn a_part_that_all_requests_have_is_refused_in_the_end() {
+    let mut gateway = Gateway::new();
+    (0..22).for_each(|_| drop(gateway.crash(&[GUILTY])));
+    assert!(gateway.refuses(&[GUILTY]));
+}
--- a/tools/bulrushusher_testbed/tests/crashes.rs
+++ b/tools/bulrushusher_testbed/tests/crashes.rs
@@ -82,10 +82,11 @@
     for own in 0..5 * entries {
         let crashing = long_request(CRASH_MARK, 'x', own);
         let _ = tokio::time::timeout(CALLER_TIMEOUT, caller.send(&crashing, own)).await;
+        // It shares the first block.
+        let other = caller.send(&long_request("other", 'y', own), own).await;
+        assert!(matches!(other, Outcome::Answered { .. }), "{other:?}");
     }
     let crashes: u64 = testbed.counts().iter().map(|counts| counts.crashes).sum();
     println!("{crashes} engine crashes at {entries} entries");
     assert!(crashes <= MAX_CRASHES_PER_BLOCK * entries as u64, "{crashes} engine crashes");
-    let other = caller.send(&long_request("other", 'y', 0), 0).await;
-    assert!(matches!(other, Outcome::Answered { .. }), "it shares the first block: {other:?}");
 }
