--- a/crates/bulrushusher_routing/tests/crash_simulation.rs
+++ b/crates/bulrushusher_routing/tests/crash_simulation.rs
@@ -442,12 +442,12 @@
 fn rates_by_size_and_policy() {
     let chosen = QuarantineConfig::default();
     let policies = [
+        ("3, or 5 if survived before", chosen),
         (
             "2 or 2 in a row",
             QuarantineConfig { part_threshold: 2, sound_part_threshold: 2, ..chosen },
         ),
         ("3 or 3 in a row", QuarantineConfig { sound_part_threshold: 3, ..chosen }),
-        ("3, or 5 if survived before", chosen),
         ("4, or 5 if survived before", QuarantineConfig { part_threshold: 4, ..chosen }),
     ];
     let seeds: u64 = std::env::var("SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(50);
