Shares of runners' rates follow the traffic

Callers would see: while a load balancer hands most new connections to one gateway, that gateway refuses what the runners' rates allow, since it has its part of them by the number of gateways and the others use none of theirs. Cause: LimitShare divided a rate evenly among the reporting gateways that come first in rendezvous order. Change: each report has the requests per second that the gateway gets; a rate is shared by the gateways that get far more than the others, then by those in rendezvous order, each by what it gets plus a fifth of the mean. All use what was reported, also of themselves, so that the shares add up to the rate. Encoding version 10.

--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -12,7 +12,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::limit_share::{LimitBucket, LimitShare, Sharers};
+use crate::limit_share::{LimitBucket, LimitShare, Sharer, Sharers};
 use crate::{ColdLimiter, RateLimit, Runner, RunnerSignals, StartTime};
 
 /// Lifetimes of signals.
@@ -175,8 +175,10 @@
     cfg: BackPressureConfig,
     /// Name of this gateway.
     own: Arc<str>,
-    /// The other gateways, with the time of their last report.
-    gateways: HashMap<Arc<str>, Millis>,
+    /// Requests per second that this gateway gets, as it has reported it.
+    own_demand: u32,
+    /// The other gateways.
+    gateways: HashMap<Arc<str>, ReportingGateway>,
     /// Number of other gateways that are announced.
     announced: usize,
     runners: HashMap<RunnerId, RunnerEntry>,
@@ -185,6 +187,14 @@
     pub cold: ColdLimiter,
 }
 
+/// Another gateway, by its last report.
+#[derive(Clone, Copy, Debug)]
+struct ReportingGateway {
+    reported_at: Millis,
+    /// Requests per second that it gets.
+    demand: u32,
+}
+
 /// How long shares are kept before they are recomputed.
 const SHARE_REFRESH_INTERVAL: Millis = Millis(200);
 
@@ -195,6 +205,7 @@
             cfg,
             cold: ColdLimiter::new(own.clone()),
             own,
+            own_demand: 0,
             gateways: HashMap::new(),
             announced: 0,
             runners: HashMap::new(),
@@ -202,13 +213,14 @@
         }
     }
 
-    /// Records a report of another gateway.
-    pub fn record_gateway(&mut self, name: &str, now: Millis) {
+    /// Records a report of another gateway, with the requests per second that it gets.
+    pub fn record_gateway(&mut self, name: &str, demand: u32, now: Millis) {
+        let report = ReportingGateway { reported_at: now, demand };
         match self.gateways.get_mut(name) {
-            Some(reported_at) => *reported_at = now,
+            Some(known) => *known = report,
             None => {
                 self.drop_silent_gateways(now);
-                self.gateways.insert(name.into(), now);
+                self.gateways.insert(name.into(), report);
                 self.shares_computed_at = None;
             }
         }
@@ -216,7 +228,12 @@
 
     fn drop_silent_gateways(&mut self, now: Millis) {
         let gateway_timeout = self.cfg.gateway_timeout;
-        self.gateways.retain(|_, reported_at| now.since(*reported_at) < gateway_timeout);
+        self.gateways.retain(|_, it| now.since(it.reported_at) < gateway_timeout);
+    }
+
+    /// Sets the requests per second that this gateway gets, as it reports it to the others.
+    pub fn set_own_demand(&mut self, demand: u32) {
+        self.own_demand = demand;
     }
 
     /// Sets the number of other gateways that are announced.
@@ -390,8 +407,10 @@
         let cfg = self.cfg;
         self.drop_silent_gateways(now);
         self.runners.retain(|_, entry| !entry.is_expired(&cfg, now));
-        let reporting: Vec<&str> = self.gateways.keys().map(|name| &**name).collect();
-        let sharers = Sharers { own: &self.own, reporting: &reporting, all: self.announced + 1 };
+        let reporting: Vec<Sharer<'_>> =
+            self.gateways.iter().map(|(name, it)| Sharer { name, demand: it.demand }).collect();
+        let own = Sharer { name: &self.own, demand: self.own_demand };
+        let sharers = Sharers { own, reporting: &reporting, all: self.announced + 1 };
         for (id, entry) in &mut self.runners {
             if let Some(limit) = &mut entry.limit {
                 limit.set_share(LimitShare::of(limit.limit, id, &sharers), now);
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -19,6 +19,7 @@
 mod call_pool;
 mod call_report;
 mod call_stats;
+mod demand;
 mod events;
 mod far_reports;
 mod forecast;
@@ -75,6 +76,7 @@
 };
 pub use call_pool::{Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace};
 pub use call_report::{CallPoolReport, CallPoolUpdate, RunnerCalls};
+pub use demand::DemandMeter;
 pub use events::{CompleteEvents, EventSplitter};
 pub use far_reports::FarReports;
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
--- a/crates/bulrushusher_forward/src/limit_share.rs
+++ b/crates/bulrushusher_forward/src/limit_share.rs
@@ -2,13 +2,15 @@
 //!
 //! A limit applies to all gateways together, and they do not coordinate before they send. One saved
 //! request at each of about a hundred gateways would exceed a small limit many times over. A small
-//! limit is therefore shared by few gateways: the first ones in rendezvous order for the runner.
+//! limit is therefore shared by few gateways: those that get far more requests than the others, then the
+//! first ones in rendezvous order for the runner. Each has a share by what it gets,
+//! as all have reported it, so that the shares add up to the limit.
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
 
 use crate::RateLimit;
-use crate::rendezvous::is_among_first;
+use crate::rendezvous::ranking;
 
 /// Number of gateways that share a limit, in addition to one per request per second.
 const EXTRA_SHARERS: f64 = 2.0;
@@ -19,22 +21,67 @@
 /// Minimum burst of every sharing gateway, in requests.
 const MIN_BURST: f64 = 1.0;
 
+/// Requests of a gateway, in multiples of the mean and of its square root, the usual variation, above
+/// which it has a share of small limits too.
+const BUSY_FACTOR: f64 = 3.0;
+
+/// Requests per second that are needed for that besides.
+const MIN_BUSY: f64 = 4.0;
+
+/// Weight of a gateway without requests, as a part of the mean: it may get some at any moment.
+const IDLE_WEIGHT: f64 = 0.2;
+
+/// Weight that makes shares equal while no gateway gets requests.
+const MIN_WEIGHT: f64 = 0.01;
+
 /// Maximum debt, in seconds of the share. Requests that cannot be withheld are charged, but must
 /// not block the gateway's share for long.
 const MAX_DEBT_S: f64 = 4.0;
 
+/// A gateway that may share rate limits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sharer<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Requests per second that it gets, by its last report.
+    pub demand: u32,
+}
+
 /// Gateways that may share a runner's rate limit, as seen by one of them.
 #[derive(Clone, Debug)]
 pub(crate) struct Sharers<'a> {
     /// This gateway.
-    pub own: &'a str,
+    pub own: Sharer<'a>,
     /// Other gateways with recent reports.
-    pub reporting: &'a [&'a str],
+    pub reporting: &'a [Sharer<'a>],
     /// All gateways that may be alive, including this one; those without recent reports may use the
     /// limit too.
     pub all: usize,
 }
 
+impl Sharers<'_> {
+    /// Part of what `count` gateways share that this one has; `None` if it is not among them.
+    fn own_part(&self, count: usize, runner: &RunnerId) -> Option<f64> {
+        let rank = ranking(runner.as_str());
+        let all = || std::iter::once(&self.own).chain(self.reporting);
+        let demand = |it: &Sharer<'_>| f64::from(it.demand);
+        let mean = all().map(demand).sum::<f64>() / all().count() as f64;
+        // While demand varies as usual, the order must not: a gateway that leaves it loses its burst.
+        let busy = (mean + mean.sqrt()) * BUSY_FACTOR + MIN_BUSY;
+        let order = |it: &Sharer<'_>| (demand(it) > busy, rank(it.name));
+        let own = order(&self.own);
+        let mut others: Vec<&Sharer<'_>> = self.reporting.iter().collect();
+        others.sort_unstable_by_key(|it| std::cmp::Reverse(order(it)));
+        if others.iter().take_while(|it| order(it) > own).count() >= count {
+            return None;
+        }
+        let first = || std::iter::once(&self.own).chain(others.iter().copied().take(count - 1));
+        let mean = first().map(demand).sum::<f64>() / count as f64;
+        let weight = |it: &Sharer<'_>| demand(it) + mean * IDLE_WEIGHT + MIN_WEIGHT;
+        Some(weight(&self.own) / first().map(weight).sum::<f64>())
+    }
+}
+
 /// One gateway's share of a runner's rate limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct LimitShare {
@@ -53,16 +100,9 @@
         let limit = limit.per_second();
         let reporting = sharers.reporting.len() + 1;
         let sharer_count = ((limit + EXTRA_SHARERS) as usize).clamp(1, reporting);
-        if !is_among_first(
-            sharer_count,
-            runner.as_str(),
-            sharers.own,
-            sharers.reporting.iter().copied(),
-        ) {
-            return LimitShare::none();
-        }
+        let Some(part) = sharers.own_part(sharer_count, runner) else { return LimitShare::none() };
         let reporting_share = reporting as f64 / sharers.all.max(reporting) as f64;
-        let per_second = limit * reporting_share / sharer_count as f64;
+        let per_second = limit * reporting_share * part;
         LimitShare { per_second, burst: MIN_BURST.max(per_second * BURST_S) }
     }
 }
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -91,6 +91,8 @@
     pub waiting: u32,
     /// Text generations that wait for decode memory and can no longer meet their target.
     pub waiting_late: u32,
+    /// Requests per second that the gateway gets.
+    pub demand: u32,
     /// The gateway's runs.
     pub runs: Vec<RunReport>,
     /// Prompt tokens that the gateway has in flight at prefill runners.
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -198,6 +198,7 @@
             return (kind, Err(refusal));
         }
         self.router.shared.earn_retry(&fwd.service);
+        self.router.shared.record_demand();
         let outcome = tokio::select! {
             outcome = self.execute(&fwd) => outcome,
             () = self.lifecycle.final_answer_deadline(&self.router.shared.clock) => {
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -33,7 +33,7 @@
 const MARK: u8 = 0xB5;
 
 /// Incremented with each change to the encoding of [`Datagram`] or of its contents.
-const VERSION: u8 = 9;
+const VERSION: u8 = 10;
 
 /// A datagram between two gateways.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -149,7 +149,7 @@
     pub(crate) fn merge_report(&self, peer: &str, mut report: GatewayReport) {
         let now = self.now();
         let (incarnation, usage) = (report.incarnation, std::mem::take(&mut report.spends));
-        let limits = std::mem::take(&mut report.limits);
+        let (demand, limits) = (report.demand, std::mem::take(&mut report.limits));
         let leaving = std::mem::take(&mut report.leaving);
         let speeds = std::mem::take(&mut report.speeds);
         let prefills = PeerPrefills::take(&mut report);
@@ -163,7 +163,7 @@
         }
         if is_applied {
             self.merge_speeds(peer, speeds);
-            self.merge_limits(peer, &limits);
+            self.merge_limits(peer, demand, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.prefill_ends.lock().merge(peer, prefills, now);
             self.merge_usage(peer, incarnation, &usage, true);
@@ -175,12 +175,12 @@
         let now = self.now();
         let report = &mut delta.report;
         let (incarnation, usage) = (report.incarnation, std::mem::take(&mut report.spends));
-        let limits = std::mem::take(&mut report.limits);
+        let (demand, limits) = (report.demand, std::mem::take(&mut report.limits));
         let leaving = std::mem::take(&mut report.leaving);
         let prefills = PeerPrefills::take(report);
         let outcome = self.runs.lock().apply_delta(peer, delta, now);
         if outcome != DeltaOutcome::Stale {
-            self.merge_limits(peer, &limits);
+            self.merge_limits(peer, demand, &limits);
             self.merge_drain_reports(peer, &leaving);
             self.prefill_ends.lock().merge(peer, prefills, now);
             self.merge_usage(peer, incarnation, &usage, false);
@@ -230,6 +230,7 @@
             sequence,
             waiting,
             waiting_late,
+            demand: self.report_demand(),
             runs: own,
             prefill_tokens,
             switching_stage: switching,
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -4,7 +4,7 @@
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
 //! `switching`, `crashes`, `pressure`, `distances`, `quotas`, `lease`, `speeds`, `calls`,
-//! `unknown_places`. `evacuated_at`, `known_gateways`, `streams`, and `asked_streams` are held by
+//! `unknown_places`. `demand`, `evacuated_at`, `known_gateways`, `streams`, and `asked_streams` are held by
 //! themselves. `version_history` is taken after `runners`. No lock is held across an await point.
 
 use std::collections::HashMap;
@@ -15,11 +15,11 @@
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaLimiter};
 use bulrushusher_forward::{
     AccountCost, BackPressure, BackPressureConfig, BackPressureView, CallResult, CallSelection,
-    EngineSpec, HealthConfig, KnownGateways, PeersConfig, PlaceScope, PlaceView, PrefillEnds,
-    PrefillEndsConfig, PrefillQueue, PrefillSelection, QueueRank, RegionDistances, RelayView,
-    Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads, RunnerSpeeds, Runs,
-    SelectionContext, StreamKey, StreamVersions, TimingConfig, TimingModel, TypicalPatience,
-    VersionHistory, WaitQueue, pick_for_call, pick_for_prefill,
+    DemandMeter, EngineSpec, HealthConfig, KnownGateways, PeersConfig, PlaceScope, PlaceView,
+    PrefillEnds, PrefillEndsConfig, PrefillQueue, PrefillSelection, QueueRank, RegionDistances,
+    RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads,
+    RunnerSpeeds, Runs, SelectionContext, StreamKey, StreamVersions, TimingConfig, TimingModel,
+    TypicalPatience, VersionHistory, WaitQueue, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -102,6 +102,8 @@
     switching: Mutex<HashMap<ServiceName, Vec<RunnerId>>>,
     /// Requests that crash runners.
     crashes: Mutex<crashes::CrashState>,
+    /// Requests that this gateway gets.
+    demand: Mutex<DemandMeter>,
     /// Back-pressure that runners signalled in their responses.
     pressure: Mutex<BackPressure>,
     /// Quota usage of client accounts.
@@ -199,6 +201,7 @@
             confirmations: Mutex::default(),
             switching: Mutex::default(),
             crashes: Mutex::new(crashes::CrashState::new(quarantine, released_keys)),
+            demand: Mutex::default(),
             pressure: Mutex::new(pressure),
             quotas: Mutex::new(quotas),
             usage_known: watch::Sender::default(),
--- a/crates/bulrushusher_gateway/src/shared/pressure.rs
+++ b/crates/bulrushusher_gateway/src/shared/pressure.rs
@@ -72,10 +72,10 @@
     }
 
     /// Merges the rate limits that a peer reports.
-    pub(super) fn merge_limits(&self, peer: &str, reports: &[LimitReport]) {
+    pub(super) fn merge_limits(&self, peer: &str, demand: u32, reports: &[LimitReport]) {
         let now = self.now();
         let mut pressure = self.pressure.lock();
-        pressure.record_gateway(peer, now);
+        pressure.record_gateway(peer, demand, now);
         let previous = pressure.counts(now).limited;
         pressure.merge_reports(reports, now);
         let limited = pressure.counts(now).limited;
@@ -85,6 +85,19 @@
         }
     }
 
+    /// Requests per second that this gateway gets. Its shares are by what it has reported, as those of
+    /// the others are.
+    pub(super) fn report_demand(&self) -> u32 {
+        let demand = self.demand.lock().per_second(self.now());
+        self.pressure.lock().set_own_demand(demand);
+        demand
+    }
+
+    /// Records a request of a caller.
+    pub(crate) fn record_demand(&self) {
+        self.demand.lock().record(self.now());
+    }
+
     /// The rate limit reports for the peers.
     pub(super) fn limit_reports(&self) -> Vec<LimitReport> {
         self.pressure.lock().reports(self.now())
--- a/crates/bulrushusher_model/src/limits.rs
+++ b/crates/bulrushusher_model/src/limits.rs
@@ -8,7 +8,7 @@
 
 use bulrushusher_accounts::{Quota, QuotaConfig, QuotaLimiter, Sharing, UsageReport};
 use bulrushusher_forward::{
-    BackPressure, BackPressureConfig, LimitReport, RateLimit, Runner, RunnerSignals,
+    BackPressure, BackPressureConfig, DemandMeter, LimitReport, RateLimit, Runner, RunnerSignals,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ClientAccountName;
@@ -133,12 +133,13 @@
 /// A report from one gateway to the others.
 #[derive(Clone)]
 enum Report {
-    Limits(Rc<Vec<LimitReport>>),
+    Limits { demand: u32, limits: Rc<Vec<LimitReport>> },
     Usage(Rc<UsageReport>),
 }
 
 struct Gateway {
     limiter: Limiter,
+    demand: DemandMeter,
     incarnation: u64,
     /// The gateway does not run before this time.
     running_from: u64,
@@ -250,6 +251,7 @@
         };
         Gateway {
             limiter,
+            demand: DemandMeter::default(),
             incarnation: running_from,
             running_from,
             reported_at: running_from,
@@ -304,6 +306,7 @@
         let draw = self.rng.random::<f64>();
         let at = Millis(now);
         let gateway = &mut self.gateways[nth];
+        gateway.demand.record(at);
         let is_admitted = match &mut gateway.limiter {
             Limiter::BackPressure(pressure) => {
                 pressure.refresh(at);
@@ -358,7 +361,9 @@
         (gateway.reported_at, gateway.is_report_due) = (now, false);
         let report = match &mut gateway.limiter {
             Limiter::BackPressure(pressure) => {
-                Report::Limits(Rc::new(pressure.reports(Millis(now))))
+                let demand = gateway.demand.per_second(Millis(now));
+                pressure.set_own_demand(demand);
+                Report::Limits { demand, limits: Rc::new(pressure.reports(Millis(now))) }
             }
             Limiter::Bucket(limiter) => {
                 Report::Usage(Rc::new(limiter.next_report(true, Millis(now))))
@@ -392,9 +397,9 @@
             }
             let name = format!("gateway-{from}");
             match (&mut gateway.limiter, report) {
-                (Limiter::BackPressure(pressure), Report::Limits(reports)) => {
-                    pressure.record_gateway(&name, Millis(now));
-                    pressure.merge_reports(&reports, Millis(now));
+                (Limiter::BackPressure(pressure), Report::Limits { demand, limits }) => {
+                    pressure.record_gateway(&name, demand, Millis(now));
+                    pressure.merge_reports(&limits, Millis(now));
                 }
                 (Limiter::Bucket(limiter), Report::Usage(usage)) => {
                     limiter.merge_report(&name, incarnation, &usage, true, Millis(now));
