News of crashes: repeat only what a reply told, and read the store only when there is something to write

Found by reading the change: each gateway that received a broadcast of a suspect that runners survived before broadcast it again, which grows with the square of the gateways; and each cleared key made all gateways read the store's record. Change: only the word of a reply is passed on; the store is asked after a clear only if the record has the key. Traffic at 300 gateways was not measured.

--- a/crates/bulrushusher_forward/src/limit_share.rs
+++ b/crates/bulrushusher_forward/src/limit_share.rs
@@ -2,9 +2,9 @@
 //!
 //! A limit applies to all gateways together, and they do not coordinate before they send. One saved
 //! request at each of about a hundred gateways would exceed a small limit many times over. A small
-//! limit is therefore shared by few gateways: those that get far more requests than the others, then the
-//! first ones in rendezvous order for the runner. Each has a share by what it gets,
-//! as all have reported it, so that the shares add up to the limit.
+//! limit is therefore shared by few gateways: those that get far more requests than the others, then
+//! the first ones in rendezvous order for the runner. Each has a share by what it gets, as all have
+//! reported it, so that the shares add up to the limit.
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -172,9 +172,7 @@
                     self.send_message(socket, Message::CrashReply(reply), &[from]).await;
                 }
             }
-            Message::CrashReply(update) => {
-                self.shared.apply_crash_update(name, &update);
-            }
+            Message::CrashReply(reply) => self.shared.apply_crash_reply(name, &reply),
             Message::StoreChanges(update) => {
                 self.apply_store_changes(socket, name, update, from).await;
             }
--- a/crates/bulrushusher_gateway/src/shared/crashes.rs
+++ b/crates/bulrushusher_gateway/src/shared/crashes.rs
@@ -117,11 +117,30 @@
         }
         crashes.clear_stored(&cleared);
         crashes.for_peers.merge(CrashUpdate { cleared: cleared.clone(), ..CrashUpdate::default() });
+        let is_store_due = !crashes.for_store.is_empty();
         drop(crashes);
         let cleared = KeySet::from(cleared);
         log::info!("quarantine: cleared keys={cleared} cause=\"a runner survived them\"");
         self.crash_update_due.notify_one();
-        self.quarantine_due.notify_one();
+        if is_store_due {
+            self.quarantine_due.notify_one();
+        }
+    }
+
+    /// Applies the reply of a peer to an update of this gateway. Others may need the word that runners
+    /// have survived a suspect, which the reply was the first to tell.
+    pub(crate) fn apply_crash_reply(&self, peer: &str, reply: &CrashUpdate) {
+        let mut crashes = self.crashes.lock();
+        let suspects = reply.suspects.iter().copied();
+        let is_news = |it: &Suspect| it.was_sound && !crashes.quarantine.was_sound(it.key);
+        let newly_sound: Vec<Suspect> = suspects.filter(is_news).collect();
+        let is_due = !newly_sound.is_empty();
+        crashes.for_peers.merge(CrashUpdate { suspects: newly_sound, ..CrashUpdate::default() });
+        drop(crashes);
+        if is_due {
+            self.crash_update_due.notify_one();
+        }
+        self.apply_crash_update(peer, reply);
     }
 
     /// Applies the update of a peer. Returns what the peer lacks about the same keys.
@@ -129,24 +148,13 @@
         let now = self.now();
         let mut crashes = self.crashes.lock();
         let before = crashes.quarantine.entries(now);
-        // Another gateway may need the word that runners have survived a suspect.
-        let newly_sound: Vec<Suspect> = update
-            .suspects
-            .iter()
-            .copied()
-            .filter(|it| it.was_sound && !crashes.quarantine.was_sound(it.key))
-            .collect();
-        crashes.for_peers.merge(CrashUpdate { suspects: newly_sound, ..CrashUpdate::default() });
         let reply = crashes.quarantine.apply_update(update, now);
         crashes.clear_stored(&update.cleared);
         crashes.apply_released();
         let after = crashes.quarantine.entries(now);
-        let is_due = !crashes.for_peers.is_empty();
+        let is_store_due = !crashes.for_store.is_empty();
         drop(crashes);
-        if is_due {
-            self.crash_update_due.notify_one();
-        }
-        if !update.cleared.is_empty() {
+        if is_store_due {
             self.quarantine_due.notify_one();
         }
         for entry in after.iter().filter(|entry| !before.contains(entry)) {
