A stream without a mark of its end is complete only once its runner is known to live

What callers saw: a stream that its runner's crash had cut between two events looked complete, with events missing, where the runner's machine answered the gateway's probe later than after 40 ms. Cause: the probe after the end of the connection was given 40 ms, the wait that a retry can afford, and silence counted as a sign of life. A runner that may not be probed because of its back-pressure counted as alive as well, and so spoke for the parts of its request. One that may not be probed still does not break off a stream.

--- a/crates/bulrushusher_gateway/src/runners/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -49,6 +49,17 @@
     Generating,
 }
 
+/// What probes have shown of a runner.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum RunnerState {
+    /// Its process responds.
+    Alive,
+    /// Its process has ended, with the evidence for it.
+    Ended(Arc<str>),
+    /// It signals back-pressure and may not be probed.
+    Unknown,
+}
+
 impl CrashWatch {
     /// Starts the watch when the request is sent to a runner.
     pub(crate) fn begin<D: Dialect>(cx: &Router<D>, fwd: &ForwardedRequest) -> CrashWatch {
@@ -89,15 +100,15 @@
         drop(self.spawn_judge(cx, runner, true));
     }
 
-    /// True unless the runner has ended, as far as can be found out within [`VERDICT_TIMEOUT`]: a stream
-    /// without a mark of its end is complete only if its runner lives on.
+    /// True unless the runner has ended: a stream without a mark of its end is complete only if its runner
+    /// lives on. The caller has all events by now, so a late verdict costs it little. A runner that may
+    /// not be probed counts as alive.
     pub(crate) async fn runner_lives<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) -> bool {
-        let sign = tokio::time::timeout(VERDICT_TIMEOUT.duration(), find_crash_sign(cx, runner));
-        let lives = sign.await.map(|sign| sign.is_none());
-        if lives == Ok(true) {
+        let state = probe_runner(cx, runner).await;
+        if state == RunnerState::Alive {
             cx.shared.record_sound_run(self.sent.keys());
         }
-        lives.unwrap_or(true)
+        !matches!(state, RunnerState::Ended(_))
     }
 
     /// True if the runner has not yet gone on for longer than the crash window after it began to
@@ -123,16 +134,22 @@
         let (ran_for, may_have_crashed) = (cx.now().since(self.started), self.may_have_crashed(cx));
         let (cx, watch, runner) = (cx.clone(), self.clone(), runner.clone());
         tokio::spawn(async move {
-            match find_crash_sign(&cx, &runner).await {
-                Some(sign) if may_have_crashed => watch.record_crash(&cx, &runner, ran_for, &sign),
-                Some(_) => {}
-                None => {
+            match probe_runner(&cx, &runner).await {
+                RunnerState::Ended(sign) if may_have_crashed => {
+                    watch.record_crash(&cx, &runner, ran_for, &sign);
+                }
+                RunnerState::Ended(_) => {}
+                RunnerState::Alive => {
                     log::info!("quarantine: runner lives id={} runner={}", watch.id, runner.id);
                     cx.metrics.record_crash("runner_lives");
                     if answered {
                         cx.shared.record_sound_run(watch.sent.keys());
                     }
                 }
+                RunnerState::Unknown => {
+                    log::info!("quarantine: not probed id={} runner={}", watch.id, runner.id);
+                    cx.metrics.record_crash("not_probed");
+                }
             }
         })
     }
@@ -228,8 +245,8 @@
     }
 }
 
-/// Evidence that a runner's process has ended; `None` while it responds.
-async fn find_crash_sign<D: Dialect>(cx: &Router<D>, runner: &Runner) -> Option<Arc<str>> {
+/// Probes a runner, as often as it takes to tell that its process has ended.
+async fn probe_runner<D: Dialect>(cx: &Router<D>, runner: &Runner) -> RunnerState {
     let mut sign: Arc<str> = "".into();
     for probe in 0..MAX_PROBES {
         if probe > 0 {
@@ -239,17 +256,19 @@
         match cx.exchanger.control_request(runner, request, Permit::Acquire, CONTROL_TIMEOUT).await
         {
             Ok((head, _)) if head.status == StatusCode::MISDIRECTED_REQUEST => {
-                return Some("another start has its address".into());
+                return RunnerState::Ended("another start has its address".into());
             }
             Ok((_, body)) => {
                 let born = cx.dialect.parse_status(&runner.id, &body).ok().and_then(|it| it.born);
                 cx.shared.record_start(&runner.id, born);
-                return cx.shared.is_superseded(runner).then(|| "it has started again".into());
+                return match cx.shared.is_superseded(runner) {
+                    true => RunnerState::Ended("it has started again".into()),
+                    false => RunnerState::Alive,
+                };
             }
-            // A runner that signals back-pressure is not probed and counts as alive.
-            Err(e) if e.is_withheld() => return None,
+            Err(e) if e.is_withheld() => return RunnerState::Unknown,
             Err(e) => sign = e.to_string().into(),
         }
     }
-    Some(sign)
+    RunnerState::Ended(sign)
 }
