Quarantine: digests of prompt parts are computed once a request, other repeats removed

Cause: every send hashed the parts of its prompt again for log lines that crashes alone write; suspects were expired once for each key of a crash; two places collected the keys of an update. Change: the forwarded request keeps the id of each part with its digest; expiry once a call; CrashUpdate::keys. Result: no change of behaviour but one: an update of a peer is answered without suspects that have expired. Tests of the quarantine and of close-delimited answers pass.

--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -247,6 +247,7 @@
             body: Bytes::new(),
             digest: RequestDigest::default(),
             crash_keys: RequestKeys::default(),
+            parts: Arc::default(),
             received,
             deadline: received.plus(timeout.min(route.timeout)),
             elapsed_before,
--- a/crates/bulrushusher_gateway/src/runners/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{PartId, RequestId, Runner};
+use bulrushusher_forward::{RequestId, Runner};
 use bulrushusher_routing::{CrashKey, CrashVerdict, KeySet, RequestDigest, SentRequest, Suspect};
 use bulrushusher_time::Millis;
 use hyper::StatusCode;
@@ -13,7 +13,7 @@
 use crate::dialect::Dialect;
 use crate::runners::exchange::CONTROL_TIMEOUT;
 use crate::runners::permit::Permit;
-use crate::runners::router::{ForwardedRequest, Router};
+use crate::runners::router::{ForwardedRequest, PartKey, Router};
 
 /// Probes of a runner before it counts as crashed: a single probe may meet a full runner or a lost
 /// packet, and a runner takes seconds to start again.
@@ -31,8 +31,8 @@
 pub(crate) struct CrashWatch {
     id: RequestId,
     digest: RequestDigest,
-    /// The shared parts of the prompt and their keys.
-    parts: Arc<[(PartId, CrashKey)]>,
+    /// The shared parts of the prompt.
+    parts: Arc<[PartKey]>,
     sent: SentRequest,
     started: Millis,
     phase: RunPhase,
@@ -63,11 +63,10 @@
 impl CrashWatch {
     /// Starts the watch when the request is sent to a runner.
     pub(crate) fn begin<D: Dialect>(cx: &Router<D>, fwd: &ForwardedRequest) -> CrashWatch {
-        let parts = fwd.request.parts.shared().iter();
         CrashWatch {
             id: fwd.request.id.clone(),
             digest: fwd.digest,
-            parts: parts.map(|part| (*part, CrashKey::Part(fwd.part_digest(*part)))).collect(),
+            parts: fwd.parts.clone(),
             sent: cx.shared.record_crash_risk(&fwd.crash_keys),
             started: cx.now(),
             phase: RunPhase::Sent,
@@ -185,7 +184,7 @@
             log::info!(
                 "quarantine: verdict keys={} parts={} since_ms={} source=own id={} crashes={} sound_runs={}",
                 entry.keys,
-                self.describe_parts(&entry.keys),
+                describe_parts(&self.parts, &entry.keys),
                 entry.since.0,
                 self.id,
                 entry.crashes,
@@ -196,20 +195,19 @@
 
     /// The suspected parts with the crashes of each, and those that are not suspected with a dash.
     fn describe_suspects(&self, suspects: &[Suspect]) -> String {
-        let describe = |(part, key): &(PartId, CrashKey)| match suspects
-            .iter()
-            .find(|suspect| suspect.key == *key)
-        {
-            Some(suspect) => format!("{part}:{}", suspect.crashes),
-            None => format!("{part}:-"),
+        let describe = |part: &PartKey| {
+            let suspect = suspects.iter().find(|suspect| suspect.key == part.key());
+            let crashes = suspect.map_or("-".to_owned(), |suspect| suspect.crashes.to_string());
+            format!("{}:{crashes}", part.id)
         };
         join_or_none(self.parts.iter().map(describe))
     }
+}
 
-    fn describe_parts(&self, keys: &KeySet) -> String {
-        let parts = self.parts.iter().filter(|(_, key)| keys.contains(*key));
-        join_or_none(parts.map(|(part, _)| part.to_string()))
-    }
+/// The ids of those parts that are among the keys.
+fn describe_parts(parts: &[PartKey], keys: &KeySet) -> String {
+    let parts = parts.iter().filter(|part| keys.contains(part.key()));
+    join_or_none(parts.map(|part| part.id.to_string()))
 }
 
 fn join_or_none(texts: impl Iterator<Item = String>) -> String {
@@ -231,12 +229,10 @@
             false => ("request", QUARANTINED),
         };
         self.metrics.record_quarantine_refusal(kind);
-        let parts = fwd.request.parts.shared().iter();
-        let parts = parts.filter(|it| keys.contains(CrashKey::Part(fwd.part_digest(**it))));
         log::info!(
             "quarantine: refused id={} keys={keys} parts={} since_ms={} crashes={} remaining_ms={}",
             fwd.request.id,
-            join_or_none(parts.map(PartId::to_string)),
+            describe_parts(&fwd.parts, keys),
             found.entry.since.0,
             found.entry.crashes,
             found.remaining.0,
--- a/crates/bulrushusher_gateway/src/runners/router.rs
+++ b/crates/bulrushusher_gateway/src/runners/router.rs
@@ -6,7 +6,7 @@
     CallResult, LoadEpoch, PartId, Route, RouteKind, Runner, SoftwareVersion, Stage,
 };
 use bulrushusher_report::GatewayMetrics;
-use bulrushusher_routing::{RequestDigest, RequestKeys};
+use bulrushusher_routing::{CrashKey, RequestDigest, RequestKeys};
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, Residency, RunnerId, ServiceName};
 use bytes::Bytes;
@@ -43,6 +43,26 @@
     pub metrics: Arc<GatewayMetrics>,
 }
 
+/// A part of a prompt, as crashes are recorded for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PartKey {
+    pub id: PartId,
+    /// Digest of the part at the engines of a service. All versions of their software count as one:
+    /// which of them a part crashes is not known before it has crashed each.
+    pub digest: RequestDigest,
+}
+
+impl PartKey {
+    fn new(id: PartId, service: &ServiceName) -> PartKey {
+        let digest = RequestDigest::of([service.as_str().as_bytes(), &id.to_bytes()]);
+        PartKey { id, digest }
+    }
+
+    pub(crate) fn key(&self) -> CrashKey {
+        CrashKey::Part(self.digest)
+    }
+}
+
 /// A caller's request that is being forwarded.
 #[derive(Clone, Debug)]
 pub(crate) struct ForwardedRequest {
@@ -57,6 +77,8 @@
     pub digest: RequestDigest,
     /// What the request is recognised by when runners crash on it.
     pub crash_keys: RequestKeys,
+    /// The shared parts of its prompt, with the key of each.
+    pub parts: Arc<[PartKey]>,
     /// When the head was read.
     pub received: Millis,
     /// When the caller must have its final response.
@@ -93,14 +115,9 @@
     pub(crate) fn set_body(&mut self, body: Bytes) {
         self.body = body;
         self.digest = self.compute_digest();
-        let parts = self.request.parts.shared().iter().map(|part| self.part_digest(*part));
-        self.crash_keys = RequestKeys::new(self.digest, parts);
-    }
-
-    /// Digest of a part of the prompt at the engines of the service. All versions of their software
-    /// count as one: which of them a part crashes is not known before it has crashed each.
-    pub(crate) fn part_digest(&self, part: PartId) -> RequestDigest {
-        RequestDigest::of([self.service.as_str().as_bytes(), &part.to_bytes()])
+        let parts = self.request.parts.shared().iter();
+        self.parts = parts.map(|id| PartKey::new(*id, &self.service)).collect();
+        self.crash_keys = RequestKeys::new(self.digest, self.parts.iter().map(|part| part.digest));
     }
 
     fn compute_digest(&self) -> RequestDigest {
--- a/crates/bulrushusher_gateway/src/shared/crashes.rs
+++ b/crates/bulrushusher_gateway/src/shared/crashes.rs
@@ -172,8 +172,7 @@
     pub(crate) fn apply_stored_crashes(&self, stored: &CrashUpdate) -> usize {
         let now = self.now();
         let mut crashes = self.crashes.lock();
-        let keys = stored.quarantined.iter().flat_map(|entry| entry.keys.iter());
-        crashes.stored = keys.chain(stored.suspects.iter().map(|it| it.key)).collect();
+        crashes.stored = stored.keys().collect();
         let cleared = crashes.for_store.cleared.clone();
         for suspect in stored.suspects.iter().filter(|it| !cleared.contains(&it.key)) {
             crashes.quarantine.add_suspect(*suspect, now);
@@ -200,8 +199,7 @@
         crashes.for_store.suspects.retain(|it| !written.suspects.contains(it));
         crashes.for_store.quarantined.retain(|it| !written.quarantined.contains(it));
         crashes.for_store.cleared.retain(|it| !written.cleared.contains(it));
-        let entries = written.quarantined.iter().flat_map(|entry| entry.keys.iter());
-        crashes.stored.extend(entries.chain(written.suspects.iter().map(|it| it.key)));
+        crashes.stored.extend(written.keys());
         crashes.stored.retain(|key| !written.cleared.contains(key));
     }
 
--- a/crates/bulrushusher_routing/src/quarantine/mod.rs
+++ b/crates/bulrushusher_routing/src/quarantine/mod.rs
@@ -231,7 +231,7 @@
                 has_contrast: known.is_some_and(|known| known.has_contrast),
                 since: known.map_or(now, |known| known.first_at),
             };
-            self.add_suspect(suspect, now);
+            self.insert_suspect(suspect, now);
             suspects.push(suspect);
         }
         let entries = self.quarantine_due(&suspects, now);
@@ -269,10 +269,11 @@
             self.insert(entry, now);
             missing.cleared.extend(survived);
         }
+        self.expire_suspects(now);
         for suspect in update.suspects.iter().take(max) {
             let known = self.crash_count(suspect.key);
             let was_sound = self.was_sound(suspect.key);
-            self.add_suspect(*suspect, now);
+            self.insert_suspect(*suspect, now);
             if known > suspect.crashes || (was_sound && !suspect.was_sound) {
                 let crashes = known.max(suspect.crashes);
                 missing.suspects.push(Suspect { crashes, was_sound, ..*suspect });
@@ -382,11 +383,15 @@
 
     /// Records a key's crashes, as another gateway or the store has them.
     pub fn add_suspect(&mut self, suspect: Suspect, now: Millis) {
+        self.expire_suspects(now);
+        self.insert_suspect(suspect, now);
+    }
+
+    fn insert_suspect(&mut self, suspect: Suspect, now: Millis) {
         let Suspect { key, crashes, was_sound, has_contrast, since } = suspect;
         if was_sound && !self.was_sound(key) {
             self.sound.record_elsewhere(key, self.cfg.max_sound_parts, Millis(0));
         }
-        self.expire_suspects(now);
         // The clock of another gateway may be ahead.
         let first_at = since.min(now);
         let first = Crashes { consecutive: 0, first_at, last_at: now, has_contrast };
--- a/crates/bulrushusher_routing/src/quarantine/update.rs
+++ b/crates/bulrushusher_routing/src/quarantine/update.rs
@@ -50,6 +50,12 @@
         self.suspects.is_empty() && self.quarantined.is_empty() && self.cleared.is_empty()
     }
 
+    /// The keys that are suspected or in quarantine by it.
+    pub fn keys(&self) -> impl Iterator<Item = CrashKey> {
+        let quarantined = self.quarantined.iter().flat_map(|entry| entry.keys.iter());
+        quarantined.chain(self.suspects.iter().map(|suspect| suspect.key))
+    }
+
     /// Merges a later update into this one.
     pub fn merge(&mut self, later: CrashUpdate) {
         self.suspects.retain(|suspect| !later.cleared.contains(&suspect.key));
