Accept gate: connections served in each round follow the length of the rounds, the newest first

Cause: the gate accepted all new connections for its first 100 ms and lowered their share by four tenths each 100 ms, so that at a gateway which serves 170 a second some 150 requests lay in its queues for 1.3 s (their attempts at runners that answer at once took 700 ms: the gateway's own rounds). Where closing connections took most of the time, the listener's queue filled, and those that were read had waited there for 0.8 s and more. In the test besides, 6,000 connections a second made callers and runners late on the same machine; that is no fault of the gateway's. Change: each turn of the accepting task serves a number of connections that shrinks with the length of each round of tasks and grows while rounds are short; once connections have waited for 100 ms, the oldest are closed unread and the newest served. The model gets six rounds for a request in place of one.

--- a/crates/bulrushusher_forward/src/accept_gate.rs
+++ b/crates/bulrushusher_forward/src/accept_gate.rs
@@ -2,109 +2,138 @@
 //!
 //! A caller whose connection is closed before its request was read tries another gateway; a request
 //! that was read and answered too late may not be repeated. So a gateway reads no more than it can
-//! serve, and learns how much that is from its own lateness: the time from the accept of a connection
-//! until its task first runs. If even the least lateness within an interval is above the target, there
-//! is a standing queue, and the accepted share shrinks; a burst that is worked off in time does not
-//! count. Connections that are already open are not touched.
+//! serve, and learns how much that is from its own lateness: how long its other tasks take between two
+//! turns of the one that accepts connections. Each request needs some such rounds, so the number of
+//! connections that are served from a turn follows the length of the rounds, from the first one on.
+//! The others wait in the listener's queue. Once that queue has not been empty for a while, the oldest
+//! are closed unread, as the newest still have the most time left. A burst that is worked off soon
+//! costs nobody a connection. Connections that are already open are not touched.
 
 use bulrushusher_time::Millis;
 
-/// When connections are turned away.
+/// How many connections are accepted.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AcceptGateConfig {
-    /// Standing lateness of the process above which fewer connections are accepted.
+    /// Length of a round of the process's tasks above which fewer connections are served from a turn.
     pub target: Millis,
-    /// Time between two changes of the accepted share.
-    pub interval: Millis,
-    /// Factor of the accepted share after an interval with a standing queue.
-    pub decrease: f64,
-    /// Increase of the accepted share after any other interval.
-    pub increase: f64,
-    /// Lower bound of the accepted share, so that the end of the overload is noticed.
-    pub min_share: f64,
+    /// Time for which connections may be left in the listener's queue before the oldest are closed.
+    pub patience: Millis,
+    /// Connections that are served from a turn at first.
+    pub initial_batch: f64,
+    /// Maximum number of connections that are served from a turn.
+    pub max_batch: f64,
+    /// Factor by which that number grows after a turn that used it up while rounds are short.
+    pub growth: f64,
+    /// Maximum number of connections that are accepted in a turn, which delays all other tasks.
+    pub max_accepted: usize,
 }
 
 impl Default for AcceptGateConfig {
-    /// A plain call has a target of some hundreds of ms, of which a tenth is lost at most.
+    /// A plain call has a target of some hundreds of ms and takes about six rounds. The listener's queue
+    /// holds 1,024 connections.
     fn default() -> AcceptGateConfig {
         AcceptGateConfig {
             target: Millis(30),
-            interval: Millis(100),
-            decrease: 0.6,
-            increase: 0.05,
-            min_share: 0.02,
+            patience: Millis(100),
+            initial_batch: 4.0,
+            max_batch: 128.0,
+            growth: 1.2,
+            max_accepted: 512,
         }
     }
 }
 
-/// The share of new connections that a process accepts.
+/// What to do in a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AcceptTurn {
+    /// Connections to accept, if there are as many.
+    pub accept: usize,
+    /// How many of them to serve, the newest ones; the others are closed unread.
+    pub serve: usize,
+}
+
+/// The connections that a process accepts, turn by turn.
 ///
 /// ```
 /// use bulrushusher_forward::{AcceptGate, AcceptGateConfig};
 /// use bulrushusher_time::Millis;
-/// let mut gate = AcceptGate::new(AcceptGateConfig::default(), Millis(0));
-/// assert!(gate.admit(Millis(0)));
-/// // Connections wait for 400 ms until they are served.
-/// for n in 0..50 {
-///     gate.record_lateness(Millis(400), Millis(n * 10));
+/// let mut gate = AcceptGate::new(AcceptGateConfig::default());
+/// let turn = gate.begin_turn(Millis(0));
+/// assert_eq!((turn.accept, turn.serve), (4, 4), "others wait for the next turn");
+/// // More connections wait than can be served: each round takes 300 ms.
+/// for nth in 0..4 {
+///     let now = Millis(nth * 300);
+///     let turn = gate.begin_turn(now);
+///     gate.end_turn(turn.accept, false, now);
+///     gate.record_round(now, now.plus(Millis(300)));
 /// }
-/// assert!(gate.share() < 0.2);
+/// let turn = gate.begin_turn(Millis(1_200));
+/// assert_eq!((turn.accept, turn.serve), (512, 1), "the others are closed");
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct AcceptGate {
     cfg: AcceptGateConfig,
-    share: f64,
-    /// Accepted connections that are due, in fractions of one.
-    credit: f64,
-    interval_began: Millis,
-    /// Least lateness in the present interval; `None` if no connection was served in it.
-    least: Option<Millis>,
+    /// Connections to serve from a turn.
+    batch: f64,
+    /// True if the last turn had as many connections as it could serve.
+    is_used_up: bool,
+    /// Since when not all connections that wait are served; `None` if they are.
+    waiting_since: Option<Millis>,
+    /// When the batch was last reduced.
+    reduced_at: Millis,
 }
 
 impl AcceptGate {
-    /// A gate that accepts all connections.
-    pub fn new(cfg: AcceptGateConfig, now: Millis) -> AcceptGate {
-        AcceptGate { cfg, share: 1.0, credit: 0.0, interval_began: now, least: None }
+    /// The gate of a process that has just started.
+    pub fn new(cfg: AcceptGateConfig) -> AcceptGate {
+        let batch = cfg.initial_batch;
+        AcceptGate { cfg, batch, is_used_up: false, waiting_since: None, reduced_at: Millis(0) }
     }
 
-    /// Decides on a new connection. Returns true if it is to be served.
-    pub fn admit(&mut self, now: Millis) -> bool {
-        self.end_interval(now);
-        self.credit = (self.credit + self.share).min(1.0);
-        let is_due = self.credit >= 1.0 - f64::EPSILON;
-        if is_due {
-            self.credit -= 1.0;
-        }
-        is_due
+    /// Decides on the connections that wait now.
+    pub fn begin_turn(&self, now: Millis) -> AcceptTurn {
+        let serve = self.batch();
+        let is_queue_old =
+            self.waiting_since.is_some_and(|since| now.since(since) >= self.cfg.patience);
+        let accept = if is_queue_old { self.cfg.max_accepted.max(serve) } else { serve };
+        AcceptTurn { accept, serve }
     }
 
-    /// Records the time from the accept of a connection until its task first ran.
-    pub fn record_lateness(&mut self, lateness: Millis, now: Millis) {
-        self.least = Some(self.least.map_or(lateness, |least| least.min(lateness)));
-        self.end_interval(now);
+    /// Ends a turn in which connections were accepted; `is_drained` if none was left in the queue.
+    /// Returns true if all that waited are served.
+    pub fn end_turn(&mut self, accepted: usize, is_drained: bool, now: Millis) -> bool {
+        self.is_used_up = accepted >= self.batch();
+        let are_all_served = is_drained && accepted <= self.batch();
+        match are_all_served {
+            true => self.waiting_since = None,
+            false => {
+                self.waiting_since.get_or_insert(now);
+            }
+        }
+        are_all_served
     }
 
-    /// The accepted share of new connections; 1 without overload.
-    pub fn share(&self) -> f64 {
-        self.share
+    /// Records a round of the process's tasks, from the beginning of a turn to that of the next.
+    pub fn record_round(&mut self, began: Millis, ended: Millis) {
+        self.record_lateness(began, ended);
+        if ended.since(began) <= self.cfg.target && self.is_used_up {
+            self.batch = (self.batch * self.cfg.growth).min(self.cfg.max_batch);
+        }
     }
 
-    /// Ends the present interval, and those since in which nothing happened.
-    fn end_interval(&mut self, now: Millis) {
-        let intervals = now.since(self.interval_began).0 / self.cfg.interval.0.max(1);
-        if intervals == 0 {
-            return;
+    /// Records the time from the accept of a connection until its task first ran, which is a part of a
+    /// round. What began before the batch was last reduced does not count again.
+    pub fn record_lateness(&mut self, began: Millis, ended: Millis) {
+        let lateness = ended.since(began);
+        if lateness > self.cfg.target && began >= self.reduced_at {
+            let factor = self.cfg.target.0 as f64 / lateness.0 as f64;
+            self.batch = (self.batch * factor).max(1.0);
+            self.reduced_at = ended;
         }
-        let is_late = self.least.is_some_and(|least| least > self.cfg.target);
-        let calm = match is_late {
-            true => {
-                self.share = (self.share * self.cfg.decrease).max(self.cfg.min_share);
-                intervals - 1
-            }
-            false => intervals,
-        };
-        self.share = (self.share + calm as f64 * self.cfg.increase).min(1.0);
-        self.interval_began = now;
-        self.least = None;
+    }
+
+    /// Number of connections that are served from a turn.
+    pub fn batch(&self) -> usize {
+        self.batch as usize
     }
 }
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -67,7 +67,7 @@
 mod wait_queue;
 mod water_filling;
 
-pub use accept_gate::{AcceptGate, AcceptGateConfig};
+pub use accept_gate::{AcceptGate, AcceptGateConfig, AcceptTurn};
 pub use arrivals::RequestArrivals;
 pub use attempt_plan::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep};
 pub use back_pressure::{
--- a/crates/bulrushusher_forward/tests/accept_gate.rs
+++ b/crates/bulrushusher_forward/tests/accept_gate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use bulrushusher_forward::{AcceptGate, AcceptGateConfig};
+use bulrushusher_forward::{AcceptGate, AcceptGateConfig, AcceptTurn};
 use bulrushusher_time::Millis;
 
 /// Time to turn a connection away, in ms.
@@ -11,8 +11,11 @@
 /// Connections that wait in the kernel.
 const BACKLOG: usize = 1_024;
 
-/// Connections that are accepted before other tasks run again.
-const BATCH: usize = 128;
+/// Rounds of the process's tasks that a request needs.
+const ROUNDS: u32 = 6;
+
+/// What a process without a gate accepts in a turn.
+const UNGATED: AcceptTurn = AcceptTurn { accept: 128, serve: 128 };
 
 /// Time within which a request must be answered.
 const TARGET_MS: f64 = 300.0;
@@ -37,6 +40,14 @@
     }
 }
 
+/// A request that has been read.
+struct Task {
+    arrived: f64,
+    accepted: f64,
+    span: usize,
+    rounds_left: u32,
+}
+
 /// Plays a day at a process that needs `serve_ms` for a request. Returns the counts of each span.
 fn play(spans: &[Span], serve_ms: f64, mut gate: Option<AcceptGate>) -> Vec<Count> {
     let mut counts = vec![Count::default(); spans.len()];
@@ -48,8 +59,8 @@
         arrivals.extend((0..total).map(|n| (start + n as f64 * gap, nth)));
         start += span.length_ms;
     }
-    let (mut now, mut tasks) = (0.0_f64, VecDeque::new());
-    let mut waiting_since = None;
+    let at = |time: f64| Millis(time as u64);
+    let (mut now, mut tasks) = (0.0_f64, VecDeque::<Task>::new());
     while !arrivals.is_empty() || !tasks.is_empty() {
         if tasks.is_empty() {
             now = now.max(arrivals.front().map_or(now, |(at, _)| *at));
@@ -60,36 +71,43 @@
             let dropped: Option<(f64, usize)> = arrivals.remove(BACKLOG);
             counts[dropped.expect("it waits").1].arrived += 1;
         }
-        let mut is_drained = false;
-        for _ in 0..BATCH {
-            let Some((at, span)) = arrivals.front().copied().filter(|(at, _)| *at <= now) else {
-                is_drained = true;
-                break;
-            };
-            arrivals.pop_front();
+        let turn = gate.as_ref().map_or(UNGATED, |gate| gate.begin_turn(at(now)));
+        let began = now;
+        let accepted = turn.accept.min(waiting.min(BACKLOG));
+        for (nth, (arrived, span)) in arrivals.drain(..accepted).enumerate() {
             counts[span].arrived += 1;
-            if gate.as_mut().is_none_or(|gate| gate.admit(Millis(now as u64))) {
-                tasks.push_back((at, waiting_since.unwrap_or(now), span));
-            } else {
-                now += CLOSE_MS;
+            match accepted - nth <= turn.serve {
+                true => {
+                    counts[span].read += 1;
+                    tasks.push_back(Task { arrived, accepted: now, span, rounds_left: ROUNDS });
+                }
+                false => now += CLOSE_MS,
             }
         }
-        waiting_since = (!is_drained).then(|| waiting_since.unwrap_or(now));
+        let is_drained = accepted < turn.accept;
+        let are_all_served =
+            gate.as_mut().is_some_and(|gate| gate.end_turn(accepted, is_drained, at(now)));
         for _ in 0..tasks.len() {
-            let Some((arrived, since, span)) = tasks.pop_front() else { break };
-            if let Some(gate) = &mut gate {
-                gate.record_lateness(Millis((now - since) as u64), Millis(now as u64));
+            let Some(mut task) = tasks.pop_front() else { break };
+            if let Some(gate) = gate.as_mut().filter(|_| task.rounds_left == ROUNDS) {
+                gate.record_lateness(at(task.accepted), at(now));
+            }
+            now += serve_ms / f64::from(ROUNDS);
+            task.rounds_left -= 1;
+            match task.rounds_left {
+                0 => counts[task.span].on_time += usize::from(now - task.arrived <= TARGET_MS),
+                _ => tasks.push_back(task),
             }
-            now += serve_ms;
-            counts[span].read += 1;
-            counts[span].on_time += usize::from(now - arrived <= TARGET_MS);
+        }
+        if let Some(gate) = gate.as_mut().filter(|_| !are_all_served) {
+            gate.record_round(at(began), at(now));
         }
     }
     counts
 }
 
 fn gate() -> Option<AcceptGate> {
-    Some(AcceptGate::new(AcceptGateConfig::default(), Millis(0)))
+    Some(AcceptGate::new(AcceptGateConfig::default()))
 }
 
 /// The flood's first seconds are a span of their own, as the platform judges what follows them.
--- a/crates/bulrushusher_gateway/src/callers/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -1,6 +1,6 @@
 //! Accepts callers' connections and serves them until the gateway stops.
 
-use std::io;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 
@@ -24,12 +24,12 @@
 /// Pause after a failed accept, so that a full descriptor table does not cause a busy loop.
 const ACCEPT_PAUSE: Millis = Millis(20);
 
-/// Connections that are accepted before other tasks run again.
-const ACCEPT_BATCH: usize = 128;
-
 /// Time between two log lines about connections that were turned away.
 const LOG_INTERVAL: Millis = Millis(1_000);
 
+/// A connection of a caller, with the caller's address.
+type Accepted = (TcpStream, SocketAddr);
+
 /// The open connections.
 #[derive(Debug, Default)]
 struct OpenConnections {
@@ -61,7 +61,7 @@
 
 impl<D: Dialect> Server<D> {
     pub(crate) fn new(front: Arc<Front<D>>, clock: Clock) -> Server<D> {
-        let gate = AcceptGate::new(AcceptGateConfig::default(), clock.now());
+        let gate = AcceptGate::new(AcceptGateConfig::default());
         Server {
             front,
             clock,
@@ -76,59 +76,74 @@
     /// Accepts up to `max_connections` at once, until dropped; fewer while the process is late. A
     /// connection that is turned away is closed unread, so that its caller may try another gateway.
     pub(crate) async fn accept(&self, listener: TcpListener, max_connections: usize) {
-        let mut waiting_since = None;
+        let mut first = None;
         loop {
-            let is_drained = self.accept_waiting(&listener, max_connections, waiting_since);
-            if !is_drained.await {
-                waiting_since.get_or_insert(self.clock.now());
-                tokio::task::yield_now().await;
+            let began = self.clock.now();
+            if self.take_turn(&listener, first.take(), max_connections) {
+                first = self.accept_first(&listener).await;
                 continue;
             }
-            waiting_since = None;
-            self.handle_accepted(listener.accept().await, max_connections, None).await;
+            tokio::task::yield_now().await;
+            self.gate.lock().record_round(began, self.clock.now());
         }
     }
 
-    /// Accepts connections that wait already, up to [`ACCEPT_BATCH`]. Returns true if none is left.
-    async fn accept_waiting(
+    /// Waits for a connection.
+    async fn accept_first(&self, listener: &TcpListener) -> Option<Accepted> {
+        let accepted = listener.accept().await;
+        if let Err(e) = &accepted {
+            log::warn!("server: cannot accept cause=\"{e}\"");
+            tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
+        }
+        accepted.ok()
+    }
+
+    /// Accepts the `first` connection and those that wait, as far as the gate lets them in. Returns true
+    /// if all are served.
+    fn take_turn(
         &self,
         listener: &TcpListener,
+        first: Option<Accepted>,
         max_connections: usize,
-        waiting_since: Option<Millis>,
     ) -> bool {
-        for _ in 0..ACCEPT_BATCH {
+        let now = self.clock.now();
+        let turn = self.gate.lock().begin_turn(now);
+        let mut newest: VecDeque<Accepted> = first.into_iter().collect();
+        let mut accepted = newest.len();
+        let mut is_drained = false;
+        while accepted < turn.accept && !is_drained {
             // The budget of the runtime would make the listener seem empty.
-            let accepted = tokio::task::unconstrained(listener.accept()).now_or_never();
-            let Some(accepted) = accepted else { return true };
-            self.handle_accepted(accepted, max_connections, waiting_since).await;
+            let waiting = tokio::task::unconstrained(listener.accept()).now_or_never();
+            let Some(Ok(connection)) = waiting else {
+                is_drained = true;
+                break;
+            };
+            accepted += 1;
+            newest.push_back(connection);
+            if newest.len() > turn.serve {
+                newest.pop_front();
+                self.record_turned_away();
+            }
         }
-        false
+        for (stream, peer) in newest {
+            self.admit(stream, peer, max_connections);
+        }
+        self.gate.lock().end_turn(accepted, is_drained, now)
     }
 
-    async fn handle_accepted(
-        &self,
-        accepted: io::Result<(TcpStream, SocketAddr)>,
-        max_connections: usize,
-        waiting_since: Option<Millis>,
-    ) {
-        match accepted {
-            Ok((stream, peer)) if self.alive.receiver_count() < max_connections => {
-                let now = self.clock.now();
-                match self.gate.lock().admit(now) && !self.front.is_short_of_memory() {
-                    true => self.serve_connection(stream, peer, waiting_since.unwrap_or(now)),
-                    false => self.record_turned_away(now),
-                }
-            }
-            Ok((_, peer)) => log::warn!("server: too many connections peer={peer}"),
-            Err(e) => {
-                log::warn!("server: cannot accept cause=\"{e}\"");
-                tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
-            }
+    fn admit(&self, stream: TcpStream, peer: SocketAddr, max_connections: usize) {
+        if self.alive.receiver_count() >= max_connections {
+            log::warn!("server: too many connections peer={peer}");
+        } else if self.front.is_short_of_memory() {
+            self.record_turned_away();
+        } else {
+            self.serve_connection(stream, peer);
         }
     }
 
     /// Counts a connection that is closed unread, and logs it at most once in [`LOG_INTERVAL`].
-    fn record_turned_away(&self, now: Millis) {
+    fn record_turned_away(&self) {
+        let now = self.clock.now();
         self.front.router.metrics.record_turned_away();
         let mut logged = self.turned_away.lock();
         logged.count += 1;
@@ -136,13 +151,13 @@
             let count = std::mem::take(&mut logged.count);
             logged.logged_at = now;
             log::info!(
-                "server: connections turned away count={count} accepted_share={:.2}",
-                self.gate.lock().share()
+                "server: connections turned away count={count} batch={}",
+                self.gate.lock().batch()
             );
         }
     }
 
-    fn serve_connection(&self, stream: TcpStream, peer: SocketAddr, waiting_since: Millis) {
+    fn serve_connection(&self, stream: TcpStream, peer: SocketAddr) {
         if let Err(e) = stream.set_nodelay(true) {
             log::debug!("server: connection ended early peer={peer} cause=\"{e}\"");
             return;
@@ -151,9 +166,9 @@
         self.open.connections.lock().push(Arc::downgrade(&connection));
         let (alive, closing) = (self.alive.subscribe(), self.closing.subscribe());
         let (front, gate, clock) = (self.front.clone(), self.gate.clone(), self.clock.clone());
+        let accepted = clock.now();
         tokio::spawn(async move {
-            let now = clock.now();
-            gate.lock().record_lateness(now.since(waiting_since), now);
+            gate.lock().record_lateness(accepted, clock.now());
             serve_until_closed(front, stream, connection, closing).await;
             drop(alive);
         });
