Server: a failed accept is logged in each place, the loop of a turn reads straight

Cause: reading the change again: a failed accept within a turn ended it without a log line, and the loop tested twice whether the queue is empty.

--- a/crates/bulrushusher_gateway/src/callers/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::unconstrained;
 
 use crate::callers::front::Front;
 use crate::connection::{CallerConnection, CallerStream};
@@ -110,13 +111,18 @@
         let turn = self.gate.lock().begin_turn(now);
         let mut newest: VecDeque<Accepted> = first.into_iter().collect();
         let mut accepted = newest.len();
-        let mut is_drained = false;
-        while accepted < turn.accept && !is_drained {
+        let is_drained = loop {
+            if accepted >= turn.accept {
+                break false;
+            }
             // The budget of the runtime would make the listener seem empty.
-            let waiting = tokio::task::unconstrained(listener.accept()).now_or_never();
-            let Some(Ok(connection)) = waiting else {
-                is_drained = true;
-                break;
+            let connection = match unconstrained(listener.accept()).now_or_never() {
+                Some(Ok(connection)) => connection,
+                Some(Err(e)) => {
+                    log::warn!("server: cannot accept cause=\"{e}\"");
+                    break true;
+                }
+                None => break true,
             };
             accepted += 1;
             newest.push_back(connection);
@@ -124,7 +130,7 @@
                 newest.pop_front();
                 self.record_turned_away();
             }
-        }
+        };
         for (stream, peer) in newest {
             self.admit(stream, peer, max_connections);
         }
