Shares of rates: one rank for each gateway and runner, without a sort

Change: the mean of the traffic once a refresh, one hash for each gateway and runner, and a selection of the first ones in place of a sort. Shares stay the same.

--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -410,7 +410,7 @@
         let reporting: Vec<Sharer<'_>> =
             self.gateways.iter().map(|(name, it)| Sharer { name, demand: it.demand }).collect();
         let own = Sharer { name: &self.own, demand: self.own_demand };
-        let sharers = Sharers { own, reporting: &reporting, all: self.announced + 1 };
+        let sharers = Sharers::new(own, reporting, self.announced + 1);
         for (id, entry) in &mut self.runners {
             if let Some(limit) = &mut entry.limit {
                 limit.set_share(LimitShare::of(limit.limit, id, &sharers), now);
--- a/crates/bulrushusher_forward/src/limit_share.rs
+++ b/crates/bulrushusher_forward/src/limit_share.rs
@@ -47,38 +47,58 @@
     pub demand: u32,
 }
 
-/// Gateways that may share a runner's rate limit, as seen by one of them.
+/// Gateways that may share the runners' rate limits, as seen by one of them.
 #[derive(Clone, Debug)]
 pub(crate) struct Sharers<'a> {
     /// This gateway.
-    pub own: Sharer<'a>,
+    own: Sharer<'a>,
     /// Other gateways with recent reports.
-    pub reporting: &'a [Sharer<'a>],
+    reporting: Vec<Sharer<'a>>,
     /// All gateways that may be alive, including this one; those without recent reports may use the
-    /// limit too.
-    pub all: usize,
+    /// limits too.
+    all: usize,
+    /// Requests per second above which a gateway is busy.
+    busy_above: f64,
 }
 
-impl Sharers<'_> {
+/// The place of a gateway in the order in which they share a runner's limit.
+#[derive(Clone, Copy, Debug)]
+struct Ranked {
+    /// Busy gateways come first, then those with the highest rank.
+    order: (bool, u64),
+    demand: f64,
+}
+
+impl<'a> Sharers<'a> {
+    /// The gateways with recent reports, among `all`.
+    pub(crate) fn new(own: Sharer<'a>, reporting: Vec<Sharer<'a>>, all: usize) -> Sharers<'a> {
+        let demands = std::iter::once(&own).chain(&reporting).map(|it| f64::from(it.demand));
+        let mean = demands.sum::<f64>() / (reporting.len() + 1) as f64;
+        // While demand varies as usual, the order must not: a gateway that leaves it loses its burst.
+        let busy_above = (mean + mean.sqrt()) * BUSY_FACTOR + MIN_BUSY;
+        Sharers { own, reporting, all, busy_above }
+    }
+
     /// Part of what `count` gateways share that this one has; `None` if it is not among them.
     fn own_part(&self, count: usize, runner: &RunnerId) -> Option<f64> {
         let rank = ranking(runner.as_str());
-        let all = || std::iter::once(&self.own).chain(self.reporting);
-        let demand = |it: &Sharer<'_>| f64::from(it.demand);
-        let mean = all().map(demand).sum::<f64>() / all().count() as f64;
-        // While demand varies as usual, the order must not: a gateway that leaves it loses its burst.
-        let busy = (mean + mean.sqrt()) * BUSY_FACTOR + MIN_BUSY;
-        let order = |it: &Sharer<'_>| (demand(it) > busy, rank(it.name));
-        let own = order(&self.own);
-        let mut others: Vec<&Sharer<'_>> = self.reporting.iter().collect();
-        others.sort_unstable_by_key(|it| std::cmp::Reverse(order(it)));
-        if others.iter().take_while(|it| order(it) > own).count() >= count {
+        let ranked = |it: &Sharer<'_>| {
+            let demand = f64::from(it.demand);
+            Ranked { order: (demand > self.busy_above, rank(it.name)), demand }
+        };
+        let own = ranked(&self.own);
+        let mut others: Vec<Ranked> = self.reporting.iter().map(ranked).collect();
+        if others.iter().filter(|it| it.order > own.order).count() >= count {
             return None;
         }
-        let first = || std::iter::once(&self.own).chain(others.iter().copied().take(count - 1));
-        let mean = first().map(demand).sum::<f64>() / count as f64;
-        let weight = |it: &Sharer<'_>| demand(it) + mean * IDLE_WEIGHT + MIN_WEIGHT;
-        Some(weight(&self.own) / first().map(weight).sum::<f64>())
+        let first_others = (count - 1).min(others.len());
+        if first_others < others.len() {
+            others.select_nth_unstable_by_key(first_others, |it| std::cmp::Reverse(it.order));
+        }
+        let first = || std::iter::once(&own).chain(&others[..first_others]);
+        let mean = first().map(|it| it.demand).sum::<f64>() / count as f64;
+        let weight = |it: &Ranked| it.demand + mean * IDLE_WEIGHT + MIN_WEIGHT;
+        Some(weight(&own) / first().map(weight).sum::<f64>())
     }
 }
 
