--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -25,6 +25,8 @@
     pub silent_at_stop: AtomicBool,
     /// Most holds and runs of this gateway at once, as others take the rest; 0 for no limit.
     pub places: AtomicUsize,
+    /// Refused holds are marked as not run, like refused requests.
+    pub marks_refusals: AtomicBool,
     /// The next refused hold is answered a second time, late: where the next answer on its connection is
     /// expected.
     pub repeats_refusal: AtomicBool,
@@ -159,7 +161,9 @@
         let mut state = self.state.lock().unwrap();
         let places = self.behavior.places.load(Ordering::Relaxed);
         if places > 0 && state.holds.len() + state.running.len() >= places {
-            let refusal = response(503, &[], b"{}");
+            let mark = [("Bulrushusher-Not-Run", "1")];
+            let is_marked = self.behavior.marks_refusals.load(Ordering::Relaxed);
+            let refusal = response(503, if is_marked { &mark } else { &[] }, b"{}");
             if self.behavior.repeats_refusal.swap(false, Ordering::Relaxed) {
                 state.second_answers.insert(connection.number, refusal.clone());
             }
--- a/review/standin/second_answer.rs
+++ b/review/standin/second_answer.rs
@@ -17,7 +17,7 @@
 /// Rounds of three streams that arrive together.
 const ROUNDS: usize = 20;
 
-/// The rounds in which a refusal is answered twice: 2 of some 100 answers of that runner.
+/// The round in which the runner of that number answers a refusal twice: one of its some 110 answers.
 const REPEATING_ROUNDS: [usize; 2] = [8, 15];
 
 /// The status by which a client knows that a request has not run and never will.
@@ -34,6 +34,8 @@
     let store = start_store(MEMORY, STRIDE);
     let prefill = Runner::start("i-p0", Some("prefill"), Behavior::default(), &record);
     let decodes = ["i-d0", "i-d1"].map(|id| Runner::start(id, Some("decode"), behavior(), &record));
+    // A refused hold is a 503 of a full runner; the pages don't say whether it bears the mark of one.
+    decodes[1].behavior.marks_refusals.store(true, Ordering::Relaxed);
     for runner in std::iter::once(&prefill).chain(&decodes) {
         store.put("servers", &runner.id, runner.entry("rationale-llm"));
     }
@@ -44,8 +46,9 @@
     }
     let mut replies: Vec<(String, Response)> = Vec::new();
     for round in 0..ROUNDS {
-        if has_trouble() && REPEATING_ROUNDS.contains(&round) {
-            decodes[0].behavior.repeats_refusal.store(true, Ordering::Relaxed);
+        let repeating = REPEATING_ROUNDS.iter().position(|it| *it == round);
+        if let Some(nth) = repeating.filter(|_| has_trouble()) {
+            decodes[nth].behavior.repeats_refusal.store(true, Ordering::Relaxed);
         }
         let sending: Vec<_> = (0..3)
             .map(|nth| {
@@ -81,6 +84,7 @@
         }
         if runs > 1 {
             is_broken = true;
+            gateway.record_log_of(id, &record);
             record.line(&format!("TWICE is broken: {id} has run {runs} times"));
         }
     }
