Review case 2: a leaving runner's cut-off stream looks complete

A runner that has said that it leaves is not probed when a stream without a mark of its end ends, and counts as alive, so that its planned exit makes half a stream look whole.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,8 +1,9 @@
 //! Stand-ins and checks of the review's cases, on `std` alone.
 
-mod cut_answer;
 mod http;
+mod leaving_runner;
 mod platform;
+mod process;
 mod record;
 mod runner;
 mod second_answer;
@@ -26,9 +27,10 @@
         std::process::exit(CANNOT_RUN);
     });
     let case = std::env::args().nth(1).unwrap_or_default();
+    let id = std::env::args().nth(2).unwrap_or_default();
     let code = match case.as_str() {
-        "app-runner" => cut_answer::serve_calls(&std::env::args().nth(2).unwrap_or_default()),
-        "cut-answer" => cut_answer::run(),
+        "decode-runner" => leaving_runner::serve_runs(&id),
+        "leaving-runner" => leaving_runner::run(),
         "stopped-run" => stopped_run::run(),
         "second-answer" => second_answer::run(),
         other => {
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -25,6 +25,8 @@
     pub silent_at_stop: AtomicBool,
     /// Most holds and runs of this gateway at once, as others take the rest; 0 for no limit.
     pub places: AtomicUsize,
+    /// It leaves: all its answers say so, and it goes on serving until its process ends.
+    pub is_leaving: AtomicBool,
     /// Refused holds are marked as not run, like refused requests.
     pub marks_refusals: AtomicBool,
     /// The next refused hold is answered a second time, late: where the next answer on its connection is
@@ -32,6 +34,16 @@
     pub repeats_refusal: AtomicBool,
 }
 
+/// The entry of a model's runner in the store.
+pub fn entry_of(address: SocketAddr, stage: Option<&str>, state: &str) -> String {
+    let stage = stage.map_or("null".to_owned(), |stage| format!("\"{stage}\""));
+    format!(
+        "{{\"service\":\"rationale-llm\",\"address\":\"{address}\",\"zone\":\"ba-petrzalka\",\
+         \"version\":\"v1\",\"slots\":64,\"state\":\"{state}\",\"cold_left_ms\":0,\"stage\":{stage},\
+         \"seq\":1}}"
+    )
+}
+
 #[derive(Default)]
 struct State {
     last_name: usize,
@@ -77,13 +89,8 @@
     }
 
     /// The runner's entry in the store.
-    pub fn entry(&self, service: &str) -> String {
-        let stage = self.stage.map_or("null".to_owned(), |stage| format!("\"{stage}\""));
-        format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"ba-petrzalka\",\"version\":\"v1\",\
-             \"slots\":64,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":{stage},\"seq\":1}}",
-            self.address
-        )
+    pub fn entry(&self) -> String {
+        entry_of(self.address, self.stage, "ready")
     }
 
     /// Requests that were run, in order.
@@ -101,6 +108,23 @@
         self.state.lock().unwrap().stopped.clone()
     }
 
+    /// Sends a response with a length; false if the peer is gone.
+    fn respond(
+        &self,
+        connection: &mut Connection,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> bool {
+        let leaving = self.leaving_header();
+        let all: Vec<(&str, &str)> = headers.iter().copied().chain(leaving).collect();
+        connection.send(&response(status, &all, body))
+    }
+
+    fn leaving_header(&self) -> Option<(&'static str, &'static str)> {
+        self.behavior.is_leaving.load(Ordering::Relaxed).then_some(("Server-Leaving", "1"))
+    }
+
     fn log(&self, text: &str) {
         self.record.line(&format!("runner {}: {text}", self.id));
     }
@@ -122,23 +146,23 @@
         let expected = req.header("bulrushusher-expect-instance");
         if !expected.is_empty() && expected != self.id {
             let not_run = [("Bulrushusher-Not-Run", "1")];
-            return connection.send(&response(421, &not_run, b""));
+            return self.respond(connection, 421, &not_run, b"");
         }
         let path = req.path.as_str();
         if let Some(hold) = path.strip_prefix("/hold-drop/") {
             self.state.lock().unwrap().holds.remove(hold);
-            return connection.send(&response(200, &[], b"{}"));
+            return self.respond(connection, 200, &[], b"{}");
         }
         if path.starts_with("/kv-handle/") {
-            return connection.send(&response(200, &[], b"{}"));
+            return self.respond(connection, 200, &[], b"{}");
         }
         match path {
-            "/report" => connection.send(&response(200, &[], self.report().as_bytes())),
+            "/report" => self.respond(connection, 200, &[], self.report().as_bytes()),
             "/health" => {
                 let id = [("Bulrushusher-Instance-Id", self.id.as_str())];
-                connection.send(&response(200, &id, b""))
+                self.respond(connection, 200, &id, b"")
             }
-            "/order" => connection.send(&response(202, &[], b"{}")),
+            "/order" => self.respond(connection, 202, &[], b"{}"),
             "/hold-take" => self.take_hold(connection),
             "/kv-move" => self.copy(req, connection),
             _ if req.header("bulrushusher-stage") == "prefill" => self.prefill(req, connection),
@@ -176,7 +200,7 @@
         state.holds.insert(name.clone());
         drop(state);
         self.log(&format!("connection {}: hold granted as {name}", connection.number));
-        connection.send(&response(200, &[], format!("{{\"hold\":\"{name}\"}}").as_bytes()))
+        self.respond(connection, 200, &[], format!("{{\"hold\":\"{name}\"}}").as_bytes())
     }
 
     fn prefill(&self, req: &Request, connection: &mut Connection) -> bool {
@@ -184,7 +208,7 @@
         let id = req.header("bulrushusher-request-id").to_owned();
         let body = format!("{{\"kv_handle\":\"kv-{id}\",\"tokens\":1000,\"version\":1}}");
         self.log(&format!("{id} prefilled"));
-        connection.send(&response(200, &[("Bulrushusher-Request-Id", &id)], body.as_bytes()))
+        self.respond(connection, 200, &[("Bulrushusher-Request-Id", &id)], body.as_bytes())
     }
 
     /// Copies a run to another runner; with `last`, the run stops first.
@@ -195,7 +219,7 @@
         let running = self.state.lock().unwrap().running.get(&id).cloned();
         let Some(stop) = running else {
             self.log(&format!("{id} is to be copied, but doesn't run: 404"));
-            return connection.send(&response(404, &[], b"{}"));
+            return self.respond(connection, 404, &[], b"{}");
         };
         if is_last {
             self.state.lock().unwrap().stopped.push(id.clone());
@@ -209,7 +233,7 @@
         }
         self.log(&format!("{id} copied, last={is_last}: 200"));
         let body = format!("{{\"kv_handle\":\"copy-{id}\",\"created\":0}}");
-        connection.send(&response(200, &[], body.as_bytes()))
+        self.respond(connection, 200, &[], body.as_bytes())
     }
 
     fn generate(&self, req: &Request, connection: &mut Connection) -> bool {
@@ -257,9 +281,11 @@
         connection: &mut Connection,
     ) -> Result<(), u64> {
         let framing = if is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
+        let leaving = self.leaving_header();
+        let leaving = leaving.map_or(String::new(), |(name, value)| format!("{name}: {value}\r\n"));
         let head = format!(
             "HTTP/1.1 200 OK\r\nBulrushusher-Request-Id: {id}\r\nBulrushusher-Server-Seal: {}.{id}\r\n\
-             Content-Type: text/event-stream\r\n{framing}\r\n",
+             Content-Type: text/event-stream\r\n{leaving}{framing}\r\n",
             self.id
         );
         if !connection.send(head.as_bytes()) {
@@ -288,6 +314,6 @@
         let seal = format!("{}.{id}", self.id);
         let headers =
             [("Bulrushusher-Request-Id", id.as_str()), ("Bulrushusher-Server-Seal", seal.as_str())];
-        connection.send(&response(200, &headers, format!("{id} done").as_bytes()))
+        self.respond(connection, 200, &headers, format!("{id} done").as_bytes())
     }
 }
--- a/review/standin/second_answer.rs
+++ b/review/standin/second_answer.rs
@@ -37,7 +37,7 @@
     // A refused hold is a 503 of a full runner; the pages don't say whether it bears the mark of one.
     decodes[1].behavior.marks_refusals.store(true, Ordering::Relaxed);
     for runner in std::iter::once(&prefill).chain(&decodes) {
-        store.put("servers", &runner.id, runner.entry("rationale-llm"));
+        store.put("servers", &runner.id, runner.entry());
     }
     let gateway = Arc::new(Gateway::start(store.address));
     if !gateway.wait_until_ready() {
--- a/review/standin/stopped_run.rs
+++ b/review/standin/stopped_run.rs
@@ -33,7 +33,7 @@
     second.behavior.unframed.lock().unwrap().insert("r2".to_owned());
     first.behavior.silent_at_stop.store(has_trouble(), Ordering::Relaxed);
     for runner in [&prefill, &first] {
-        store.put("servers", &runner.id, runner.entry("rationale-llm"));
+        store.put("servers", &runner.id, runner.entry());
     }
     let gateway = Arc::new(Gateway::start(store.address));
     if !gateway.wait_until_ready() {
@@ -63,7 +63,7 @@
         return CANNOT_RUN;
     }
     record.line("operator: an empty runner is added, i-d1");
-    store.put("servers", &second.id, second.entry("rationale-llm"));
+    store.put("servers", &second.id, second.entry());
     let whole: Vec<u64> = (1..=LONG / STRIDE).collect();
     let replies = [("r1", stays), ("r2", moves)].map(|(id, it)| (id, it.join().expect("the client")));
     gateway.record_log_of("r2", &record);
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -38,6 +38,11 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes an object, as a runner does that has left.
+    pub fn remove_object(&self, kind: &str, name: &str) {
+        self.remove(kind, name, None);
+    }
+
     fn handle(&self, req: &Request, connection: &mut Connection) -> bool {
         let (path, query) = req.path.split_once('?').unwrap_or((&req.path, ""));
         let mut parts = path.trim_start_matches("/objects/").split('/');
