--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -61,10 +61,9 @@
                 thread::sleep(end.saturating_duration_since(Instant::now()));
                 false
             }
-            Err(e) => !matches!(
-                e.kind(),
-                std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
-            ),
+            Err(e) => {
+                !matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+            }
         }
     }
 
--- a/review/standin/leaving_runner.rs
+++ b/review/standin/leaving_runner.rs
@@ -68,8 +68,12 @@
                 let mut nth = 0;
                 while !is_over.load(Ordering::Relaxed) {
                     let id = format!("w{client}-{nth}");
-                    let req =
-                        ClientRequest { path: PATH, id: &id, deadline_ms: 14_000, tokens: Some(SHORT) };
+                    let req = ClientRequest {
+                        path: PATH,
+                        id: &id,
+                        deadline_ms: 14_000,
+                        tokens: Some(SHORT),
+                    };
                     gateway.send(&req, &record);
                     nth += 1;
                 }
@@ -79,7 +83,8 @@
     thread::sleep(Duration::from_secs(1));
     let (at, sent) = (gateway.clone(), record.clone());
     let long = thread::spawn(move || {
-        let req = ClientRequest { path: PATH, id: UNFRAMED, deadline_ms: 14_000, tokens: Some(LONG) };
+        let req =
+            ClientRequest { path: PATH, id: UNFRAMED, deadline_ms: 14_000, tokens: Some(LONG) };
         at.send(&req, &sent)
     });
     let begins = format!(": {UNFRAMED} runs");
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -71,7 +71,10 @@
             headers.push(("Bulrushusher-Model", "m".to_owned()));
             headers.push(("Bulrushusher-Token-Counts", format!("1000,{tokens}")));
             headers.push(("Bulrushusher-Length-Hint", (tokens / 4).to_string()));
-            headers.push(("Bulrushusher-Prompt-Prefix", format!("5c1e07a2:200,{:x}:800", digest(req.id))));
+            headers.push((
+                "Bulrushusher-Prompt-Prefix",
+                format!("5c1e07a2:200,{:x}:800", digest(req.id)),
+            ));
         }
         let timeout = Duration::from_millis(req.deadline_ms + 1_000);
         let res = call(self.callers, "POST", req.path, &headers, b"a client's brief", timeout);
@@ -158,7 +161,14 @@
 }
 
 /// A route of the first config.
-fn route(name: &str, kind: &str, service: &str, timeout_ms: u32, slo_ms: u32, attempts: u32) -> String {
+fn route(
+    name: &str,
+    kind: &str,
+    service: &str,
+    timeout_ms: u32,
+    slo_ms: u32,
+    attempts: u32,
+) -> String {
     format!(
         "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\"service\":\"{service}\",\
          \"kind\":\"{kind}\",\"timeout_ms\":{timeout_ms},\"slo_ms\":{slo_ms},\"priority\":1,\
--- a/review/standin/second_answer.rs
+++ b/review/standin/second_answer.rs
@@ -56,8 +56,12 @@
                 let id = format!("r{round}-{nth}");
                 thread::spawn(move || {
                     thread::sleep(Duration::from_millis(4 * nth));
-                    let req =
-                        ClientRequest { path: PATH, id: &id, deadline_ms: 14_000, tokens: Some(100) };
+                    let req = ClientRequest {
+                        path: PATH,
+                        id: &id,
+                        deadline_ms: 14_000,
+                        tokens: Some(100),
+                    };
                     let first = gateway.send(&req, &record);
                     let mut sent = vec![(id.clone(), first)];
                     if PROMISES.contains(&sent[0].1.status) {
--- a/review/standin/stopped_run.rs
+++ b/review/standin/stopped_run.rs
@@ -43,7 +43,8 @@
     let send = |id: String, tokens: u64| {
         let (gateway, record) = (gateway.clone(), record.clone());
         thread::spawn(move || {
-            let req = ClientRequest { path: PATH, id: &id, deadline_ms: 14_000, tokens: Some(tokens) };
+            let req =
+                ClientRequest { path: PATH, id: &id, deadline_ms: 14_000, tokens: Some(tokens) };
             gateway.send(&req, &record)
         })
     };
@@ -65,7 +66,8 @@
     record.line("operator: an empty runner is added, i-d1");
     store.put("servers", &second.id, second.entry());
     let whole: Vec<u64> = (1..=LONG / STRIDE).collect();
-    let replies = [("r1", stays), ("r2", moves)].map(|(id, it)| (id, it.join().expect("the client")));
+    let replies =
+        [("r1", stays), ("r2", moves)].map(|(id, it)| (id, it.join().expect("the client")));
     gateway.record_log_of("r2", &record);
     let mut is_broken = false;
     for (id, res) in &replies {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -48,7 +48,8 @@
         let mut parts = path.trim_start_matches("/objects/").split('/');
         let kind = parts.next().unwrap_or("").to_owned();
         let name = parts.next().map(str::to_owned);
-        let value = |key: &str| query.split('&').find_map(|it| it.strip_prefix(key)?.strip_prefix('='));
+        let value =
+            |key: &str| query.split('&').find_map(|it| it.strip_prefix(key)?.strip_prefix('='));
         let number = |key: &str| value(key).and_then(|it| it.parse::<u64>().ok());
         let (status, body) = match (req.method.as_str(), name) {
             ("GET", None) => match number("watch") {
