Observability: why a stream is given up, and why a caller's connection is closed

Cause: after result=silent nothing said whether the caller had left, no retry was allowed or no runner was found, and closed connections were logged at debug without age or state, so that the hypotheses of the incident could not be told apart. Change: `stream: given up` and `server: connection closed` with reason and state, one counter each. No decision is changed.

--- a/crates/bulrushusher_gateway/src/callers/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -139,6 +139,7 @@
 
     fn admit(&self, stream: TcpStream, peer: SocketAddr, max_connections: usize) {
         if self.alive.receiver_count() >= max_connections {
+            self.front.router.metrics.record_connection_closed("too many connections");
             log::warn!("server: too many connections peer={peer}");
         } else if self.front.is_short_of_memory() {
             self.record_turned_away();
@@ -192,8 +193,7 @@
             };
             for connection in open {
                 if let Some(reason) = connection.close_reason(&routing.limits) {
-                    log::debug!("server: connection closed reason=\"{reason}\"");
-                    connection.request_close();
+                    connection.request_close(reason);
                 }
             }
             self.front.router.exchanger.pool().sweep();
@@ -221,7 +221,7 @@
     let max_head = front.router.shared.routing().map(|routing| routing.limits.header_bytes);
     let io = TokioIo::new(CallerStream::new(stream, connection.clone()));
     let service = {
-        let connection = connection.clone();
+        let (front, connection) = (front.clone(), connection.clone());
         service_fn(move |req| front.clone().serve(req, connection.clone()))
     };
     let mut builder = http1::Builder::new();
@@ -231,7 +231,10 @@
     tokio::pin!(served);
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
-        () = connection.close_requested() => return,
+        reason = connection.close_requested() => {
+            log_closed(&front, &connection, reason);
+            return;
+        }
         () = closing_signalled(&mut closing) => {
             served.as_mut().graceful_shutdown();
             served.await
@@ -242,6 +245,18 @@
     }
 }
 
+/// Logs and counts a connection that the gateway closes.
+fn log_closed<D: Dialect>(front: &Front<D>, connection: &CallerConnection, reason: &'static str) {
+    let shared = &front.router.shared;
+    front.router.metrics.record_connection_closed(reason);
+    log::info!(
+        "server: connection closed reason=\"{reason}\" {} configuration={} configuration_age_ms={}",
+        connection.describe(),
+        shared.routing().map_or(0, |routing| routing.version),
+        shared.routing_age().0,
+    );
+}
+
 async fn closing_signalled(closing: &mut watch::Receiver<bool>) {
     // An error means that the server was dropped, and its connections with it.
     closing.wait_for(|closing| *closing).await.ok();
--- a/crates/bulrushusher_gateway/src/connection.rs
+++ b/crates/bulrushusher_gateway/src/connection.rs
@@ -8,6 +8,7 @@
 
 use bulrushusher_forward::CallerLimits;
 use bulrushusher_time::{Clock, Millis};
+use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -23,23 +24,34 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     clock: Clock,
+    opened: Millis,
+    /// Bytes read from the caller so far.
+    bytes_read: AtomicU64,
+    /// Requests whose head was read so far.
+    requests: AtomicU64,
     /// Number of requests being served.
     serving: AtomicU64,
     /// When the first byte of an incomplete head arrived, or [`NOT_STARTED`].
     head_started: AtomicU64,
     idle_since: AtomicU64,
     close: Notify,
+    /// Why the connection is to be closed.
+    close_reason: Mutex<&'static str>,
 }
 
 impl CallerConnection {
     pub(crate) fn new(clock: Clock) -> CallerConnection {
-        let now = clock.now().0;
+        let opened = clock.now();
         CallerConnection {
             clock,
+            opened,
+            bytes_read: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
             serving: AtomicU64::new(0),
             head_started: AtomicU64::new(NOT_STARTED),
-            idle_since: AtomicU64::new(now),
+            idle_since: AtomicU64::new(opened.0),
             close: Notify::new(),
+            close_reason: Mutex::default(),
         }
     }
 
@@ -47,10 +59,12 @@
     pub(crate) fn start_request(self: &Arc<Self>) -> RequestGuard {
         self.head_started.store(NOT_STARTED, Ordering::Relaxed);
         self.serving.fetch_add(1, Ordering::Relaxed);
+        self.requests.fetch_add(1, Ordering::Relaxed);
         RequestGuard { connection: self.clone() }
     }
 
-    fn record_bytes(&self) {
+    fn record_bytes(&self, count: usize) {
+        self.bytes_read.fetch_add(count as u64, Ordering::Relaxed);
         if self.serving.load(Ordering::Relaxed) == 0 {
             let now = self.clock.now().0;
             let unset = self.head_started.compare_exchange(
@@ -81,14 +95,31 @@
         (is_idle && now.since(idle_since) > kept).then_some("idle for too long")
     }
 
+    /// The connection's state, for the log.
+    pub(crate) fn describe(&self) -> String {
+        let now = self.clock.now();
+        let load = |value: &AtomicU64| value.load(Ordering::Relaxed);
+        format!(
+            "age_ms={} idle_ms={} bytes_read={} requests={} serving={} reading_head={}",
+            now.since(self.opened).0,
+            now.since(Millis(load(&self.idle_since))).0,
+            load(&self.bytes_read),
+            load(&self.requests),
+            load(&self.serving),
+            load(&self.head_started) != NOT_STARTED,
+        )
+    }
+
     /// Asks the connection's server to close it.
-    pub(crate) fn request_close(&self) {
+    pub(crate) fn request_close(&self, reason: &'static str) {
+        *self.close_reason.lock() = reason;
         self.close.notify_one();
     }
 
-    /// Waits until the connection is to be closed.
-    pub(crate) async fn close_requested(&self) {
+    /// Waits until the connection is to be closed; returns the reason.
+    pub(crate) async fn close_requested(&self) -> &'static str {
         self.close.notified().await;
+        *self.close_reason.lock()
     }
 }
 
@@ -127,8 +158,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.connection.record_bytes();
+        let count = buf.filled().len() - before;
+        if count > 0 {
+            self.connection.record_bytes(count);
         }
         read
     }
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -26,6 +26,37 @@
 /// about four gap targets.
 const RESUME_WAIT: Millis = Millis(1_500);
 
+/// Why a stream ends incomplete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum GiveUpReason {
+    /// The request's deadline passed.
+    DeadlinePassed,
+    /// No further run is allowed, or the retry budget is used up.
+    NoRetry,
+    /// Another run failed.
+    RunFailed,
+    /// No runner has memory for another run, or none can prefill the prompt.
+    Unplaced,
+    /// The request must not be sent to runners at present.
+    Withheld,
+    /// The caller disconnected.
+    CallerGone,
+}
+
+impl GiveUpReason {
+    /// The reason's label in the log and in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            GiveUpReason::DeadlinePassed => "deadline_passed",
+            GiveUpReason::NoRetry => "no_retry",
+            GiveUpReason::RunFailed => "run_failed",
+            GiveUpReason::Unplaced => "unplaced",
+            GiveUpReason::Withheld => "withheld",
+            GiveUpReason::CallerGone => "caller_gone",
+        }
+    }
+}
+
 /// Spawns the task that forwards the stream of `run`; returns the response to the caller.
 pub(crate) fn start<D: Dialect>(
     cx: Arc<Router<D>>,
@@ -52,7 +83,7 @@
         ..AttemptHistory::default()
     };
     let first_start = run.started;
-    loop {
+    let reason = loop {
         let runner = run.runner.clone();
         let (started, mut watch) = (run.started, run.watch.clone());
         let framing = BodyFraming::of(&run.reply.head.headers);
@@ -117,7 +148,7 @@
                     continue;
                 }
             }
-            RunEnd::DeadlinePassed => break,
+            RunEnd::DeadlinePassed => break GiveUpReason::DeadlinePassed,
             RunEnd::Broken(_) => {
                 watch.connection_lost(cx, &runner).await;
                 cx.shared.record_run_end(&runner, false);
@@ -125,10 +156,18 @@
             RunEnd::Silent(_) => cx.shared.record_run_end(&runner, false),
         }
         match resume_elsewhere(cx, fwd, &mut plan, &mut progress, &mut history, &tx).await {
-            Some(next) => run = next,
-            None => break,
+            Ok(next) => run = next,
+            Err(reason) => break reason,
         }
-    }
+    };
+    cx.metrics.record_aborted_stream(reason.label());
+    log::info!(
+        "stream: given up id={} reason={} last_event={} left_ms={}",
+        fwd.request.id,
+        reason.label(),
+        progress.last_event.unwrap_or(0),
+        fwd.remaining(cx.now()).0,
+    );
     // The caller must see that the stream is incomplete.
     tx.send(Err(ResponseAborted)).await.ok();
 }
@@ -141,12 +180,12 @@
     progress: &mut StreamProgress,
     history: &mut AttemptHistory,
     tx: &Sender<StreamPart>,
-) -> Option<Run<D>> {
+) -> Result<Run<D>, GiveUpReason> {
     let mut end = AttemptEnd::Unknown;
     loop {
         match plan.next_step(end, || fwd.arrivals.reserve(1)) {
             NextStep::Retry => {}
-            NextStep::ForwardError | NextStep::Finish(_) => return None,
+            NextStep::ForwardError | NextStep::Finish(_) => return Err(GiveUpReason::NoRetry),
         }
         progress.begin_run();
         let until = placement_deadline(fwd, cx.now());
@@ -154,15 +193,17 @@
         let next = start_run(cx, fwd, history, until);
         let next = tokio::select! {
             next = next => next,
-            () = tx.closed() => return None,
+            () = tx.closed() => return Err(GiveUpReason::CallerGone),
         };
         match next {
             Ok(run) => {
                 history.excluded_decodes.push(run.runner.id.clone());
-                return Some(run);
+                return Ok(run);
             }
             Err(RunError::Ended(ended, _)) => end = ended,
-            Err(_) => return None,
+            Err(RunError::Failed(..)) => return Err(GiveUpReason::RunFailed),
+            Err(RunError::Unplaced(_)) => return Err(GiveUpReason::Unplaced),
+            Err(RunError::Withheld(_)) => return Err(GiveUpReason::Withheld),
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -75,6 +75,8 @@
     started_at: Millis,
     cfg: ArcSwap<GatewayConfig>,
     routing: ArcSwapOption<RoutingConfig>,
+    /// When the configuration in force was applied.
+    routing_applied_at: Mutex<Millis>,
     runners: Mutex<Runners>,
     retry_budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     /// The gateways that share retry budgets with this one.
@@ -185,6 +187,7 @@
             clock,
             cfg: ArcSwap::from_pointee(cfg),
             routing: ArcSwapOption::empty(),
+            routing_applied_at: Mutex::default(),
             runners: Mutex::new(runners),
             retry_budgets: Mutex::default(),
             known_gateways: Mutex::default(),
@@ -266,6 +269,11 @@
         self.routing.load_full()
     }
 
+    /// Time since the configuration in force was applied.
+    pub(crate) fn routing_age(&self) -> Millis {
+        self.now().since(*self.routing_applied_at.lock())
+    }
+
     /// The engine of a service, if the service runs models.
     pub(crate) fn engine(&self, service: &ServiceName) -> Option<EngineSpec> {
         self.routing()?.service(service)?.engine
@@ -282,6 +290,7 @@
         self.set_quotas(&routing);
         self.log_unknown_regions(&routing);
         self.routing.store(Some(Arc::new(routing)));
+        *self.routing_applied_at.lock() = self.now();
         self.update_cold_services();
         // The task that renews the lease sleeps while no request needs an API key.
         self.lease_due.notify_one();
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -24,6 +24,8 @@
     crashes: Counter<u64>,
     quarantine_refusals: Counter<u64>,
     turned_away: Counter<u64>,
+    connections_closed: Counter<u64>,
+    aborted_streams: Counter<u64>,
     quarantine: Gauge<u64>,
     /// Keys that the gauge shows with a time.
     quarantines_shown: Mutex<BTreeSet<String>>,
@@ -128,6 +130,14 @@
                 "bulrush_gateway_turned_away",
                 "New connections closed unread because the gateway is overloaded",
             ),
+            connections_closed: counter(
+                "bulrush_gateway_connections_closed",
+                "Callers' connections that the gateway closed, by reason",
+            ),
+            aborted_streams: counter(
+                "bulrush_gateway_aborted_streams",
+                "Streams that ended incomplete for their caller, by reason",
+            ),
             quarantine: meter
                 .u64_gauge("bulrush_gateway_quarantine_ms")
                 .with_description("Time until a quarantine ends, by its keys, in ms")
@@ -295,6 +305,28 @@
         self.turned_away.add(1, &[]);
     }
 
+    /// Records that the gateway closed a caller's connection.
+    ///
+    /// ```
+    /// let metrics = bulrushusher_report::GatewayMetrics::new("front-1");
+    /// metrics.record_connection_closed("idle");
+    /// assert!(metrics.render().contains("bulrush_gateway_connections_closed_total"));
+    /// ```
+    pub fn record_connection_closed(&self, reason: &'static str) {
+        self.connections_closed.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Records a stream that was broken off towards its caller.
+    ///
+    /// ```
+    /// let metrics = bulrushusher_report::GatewayMetrics::new("front-1");
+    /// metrics.record_aborted_stream("no_retry");
+    /// assert!(metrics.render().contains("bulrush_gateway_aborted_streams_total"));
+    /// ```
+    pub fn record_aborted_stream(&self, reason: &'static str) {
+        self.aborted_streams.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Sets the keys in quarantine, with the time until the quarantine of each ends, in ms. Former ones
     /// are set to 0.
     pub fn set_quarantines(&self, entries: impl IntoIterator<Item = (String, u64)>) {
