A silent run is given up only once another one has begun

What callers saw: a stream broken off after 1.2 to 1.5 s without an event, although its runner would have gone on. Cause: RunEnd::Silent dropped the run and then asked for another place. Without retry budget, a permitted attempt, memory or time there was none, and the stream was aborted. The plan was asked for a further run as if the present one had ended, so that the last permitted attempt was given up too. Change: the stream of a silent run is kept while another run is prepared (StreamTask::take_over); whichever sends something first goes on, the other is dropped. Two runs are kept side by side for 300 ms at most once the second was sent with its prompt prefilled. Without a replacement the first is waited for, and another one is asked for every 250 ms. AttemptPlan::takeover leaves the plan as it is until the other run has begun.

--- a/crates/bulrushusher_forward/src/attempt_plan.rs
+++ b/crates/bulrushusher_forward/src/attempt_plan.rs
@@ -110,6 +110,35 @@
         may_follow
     }
 
+    /// The plan once another run has taken over from the present one, which is kept until then. `None` if
+    /// no other run may follow or the budget does not allow it.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{AttemptEnd, AttemptPlan, RouteKind};
+    /// let mut plan = AttemptPlan::new(RouteKind::Idempotent, 3);
+    /// assert!(plan.takeover(|| false).is_none(), "no retry is left");
+    /// let after = plan.takeover(|| true).unwrap();
+    /// assert!(after.takeover(|| true).unwrap().takeover(|| true).is_none(), "three runners at most");
+    /// plan.record_failed_takeover(AttemptEnd::Unknown);
+    /// assert!(plan.takeover(|| true).is_some() && plan.may_run_again(), "the first run is still on");
+    /// ```
+    pub fn takeover(&self, reserve: impl FnOnce() -> bool) -> Option<AttemptPlan> {
+        let mut after = *self;
+        after.abandon(reserve).then_some(after)
+    }
+
+    /// Records the end of a run that was to take over; the present run goes on.
+    pub fn record_failed_takeover(&mut self, end: AttemptEnd) {
+        self.sends_left = self.sends_left.saturating_sub(1);
+        match end {
+            AttemptEnd::Unsent | AttemptEnd::NotRun => {}
+            AttemptEnd::RunFailed | AttemptEnd::Unknown => {
+                self.may_have_run = true;
+                self.runs_left = self.runs_left.saturating_sub(1);
+            }
+        }
+    }
+
     /// What is certain about the request so far.
     pub fn final_answer(&self) -> FinalAnswer {
         match self.may_have_run {
--- a/crates/bulrushusher_gateway/src/runners/arrivals.rs
+++ b/crates/bulrushusher_gateway/src/runners/arrivals.rs
@@ -63,6 +63,11 @@
         Some(state.arrivals.retries())
     }
 
+    /// Number of arrivals beyond the first.
+    pub(crate) fn retries(&self) -> u32 {
+        self.state.lock().arrivals.retries()
+    }
+
     /// Takes back a send of which nothing was written. What was paid for it covers the next one.
     pub(crate) fn withdraw(&self) {
         self.state.lock().arrivals.withdraw();
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -23,6 +23,11 @@
 /// not fetched for about half a second.
 const REPLACEMENT_WAIT: Millis = Millis(250);
 
+/// Longest wait for a run that takes over, while the former run is kept: for the head of its stream if
+/// its prompt was prefilled, then for its first bytes. Two runners must not work on one request side by
+/// side for 400 ms.
+pub(crate) const TAKEOVER_TIMEOUT: Millis = Millis(300);
+
 /// Starts a run that continues after the last event that the caller received.
 pub(crate) async fn start_run<D: Dialect>(
     cx: &Arc<Router<D>>,
@@ -102,7 +107,7 @@
     history.excluded_decodes.push(runner.id.clone());
     let resume_after = history.resume_after;
     let spec = AttemptSpec { resume_after, step: Step::Whole, permit: Permit::Acquire };
-    run_at(cx, fwd, runner, None, spec).await
+    run_at(cx, fwd, runner, None, spec, fwd.remaining(cx.now())).await
 }
 
 async fn start_split<D: Dialect>(
@@ -117,7 +122,13 @@
     let cache = kv.as_ref().map(|kv| kv.cache.clone());
     let step = Step::Generate { kv: cache.as_ref(), hold: hold.as_deref() };
     let spec = AttemptSpec { resume_after: history.resume_after, step, permit: Permit::Acquired };
-    let run = run_at(cx, fwd, runner.clone(), Some(held), spec).await;
+    // A run that takes over begins at once if its prompt was prefilled. If its runner is silent too, it
+    // is given up before both may work on the request for long.
+    let max_wait = match history.is_takeover && cache.is_some() {
+        true => TAKEOVER_TIMEOUT,
+        false => fwd.remaining(cx.now()),
+    };
+    let run = run_at(cx, fwd, runner.clone(), Some(held), spec, max_wait).await;
     match &run {
         Ok(_) => {
             if let Some(kv) = &mut kv {
@@ -140,20 +151,21 @@
     run
 }
 
-/// Sends the run to a runner and waits for the head of its stream.
+/// Sends the run to a runner and waits for the head of its stream, up to `max_wait`.
 pub(crate) async fn run_at<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     runner: Runner,
     mut held: Option<MemoryHold<D>>,
     spec: AttemptSpec<'_>,
+    max_wait: Millis,
 ) -> Result<Run<D>, RunError> {
     let started = cx.now();
     let trace = SendTrace::new(held.as_ref().map_or(started, MemoryHold::created_at));
     let load = LoadGuard::begin(&cx.shared, &runner.id, 0);
     let timeout = match fwd.route.kind.may_repeat() {
-        true => silence_timeout(fwd).min(fwd.remaining(started)),
-        false => fwd.remaining(started),
+        true => silence_timeout(fwd).min(max_wait),
+        false => max_wait,
     };
     let prefills = held.as_ref().is_some_and(MemoryHold::prefills_itself);
     let watch = prefills.then(|| cx.shared.track_prefill(&runner));
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -2,27 +2,33 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptPlan, EventSplitter, LongGaps, PaceMeter, Runner};
+use bulrushusher_forward::{EventSplitter, LongGaps, PaceMeter, Runner};
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
+use hyper::http::response;
 use tokio::sync::mpsc::Sender;
 
 use crate::answers::body::StreamPart;
 use crate::dialect::Dialect;
 use crate::placement::holds::MemoryHold;
+use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::Reply;
 use crate::runners::framing::BodyFraming;
-use crate::runners::router::{ForwardedRequest, Router};
+use crate::runners::pool::RunnerConnection;
+use crate::runners::router::{ForwardedRequest, LoadGuard, Router};
 use crate::runs::migration::{MigratedRun, Migration};
 use crate::runs::run::{Run, silence_timeout};
 
 /// Time within which the stream of a stopped run ends; its last events are still in flight.
 const STOPPED_DRAIN_TIMEOUT: Millis = Millis(100);
 
-/// How a run ended.
+/// Time between two attempts to have a silent run taken over by another runner.
+const TAKEOVER_RETRY_DELAY: Millis = Millis(250);
+
+/// How a run ended, or why its stream is not forwarded at present.
 pub(crate) enum RunEnd<D: Dialect> {
     /// The stream ended after a complete event.
     Complete,
@@ -34,8 +40,30 @@
     DeadlinePassed,
     /// The stream broke off, for the given reason.
     Broken(String),
-    /// The runner was silent for too long, and the run may be resumed elsewhere.
-    Silent(String),
+    /// The runner has been silent for too long. Its run may still go on, so the stream is kept.
+    Silent,
+}
+
+impl<D: Dialect> RunEnd<D> {
+    /// Its label in the log and in metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            RunEnd::Complete => "whole",
+            RunEnd::Migrated(_) => "moved",
+            RunEnd::CallerGone => "caller_gone",
+            RunEnd::DeadlinePassed => "time_over",
+            RunEnd::Broken(_) => "broken",
+            RunEnd::Silent => "silent",
+        }
+    }
+
+    /// Why the stream broke off; empty if it did not.
+    pub(crate) fn cause(&self) -> &str {
+        match self {
+            RunEnd::Broken(cause) => cause,
+            _ => "",
+        }
+    }
 }
 
 /// How much of the stream the caller has received.
@@ -109,105 +137,195 @@
     CallerGone,
 }
 
+/// What is needed of a run once its stream has ended.
+pub(crate) struct RunOrigin {
+    pub runner: Runner,
+    pub started: Millis,
+    pub watch: CrashWatch,
+    pub framing: BodyFraming,
+}
+
 /// The stream of one run to its caller.
-struct RunStream<'a, D: Dialect> {
+pub(crate) struct RunStream<'a, D: Dialect> {
     cx: &'a Arc<Router<D>>,
     fwd: &'a ForwardedRequest,
     tx: &'a Sender<StreamPart>,
-    runner: Runner,
+    pub origin: RunOrigin,
+    head: response::Parts,
+    body: Incoming,
+    /// The connection to the runner until the stream is complete.
+    connection: Option<RunnerConnection>,
     held: Option<MemoryHold<D>>,
     migration: Migration<D>,
     tokens_per_event: u64,
     pace: PaceMeter,
-    /// True once the run was silent for longer than its silence timeout.
+    /// An event that arrived while a replacement of the run was prepared.
+    pending: Option<StreamEvent>,
+    /// Silence after which the stream counts as silent, once more if it did before.
+    next_silence: Millis,
+    /// True since the stream counted as silent, until its next bytes.
     was_silent: bool,
     /// True while the run generates nothing.
     is_stalled: bool,
     silent_since: Millis,
     /// True once the run has outlived the crash window.
     is_sound: bool,
+    _load: LoadGuard,
 }
 
-/// Forwards the stream of `run` until the run ends or is migrated.
-pub(crate) async fn forward_run<D: Dialect>(
-    cx: &Arc<Router<D>>,
-    fwd: &ForwardedRequest,
-    plan: &AttemptPlan,
-    run: Run<D>,
-    progress: &mut StreamProgress,
-    tx: &Sender<StreamPart>,
-) -> RunEnd<D> {
-    let Run { runner, reply, held, migrate_after, _load, .. } = run;
-    let Reply { head, mut body, connection, .. } = reply;
-    let has_events = is_event_stream(&head.headers);
-    let framing = BodyFraming::of(&head.headers);
-    let migration = Migration::not_before(migrate_after);
-    let mut stream = RunStream {
-        cx,
-        fwd,
-        tx,
-        runner,
-        held,
-        migration,
-        tokens_per_event: cx.shared.tokens_per_event(&fwd.service),
-        pace: PaceMeter::new(fwd.route.gap_target),
-        was_silent: false,
-        is_stalled: false,
-        silent_since: cx.now(),
-        is_sound: false,
-    };
-    loop {
-        match stream.next_event(&mut body).await {
-            StreamEvent::Nothing => {}
-            StreamEvent::CallerGone => return RunEnd::CallerGone,
-            StreamEvent::Broken(cause) => return stream.finish_interrupted(cause).await,
-            StreamEvent::Silence { .. } if stream.migration.is_stopped() => {
-                return stream.finish_interrupted("silent after its stop".to_owned()).await;
+impl<D: Dialect> RunStream<'_, D> {
+    /// The stream of `run`, of which nothing has been forwarded.
+    pub(crate) fn new<'a>(
+        cx: &'a Arc<Router<D>>,
+        fwd: &'a ForwardedRequest,
+        run: Run<D>,
+        tx: &'a Sender<StreamPart>,
+    ) -> RunStream<'a, D> {
+        let Run { runner, reply, started, held, migrate_after, watch, _load } = run;
+        let Reply { head, body, connection, .. } = reply;
+        RunStream {
+            cx,
+            fwd,
+            tx,
+            origin: RunOrigin { runner, started, watch, framing: BodyFraming::of(&head.headers) },
+            head,
+            body,
+            connection: Some(connection),
+            held,
+            migration: Migration::not_before(migrate_after),
+            tokens_per_event: cx.shared.tokens_per_event(&fwd.service),
+            pace: PaceMeter::new(fwd.route.gap_target),
+            pending: None,
+            next_silence: silence_timeout(fwd),
+            was_silent: false,
+            is_stalled: false,
+            silent_since: cx.now(),
+            is_sound: false,
+            _load,
+        }
+    }
+
+    /// Drops the run; its connection is closed unless its stream is complete.
+    pub(crate) fn into_origin(self) -> RunOrigin {
+        self.origin
+    }
+
+    /// Forwards the stream until the run ends, is migrated, or is silent for too long. After a silence
+    /// it may be called again.
+    pub(crate) async fn forward(&mut self, progress: &mut StreamProgress) -> RunEnd<D> {
+        let has_events = is_event_stream(&self.head.headers);
+        loop {
+            let event = match self.pending.take() {
+                Some(event) => event,
+                None => self.next_event().await,
+            };
+            match event {
+                StreamEvent::Nothing => {}
+                StreamEvent::CallerGone => return RunEnd::CallerGone,
+                StreamEvent::Broken(cause) => return self.finish_interrupted(cause).await,
+                StreamEvent::Silence { .. } if self.migration.is_stopped() => {
+                    return self.finish_interrupted("silent after its stop".to_owned()).await;
+                }
+                StreamEvent::Silence { at_deadline: true } => return RunEnd::DeadlinePassed,
+                StreamEvent::Silence { at_deadline: false } => {
+                    self.record_silence();
+                    return RunEnd::Silent;
+                }
+                StreamEvent::Bytes(bytes) => {
+                    if !self.forward_bytes(bytes, has_events, progress).await {
+                        return RunEnd::CallerGone;
+                    }
+                }
+                StreamEvent::End => return self.finish(progress).await,
             }
-            StreamEvent::Silence { at_deadline: true } => return RunEnd::DeadlinePassed,
-            StreamEvent::Silence { .. } if plan.may_run_again() => {
-                return RunEnd::Silent(format!("silent for {}", silence_timeout(fwd)));
+        }
+    }
+
+    /// Runs `replacing`, which prepares another run, while the stream may still go on. Returns `None`
+    /// if it went on or ended first; [`RunStream::forward`] continues then.
+    pub(crate) async fn await_replacement<T>(
+        &mut self,
+        replacing: impl Future<Output = T>,
+    ) -> Option<T> {
+        // Dropping the wait for an event loses nothing, as events are not forwarded meanwhile.
+        let replaced = tokio::select! {
+            biased;
+            event = self.next_sign() => Err(event),
+            replaced = replacing => Ok(replaced),
+        };
+        match replaced {
+            Ok(replaced) => {
+                self.delay_next_silence();
+                Some(replaced)
             }
-            StreamEvent::Silence { .. } => stream.record_silence(),
-            StreamEvent::Bytes(bytes) => {
-                if !stream.forward(bytes, has_events, progress).await {
-                    return RunEnd::CallerGone;
-                }
+            Err(event) => {
+                self.pending = Some(event);
+                None
             }
-            StreamEvent::End => {
-                let cause = match (framing, progress.began) {
-                    // A runner that crashed before its first event closes the connection too.
-                    (BodyFraming::Close, None) => "it ended before its first event",
-                    _ => "it ended inside an event",
-                };
-                let is_empty = framing == BodyFraming::Close && progress.began.is_none();
-                let is_complete = !is_empty && progress.splitter.rest().is_empty();
-                let runner = stream.runner.id.clone();
-                let end = stream.finish_interrupted(cause.to_owned()).await;
-                if !(is_complete && matches!(end, RunEnd::Broken(_))) {
-                    return end;
-                }
-                cx.exchanger.pool().keep(&runner, connection, &head.headers);
-                return RunEnd::Complete;
+        }
+    }
+
+    /// Waits for bytes or the end of the stream, up to `max_wait`.
+    pub(crate) async fn await_first_bytes(&mut self, max_wait: Millis) {
+        self.pending = tokio::time::timeout(max_wait.duration(), self.next_sign()).await.ok();
+        self.next_silence = silence_timeout(self.fwd);
+    }
+
+    /// Records a silent runner as failing, so that other requests avoid it.
+    fn record_silence(&mut self) {
+        if !std::mem::replace(&mut self.was_silent, true) {
+            self.cx.shared.record_run_end(&self.origin.runner, false);
+        }
+        self.delay_next_silence();
+    }
+
+    fn delay_next_silence(&mut self) {
+        let silence = self.cx.now().since(self.silent_since);
+        self.next_silence = silence.plus(TAKEOVER_RETRY_DELAY);
+    }
+
+    /// Waits for bytes or the end of the stream.
+    async fn next_sign(&mut self) -> StreamEvent {
+        self.next_silence = Millis::MAX;
+        loop {
+            match self.next_event().await {
+                StreamEvent::Nothing => {}
+                event => return event,
             }
         }
     }
-}
 
-impl<D: Dialect> RunStream<'_, D> {
+    /// Ends a stream whose body has ended.
+    async fn finish(&mut self, progress: &StreamProgress) -> RunEnd<D> {
+        let cause = match (self.origin.framing, progress.began) {
+            // A runner that crashed before its first event closes the connection too.
+            (BodyFraming::Close, None) => "it ended before its first event",
+            _ => "it ended inside an event",
+        };
+        let is_empty = self.origin.framing == BodyFraming::Close && progress.began.is_none();
+        let is_complete = !is_empty && progress.splitter.rest().is_empty();
+        let end = self.finish_interrupted(cause.to_owned()).await;
+        if !(is_complete && matches!(end, RunEnd::Broken(_))) {
+            return end;
+        }
+        if let Some(connection) = self.connection.take() {
+            self.cx.exchanger.pool().keep(&self.origin.runner.id, connection, &self.head.headers);
+        }
+        RunEnd::Complete
+    }
+
     /// Waits for the next part of the stream.
-    async fn next_event(&mut self, body: &mut Incoming) -> StreamEvent {
+    async fn next_event(&mut self) -> StreamEvent {
         let now = self.cx.now();
         let remaining = self.fwd.remaining(now);
         let silence = now.since(self.silent_since);
-        let timeout = match (self.migration.is_stopped(), self.was_silent) {
-            (true, _) => STOPPED_DRAIN_TIMEOUT,
-            (false, true) => remaining,
-            (false, false) => silence_timeout(self.fwd).since(silence).min(remaining),
+        let timeout = match self.migration.is_stopped() {
+            true => STOPPED_DRAIN_TIMEOUT,
+            false => self.next_silence.since(silence).min(remaining),
         };
         let stall_timeout = stall_timeout(self.fwd.route.gap_target).duration();
         let frame = tokio::select! {
-            frame = tokio::time::timeout(timeout.duration(), body.frame()) => frame,
+            frame = tokio::time::timeout(timeout.duration(), self.body.frame()) => frame,
             () = self.tx.closed() => return StreamEvent::CallerGone,
             () = self.migration.progress(|| self.cx.now()) => return StreamEvent::Nothing,
             () = tokio::time::sleep(stall_timeout), if !self.is_stalled => {
@@ -228,15 +346,8 @@
         }
     }
 
-    /// Records a silent runner as failing, so that other requests avoid it. This run must not be
-    /// resumed elsewhere, so its stream is still waited for.
-    fn record_silence(&mut self) {
-        self.cx.shared.record_run_end(&self.runner, false);
-        self.was_silent = true;
-    }
-
     /// Forwards bytes to the caller; returns false when the caller has disconnected.
-    async fn forward(
+    async fn forward_bytes(
         &mut self,
         bytes: Bytes,
         has_events: bool,
@@ -246,11 +357,12 @@
         self.is_stalled = false;
         let arrived = cx.now();
         self.silent_since = arrived;
+        (self.next_silence, self.was_silent) = (silence_timeout(self.fwd), false);
         let is_uneven = || cx.shared.is_uneven(&self.fwd.service);
         let (gap, is_slow) = progress.record_bytes(self.fwd.route.gap_target, is_uneven, arrived);
-        cx.shared.record_stream_pause(&self.runner.id, gap);
+        cx.shared.record_stream_pause(&self.origin.runner.id, gap);
         if is_slow {
-            cx.shared.record_run_end(&self.runner, false);
+            cx.shared.record_run_end(&self.origin.runner, false);
         }
         let began = *progress.began.get_or_insert(arrived);
         if !self.is_sound && !cx.shared.in_crash_window(arrived.since(began)) {
@@ -277,14 +389,15 @@
         }
         let generated = last_event.unwrap_or(0) * self.tokens_per_event;
         if let Some(tokens_per_ms) = self.pace.record(generated, arrived) {
-            self.cx.shared.record_pace(&self.runner, tokens_per_ms);
+            self.cx.shared.record_pace(&self.origin.runner, tokens_per_ms);
         }
     }
 
     /// Ends a stream that did not complete: its run was stopped for a migration, or the stream
     /// broke.
-    async fn finish_interrupted(self, cause: String) -> RunEnd<D> {
-        match self.migration.settle(|| self.cx.now()).await {
+    async fn finish_interrupted(&mut self, cause: String) -> RunEnd<D> {
+        let migration = std::mem::replace(&mut self.migration, Migration::not_before(Millis::MAX));
+        match migration.settle(|| self.cx.now()).await {
             Some(moved) => RunEnd::Migrated(moved),
             None => RunEnd::Broken(cause),
         }
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -14,16 +14,15 @@
 use crate::placement::attempts::{AttemptHistory, RunError};
 use crate::runners::framing::BodyFraming;
 use crate::runners::router::{ForwardedRequest, Router};
-use crate::runs::begin::start_run;
-use crate::runs::forward::{RunEnd, StreamProgress, forward_run};
+use crate::runs::begin::{TAKEOVER_TIMEOUT, start_run};
+use crate::runs::forward::{RunEnd, RunOrigin, RunStream, StreamProgress};
 use crate::runs::migration;
 use crate::runs::run::Run;
 
 /// Parts that are buffered for a slow caller; a full channel slows down the runner.
 const CHANNEL_CAPACITY: usize = 16;
 
-/// Longest wait for memory of a stream that is resumed elsewhere: callers leave after a pause of
-/// about four gap targets.
+/// Longest wait for memory of a stream that is resumed elsewhere.
 const RESUME_WAIT: Millis = Millis(1_500);
 
 /// Why a stream ends incomplete.
@@ -66,146 +65,241 @@
 ) -> Response<ReplyBody> {
     let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
     let head = run.reply.head.clone();
-    tokio::spawn(async move { forward(&cx, &fwd, plan, run, tx).await });
+    tokio::spawn(async move {
+        let progress = StreamProgress::new(fwd.request.resume_after);
+        let task = StreamTask {
+            cx: &cx,
+            fwd: &fwd,
+            tx: &tx,
+            plan,
+            progress,
+            history: AttemptHistory::default(),
+            first_start: run.started,
+        };
+        task.forward(run).await;
+    });
     forward_stream(head, ReplyBody::stream(rx))
 }
 
-async fn forward<D: Dialect>(
-    cx: &Arc<Router<D>>,
-    fwd: &ForwardedRequest,
-    mut plan: AttemptPlan,
-    mut run: Run<D>,
-    tx: Sender<StreamPart>,
-) {
-    let mut progress = StreamProgress::new(fwd.request.resume_after);
-    let mut history = AttemptHistory {
-        excluded_decodes: vec![run.runner.id.clone()],
-        ..AttemptHistory::default()
-    };
-    let first_start = run.started;
-    let reason = loop {
-        let runner = run.runner.clone();
-        let (started, mut watch) = (run.started, run.watch.clone());
-        let framing = BodyFraming::of(&run.reply.head.headers);
-        let mut end = forward_run(cx, fwd, &plan, run, &mut progress, &tx).await;
-        if let Some(began) = progress.began {
-            watch.run_began(began);
+/// A stream on its way to its caller, over one run or several in turn.
+struct StreamTask<'a, D: Dialect> {
+    cx: &'a Arc<Router<D>>,
+    fwd: &'a ForwardedRequest,
+    tx: &'a Sender<StreamPart>,
+    plan: AttemptPlan,
+    progress: StreamProgress,
+    history: AttemptHistory,
+    first_start: Millis,
+}
+
+impl<'a, D: Dialect> StreamTask<'a, D> {
+    /// Forwards the stream of `run`, and of the runs that go on after it, to the end.
+    async fn forward(mut self, run: Run<D>) {
+        let mut stream = self.stream_of(run);
+        let reason = loop {
+            match self.forward_run(stream).await {
+                StreamStep::Ended => return,
+                StreamStep::Next(next) => stream = *next,
+                StreamStep::Resume => match self.resume_elsewhere().await {
+                    Ok(run) => stream = self.stream_of(run),
+                    Err(reason) => break reason,
+                },
+                StreamStep::GiveUp(reason) => break reason,
+            }
+        };
+        self.cx.metrics.record_aborted_stream(reason.label());
+        log::info!(
+            "stream: given up id={} reason={} last_event={} left_ms={}",
+            self.fwd.request.id,
+            reason.label(),
+            self.progress.last_event.unwrap_or(0),
+            self.fwd.remaining(self.cx.now()).0,
+        );
+        // The caller must see that the stream is incomplete.
+        self.tx.send(Err(ResponseAborted)).await.ok();
+    }
+
+    /// The stream of a run, whose runner is not tried again for this request.
+    fn stream_of(&mut self, run: Run<D>) -> RunStream<'a, D> {
+        self.history.excluded_decodes.push(run.runner.id.clone());
+        RunStream::new(self.cx, self.fwd, run, self.tx)
+    }
+
+    /// Forwards the stream of one run until it ends or another run has taken it over.
+    async fn forward_run(&mut self, mut stream: RunStream<'a, D>) -> StreamStep<'a, D> {
+        let mut end = loop {
+            match stream.forward(&mut self.progress).await {
+                RunEnd::Silent => {}
+                end => break end,
+            }
+            if let Some(next) = self.take_over(&mut stream).await {
+                self.record_end(&stream.into_origin(), "silent", "");
+                self.progress.begin_run();
+                return StreamStep::Next(Box::new(next));
+            }
+        };
+        let mut origin = stream.into_origin();
+        if let Some(began) = self.progress.began {
+            origin.watch.run_began(began);
         }
         if matches!(end, RunEnd::Complete)
-            && framing == BodyFraming::Close
-            && !watch.runner_lives(cx, &runner).await
+            && origin.framing == BodyFraming::Close
+            && !origin.watch.runner_lives(self.cx, &origin.runner).await
         {
             end = RunEnd::Broken("its runner ended with it".to_owned());
         }
-        let took = cx.now().since(started);
-        let last = progress.last_event.unwrap_or(0);
-        let result = match &end {
-            RunEnd::Complete => "whole",
-            RunEnd::Migrated(_) => "moved",
-            RunEnd::CallerGone => "caller_gone",
-            RunEnd::DeadlinePassed => "time_over",
-            RunEnd::Broken(_) => "broken",
-            RunEnd::Silent(_) => "silent",
-        };
-        let cause = match &end {
-            RunEnd::Broken(cause) | RunEnd::Silent(cause) => cause.as_str(),
-            _ => "",
-        };
+        self.record_end(&origin, end.label(), end.cause());
+        self.after_end(&origin, end).await
+    }
+
+    /// Logs and counts the end of a run.
+    fn record_end(&self, origin: &RunOrigin, result: &'static str, cause: &str) {
+        let took = self.cx.now().since(origin.started);
+        let began = self.progress.began;
         log::info!(
             "stream: run ended id={} runner={} result={result} cause=\"{cause}\" \
-             last_event={last} began_ms={} framing={framing} longest_gap_ms={} ms={}",
-            fwd.request.id,
-            runner.id,
-            progress.began.map_or("never".to_owned(), |at| at.since(started).0.to_string()),
-            progress.longest_gap.0,
+             last_event={} began_ms={} framing={} longest_gap_ms={} ms={}",
+            self.fwd.request.id,
+            origin.runner.id,
+            self.progress.last_event.unwrap_or(0),
+            began.map_or("never".to_owned(), |at| at.since(origin.started).0.to_string()),
+            origin.framing,
+            self.progress.longest_gap.0,
             took.0,
         );
-        cx.metrics.record_attempt("stream", result, took.0 as f64);
+        self.cx.metrics.record_attempt("stream", result, took.0 as f64);
+    }
+
+    /// What follows the end of a run.
+    async fn after_end(&mut self, origin: &RunOrigin, end: RunEnd<D>) -> StreamStep<'a, D> {
         match end {
             RunEnd::Complete => {
-                if framing == BodyFraming::Marked {
-                    cx.shared.record_sound_run(&fwd.crash_keys);
-                }
-                cx.shared.record_run_end(&runner, true);
-                let expected = fwd.request.size.map_or(0, |size| size.expected());
-                let generated = last * cx.shared.tokens_per_event(&fwd.service);
-                let took = cx.now().since(first_start);
-                cx.shared.with_timing(&fwd.service, |pace| {
-                    pace.record_generation(took, expected, generated);
-                });
-                return;
+                self.record_complete(origin);
+                StreamStep::Ended
             }
-            RunEnd::CallerGone => return,
+            RunEnd::CallerGone => StreamStep::Ended,
             RunEnd::Migrated(moved) => {
-                progress.begin_run();
-                let resumed = migration::resume(cx, fwd, progress.last_event, moved);
+                self.progress.begin_run();
+                let last_event = self.progress.last_event;
+                let resumed = migration::resume(self.cx, self.fwd, last_event, moved);
                 let next = tokio::select! {
                     next = resumed => next,
-                    () = tx.closed() => return,
+                    () = self.tx.closed() => return StreamStep::Ended,
                 };
-                if let Some(next) = next {
-                    run = next;
-                    continue;
-                }
+                next.map_or(StreamStep::Resume, |run| {
+                    StreamStep::Next(Box::new(self.stream_of(run)))
+                })
             }
-            RunEnd::DeadlinePassed => break GiveUpReason::DeadlinePassed,
+            RunEnd::DeadlinePassed => StreamStep::GiveUp(GiveUpReason::DeadlinePassed),
             RunEnd::Broken(_) => {
-                watch.connection_lost(cx, &runner).await;
-                cx.shared.record_run_end(&runner, false);
+                origin.watch.connection_lost(self.cx, &origin.runner).await;
+                self.cx.shared.record_run_end(&origin.runner, false);
+                StreamStep::Resume
             }
-            RunEnd::Silent(_) => cx.shared.record_run_end(&runner, false),
-        }
-        match resume_elsewhere(cx, fwd, &mut plan, &mut progress, &mut history, &tx).await {
-            Ok(next) => run = next,
-            Err(reason) => break reason,
+            RunEnd::Silent => StreamStep::Resume,
         }
-    };
-    cx.metrics.record_aborted_stream(reason.label());
-    log::info!(
-        "stream: given up id={} reason={} last_event={} left_ms={}",
-        fwd.request.id,
-        reason.label(),
-        progress.last_event.unwrap_or(0),
-        fwd.remaining(cx.now()).0,
-    );
-    // The caller must see that the stream is incomplete.
-    tx.send(Err(ResponseAborted)).await.ok();
-}
+    }
 
-/// Resumes the stream at another runner after the last complete event.
-async fn resume_elsewhere<D: Dialect>(
-    cx: &Arc<Router<D>>,
-    fwd: &ForwardedRequest,
-    plan: &mut AttemptPlan,
-    progress: &mut StreamProgress,
-    history: &mut AttemptHistory,
-    tx: &Sender<StreamPart>,
-) -> Result<Run<D>, GiveUpReason> {
-    let mut end = AttemptEnd::Unknown;
-    loop {
-        match plan.next_step(end, || fwd.arrivals.reserve(1)) {
-            NextStep::Retry => {}
-            NextStep::ForwardError | NextStep::Finish(_) => return Err(GiveUpReason::NoRetry),
+    fn record_complete(&self, origin: &RunOrigin) {
+        let (shared, fwd) = (&self.cx.shared, self.fwd);
+        if origin.framing == BodyFraming::Marked {
+            shared.record_sound_run(&fwd.crash_keys);
         }
-        progress.begin_run();
-        let until = placement_deadline(fwd, cx.now());
-        history.resume_after = progress.last_event;
-        let next = start_run(cx, fwd, history, until);
-        let next = tokio::select! {
-            next = next => next,
-            () = tx.closed() => return Err(GiveUpReason::CallerGone),
+        shared.record_run_end(&origin.runner, true);
+        let expected = fwd.request.size.map_or(0, |size| size.expected());
+        let generated =
+            self.progress.last_event.unwrap_or(0) * shared.tokens_per_event(&fwd.service);
+        let took = self.cx.now().since(self.first_start);
+        shared.with_timing(&fwd.service, |pace| pace.record_generation(took, expected, generated));
+    }
+
+    /// Starts another run to take over from one that is silent. Whichever sends something first goes on.
+    /// Returns `None` if that is the former run, or if no other one could be started.
+    async fn take_over(&mut self, stream: &mut RunStream<'a, D>) -> Option<RunStream<'a, D>> {
+        let after = self.plan.takeover(|| self.fwd.arrivals.reserve(1))?;
+        self.history.resume_after = self.progress.last_event;
+        self.history.is_takeover = true;
+        let until = placement_deadline(self.fwd, self.cx.now());
+        let retries = self.fwd.arrivals.retries();
+        let (cx, fwd, tx, history) = (self.cx, self.fwd, self.tx, &mut self.history);
+        let starting = async {
+            let run = start_run(cx, fwd, history, until).await?;
+            history.excluded_decodes.push(run.runner.id.clone());
+            let mut next = RunStream::new(cx, fwd, run, tx);
+            next.await_first_bytes(TAKEOVER_TIMEOUT).await;
+            Ok(next)
+        };
+        let started = stream.await_replacement(starting).await;
+        self.history.is_takeover = false;
+        let outcome = match &started {
+            None => "the run went on",
+            Some(Ok(_)) => "taken over",
+            Some(Err(RunError::Ended(..))) => "no runner answered",
+            Some(Err(RunError::Failed(..))) => "the other run failed",
+            Some(Err(RunError::Unplaced(reason))) => reason,
+            Some(Err(RunError::Withheld(withheld))) => withheld.reason,
         };
-        match next {
-            Ok(run) => {
-                history.excluded_decodes.push(run.runner.id.clone());
-                return Ok(run);
+        log::info!(
+            "stream: run is silent id={} runner={} outcome=\"{outcome}\" last_event={}",
+            self.fwd.request.id,
+            stream.origin.runner.id,
+            self.progress.last_event.unwrap_or(0),
+        );
+        match started {
+            Some(Ok(next)) => {
+                self.plan = after;
+                return Some(next);
             }
-            Err(RunError::Ended(ended, _)) => end = ended,
-            Err(RunError::Failed(..)) => return Err(GiveUpReason::RunFailed),
-            Err(RunError::Unplaced(_)) => return Err(GiveUpReason::Unplaced),
-            Err(RunError::Withheld(_)) => return Err(GiveUpReason::Withheld),
+            Some(Err(RunError::Ended(end, _))) => self.plan.record_failed_takeover(end),
+            Some(Err(RunError::Failed(..))) => {
+                self.plan.record_failed_takeover(AttemptEnd::RunFailed);
+            }
+            None if self.fwd.arrivals.retries() > retries => {
+                self.plan.record_failed_takeover(AttemptEnd::Unknown);
+            }
+            None | Some(Err(RunError::Unplaced(_) | RunError::Withheld(_))) => {}
         }
+        self.fwd.arrivals.release();
+        None
     }
+
+    /// Resumes the stream at another runner after the last complete event.
+    async fn resume_elsewhere(&mut self) -> Result<Run<D>, GiveUpReason> {
+        let mut end = AttemptEnd::Unknown;
+        loop {
+            match self.plan.next_step(end, || self.fwd.arrivals.reserve(1)) {
+                NextStep::Retry => {}
+                NextStep::ForwardError | NextStep::Finish(_) => return Err(GiveUpReason::NoRetry),
+            }
+            self.progress.begin_run();
+            let until = placement_deadline(self.fwd, self.cx.now());
+            self.history.resume_after = self.progress.last_event;
+            let next = start_run(self.cx, self.fwd, &mut self.history, until);
+            let next = tokio::select! {
+                next = next => next,
+                () = self.tx.closed() => return Err(GiveUpReason::CallerGone),
+            };
+            match next {
+                Ok(run) => return Ok(run),
+                Err(RunError::Ended(ended, _)) => end = ended,
+                Err(RunError::Failed(..)) => return Err(GiveUpReason::RunFailed),
+                Err(RunError::Unplaced(_)) => return Err(GiveUpReason::Unplaced),
+                Err(RunError::Withheld(_)) => return Err(GiveUpReason::Withheld),
+            }
+        }
+    }
+}
+
+/// What follows the stream of a run.
+enum StreamStep<'a, D: Dialect> {
+    /// Nothing: the caller has the whole stream, or is gone.
+    Ended,
+    /// This run goes on.
+    Next(Box<RunStream<'a, D>>),
+    /// The stream is resumed at another runner, if one may run it.
+    Resume,
+    /// The stream ends incomplete.
+    GiveUp(GiveUpReason),
 }
 
 /// Time until which a resumed run may wait for memory.
