A head that is too slow gets a 408 before its connection is closed

What callers saw: a connection that was closed after they had sent a part of a head, without a word; a caller could not tell it from a crash. 408 promises that the request has not run.

--- a/crates/bulrushusher_gateway/src/callers/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -237,6 +237,9 @@
             () = connection.found_due() => {
                 if let Some(reason) = connection.close_if_due(has_unread(&socket)) {
                     log_closed(&front, &connection, reason);
+                    if reason == CloseReason::SlowHead {
+                        socket.try_write(REQUEST_TIMEOUT).ok();
+                    }
                     return;
                 }
             }
@@ -258,6 +261,10 @@
     }
 }
 
+/// The response to a head that did not arrive in time.
+const REQUEST_TIMEOUT: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /// Logs and counts a connection that the gateway closes.
 fn log_closed<D: Dialect>(front: &Front<D>, connection: &CallerConnection, reason: CloseReason) {
     let shared = &front.router.shared;
