Unread bytes keep a connection that is due for one check only

What callers saw: none; a caller that sends requests and reads no response kept its connection for good, 5 s after an idle timeout of 1 s and without a bound, and with max_connections of them all others out. Cause: bytes that wait in the socket spared the connection at each check, and the HTTP library reads no more while a response cannot be written. Change: they spare it once; what the process was late for is read by the next check.

--- a/crates/bulrushusher_forward/src/caller_connection.rs
+++ b/crates/bulrushusher_forward/src/caller_connection.rs
@@ -76,16 +76,19 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionState {
     phase: Phase,
+    /// True if the connection was kept for unread bytes, and nothing was read since.
+    was_spared: bool,
 }
 
 impl ConnectionState {
     /// A connection that was accepted at `now`.
     pub fn new(now: Millis) -> ConnectionState {
-        ConnectionState { phase: Phase::Idle { since: now } }
+        ConnectionState { phase: Phase::Idle { since: now }, was_spared: false }
     }
 
     /// Records that bytes were read.
     pub fn record_bytes(&mut self, now: Millis) {
+        self.was_spared = false;
         if let Phase::Idle { .. } = self.phase {
             self.phase = Phase::ReadingHead { since: now };
         }
@@ -142,15 +145,19 @@
         }
     }
 
-    /// Begins to close the connection if it is due and no byte waits to be read: the process may have
-    /// been too late to read what has arrived. Returns the reason if it is to be closed.
+    /// Begins to close the connection if it is due. It is spared once if bytes wait to be read: the
+    /// process may have been too late for them. If they still wait at the next check, they are not read
+    /// because the caller does not read its responses. Returns the reason if it is to be closed.
     pub fn close_if_due(
         &mut self,
         limits: &ConnectionLimits,
         now: Millis,
         has_unread: bool,
     ) -> Option<CloseReason> {
-        let reason = self.close_reason(limits, now).filter(|_| !has_unread)?;
+        let reason = self.close_reason(limits, now)?;
+        if has_unread && !std::mem::replace(&mut self.was_spared, true) {
+            return None;
+        }
         self.phase = Phase::Closing;
         Some(reason)
     }
--- a/crates/bulrushusher_forward/tests/caller_connection.rs
+++ b/crates/bulrushusher_forward/tests/caller_connection.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 
-use bulrushusher_forward::{CallerLimits, ConnectionState, LimitHistory};
+use bulrushusher_forward::{CallerLimits, CloseReason, ConnectionState, LimitHistory};
 use bulrushusher_time::Millis;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -44,6 +44,8 @@
     responds_at: Option<u64>,
     last_use: u64,
     closed_at: Option<u64>,
+    /// True if the last sweep found bytes that were not read.
+    was_spared: bool,
     /// The process runs nothing before this time.
     late_until: u64,
 }
@@ -63,6 +65,7 @@
             responds_at: None,
             last_use: 0,
             closed_at: None,
+            was_spared: false,
             late_until: 0,
         }
     }
@@ -99,13 +102,15 @@
         if self.state.close_reason(&due, Millis(now)).is_none() {
             return;
         }
-        if self.rng.random_bool(0.5) {
+        // The runtime tells the task of arrivals between two sweeps.
+        if self.was_spared || self.rng.random_bool(0.5) {
             self.run_task(now);
         }
         let has_unread = !self.socket.is_empty();
         if self.state.close_if_due(&due, Millis(now), has_unread).is_some() {
             self.closed_at = Some(now);
         }
+        self.was_spared = has_unread;
     }
 
     fn step(&mut self, now: u64) {
@@ -153,6 +158,15 @@
     }
 }
 
+/// Guards against a connection that stays open because what its caller has sent is never read.
+#[test]
+fn unread_bytes_spare_a_connection_once() {
+    let limits = LimitHistory::default().update(&limits(1_000), Millis(0));
+    let mut state = ConnectionState::new(Millis(0));
+    assert_eq!(state.close_if_due(&limits, Millis(2_000), true), None);
+    assert_eq!(state.close_if_due(&limits, Millis(2_500), true), Some(CloseReason::Idle));
+}
+
 /// Guards against connections that are kept for ever, which would use up descriptors.
 #[test]
 fn an_unused_connection_is_closed_after_the_longest_timeout_that_its_caller_may_know() {
