A run has begun with its first bytes, and one that may not be followed is not given up

What callers saw: a stream broken off although its runner went on, because the run that was to take over had sent a head and nothing else, or had broken off; an error for a stream whose head was late on a route with one attempt; a moved run broken off because its target was silent for 1.4 s. A head, a broken connection and the end of the wait all counted as the other run's begin. Two waits of 300 ms, or of 1.2 s and 300 ms, added up to 0.55 to 0.95 s of two runs side by side. The wait for a head ended after the silence timeout without asking whether another run may follow. Change: only bytes, or the end of a marked stream, count as a begin; otherwise the new run is dropped and the former one kept. One deadline of 300 ms from the send holds for both waits. Each further takeover is tried after the silence has grown by a quarter, its sends are counted, and what it reserved is returned. The head of a stream is given up only if the plan and the budget allow another run (HeadWait).

--- a/crates/bulrushusher_forward/src/attempt_plan.rs
+++ b/crates/bulrushusher_forward/src/attempt_plan.rs
@@ -127,6 +127,12 @@
         after.abandon(reserve).then_some(after)
     }
 
+    /// True if another run may follow the next one, should that end with an unknown outcome, regardless
+    /// of the budget.
+    pub fn may_follow_next(&self) -> bool {
+        self.takeover(|| true).is_some()
+    }
+
     /// Records the end of a run that was to take over; the present run goes on.
     pub fn record_failed_takeover(&mut self, end: AttemptEnd) {
         self.sends_left = self.sends_left.saturating_sub(1);
--- a/crates/bulrushusher_gateway/src/placement/attempts.rs
+++ b/crates/bulrushusher_gateway/src/placement/attempts.rs
@@ -29,6 +29,8 @@
     /// True when the decode runner must prefill the prompt, because the KV cache of a prefill
     /// runner could not be fetched.
     pub prefill_at_decode: bool,
+    /// True if the plan allows another run after the next one.
+    pub may_follow: bool,
     /// True while the run is to take over from one that is silent and may go on.
     pub is_takeover: bool,
 }
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -13,7 +13,7 @@
 use crate::placement::place::{PlacementError, place};
 use crate::placement::prefill::prefill_prompt;
 use crate::runners::crashes::CrashWatch;
-use crate::runners::exchange::Reply;
+use crate::runners::exchange::{ExchangeError, Reply};
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptRecord, AttemptSpec, ForwardedRequest, LoadGuard, Router};
 use crate::runners::send_trace::SendTrace;
@@ -23,9 +23,8 @@
 /// not fetched for about half a second.
 const REPLACEMENT_WAIT: Millis = Millis(250);
 
-/// Longest wait for a run that takes over, while the former run is kept: for the head of its stream if
-/// its prompt was prefilled, then for its first bytes. Two runners must not work on one request side by
-/// side for 400 ms.
+/// Time from the send of a run that takes over until it must have begun, while the former run is kept:
+/// two runners must not work on one request side by side for 400 ms.
 pub(crate) const TAKEOVER_TIMEOUT: Millis = Millis(300);
 
 /// Starts a run that continues after the last event that the caller received.
@@ -107,7 +106,7 @@
     history.excluded_decodes.push(runner.id.clone());
     let resume_after = history.resume_after;
     let spec = AttemptSpec { resume_after, step: Step::Whole, permit: Permit::Acquire };
-    run_at(cx, fwd, runner, None, spec, fwd.remaining(cx.now())).await
+    run_at(cx, fwd, runner, None, spec, head_wait(fwd, history)).await
 }
 
 async fn start_split<D: Dialect>(
@@ -122,13 +121,7 @@
     let cache = kv.as_ref().map(|kv| kv.cache.clone());
     let step = Step::Generate { kv: cache.as_ref(), hold: hold.as_deref() };
     let spec = AttemptSpec { resume_after: history.resume_after, step, permit: Permit::Acquired };
-    // A run that takes over begins at once if its prompt was prefilled. If its runner is silent too, it
-    // is given up before both may work on the request for long.
-    let max_wait = match history.is_takeover && cache.is_some() {
-        true => TAKEOVER_TIMEOUT,
-        false => fwd.remaining(cx.now()),
-    };
-    let run = run_at(cx, fwd, runner.clone(), Some(held), spec, max_wait).await;
+    let run = run_at(cx, fwd, runner.clone(), Some(held), spec, head_wait(fwd, history)).await;
     match &run {
         Ok(_) => {
             if let Some(kv) = &mut kv {
@@ -151,21 +144,41 @@
     run
 }
 
-/// Sends the run to a runner and waits for the head of its stream, up to `max_wait`.
+/// How long the head of a stream is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HeadWait {
+    /// Until the request's deadline, as no other run may follow.
+    Deadline,
+    /// Until the runner counts as silent, and longer if the budget allows no other run.
+    Silence,
+    /// For [`TAKEOVER_TIMEOUT`], as the former run is kept meanwhile.
+    Takeover,
+}
+
+fn head_wait(fwd: &ForwardedRequest, history: &AttemptHistory) -> HeadWait {
+    match (history.is_takeover, fwd.route.kind.may_repeat() && history.may_follow) {
+        (true, _) => HeadWait::Takeover,
+        (false, true) => HeadWait::Silence,
+        (false, false) => HeadWait::Deadline,
+    }
+}
+
+/// Sends the run to a runner and waits for the head of its stream.
 pub(crate) async fn run_at<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     runner: Runner,
     mut held: Option<MemoryHold<D>>,
     spec: AttemptSpec<'_>,
-    max_wait: Millis,
+    wait: HeadWait,
 ) -> Result<Run<D>, RunError> {
     let started = cx.now();
     let trace = SendTrace::new(held.as_ref().map_or(started, MemoryHold::created_at));
     let load = LoadGuard::begin(&cx.shared, &runner.id, 0);
-    let timeout = match fwd.route.kind.may_repeat() {
-        true => silence_timeout(fwd).min(max_wait),
-        false => max_wait,
+    let remaining = fwd.remaining(started);
+    let timeout = match wait {
+        HeadWait::Deadline | HeadWait::Silence => remaining,
+        HeadWait::Takeover => TAKEOVER_TIMEOUT.min(remaining),
     };
     let prefills = held.as_ref().is_some_and(MemoryHold::prefills_itself);
     let watch = prefills.then(|| cx.shared.track_prefill(&runner));
@@ -175,7 +188,7 @@
         cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
     };
     let sending = cx.attempt(fwd, &runner, spec, timeout, &trace);
-    let sent = watch_silence(cx, fwd, &runner, sending).await;
+    let sent = watch_silence(cx, fwd, &runner, wait, sending).await;
     if let Some(held) = held.as_mut().filter(|_| trace.waited().is_some()) {
         held.mark_sent();
     }
@@ -201,7 +214,8 @@
                 crash_watch.connection_lost(cx, &runner).await;
             }
             record("generate", e.call_result(), &e.to_string());
-            if !e.is_withheld() {
+            // The time for a takeover is too short to tell a failing runner from a busy one.
+            if !e.is_withheld() && wait != HeadWait::Takeover {
                 cx.shared.record_run_end(&runner, false);
             }
             return Err(RunError::Ended(e.attempt_end(), "no decode runner answered"));
@@ -222,22 +236,24 @@
 }
 
 /// Waits for a response. A runner that is silent for longer than [`silence_timeout`] is recorded as
-/// failing while this caller still waits, so that other requests avoid it.
-async fn watch_silence<D: Dialect, T>(
+/// failing, so that other requests avoid it, and is given up if another run may follow.
+async fn watch_silence<D: Dialect>(
     cx: &Router<D>,
     fwd: &ForwardedRequest,
     runner: &Runner,
-    sending: impl Future<Output = T>,
-) -> T {
+    wait: HeadWait,
+    sending: impl Future<Output = Result<Reply, ExchangeError>>,
+) -> Result<Reply, ExchangeError> {
     let mut sending = std::pin::pin!(sending);
-    let silence = silence_timeout(fwd).duration();
-    match tokio::time::timeout(silence, &mut sending).await {
-        Ok(sent) => sent,
-        Err(_) => {
-            cx.shared.record_run_end(runner, false);
-            sending.await
-        }
+    let silence = silence_timeout(fwd);
+    if let Ok(sent) = tokio::time::timeout(silence.duration(), &mut sending).await {
+        return sent;
+    }
+    if wait == HeadWait::Silence && fwd.arrivals.reserve(1) {
+        return Err(ExchangeError::NoAnswer { cause: format!("silent for {silence}") });
     }
+    cx.shared.record_run_end(runner, false);
+    sending.await
 }
 
 /// Reads a response that is not a stream.
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -25,8 +25,8 @@
 /// Time within which the stream of a stopped run ends; its last events are still in flight.
 const STOPPED_DRAIN_TIMEOUT: Millis = Millis(100);
 
-/// Time between two attempts to have a silent run taken over by another runner.
-const TAKEOVER_RETRY_DELAY: Millis = Millis(250);
+/// Factor by which a silence must have grown before another runner is asked once more to take over.
+const TAKEOVER_BACKOFF: f64 = 1.25;
 
 /// How a run ended, or why its stream is not forwarded at present.
 pub(crate) enum RunEnd<D: Dialect> {
@@ -265,10 +265,17 @@
         }
     }
 
-    /// Waits for bytes or the end of the stream, up to `max_wait`.
-    pub(crate) async fn await_first_bytes(&mut self, max_wait: Millis) {
-        self.pending = tokio::time::timeout(max_wait.duration(), self.next_sign()).await.ok();
+    /// Waits up to `max_wait` for the run to begin. Returns true once it has sent bytes, or the whole of a
+    /// stream that has no further events.
+    pub(crate) async fn has_begun_within(&mut self, max_wait: Millis) -> bool {
+        let sign = tokio::time::timeout(max_wait.duration(), self.next_sign()).await;
         self.next_silence = silence_timeout(self.fwd);
+        self.pending = sign.ok();
+        match &self.pending {
+            Some(StreamEvent::Bytes(_)) => true,
+            Some(StreamEvent::End) => self.origin.framing == BodyFraming::Marked,
+            _ => false,
+        }
     }
 
     /// Records a silent runner as failing, so that other requests avoid it.
@@ -281,7 +288,7 @@
 
     fn delay_next_silence(&mut self) {
         let silence = self.cx.now().since(self.silent_since);
-        self.next_silence = silence.plus(TAKEOVER_RETRY_DELAY);
+        self.next_silence = silence.share(TAKEOVER_BACKOFF);
     }
 
     /// Waits for bytes or the end of the stream.
--- a/crates/bulrushusher_gateway/src/runs/generation.rs
+++ b/crates/bulrushusher_gateway/src/runs/generation.rs
@@ -28,6 +28,7 @@
     let mut history =
         AttemptHistory { resume_after: fwd.request.resume_after, ..AttemptHistory::default() };
     loop {
+        history.may_follow = plan.may_follow_next();
         let run = start_run(cx, fwd, &mut history, until).await;
         let (end, reason, failed) = match run {
             Ok(run) => return Ok(stream::start(cx.clone(), fwd.clone(), plan, run)),
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -19,7 +19,7 @@
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptSpec, ForwardedRequest, Router};
 use crate::runners::send_spec::CallerSend;
-use crate::runs::begin::run_at;
+use crate::runs::begin::{HeadWait, run_at};
 use crate::runs::run::Run;
 use crate::shared::MoveDecision;
 
@@ -244,7 +244,7 @@
     let step = Step::Generate { kv: Some(&cache), hold: None };
     let to = held.runner.clone();
     let spec = AttemptSpec { resume_after: last_event, step, permit: Permit::Acquired };
-    let mut run = run_at(cx, fwd, to, Some(held), spec, fwd.remaining(cx.now())).await;
+    let mut run = run_at(cx, fwd, to, Some(held), spec, HeadWait::Deadline).await;
     if let Err(RunError::Ended(AttemptEnd::NotRun | AttemptEnd::Unsent, cause)) = &run {
         let source = kv.runner().clone();
         if cx.shared.is_evacuated(&source) {
@@ -262,7 +262,7 @@
         );
         let held = hold_at(cx, &source, &stopped);
         let return_spec = AttemptSpec { permit: Permit::Exempt, ..spec };
-        run = run_at(cx, fwd, source, Some(held), return_spec, fwd.remaining(cx.now())).await;
+        run = run_at(cx, fwd, source, Some(held), return_spec, HeadWait::Deadline).await;
         run = run.map(|run| Run { migrate_after: cx.now().plus(MIGRATION_RETRY_DELAY), ..run });
     }
     fwd.arrivals.release();
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -213,8 +213,8 @@
         shared.with_timing(&fwd.service, |pace| pace.record_generation(took, expected, generated));
     }
 
-    /// Starts another run to take over from one that is silent. Whichever sends something first goes on.
-    /// Returns `None` if that is the former run, or if no other one could be started.
+    /// Starts another run to take over from one that is silent, which is kept until the other one has
+    /// begun. Returns `None` if it went on, or if no other one has begun.
     async fn take_over(&mut self, stream: &mut RunStream<'a, D>) -> Option<RunStream<'a, D>> {
         let after = self.plan.takeover(|| self.fwd.arrivals.reserve(1))?;
         self.history.resume_after = self.progress.last_event;
@@ -225,16 +225,19 @@
         let starting = async {
             let run = start_run(cx, fwd, history, until).await?;
             history.excluded_decodes.push(run.runner.id.clone());
+            let max_wait = TAKEOVER_TIMEOUT.since(cx.now().since(run.started));
             let mut next = RunStream::new(cx, fwd, run, tx);
-            next.await_first_bytes(TAKEOVER_TIMEOUT).await;
-            Ok(next)
+            match next.has_begun_within(max_wait).await {
+                true => Ok(next),
+                false => Err(RunError::Ended(AttemptEnd::Unknown, "the other run has not begun")),
+            }
         };
         let started = stream.await_replacement(starting).await;
         self.history.is_takeover = false;
         let outcome = match &started {
             None => "the run went on",
             Some(Ok(_)) => "taken over",
-            Some(Err(RunError::Ended(..))) => "no runner answered",
+            Some(Err(RunError::Ended(_, reason))) => reason,
             Some(Err(RunError::Failed(..))) => "the other run failed",
             Some(Err(RunError::Unplaced(reason))) => reason,
             Some(Err(RunError::Withheld(withheld))) => withheld.reason,
@@ -245,21 +248,21 @@
             stream.origin.runner.id,
             self.progress.last_event.unwrap_or(0),
         );
-        match started {
+        // What is left of the budget for it is for others.
+        self.fwd.arrivals.release();
+        let end = match started {
             Some(Ok(next)) => {
                 self.plan = after;
                 return Some(next);
             }
-            Some(Err(RunError::Ended(end, _))) => self.plan.record_failed_takeover(end),
-            Some(Err(RunError::Failed(..))) => {
-                self.plan.record_failed_takeover(AttemptEnd::RunFailed);
-            }
-            None if self.fwd.arrivals.retries() > retries => {
-                self.plan.record_failed_takeover(AttemptEnd::Unknown);
-            }
-            None | Some(Err(RunError::Unplaced(_) | RunError::Withheld(_))) => {}
-        }
-        self.fwd.arrivals.release();
+            Some(Err(RunError::Ended(end, _))) => end,
+            Some(Err(RunError::Failed(..))) => AttemptEnd::RunFailed,
+            // The prompt was prefilled, or the run was sent.
+            None if self.fwd.arrivals.retries() > retries => AttemptEnd::Unknown,
+            Some(Err(_)) if self.fwd.arrivals.retries() > retries => AttemptEnd::NotRun,
+            None | Some(Err(RunError::Unplaced(_) | RunError::Withheld(_))) => return None,
+        };
+        self.plan.record_failed_takeover(end);
         None
     }
 
@@ -274,6 +277,7 @@
             self.progress.begin_run();
             let until = placement_deadline(self.fwd, self.cx.now());
             self.history.resume_after = self.progress.last_event;
+            self.history.may_follow = self.plan.may_follow_next();
             let next = start_run(self.cx, self.fwd, &mut self.history, until);
             let next = tokio::select! {
                 next = next => next,
