The body of a refused request is read to its end

What callers saw: 24 of 24 callers that were refused while they sent a body of 60 KB could not write the rest of it, as the connection was reset; a caller that stops at the error gets neither an answer nor a refusal. Beside a configuration that drops its route, or a stop, that is a whole request without an answer. Cause: refusals that are known from the head are sent before the body is read, and the HTTP library then closes a connection with unread bytes. Change: the refusal is sent at once as before, and the body is read without being kept, up to the limits of a body that is read; the connection counts as busy meanwhile. A body that waits for `100 Continue` is not.

--- a/crates/bulrushusher_gateway/src/answers/body.rs
+++ b/crates/bulrushusher_gateway/src/answers/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of responses to callers.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -32,7 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct ReplyBody {
     source: Source,
-    _request: Option<RequestGuard>,
+    _request: Option<Arc<RequestGuard>>,
 }
 
 impl ReplyBody {
@@ -45,7 +46,7 @@
     }
 
     /// Attaches the request's guard: the connection counts as busy until this body is dropped.
-    pub(crate) fn with_guard(mut self, request: RequestGuard) -> ReplyBody {
+    pub(crate) fn with_guard(mut self, request: Arc<RequestGuard>) -> ReplyBody {
         self._request = Some(request);
         self
     }
--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -20,7 +20,7 @@
 use crate::access::caller::Caller;
 use crate::answers::answer::{Refusal, Withheld, strip_hop_by_hop};
 use crate::answers::body::ReplyBody;
-use crate::connection::CallerConnection;
+use crate::connection::{CallerConnection, RequestGuard};
 use crate::dialect::{CallerRequest, Dialect};
 use crate::lifecycle::Lifecycle;
 use crate::runners::arrivals::PaidArrivals;
@@ -56,6 +56,36 @@
     }
 }
 
+/// The body of a request that was not read yet. Its connection counts as busy.
+struct RequestBody {
+    body: Incoming,
+    /// True if the caller sends the body only when it is asked for.
+    awaits_continue: bool,
+    guard: Arc<RequestGuard>,
+}
+
+impl RequestBody {
+    /// Reads the body without keeping it, while its request is refused: a connection that is closed
+    /// with bytes that were not read is reset, and its caller may not get the refusal.
+    fn discard(self, limits: &CallerLimits) {
+        if self.awaits_continue || self.body.is_end_stream() {
+            return;
+        }
+        let (timeout, max_bytes) = (limits.header_timeout.duration(), limits.body_bytes);
+        tokio::spawn(async move {
+            let RequestBody { mut body, guard, .. } = self;
+            let mut bytes = 0;
+            while let Ok(Some(Ok(frame))) = tokio::time::timeout(timeout, body.frame()).await {
+                bytes += frame.data_ref().map_or(0, |data| data.len());
+                if bytes > max_bytes {
+                    break;
+                }
+            }
+            drop(guard);
+        });
+    }
+}
+
 /// Part of the memory for request bodies from which on no further connections are accepted; the rest is
 /// for those that are open.
 const BUFFER_SHARE: f64 = 0.8;
@@ -73,10 +103,12 @@
         req: Request<Incoming>,
         connection: Arc<CallerConnection>,
     ) -> Result<Response<ReplyBody>, Infallible> {
-        let guard = connection.start_request();
+        let guard = Arc::new(connection.start_request());
         let received = self.router.now();
         let (head, body) = req.into_parts();
         let closes = is_chunked(&head) || self.lifecycle.is_stopping();
+        let awaits_continue = head.headers.contains_key(EXPECT);
+        let body = RequestBody { body, awaits_continue, guard: guard.clone() };
         let mut reply = self.answer(head, body, received).await;
         if closes || self.lifecycle.is_stopping() {
             reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -87,7 +119,7 @@
     async fn answer(
         &self,
         mut head: request::Parts,
-        body: Incoming,
+        body: RequestBody,
         received: Millis,
     ) -> Response<ReplyBody> {
         if let Err(refusal) = check_framing(&head) {
@@ -137,7 +169,7 @@
         &self,
         head: &request::Parts,
         request: &CallerRequest,
-        body: Incoming,
+        body: RequestBody,
         received: Millis,
     ) -> (&'static str, Result<Response<ReplyBody>, Refusal>) {
         let Some(routing) = self.router.shared.routing() else {
@@ -145,18 +177,18 @@
         };
         let mut fwd = match self.route(&routing, head, request, received) {
             Ok(fwd) => fwd,
-            Err(refusal) => return ("unknown", Err(refusal)),
+            Err(refusal) => {
+                body.discard(&routing.limits);
+                return ("unknown", Err(refusal));
+            }
         };
         let kind = kind_label(fwd.route.kind);
-        if !self.router.shared.can_serve() {
-            return (kind, Err(starting()));
-        }
-        if let Some(refusal) = self.refuse_while_stopping(&fwd) {
-            return (kind, Err(refusal));
-        }
-        fwd.caller = match self.router.admit(&routing, &fwd.route, head, request).await {
+        fwd.caller = match self.accept(&routing, &fwd, head).await {
             Ok(caller) => caller,
-            Err(refusal) => return (kind, Err(refusal)),
+            Err(refusal) => {
+                body.discard(&routing.limits);
+                return (kind, Err(refusal));
+            }
         };
         if let Some(account) = fwd.caller.account() {
             fwd.residency = fwd.residency.and(&account.residency);
@@ -164,7 +196,7 @@
         if fwd.caller.strips_key() {
             fwd.request.headers.remove(AUTHORIZATION);
         }
-        let (body, _buffered) = match self.read_body(body, &routing.limits).await {
+        let (body, _buffered) = match self.read_body(body.body, &routing.limits).await {
             Ok(read) => read,
             Err(refusal) => return (kind, Err(refusal)),
         };
@@ -211,6 +243,22 @@
         (kind, outcome)
     }
 
+    /// Checks whether the request may be served at present, and admits its caller.
+    async fn accept(
+        &self,
+        routing: &RoutingConfig,
+        fwd: &ForwardedRequest,
+        head: &request::Parts,
+    ) -> Result<Caller, Refusal> {
+        if !self.router.shared.can_serve() {
+            return Err(starting());
+        }
+        if let Some(refusal) = self.refuse_while_stopping(fwd) {
+            return Err(refusal);
+        }
+        self.router.admit(routing, &fwd.route, head, &fwd.request).await
+    }
+
     async fn execute(&self, fwd: &ForwardedRequest) -> Result<Response<ReplyBody>, Refusal> {
         match fwd.route.kind {
             RouteKind::Stream { .. } => generate(&self.router, fwd).await,
