A late call keeps its first runner until another one has answered

What callers saw: 502 after 0.43 s for an idempotent call whose first runner would have answered at 0.8 s: it had been given up for one that refused the call. A plain call shows no begin, so only an answer proves that the other runner does better. Change: a late call is sent to another runner too, under the plan and the budget as before, and the first answer is forwarded; the other attempt is dropped.

--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -39,6 +39,18 @@
     Withheld(String),
 }
 
+impl AttemptResult {
+    /// How the attempt ended without an answer; `None` if it has one.
+    fn attempt_end(&self) -> Option<AttemptEnd> {
+        match self {
+            AttemptResult::Answer(..) => None,
+            AttemptResult::RunFailed(..) => Some(AttemptEnd::RunFailed),
+            AttemptResult::NoAnswer(end, _) => Some(*end),
+            AttemptResult::Withheld(_) => Some(AttemptEnd::Unsent),
+        }
+    }
+}
+
 /// Serves a plain call.
 ///
 /// # Errors
@@ -83,14 +95,14 @@
         if let Some(wait) = wait.take() {
             log::info!("route: waited id={} ms={}", fwd.request.id, wait.length().0);
         }
-        let may_be_abandoned = plan.may_run_again() && tried.is_empty();
+        let is_first = plan.may_run_again() && tried.is_empty();
         let trace = SendTrace::new(cx.now());
         tried.push(runner.id.clone());
-        let ended = match may_be_abandoned {
-            true => first_attempt(cx, fwd, &runner, &trace, remaining, &mut plan).await,
-            false => Some(attempt(cx, fwd, &runner, &trace, remaining).await),
+        let sending = attempt(cx, fwd, &runner, &trace, remaining);
+        let ended = match is_first {
+            true => first_attempt(cx, fwd, sending, &mut plan, &mut tried).await,
+            false => sending.await,
         };
-        let Some(ended) = ended else { continue };
         let (end, failed, cause) = match ended {
             AttemptResult::Answer(head, body) => return Ok(forward_response(head, body)),
             AttemptResult::RunFailed(head, body) => {
@@ -168,36 +180,63 @@
     }
 }
 
-/// Sends the call to its first runner. When the response is late, the attempt is abandoned for
-/// another runner (`None`), unless there is no other runner or the retry budget is used up.
+/// Waits for the first attempt. When it is late, the call is sent to another runner too, and the first
+/// answer is forwarded: either runner may refuse the call or fail. Returns the result that decides what
+/// follows.
 async fn first_attempt<D: Dialect>(
     cx: &Router<D>,
     fwd: &ForwardedRequest,
-    runner: &Runner,
-    trace: &SendTrace,
-    remaining: Millis,
+    sending: impl Future<Output = AttemptResult>,
     plan: &mut AttemptPlan,
-) -> Option<AttemptResult> {
-    let started = cx.now();
-    let mut ended = pin!(attempt(cx, fwd, runner, trace, remaining));
-    let in_time =
-        tokio::time::timeout(first_attempt_timeout(fwd).min(remaining).duration(), &mut ended);
-    if let Ok(ended) = in_time.await {
-        return Some(ended);
+    tried: &mut Vec<RunnerId>,
+) -> AttemptResult {
+    let mut first = pin!(sending);
+    let wait = first_attempt_timeout(fwd).min(fwd.remaining(cx.now()));
+    if let Ok(ended) = tokio::time::timeout(wait.duration(), &mut first).await {
+        return ended;
     }
-    let tried = std::slice::from_ref(&runner.id);
+    let Some(other) = other_runner(cx, fwd, plan, tried) else {
+        log::info!("route: late id={} outcome=\"still waiting\"", fwd.request.id);
+        return first.await;
+    };
+    log::info!("route: late id={} outcome=\"sent to {} too\"", fwd.request.id, other.id);
+    tried.push(other.id.clone());
+    let trace = SendTrace::new(cx.now());
+    let mut second = pin!(attempt(cx, fwd, &other, &trace, fwd.remaining(cx.now())));
+    let (ended, is_first) = tokio::select! {
+        biased;
+        ended = &mut first => (ended, true),
+        ended = &mut second => (ended, false),
+    };
+    let Some(end) = ended.attempt_end() else { return ended };
+    plan.record_failed_takeover(end);
+    if is_first { second.await } else { first.await }
+}
+
+/// Another runner for a call whose first runner is late, if it may still answer in time and the plan and
+/// the budget allow a second run.
+fn other_runner<D: Dialect>(
+    cx: &Router<D>,
+    fwd: &ForwardedRequest,
+    plan: &AttemptPlan,
+    tried: &[RunnerId],
+) -> Option<Runner> {
     let left = fwd.remaining_to_target(cx.now());
     let to = cx.destination(fwd);
-    let may_abandon =
+    let may_answer =
         cx.shared.may_answer_within(&to, tried, left) && cx.shared.has_other_runner(&to, tried);
-    if may_abandon && plan.abandon(|| fwd.arrivals.reserve(1)) {
-        let (result, detail) = (CallResult::Unreachable, "late, another runner is tried");
-        let step = "whole";
-        cx.record_attempt(fwd, AttemptRecord { runner, step, started, result, trace, detail });
+    if !may_answer {
         return None;
     }
-    log::info!("route: late id={} runner={} outcome=\"still waiting\"", fwd.request.id, runner.id);
-    Some(ended.await)
+    plan.takeover(|| fwd.arrivals.reserve(1))?;
+    let near = cx.shared.cfg().data_centre.clone();
+    match cx.shared.place_call(&to, tried, &near, call_times(cx, fwd, None)) {
+        CallPlacement::Send(runner) => Some(runner),
+        CallPlacement::Wait(_) | CallPlacement::Refuse { .. } | CallPlacement::NoRunner => {
+            fwd.arrivals.release();
+            None
+        }
+    }
 }
 
 /// Time after which the response of the first runner is late.
