A body that arrives after its refusal does not count as a slow head

What callers saw: a kept connection closed 3 s after a refusal, long before its idle timeout, also with a request that they had sent meanwhile. Cause: a gateway that has just started refuses from the head and did not read the body, as it knew no limits yet; nor did it after a refusal in the middle of a body. The bytes that came after the response counted as the beginning of a head that never ends. Change: the body of each refused request is read, with fixed limits until a configuration is known.

--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -56,7 +56,15 @@
     }
 }
 
-/// The body of a request that was not read yet. Its connection counts as busy.
+/// Limits on callers until a configuration is known.
+const LIMITS_AT_START: CallerLimits = CallerLimits {
+    header_bytes: 16 << 10,
+    body_bytes: 1 << 20,
+    header_timeout: Millis(3_000),
+    idle_timeout: Millis(10_000),
+};
+
+/// The body of a request that was not read to its end. Its connection counts as busy.
 struct RequestBody {
     body: Incoming,
     /// True if the caller sends the body only when it is asked for.
@@ -169,10 +177,11 @@
         &self,
         head: &request::Parts,
         request: &CallerRequest,
-        body: RequestBody,
+        mut body: RequestBody,
         received: Millis,
     ) -> (&'static str, Result<Response<ReplyBody>, Refusal>) {
         let Some(routing) = self.router.shared.routing() else {
+            body.discard(&LIMITS_AT_START);
             return ("unknown", Err(starting()));
         };
         let mut fwd = match self.route(&routing, head, request, received) {
@@ -196,11 +205,14 @@
         if fwd.caller.strips_key() {
             fwd.request.headers.remove(AUTHORIZATION);
         }
-        let (body, _buffered) = match self.read_body(body.body, &routing.limits).await {
+        let (read, _buffered) = match self.read_body(&mut body.body, &routing.limits).await {
             Ok(read) => read,
-            Err(refusal) => return (kind, Err(refusal)),
+            Err(refusal) => {
+                body.discard(&routing.limits);
+                return (kind, Err(refusal));
+            }
         };
-        fwd.set_body(body);
+        fwd.set_body(read);
         log::info!(
             "front: accepted id={} digest={} route={} service={} kind={kind} left_ms={} \
              elapsed_before_ms={} configuration={} target_ms={} pause_target_ms={} prompt={} \
@@ -324,7 +336,7 @@
 
     async fn read_body(
         &self,
-        mut body: Incoming,
+        body: &mut Incoming,
         limits: &CallerLimits,
     ) -> Result<(Bytes, BufferedBytes), Refusal> {
         let declared = body.size_hint().lower();
--- a/crates/bulrushusher_gateway/src/connection.rs
+++ b/crates/bulrushusher_gateway/src/connection.rs
@@ -100,7 +100,8 @@
     }
 }
 
-/// Marks its connection as busy with a request until dropped.
+/// Marks its connection as busy with a request until dropped: until the response has ended and the
+/// request's body was read or given up.
 #[derive(Debug)]
 pub(crate) struct RequestGuard {
     connection: Arc<CallerConnection>,
