--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -133,7 +133,7 @@
                 end => break end,
             }
             if let Some(next) = self.take_over(&mut stream).await {
-                self.record_end(&stream.into_origin(), "silent", "");
+                self.record_end(&stream.into_origin(), "silent", "silent, and another run has begun");
                 self.progress.begin_run();
                 return StreamStep::Next(Box::new(next));
             }
