An answer that is not proven to be a call's own ends as outcome unknown

What callers saw: a non-idempotent stream that was answered 503, which promises "not run", and ran; another one that ran at two runners. Cause: holds and other control calls have no request id and share connections with runs, and an answer without an id that was no success counted as the answer to a run. A runner's second, late answer to a refused hold was the answer to the run behind it. In the same way the second answer to a control call could name the handle of another run's memory as that of a copy, and the second refusal of a request could refuse its next attempt on the same connection. Change: one type without I/O (ConnectionCalls) knows what a connection has carried and says of each answer whether it is the call's own, foreign or unclear; all kinds of calls go through it. Runs and prefills are proven by the id, on a connection that has not carried that id before; without an id only a refusal marked as not run, or a 421, counts, and only as the first answer of its connection. The copy of a run is sent on a connection on which nothing without an id was sent or received. Other calls have a connection that is open and has nothing unread, for which the operating system is asked. What is foreign or unclear ends as unknown, and its connection is closed. A connection is replaced after 256 requests, which bounds the ids that it keeps. Connections: requests and control calls still share them. A runner accepts about 100 to 370 connections, and with 300 gateways one idle connection more from each is up to 300. The price of sharing: a second answer that comes late to a hold costs the run behind it (502), which separate connections would spare. A copy usually opens a connection of its own; copies are rare.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -11,6 +11,7 @@
 //! and random draws.
 
 mod accept_gate;
+mod answer_origin;
 mod arrivals;
 mod attempt_plan;
 mod back_pressure;
@@ -69,6 +70,7 @@
 mod water_filling;
 
 pub use accept_gate::{AcceptGate, AcceptGateConfig, AcceptTurn};
+pub use answer_origin::{AnswerHead, AnswerOrigin, ConnectionCalls, RunnerCall};
 pub use arrivals::RequestArrivals;
 pub use attempt_plan::{AttemptEnd, AttemptPlan, FinalAnswer, NextStep};
 pub use back_pressure::{
--- a/crates/bulrushusher_gateway/src/callers/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -16,8 +16,9 @@
 use tokio::task::unconstrained;
 
 use crate::callers::front::Front;
-use crate::connection::{CallerConnection, CallerStream, has_unread};
+use crate::connection::{CallerConnection, CallerStream};
 use crate::dialect::Dialect;
+use crate::socket::has_unread;
 
 /// Interval of the check for slow heads and idle connections.
 const SWEEP_INTERVAL: Millis = Millis(500);
--- a/crates/bulrushusher_gateway/src/connection.rs
+++ b/crates/bulrushusher_gateway/src/connection.rs
@@ -1,7 +1,6 @@
 //! Callers' connections: their state, and the streams that record what arrives on them.
 
 use std::io;
-use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
@@ -9,11 +8,12 @@
 use bulrushusher_forward::{CloseReason, ConnectionLimits, ConnectionState};
 use bulrushusher_time::{Clock, Millis};
 use parking_lot::Mutex;
-use rustix::net::{RecvFlags, Shutdown};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::socket::SharedStream;
+
 /// One connection, shared by the server, the stream and the response bodies.
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
@@ -113,83 +113,61 @@
     }
 }
 
-/// A caller's stream that records when bytes arrive. The socket is shared with the connection's task,
-/// which checks what has arrived.
+/// A caller's stream that records when bytes arrive.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
-    socket: Arc<TcpStream>,
+    stream: SharedStream,
     connection: Arc<CallerConnection>,
 }
 
 impl CallerStream {
     pub(crate) fn new(socket: Arc<TcpStream>, connection: Arc<CallerConnection>) -> CallerStream {
-        CallerStream { socket, connection }
+        CallerStream { stream: socket.into(), connection }
     }
 }
 
-/// True if bytes have arrived on the socket that were not read. Asks the operating system, as the
-/// runtime of a late process has not been told yet.
-pub(crate) fn has_unread(socket: &TcpStream) -> bool {
-    let mut byte = [0; 1];
-    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-    let peeked = rustix::net::recv(socket.as_fd(), &mut byte, flags);
-    peeked.is_ok_and(|(count, _)| count > 0)
-}
-
 impl AsyncRead for CallerStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read_buf(buf) {
-                Ok(count) => {
-                    if count > 0 {
-                        self.connection.record_bytes(count);
-                    }
-                    return Poll::Ready(Ok(()));
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(e) => return Poll::Ready(Err(e)),
-            }
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let count = buf.filled().len() - before;
+        if count > 0 {
+            self.connection.record_bytes(count);
         }
+        Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for CallerStream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll_write_vectored(cx, &[io::IoSlice::new(buf)])
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
-    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(rustix::net::shutdown(self.socket.as_fd(), Shutdown::Write)?))
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.socket.poll_write_ready(cx))?;
-            match self.socket.try_write_vectored(bufs) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
-        true
+        self.stream.is_write_vectored()
     }
 }
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod runs;
 mod settings;
 mod shared;
+mod socket;
 mod store;
 
 pub use answers::body::ResponseAborted;
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    AttemptEnd, BackPressureError, CallResult, RequestId, RouteKind, Runner, SendKind,
-    SoftwareVersion,
+    AnswerHead, AnswerOrigin, AttemptEnd, BackPressureError, CallResult, RouteKind, Runner,
+    RunnerCall, SendKind, SoftwareVersion,
 };
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
@@ -45,6 +45,9 @@
     /// The response belongs to another request; this request may have run.
     #[display("the answer is not to this request")]
     Foreign,
+    /// The response may belong to an earlier request on its connection; this request may have run.
+    #[display("the answer may be to an earlier request")]
+    Unclear,
     /// Nothing was sent to the runner because of its back-pressure.
     #[display("withheld ({cause})")]
     Withheld { cause: BackPressureError },
@@ -100,7 +103,8 @@
             | ExchangeError::Quarantined => AttemptEnd::Unsent,
             ExchangeError::NoAnswer { .. }
             | ExchangeError::ConnectionLost { .. }
-            | ExchangeError::Foreign => AttemptEnd::Unknown,
+            | ExchangeError::Foreign
+            | ExchangeError::Unclear => AttemptEnd::Unknown,
         }
     }
 }
@@ -291,7 +295,7 @@
         mut unused: Option<UnusedPermit<'_>>,
     ) -> Result<Reply, ExchangeError> {
         loop {
-            let mut connection = match self.pool.take_idle(&runner.id) {
+            let mut connection = match self.pool.take_idle(&runner.id, spec.purpose.call()) {
                 Some(connection) => connection,
                 None => self
                     .pool
@@ -309,7 +313,7 @@
             }
             match connection.sender.try_send_request(req).await {
                 Ok(reply) => {
-                    return self.check_response(runner, spec.purpose.id(), reply, connection);
+                    return self.check_response(runner, spec.purpose.call(), reply, connection);
                 }
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => {
@@ -330,21 +334,18 @@
     fn check_response(
         &self,
         runner: &Runner,
-        id: Option<&RequestId>,
+        call: RunnerCall<'_>,
         reply: hyper::Response<Incoming>,
-        connection: RunnerConnection,
+        mut connection: RunnerConnection,
     ) -> Result<Reply, ExchangeError> {
         let (head, body) = reply.into_parts();
         let info = self.dialect.parse_response(&head);
-        let is_ours = match (&info.request, id) {
-            (Some(answered), Some(sent)) => answered == sent,
-            (Some(_), None) => false,
-            // A refusal may be sent before the runner has read the request id.
-            (None, Some(_)) => !head.status.is_success(),
-            (None, None) => true,
-        };
-        if !is_ours {
-            return Err(ExchangeError::Foreign);
+        let is_refusal = info.not_run || info.wrong_runner;
+        let answer = AnswerHead { id: info.request.as_ref(), is_refusal };
+        match connection.calls.record_answer(call, answer) {
+            AnswerOrigin::Own => {}
+            AnswerOrigin::Foreign => return Err(ExchangeError::Foreign),
+            AnswerOrigin::Unclear => return Err(ExchangeError::Unclear),
         }
         // Signals in the response of another runner at this address do not apply to this runner.
         if !info.wrong_runner {
@@ -400,6 +401,19 @@
         self.send_control(runner, request, spec).await
     }
 
+    /// Requests a copy of the run of a caller's request and reads the whole response.
+    pub(crate) async fn request_copy(
+        &self,
+        send: CallerSend<'_>,
+        runner: &Runner,
+        request: ControlRequest,
+        permit: Permit,
+        timeout: Millis,
+    ) -> Result<(response::Parts, Bytes), ExchangeError> {
+        let spec = SendSpec { purpose: SendPurpose::Copy(send), permit, timeout, trace: None };
+        self.send_control(runner, request, spec).await
+    }
+
     async fn send_control(
         &self,
         runner: &Runner,
--- a/crates/bulrushusher_gateway/src/runners/pool.rs
+++ b/crates/bulrushusher_gateway/src/runners/pool.rs
@@ -1,13 +1,16 @@
 //! Pool of connections to runners, keyed by runner id, which is unique to one start of a runner.
 //!
 //! A connection carries one request at a time. It is reused only after a complete response that
-//! belongs to its request, and closed at once when an exchange is dropped, so that the runner stops
-//! its work.
+//! belongs to its request and with nothing unread behind it, and closed at once when an exchange is
+//! dropped, so that the runner stops its work. Requests with and without an id share connections:
+//! separate ones would nearly double the connections, of which a runner accepts a few hundred from
+//! all gateways.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use bulrushusher_forward::Runner;
+use bulrushusher_forward::{ConnectionCalls, Runner, RunnerCall};
 use bulrushusher_time::{Clock, Millis};
 use bulrushusher_world::RunnerId;
 use bytes::Bytes;
@@ -20,6 +23,7 @@
 use tokio::task::AbortHandle;
 
 use crate::runners::framing::BodyFraming;
+use crate::socket::{SharedStream, is_quiet};
 
 /// Timeout of a new connection. The round trip to runners takes half a millisecond; a lost SYN is
 /// retransmitted only after a second or more, by which time another runner has long responded.
@@ -44,6 +48,9 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// True when the connection has served a request before.
     pub reused: bool,
+    /// The calls that the connection has carried.
+    pub calls: ConnectionCalls,
+    socket: Arc<TcpStream>,
     _driver: DriverGuard,
 }
 
@@ -75,13 +82,19 @@
         RunnerPool { clock, idle: Mutex::new(HashMap::new()) }
     }
 
-    /// Takes the most recently used idle connection to the runner that is still open.
-    pub(crate) fn take_idle(&self, runner: &RunnerId) -> Option<RunnerConnection> {
+    /// Takes the most recently used idle connection to the runner that permits the call, is still
+    /// open and has nothing unread on it.
+    pub(crate) fn take_idle(
+        &self,
+        runner: &RunnerId,
+        call: RunnerCall<'_>,
+    ) -> Option<RunnerConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock();
         let kept = idle.get_mut(runner)?;
-        while let Some(Idle { connection, until }) = kept.pop() {
-            if now < until && connection.sender.is_ready() {
+        while let Some(nth) = kept.iter().rposition(|it| it.connection.calls.permits(call)) {
+            let Idle { connection, until } = kept.remove(nth);
+            if now < until && connection.sender.is_ready() && is_quiet(&connection.socket) {
                 return Some(connection);
             }
         }
@@ -90,8 +103,8 @@
 
     /// Opens a new connection.
     pub(crate) async fn connect(&self, runner: &Runner) -> Result<RunnerConnection, ConnectError> {
-        let stream = connect_tcp(runner.address).await?;
-        let io = TokioIo::new(stream);
+        let socket = Arc::new(connect_tcp(runner.address).await?);
+        let io = TokioIo::new(SharedStream::from(socket.clone()));
         let (sender, driver) = http1::handshake(io).await.map_err(|e| e.to_string())?;
         let driver = tokio::spawn(async move {
             if let Err(e) = driver.await {
@@ -99,18 +112,19 @@
             }
         });
         let driver = DriverGuard(driver.abort_handle());
-        Ok(RunnerConnection { sender, reused: false, _driver: driver })
+        let calls = ConnectionCalls::default();
+        Ok(RunnerConnection { sender, reused: false, calls, socket, _driver: driver })
     }
 
-    /// Returns a connection whose last response was read to its end, unless the runner closes it or its
-    /// end was that of the response.
+    /// Returns a connection whose last response was read to its end, unless the runner closes it, its
+    /// end was that of the response, or it has carried enough requests.
     pub(crate) fn keep(
         &self,
         runner: &RunnerId,
         mut connection: RunnerConnection,
         head: &HeaderMap,
     ) {
-        if BodyFraming::of(head) == BodyFraming::Close {
+        if BodyFraming::of(head) == BodyFraming::Close || !connection.calls.is_reusable() {
             return;
         }
         let Some(idle_timeout) = idle_timeout(head) else { return };
--- a/crates/bulrushusher_gateway/src/runners/send_spec.rs
+++ b/crates/bulrushusher_gateway/src/runners/send_spec.rs
@@ -1,7 +1,7 @@
 //! What is sent to a runner: a request of the gateway itself, or one with the residency of a caller's
 //! request.
 
-use bulrushusher_forward::{RequestId, Runner, SoftwareVersion};
+use bulrushusher_forward::{RequestId, Runner, RunnerCall, SoftwareVersion};
 use bulrushusher_time::Millis;
 use bulrushusher_world::DataCentreName;
 
@@ -38,16 +38,27 @@
     Gateway,
     /// A control request on behalf of a caller's request.
     Control(CallerSend<'a>),
+    /// The copy of the run of a caller's request.
+    Copy(CallerSend<'a>),
     /// The caller's request.
     Request(CallerSend<'a>),
 }
 
 impl<'a> SendPurpose<'a> {
-    /// The request id that the response must have; `None` for control requests.
+    /// The id of the caller's request that is sent; `None` for control requests.
     pub(crate) fn id(self) -> Option<&'a RequestId> {
         match self {
             SendPurpose::Request(send) => Some(&send.fwd.request.id),
-            SendPurpose::Gateway | SendPurpose::Control(_) => None,
+            SendPurpose::Gateway | SendPurpose::Control(_) | SendPurpose::Copy(_) => None,
+        }
+    }
+
+    /// The call to which the response must belong.
+    pub(crate) fn call(self) -> RunnerCall<'a> {
+        match self {
+            SendPurpose::Request(send) => RunnerCall::Request(&send.fwd.request.id),
+            SendPurpose::Copy(_) => RunnerCall::Copy,
+            SendPurpose::Gateway | SendPurpose::Control(_) => RunnerCall::Control,
         }
     }
 
@@ -55,7 +66,9 @@
     pub(crate) fn caller_send(self) -> Option<CallerSend<'a>> {
         match self {
             SendPurpose::Gateway => None,
-            SendPurpose::Control(send) | SendPurpose::Request(send) => Some(send),
+            SendPurpose::Control(send) | SendPurpose::Copy(send) | SendPurpose::Request(send) => {
+                Some(send)
+            }
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -217,7 +217,7 @@
     let run = RunCopy { runner: &from.id, request: &fwd.request.id, to: to.address, stop_first };
     let request = cx.dialect.copy_run(&run);
     let send = CallerSend { fwd, other: Some(to.into()) };
-    let answer = cx.exchanger.control_request_for(send, from, request, permit, COPY_TIMEOUT).await;
+    let answer = cx.exchanger.request_copy(send, from, request, permit, COPY_TIMEOUT).await;
     let (head, body) = answer.map_err(|e| e.to_string())?;
     // A stopped run is kept at its runner when the rest cannot be copied.
     let is_kept = head.status == StatusCode::SERVICE_UNAVAILABLE && stop_first;
