A stream without a mark of its end is complete only if its runner answers

What callers saw: a stream without a length, whose runner left as planned and exited in the middle of it, ended as a complete one, with 75 of 150 events in one run.

Cause: such a stream is complete if its runner lives on, which a probe tells. Back-pressure withheld the probe of a runner that leaves, asked for a pause or is cold, and a runner that was not probed counted as alive.

Change: the verdict on the runner has three values (it lives, has ended, or nothing shows either), and every caller handles each. Only the first one completes a stream. Otherwise a resumable stream goes on after its last event, and is complete if the other run has none left; any other stream is broken off. The probe has a permit of its own, as it starts no work: a leaving runner is sent it too. A runner's pause, its rate limit and the limit on cold runners still apply; the probe waits for them if they end within 1.2 s. Silence counts neither as life nor as the end, except for the crash quarantine, which counts a crash on it as before. A runner that was not probed is recorded as neither sound nor failing. The verdict and the record of a crash now come from the same probes.

--- a/crates/bulrushusher_gateway/src/runners/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -6,12 +6,13 @@
 use bulrushusher_forward::{RequestId, Runner};
 use bulrushusher_routing::{CrashKey, CrashVerdict, KeySet, RequestDigest, SentRequest, Suspect};
 use bulrushusher_time::Millis;
+use derive_more::Display;
 use hyper::StatusCode;
 use tokio::task::JoinHandle;
 
 use crate::answers::answer::{PART_QUARANTINED, QUARANTINED, Withheld};
 use crate::dialect::Dialect;
-use crate::runners::exchange::CONTROL_TIMEOUT;
+use crate::runners::exchange::{CONTROL_TIMEOUT, ExchangeError};
 use crate::runners::permit::Permit;
 use crate::runners::router::{ForwardedRequest, PartKey, Router};
 
@@ -26,6 +27,11 @@
 /// crash too. A runner's machine responds within some milliseconds even when its process has ended.
 const VERDICT_TIMEOUT: Millis = Millis(40);
 
+/// Longest wait until the runner of a response without a mark of its end may be probed. It covers the
+/// span in which requests to cold runners and most rate limits are counted, and is shorter than the gap
+/// after which callers abandon a stream.
+const PROBE_PERMIT_WAIT: Millis = Millis(1_200);
+
 /// A request at a runner, watched for a crash of the runner.
 #[derive(Clone, Debug)]
 pub(crate) struct CrashWatch {
@@ -49,15 +55,56 @@
     Generating,
 }
 
-/// What probes have shown of a runner.
+/// What arrived on the connection of a runner that is judged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum JudgedResponse {
+    /// No response, or a part of one.
+    Partial,
+    /// A success that ended with the connection.
+    Success,
+}
+
+/// What is known of a runner whose connection has ended. A response that ended with the connection is
+/// whole only if the runner lives.
 #[derive(Clone, Debug, PartialEq, Eq)]
-enum RunnerState {
+#[must_use]
+pub(crate) enum RunnerVerdict {
     /// Its process responds.
-    Alive,
+    Lives,
     /// Its process has ended, with the evidence for it.
     Ended(Arc<str>),
-    /// It signals back-pressure and may not be probed.
-    Unknown,
+    /// Nothing shows whether its process has ended.
+    Unknown(VerdictGap),
+}
+
+/// Why nothing shows whether a runner has ended.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub(crate) enum VerdictGap {
+    /// It must not be probed now, for the given reason.
+    #[display("not probed: {_0}")]
+    NotProbed(Arc<str>),
+    /// It did not respond to the probes, the last of which failed as given.
+    #[display("no response to probes: {_0}")]
+    NoResponse(Arc<str>),
+}
+
+impl JudgedResponse {
+    /// Longest wait until the runner may be probed. A partial response is of no use to its caller.
+    fn permit_wait(self) -> Millis {
+        match self {
+            JudgedResponse::Partial => Millis(0),
+            JudgedResponse::Success => PROBE_PERMIT_WAIT,
+        }
+    }
+}
+
+impl VerdictGap {
+    /// What kept the probes from being sent, or how the last one failed.
+    pub(crate) fn cause(&self) -> &str {
+        match self {
+            VerdictGap::NotProbed(cause) | VerdictGap::NoResponse(cause) => cause,
+        }
+    }
 }
 
 impl CrashWatch {
@@ -88,26 +135,28 @@
     /// verdict is known or after [`VERDICT_TIMEOUT`].
     pub(crate) async fn connection_lost<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) {
         if self.may_have_crashed(cx) {
-            let judged = self.spawn_judge(cx, runner, false);
+            let judged = self.spawn_judge(cx, runner, JudgedResponse::Partial);
             tokio::time::timeout(VERDICT_TIMEOUT.duration(), judged).await.ok();
         }
     }
 
-    /// Handles a whole response that ended with its connection, as that of a crashed runner does. The
-    /// response is the caller's all the same, so the verdict is not waited for.
-    pub(crate) fn connection_ended<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) {
-        drop(self.spawn_judge(cx, runner, true));
-    }
-
-    /// True unless the runner has ended: a stream without a mark of its end is complete only if its runner
-    /// lives on. The caller has all events by now, so a late verdict costs it little. A runner that may
-    /// not be probed counts as alive.
-    pub(crate) async fn runner_lives<D: Dialect>(&self, cx: &Router<D>, runner: &Runner) -> bool {
-        let state = probe_runner(cx, runner).await;
-        if state == RunnerState::Alive {
-            cx.shared.record_sound_run(self.sent.keys());
-        }
-        !matches!(state, RunnerState::Ended(_))
+    /// Handles a response that ended with its connection, as that of a crashed runner does. Waits for
+    /// the verdict of a separate task, which goes on if the caller leaves.
+    pub(crate) async fn connection_ended<D: Dialect>(
+        &self,
+        cx: &Router<D>,
+        runner: &Runner,
+        response: JudgedResponse,
+    ) -> RunnerVerdict {
+        let judged = self.spawn_judge(cx, runner, response).await;
+        judged.unwrap_or_else(|e| {
+            log::error!(
+                "quarantine: probe failed id={} runner={} cause=\"{e}\"",
+                self.id,
+                runner.id
+            );
+            RunnerVerdict::Unknown(VerdictGap::NotProbed(e.to_string().into()))
+        })
     }
 
     /// True if the runner has not yet gone on for longer than the crash window after it began to
@@ -123,33 +172,42 @@
     }
 
     /// Probes the runner and records the crash if its process has ended. A runner that lives speaks for
-    /// the request if it `answered`.
-    fn spawn_judge<D: Dialect>(
+    /// the request if it has answered it with success.
+    pub(crate) fn spawn_judge<D: Dialect>(
         &self,
         cx: &Router<D>,
         runner: &Runner,
-        answered: bool,
-    ) -> JoinHandle<()> {
+        response: JudgedResponse,
+    ) -> JoinHandle<RunnerVerdict> {
         let (ran_for, may_have_crashed) = (cx.now().since(self.started), self.may_have_crashed(cx));
         let (cx, watch, runner) = (cx.clone(), self.clone(), runner.clone());
         tokio::spawn(async move {
-            match probe_runner(&cx, &runner).await {
-                RunnerState::Ended(sign) if may_have_crashed => {
-                    watch.record_crash(&cx, &runner, ran_for, &sign);
+            let verdict = probe_runner(&cx, &runner, response.permit_wait()).await;
+            match &verdict {
+                // A machine that is lost with its runner does not respond either.
+                RunnerVerdict::Ended(sign)
+                | RunnerVerdict::Unknown(VerdictGap::NoResponse(sign)) => {
+                    if may_have_crashed {
+                        watch.record_crash(&cx, &runner, ran_for, sign);
+                    }
                 }
-                RunnerState::Ended(_) => {}
-                RunnerState::Alive => {
+                RunnerVerdict::Lives => {
                     log::info!("quarantine: runner lives id={} runner={}", watch.id, runner.id);
                     cx.metrics.record_crash("runner_lives");
-                    if answered {
+                    if response == JudgedResponse::Success {
                         cx.shared.record_sound_run(watch.sent.keys());
                     }
                 }
-                RunnerState::Unknown => {
-                    log::info!("quarantine: not probed id={} runner={}", watch.id, runner.id);
+                RunnerVerdict::Unknown(VerdictGap::NotProbed(cause)) => {
+                    log::info!(
+                        "quarantine: not probed id={} runner={} cause=\"{cause}\"",
+                        watch.id,
+                        runner.id,
+                    );
                     cx.metrics.record_crash("not_probed");
                 }
             }
+            verdict
         })
     }
 
@@ -241,30 +299,50 @@
     }
 }
 
-/// Probes a runner, as often as it takes to tell that its process has ended.
-async fn probe_runner<D: Dialect>(cx: &Router<D>, runner: &Runner) -> RunnerState {
-    let mut sign: Arc<str> = "".into();
-    for probe in 0..MAX_PROBES {
-        if probe > 0 {
-            tokio::time::sleep(PROBE_RETRY_DELAY.duration()).await;
-        }
+/// Probes a runner, as often as it takes to tell that its process has ended. Back-pressure is waited for
+/// if it ends within `permit_wait`.
+async fn probe_runner<D: Dialect>(
+    cx: &Router<D>,
+    runner: &Runner,
+    permit_wait: Millis,
+) -> RunnerVerdict {
+    let until = cx.now().plus(permit_wait);
+    let mut probes = 0;
+    loop {
         let request = cx.dialect.status_request(&runner.id);
-        match cx.exchanger.control_request(runner, request, Permit::Acquire, CONTROL_TIMEOUT).await
-        {
+        let probed =
+            cx.exchanger.control_request(runner, request, Permit::Probe, CONTROL_TIMEOUT).await;
+        let verdict = match probed {
             Ok((head, _)) if head.status == StatusCode::MISDIRECTED_REQUEST => {
-                return RunnerState::Ended("another start has its address".into());
+                return RunnerVerdict::Ended("another start has its address".into());
             }
             Ok((_, body)) => {
                 let born = cx.dialect.parse_status(&runner.id, &body).ok().and_then(|it| it.born);
                 cx.shared.record_start(&runner.id, born);
                 return match cx.shared.is_superseded(runner) {
-                    true => RunnerState::Ended("it has started again".into()),
-                    false => RunnerState::Alive,
+                    true => RunnerVerdict::Ended("it has started again".into()),
+                    false => RunnerVerdict::Lives,
                 };
             }
-            Err(e) if e.is_withheld() => return RunnerState::Unknown,
-            Err(e) => sign = e.to_string().into(),
+            Err(e) if e.is_withheld() => {
+                let wait = cx.shared.time_until_probe(runner).map(|wait| wait.max(Millis(1)));
+                match wait.filter(|wait| cx.now().plus(*wait) <= until) {
+                    Some(wait) => tokio::time::sleep(wait.duration()).await,
+                    None => {
+                        let cause = e.to_string().into();
+                        return RunnerVerdict::Unknown(VerdictGap::NotProbed(cause));
+                    }
+                }
+                continue;
+            }
+            // No new connection could be opened; one that is too slow times out instead.
+            Err(ExchangeError::Unsent { cause }) => RunnerVerdict::Ended(cause.into()),
+            Err(e) => RunnerVerdict::Unknown(VerdictGap::NoResponse(e.to_string().into())),
+        };
+        probes += 1;
+        if probes == MAX_PROBES {
+            return verdict;
         }
+        tokio::time::sleep(PROBE_RETRY_DELAY.duration()).await;
     }
-    RunnerState::Ended(sign)
 }
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -162,7 +162,7 @@
     ) -> Result<Reply, ExchangeError> {
         let timeout = spec.timeout;
         self.apply_permit(runner, spec.permit)?;
-        let unused = (spec.permit == Permit::Acquire).then(|| UnusedPermit {
+        let unused = spec.permit.is_acquired_now().then(|| UnusedPermit {
             shared: &self.shared,
             runner,
             is_used: false,
@@ -178,6 +178,7 @@
     fn apply_permit(&self, runner: &Runner, permit: Permit) -> Result<(), ExchangeError> {
         let permitted = match permit {
             Permit::Acquire => self.shared.acquire_permits(runner, 1),
+            Permit::Probe => self.shared.acquire_probe_permit(runner),
             Permit::Acquired => self.shared.check_send(runner),
             Permit::Cleanup if self.shared.is_backing_off(runner) => {
                 Err(BackPressureError::RetryAfter)
@@ -225,6 +226,7 @@
                 Err(BackPressureError::Leaving)
             }
             Permit::Acquire | Permit::Acquired => self.shared.check_send(runner),
+            Permit::Probe => self.shared.check_probe(runner),
         };
         let recorded =
             checked.and_then(|()| self.shared.record_send(runner, send_kind(spec.permit)));
@@ -431,7 +433,7 @@
 /// How a request counts at a cold runner.
 fn send_kind(permit: Permit) -> SendKind {
     match permit {
-        Permit::Acquire | Permit::Acquired => SendKind::Permitted,
+        Permit::Acquire | Permit::Probe | Permit::Acquired => SendKind::Permitted,
         Permit::Cleanup => SendKind::Optional,
         Permit::Exempt | Permit::Order => SendKind::Mandatory,
     }
--- a/crates/bulrushusher_gateway/src/runners/permit.rs
+++ b/crates/bulrushusher_gateway/src/runners/permit.rs
@@ -6,6 +6,8 @@
 pub(crate) enum Permit {
     /// Acquires a permit now.
     Acquire,
+    /// The same for a status request, which starts no work: a leaving runner may be sent it too.
+    Probe,
     /// Has acquired its permit earlier, together with the hold on memory that it uses.
     Acquired,
     /// Is charged, and sent regardless of back-pressure, because otherwise a run would be lost.
@@ -18,12 +20,17 @@
 }
 
 impl Permit {
+    /// True if a permit is acquired with the send, and returned if nothing is sent.
+    pub(crate) fn is_acquired_now(self) -> bool {
+        matches!(self, Permit::Acquire | Permit::Probe)
+    }
+
     /// True for control requests that prepare new work: memory holds, which acquired their permit
     /// together with that of the run, and orders. They are not sent into an evacuated data centre.
     pub(crate) fn starts_work(self) -> bool {
         match self {
             Permit::Acquired | Permit::Order => true,
-            Permit::Acquire | Permit::Exempt | Permit::Cleanup => false,
+            Permit::Acquire | Permit::Probe | Permit::Exempt | Permit::Cleanup => false,
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -12,7 +12,7 @@
 use crate::answers::answer::{BACK_PRESSURE, Refusal, forward_response};
 use crate::answers::body::ReplyBody;
 use crate::dialect::{Dialect, Step};
-use crate::runners::crashes::CrashWatch;
+use crate::runners::crashes::{CrashWatch, JudgedResponse};
 use crate::runners::exchange::{ExchangeError, Reply};
 use crate::runners::framing::BodyFraming;
 use crate::runners::permit::Permit;
@@ -243,7 +243,7 @@
         in_flight.record_answer();
         match framing {
             BodyFraming::Marked => cx.shared.record_sound_run(&fwd.crash_keys),
-            BodyFraming::Close => watch.connection_ended(cx, runner),
+            BodyFraming::Close => drop(watch.spawn_judge(cx, runner, JudgedResponse::Success)),
         }
     }
     let (result, detail) = match &ended {
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -14,7 +14,7 @@
 use crate::answers::body::StreamPart;
 use crate::dialect::Dialect;
 use crate::placement::holds::MemoryHold;
-use crate::runners::crashes::CrashWatch;
+use crate::runners::crashes::{CrashWatch, VerdictGap};
 use crate::runners::exchange::Reply;
 use crate::runners::framing::BodyFraming;
 use crate::runners::pool::RunnerConnection;
@@ -38,6 +38,11 @@
     CallerGone,
     /// The request's deadline passed.
     DeadlinePassed,
+    /// The stream ended after a complete event, but with its runner, for which this is the evidence.
+    RunnerEnded(Arc<str>),
+    /// The stream ended with its connection after a complete event, and nothing shows that its runner
+    /// lives on.
+    Unconfirmed(VerdictGap),
     /// The stream broke off, for the given reason.
     Broken(String),
     /// The runner has been silent for too long. Its run may still go on, so the stream is kept.
@@ -52,15 +57,19 @@
             RunEnd::Migrated(_) => "moved",
             RunEnd::CallerGone => "caller_gone",
             RunEnd::DeadlinePassed => "time_over",
+            RunEnd::RunnerEnded(_) => "runner_ended",
+            RunEnd::Unconfirmed(_) => "unconfirmed",
             RunEnd::Broken(_) => "broken",
             RunEnd::Silent => "silent",
         }
     }
 
-    /// Why the stream broke off; empty if it did not.
+    /// Why the stream is incomplete; empty if the label tells.
     pub(crate) fn cause(&self) -> &str {
         match self {
             RunEnd::Broken(cause) => cause,
+            RunEnd::RunnerEnded(sign) => sign,
+            RunEnd::Unconfirmed(gap) => gap.cause(),
             _ => "",
         }
     }
@@ -72,6 +81,9 @@
     pub last_event: Option<u64>,
     /// When the first event of the present run arrived.
     pub began: Option<Millis>,
+    /// True if the stream so far may be whole: the last run ended after a complete event, but its
+    /// runner is not known to live. A run that goes on may have nothing left to send then.
+    pub may_be_whole: bool,
     /// When the last bytes arrived.
     last_bytes: Option<Millis>,
     /// The longest gap since the first bytes.
@@ -93,6 +105,7 @@
         StreamProgress {
             last_event,
             began: None,
+            may_be_whole: false,
             last_bytes: None,
             longest_gap: Millis(0),
             long_gaps: LongGaps::default(),
@@ -114,6 +127,7 @@
         is_uneven: impl FnOnce() -> bool,
         now: Millis,
     ) -> (Millis, bool) {
+        self.may_be_whole = false;
         let Some(last) = self.last_bytes.replace(now) else { return (Millis(0), false) };
         let gap = now.since(last);
         self.longest_gap = self.longest_gap.max(gap);
@@ -302,7 +316,9 @@
             (BodyFraming::Close, None) => "it ended before its first event",
             _ => "it ended inside an event",
         };
-        let is_empty = self.origin.framing == BodyFraming::Close && progress.began.is_none();
+        let is_empty = self.origin.framing == BodyFraming::Close
+            && progress.began.is_none()
+            && !progress.may_be_whole;
         let is_complete = !is_empty && progress.splitter.rest().is_empty();
         let end = self.finish_interrupted(cause.to_owned()).await;
         if !(is_complete && matches!(end, RunEnd::Broken(_))) {
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -12,6 +12,7 @@
 use crate::answers::body::{ReplyBody, ResponseAborted, StreamPart};
 use crate::dialect::Dialect;
 use crate::placement::attempts::{AttemptHistory, RunError};
+use crate::runners::crashes::{JudgedResponse, RunnerVerdict, VerdictGap};
 use crate::runners::framing::BodyFraming;
 use crate::runners::router::{ForwardedRequest, Router};
 use crate::runs::begin::{TAKEOVER_TIMEOUT, start_run};
@@ -142,11 +143,13 @@
         if let Some(began) = self.progress.began {
             origin.watch.run_began(began);
         }
-        if matches!(end, RunEnd::Complete)
-            && origin.framing == BodyFraming::Close
-            && !origin.watch.runner_lives(self.cx, &origin.runner).await
-        {
-            end = RunEnd::Broken("its runner ended with it".to_owned());
+        if matches!(end, RunEnd::Complete) && origin.framing == BodyFraming::Close {
+            let ended = JudgedResponse::Success;
+            end = match origin.watch.connection_ended(self.cx, &origin.runner, ended).await {
+                RunnerVerdict::Lives => RunEnd::Complete,
+                RunnerVerdict::Ended(sign) => RunEnd::RunnerEnded(sign),
+                RunnerVerdict::Unknown(gap) => RunEnd::Unconfirmed(gap),
+            };
         }
         self.record_end(&origin, end.label(), end.cause());
         self.after_end(&origin, end).await
@@ -196,6 +199,16 @@
                 self.cx.shared.record_run_end(&origin.runner, false);
                 StreamStep::Resume
             }
+            RunEnd::RunnerEnded(_) | RunEnd::Unconfirmed(VerdictGap::NoResponse(_)) => {
+                self.cx.shared.record_run_end(&origin.runner, false);
+                self.progress.may_be_whole = true;
+                StreamStep::Resume
+            }
+            // The runner was not asked, which says nothing about its health.
+            RunEnd::Unconfirmed(VerdictGap::NotProbed(_)) => {
+                self.progress.may_be_whole = true;
+                StreamStep::Resume
+            }
             RunEnd::Silent => StreamStep::Resume,
         }
     }
--- a/crates/bulrushusher_gateway/src/shared/pressure.rs
+++ b/crates/bulrushusher_gateway/src/shared/pressure.rs
@@ -120,10 +120,20 @@
             .with_runners(|runners, _| runners.directory.has_drain_notice(&runner.id, runner.born));
         match is_leaving {
             true => Err(BackPressureError::Leaving),
-            false => self.pressure.lock().check_backoff(runner, self.now()),
+            false => self.check_probe(runner),
         }
     }
 
+    /// Checks whether a status request that already has a permit may still be sent to a runner, which
+    /// may be leaving.
+    ///
+    /// # Errors
+    ///
+    /// The back-pressure that the runner has signalled meanwhile.
+    pub(crate) fn check_probe(&self, runner: &Runner) -> Result<(), BackPressureError> {
+        self.pressure.lock().check_backoff(runner, self.now())
+    }
+
     /// Acquires permits for requests that are about to be sent to a runner.
     ///
     /// # Errors
@@ -139,6 +149,25 @@
         self.pressure_at(now).acquire(runner, requests, now)
     }
 
+    /// Acquires a permit for a status request, which a leaving runner may be sent too.
+    ///
+    /// # Errors
+    ///
+    /// The back-pressure that forbids sending it.
+    pub(crate) fn acquire_probe_permit(&self, runner: &Runner) -> Result<(), BackPressureError> {
+        let now = self.now();
+        self.pressure_at(now).acquire(runner, 1, now)
+    }
+
+    /// Time until a status request may be sent to a runner; `None` if other gateways share its whole rate
+    /// limit.
+    pub(crate) fn time_until_probe(&self, runner: &Runner) -> Option<Millis> {
+        let now = self.now();
+        let pressure = self.pressure_at(now);
+        let signalled = pressure.time_until_open(runner, now)?;
+        Some(signalled.max(pressure.cold.time_until_open(runner, 1, now)))
+    }
+
     /// Charges a request that is sent regardless of back-pressure.
     pub(crate) fn charge_permit(&self, runner: &Runner) {
         let now = self.now();
