A plain answer without a length is complete only if its runner answers a probe

What callers saw: a runner's process was killed after 400 of 800 bytes of a plain answer without a length, and the caller got 200 with these 400 bytes, their length and the runner's seal.

Cause: the end of the connection was taken for the end of the answer. The verdict on the runner was only used for the record of crashes.

Change: calls wait for the same verdict as streams. If the runner lives, the answer is the caller's. Otherwise the attempt has no answer: an idempotent call may go to another runner, any other is answered 502, outcome unknown. The same holds for failures, also those of a decode runner that refuses a generation. Answers that have no body (HEAD, 204, 304) end with their head and are not probed for. A failure speaks for no request, whether its runner lives or not.

--- a/crates/bulrushusher_gateway/src/runners/crashes.rs
+++ b/crates/bulrushusher_gateway/src/runners/crashes.rs
@@ -60,6 +60,8 @@
 pub(crate) enum JudgedResponse {
     /// No response, or a part of one.
     Partial,
+    /// A failure that ended with the connection.
+    Failure,
     /// A success that ended with the connection.
     Success,
 }
@@ -93,7 +95,7 @@
     fn permit_wait(self) -> Millis {
         match self {
             JudgedResponse::Partial => Millis(0),
-            JudgedResponse::Success => PROBE_PERMIT_WAIT,
+            JudgedResponse::Failure | JudgedResponse::Success => PROBE_PERMIT_WAIT,
         }
     }
 }
@@ -173,7 +175,7 @@
 
     /// Probes the runner and records the crash if its process has ended. A runner that lives speaks for
     /// the request if it has answered it with success.
-    pub(crate) fn spawn_judge<D: Dialect>(
+    fn spawn_judge<D: Dialect>(
         &self,
         cx: &Router<D>,
         runner: &Runner,
@@ -299,6 +301,26 @@
     }
 }
 
+/// Checks that a response that ended with its connection is whole: its runner must live on.
+///
+/// # Errors
+/// Why it may be incomplete.
+pub(crate) async fn confirm_end<D: Dialect>(
+    cx: &Router<D>,
+    runner: &Runner,
+    watch: &CrashWatch,
+    response: JudgedResponse,
+    timeout: Millis,
+) -> Result<(), String> {
+    let verdict = watch.connection_ended(cx, runner, response);
+    match tokio::time::timeout(timeout.duration(), verdict).await {
+        Ok(RunnerVerdict::Lives) => Ok(()),
+        Ok(RunnerVerdict::Ended(sign)) => Err(format!("its runner ended with it ({sign})")),
+        Ok(RunnerVerdict::Unknown(gap)) => Err(format!("its runner may have ended ({gap})")),
+        Err(_) => Err("its runner may have ended (no verdict before the deadline)".to_owned()),
+    }
+}
+
 /// Probes a runner, as often as it takes to tell that its process has ended. Back-pressure is waited for
 /// if it ends within `permit_wait`.
 async fn probe_runner<D: Dialect>(
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -12,8 +12,9 @@
 use crate::placement::holds::{KvCacheGuard, MemoryHold};
 use crate::placement::place::{PlacementError, place};
 use crate::placement::prefill::prefill_prompt;
-use crate::runners::crashes::CrashWatch;
+use crate::runners::crashes::{CrashWatch, JudgedResponse, confirm_end};
 use crate::runners::exchange::Reply;
+use crate::runners::framing::BodyFraming;
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptRecord, AttemptSpec, ForwardedRequest, LoadGuard, Router};
 use crate::runners::send_trace::SendTrace;
@@ -195,7 +196,7 @@
             let watch = crash_watch;
             return Ok(Run { runner, reply, started, held, migrate_after, watch, _load: load });
         }
-        Ok(reply) => read_failure(cx, fwd, &runner, reply).await,
+        Ok(reply) => read_failure(cx, fwd, &runner, reply, &crash_watch).await,
         Err(e) => {
             if e.is_connection_lost() {
                 crash_watch.connection_lost(cx, &runner).await;
@@ -246,18 +247,34 @@
     fwd: &ForwardedRequest,
     runner: &Runner,
     reply: Reply,
+    watch: &CrashWatch,
 ) -> RunError {
     let info = reply.info.clone();
     if info.wrong_runner {
         cx.remove_runner(&runner.id, "another runner has its address");
     }
+    let framing = BodyFraming::of_reply_to(&fwd.method, &reply.head);
     let timeout = fwd.remaining(cx.now());
     let whole = cx.exchanger.read_whole(runner, reply, timeout).await;
     if info.not_run || info.wrong_runner {
         return RunError::Ended(AttemptEnd::NotRun, "the decode runner did not accept the run");
     }
     match whole {
-        Ok((head, body)) if !head.status.is_success() => RunError::Failed(head, body),
+        Ok((head, body)) if !head.status.is_success() => {
+            let remaining = fwd.remaining(cx.now());
+            let failure = JudgedResponse::Failure;
+            if framing == BodyFraming::Close
+                && let Err(cause) = confirm_end(cx, runner, watch, failure, remaining).await
+            {
+                log::info!(
+                    "route: response not confirmed id={} runner={} cause=\"{cause}\"",
+                    fwd.request.id,
+                    runner.id,
+                );
+                return RunError::Ended(AttemptEnd::Unknown, "the response may be cut off");
+            }
+            RunError::Failed(head, body)
+        }
         _ => RunError::Ended(AttemptEnd::Unknown, "the decode runner's response cannot be used"),
     }
 }
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -12,7 +12,7 @@
 use crate::answers::answer::{BACK_PRESSURE, Refusal, forward_response};
 use crate::answers::body::ReplyBody;
 use crate::dialect::{Dialect, Step};
-use crate::runners::crashes::{CrashWatch, JudgedResponse};
+use crate::runners::crashes::{CrashWatch, JudgedResponse, confirm_end};
 use crate::runners::exchange::{ExchangeError, Reply};
 use crate::runners::framing::BodyFraming;
 use crate::runners::permit::Permit;
@@ -39,6 +39,17 @@
     Withheld(String),
 }
 
+impl AttemptResult {
+    /// The runner's response that may be forwarded, if there is one.
+    fn response(&self) -> Option<JudgedResponse> {
+        match self {
+            AttemptResult::Answer(..) => Some(JudgedResponse::Success),
+            AttemptResult::RunFailed(..) => Some(JudgedResponse::Failure),
+            AttemptResult::NoAnswer(..) | AttemptResult::Withheld(_) => None,
+        }
+    }
+}
+
 /// Serves a plain call.
 ///
 /// # Errors
@@ -229,7 +240,7 @@
     let mut framing = BodyFraming::Marked;
     let read = match reply {
         Ok(reply) => {
-            framing = BodyFraming::of(&reply.head.headers);
+            framing = BodyFraming::of_reply_to(&fwd.method, &reply.head);
             let remaining = timeout.since(cx.now().since(started)).plus(Millis(1));
             read_response(cx, runner, reply, remaining).await
         }
@@ -238,12 +249,17 @@
     if read.as_ref().is_err_and(ExchangeError::is_connection_lost) {
         watch.connection_lost(cx, runner).await;
     }
-    let ended = read.unwrap_or_else(failed_exchange);
+    let mut ended = read.unwrap_or_else(failed_exchange);
+    if let (BodyFraming::Close, Some(response)) = (framing, ended.response()) {
+        let remaining = timeout.since(cx.now().since(started));
+        if let Err(cause) = confirm_end(cx, runner, &watch, response, remaining).await {
+            ended = AttemptResult::NoAnswer(AttemptEnd::Unknown, cause);
+        }
+    }
     if matches!(ended, AttemptResult::Answer(..)) {
         in_flight.record_answer();
-        match framing {
-            BodyFraming::Marked => cx.shared.record_sound_run(&fwd.crash_keys),
-            BodyFraming::Close => drop(watch.spawn_judge(cx, runner, JudgedResponse::Success)),
+        if framing == BodyFraming::Marked {
+            cx.shared.record_sound_run(&fwd.crash_keys);
         }
     }
     let (result, detail) = match &ended {
