A stream whose run may have been stopped for its move is not complete without its end

Callers got 100 of 120 events of a stream without a length as a complete response, when the runner stopped the run for its move and the answer to that call was lost. Streams in chunks were broken off, although the copy of their run was at hand.

Cause: a lost answer to the call that stops a run counted as "the run stays", the copy was freed, and the end of the connection then counted as the end of the stream.

The outcome has three values now (`StopOutcome`, `CopyOutcome`). While it is unknown, events are forwarded as before and the copy and the reserved retries are kept. A stream with the mark of its end is complete; any other end resumes the run at the copy of the first call, else at another runner where the route allows it. The run does not return to its former runner, nor does it migrate there, as the call may still stop it.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -63,6 +63,7 @@
 mod stage_pacing;
 mod stages;
 mod start_times;
+mod stop_outcome;
 mod stream_versions;
 mod timing_model;
 mod wait_queue;
@@ -135,6 +136,7 @@
 pub use stage_pacing::StagePacing;
 pub use stages::{OrderLease, OrderLeaseConfig, StageChange, StagesConfig, needed_stage_changes};
 pub use start_times::{StartStatus, StartTimes};
+pub use stop_outcome::StopOutcome;
 pub use stream_versions::{StreamKey, StreamRecord, StreamVersions, VersionHistory};
 pub use timing_model::{TimingConfig, TimingModel};
 pub use wait_queue::{
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -34,6 +34,9 @@
     Complete,
     /// The run was stopped to be resumed at another runner.
     Migrated(Box<MigratedRun<D>>),
+    /// The stream ended without a mark of its end, for the given reason, and the run may have been
+    /// stopped to be resumed at another runner.
+    MaybeStopped(Box<MigratedRun<D>>, String),
     /// The caller disconnected.
     CallerGone,
     /// The request's deadline passed.
@@ -50,6 +53,7 @@
         match self {
             RunEnd::Complete => "whole",
             RunEnd::Migrated(_) => "moved",
+            RunEnd::MaybeStopped(..) => "maybe_stopped",
             RunEnd::CallerGone => "caller_gone",
             RunEnd::DeadlinePassed => "time_over",
             RunEnd::Broken(_) => "broken",
@@ -60,7 +64,7 @@
     /// Why the stream broke off; empty if it did not.
     pub(crate) fn cause(&self) -> &str {
         match self {
-            RunEnd::Broken(cause) => cause,
+            RunEnd::Broken(cause) | RunEnd::MaybeStopped(_, cause) => cause,
             _ => "",
         }
     }
@@ -205,6 +209,11 @@
         }
     }
 
+    /// True if the run may have been stopped for a migration, or may still be.
+    pub(crate) fn may_stop(&self) -> bool {
+        self.migration.may_stop()
+    }
+
     /// Drops the run; its connection is closed unless its stream is complete.
     pub(crate) fn into_origin(self) -> RunOrigin {
         self.origin
@@ -305,7 +314,13 @@
         let is_empty = self.origin.framing == BodyFraming::Close && progress.began.is_none();
         let is_complete = !is_empty && progress.splitter.rest().is_empty();
         let end = self.finish_interrupted(cause.to_owned()).await;
-        if !(is_complete && matches!(end, RunEnd::Broken(_))) {
+        let may_be_complete = match &end {
+            RunEnd::Broken(_) => true,
+            // The runner closes the connection of a run that it stops.
+            RunEnd::MaybeStopped(..) => self.origin.framing == BodyFraming::Marked,
+            _ => false,
+        };
+        if !(is_complete && may_be_complete) {
             return end;
         }
         if let Some(connection) = self.connection.take() {
@@ -327,7 +342,7 @@
         let frame = tokio::select! {
             frame = tokio::time::timeout(timeout.duration(), self.body.frame()) => frame,
             () = self.tx.closed() => return StreamEvent::CallerGone,
-            () = self.migration.progress(|| self.cx.now()) => return StreamEvent::Nothing,
+            () = self.migration.progress() => return StreamEvent::Nothing,
             () = tokio::time::sleep(stall_timeout), if !self.is_stalled => {
                 self.is_stalled = true;
                 self.held.iter().for_each(MemoryHold::stall);
@@ -393,13 +408,14 @@
         }
     }
 
-    /// Ends a stream that did not complete: its run was stopped for a migration, or the stream
-    /// broke.
+    /// Ends a stream that did not complete: its run was stopped for a migration, may have been, or the
+    /// stream broke.
     async fn finish_interrupted(&mut self, cause: String) -> RunEnd<D> {
         let migration = std::mem::replace(&mut self.migration, Migration::not_before(Millis::MAX));
-        match migration.settle(|| self.cx.now()).await {
-            Some(moved) => RunEnd::Migrated(moved),
-            None => RunEnd::Broken(cause),
+        match migration.settle().await {
+            Migration::Stopped(moved) => RunEnd::Migrated(moved),
+            Migration::MaybeStopped(moved) => RunEnd::MaybeStopped(moved, cause),
+            Migration::Idle { .. } | Migration::Copying(_) => RunEnd::Broken(cause),
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -4,18 +4,23 @@
 //! The memory is copied while the run continues; then the run is stopped, the memory added
 //! meanwhile is copied too, and the run resumes at the other runner after the last event that the
 //! caller received.
+//!
+//! When the answer to the call that stops the run is lost, the run may continue, may have been stopped
+//! or may be stopped later. Its stream is forwarded as before; if it ends without a mark of its end, the
+//! run resumes at the copy.
 
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, RunReport, Runner};
+use bulrushusher_forward::{AttemptEnd, RunReport, Runner, StopOutcome};
 use bulrushusher_time::Millis;
 use hyper::StatusCode;
 
 use crate::dialect::{Dialect, RunCopy, Step};
 use crate::placement::attempts::RunError;
 use crate::placement::holds::{HoldTerms, KvCacheGuard, MemoryHold};
+use crate::runners::exchange::ExchangeError;
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptSpec, ForwardedRequest, Router};
 use crate::runners::send_spec::CallerSend;
@@ -30,17 +35,17 @@
 /// Delay before another attempt to migrate a run: one or two other runs have ended by then.
 const MIGRATION_RETRY_DELAY: Millis = Millis(250);
 
-/// A stopped run whose memory is at the other runner.
+/// A run that was stopped, or may have been, and whose memory is at the other runner.
 pub(crate) struct MigratedRun<D: Dialect> {
     /// The run's memory at the other runner.
     held: MemoryHold<D>,
-    /// The run's memory at the runner where it was stopped.
+    /// The run's memory at its former runner.
     kv: KvCacheGuard<D>,
-    /// The run's report at the runner where it was stopped.
-    stopped: RunReport,
+    /// The run's report at its former runner.
+    report: RunReport,
 }
 
-type Copying<D> = Pin<Box<dyn Future<Output = Option<Box<MigratedRun<D>>>> + Send>>;
+type Copying<D> = Pin<Box<dyn Future<Output = Migration<D>> + Send>>;
 
 /// State of a run's migration.
 pub(crate) enum Migration<D: Dialect> {
@@ -53,6 +58,9 @@
     Copying(Copying<D>),
     /// The run was stopped, to be resumed at the other runner.
     Stopped(Box<MigratedRun<D>>),
+    /// The answer to the call that stops the run was lost: the run continues, was stopped, or is
+    /// stopped later. It is not migrated again.
+    MaybeStopped(Box<MigratedRun<D>>),
 }
 
 impl<D: Dialect> Migration<D> {
@@ -66,6 +74,11 @@
         matches!(self, Migration::Stopped(_))
     }
 
+    /// True if the run may have been stopped, or may still be.
+    pub(crate) fn may_stop(&self) -> bool {
+        !matches!(self, Migration::Idle { .. })
+    }
+
     /// Starts to copy the run to another decode runner if its runner is about to run out of memory
     /// and would preempt it.
     pub(crate) fn start_if_due(
@@ -76,7 +89,10 @@
     ) {
         match self {
             Migration::Idle { until } if cx.now() >= *until => {}
-            Migration::Idle { .. } | Migration::Copying(_) | Migration::Stopped(_) => return,
+            Migration::Idle { .. }
+            | Migration::Copying(_)
+            | Migration::Stopped(_)
+            | Migration::MaybeStopped(_) => return,
         }
         let cause = match cx.shared.move_decision(&cx.destination(fwd), held.run()) {
             MoveDecision::Stay => return,
@@ -100,67 +116,95 @@
 
     /// Waits until the copy in progress has succeeded or failed; pending forever when there is
     /// none.
-    pub(crate) async fn progress(&mut self, now: impl Fn() -> Millis) {
+    pub(crate) async fn progress(&mut self) {
         let Migration::Copying(copying) = self else { return std::future::pending().await };
-        *self = match copying.await {
-            Some(migrated) => Migration::Stopped(migrated),
-            None => Migration::Idle { until: now().plus(MIGRATION_RETRY_DELAY) },
-        };
+        *self = copying.await;
     }
 
-    /// Finishes the migration after the stream has ended; returns the run if the migration stopped
-    /// it.
-    pub(crate) async fn settle(mut self, now: impl Fn() -> Millis) -> Option<Box<MigratedRun<D>>> {
+    /// Finishes the copy in progress, if any, after the stream has ended.
+    pub(crate) async fn settle(mut self) -> Migration<D> {
         if matches!(self, Migration::Copying(_)) {
-            self.progress(now).await;
+            self.progress().await;
+        }
+        self
+    }
+}
+
+/// Result of copying a run and stopping it.
+enum CopyOutcome<D: Dialect> {
+    /// The run continues where it is.
+    Stays { cause: String },
+    /// The run was stopped and its memory was copied.
+    Stopped { kv: KvCacheGuard<D> },
+    /// The run may have been stopped; its memory was copied before.
+    MaybeStopped { kv: KvCacheGuard<D>, cause: String },
+}
+
+impl<D: Dialect> CopyOutcome<D> {
+    /// Its label in the log and in metrics.
+    fn label(&self) -> &'static str {
+        match self {
+            CopyOutcome::Stays { .. } => "stays",
+            CopyOutcome::Stopped { .. } => "stopped",
+            CopyOutcome::MaybeStopped { .. } => "maybe_stopped",
         }
+    }
+
+    /// Why the run was not stopped for certain; empty if it was.
+    fn cause(&self) -> &str {
         match self {
-            Migration::Stopped(migrated) => Some(migrated),
-            Migration::Idle { .. } | Migration::Copying(_) => None,
+            CopyOutcome::Stays { cause } | CopyOutcome::MaybeStopped { cause, .. } => cause,
+            CopyOutcome::Stopped { .. } => "",
         }
     }
 }
 
-/// Copies the memory of a run, stops the run and copies the rest; `None` when the run continues
-/// where it is.
+/// Copies the memory of a run, stops the run and copies the rest.
 async fn copy<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     from: Runner,
     to: Runner,
     report: RunReport,
-) -> Option<Box<MigratedRun<D>>> {
+) -> Migration<D> {
     let started = cx.now();
     let generated = report.generated;
     let held = hold_at(cx, &to, &report);
-    let kv = match cx.shared.acquire_permits(&to, 1) {
+    let outcome = match cx.shared.acquire_permits(&to, 1) {
         Ok(()) => {
-            let copied = copy_and_stop(cx, fwd, &from, &to).await;
-            if copied.is_err() {
+            let outcome = copy_and_stop(cx, fwd, &from, &to).await;
+            // A run that may continue resumes later or not at all.
+            if !matches!(outcome, CopyOutcome::Stopped { .. }) {
                 cx.shared.release_permits(&to, 1);
             }
-            copied
+            outcome
         }
-        Err(pressure) => Err(pressure.to_string()),
+        Err(pressure) => CopyOutcome::Stays { cause: pressure.to_string() },
     };
-    if kv.is_err() {
-        fwd.arrivals.release();
-    }
     let took = cx.now().since(started);
-    let (result, cause) = match &kv {
-        Ok(_) => ("stopped", ""),
-        Err(cause) => ("stays", cause.as_str()),
-    };
+    let result = outcome.label();
     cx.metrics.record_attempt("move", result, took.0 as f64);
     log::info!(
         "stream: run moves id={} from={} to={} made={generated} result={result} \
-         cause=\"{cause}\" ms={}",
+         cause=\"{}\" ms={}",
         fwd.request.id,
         from.id,
         to.id,
+        outcome.cause(),
         took.0,
     );
-    kv.ok().map(|kv| Box::new(MigratedRun { held, kv, stopped: report }))
+    match outcome {
+        CopyOutcome::Stays { .. } => {
+            fwd.arrivals.release();
+            Migration::Idle { until: cx.now().plus(MIGRATION_RETRY_DELAY) }
+        }
+        CopyOutcome::Stopped { kv } => {
+            Migration::Stopped(Box::new(MigratedRun { held, kv, report }))
+        }
+        CopyOutcome::MaybeStopped { kv, .. } => {
+            Migration::MaybeStopped(Box::new(MigratedRun { held, kv, report }))
+        }
+    }
 }
 
 /// Accounts for a migrated run, with the output it has generated, at the runner that receives it.
@@ -180,12 +224,34 @@
     fwd: &ForwardedRequest,
     from: &Runner,
     to: &Runner,
-) -> Result<KvCacheGuard<D>, String> {
-    let mut copy = request_copy(cx, fwd, from, to, CopyPhase::Running).await?;
-    let complete = request_copy(cx, fwd, from, to, CopyPhase::Stopped).await?;
-    // Both copies have the same handle, so freeing the first would free the second.
-    copy.mark_consumed();
-    Ok(complete)
+) -> CopyOutcome<D> {
+    let guard =
+        |handle| KvCacheGuard::new(from.clone(), handle, &cx.shared, &cx.exchanger, &cx.dialect);
+    // A copy alone stops nothing, so the run continues if its answer is lost.
+    let mut copy = match request_copy(cx, fwd, from, to, CopyPhase::Running).await {
+        Ok(CopyAnswer { status: StatusCode::OK, handle: Some(handle) }) => guard(handle),
+        Ok(answer) => return CopyOutcome::Stays { cause: answer.describe() },
+        Err(e) => return CopyOutcome::Stays { cause: e.to_string() },
+    };
+    let (outcome, handle, cause) = match request_copy(cx, fwd, from, to, CopyPhase::Stopped).await {
+        Ok(answer) => {
+            let outcome = StopOutcome::of_answer(answer.status.as_u16(), answer.handle.is_some());
+            let cause = answer.describe();
+            (outcome, answer.handle, cause)
+        }
+        Err(e) => (StopOutcome::without_answer(e.attempt_end()), None, e.to_string()),
+    };
+    match (outcome, handle) {
+        (StopOutcome::Stays, _) => CopyOutcome::Stays { cause },
+        (StopOutcome::Stopped, Some(handle)) => {
+            // Both copies have the same handle, so freeing the first would free the second.
+            copy.mark_consumed();
+            CopyOutcome::Stopped { kv: guard(handle) }
+        }
+        (StopOutcome::Stopped | StopOutcome::Unknown, _) => {
+            CopyOutcome::MaybeStopped { kv: copy, cause }
+        }
+    }
 }
 
 /// The two copies of a migration.
@@ -197,16 +263,30 @@
     Stopped,
 }
 
+/// A runner's answer to a call to copy a run.
+struct CopyAnswer {
+    status: StatusCode,
+    /// The handle of the run's memory.
+    handle: Option<Arc<str>>,
+}
+
+impl CopyAnswer {
+    fn describe(&self) -> String {
+        format!("status {}", self.status.as_u16())
+    }
+}
+
 async fn request_copy<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     from: &Runner,
     to: &Runner,
     copy: CopyPhase,
-) -> Result<KvCacheGuard<D>, String> {
+) -> Result<CopyAnswer, ExchangeError> {
     // Neither copy is made in vain for a runner whose data centre is evacuated since it was selected.
     if cx.shared.is_evacuated(to) {
-        return Err(format!("the data centre of {} is evacuated", to.id));
+        let cause = format!("the data centre of {} is evacuated", to.id);
+        return Err(ExchangeError::Unsent { cause });
     }
     // A migration that has begun is completed regardless of back-pressure; otherwise the run would
     // be stopped for nothing.
@@ -218,33 +298,22 @@
     let request = cx.dialect.copy_run(&run);
     let send = CallerSend { fwd, other: Some(to.into()) };
     let answer = cx.exchanger.control_request_for(send, from, request, permit, COPY_TIMEOUT).await;
-    let (head, body) = answer.map_err(|e| e.to_string())?;
-    // A stopped run is kept at its runner when the rest cannot be copied.
-    let is_kept = head.status == StatusCode::SERVICE_UNAVAILABLE && stop_first;
-    let handle = cx.dialect.parse_cache_handle(&body);
-    match handle.filter(|_| head.status == StatusCode::OK || is_kept) {
-        Some(handle) => {
-            Ok(KvCacheGuard::new(from.clone(), handle, &cx.shared, &cx.exchanger, &cx.dialect))
-        }
-        None => Err(format!("status {}", head.status.as_u16())),
-    }
+    let (head, body) = answer?;
+    Ok(CopyAnswer { status: head.status, handle: cx.dialect.parse_cache_handle(&body) })
 }
 
 /// Resumes a stopped run after `last_event` at the runner that has the copy. If that runner
 /// certainly does not run it, the run resumes where it was stopped. `None` when the other runner
-/// may have run it, or when it could not be resumed.
+/// may have run it, or when it could not be resumed; the retries that were reserved for it are kept
+/// then.
 pub(crate) async fn resume<D: Dialect>(
     cx: &Arc<Router<D>>,
     fwd: &ForwardedRequest,
     last_event: Option<u64>,
     migrated: Box<MigratedRun<D>>,
 ) -> Option<Run<D>> {
-    let MigratedRun { held, mut kv, stopped } = *migrated;
-    let cache = kv.cache.clone();
-    let step = Step::Generate { kv: Some(&cache), hold: None };
-    let to = held.runner.clone();
-    let spec = AttemptSpec { resume_after: last_event, step, permit: Permit::Acquired };
-    let mut run = run_at(cx, fwd, to, Some(held), spec, fwd.remaining(cx.now())).await;
+    let MigratedRun { held, mut kv, report } = *migrated;
+    let mut run = run_at_copy(cx, fwd, last_event, held, &kv, Permit::Acquired).await;
     if let Err(RunError::Ended(AttemptEnd::NotRun | AttemptEnd::Unsent, cause)) = &run {
         let source = kv.runner().clone();
         if cx.shared.is_evacuated(&source) {
@@ -260,13 +329,56 @@
             fwd.request.id,
             source.id
         );
-        let held = hold_at(cx, &source, &stopped);
-        let return_spec = AttemptSpec { permit: Permit::Exempt, ..spec };
-        run = run_at(cx, fwd, source, Some(held), return_spec, fwd.remaining(cx.now())).await;
+        let held = hold_at(cx, &source, &report);
+        run = run_at_copy(cx, fwd, last_event, held, &kv, Permit::Exempt).await;
         run = run.map(|run| Run { migrate_after: cx.now().plus(MIGRATION_RETRY_DELAY), ..run });
     }
-    fwd.arrivals.release();
+    finish_resume(fwd, run, &mut kv)
+}
+
+/// Resumes a run that may have been stopped after `last_event` at the runner that has the copy. Its
+/// former runner does not get it again, as the call that stops it may still take effect there. `None`
+/// when it could not be resumed; the retries that were reserved for it are kept then.
+pub(crate) async fn resume_at_copy<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &ForwardedRequest,
+    last_event: Option<u64>,
+    migrated: Box<MigratedRun<D>>,
+) -> Option<Run<D>> {
+    let MigratedRun { held, mut kv, .. } = *migrated;
+    log::info!(
+        "stream: run resumes at its copy id={} from={} to={} last_event={}",
+        fwd.request.id,
+        kv.runner().id,
+        held.runner.id,
+        last_event.unwrap_or(0),
+    );
+    let run = run_at_copy(cx, fwd, last_event, held, &kv, Permit::Acquire).await;
+    finish_resume(fwd, run, &mut kv)
+}
+
+/// Sends the run to the runner of `held` with the memory that was copied from `kv`.
+async fn run_at_copy<D: Dialect>(
+    cx: &Arc<Router<D>>,
+    fwd: &ForwardedRequest,
+    last_event: Option<u64>,
+    held: MemoryHold<D>,
+    kv: &KvCacheGuard<D>,
+    permit: Permit,
+) -> Result<Run<D>, RunError> {
+    let step = Step::Generate { kv: Some(&kv.cache), hold: None };
+    let spec = AttemptSpec { resume_after: last_event, step, permit };
+    run_at(cx, fwd, held.runner.clone(), Some(held), spec, fwd.remaining(cx.now())).await
+}
+
+/// The resumed run, which has the memory of `kv` and needs no further retries.
+fn finish_resume<D: Dialect>(
+    fwd: &ForwardedRequest,
+    run: Result<Run<D>, RunError>,
+    kv: &mut KvCacheGuard<D>,
+) -> Option<Run<D>> {
     let run = run.ok()?;
+    fwd.arrivals.release();
     kv.mark_consumed();
     Some(run)
 }
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -75,6 +75,7 @@
             progress,
             history: AttemptHistory::default(),
             first_start: run.started,
+            may_migrate: true,
         };
         task.forward(run).await;
     });
@@ -90,6 +91,9 @@
     progress: StreamProgress,
     history: AttemptHistory,
     first_start: Millis,
+    /// False once a run may have been stopped without an answer: the call may still stop a run that
+    /// returns to its runner.
+    may_migrate: bool,
 }
 
 impl<'a, D: Dialect> StreamTask<'a, D> {
@@ -100,10 +104,15 @@
             match self.forward_run(stream).await {
                 StreamStep::Ended => return,
                 StreamStep::Next(next) => stream = *next,
-                StreamStep::Resume => match self.resume_elsewhere().await {
-                    Ok(run) => stream = self.stream_of(run),
-                    Err(reason) => break reason,
-                },
+                StreamStep::Resume => {
+                    let resumed = self.resume_elsewhere().await;
+                    // A failed migration leaves what it reserved to this resume.
+                    self.fwd.arrivals.release();
+                    match resumed {
+                        Ok(run) => stream = self.stream_of(run),
+                        Err(reason) => break reason,
+                    }
+                }
                 StreamStep::GiveUp(reason) => break reason,
             }
         };
@@ -122,7 +131,8 @@
     /// The stream of a run, whose runner is not tried again for this request.
     fn stream_of(&mut self, run: Run<D>) -> RunStream<'a, D> {
         self.history.excluded_decodes.push(run.runner.id.clone());
-        RunStream::new(self.cx, self.fwd, run, self.tx)
+        let migrate_after = if self.may_migrate { run.migrate_after } else { Millis::MAX };
+        RunStream::new(self.cx, self.fwd, Run { migrate_after, ..run }, self.tx)
     }
 
     /// Forwards the stream of one run until it ends or another run has taken it over.
@@ -179,16 +189,15 @@
             }
             RunEnd::CallerGone => StreamStep::Ended,
             RunEnd::Migrated(moved) => {
-                self.progress.begin_run();
-                let last_event = self.progress.last_event;
-                let resumed = migration::resume(self.cx, self.fwd, last_event, moved);
-                let next = tokio::select! {
-                    next = resumed => next,
-                    () = self.tx.closed() => return StreamStep::Ended,
-                };
-                next.map_or(StreamStep::Resume, |run| {
-                    StreamStep::Next(Box::new(self.stream_of(run)))
-                })
+                let (cx, fwd, last_event) = (self.cx, self.fwd, self.progress.last_event);
+                self.go_on_with(migration::resume(cx, fwd, last_event, moved)).await
+            }
+            RunEnd::MaybeStopped(moved, _) => {
+                self.may_migrate = false;
+                // The runner may have crashed instead.
+                origin.watch.connection_lost(self.cx, &origin.runner).await;
+                let (cx, fwd, last_event) = (self.cx, self.fwd, self.progress.last_event);
+                self.go_on_with(migration::resume_at_copy(cx, fwd, last_event, moved)).await
             }
             RunEnd::DeadlinePassed => StreamStep::GiveUp(GiveUpReason::DeadlinePassed),
             RunEnd::Broken(_) => {
@@ -200,6 +209,19 @@
         }
     }
 
+    /// Goes on with a migrated run once it is resumed.
+    async fn go_on_with(
+        &mut self,
+        resumed: impl Future<Output = Option<Run<D>>>,
+    ) -> StreamStep<'a, D> {
+        self.progress.begin_run();
+        let next = tokio::select! {
+            next = resumed => next,
+            () = self.tx.closed() => return StreamStep::Ended,
+        };
+        next.map_or(StreamStep::Resume, |run| StreamStep::Next(Box::new(self.stream_of(run))))
+    }
+
     fn record_complete(&self, origin: &RunOrigin) {
         let (shared, fwd) = (&self.cx.shared, self.fwd);
         if origin.framing == BodyFraming::Marked {
@@ -222,10 +244,12 @@
         let until = placement_deadline(self.fwd, self.cx.now());
         let retries = self.fwd.arrivals.retries();
         let (cx, fwd, tx, history) = (self.cx, self.fwd, self.tx, &mut self.history);
+        let may_migrate = self.may_migrate && !stream.may_stop();
         let starting = async {
             let run = start_run(cx, fwd, history, until).await?;
             history.excluded_decodes.push(run.runner.id.clone());
-            let mut next = RunStream::new(cx, fwd, run, tx);
+            let migrate_after = if may_migrate { run.migrate_after } else { Millis::MAX };
+            let mut next = RunStream::new(cx, fwd, Run { migrate_after, ..run }, tx);
             next.await_first_bytes(TAKEOVER_TIMEOUT).await;
             Ok(next)
         };
@@ -248,6 +272,7 @@
         match started {
             Some(Ok(next)) => {
                 self.plan = after;
+                self.may_migrate = may_migrate;
                 return Some(next);
             }
             Some(Err(RunError::Ended(end, _))) => self.plan.record_failed_takeover(end),
@@ -259,7 +284,10 @@
             }
             None | Some(Err(RunError::Unplaced(_) | RunError::Withheld(_))) => {}
         }
-        self.fwd.arrivals.release();
+        // What is reserved for a run that may have been stopped is needed when its stream ends.
+        if !stream.may_stop() {
+            self.fwd.arrivals.release();
+        }
         None
     }
 
--- a/crates/bulrushusher_losses/src/request.rs
+++ b/crates/bulrushusher_losses/src/request.rs
@@ -151,8 +151,8 @@
             }
             "time_over" => End::Broken(BreakCause::Deadline),
             // The run was moved to another runner, and no later run has ended.
-            "moved" if self.gateway_restarted => End::Broken(BreakCause::Gateway),
-            "moved" => End::Open,
+            "moved" | "maybe_stopped" if self.gateway_restarted => End::Broken(BreakCause::Gateway),
+            "moved" | "maybe_stopped" => End::Open,
             _ if cause.contains("silent") => End::Broken(BreakCause::RunnerTimeout),
             _ if cause.contains("leav") => End::Broken(BreakCause::RunnerDrained),
             _ => End::Broken(BreakCause::Runner),
