The refusal of a call to a full pool asks what became of its attempts

`call` refused a call to a full pool as not run without asking its plan, and the client account got the cost back with that word, unlike the refusals beside it. Callers have not seen it: the pool refuses only calls without an attempt (`place_call`), so that no test could fail before. The answer no longer depends on that: it comes from the plan, and the cost is refunded only where nothing ran.

--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -73,7 +73,8 @@
                 continue;
             }
             CallPlacement::Refuse { retry_after, load } => {
-                return Err(pool_full(fwd, times, load, retry_after));
+                log_full_pool(fwd, times, load, retry_after);
+                return Err(Refusal::after_attempts(plan.final_answer(), POOL_FULL, retry_after));
             }
             CallPlacement::NoRunner => {
                 let (reason, retry_after) = no_runner(cx, fwd, retry_after);
@@ -132,13 +133,13 @@
     }
 }
 
-/// Refuses a call that the runners are not expected to answer before its deadline.
-fn pool_full(
+/// Logs the refusal of a call that the runners are not expected to answer before its deadline.
+fn log_full_pool(
     fwd: &ForwardedRequest,
     times: CallTimes,
     load: CallPoolLoad,
     retry_after: Millis,
-) -> Refusal {
+) {
     log::info!(
         "route: refused id={} reason=\"{POOL_FULL}\" expected_ms={:.0} left_ms={} waited_ms={} \
          in_flight={:.0} waiting={} slots={} peers={} retry_after_ms={}",
@@ -152,7 +153,6 @@
         load.peers,
         retry_after.0,
     );
-    Refusal::NotRun { reason: POOL_FULL, retry_after }
 }
 
 /// Why no runner may be called, and when to retry. Under back-pressure at all remaining runners,
