--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -18,7 +18,7 @@
 use crate::runners::exchange::{CONTROL_TIMEOUT, ExchangeError};
 use crate::runners::permit::Permit;
 use crate::runners::router::{ForwardedRequest, Router};
-use crate::runners::send_spec::CallerSend;
+use crate::runners::send_spec::{CallerSend, SendPurpose};
 use crate::shared::{PrefillOptions, SharedState};
 
 /// Interval at which a queued request tries again: a fifth of the time between two completions of
@@ -289,10 +289,10 @@
     let started = cx.now();
     let exchange = tokio::spawn(async move {
         let timeout = ttl.max(CONTROL_TIMEOUT);
-        let send = CallerSend { fwd: &fwd, other: None };
+        let purpose = SendPurpose::Control(CallerSend { fwd: &fwd, other: None });
         let answer = cx
             .exchanger
-            .control_request_for(send, &runner, request, Permit::Acquired, timeout)
+            .control_request_for(purpose, &runner, request, Permit::Acquired, timeout)
             .await;
         let answered = answer.map(|(head, body)| {
             cx.shared.record_round_trip(&runner, cx.now().since(started));
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -386,33 +386,19 @@
         permit: Permit,
         timeout: Millis,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
-        let spec = SendSpec { purpose: SendPurpose::Gateway, permit, timeout, trace: None };
-        self.send_control(runner, request, spec).await
+        self.control_request_for(SendPurpose::Gateway, runner, request, permit, timeout).await
     }
 
-    /// Sends a control request on behalf of a caller's request and reads the whole response.
+    /// Sends a control request for the given purpose and reads the whole response.
     pub(crate) async fn control_request_for(
         &self,
-        send: CallerSend<'_>,
-        runner: &Runner,
-        request: ControlRequest,
-        permit: Permit,
-        timeout: Millis,
-    ) -> Result<(response::Parts, Bytes), ExchangeError> {
-        let spec = SendSpec { purpose: SendPurpose::Control(send), permit, timeout, trace: None };
-        self.send_control(runner, request, spec).await
-    }
-
-    /// Requests a copy of the run of a caller's request and reads the whole response.
-    pub(crate) async fn request_copy(
-        &self,
-        send: CallerSend<'_>,
+        purpose: SendPurpose<'_>,
         runner: &Runner,
         request: ControlRequest,
         permit: Permit,
         timeout: Millis,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
-        let spec = SendSpec { purpose: SendPurpose::Copy(send), permit, timeout, trace: None };
+        let spec = SendSpec { purpose, permit, timeout, trace: None };
         self.send_control(runner, request, spec).await
     }
 
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -23,7 +23,7 @@
 use crate::runners::exchange::ExchangeError;
 use crate::runners::permit::Permit;
 use crate::runners::router::{AttemptSpec, ForwardedRequest, Router};
-use crate::runners::send_spec::CallerSend;
+use crate::runners::send_spec::{CallerSend, SendPurpose};
 use crate::runs::begin::{HeadWait, run_at};
 use crate::runs::run::Run;
 use crate::shared::MoveDecision;
@@ -296,8 +296,9 @@
     };
     let run = RunCopy { runner: &from.id, request: &fwd.request.id, to: to.address, stop_first };
     let request = cx.dialect.copy_run(&run);
-    let send = CallerSend { fwd, other: Some(to.into()) };
-    let answer = cx.exchanger.request_copy(send, from, request, permit, COPY_TIMEOUT).await;
+    let purpose = SendPurpose::Copy(CallerSend { fwd, other: Some(to.into()) });
+    let sending = cx.exchanger.control_request_for(purpose, from, request, permit, COPY_TIMEOUT);
+    let answer = sending.await;
     let (head, body) = answer?;
     Ok(CopyAnswer { status: head.status, handle: cx.dialect.parse_cache_handle(&body) })
 }
