review: case 4, a revoked key goes on working when its tenant has more than 64

Tried on the real gateway: a version that takes one key away and adds two (65 in all) is dropped whole, and the lease on the older version is still renewed; 38 of 38 requests with the key ran later than revoke_ms after the ack. With one key fewer the key gets 401.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 dir="$(cd "$(dirname "$0")" && pwd)"
 cd "$dir/../.." || exit 2
 [ -x target/review-2/standin ] && [ -x target/release/bulrush-gateway ] || exit 2
-exec target/review-2/standin start-time "$dir"
+exec target/review-2/standin revoked-key "$dir"
--- a/review/standin-2/case_forwarded_promise.rs
+++ b/review/standin-2/case_forwarded_promise.rs
@@ -41,7 +41,7 @@
     let until = Instant::now() + LENGTH;
     let client = |nth: usize| {
         let (callers, attempts) = (gateway.callers, attempts.clone());
-        run_client(format!("c{nth}"), callers, Duration::from_millis(100), until, attempts)
+        run_client(format!("c{nth}"), None, callers, Duration::from_millis(100), until, attempts)
     };
     let clients: Vec<_> = (0..4).map(client).collect();
     clients.into_iter().for_each(|client| client.join().unwrap_or(()));
--- a/review/standin-2/case_start_time.rs
+++ b/review/standin-2/case_start_time.rs
@@ -59,7 +59,7 @@
     let until = Instant::now() + CALM + Duration::from_millis(DRAIN_MS) + LONGER + WORK * 20;
     let client = |nth: usize| {
         let (callers, attempts) = (gateway.callers, attempts.clone());
-        run_client(format!("c{nth}"), callers, Duration::from_millis(60), until, attempts)
+        run_client(format!("c{nth}"), None, callers, Duration::from_millis(60), until, attempts)
     };
     let clients: Vec<_> = (0..6).map(client).collect();
     thread::sleep(CALM);
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -16,6 +16,8 @@
 /// The bounds of the sheet of Náladník's deployment.
 pub const DRAIN_MS: u64 = 2_000;
 pub const CONTACT_MS: u64 = 3_000;
+/// That of the deployments with tenants.
+pub const REVOKE_MS: u64 = 5_000;
 
 const GATEWAY: &str = "target/release/bulrush-gateway";
 const TEMPLATE: &str = "deploy/settings.ini";
@@ -151,6 +153,7 @@
         ("bounds.budget_slack", "56".to_owned()),
         ("bounds.budget_window_s", "10".to_owned()),
         ("bounds.lease_ms", "3000".to_owned()),
+        ("bounds.revoke_ms", REVOKE_MS.to_string()),
     ];
     for (name, value) in values {
         text = text.replace(&format!("{{{{{name}}}}}"), &value);
@@ -162,8 +165,14 @@
     text
 }
 
-/// The config: a route of calls that may run once, and one of calls that may be repeated.
+/// The config without tenants: a route of calls that may run once, and one of calls that may be repeated.
 pub fn write_config(store: &Store) {
+    write_config_version(store, 1, "");
+}
+
+/// Writes a version of the config; `tenants` is the field of that name or nothing. Returns when it was
+/// acknowledged.
+pub fn write_config_version(store: &Store, version: u64, tenants: &str) -> Instant {
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"boards.example\",\"path_prefix\":\"/{name}/\",\
@@ -174,11 +183,11 @@
     };
     let routes = [route("card", "non_idempotent", 1), route("thumb", "idempotent", 2)].join(",");
     let spec = format!(
-        "{{\"version\":1,\"routes\":[{routes}],\"services\":[{{\"name\":\"board-app\",\
+        "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{{\"name\":\"board-app\",\
          \"health_path\":\"/health\",\"max_conns\":110}}],\"limits\":{{\"max_header_bytes\":16384,\
-         \"max_body_bytes\":1048576,\"header_timeout_ms\":3000,\"idle_timeout_ms\":10000}}}}"
+         \"max_body_bytes\":1048576,\"header_timeout_ms\":3000,\"idle_timeout_ms\":10000}}{tenants}}}"
     );
-    store.put("config", "main", &spec);
+    store.put("config", "main", &spec)
 }
 
 /// A client's attempt, and the answer that it got.
@@ -194,6 +203,7 @@
 /// A client that sends calls that may run once, one after another on a kept connection.
 pub fn run_client(
     name: String,
+    key: Option<String>,
     callers: SocketAddr,
     pause: Duration,
     until: Instant,
@@ -205,11 +215,13 @@
         while Instant::now() < until {
             nth += 1;
             let id = format!("{name}-{nth}");
-            let headers = [
+            let bearer = key.as_ref().map(|key| format!("Bearer {key}"));
+            let mut headers = vec![
                 ("Host", "boards.example"),
                 ("Bulrushusher-Request-Id", id.as_str()),
                 ("Bulrushusher-Deadline-Ms", "3000"),
             ];
+            headers.extend(bearer.as_deref().map(|bearer| ("Authorization", bearer)));
             let req = request("POST", "/card/x", &headers, b"the client's body");
             let sent = Instant::now();
             let mut stream = kept.take().or_else(|| TcpStream::connect(callers).ok());
