--- a/review/standin-2/case_forwarded_promise.rs
+++ b/review/standin-2/case_forwarded_promise.rs
@@ -34,7 +34,7 @@
     }
     let mut gateway = Gateway::start(ip, store_at)?;
     if !gateway.wait_until_ready() {
-        return Err("the gateway is not ready".into());
+        return Err(format!("the gateway is not ready: {}", gateway.log_end()).into());
     }
     record.line("the gateway is ready");
     let attempts = Arc::new(Mutex::new(Vec::new()));
--- a/review/standin-2/case_revoked_key.rs
+++ b/review/standin-2/case_revoked_key.rs
@@ -39,7 +39,7 @@
     let ip = own_ip(3);
     let store_at = free_port(ip)?;
     let store = Store::start(store_at)?;
-    write_config_version(&store, 1, &tenants(0..KEYS));
+    write_config_version(&store, 1, 16_384, &tenants(0..KEYS));
     let arrivals = Arrivals::default();
     let ok = |_| 200;
     let a = Runner::start("i-a", free_port(ip)?, unix_ms(), WORK, ok, &arrivals)?;
@@ -49,7 +49,7 @@
     }
     let mut gateway = Gateway::start(ip, store_at)?;
     if !gateway.wait_until_ready() {
-        return Err("the gateway is not ready".into());
+        return Err(format!("the gateway is not ready: {}", gateway.log_end()).into());
     }
     record.line(&format!("the gateway is ready; version 1 is in force, with {KEYS} keys"));
     let bound = Duration::from_millis(REVOKE_MS);
@@ -64,7 +64,7 @@
     let clients = [client("taken", TAKEN), client("kept", 1), client("new", KEYS)];
     thread::sleep(BEFORE);
     let keys = (0..KEYS + added).filter(|nth| *nth != TAKEN);
-    let acked = write_config_version(&store, 2, &tenants(keys));
+    let acked = write_config_version(&store, 2, 16_384, &tenants(keys));
     let count = KEYS + added - 1;
     let text = format!("the store acknowledges version 2: a key is taken away, {count} are left");
     record.line_at(acked, &text);
--- a/review/standin-2/case_start_time.rs
+++ b/review/standin-2/case_start_time.rs
@@ -18,6 +18,11 @@
 const DOWN: Duration = Duration::from_millis(700);
 /// Time that a runner takes for a call.
 const WORK: Duration = Duration::from_millis(60);
+/// Clients, and the pause of each after an answer.
+const CLIENTS: usize = 10;
+const PAUSE: Duration = Duration::from_millis(20);
+/// Late arrivals that are listed one by one.
+const MOST_LISTED: usize = 40;
 /// Time without any disruption before the runner drains, several times `contact_ms`.
 const CALM: Duration = Duration::from_millis(4 * CONTACT_MS);
 /// For how long the draining runner serves beyond `drain_ms`.
@@ -31,19 +36,19 @@
     let store = Store::start(store_at)?;
     write_config(&store);
     let arrivals = Arrivals::default();
-    let (at_a, at_b) = (free_port(ip)?, free_port(ip)?);
+    let at_a = free_port(ip)?;
     let started = Instant::now();
     let ahead = if has_trouble { AHEAD_MS } else { 0 };
     let ok = |_| 200;
     let mut a = Runner::start("i-a", at_a, unix_ms() + ahead, WORK, ok, &arrivals)?;
-    let b = Runner::start("i-b", at_b, unix_ms() - 60_000, WORK, ok, &arrivals)?;
+    let b = Runner::start("i-b", free_port(ip)?, unix_ms() - 60_000, WORK, ok, &arrivals)?;
     for runner in [&a, &b] {
         store.put("servers", runner.id, &runner.entry("board-app", "ready"));
         record.line(&format!("{} registers as ready, born {}", runner.id, runner.born));
     }
     let mut gateway = Gateway::start(ip, store_at)?;
     if !gateway.wait_until_ready() {
-        return Err("the gateway is not ready".into());
+        return Err(format!("the gateway is not ready: {}", gateway.log_end()).into());
     }
     record.line("the gateway is ready");
     if has_trouble {
@@ -59,9 +64,9 @@
     let until = Instant::now() + CALM + Duration::from_millis(DRAIN_MS) + LONGER + WORK * 20;
     let client = |nth: usize| {
         let (callers, attempts) = (gateway.callers, attempts.clone());
-        run_client(format!("c{nth}"), None, callers, Duration::from_millis(60), until, attempts)
+        run_client(format!("c{nth}"), None, callers, PAUSE, until, attempts)
     };
-    let clients: Vec<_> = (0..6).map(client).collect();
+    let clients: Vec<_> = (0..CLIENTS).map(client).collect();
     thread::sleep(CALM);
     let acked = store.put("servers", a.id, &a.entry("board-app", "draining"));
     record.line_at(acked, "the store acknowledges that i-a is draining");
@@ -78,7 +83,7 @@
     let all = arrivals.all();
     let late: Vec<_> = all.iter().filter(|it| it.runner == "i-a" && it.at > bound).collect();
     let before = all.iter().filter(|it| it.runner == "i-a" && it.at < acked).count();
-    for it in &late {
+    for it in late.iter().take(MOST_LISTED) {
         let after = it.at.duration_since(acked).as_millis();
         let text = format!("i-a gets {} {after} ms after the ack, answers {}", it.id, it.status);
         record.line_at(it.at, &text);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins of the cases of the second review, and the cases' order of events.
 
 mod case_forwarded_promise;
+mod case_header_limit;
 mod case_revoked_key;
 mod case_start_time;
 mod http;
@@ -27,6 +28,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::new();
     let outcome = match case.as_str() {
+        "header-limit" => case_header_limit::run(&record, has_trouble),
         "revoked-key" => case_revoked_key::run(&record, has_trouble),
         "start-time" => case_start_time::run(&record, has_trouble),
         "forwarded-promise" => case_forwarded_promise::run(&record, has_trouble),
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -76,7 +76,9 @@
 impl Gateway {
     /// Starts the gateway as the deploy file says, with its template filled in.
     pub fn start(ip: Ipv4Addr, store: SocketAddr) -> std::io::Result<Gateway> {
-        let (callers, ready, peers) = (free_port(ip)?, free_port(ip)?, free_port(ip)?);
+        let held = [(); 3].map(|()| TcpListener::bind((ip, 0)));
+        let [callers, ready, peers] = held.map(|it| it.and_then(|it| it.local_addr()));
+        let (callers, ready, peers) = (callers?, ready?, peers?);
         let dir = std::env::temp_dir().join(format!("bulrush-review-{}", std::process::id()));
         std::fs::create_dir_all(&dir)?;
         let file = dir.join("settings.ini");
@@ -113,6 +115,13 @@
         log.lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
     }
 
+    /// The end of the gateway's log, for a case that could not run.
+    pub fn log_end(&self) -> String {
+        let log = std::fs::read_to_string(self.dir.join("log")).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(8)..].join(" | ")
+    }
+
     pub fn has_exited(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
@@ -167,12 +176,17 @@
 
 /// The config without tenants: a route of calls that may run once, and one of calls that may be repeated.
 pub fn write_config(store: &Store) {
-    write_config_version(store, 1, "");
+    write_config_version(store, 1, 16_384, "");
 }
 
-/// Writes a version of the config; `tenants` is the field of that name or nothing. Returns when it was
-/// acknowledged.
-pub fn write_config_version(store: &Store, version: u64, tenants: &str) -> Instant {
+/// Writes a version of the config with its `max_header_bytes`; `tenants` is the field of that name or
+/// nothing. Returns when it was acknowledged.
+pub fn write_config_version(
+    store: &Store,
+    version: u64,
+    header_bytes: usize,
+    tenants: &str,
+) -> Instant {
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"boards.example\",\"path_prefix\":\"/{name}/\",\
@@ -184,7 +198,7 @@
     let routes = [route("card", "non_idempotent", 1), route("thumb", "idempotent", 2)].join(",");
     let spec = format!(
         "{{\"version\":{version},\"routes\":[{routes}],\"services\":[{{\"name\":\"board-app\",\
-         \"health_path\":\"/health\",\"max_conns\":110}}],\"limits\":{{\"max_header_bytes\":16384,\
+         \"health_path\":\"/health\",\"max_conns\":110}}],\"limits\":{{\"max_header_bytes\":{header_bytes},\
          \"max_body_bytes\":1048576,\"header_timeout_ms\":3000,\"idle_timeout_ms\":10000}}{tenants}}}"
     );
     store.put("config", "main", &spec)
