Configuration: a version that cannot be read confirms nothing

Callers whose key was revoked went on being served, for good, when the version of the configuration that took it away could not be read by the gateway.

Cause: the gateway recorded the revision as received and renewed the lease on the version before, as if the store had confirmed it. The same at catch-up, at lists, at the lease's own calls, and at relays' confirmations.

Change: ConfigurationCopy keeps what was received apart from what is in force. A confirmation or a renewal of the lease needs an InForce, which exists only while the latest version received is in force, so the compiler shows each such place. The lease then lapses within the bound. The store is asked once a second meanwhile, not at each denied request.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -21,6 +21,7 @@
 mod call_report;
 mod call_stats;
 mod caller_connection;
+mod configuration_copy;
 mod demand;
 mod events;
 mod far_reports;
@@ -81,6 +82,7 @@
 pub use call_pool::{Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace};
 pub use call_report::{CallPoolReport, CallPoolUpdate, RunnerCalls};
 pub use caller_connection::{CloseReason, ConnectionLimits, ConnectionState, LimitHistory};
+pub use configuration_copy::{ConfigurationCopy, StoredConfiguration};
 pub use demand::DemandMeter;
 pub use events::{CompleteEvents, EventSplitter};
 pub use far_reports::FarReports;
--- a/crates/bulrushusher_gateway/src/shared/accounts.rs
+++ b/crates/bulrushusher_gateway/src/shared/accounts.rs
@@ -8,7 +8,7 @@
 use bulrushusher_time::Millis;
 use bulrushusher_world::ClientAccountName;
 
-use super::SharedState;
+use super::{InForce, SharedState};
 
 /// Maximum wait of a request for the usage at other gateways. They answer within milliseconds; a
 /// longer wait would use up the target of short calls.
@@ -16,8 +16,8 @@
 
 impl SharedState {
     /// Renews the lease on the configuration: the store confirmed the configuration in response to
-    /// a request sent at `requested_at`.
-    pub(crate) fn renew_lease(&self, requested_at: Millis) {
+    /// a request sent at `requested_at`, and the configuration is in force.
+    pub(crate) fn renew_lease(&self, _: InForce, requested_at: Millis) {
         if !self.store_is_behind() {
             self.lease.lock().renew(requested_at);
         }
--- a/crates/bulrushusher_gateway/src/shared/confirmations.rs
+++ b/crates/bulrushusher_gateway/src/shared/confirmations.rs
@@ -11,8 +11,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::SharedState;
 use super::revisions::of_topic;
+use super::{Confirmation, SharedState};
 use crate::dialect::Topic;
 
 /// Age at which a gateway asks the store itself, as a part of the time within which a change must
@@ -50,8 +50,7 @@
 #[derive(Clone, Debug, Default)]
 struct TopicCopy {
     source: UpdateSource,
-    /// Time up to which the store is known to have had no later change than the copy contains.
-    confirmed_at: Option<Millis>,
+    confirmed: Option<Confirmation>,
 }
 
 /// The copies of all topics.
@@ -99,18 +98,18 @@
 }
 
 impl SharedState {
-    /// Records that a topic was received, complete as of `confirmed_at`; `None` if the store may
-    /// have changed before it was received.
+    /// Records that a topic was received. Without a confirmation, the store may have changed before
+    /// it was received, or this gateway cannot put in force what it received.
     pub(crate) fn record_copy(
         &self,
         topic: Topic,
         source: UpdateSource,
-        confirmed_at: Option<Millis>,
+        confirmed: Option<Confirmation>,
     ) {
         let mut confirmations = self.confirmations.lock();
         let copy = confirmations.of(topic);
         copy.source = source;
-        copy.confirmed_at = copy.confirmed_at.max(confirmed_at);
+        copy.confirmed = copy.confirmed.max(confirmed);
     }
 
     /// Records the confirmations of a relay that has received the changes up to `revisions`. They
@@ -129,9 +128,10 @@
             let is_covered = topic == Topic::Configuration || ages.runners_coverage.contains(seen);
             let is_complete =
                 era_of(seen) == era_of(last_change) && last_change <= seen && is_covered;
-            if let Some(age) = age.filter(|_| is_complete) {
-                let confirmed_at = Some(self.now().since(age));
-                self.record_copy(topic, UpdateSource::Relay(relay.into()), confirmed_at);
+            let in_force = self.in_force(topic).filter(|_| is_complete);
+            if let (Some(age), Some(in_force)) = (age, in_force) {
+                let confirmed = in_force.as_of(self.now().since(age));
+                self.record_copy(topic, UpdateSource::Relay(relay.into()), Some(confirmed));
             }
         }
     }
@@ -139,16 +139,17 @@
     /// Records that a relay, whose set of evacuations this gateway has or has replaced by a later one
     /// of the same era, had it confirmed by the store.
     pub(super) fn record_evacuations_confirmed(&self, relay: &str, ages: &ConfirmationAges) {
-        if let Some(age) = ages.evacuations {
-            let confirmed_at = Some(self.now().since(age));
-            self.record_copy(Topic::Evacuations, UpdateSource::Relay(relay.into()), confirmed_at);
+        let in_force = self.in_force(Topic::Evacuations);
+        if let (Some(age), Some(in_force)) = (ages.evacuations, in_force) {
+            let confirmed = Some(in_force.as_of(self.now().since(age)));
+            self.record_copy(Topic::Evacuations, UpdateSource::Relay(relay.into()), confirmed);
         }
     }
 
     /// Time since the store confirmed a topic, directly or through a relay; `None` if it has not.
     pub(crate) fn confirmation_age(&self, topic: Topic) -> Option<Millis> {
-        let confirmed_at = self.confirmations.lock().of(topic).confirmed_at;
-        confirmed_at.map(|at| self.now().since(at))
+        let confirmed = self.confirmations.lock().of(topic).confirmed;
+        confirmed.map(|it| self.now().since(it.at()))
     }
 
     /// The ages of all topics.
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -59,6 +59,7 @@
 pub(crate) use memory::PrefillOptions;
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
+pub(crate) use revisions::{Confirmation, InForce};
 pub(crate) use streams::{KEEPERS, VersionSighting};
 
 /// The runner directory, and the load that this gateway has placed on each runner.
--- a/crates/bulrushusher_gateway/src/shared/relayed.rs
+++ b/crates/bulrushusher_gateway/src/shared/relayed.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_forward::{
     ChangeLog, DeltaPages, DeltaRequest, LogCoverage, PageOutcome, RoutingConfig, RoutingDelta,
-    RunnerChange, RunnerDelta, SeenRevisions, StoreRole, era_of,
+    RunnerChange, RunnerDelta, SeenRevisions, StoreRole, StoredConfiguration, era_of,
 };
 use serde::{Deserialize, Serialize};
 
@@ -116,6 +116,7 @@
         match delta.apply(&old) {
             Ok(Some(routing)) => {
                 self.apply_routing(routing);
+                self.record_configuration(StoredConfiguration::Readable, revision);
                 self.record_revisions(Topic::Configuration, revision, revision);
             }
             Ok(None) => {}
--- a/crates/bulrushusher_gateway/src/shared/revisions.rs
+++ b/crates/bulrushusher_gateway/src/shared/revisions.rs
@@ -1,6 +1,6 @@
 //! Revisions of the store that this gateway and its peers have received.
 
-use bulrushusher_forward::{LongPollConfig, SeenRevisions};
+use bulrushusher_forward::{ConfigurationCopy, LongPollConfig, SeenRevisions, StoredConfiguration};
 use bulrushusher_time::Millis;
 use tokio::sync::watch;
 
@@ -27,6 +27,32 @@
         *seen = (*seen).max(revision);
     }
 
+    /// Records which configuration a response of the store, or a relay, contained at `revision`.
+    pub(crate) fn record_configuration(&self, stored: StoredConfiguration, revision: u64) {
+        let is_outdated = self.revisions.lock().configuration.record(stored, revision);
+        if is_outdated {
+            log::error!(
+                "configuration: the store's version cannot be read revision={revision} \
+                 in_force={} accounts={}; API keys are accepted until the lease expires; correct \
+                 the configuration",
+                self.routing().map_or(0, |routing| routing.version),
+                self.has_accounts(),
+            );
+        }
+    }
+
+    /// Proof that all that the store has sent of a topic is in force; `None` while the latest
+    /// configuration cannot be read.
+    pub(crate) fn in_force(&self, topic: Topic) -> Option<InForce> {
+        let is_in_force = match topic {
+            Topic::Configuration => self.revisions.lock().configuration.is_in_force(),
+            // An unreadable object takes away its own runner, and names no data centre that a
+            // readable entry of a runner could have.
+            Topic::Runners | Topic::Evacuations => true,
+        };
+        is_in_force.then_some(InForce(()))
+    }
+
     /// The revision up to which no change of a topic was missed.
     pub(crate) fn seen_revision(&self, topic: Topic) -> u64 {
         of_topic(self.revisions.lock().seen, topic)
@@ -116,6 +142,29 @@
     }
 }
 
+/// Proof that all that the store has sent of a topic is in force. Only with it a response of the
+/// store confirms the copy of the topic, or renews the lease on the configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct InForce(());
+
+impl InForce {
+    /// The copy is complete as of a time.
+    pub(crate) fn as_of(self, at: Millis) -> Confirmation {
+        Confirmation(at)
+    }
+}
+
+/// Time up to which the store is known to have had no later change than the copy contains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Confirmation(Millis);
+
+impl Confirmation {
+    /// That time.
+    pub(super) fn at(self) -> Millis {
+        self.0
+    }
+}
+
 /// Revisions that this gateway has received from the store or from relays.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RevisionState {
@@ -123,6 +172,8 @@
     changes: SeenRevisions,
     /// Revisions up to which no change was missed.
     seen: SeenRevisions,
+    /// Whether the latest configuration received is in force.
+    configuration: ConfigurationCopy,
     /// Version of the configuration that the store held last.
     stored_version: u64,
 }
--- a/crates/bulrushusher_gateway/src/store/feed.rs
+++ b/crates/bulrushusher_gateway/src/store/feed.rs
@@ -101,11 +101,8 @@
                         Freshness::Latest => (UpdateSource::List, Some(requested_at)),
                         Freshness::AllowStale => (UpdateSource::StaleList, None),
                     };
-                    self.record_copy(source, confirmed_at);
+                    self.record_copy(source, confirmed_at, confirmed_at);
                     self.shared.forward_due.notify_one();
-                    if freshness == Freshness::Latest {
-                        self.renew_lease(requested_at);
-                    }
                     freshness = self.follow_changes().await;
                 }
                 Err(e) => {
@@ -240,8 +237,11 @@
         let seen = update.revision;
         log::info!("store: caught up topic={} after={revision} revision={seen}", self.topic);
         self.intake.apply_changes(self.topic, revision, update);
-        self.record_copy(UpdateSource::CatchUp, Some(requested_at));
-        self.renew_lease(requested_at);
+        let requested_at = Some(requested_at);
+        if !self.record_copy(UpdateSource::CatchUp, requested_at, requested_at) {
+            // The store has to be asked again until it sends a version that can be read.
+            tokio::time::sleep(self.share(RELAY_WAIT_SHARE).duration()).await;
+        }
         Ok(())
     }
 
@@ -296,8 +296,7 @@
                         true => requested_at,
                         false => requested_at.plus(wait),
                     };
-                    self.record_copy(UpdateSource::Watch, Some(confirmed_at));
-                    self.renew_lease(requested_at);
+                    self.record_copy(UpdateSource::Watch, Some(confirmed_at), Some(requested_at));
                     self.notify_forwarding(has_changed);
                     if has_changed {
                         tokio::time::sleep(self.share(BATCH_SHARE).duration()).await;
@@ -331,9 +330,24 @@
         }
     }
 
-    /// Records how the topic was received, complete as of `confirmed_at`.
-    fn record_copy(&self, source: UpdateSource, confirmed_at: Option<Millis>) {
-        self.shared.record_copy(self.topic, source, confirmed_at);
+    /// Records how the topic was received, complete as of `confirmed_at`, and renews the lease on the
+    /// configuration from the time `requested_at` of the request. Neither is confirmed while the
+    /// latest configuration cannot be read; returns false then.
+    fn record_copy(
+        &self,
+        source: UpdateSource,
+        confirmed_at: Option<Millis>,
+        requested_at: Option<Millis>,
+    ) -> bool {
+        let in_force = self.shared.in_force(self.topic);
+        let confirmed = in_force.and_then(|it| Some(it.as_of(confirmed_at?)));
+        self.shared.record_copy(self.topic, source, confirmed);
+        if let (Some(in_force), Some(requested_at)) = (in_force, requested_at)
+            && self.topic == Topic::Configuration
+        {
+            self.shared.renew_lease(in_force, requested_at);
+        }
+        in_force.is_some()
     }
 
     fn record_restore(&self, revision: u64) {
@@ -381,14 +395,6 @@
         }
     }
 
-    /// Renews the lease on the configuration: the store has sent all changes of the configuration
-    /// up to the time of the request.
-    fn renew_lease(&self, requested_at: Millis) {
-        if self.topic == Topic::Configuration {
-            self.shared.renew_lease(requested_at);
-        }
-    }
-
     /// Has an answer of the store forwarded. The confirmation of unchanged evacuations is left out
     /// shortly after another message, which contained the one before.
     fn notify_forwarding(&self, has_changed: bool) {
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_forward::{
     EvacuationChange, EvacuationSet, EvacuationUpdate, RoutingConfig, Runner, RunnerChange,
-    RunnerDelta, RunnerListDiff, RunnerRemoval, StartStatus,
+    RunnerDelta, RunnerListDiff, RunnerRemoval, StartStatus, StoredConfiguration,
 };
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_world::{DataCentreName, RunnerId};
@@ -33,11 +33,16 @@
         let old = self.shared.routing();
         let mut runners = Vec::new();
         let mut unreadable = Vec::new();
+        // A list without a configuration confirms none.
+        let mut stored = StoredConfiguration::Unreadable;
         for change in update.changes {
             match change {
                 Change::Runner(runner) => runners.push(runner),
                 Change::Invalid(bad) => unreadable.extend(self.skip_unreadable(topic, &bad)),
-                Change::Configuration(routing) => self.shared.apply_routing(routing),
+                Change::Configuration(routing) => {
+                    self.shared.apply_routing(routing);
+                    stored = StoredConfiguration::Readable;
+                }
                 Change::RunnerGone(removal) => self.remove(&removal),
                 Change::Evacuation(_) | Change::EvacuationOver(_) => {}
             }
@@ -59,6 +64,7 @@
             }
             self.shared.record_list(update.revision, last_change, changes);
         }
+        self.record_configuration(topic, stored, update.revision);
         self.record_applied(topic, old.as_deref(), update.revision, last_change);
     }
 
@@ -82,15 +88,20 @@
         }
         let old = self.shared.routing();
         let mut recorded = Vec::new();
+        let mut stored = StoredConfiguration::Unchanged;
         for change in update.changes {
             let change = match change {
                 Change::Configuration(routing) => {
                     self.shared.apply_routing(routing);
+                    stored = StoredConfiguration::Readable;
                     None
                 }
                 Change::Runner(runner) => Some(RunnerChange::Entry(runner)),
                 Change::RunnerGone(removal) => Some(RunnerChange::Removed(removal)),
-                Change::Invalid(bad) => self.skip_unreadable(topic, &bad),
+                Change::Invalid(bad) => {
+                    stored = StoredConfiguration::Unreadable;
+                    self.skip_unreadable(topic, &bad)
+                }
                 Change::Evacuation(_) | Change::EvacuationOver(_) => None,
             };
             change.iter().for_each(|change| self.apply(change));
@@ -99,9 +110,16 @@
         if topic == Topic::Runners {
             self.shared.record_changes(after, update.revision, update.last_change, recorded);
         }
+        self.record_configuration(topic, stored, update.revision);
         self.record_applied(topic, old.as_deref(), update.revision, update.last_change);
     }
 
+    fn record_configuration(&self, topic: Topic, stored: StoredConfiguration, revision: u64) {
+        if topic == Topic::Configuration {
+            self.shared.record_configuration(stored, revision);
+        }
+    }
+
     fn apply_evacuation_list(&self, update: ChangeBatch) {
         let ChangeBatch { changes, revision, last_change } = update;
         let listed = changes.iter().filter_map(|change| self.evacuation_change(change));
@@ -140,8 +158,8 @@
         }
     }
 
-    /// Records that a change is in force. Only from now on it is reported to peers and can be
-    /// forwarded.
+    /// Records that a change was received, and is in force unless it cannot be read. Only from now
+    /// on it is reported to peers and can be forwarded.
     fn record_applied(
         &self,
         topic: Topic,
--- a/crates/bulrushusher_gateway/src/store/renewing.rs
+++ b/crates/bulrushusher_gateway/src/store/renewing.rs
@@ -20,9 +20,21 @@
 /// lease.
 const RETRY_DELAY: Millis = Millis(250);
 
+/// Delay after a response that leaves an unreadable configuration in the store. The feed receives a
+/// corrected one as soon as it is written.
+const UNREADABLE_DELAY: Millis = Millis(1_000);
+
 /// Minimum time between two calls, regardless of how many callers present unknown API keys.
 const MIN_CALL_INTERVAL: Millis = Millis(100);
 
+/// What a response of the store did to the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Renewal {
+    Renewed,
+    /// The store's configuration cannot be read, so nothing confirms the one in force.
+    Unreadable,
+}
+
 /// The task that renews the lease on the configuration.
 #[derive(Debug)]
 pub(crate) struct LeaseKeeper<S> {
@@ -39,7 +51,10 @@
         loop {
             self.wait_until_due().await;
             match self.renew().await {
-                Ok(()) => {
+                Ok(Renewal::Unreadable) => {
+                    tokio::time::sleep(UNREADABLE_DELAY.duration()).await;
+                }
+                Ok(Renewal::Renewed) => {
                     if is_failing {
                         log::info!("access: lease renewed again");
                     }
@@ -74,7 +89,7 @@
         }
     }
 
-    async fn renew(&self) -> Result<(), String> {
+    async fn renew(&self) -> Result<Renewal, String> {
         let (requested_at, topic) = (self.shared.now(), Topic::Configuration);
         let after = self.shared.seen_revision(topic);
         let answer = match self.store.watch(topic, after, NO_WAIT, CALL_TIMEOUT).await {
@@ -82,13 +97,24 @@
             Err(StoreError::HistoryGone) => self.list().await,
             answer => answer,
         };
-        let result = if answer.is_ok() { "renewed" } else { "not_renewed" };
-        self.metrics.record_store_call("configuration", result);
-        let update = answer.map_err(|e| e.to_string())?;
+        let update = answer.map_err(|e| {
+            self.count_call("not_renewed");
+            e.to_string()
+        })?;
         self.intake.apply_changes(topic, after, update);
-        self.shared.record_copy(topic, UpdateSource::CatchUp, Some(requested_at));
-        self.shared.renew_lease(requested_at);
-        Ok(())
+        let Some(in_force) = self.shared.in_force(topic) else {
+            self.count_call("not_renewed");
+            return Ok(Renewal::Unreadable);
+        };
+        self.count_call("renewed");
+        let confirmed = Some(in_force.as_of(requested_at));
+        self.shared.record_copy(topic, UpdateSource::CatchUp, confirmed);
+        self.shared.renew_lease(in_force, requested_at);
+        Ok(Renewal::Renewed)
+    }
+
+    fn count_call(&self, result: &'static str) {
+        self.metrics.record_store_call("configuration", result);
     }
 
     /// Requests the current configuration. A restore of the store is handled by the feed, which is
