--- a/crates/bulrushusher_accounts/src/account.rs
+++ b/crates/bulrushusher_accounts/src/account.rs
@@ -6,10 +6,6 @@
 
 use crate::KeyDigest;
 
-/// Maximum number of keys per account: two while a key is rotated, and separate ones for individual
-/// clients of the account.
-const MAX_KEYS: usize = 64;
-
 /// Unit in which a quota is measured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unit {
@@ -145,14 +141,6 @@
         /// Position of the key in the list, from 1.
         nth: usize,
     },
-    /// The account has too many keys.
-    #[display("account {account}, field `keys`: {count} keys; configure at most {MAX_KEYS}")]
-    TooManyKeys {
-        /// The account.
-        account: ClientAccountName,
-        /// Number of keys.
-        count: usize,
-    },
 }
 
 impl TryFrom<RawAccount<'_>> for Account {
@@ -163,9 +151,6 @@
         let name = name.map_err(|cause| AccountError::InvalidName { cause })?;
         let per_second = check_number(&name, "rate", raw.per_second)?;
         let burst = check_number(&name, "burst", raw.burst)?;
-        if raw.keys.len() > MAX_KEYS {
-            return Err(AccountError::TooManyKeys { account: name, count: raw.keys.len() });
-        }
         if let Some(at) = raw.keys.iter().position(String::is_empty) {
             return Err(AccountError::EmptyKey { account: name, nth: at + 1 });
         }
