Runners: the store's revision orders the starts of a runner, not its clock

A runner that started again after the clock of its machine was set back got requests until it exited, long after it had reported that it drains; calls in flight were cut off.

Cause: start times come from another machine's wall clock and were compared with `<`. An entry with a lower start time counted as late news of an earlier start, also with a higher revision, so every later entry was passed over. The same comparison kept a restarted runner from being cold, replaced back-pressure and drain notices of the latest start by those of another, and dropped what peers reported. A full list called such a start current in one table and stale in the other.

Change: StartTime has no order. StartTimes keeps the latest start with the revision of its entry, and the starts before it; a start that the runner reports itself is equal, known to be past, or new. The tables of runs and of back-pressure follow the directory. Drain notices are kept for each start. After a restore, an entry of a past start in the backup does not replace the known one.

Tests: a_late_entry_of_an_earlier_start_is_ignored asserted that an entry which the store accepted later is passed over for its start time; nobody can tell by it which start runs. Its replacement has it count until the runner's next entry. The model of starts now has random clocks, revisions, lists, own statements, drain notices and restarts of three gateways.

--- a/crates/bulrushusher_forward/src/back_pressure.rs
+++ b/crates/bulrushusher_forward/src/back_pressure.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::limit_share::{LimitBucket, LimitShare, Sharer, Sharers};
-use crate::{ColdLimiter, RateLimit, Runner, RunnerSignals, StartTime};
+use crate::{ColdLimiter, RateLimit, Runner, RunnerSignals, StartTime, StartTimes};
 
 /// Lifetimes of signals.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -253,19 +253,26 @@
             return signals;
         }
         let cfg = self.cfg;
-        let Some(entry) = self.entry_for_start(&runner.id, runner.born) else { return signals };
+        let entry = self.entry_for_start(&runner.id, runner.born);
         let before = std::mem::replace(&mut entry.last_signals, signals);
         entry.record_retry_after(signals.retry_after, &cfg, now);
         self.record_limit(&runner.id, signals.rate_limit, now, now);
         before
     }
 
-    /// Merges rate limits of runners that another gateway reported.
-    pub fn merge_reports(&mut self, reports: &[LimitReport], now: Millis) {
+    /// Merges rate limits of runners that another gateway reported. `starts` are the starts that this
+    /// gateway knows: what is known of the latest one is not replaced by a limit of another start.
+    pub fn merge_reports(&mut self, reports: &[LimitReport], starts: &StartTimes, now: Millis) {
         for report in reports {
-            if self.entry_for_start(&report.runner, report.born).is_some() {
-                self.record_limit(&report.runner, report.limit, now.since(report.age), now);
+            let LimitReport { runner, born, .. } = report;
+            let known = self.runners.get(runner).map(|entry| entry.born);
+            let replaces_latest =
+                known.is_some_and(|known| known != *born && !starts.is_superseded(runner, known));
+            if starts.is_past(runner, *born) || replaces_latest {
+                continue;
             }
+            self.entry_for_start(runner, *born);
+            self.record_limit(runner, report.limit, now.since(report.age), now);
         }
     }
 
@@ -443,24 +450,16 @@
         self.runners.get_mut(&runner.id).filter(|entry| entry.born == runner.born)
     }
 
-    /// The entry for this process start of a runner, replacing that of an earlier start; `None` if
-    /// a later start is known.
-    fn entry_for_start(
-        &mut self,
-        id: &RunnerId,
-        born: Option<StartTime>,
-    ) -> Option<&mut RunnerEntry> {
+    /// The entry for this process start of a runner, replacing that of another start.
+    fn entry_for_start(&mut self, id: &RunnerId, born: Option<StartTime>) -> &mut RunnerEntry {
         let entry = self
             .runners
             .entry(id.clone())
             .or_insert(RunnerEntry { born, ..RunnerEntry::default() });
-        if entry.born > born {
-            return None;
-        }
-        if entry.born < born {
+        if entry.born != born {
             *entry = RunnerEntry { born, ..RunnerEntry::default() };
         }
-        Some(entry)
+        entry
     }
 
     /// Records at `now` that the runner signalled this limit, or none, at `at`.
--- a/crates/bulrushusher_forward/src/places/cold_limit.rs
+++ b/crates/bulrushusher_forward/src/places/cold_limit.rs
@@ -141,14 +141,14 @@
     pub fn observe(&mut self, runner: &Runner, now: Millis) {
         self.drop_unused(now);
         let known = self.runners.get(&runner.id);
-        if known.is_some_and(|known| known.born > runner.born) {
+        if known.is_some_and(|known| runner.revision > 0 && runner.revision < known.revision) {
             return;
         }
         let is_known_revision =
             known.is_some_and(|it| runner.revision > 0 && it.revision == runner.revision);
         let is_cold = runner.cold_for > Millis(0) && !is_known_revision;
         let is_start = match known {
-            Some(known) => known.born.is_some() && known.born < runner.born,
+            Some(known) => known.born.is_some() && known.born != runner.born,
             None => is_cold,
         };
         let cold_until = now.plus(runner.cold_for).plus(COLD_MARGIN);
@@ -165,7 +165,7 @@
 
     /// Records a start of a known runner that became known before its entry.
     pub fn observe_start(&mut self, id: &RunnerId, born: Option<StartTime>, now: Millis) {
-        let Some(state) = self.runners.get_mut(id).filter(|state| state.born < born) else {
+        let Some(state) = self.runners.get_mut(id).filter(|state| state.born != born) else {
             return;
         };
         if state.born.is_some() {
--- a/crates/bulrushusher_forward/src/runner.rs
+++ b/crates/bulrushusher_forward/src/runner.rs
@@ -22,10 +22,9 @@
 /// Start time of a runner's process in Unix ms, as the runner reports it.
 ///
 /// A runner may restart under the same identity. It then has lost all holds, KV caches and runs;
-/// only the start time, which is higher for the later start, tells the two apart.
-#[derive(
-    Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+/// only the start time tells the two apart. It has no order, as the clock that it is read from may
+/// be set back: see [`StartTimes`](crate::StartTimes).
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StartTime(pub u64);
 
 /// Version of a runner's software, as the runner states it; any text. What two versions write does not
--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -42,6 +42,9 @@
 /// on earlier than that, so a gateway that has dropped it does not receive it as new.
 const DRAIN_NOTICE_TTL: Millis = Millis(2 * REMOVAL_TTL.0);
 
+/// Maximum number of drain notices that are kept of one runner.
+const MAX_DRAIN_NOTICES: usize = 8;
+
 /// Whether the store's list still contains a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Listing {
@@ -77,6 +80,8 @@
     pub missing: Vec<RunnerId>,
     /// Runners that restarted; their earlier state is invalid.
     pub restarted: Vec<RunnerId>,
+    /// Runners whose entry was not applied: a later one, or a later start, is known.
+    pub passed_over: Vec<RunnerId>,
 }
 
 /// The known runners.
@@ -118,8 +123,8 @@
     list_revision: u64,
     /// True until the first full list after the store was restored from a backup.
     is_restored: bool,
-    /// Drain notices by runner.
-    drain_notices: HashMap<RunnerId, DrainNotice>,
+    /// Drain notices by runner, of different starts.
+    drain_notices: HashMap<RunnerId, Vec<DrainNotice>>,
     evacuations: Evacuations,
 }
 
@@ -161,14 +166,19 @@
     /// may be unavailable or restored from an older backup. Returns true when the notice is new.
     pub fn record_drain_notice(&mut self, report: &DrainReport, now: Millis) -> bool {
         let DrainReport { runner, born } = report;
-        if self.starts.is_superseded(runner, *born) || self.has_drain_notice(runner, *born) {
+        if self.starts.is_past(runner, *born) || self.has_drain_notice(runner, *born) {
             return false;
         }
         let known = &self.known;
-        self.drain_notices.retain(|id, notice| {
-            known.contains_key(id) || now.since(notice.received_at) < DRAIN_NOTICE_TTL
+        self.drain_notices.retain(|id, notices| {
+            let is_kept = |it: &DrainNotice| now.since(it.received_at) < DRAIN_NOTICE_TTL;
+            known.contains_key(id) || notices.iter().any(is_kept)
         });
-        self.drain_notices.insert(runner.clone(), DrainNotice { born: *born, received_at: now });
+        let notices = self.drain_notices.entry(runner.clone()).or_default();
+        notices.push(DrainNotice { born: *born, received_at: now });
+        if notices.len() > MAX_DRAIN_NOTICES {
+            notices.remove(0);
+        }
         if let Some(known) = self.known.get_mut(runner).filter(|it| it.runner.born == *born) {
             known.runner.leaving = true;
         }
@@ -179,9 +189,12 @@
     /// a minute are left out.
     pub fn drain_reports(&self, now: Millis) -> Vec<DrainReport> {
         let is_passed_on = |id: &RunnerId, notice: &DrainNotice| {
-            self.known.contains_key(id) || now.since(notice.received_at) < REMOVAL_TTL
+            let is_recent = now.since(notice.received_at) < REMOVAL_TTL;
+            !self.starts.is_past(id, notice.born) && (self.known.contains_key(id) || is_recent)
         };
-        let passed_on = self.drain_notices.iter().filter(|(id, notice)| is_passed_on(id, notice));
+        let all = self.drain_notices.iter();
+        let all = all.flat_map(|(id, notices)| notices.iter().map(move |notice| (id, notice)));
+        let passed_on = all.filter(|(id, notice)| is_passed_on(id, notice));
         let mut reports: Vec<DrainReport> =
             passed_on.map(|(id, it)| DrainReport { runner: id.clone(), born: it.born }).collect();
         reports.sort_unstable_by(|a, b| a.runner.cmp(&b.runner));
@@ -190,7 +203,8 @@
 
     /// True when this start of the runner sent a drain notice.
     pub fn has_drain_notice(&self, id: &RunnerId, born: Option<StartTime>) -> bool {
-        self.drain_notices.get(id).is_some_and(|notice| notice.born == born)
+        let notices = self.drain_notices.get(id);
+        notices.is_some_and(|notices| notices.iter().any(|notice| notice.born == born))
     }
 
     /// Records that the store was restored from an older backup. Entries missing from the backup
@@ -286,19 +300,22 @@
             // Every entry of the latest list exists.
             self.list_revision = 0;
         }
-        let mut restarted = Vec::new();
+        let (mut restarted, mut passed_over) = (Vec::new(), Vec::new());
         for (id, runner) in listed {
-            if self.put(runner, now) == StartStatus::Newer {
-                restarted.push(id);
+            match self.put(runner, now) {
+                StartStatus::Current => {}
+                StartStatus::Newer => restarted.push(id),
+                StartStatus::Stale | StartStatus::Missing => passed_over.push(id),
             }
         }
         self.list_revision = self.list_revision.max(revision);
         self.was_fully_listed = true;
-        RunnerListDiff { missing, restarted }
+        RunnerListDiff { missing, restarted, passed_over }
     }
 
     /// Corrects a list from a restored backup: a removed runner comes back only by registering
-    /// again, and a draining one stays draining.
+    /// again, a draining one stays draining, and one that has started again since the backup keeps
+    /// its entry.
     fn correct_restored_list(&self, runners: &mut Vec<Runner>, now: Millis) {
         let is_gone = |id: &RunnerId| {
             let removal = self.applied.get(id).filter(|it| it.is_removal);
@@ -307,6 +324,9 @@
         runners.retain(|runner| !is_gone(&runner.id));
         for runner in runners {
             let known = self.known.get(&runner.id).map(|known| &known.runner);
+            if let Some(known) = known.filter(|it| self.starts.is_past(&it.id, runner.born)) {
+                *runner = Runner { revision: runner.revision, ..known.clone() };
+            }
             let is_same = |known: &&Runner| known.born == runner.born;
             runner.leaving |= known.filter(is_same).is_some_and(|known| known.leaving);
         }
@@ -327,7 +347,8 @@
         if self.is_outdated(&runner) {
             return StartStatus::Stale;
         }
-        let status = self.record_born(&runner.id, runner.born);
+        let (id, born, revision) = (&runner.id, runner.born, runner.revision);
+        let status = self.record_born(id, born, |starts| starts.record_entry(id, born, revision));
         match status {
             StartStatus::Stale => {}
             StartStatus::Missing => self.forget(&runner.id),
@@ -346,19 +367,26 @@
 
     /// Records a start time that the runner reported itself, possibly before its entry shows it.
     pub fn record_start(&mut self, id: &RunnerId, born: Option<StartTime>) -> StartStatus {
-        let status = self.record_born(id, born);
+        let status = self.record_born(id, born, |starts| starts.record_own(id, born));
+        let is_leaving = self.has_drain_notice(id, born);
         if let (StartStatus::Newer, Some(known)) = (status, self.known.get_mut(id)) {
             known.runner.born = born;
+            known.runner.leaving |= is_leaving;
         }
         status
     }
 
     /// Records a reported start. The first one that becomes known may have sent a drain notice
     /// before, which then binds it.
-    fn record_born(&mut self, id: &RunnerId, born: Option<StartTime>) -> StartStatus {
+    fn record_born(
+        &mut self,
+        id: &RunnerId,
+        born: Option<StartTime>,
+        record: impl FnOnce(&mut StartTimes) -> StartStatus,
+    ) -> StartStatus {
         let is_first = self.starts.latest(id).is_none();
-        let status = self.starts.record(id, born);
-        if let Some(notice) = self.drain_notices.get_mut(id).filter(|_| is_first) {
+        let status = record(&mut self.starts);
+        for notice in self.drain_notices.get_mut(id).filter(|_| is_first).into_iter().flatten() {
             notice.born = notice.born.or(born);
         }
         status
@@ -370,6 +398,11 @@
         self.starts.is_superseded(&runner.id, runner.born)
     }
 
+    /// The latest known start of a runner; `None` if it reports none.
+    pub fn latest_start(&self, id: &RunnerId) -> Option<StartTime> {
+        self.starts.latest(id)
+    }
+
     /// Drops lapsed runners at the same address: it now belongs to the runner listed last.
     fn remove_lapsed_at_address(&mut self, runner: &Runner) {
         self.known.retain(|id, known| {
--- a/crates/bulrushusher_forward/src/runner_speeds.rs
+++ b/crates/bulrushusher_forward/src/runner_speeds.rs
@@ -212,7 +212,7 @@
             None if reports.is_empty() => return,
             None => self.peers.entry(peer.into()).or_default(),
         };
-        let current = reports.iter().filter(|it| !starts.is_superseded(&it.runner, it.born));
+        let current = reports.iter().filter(|it| !starts.is_past(&it.runner, it.born));
         for report in current {
             known.insert(report.runner.clone(), (now, report.clone()));
             self.is_outdated = true;
--- a/crates/bulrushusher_forward/src/runs.rs
+++ b/crates/bulrushusher_forward/src/runs.rs
@@ -78,10 +78,10 @@
         }
     }
 
-    /// Records a runner's start. Runs of an earlier start have ended, including those of peers;
-    /// reports about an earlier start are ignored from then on.
-    pub fn record_start(&mut self, id: &RunnerId, born: Option<StartTime>) -> StartStatus {
-        let status = self.starts.record(id, born);
+    /// Sets a runner's latest start, as the directory of runners knows it. Runs of an earlier start
+    /// have ended, including those of peers; reports about an earlier start are ignored from then on.
+    pub fn set_start(&mut self, id: &RunnerId, born: StartTime) -> StartStatus {
+        let status = self.starts.set(id, born);
         if status == StartStatus::Newer {
             let ended = self.by_runner.get(id).map(|state| state.own.clone());
             for run in ended.unwrap_or_default() {
@@ -90,18 +90,15 @@
         }
         // This applies to the first reported start too: reports without a start concern an earlier
         // one.
-        if born.is_some() && matches!(status, StartStatus::Current | StartStatus::Newer) {
-            for peer in self.peers.values_mut() {
-                let reported = peer.report.starts.get(id).copied();
-                // A full list calls this once per runner, and most peers have nothing at that
-                // runner.
-                if self.starts.is_superseded(id, reported) && peer.report.mentions(id) {
-                    let before = peer.report.clone();
-                    peer.report.remove_runners(|runner| runner == id);
-                    let number = peer.number;
-                    let at = self.last_message.get(&number).copied().unwrap_or_default();
-                    self.by_runner.replace(number, &before, &peer.report, at);
-                }
+        for peer in self.peers.values_mut() {
+            let reported = peer.report.starts.get(id).copied();
+            // A full list calls this once per runner, and most peers have nothing at that runner.
+            if self.starts.is_past(id, reported) && peer.report.mentions(id) {
+                let before = peer.report.clone();
+                peer.report.remove_runners(|runner| runner == id);
+                let number = peer.number;
+                let at = self.last_message.get(&number).copied().unwrap_or_default();
+                self.by_runner.replace(number, &before, &peer.report, at);
             }
         }
         status
@@ -241,9 +238,7 @@
             return;
         }
         let reported = std::mem::take(&mut report.starts);
-        report.remove_runners(|runner| {
-            self.starts.is_superseded(runner, reported.get(runner).copied())
-        });
+        report.remove_runners(|runner| self.starts.is_past(runner, reported.get(runner).copied()));
         report.starts = reported;
     }
 
--- a/crates/bulrushusher_forward/tests/back_pressure.rs
+++ b/crates/bulrushusher_forward/tests/back_pressure.rs
@@ -2,7 +2,7 @@
 
 use bulrushusher_forward::{
     BackPressure, BackPressureConfig, BackPressureError, LimitReport, RateLimit, Runner,
-    RunnerSignals, StartTime,
+    RunnerSignals, StartTime, StartTimes,
 };
 use bulrushusher_time::Millis;
 use proptest::prelude::*;
@@ -153,13 +153,38 @@
         age: Millis(age),
     };
     let mut pressure = pressure();
+    let starts = StartTimes::default();
     let open = |pressure: &BackPressure, at| pressure.is_open(&runner(1), 0.99, Millis(at));
-    pressure.merge_reports(&[report(limit("0"), 100)], Millis(10_000));
+    pressure.merge_reports(&[report(limit("0"), 100)], &starts, Millis(10_000));
     assert!(!open(&pressure, 10_010));
-    pressure.merge_reports(&[report(None, 0)], Millis(12_000));
+    pressure.merge_reports(&[report(None, 0)], &starts, Millis(12_000));
     assert!(open(&pressure, 12_010));
-    pressure.merge_reports(&[report(limit("0"), 1_500)], Millis(12_020));
+    pressure.merge_reports(&[report(limit("0"), 1_500)], &starts, Millis(12_020));
     assert!(open(&pressure, 12_030), "signalled before the limit ended");
-    pressure.merge_reports(&[report(limit("0"), 0)], Millis(12_040));
+    pressure.merge_reports(&[report(limit("0"), 0)], &starts, Millis(12_040));
     assert!(!open(&pressure, 12_050));
 }
+
+/// Guards against a limit of an earlier start that closes the latest one, whatever their clocks showed,
+/// and against one that replaces what the latest start has signalled.
+#[test]
+fn a_limit_of_an_earlier_start_does_not_bind_the_latest() {
+    let mut starts = StartTimes::default();
+    starts.record_entry(&runner(1).id, Some(StartTime(5)), 7);
+    starts.record_entry(&runner(1).id, Some(StartTime(1)), 8);
+    let report = |born, limit| LimitReport {
+        runner: runner(1).id,
+        born: Some(StartTime(born)),
+        limit,
+        age: Millis(0),
+    };
+    let mut pressure = pressure();
+    pressure.merge_reports(&[report(5, limit("0"))], &starts, Millis(10_000));
+    assert!(pressure.is_open(&runner(1), 0.99, Millis(10_010)));
+    pressure.merge_reports(&[report(1, limit("0"))], &starts, Millis(10_020));
+    assert!(!pressure.is_open(&runner(1), 0.99, Millis(10_030)));
+    for born in [5, 9] {
+        pressure.merge_reports(&[report(born, None)], &starts, Millis(10_040));
+        assert!(!pressure.is_open(&runner(1), 0.99, Millis(10_050)), "a limit of start {born}");
+    }
+}
--- a/crates/bulrushusher_forward/tests/cold_limit.rs
+++ b/crates/bulrushusher_forward/tests/cold_limit.rs
@@ -493,6 +493,20 @@
 }
 
 /// Runners of a service that states no rate are never limited, whatever their entries say.
+/// Guards against unlimited requests to a started runner whose clock was set back.
+#[test]
+fn a_runner_that_starts_with_a_lower_start_time_is_cold() {
+    let mut limiter = limiter(4.0);
+    let warm = Runner { revision: 7, ..runner(9, 0) };
+    limiter.observe(&warm, Millis(1_000));
+    assert!(!limiter.is_cold(&warm, Millis(1_000)));
+    let again = Runner { revision: 8, ..runner(3, 0) };
+    limiter.observe(&again, Millis(2_000));
+    assert!(limiter.is_cold(&again, Millis(2_000)));
+    limiter.observe(&warm, Millis(2_010));
+    assert!(limiter.is_cold(&again, Millis(2_020)), "an entry that arrives late");
+}
+
 #[test]
 fn services_without_a_stated_rate_are_not_limited() {
     let mut limiter = ColdLimiter::new("entry-1".into());
--- a/crates/bulrushusher_forward/tests/memory_machine.rs
+++ b/crates/bulrushusher_forward/tests/memory_machine.rs
@@ -6,10 +6,10 @@
 //! different time. Seeds are fixed, so every run has the same cases. `BULRUSH_FUZZ_CASES` sets
 //! their number.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bulrushusher_forward::{
-    GatewayReport, PeersConfig, RunNumber, RunReport, RunShape, Runs, StartTime,
+    GatewayReport, PeersConfig, RunNumber, RunReport, RunShape, Runs, StartTime, StartTimes,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
@@ -75,9 +75,11 @@
     numbers: Vec<u64>,
     sent: Vec<SentReport>,
     received: BTreeMap<(usize, usize), Received>,
-    /// Process start of each runner, and the one that each gateway knows.
-    born: BTreeMap<u8, u64>,
+    /// Number of the process start of each runner, and the one that each gateway knows.
+    start: BTreeMap<u8, u64>,
     known: Vec<BTreeMap<u8, u64>>,
+    /// Starts that each gateway knows to be earlier ones.
+    past: Vec<BTreeSet<(u8, u64)>>,
 }
 
 impl Model {
@@ -109,9 +111,13 @@
             .iter()
             .filter(|((to, _), received)| *to == gateway && self.is_fresh(received));
         let known = self.known[gateway].get(&runner);
-        let of_this_start = fresh
-            .map(|(_, received)| &self.sent[received.message])
-            .filter(|sent| sent.starts.get(&runner) >= known);
+        let of_this_start =
+            fresh.map(|(_, received)| &self.sent[received.message]).filter(|sent| {
+                match sent.starts.get(&runner) {
+                    Some(start) => !self.past[gateway].contains(&(runner, *start)),
+                    None => known.is_none(),
+                }
+            });
         own + of_this_start.filter_map(|sent| sent.runs.get(&runner)).sum::<usize>()
     }
 
@@ -153,15 +159,17 @@
                 self.numbers[gateway] = 0;
                 self.received.retain(|(to, _), _| *to != gateway);
                 self.known[gateway].clear();
+                self.past[gateway].clear();
             }
-            Step::RunnerRestart { runner } => *self.born.entry(runner).or_insert(0) += 1,
+            Step::RunnerRestart { runner } => *self.start.entry(runner).or_insert(0) += 1,
             Step::Learn { gateway, runner, late } => {
-                let born = learned_start(self.born.get(&runner).copied().unwrap_or(0), late);
+                let start = learned_start(self.start.get(&runner).copied().unwrap_or(0), late);
                 let known = self.known[gateway].get(&runner).copied();
-                if known.is_none_or(|known| born >= known) {
-                    self.known[gateway].insert(runner, born);
+                if known.is_none_or(|known| start >= known) {
+                    self.known[gateway].insert(runner, start);
                 }
-                if known.is_some_and(|known| born > known) {
+                if let Some(known) = known.filter(|known| start > *known) {
+                    self.past[gateway].insert((runner, known));
                     self.live[gateway].retain(|at| *at != runner);
                 }
             }
@@ -181,8 +189,9 @@
             numbers: vec![0; GATEWAYS],
             sent: Vec::new(),
             received: BTreeMap::new(),
-            born: BTreeMap::new(),
+            start: BTreeMap::new(),
             known: vec![BTreeMap::new(); GATEWAYS],
+            past: vec![BTreeSet::new(); GATEWAYS],
         })
         .boxed()
     }
@@ -216,13 +225,20 @@
 }
 
 /// The process start that a gateway learns: the current one, or the one before it.
-fn learned_start(born: u64, late: bool) -> u64 {
-    if late { born.saturating_sub(1) } else { born }
+fn learned_start(start: u64, late: bool) -> u64 {
+    if late { start.saturating_sub(1) } else { start }
+}
+
+/// The start time that the runner's clock showed, which is set forward and back between starts.
+fn clock_of(start: u64) -> StartTime {
+    StartTime(start * 37 % 101)
 }
 
 /// One gateway under test.
 struct Gateway {
     runs: Runs,
+    /// Starts of runners by their entries, as the directory of runners knows them.
+    starts: StartTimes,
     /// Runs and their runners, in the order of their holds.
     live: Vec<(RunNumber, u8)>,
     life: u64,
@@ -234,11 +250,17 @@
     now: Millis,
     gateways: Vec<Gateway>,
     sent: Vec<(usize, GatewayReport)>,
-    born: BTreeMap<u8, u64>,
+    start: BTreeMap<u8, u64>,
 }
 
 fn gateway(life: u64) -> Gateway {
-    Gateway { runs: Runs::new(PeersConfig::default()), live: Vec::new(), life, number: 0 }
+    Gateway {
+        runs: Runs::new(PeersConfig::default()),
+        starts: StartTimes::default(),
+        live: Vec::new(),
+        life,
+        number: 0,
+    }
 }
 
 fn runner(n: u8) -> RunnerId {
@@ -285,11 +307,14 @@
             Step::Restart { gateway: n, clock_back_ms } => {
                 self.gateways[n] = gateway(self.now.since(Millis(clock_back_ms)).0);
             }
-            Step::RunnerRestart { runner } => *self.born.entry(runner).or_insert(0) += 1,
+            Step::RunnerRestart { runner } => *self.start.entry(runner).or_insert(0) += 1,
             Step::Learn { gateway, runner: n, late } => {
-                let born = learned_start(self.born.get(&n).copied().unwrap_or(0), late);
-                let Gateway { runs, live, .. } = &mut self.gateways[gateway];
-                runs.record_start(&runner(n), Some(StartTime(born)));
+                let start = learned_start(self.start.get(&n).copied().unwrap_or(0), late);
+                let Gateway { runs, starts, live, .. } = &mut self.gateways[gateway];
+                starts.record_entry(&runner(n), Some(clock_of(start)), start + 1);
+                if let Some(latest) = starts.latest(&runner(n)) {
+                    runs.set_start(&runner(n), latest);
+                }
                 // Runs at an earlier process start are forgotten; ending them has no effect.
                 let own = runs.own().filter(|note| note.runner == runner(n)).count();
                 if own == 0 {
@@ -326,7 +351,7 @@
 
     fn init_test(_: &Model) -> Fleet {
         let gateways = (0..GATEWAYS).map(|_| gateway(START.0)).collect();
-        Fleet { now: START, gateways, sent: Vec::new(), born: BTreeMap::new() }
+        Fleet { now: START, gateways, sent: Vec::new(), start: BTreeMap::new() }
     }
 
     fn apply(mut fleet: Fleet, _: &Model, step: Step) -> Fleet {
--- a/crates/bulrushusher_forward/tests/runner_speeds.rs
+++ b/crates/bulrushusher_forward/tests/runner_speeds.rs
@@ -98,13 +98,14 @@
 fn a_restarted_runner_loses_its_factors_and_values_of_its_earlier_start() {
     let mut speeds = measured(12, 3, quarter_is_fast);
     let mut starts = StartTimes::default();
-    starts.record(&id(0), Some(StartTime(1_000)));
+    starts.record_entry(&id(0), Some(StartTime(1_000)), 3);
     speeds.merge("g1", &[report(1, 1.3, 9)], &starts, Millis(0));
     speeds.evaluate(Millis(0));
     assert!(speeds.pace(&id(0)).is_some());
     speeds.forget(&id(0));
     assert_eq!(speeds.pace(&id(0)), None);
-    starts.record(&id(0), Some(StartTime(2_000)));
+    // The clock of its machine was set back meanwhile.
+    starts.record_entry(&id(0), Some(StartTime(500)), 5);
     let earlier = SpeedReport { born: Some(StartTime(1_000)), ..report(0, 2.9, 9) };
     speeds.merge("g1", &[earlier], &starts, Millis(1_000));
     speeds.evaluate(Millis(1_000));
--- a/crates/bulrushusher_gateway/src/shared/pressure.rs
+++ b/crates/bulrushusher_gateway/src/shared/pressure.rs
@@ -74,12 +74,13 @@
     /// Merges the rate limits that a peer reports.
     pub(super) fn merge_limits(&self, peer: &str, demand: u32, reports: &[LimitReport]) {
         let now = self.now();
+        let runs = self.runs.lock();
         let mut pressure = self.pressure.lock();
         pressure.record_gateway(peer, demand, now);
         let previous = pressure.counts(now).limited;
-        pressure.merge_reports(reports, now);
+        pressure.merge_reports(reports, runs.starts(), now);
         let limited = pressure.counts(now).limited;
-        drop(pressure);
+        drop((pressure, runs));
         if limited != previous {
             log::info!("runners: limits heard peer={peer} limited={limited} before={previous}");
         }
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -1,13 +1,15 @@
 //! Process starts of runners that restart with the same identity.
 
+use std::collections::HashSet;
+
 use bulrushusher_forward::{Runner, RunnerListDiff, StartStatus, StartTime};
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
 
 use super::SharedState;
 
-/// Start times further ahead than this are rejected, since clocks differ by seconds only. Accepting
-/// one would make every start that the runner itself reports look earlier.
+/// Start times further ahead than this are rejected, since clocks differ by seconds only: the entry
+/// was not written by its runner.
 const MAX_CLOCK_AHEAD: Millis = Millis(3_600_000);
 
 impl SharedState {
@@ -18,13 +20,12 @@
             return StartStatus::Missing;
         }
         self.log_unknown_data_centre(&runner);
-        let (id, born) = (runner.id.clone(), runner.born);
         let observed = runner.clone();
         let status = self.with_runners(|runners, now| runners.directory.put(runner, now));
         if matches!(status, StartStatus::Current | StartStatus::Newer) {
             self.observe_cold(&observed);
         }
-        self.apply_start(&id, born, status);
+        self.apply_start(&observed.id, status);
         status
     }
 
@@ -34,19 +35,18 @@
         let implausible: Vec<RunnerId> =
             listed.iter().filter(|runner| is_bad(runner)).map(|r| r.id.clone()).collect();
         listed.retain(|runner| !is_bad(runner));
-        for runner in &listed {
-            self.log_unknown_data_centre(runner);
-            self.observe_cold(runner);
-        }
-        let starts: Vec<(RunnerId, Option<StartTime>)> =
-            listed.iter().map(|runner| (runner.id.clone(), runner.born)).collect();
+        listed.iter().for_each(|runner| self.log_unknown_data_centre(runner));
+        let observed = listed.clone();
         let diff =
             self.with_runners(|runners, now| runners.directory.replace_all(listed, revision, now));
         implausible.iter().for_each(|id| self.forget_runner(id));
-        for (id, born) in &starts {
-            let is_later = diff.restarted.contains(id);
-            let start = if is_later { StartStatus::Newer } else { StartStatus::Current };
-            self.apply_start(id, *born, start);
+        let passed_over: HashSet<&RunnerId> = diff.passed_over.iter().collect();
+        let restarted: HashSet<&RunnerId> = diff.restarted.iter().collect();
+        for runner in observed.iter().filter(|runner| !passed_over.contains(&runner.id)) {
+            self.observe_cold(runner);
+            let is_later = restarted.contains(&runner.id);
+            let status = if is_later { StartStatus::Newer } else { StartStatus::Current };
+            self.apply_start(&runner.id, status);
         }
         diff
     }
@@ -60,7 +60,7 @@
         if status == StartStatus::Newer {
             self.observe_cold_start(id, born);
         }
-        self.apply_start(id, born, status);
+        self.apply_start(id, status);
         status
     }
 
@@ -81,11 +81,12 @@
         self.with_runners(|runners, _| runners.directory.is_superseded(runner))
     }
 
-    /// Applies a reported process start of a runner. If it is newer than the known one, discards
-    /// the state that belongs to the previous start.
-    fn apply_start(&self, id: &RunnerId, born: Option<StartTime>, status: StartStatus) {
-        if born.is_some() && matches!(status, StartStatus::Current | StartStatus::Newer) {
-            self.runs.lock().record_start(id, born);
+    /// Applies a process start of a runner that the directory has recorded. If it is newer than the
+    /// one before, discards the state that belongs to that one.
+    fn apply_start(&self, id: &RunnerId, status: StartStatus) {
+        let born = self.with_runners(|runners, _| runners.directory.latest_start(id));
+        if let Some(born) = born {
+            self.runs.lock().set_start(id, born);
         }
         if status != StartStatus::Newer {
             return;
--- a/crates/bulrushusher_gateway/src/store/intake.rs
+++ b/crates/bulrushusher_gateway/src/store/intake.rs
@@ -205,7 +205,8 @@
             let is_new = |it: &&Runner| !directory.is_listed_as(it) && !directory.is_outdated(it);
             listed.iter().filter(is_new).cloned().map(RunnerChange::Entry).collect()
         });
-        let RunnerListDiff { missing, restarted } = self.shared.replace_runners(listed, revision);
+        let RunnerListDiff { missing, restarted, .. } =
+            self.shared.replace_runners(listed, revision);
         self.forget(&missing);
         restarted.iter().for_each(|id| self.pool.forget(id));
         if !missing.is_empty() {
--- a/crates/bulrushusher_model/src/limits.rs
+++ b/crates/bulrushusher_model/src/limits.rs
@@ -9,6 +9,7 @@
 use bulrushusher_accounts::{Quota, QuotaConfig, QuotaLimiter, Sharing, UsageReport};
 use bulrushusher_forward::{
     BackPressure, BackPressureConfig, DemandMeter, LimitReport, RateLimit, Runner, RunnerSignals,
+    StartTimes,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ClientAccountName;
@@ -399,7 +400,7 @@
             match (&mut gateway.limiter, report) {
                 (Limiter::BackPressure(pressure), Report::Limits { demand, limits }) => {
                     pressure.record_gateway(&name, demand, Millis(now));
-                    pressure.merge_reports(&limits, Millis(now));
+                    pressure.merge_reports(&limits, &StartTimes::default(), Millis(now));
                 }
                 (Limiter::Bucket(limiter), Report::Usage(usage)) => {
                     limiter.merge_report(&name, incarnation, &usage, true, Millis(now));
