Streams: only events are progress, and an event has a maximum size

Change: a partial event of more than 64 KiB breaks its run, whose outcome is unknown, closes the connection and counts against the runner. The stream of a run is split where it is read, so that silence, takeover by another run, pace, the crash window and the start of a run are measured by events.

--- a/crates/bulrushusher_forward/src/events.rs
+++ b/crates/bulrushusher_forward/src/events.rs
@@ -1,6 +1,15 @@
 //! Splits an event stream (`text/event-stream`) at event boundaries.
 
 use bytes::{Bytes, BytesMut};
+use derive_more::{Display, Error};
+
+/// Maximum size of one event, in bytes. An event carries the text of a few tokens, some hundred bytes.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// The bytes of a stream contain no event boundary for too long.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("an event has more than {MAX_EVENT_BYTES} bytes; check what the runner sends")]
+pub struct EventTooLong;
 
 /// Complete events and the id of the last one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -17,10 +26,10 @@
 /// ```
 /// use bulrushusher_forward::EventSplitter;
 /// let mut splitter = EventSplitter::default();
-/// let events = splitter.push(b"id: 4\ndata: x\n\nid: 5\nda");
+/// let events = splitter.push(b"id: 4\ndata: x\n\nid: 5\nda").unwrap();
 /// assert_eq!(&events.bytes[..], b"id: 4\ndata: x\n\n");
 /// assert_eq!(events.last_id, Some(4));
-/// assert_eq!(splitter.push(b"ta: y\n\n").last_id, Some(5));
+/// assert_eq!(splitter.push(b"ta: y\n\n").unwrap().last_id, Some(5));
 /// assert!(splitter.rest().is_empty());
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -30,15 +39,25 @@
 
 impl EventSplitter {
     /// Appends received bytes; returns the events that are now complete.
-    pub fn push(&mut self, bytes: &[u8]) -> CompleteEvents {
+    ///
+    /// # Errors
+    /// [`EventTooLong`] if the event that is not complete is too large to be kept.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, EventTooLong> {
         let overlap = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.partial[overlap..]) else {
-            return CompleteEvents::default();
+            return self.check_partial(CompleteEvents::default());
         };
         let whole = self.partial.split_to(overlap + end).freeze();
         let last_id = last_id(&whole);
-        CompleteEvents { bytes: whole, last_id }
+        self.check_partial(CompleteEvents { bytes: whole, last_id })
+    }
+
+    fn check_partial(&self, events: CompleteEvents) -> Result<CompleteEvents, EventTooLong> {
+        match self.partial.len() <= MAX_EVENT_BYTES {
+            true => Ok(events),
+            false => Err(EventTooLong),
+        }
     }
 
     /// Bytes received after the last complete event.
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -84,7 +84,7 @@
 pub use caller_connection::{CloseReason, ConnectionLimits, ConnectionState, LimitHistory};
 pub use configuration_copy::{ConfigurationCopy, StoredConfiguration};
 pub use demand::DemandMeter;
-pub use events::{CompleteEvents, EventSplitter};
+pub use events::{CompleteEvents, EventSplitter, EventTooLong};
 pub use far_reports::FarReports;
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
 pub use gateway_directory::{
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -331,7 +331,7 @@
         let (mut forwarded, mut last_id, mut at) = (Vec::new(), None, 0);
         for cut in cuts.iter().cycle() {
             let end = (at + cut).min(whole);
-            let events = splitter.push(&bytes[at..end]);
+            let events = splitter.push(&bytes[at..end]).unwrap();
             forwarded.extend_from_slice(&events.bytes);
             last_id = events.last_id.or(last_id);
             at = end;
@@ -352,6 +352,22 @@
         prop_assert_eq!(forwarded.len() + splitter.rest().len(), whole);
     }
 
+    /// Guards against memory that is filled by bytes without an event, and against a limit on what
+    /// arrives at once.
+    #[test]
+    fn only_an_event_without_an_end_is_too_long(
+        chunk in 1_usize..70_000, event in 1_usize..40_000, events in 1_usize..12,
+    ) {
+        let text = format!("id: 1\ndata: {}\n\n", "x".repeat(event)).repeat(events);
+        let mut splitter = EventSplitter::default();
+        for bytes in text.as_bytes().chunks(chunk) {
+            prop_assert!(splitter.push(bytes).is_ok());
+        }
+        let endless = vec![b'x'; chunk];
+        let pushed = (0..=200_000 / chunk).map(|_| splitter.push(&endless));
+        prop_assert!(pushed.into_iter().any(|pushed| pushed.is_err()));
+    }
+
     #[test]
     fn requests_accepted_during_shutdown_end_before_the_kill(
         grace in 500_u64..20_000, at in 0_u64..25_000, expected in 0_u64..20_000,
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{EventSplitter, LongGaps, PaceMeter, Runner};
+use bulrushusher_forward::{CompleteEvents, EventSplitter, LongGaps, PaceMeter, Runner};
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -88,12 +88,11 @@
     /// True if the stream so far may be whole: the last run ended after a complete event, but its
     /// runner is not known to live. A run that goes on may have nothing left to send then.
     pub may_be_whole: bool,
-    /// When the last bytes arrived.
-    last_bytes: Option<Millis>,
-    /// The longest gap since the first bytes.
+    /// When the last events arrived.
+    last_events: Option<Millis>,
+    /// The longest gap since the first events.
     pub longest_gap: Millis,
     long_gaps: LongGaps,
-    pub splitter: EventSplitter,
 }
 
 /// Share of the route's gap target after which a run without events counts as stalled: about three
@@ -110,29 +109,27 @@
             last_event,
             began: None,
             may_be_whole: false,
-            last_bytes: None,
+            last_events: None,
             longest_gap: Millis(0),
             long_gaps: LongGaps::default(),
-            splitter: EventSplitter::default(),
         }
     }
 
     /// Prepares for the events of another run.
     pub(crate) fn begin_run(&mut self) {
-        self.splitter = EventSplitter::default();
         self.began = None;
     }
 
-    /// Records that bytes arrived; returns the gap before them, and whether the runner now counts
+    /// Records that events arrived; returns the gap before them, and whether the runner now counts
     /// as slow.
-    fn record_bytes(
+    fn record_events(
         &mut self,
         gap_target: Millis,
         is_uneven: impl FnOnce() -> bool,
         now: Millis,
     ) -> (Millis, bool) {
         self.may_be_whole = false;
-        let Some(last) = self.last_bytes.replace(now) else { return (Millis(0), false) };
+        let Some(last) = self.last_events.replace(now) else { return (Millis(0), false) };
         let gap = now.since(last);
         self.longest_gap = self.longest_gap.max(gap);
         (gap, self.long_gaps.record(gap, gap_target, is_uneven))
@@ -141,12 +138,13 @@
 
 /// Result of waiting for the next part of a stream.
 enum StreamEvent {
-    Bytes(Bytes),
-    /// A frame without data, or progress of a migration.
+    /// Complete events, or bytes of a response that is no event stream.
+    Events(CompleteEvents),
+    /// Bytes that complete no event, a frame without data, or progress of a migration.
     Nothing,
     /// The end of the body.
     End,
-    /// The connection broke.
+    /// The connection broke, or what arrives on it is no event stream.
     Broken(String),
     /// The silence timeout passed; with `at_deadline`, the request's deadline.
     Silence {
@@ -177,11 +175,13 @@
     migration: Migration<D>,
     tokens_per_event: u64,
     pace: PaceMeter,
+    /// Splits an event stream; `None` for another response, which is forwarded as it arrives.
+    splitter: Option<EventSplitter>,
     /// An event that arrived while a replacement of the run was prepared.
     pending: Option<StreamEvent>,
     /// Silence after which the stream counts as silent, once more if it did before.
     next_silence: Millis,
-    /// True since the stream counted as silent, until its next bytes.
+    /// True since the stream counted as silent, until its next event.
     was_silent: bool,
     /// True while the run generates nothing.
     is_stalled: bool,
@@ -201,6 +201,7 @@
     ) -> RunStream<'a, D> {
         let Run { runner, reply, started, held, migrate_after, watch, _load } = run;
         let Reply { head, body, connection, .. } = reply;
+        let splitter = is_event_stream(&head.headers).then(EventSplitter::default);
         RunStream {
             cx,
             fwd,
@@ -213,6 +214,7 @@
             migration: Migration::not_before(migrate_after),
             tokens_per_event: cx.shared.tokens_per_event(&fwd.service),
             pace: PaceMeter::new(fwd.route.gap_target),
+            splitter,
             pending: None,
             next_silence: silence_timeout(fwd),
             was_silent: false,
@@ -236,7 +238,6 @@
     /// Forwards the stream until the run ends, is migrated, or is silent for too long. After a silence
     /// it may be called again.
     pub(crate) async fn forward(&mut self, progress: &mut StreamProgress) -> RunEnd<D> {
-        let has_events = is_event_stream(&self.head.headers);
         loop {
             let event = match self.pending.take() {
                 Some(event) => event,
@@ -254,8 +255,8 @@
                     self.record_silence();
                     return RunEnd::Silent;
                 }
-                StreamEvent::Bytes(bytes) => {
-                    if !self.forward_bytes(bytes, has_events, progress).await {
+                StreamEvent::Events(events) => {
+                    if !self.forward_events(events, progress).await {
                         return RunEnd::CallerGone;
                     }
                 }
@@ -288,14 +289,14 @@
         }
     }
 
-    /// Waits up to `max_wait` for the run to begin. Returns true once it has sent bytes, or the whole of a
-    /// stream that has no further events.
+    /// Waits up to `max_wait` for the run to begin. Returns true once it has sent an event, or the whole of
+    /// a stream that has no further events.
     pub(crate) async fn has_begun_within(&mut self, max_wait: Millis) -> bool {
         let sign = tokio::time::timeout(max_wait.duration(), self.next_sign()).await;
         self.next_silence = silence_timeout(self.fwd);
         self.pending = sign.ok();
         match &self.pending {
-            Some(StreamEvent::Bytes(_)) => true,
+            Some(StreamEvent::Events(_)) => true,
             Some(StreamEvent::End) => self.origin.framing == BodyFraming::Marked,
             _ => false,
         }
@@ -314,7 +315,7 @@
         self.next_silence = silence.share(TAKEOVER_BACKOFF);
     }
 
-    /// Waits for bytes or the end of the stream.
+    /// Waits for an event or the end of the stream.
     async fn next_sign(&mut self) -> StreamEvent {
         self.next_silence = Millis::MAX;
         loop {
@@ -335,7 +336,8 @@
         let is_empty = self.origin.framing == BodyFraming::Close
             && progress.began.is_none()
             && !progress.may_be_whole;
-        let is_complete = !is_empty && progress.splitter.rest().is_empty();
+        let rest = self.splitter.as_ref().map_or(&[][..], EventSplitter::rest);
+        let is_complete = !is_empty && rest.is_empty();
         let end = self.finish_interrupted(cause.to_owned()).await;
         let may_be_complete = match &end {
             RunEnd::Broken(_) => true,
@@ -377,18 +379,37 @@
             Ok(None) => StreamEvent::End,
             Ok(Some(Err(e))) => StreamEvent::Broken(e.to_string()),
             Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(bytes) => StreamEvent::Bytes(bytes),
+                Ok(bytes) => self.split(bytes),
                 // Trailers carry nothing that the caller needs.
                 Err(_) => StreamEvent::Nothing,
             },
         }
     }
 
-    /// Forwards bytes to the caller; returns false when the caller has disconnected.
-    async fn forward_bytes(
+    /// Splits received bytes into events. Bytes without an event are no sign of life: they leave the
+    /// time of silence as it is.
+    fn split(&mut self, bytes: Bytes) -> StreamEvent {
+        let Some(splitter) = &mut self.splitter else {
+            return StreamEvent::Events(CompleteEvents { bytes, last_id: None });
+        };
+        match splitter.push(&bytes) {
+            Err(e) => StreamEvent::Broken(e.to_string()),
+            Ok(events) if !events.bytes.is_empty() => StreamEvent::Events(events),
+            Ok(_) => {
+                let now = self.cx.now();
+                let remaining = self.fwd.remaining(now);
+                match remaining == Millis(0) || now.since(self.silent_since) >= self.next_silence {
+                    true => StreamEvent::Silence { at_deadline: remaining == Millis(0) },
+                    false => StreamEvent::Nothing,
+                }
+            }
+        }
+    }
+
+    /// Forwards events to the caller; returns false when the caller has disconnected.
+    async fn forward_events(
         &mut self,
-        bytes: Bytes,
-        has_events: bool,
+        events: CompleteEvents,
         progress: &mut StreamProgress,
     ) -> bool {
         let cx = self.cx;
@@ -397,7 +418,7 @@
         self.silent_since = arrived;
         (self.next_silence, self.was_silent) = (silence_timeout(self.fwd), false);
         let is_uneven = || cx.shared.is_uneven(&self.fwd.service);
-        let (gap, is_slow) = progress.record_bytes(self.fwd.route.gap_target, is_uneven, arrived);
+        let (gap, is_slow) = progress.record_events(self.fwd.route.gap_target, is_uneven, arrived);
         cx.shared.record_stream_pause(&self.origin.runner.id, gap);
         if is_slow {
             cx.shared.record_run_end(&self.origin.runner, false);
@@ -407,10 +428,8 @@
             self.is_sound = true;
             cx.shared.record_sound_run(&self.fwd.crash_keys);
         }
-        let is_sent = match has_events {
-            true => forward_events(progress, &bytes, self.tx).await,
-            false => self.tx.send(Ok(bytes)).await.is_ok(),
-        };
+        progress.last_event = events.last_id.or(progress.last_event);
+        let is_sent = self.tx.send(Ok(events.bytes)).await.is_ok();
         self.measure_pace(progress.last_event, arrived);
         if let (true, Some(held), Some(last)) = (is_sent, &self.held, progress.last_event) {
             held.progress(last * self.tokens_per_event);
@@ -453,14 +472,3 @@
     let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
     kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
 }
-
-/// Forwards complete events; returns false when the caller has disconnected.
-async fn forward_events(
-    progress: &mut StreamProgress,
-    bytes: &Bytes,
-    tx: &Sender<StreamPart>,
-) -> bool {
-    let events = progress.splitter.push(bytes);
-    progress.last_event = events.last_id.or(progress.last_event);
-    events.bytes.is_empty() || tx.send(Ok(events.bytes)).await.is_ok()
-}
