Answers: memory for them is limited over all, heads and store pages have a limit

Eight plain answers without end could take 64 MB of a gateway that has 88, as the limit was 8 MiB for each, control requests included.

Change: what an answer takes beyond 64 KiB counts towards max_answer_bytes (16 MiB over all) until the caller has it; a usual answer always finds room. Answers to the gateway's own requests have at most 1 MiB, heads 64 KiB, pages of the store 16 MiB. Beyond that the request ends as outcome unknown, the connection is closed and the runner counts as failing.

--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -11,6 +11,7 @@
 use crate::placement::holds::{KvCacheGuard, MemoryHold};
 use crate::placement::patience::PrefillWait;
 use crate::placement::prefill_site::{decode_may_prefill, select_site};
+use crate::runners::answer_memory::MAX_CONTROL_BYTES;
 use crate::runners::crashes::CrashWatch;
 use crate::runners::exchange::ExchangeError;
 use crate::runners::framing::BodyFraming;
@@ -199,7 +200,8 @@
     let reply = cx.attempt(fwd, runner, spec, timeout, trace).await.map_err(lost)?;
     let info = reply.info.clone();
     let framing = BodyFraming::of(&reply.head.headers);
-    let (head, body) = cx.exchanger.read_whole(runner, reply, timeout).await.map_err(lost)?;
+    let whole = cx.exchanger.read_whole(runner, reply, MAX_CONTROL_BYTES, timeout).await;
+    let (head, body) = whole.map_err(lost)?;
     if info.wrong_runner {
         cx.remove_runner(&runner.id, "another runner has its address");
     }
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -11,21 +11,18 @@
 use bulrushusher_world::DataCentreName;
 use bytes::Bytes;
 use derive_more::{Display, Error};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::response;
 
 use crate::dialect::{ControlRequest, Dialect, ResponseInfo};
+use crate::runners::answer_memory::{BodyError, MAX_CONTROL_BYTES, read_body};
 use crate::runners::permit::Permit;
 use crate::runners::pool::{RunnerConnection, RunnerPool};
 use crate::runners::send_spec::{CallerSend, SendPurpose, SendSpec};
 use crate::shared::SharedState;
 
-/// Largest response that is buffered, in bytes. Plain responses are some kilobytes; a larger one
-/// would put the memory of the process, and so all other requests, at risk.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
-
 /// Timeout of a control request, to which a live runner responds at once.
 pub(crate) const CONTROL_TIMEOUT: Millis = Millis(200);
 
@@ -42,6 +39,9 @@
     /// may have run.
     #[display("no answer ({cause})")]
     ConnectionLost { cause: String },
+    /// The response is larger than what is read; this request may have run.
+    #[display("the answer cannot be read ({cause})")]
+    TooLarge { cause: String },
     /// The response belongs to another request; this request may have run.
     #[display("the answer is not to this request")]
     Foreign,
@@ -103,6 +103,7 @@
             | ExchangeError::Quarantined => AttemptEnd::Unsent,
             ExchangeError::NoAnswer { .. }
             | ExchangeError::ConnectionLost { .. }
+            | ExchangeError::TooLarge { .. }
             | ExchangeError::Foreign
             | ExchangeError::Unclear => AttemptEnd::Unknown,
         }
@@ -359,23 +360,30 @@
         Ok(Reply { head, info, body, connection })
     }
 
-    /// Reads the whole body and returns the connection to the pool.
+    /// Reads the whole body, of at most `max` bytes, and returns the connection to the pool.
     pub(crate) async fn read_whole(
         &self,
         runner: &Runner,
         reply: Reply,
+        max: usize,
         timeout: Millis,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
         let Reply { head, body, connection, .. } = reply;
-        let reading = Limited::new(body, MAX_ANSWER_BYTES).collect();
+        let reading = read_body(&self.shared, body, max);
         let read = match tokio::time::timeout(timeout.duration(), reading).await {
-            Ok(read) => read.map_err(|e| ExchangeError::ConnectionLost { cause: e.to_string() })?,
+            Ok(Ok(read)) => read,
+            Ok(Err(BodyError::Broken { cause })) => {
+                return Err(ExchangeError::ConnectionLost { cause });
+            }
+            Ok(Err(e @ BodyError::TooLarge { .. })) => {
+                return Err(ExchangeError::TooLarge { cause: e.to_string() });
+            }
             Err(_) => {
                 return Err(ExchangeError::NoAnswer { cause: format!("body not in {timeout}") });
             }
         };
         self.pool.keep(&runner.id, connection, &head.headers);
-        Ok((head, read.to_bytes()))
+        Ok((head, read))
     }
 
     /// Sends a control request of the gateway itself and reads the whole response.
@@ -420,7 +428,7 @@
             req.headers_mut().insert(hyper::header::HOST, host);
         }
         let reply = self.send(runner, req, spec).await?;
-        self.read_whole(runner, reply, spec.timeout).await
+        self.read_whole(runner, reply, MAX_CONTROL_BYTES, spec.timeout).await
     }
 }
 
--- a/crates/bulrushusher_gateway/src/runners/mod.rs
+++ b/crates/bulrushusher_gateway/src/runners/mod.rs
@@ -1,6 +1,7 @@
 //! Access to runners: the connection pool, single exchanges, crash detection, and the context that
 //! the tasks of requests share.
 
+pub(crate) mod answer_memory;
 pub(crate) mod arrivals;
 pub(crate) mod crashes;
 pub(crate) mod destination;
--- a/crates/bulrushusher_gateway/src/runners/pool.rs
+++ b/crates/bulrushusher_gateway/src/runners/pool.rs
@@ -29,6 +29,9 @@
 /// retransmitted only after a second or more, by which time another runner has long responded.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
+/// Maximum size of the head of a response, in bytes, and of what is read from a connection at once.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Idle timeout when the runner states none.
 const DEFAULT_IDLE_TIMEOUT: Millis = Millis(4_000);
 
@@ -105,7 +108,9 @@
     pub(crate) async fn connect(&self, runner: &Runner) -> Result<RunnerConnection, ConnectError> {
         let socket = Arc::new(connect_tcp(runner.address).await?);
         let io = TokioIo::new(SharedStream::from(socket.clone()));
-        let (sender, driver) = http1::handshake(io).await.map_err(|e| e.to_string())?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, driver) = builder.handshake(io).await.map_err(|e| e.to_string())?;
         let driver = tokio::spawn(async move {
             if let Err(e) = driver.await {
                 log::debug!("pool: connection ended early cause=\"{e}\"");
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -12,6 +12,7 @@
 use crate::placement::holds::{KvCacheGuard, MemoryHold};
 use crate::placement::place::{PlacementError, place};
 use crate::placement::prefill::prefill_prompt;
+use crate::runners::answer_memory::MAX_ANSWER_BYTES;
 use crate::runners::crashes::{CrashWatch, JudgedResponse, confirm_end};
 use crate::runners::exchange::{ExchangeError, Reply};
 use crate::runners::framing::BodyFraming;
@@ -271,7 +272,7 @@
     }
     let framing = BodyFraming::of_reply_to(&fwd.method, &reply.head);
     let timeout = fwd.remaining(cx.now());
-    let whole = cx.exchanger.read_whole(runner, reply, timeout).await;
+    let whole = cx.exchanger.read_whole(runner, reply, MAX_ANSWER_BYTES, timeout).await;
     if info.not_run || info.wrong_runner {
         return RunError::Ended(AttemptEnd::NotRun, "the decode runner did not accept the run");
     }
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -12,6 +12,7 @@
 use crate::answers::answer::{BACK_PRESSURE, Refusal, forward_response};
 use crate::answers::body::ReplyBody;
 use crate::dialect::{Dialect, Step};
+use crate::runners::answer_memory::MAX_ANSWER_BYTES;
 use crate::runners::crashes::{CrashWatch, JudgedResponse, confirm_end};
 use crate::runners::exchange::{ExchangeError, Reply};
 use crate::runners::framing::BodyFraming;
@@ -345,7 +346,8 @@
     timeout: Millis,
 ) -> Result<AttemptResult, ExchangeError> {
     let info = reply.info.clone();
-    let (head, body) = match cx.exchanger.read_whole(runner, reply, timeout).await {
+    let (head, body) = match cx.exchanger.read_whole(runner, reply, MAX_ANSWER_BYTES, timeout).await
+    {
         Ok(whole) => whole,
         // The head already states that the request was not run, so the body is not needed.
         Err(_) if info.not_run => return Ok(not_run()),
--- a/crates/bulrushusher_gateway/src/settings.rs
+++ b/crates/bulrushusher_gateway/src/settings.rs
@@ -59,6 +59,13 @@
         Some("33554432"),
         "Maximum bytes of request bodies in memory; further requests are refused as not run.",
     ),
+    setting(
+        "gateway",
+        "max_answer_bytes",
+        Kind::Count(65_536, 1 << 32),
+        Some("16777216"),
+        "Maximum bytes of runners' answers in memory, beyond 64 KiB of each; a larger one counts as broken.",
+    ),
     setting(
         "gateway",
         "log_lines_per_second",
@@ -339,6 +346,8 @@
     pub max_connections: usize,
     /// Maximum bytes of request bodies in memory.
     pub max_buffered_bytes: usize,
+    /// Maximum bytes of large answers in memory.
+    pub max_answer_bytes: usize,
     /// Maximum number of log lines per second.
     pub log_lines_per_second: usize,
     /// Time within which a configuration must be in force.
@@ -441,6 +450,7 @@
             store: values.address("gateway", "store"),
             max_connections: values.count("gateway", "max_connections"),
             max_buffered_bytes: values.count("gateway", "max_buffered_bytes"),
+            max_answer_bytes: values.count("gateway", "max_answer_bytes"),
             log_lines_per_second: values.count("gateway", "log_lines_per_second"),
             configuration_in_force: values.millis("bounds", "configuration_in_force_ms"),
             runner_drained: values.millis("bounds", "runner_drained_ms"),
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -9,7 +9,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bulrushusher_accounts::{AccountTable, ConfigLease, QuotaLimiter};
@@ -136,6 +136,8 @@
     relay_view: watch::Sender<RelayView>,
     /// When this gateway last forwarded changes or confirmations of the store, in ms.
     forwarded_at: AtomicU64,
+    /// Memory of large answers that are read, in bytes.
+    answer_bytes: AtomicUsize,
     /// True once this gateway is shutting down.
     shutting_down: AtomicBool,
     /// Number of times that the store was restored from an older copy.
@@ -223,6 +225,7 @@
             relayed: Mutex::default(),
             relay_view: watch::Sender::default(),
             forwarded_at: AtomicU64::new(0),
+            answer_bytes: AtomicUsize::new(0),
             shutting_down: AtomicBool::new(false),
             forward_due: Notify::new(),
             relay_revisions_changed: Notify::new(),
@@ -269,6 +272,18 @@
         self.update_cold_services();
     }
 
+    /// Acquires memory for an answer that is read; false if the answers already take all of theirs.
+    pub(crate) fn acquire_answer_bytes(&self, bytes: usize) -> bool {
+        let max = self.cfg.load().max_answer_bytes;
+        let add = |used: usize| used.checked_add(bytes).filter(|total| *total <= max);
+        self.answer_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).is_ok()
+    }
+
+    /// Releases memory of an answer.
+    pub(crate) fn release_answer_bytes(&self, bytes: usize) {
+        self.answer_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     /// The configuration in force.
     pub(crate) fn routing(&self) -> Option<Arc<RoutingConfig>> {
         self.routing.load_full()
--- a/crates/bulrushusher_http/src/client.rs
+++ b/crates/bulrushusher_http/src/client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
@@ -20,6 +20,8 @@
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Idle timeout between two reads of a stream opened with [`HttpClient::call_stream`].
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(12);
+/// Largest body that is read as a whole. Pages of the platform's store have about a megabyte.
+const MAX_BODY_BYTES: usize = 16 << 20;
 const MAX_ERROR_BODY_BYTES: usize = 2 << 20;
 
 /// A complete response.
@@ -260,7 +262,7 @@
 }
 
 async fn read_body(peer: SocketAddr, body: Incoming) -> Result<Bytes, HttpError> {
-    let collected = body.collect().await;
+    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
     collected
         .map(|body| body.to_bytes())
         .map_err(|e| HttpError::ConnectionLost { peer: peer.to_string(), cause: e.to_string() })
