Streams: the only version is proved by the store's record, not by its absence

A caller that continued a stream after all gateways had been killed got 200 and a text joined from two software versions, when the version that began it had left meanwhile.

Cause: the record of versions was written only while several were listed, so that an absent, unreadable or restored record passed for "no other version"; what a gateway had listed itself was sampled every 500 ms.

Change: model runners of a version get work only once the version is in the store's record (`stream-versions`); a gateway counts as ready from then on. A version leaves the record after a gateway has run for a minute without listing it, by its own clock. A return that no record of a stream covers is bound to the only version of the record, as read after its request arrived; the reads of one gateway are combined. An absent, unreadable or restored record proves nothing; one that was written anew does once all earlier streams have ended, or if its writer has outlasted them.

--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -1,6 +1,6 @@
 //! Directory of known runners, and how it treats lapsed entries around a store outage.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::{RunnerId, ServiceName};
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    EvacuationDiff, EvacuationUpdate, Evacuations, Runner, RunnerRemoval, StartStatus, StartTime,
-    StartTimes,
+    EvacuationDiff, EvacuationUpdate, Evacuations, Runner, RunnerRemoval, ServiceVersion,
+    StartStatus, StartTime, StartTimes,
 };
 
 /// Time limits of the runner directory.
@@ -126,6 +126,8 @@
     /// Drain notices by runner, of different starts.
     drain_notices: HashMap<RunnerId, Vec<DrainNotice>>,
     evacuations: Evacuations,
+    /// Versions of which model runners get new work; `None` for all.
+    serving: Option<HashSet<ServiceVersion>>,
 }
 
 /// A runner's drain notice, as gateways pass it on to each other.
@@ -158,6 +160,7 @@
             is_restored: false,
             drain_notices: HashMap::new(),
             evacuations: Evacuations::default(),
+            serving: None,
         }
     }
 
@@ -489,7 +492,21 @@
             .values()
             .filter(move |known| known.is_usable(now) && known.runner.service == *service)
             .map(|known| &known.runner)
-            .filter(|runner| !runner.leaving)
+            .filter(|runner| !runner.leaving && self.serves(runner))
+    }
+
+    /// Sets the versions of which model runners get new work.
+    pub fn set_serving(&mut self, versions: HashSet<ServiceVersion>) {
+        self.serving = Some(versions);
+    }
+
+    /// True if the version of the runner gets new work.
+    fn serves(&self, runner: &Runner) -> bool {
+        let Some(serving) = self.serving.as_ref().filter(|_| runner.stage.is_some()) else {
+            return true;
+        };
+        let (service, version) = (runner.service.clone(), runner.version.clone());
+        serving.contains(&ServiceVersion { service, version })
     }
 
     /// True while the runner's data centre must get no new work. The runner stays known, and its runs
--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -159,62 +159,112 @@
     }
 }
 
-/// The software versions of each service that were seen, and when last.
+/// Time without a listed runner of a version after which a gateway no longer relies on its own copy
+/// of the record for it. Shorter than the time after which another gateway may remove it there.
+const RECORDED_TTL: Millis = Millis(30_000);
+
+/// Time after which a listed version serves although it could not be recorded: new versions appear in
+/// the list only while some gateway reaches the store, which records them within milliseconds.
+const UNRECORDED_GRACE: Millis = Millis(3_000);
+
+/// A software version of a service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceVersion {
+    /// The service.
+    pub service: ServiceName,
+    /// The version.
+    pub version: SoftwareVersion,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct VersionState {
+    /// When a runner of it was first and last listed here.
+    first_listed: Millis,
+    last_listed: Millis,
+    is_recorded: bool,
+}
+
+/// The software versions that runners are listed with, and which of them the store's record has.
+///
+/// A version serves only once it is in the record, so the record has every version that can have
+/// begun a stream, also for gateways that start after all others have ended.
 ///
 /// ```
-/// use bulrushusher_forward::VersionHistory;
+/// use bulrushusher_forward::{ServiceVersion, VersionLedger};
 /// use bulrushusher_time::Millis;
-/// let service = "llm".try_into().unwrap();
-/// let mut history = VersionHistory::default();
-/// history.observe(&service, &"v1".into(), Millis(0));
-/// assert_eq!(history.sole(&service, Millis(0)), Some("v1".into()));
-/// history.observe(&service, &"v2".into(), Millis(500));
-/// assert_eq!(history.sole(&service, Millis(0)), None, "two serve");
-/// assert_eq!(history.sole(&service, Millis(500)), Some("v2".into()));
+/// let v1 = ServiceVersion { service: "llm".try_into().unwrap(), version: "v1".into() };
+/// let mut ledger = VersionLedger::default();
+/// ledger.observe(&v1, Millis(0));
+/// assert!(!ledger.may_serve(&v1, Millis(100)));
+/// assert_eq!(ledger.unrecorded(), [v1.clone()]);
+/// ledger.set_recorded([v1.clone()], Millis(100));
+/// assert!(ledger.may_serve(&v1, Millis(100)));
+/// assert!(ledger.unrecorded().is_empty());
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct VersionHistory {
-    seen: HashMap<ServiceName, Vec<(SoftwareVersion, Millis)>>,
+pub struct VersionLedger {
+    versions: HashMap<ServiceVersion, VersionState>,
 }
 
-impl VersionHistory {
-    /// Records that a runner of the version is listed.
-    pub fn observe(&mut self, service: &ServiceName, version: &SoftwareVersion, now: Millis) {
-        let versions = match self.seen.get_mut(service) {
-            Some(versions) => versions,
-            None => self.seen.entry(service.clone()).or_default(),
-        };
-        match versions.iter_mut().find(|(seen, _)| seen == version) {
-            Some((_, at)) => *at = now.max(*at),
-            None => versions.push((version.clone(), now)),
+impl VersionLedger {
+    /// Records that a runner of the version is listed. Returns true if the version is not recorded.
+    pub fn observe(&mut self, version: &ServiceVersion, now: Millis) -> bool {
+        if let Some(state) = self.versions.get_mut(version) {
+            state.is_recorded &= now.since(state.last_listed) < RECORDED_TTL;
+            state.last_listed = now;
+            return !state.is_recorded;
         }
+        let state = VersionState { first_listed: now, last_listed: now, is_recorded: false };
+        self.versions.insert(version.clone(), state);
+        true
     }
 
-    /// The only version that was seen at `since` or later; `None` if there were several, or none.
-    pub fn sole(&self, service: &ServiceName, since: Millis) -> Option<SoftwareVersion> {
-        let mut recent = self.seen.get(service)?.iter().filter(|(_, at)| *at >= since);
-        match (recent.next(), recent.next()) {
-            (Some((version, _)), None) => Some(version.clone()),
-            _ => None,
+    /// Records the content of the record.
+    pub fn set_recorded(
+        &mut self,
+        recorded: impl IntoIterator<Item = ServiceVersion>,
+        now: Millis,
+    ) {
+        for version in recorded {
+            if let Some(state) = self.versions.get_mut(&version) {
+                state.is_recorded |= now.since(state.last_listed) < RECORDED_TTL;
+            }
         }
     }
 
-    /// The versions of services of which several are known, and when each was last seen; in the order of
-    /// their names.
-    pub fn mixed(&self) -> Vec<(ServiceName, SoftwareVersion, Millis)> {
-        let services = self.seen.iter().filter(|(_, versions)| versions.len() > 1);
-        let mut mixed: Vec<_> = services
-            .flat_map(|(service, versions)| {
-                versions.iter().map(|(version, at)| (service.clone(), version.clone(), *at))
-            })
-            .collect();
-        mixed.sort_unstable();
-        mixed
+    /// True if runners of the version may begin streams.
+    pub fn may_serve(&self, version: &ServiceVersion, now: Millis) -> bool {
+        self.versions.get(version).is_some_and(|state| {
+            state.is_recorded || now.since(state.first_listed) >= UNRECORDED_GRACE
+        })
+    }
+
+    /// True if runners of some version may begin streams, or if none has a version.
+    pub fn is_settled(&self, now: Millis) -> bool {
+        self.versions.is_empty() || self.versions.keys().any(|version| self.may_serve(version, now))
+    }
+
+    /// The listed versions that are not known to be in the record.
+    pub fn unrecorded(&self) -> Vec<ServiceVersion> {
+        let unrecorded = self.versions.iter().filter(|(_, state)| !state.is_recorded);
+        let mut unrecorded: Vec<_> = unrecorded.map(|(version, _)| version.clone()).collect();
+        unrecorded.sort_unstable();
+        unrecorded
+    }
+
+    /// Versions that are in the record as far as is known here.
+    pub fn recorded(&self) -> Vec<ServiceVersion> {
+        let recorded = self.versions.iter().filter(|(_, state)| state.is_recorded);
+        recorded.map(|(version, _)| version.clone()).collect()
+    }
+
+    /// True if a runner of the version was listed at `since` or later.
+    pub fn is_listed_since(&self, version: &ServiceVersion, since: Millis) -> bool {
+        self.versions.get(version).is_some_and(|state| state.last_listed >= since)
     }
 
-    /// Drops versions that were last seen before `since`.
+    /// Drops versions that were last listed before `since`.
     pub fn forget_before(&mut self, since: Millis) {
-        self.seen.values_mut().for_each(|versions| versions.retain(|(_, at)| *at >= since));
-        self.seen.retain(|_, versions| !versions.is_empty());
+        self.versions.retain(|_, state| state.last_listed >= since);
     }
 }
--- a/crates/bulrushusher_gateway/src/runs/returns.rs
+++ b/crates/bulrushusher_gateway/src/runs/returns.rs
@@ -15,8 +15,8 @@
 /// Time after which other gateways are asked once more.
 const LOOKUP_RESEND: Millis = Millis(70);
 
-/// Longest wait for the store's record of versions, which a gateway reads once after its start.
-const RECORD_TIMEOUT: Millis = Millis(150);
+/// Longest wait for the store's record of versions.
+const RECORD_TIMEOUT: Millis = Millis(250);
 
 /// Retry-After of a stream that cannot continue: its caller has to begin anew, and need not wait.
 const BEGIN_ANEW: Millis = Millis(50);
@@ -31,7 +31,7 @@
     Own,
     /// The record of another gateway.
     Peer,
-    /// No other version was listed.
+    /// The store's record has no other version.
     OneVersion,
 }
 
@@ -94,15 +94,7 @@
         if let Some(record) = key.and_then(|key| shared.find_stream(key)) {
             return Some((record.version, VersionSource::Own));
         }
-        let (mut sole, is_certain) = shared.sole_version(&fwd.service);
-        if sole.is_some() && !is_certain {
-            // A version that has left the list since may have begun the stream.
-            sole = match shared.wait_for_versions(RECORD_TIMEOUT).await {
-                true => shared.sole_version(&fwd.service).0,
-                false => None,
-            };
-        }
-        if let Some(version) = sole {
+        if let Some(version) = shared.sole_version(&fwd.service, RECORD_TIMEOUT).await {
             return Some((version, VersionSource::OneVersion));
         }
         let key = key?;
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -5,7 +5,7 @@
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
 //! `switching`, `crashes`, `pressure`, `distances`, `quotas`, `lease`, `speeds`, `calls`,
 //! `unknown_places`. `demand`, `evacuated_at`, `known_gateways`, `streams`, and `asked_streams` are held by
-//! themselves. `version_history` is taken after `runners`. No lock is held across an await point.
+//! themselves. `versions` is taken after `runners`. No lock is held across an await point.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
     PrefillEnds, PrefillEndsConfig, PrefillQueue, PrefillSelection, QueueRank, RegionDistances,
     RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads,
     RunnerSpeeds, Runs, SelectionContext, StreamKey, StreamVersions, TimingConfig, TimingModel,
-    TypicalPatience, UnreadablePart, VersionHistory, WaitQueue, pick_for_call, pick_for_prefill,
+    TypicalPatience, UnreadablePart, VersionLedger, WaitQueue, pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -61,7 +61,7 @@
 pub(crate) use moves::MoveDecision;
 pub(crate) use relayed::RoutingUpdate;
 pub(crate) use revisions::{Confirmation, InForce};
-pub(crate) use streams::{KEEPERS, VersionSighting};
+pub(crate) use streams::{KEEPERS, VersionRead};
 
 /// Maximum number of log lines about unreadable parts of one version of the configuration.
 const MAX_LOGGED_PARTS: usize = 8;
@@ -167,12 +167,16 @@
     pub stream_records_due: Notify,
     /// Notified when another gateway has told the version of a stream.
     stream_found: Notify,
-    /// Software versions that were listed.
-    version_history: Mutex<VersionHistory>,
-    /// True once the store's record of versions was read.
-    versions_read: watch::Sender<bool>,
+    /// Software versions that are listed, and those that are in the store's record.
+    versions: Mutex<VersionLedger>,
+    /// The last read of that record for requests.
+    version_reads: watch::Sender<VersionRead>,
+    /// Number of requests for such a read.
+    version_tickets: AtomicU64,
     /// Notified when that record must be read.
     pub versions_wanted: Notify,
+    /// Notified when a listed version is not known to be in that record.
+    pub versions_changed: Notify,
     draws: Mutex<ChaCha8Rng>,
 }
 
@@ -240,9 +244,11 @@
             asked_streams: Mutex::default(),
             stream_records_due: Notify::new(),
             stream_found: Notify::new(),
-            version_history: Mutex::default(),
-            versions_read: watch::Sender::new(false),
+            versions: Mutex::default(),
+            version_reads: watch::Sender::default(),
+            version_tickets: AtomicU64::new(0),
             versions_wanted: Notify::new(),
+            versions_changed: Notify::new(),
             draws: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         }
     }
@@ -337,11 +343,12 @@
     }
 
     /// True once requests can be served: a configuration is in force, the evacuations are known, and
-    /// some runners are.
+    /// some runners are, of which those of a version may begin streams.
     pub(crate) fn can_serve(&self) -> bool {
         self.routing.load().is_some()
             && self.knows_evacuations()
             && self.runners.lock().directory.has_entries()
+            && self.versions.lock().is_settled(self.now())
     }
 
     /// True once a configuration is in force, and the evacuations and the full list of runners are
--- a/crates/bulrushusher_gateway/src/shared/starts.rs
+++ b/crates/bulrushusher_gateway/src/shared/starts.rs
@@ -24,6 +24,7 @@
         let status = self.with_runners(|runners, now| runners.directory.put(runner, now));
         if matches!(status, StartStatus::Current | StartStatus::Newer) {
             self.observe_cold(&observed);
+            self.observe_version(&observed);
         }
         self.apply_start(&observed.id, status);
         status
@@ -44,6 +45,7 @@
         let restarted: HashSet<&RunnerId> = diff.restarted.iter().collect();
         for runner in observed.iter().filter(|runner| !passed_over.contains(&runner.id)) {
             self.observe_cold(runner);
+            self.observe_version(runner);
             let is_later = restarted.contains(&runner.id);
             let status = if is_later { StartStatus::Newer } else { StartStatus::Current };
             self.apply_start(&runner.id, status);
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -1,6 +1,8 @@
 //! Which software version began each stream, at this gateway and at those that keep its records.
 
-use bulrushusher_forward::{Runner, SoftwareVersion, StreamKey, StreamRecord};
+use std::sync::atomic::Ordering;
+
+use bulrushusher_forward::{Runner, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord};
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
 
@@ -11,21 +13,12 @@
 /// within this time may have begun a stream.
 const MAX_STREAM_LIFETIME: Millis = Millis(60_000);
 
-/// Interval at which the listed versions are recorded: a runner that is removed was listed at most
-/// this long before.
+/// Interval at which the listed versions are recorded here.
 const OBSERVE_INTERVAL: Millis = Millis(500);
 
-/// Number of gateways that keep the store's record of versions that serve side by side.
+/// Number of gateways that write the store's record of versions first.
 const RECORD_KEEPERS: usize = 2;
 
-/// A software version of a service, and when it was last listed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct VersionSighting {
-    pub service: ServiceName,
-    pub version: SoftwareVersion,
-    pub at: Millis,
-}
-
 /// Number of other gateways that keep the record of a stream.
 pub(crate) const KEEPERS: usize = 2;
 
@@ -102,80 +95,128 @@
         })
     }
 
-    /// The only version that may have begun a stream of the service that still lasts; `None` if several
-    /// may have, or if the list of runners is too old to tell. The second value is false if this gateway
-    /// has not run for as long as a stream may last, nor read the store's record, so that it may have
-    /// missed a version.
-    pub(crate) fn sole_version(&self, service: &ServiceName) -> (Option<SoftwareVersion>, bool) {
-        if !self.is_copy_current(Topic::Runners) {
-            return (None, false);
+    /// Reads the store's record of versions, after this call, and returns the only version that can have
+    /// begun a stream of the service. `None` if several can have, or if the record was not read within
+    /// `longest` or proves nothing.
+    pub(crate) async fn sole_version(
+        &self,
+        service: &ServiceName,
+        longest: Millis,
+    ) -> Option<SoftwareVersion> {
+        let mut reads = self.version_reads.subscribe();
+        let ticket = self.version_tickets.fetch_add(1, Ordering::Relaxed) + 1;
+        self.versions_wanted.notify_one();
+        let read = reads.wait_for(|read| read.ticket >= ticket);
+        let read = tokio::time::timeout(longest.duration(), read).await.ok()?.ok()?;
+        let versions = read.versions.as_ref()?;
+        let mut of_service = versions.iter().filter(|it| it.service == *service);
+        match (of_service.next(), of_service.next()) {
+            (Some(sole), None) => Some(sole.version.clone()),
+            _ => None,
         }
-        self.observe_versions();
+    }
+
+    /// The number of requests for a read of the record so far.
+    pub(crate) fn version_ticket(&self) -> u64 {
+        self.version_tickets.load(Ordering::Relaxed)
+    }
+
+    /// Publishes a read of the record that began after the request with that ticket.
+    pub(crate) fn publish_version_read(&self, read: VersionRead) {
+        self.version_reads.send_replace(read);
+    }
+
+    /// Applies the content of the record.
+    pub(crate) fn set_recorded_versions(&self, recorded: &[ServiceVersion]) {
         let now = self.now();
-        let sole = self.version_history.lock().sole(service, now.since(MAX_STREAM_LIFETIME));
-        let is_certain = now.since(self.started_at) >= MAX_STREAM_LIFETIME;
-        (sole, is_certain || *self.versions_read.borrow())
+        self.versions.lock().set_recorded(recorded.iter().cloned(), now);
+        self.apply_serving_versions();
     }
 
-    /// Waits up to `longest` until the store's record of versions was read.
-    pub(crate) async fn wait_for_versions(&self, longest: Millis) -> bool {
-        self.versions_wanted.notify_one();
-        let mut read = self.versions_read.subscribe();
-        let waiting = read.wait_for(|is_read| *is_read);
-        tokio::time::timeout(longest.duration(), waiting).await.is_ok_and(|read| read.is_ok())
+    /// The listed versions that are not known to be in the record.
+    pub(crate) fn unrecorded_versions(&self) -> Vec<ServiceVersion> {
+        self.versions.lock().unrecorded()
     }
 
-    /// Records that the store's record of versions was read.
-    pub(crate) fn set_versions_read(&self) {
-        self.versions_read.send_replace(true);
+    /// Versions that are in the record as far as is known here.
+    pub(crate) fn recorded_versions(&self) -> Vec<ServiceVersion> {
+        self.versions.lock().recorded()
     }
 
-    /// Records versions that other gateways have seen.
-    pub(crate) fn learn_versions(&self, sightings: &[VersionSighting]) {
-        let mut history = self.version_history.lock();
-        for VersionSighting { service, version, at } in sightings {
-            history.observe(service, version, *at);
-        }
+    /// Longest time from the beginning of a stream to a caller's last return.
+    pub(crate) fn stream_lifetime(&self) -> Millis {
+        MAX_STREAM_LIFETIME
     }
 
-    /// The versions of services of which several are recent.
-    pub(crate) fn mixed_versions(&self) -> Vec<VersionSighting> {
-        let mixed = self.version_history.lock().mixed();
-        mixed
-            .into_iter()
-            .map(|(service, version, at)| VersionSighting { service, version, at })
-            .collect()
+    /// True if this gateway has run for as long as a stream may last.
+    pub(crate) fn outlasts_streams(&self) -> bool {
+        self.now().since(self.started_at) >= MAX_STREAM_LIFETIME
     }
 
-    /// Time before which a version that was last listed no longer counts.
-    pub(crate) fn oldest_version_sighting(&self) -> Millis {
-        self.now().since(MAX_STREAM_LIFETIME)
+    /// True if this gateway has run for as long as a stream may last, and the version was not listed
+    /// meanwhile, so that it can have begun no stream that still lasts.
+    pub(crate) fn is_version_over(&self, version: &ServiceVersion) -> bool {
+        let now = self.now();
+        self.outlasts_streams()
+            && self.is_copy_current(Topic::Runners)
+            && !self.versions.lock().is_listed_since(version, now.since(MAX_STREAM_LIFETIME))
     }
 
-    /// True if this gateway is one of those that keep the store's record of versions.
+    /// True if this gateway is one of those that write the store's record of versions first.
     pub(crate) fn keeps_version_record(&self) -> bool {
         let known = self.known_gateways.lock();
-        known.certain_count(self.now()).is_some()
-            && known.is_among_first(RECORD_KEEPERS, "versions", self.cfg().name.as_str())
+        known.is_among_first(RECORD_KEEPERS, "versions", self.cfg().name.as_str())
+    }
+
+    /// Number of other gateways that are known.
+    pub(crate) fn other_gateways(&self) -> usize {
+        self.known_gateways.lock().others.len()
+    }
+
+    /// Records the version of a listed runner. A new one has to be recorded in the store.
+    pub(super) fn observe_version(&self, runner: &Runner) {
+        if runner.stage.is_none() {
+            return;
+        }
+        let (service, version) = (runner.service.clone(), runner.version.clone());
+        let now = self.now();
+        if self.versions.lock().observe(&ServiceVersion { service, version }, now) {
+            self.versions_changed.notify_one();
+        }
     }
 
-    /// Records the versions of the listed runners.
-    fn observe_versions(&self) {
+    /// Lets runners of the versions serve that are recorded.
+    fn apply_serving_versions(&self) {
         self.with_runners(|runners, now| {
-            let mut history = self.version_history.lock();
-            for runner in runners.directory.all(now) {
-                history.observe(&runner.service, &runner.version, now);
-            }
-            history.forget_before(now.since(MAX_STREAM_LIFETIME));
+            let versions = self.versions.lock();
+            let all = versions.recorded().into_iter().chain(versions.unrecorded());
+            let serving = all.filter(|it| versions.may_serve(it, now)).collect();
+            runners.directory.set_serving(serving);
         });
     }
 
     /// Records the listed versions and drops expired records, until the gateway stops.
     pub(crate) async fn watch_versions(&self) {
+        self.apply_serving_versions();
         loop {
             tokio::time::sleep(OBSERVE_INTERVAL.duration()).await;
-            self.observe_versions();
-            self.streams.lock().drop_expired(self.now());
+            let listed: Vec<Runner> = self.with_runners(|runners, now| {
+                runners.directory.all(now).filter(|it| it.stage.is_some()).cloned().collect()
+            });
+            listed.iter().for_each(|runner| self.observe_version(runner));
+            let now = self.now();
+            self.versions.lock().forget_before(now.since(MAX_STREAM_LIFETIME));
+            self.apply_serving_versions();
+            self.streams.lock().drop_expired(now);
         }
     }
 }
+
+/// A read of the store's record of versions.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct VersionRead {
+    /// The read began after the request with this ticket.
+    pub ticket: u64,
+    /// The versions that can have begun a stream that still lasts; `None` if the record proves nothing.
+    pub versions: Option<Vec<ServiceVersion>>,
+}
--- a/crates/bulrushusher_gateway/src/store/versions.rs
+++ b/crates/bulrushusher_gateway/src/store/versions.rs
@@ -1,59 +1,115 @@
-//! Persists which software versions served side by side, for gateways that start after all others have
-//! ended: the version that began a stream may have left the list of runners in between.
+//! Keeps the store's record of the software versions that can have begun a stream, for gateways that
+//! start after all others have ended: that version may have left the list of runners in between.
 //!
-//! While several versions serve, the first few gateways keep the record current. It is read by a gateway
-//! that has just started when a caller continues a stream that no gateway knows.
+//! Model runners of a version serve only once the version is in the record, and a version leaves it
+//! only after no stream of it can last. A caller that continues a stream which no gateway knows is
+//! bound to the only version in the record, as read after its request arrived.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use bulrushusher_forward::{ServiceVersion, era_of};
 use bulrushusher_report::GatewayMetrics;
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
 use serde::{Deserialize, Serialize};
 
-use crate::dialect::{PlatformStore, RecordWrite};
-use crate::shared::{SharedState, VersionSighting};
-use crate::store::{CALL_TIMEOUT, RETRY_DELAY, parse_record};
+use crate::dialect::{PlatformStore, RecordWrite, Topic};
+use crate::shared::{SharedState, VersionRead};
+use crate::store::{CALL_TIMEOUT, RETRY_DELAY};
 
 /// Name of the record in the store.
-const RECORD: &str = "versions";
+const RECORD: &str = "stream-versions";
 
-/// Interval of the checks for a version that is not in the record.
+/// Interval of the checks for versions to add or to remove.
 const CHECK_INTERVAL: Millis = Millis(500);
 
-/// Interval at which the record is written while versions serve side by side; short compared with the
-/// time for which a version counts after it was last seen.
-const REFRESH_INTERVAL: Millis = Millis(10_000);
+/// Time between two reads for requests.
+const MIN_READ_INTERVAL: Millis = Millis(100);
+
+/// Delay of gateways that are not the first to write, and what each known gateway adds to it, half of
+/// it random: they find the record written and only read it.
+const READER_DELAY: Millis = Millis(20);
+const READER_DELAY_PER_GATEWAY: f64 = 0.5;
+
+/// Longest delay after a conflict with another writer.
+const CONFLICT_DELAY: Millis = Millis(40);
+
+/// Stands for the era of a record that cannot be read; it differs from that of any store.
+const UNKNOWN_ERA: u64 = u64::MAX;
 
 /// Contents of the record.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct VersionRecord {
-    /// By service and version: when it was last listed, by the clock of the VM that wrote it.
-    seen: BTreeMap<String, BTreeMap<String, Millis>>,
+    /// Era of the store in which it was written. A store that is restored from a backup may have lost
+    /// versions that were added since.
+    era: u64,
+    /// True if no version is missing that can have begun a stream which still lasts.
+    is_complete: bool,
+    /// Versions by service.
+    versions: BTreeMap<String, BTreeSet<String>>,
 }
 
 impl VersionRecord {
-    fn add(&mut self, sighting: &VersionSighting) {
-        let versions = self.seen.entry(sighting.service.to_string()).or_default();
-        let at = versions.entry(sighting.version.as_str().to_owned()).or_default();
-        *at = sighting.at.max(*at);
+    fn add(&mut self, added: &ServiceVersion) {
+        let versions = self.versions.entry(added.service.to_string()).or_default();
+        versions.insert(added.version.as_str().to_owned());
+    }
+
+    fn remove(&mut self, removed: &ServiceVersion) {
+        if let Some(versions) = self.versions.get_mut(removed.service.as_str()) {
+            versions.remove(removed.version.as_str());
+        }
+        self.versions.retain(|_, versions| !versions.is_empty());
     }
 
-    fn sightings(&self) -> Vec<VersionSighting> {
-        let of_service = |(service, versions): (&String, &BTreeMap<String, Millis>)| {
+    /// All versions; a service whose name is not valid has no runners.
+    fn all(&self) -> Vec<ServiceVersion> {
+        let of_service = |(service, versions): (&String, &BTreeSet<String>)| {
             let service = ServiceName::try_from(service.as_str()).ok()?;
-            let sighting = |(version, at): (&String, &Millis)| VersionSighting {
+            let version = |version: &String| ServiceVersion {
                 service: service.clone(),
                 version: version.as_str().into(),
-                at: *at,
             };
-            Some(versions.iter().map(sighting).collect::<Vec<_>>())
+            Some(versions.iter().map(version).collect::<Vec<_>>())
         };
-        self.seen.iter().filter_map(of_service).flatten().collect()
+        self.versions.iter().filter_map(of_service).flatten().collect()
     }
 }
 
+/// The record as it was read, with the store's era.
+struct ReadRecord {
+    record: VersionRecord,
+    /// `None` if there is no record.
+    revision: Option<u64>,
+    era: u64,
+}
+
+impl ReadRecord {
+    /// True if the record speaks for all streams that still last.
+    fn is_proof(&self) -> bool {
+        self.revision.is_some() && self.record.is_complete && self.record.era == self.era
+    }
+}
+
+/// The record as this gateway last knew it.
+#[derive(Debug, Default)]
+struct KnownRecord {
+    versions: Vec<ServiceVersion>,
+    era: u64,
+    /// Since when it has been known to lack versions of earlier streams.
+    incomplete_since: Option<Millis>,
+}
+
+/// What a write did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sync {
+    /// The record has all listed versions.
+    Done,
+    /// Another gateway wrote the record first.
+    Conflict,
+}
+
 /// The task that reads and writes the record.
 #[derive(Debug)]
 pub(crate) struct VersionKeeper<S> {
@@ -65,71 +121,134 @@
 impl<S: PlatformStore> VersionKeeper<S> {
     /// Reads and writes until dropped.
     pub(crate) async fn run(self) {
-        tokio::join!(self.read_on_demand(), self.keep_current());
+        tokio::join!(self.read_for_requests(), self.keep_current());
     }
 
-    /// Reads the record once, when a request needs it.
-    async fn read_on_demand(&self) {
-        self.shared.versions_wanted.notified().await;
-        while let Err(cause) = self.sync(&[]).await {
-            log::info!("versions: record not read, retrying cause=\"{cause}\"");
-            tokio::time::sleep(RETRY_DELAY.duration()).await;
+    /// Reads the record whenever a request needs it.
+    async fn read_for_requests(&self) {
+        loop {
+            self.shared.versions_wanted.notified().await;
+            let ticket = self.shared.version_ticket();
+            let versions = match self.read().await {
+                Ok(read) => read.is_proof().then(|| read.record.all()),
+                Err(cause) => {
+                    log::info!("versions: record not read cause=\"{cause}\"");
+                    None
+                }
+            };
+            self.shared.publish_version_read(VersionRead { ticket, versions });
+            tokio::time::sleep(MIN_READ_INTERVAL.duration()).await;
         }
-        self.shared.set_versions_read();
     }
 
-    /// Writes the record while several versions serve, if that is this gateway's task.
+    /// Has all listed versions recorded, and removes those of which no stream lasts.
     async fn keep_current(&self) {
-        let (mut written, mut written_at) = (Vec::new(), None::<Millis>);
+        let mut restores = self.shared.store_restores();
+        let mut known = KnownRecord::default();
         loop {
-            tokio::time::sleep(CHECK_INTERVAL.duration()).await;
-            let mixed = self.shared.mixed_versions();
-            if mixed.is_empty() || !self.shared.keeps_version_record() {
+            let is_restored = tokio::select! {
+                () = self.shared.versions_changed.notified() => false,
+                _ = restores.changed() => true,
+                () = tokio::time::sleep(CHECK_INTERVAL.duration()) => false,
+            };
+            let is_keeper = self.shared.keeps_version_record();
+            let is_missing = !self.shared.unrecorded_versions().is_empty();
+            let is_change_due = is_keeper
+                && (known.versions.iter().any(|it| self.shared.is_version_over(it))
+                    || self.is_complete_by_now(&known));
+            if !(is_missing || is_restored || is_change_due) {
                 continue;
             }
-            let names: Vec<_> =
-                mixed.iter().map(|it| (it.service.clone(), it.version.clone())).collect();
-            let now = self.shared.now();
-            let is_fresh = written_at.is_some_and(|at| now.since(at) < REFRESH_INTERVAL);
-            if is_fresh && names == written {
-                continue;
+            if !is_keeper {
+                let others = self.shared.other_gateways() as f64 * READER_DELAY_PER_GATEWAY;
+                let spread = Millis((others * self.shared.draw()) as u64);
+                tokio::time::sleep(READER_DELAY.plus(spread).duration()).await;
             }
-            match self.sync(&mixed).await {
-                Ok(()) => (written, written_at) = (names, Some(now)),
+            match self.sync(&mut known, is_keeper).await {
+                Ok(Sync::Done) => {}
+                Ok(Sync::Conflict) => {
+                    let delay = CONFLICT_DELAY.share(self.shared.draw());
+                    tokio::time::sleep(delay.duration()).await;
+                    self.shared.versions_changed.notify_one();
+                }
                 Err(cause) => {
                     log::info!("versions: record not written, retrying cause=\"{cause}\"");
-                    tokio::time::sleep(RETRY_DELAY.duration()).await;
+                    tokio::time::sleep(RETRY_DELAY.share(0.5).duration()).await;
+                    self.shared.versions_changed.notify_one();
                 }
             }
         }
     }
 
-    /// Reads the record, and writes it with the sightings if there are any.
-    async fn sync(&self, sightings: &[VersionSighting]) -> Result<(), String> {
+    /// Reads the record, and writes it if versions have to be added or removed.
+    async fn sync(&self, known: &mut KnownRecord, is_keeper: bool) -> Result<Sync, String> {
+        let read = self.read().await?;
+        let next = self.update(&read, known, is_keeper);
+        if read.revision.is_none() || next != read.record {
+            let value = serde_json::to_value(&next).map_err(|e| e.to_string())?;
+            let written = self.store.write_record(RECORD, value, read.revision, CALL_TIMEOUT).await;
+            match written.map_err(|e| e.to_string())? {
+                RecordWrite::Conflict => return Ok(Sync::Conflict),
+                RecordWrite::Written(revision) => {
+                    self.metrics.record_store_call("versions", "written");
+                    log::info!(
+                        "versions: written versions={} complete={} revision={revision}",
+                        next.all().len(),
+                        next.is_complete,
+                    );
+                }
+            }
+        }
+        let now = self.shared.now();
+        known.incomplete_since = match (next.is_complete, known.incomplete_since) {
+            (true, _) => None,
+            (false, since) if known.era == next.era => since.or(Some(now)),
+            (false, _) => Some(now),
+        };
+        (known.versions, known.era) = (next.all(), next.era);
+        self.shared.set_recorded_versions(&known.versions);
+        Ok(Sync::Done)
+    }
+
+    /// The content that the record must have.
+    fn update(&self, read: &ReadRecord, known: &KnownRecord, is_keeper: bool) -> VersionRecord {
+        let mut next = read.record.clone();
+        if read.revision.is_none() || read.record.era != read.era {
+            // Nobody has served a stream before the first record. After a restore or behind a record
+            // that cannot be read, only a gateway that has run for long knows what is missing.
+            let is_first = read.revision.is_none() && read.era == 0;
+            next.is_complete = is_first || self.shared.outlasts_streams();
+            next.era = read.era;
+            self.shared.recorded_versions().iter().for_each(|it| next.add(it));
+        }
+        next.is_complete |= known.era == next.era && self.is_complete_by_now(known);
+        if is_keeper {
+            let all = next.all();
+            all.iter().filter(|it| self.shared.is_version_over(it)).for_each(|it| next.remove(it));
+        }
+        self.shared.unrecorded_versions().iter().for_each(|it| next.add(it));
+        next
+    }
+
+    /// True if each stream that began before the record had all versions has ended.
+    fn is_complete_by_now(&self, known: &KnownRecord) -> bool {
+        let lifetime = self.shared.stream_lifetime();
+        known.incomplete_since.is_some_and(|at| self.shared.now().since(at) >= lifetime)
+    }
+
+    async fn read(&self) -> Result<ReadRecord, String> {
         let record = self.store.read_record(RECORD, CALL_TIMEOUT).await;
         let record = record.map_err(|e| e.to_string())?;
         self.metrics.record_store_call("versions", "read");
-        let (revision, mut stored) = match record {
-            Some(record) => (Some(record.revision), parse_record(RECORD, record.value)),
-            None => (None, VersionRecord::default()),
+        let Some(record) = record else {
+            let era = era_of(self.shared.seen_revision(Topic::Runners));
+            return Ok(ReadRecord { record: VersionRecord::default(), revision: None, era });
         };
-        self.shared.learn_versions(&stored.sightings());
-        if sightings.is_empty() {
-            return Ok(());
-        }
-        let oldest = self.shared.oldest_version_sighting();
-        stored.seen.values_mut().for_each(|versions| versions.retain(|_, at| *at >= oldest));
-        stored.seen.retain(|_, versions| !versions.is_empty());
-        sightings.iter().for_each(|it| stored.add(it));
-        let value = serde_json::to_value(&stored).map_err(|e| e.to_string())?;
-        let written = self.store.write_record(RECORD, value, revision, CALL_TIMEOUT).await;
-        match written.map_err(|e| e.to_string())? {
-            RecordWrite::Written(revision) => {
-                self.metrics.record_store_call("versions", "written");
-                log::info!("versions: written versions={} revision={revision}", sightings.len());
-                Ok(())
-            }
-            RecordWrite::Conflict => Err("another gateway wrote the record first".to_owned()),
-        }
+        let era = era_of(record.revision);
+        let content = serde_json::from_value(record.value).unwrap_or_else(|e| {
+            log::error!("versions: record cannot be read cause=\"{e}\"; it is written anew");
+            VersionRecord { era: UNKNOWN_ERA, ..VersionRecord::default() }
+        });
+        Ok(ReadRecord { record: content, revision: Some(record.revision), era })
     }
 }
