Streams: their versions are saved in the store while several serve

Change: streams are divided into 64 shards by key. A return that no gateway knows reads its shard, beside the questions to peers. Without several versions nothing is written or read.

--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -141,7 +141,9 @@
 pub use stages::{OrderLease, OrderLeaseConfig, StageChange, StagesConfig, needed_stage_changes};
 pub use start_times::{StartStatus, StartTimes};
 pub use stop_outcome::StopOutcome;
-pub use stream_versions::{ServiceVersion, StreamKey, StreamRecord, StreamVersions, VersionLedger};
+pub use stream_versions::{
+    ServiceVersion, StreamKey, StreamRecord, StreamShard, StreamVersions, VersionLedger,
+};
 pub use timing_model::{TimingConfig, TimingModel};
 pub use wait_queue::{
     AccountCost, QueueOrder, QueueRank, WaitQueue, WaitQueueConfig, should_request_memory,
--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -3,10 +3,11 @@
 //! A stream continues only at the version that began it. The gateway that begins a stream keeps its
 //! version and sends it to a few others, which answer for it when the caller returns elsewhere.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -23,7 +24,7 @@
 const RESEND_INTERVAL: Millis = Millis(80);
 
 /// Identifies a stream by the id of the attempt that brought its first event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StreamKey(u128);
 
 impl StreamKey {
@@ -32,12 +33,31 @@
         StreamKey(xxh3_128(id.as_str().as_bytes()))
     }
 
-    /// The key as text, for rendezvous hashing.
+    /// The key as text.
     pub fn to_hex(self) -> String {
         format!("{:032x}", self.0)
     }
+
+    /// The key with that text.
+    pub fn from_hex(text: &str) -> Option<StreamKey> {
+        u128::from_str_radix(text, 16).ok().map(StreamKey)
+    }
+
+    /// The shard whose keepers have the record of the stream.
+    pub fn shard(self) -> StreamShard {
+        StreamShard((self.0 % u128::from(SHARDS)) as u8)
+    }
 }
 
+/// Number of shards. Each has two keepers among the gateways, and one object in the store: with 2,800
+/// streams a second, one keeps 44 of them.
+const SHARDS: u8 = 64;
+
+/// A part of all streams, by their keys.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("streams-{_0}")]
+pub struct StreamShard(u8);
+
 /// The version that began a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamRecord {
@@ -81,6 +101,8 @@
     known: HashMap<StreamKey, Known>,
     /// Own records that the gateways which keep them have not all confirmed.
     unconfirmed: HashMap<StreamKey, Unconfirmed>,
+    /// Shards with records that may be missing in the store.
+    unsaved: BTreeSet<StreamShard>,
 }
 
 impl StreamVersions {
@@ -97,6 +119,16 @@
     /// Records what another gateway knows of a stream; false if it was known or there is no room. The
     /// version of a stream never changes, so the first record stays.
     pub fn record(&mut self, record: StreamRecord, now: Millis) -> bool {
+        let shard = record.key.shard();
+        let is_new = self.learn(record, now);
+        if is_new {
+            self.unsaved.insert(shard);
+        }
+        is_new
+    }
+
+    /// Records what the store has of a stream; false if it was known or there is no room.
+    pub fn learn(&mut self, record: StreamRecord, now: Millis) -> bool {
         if self.known.len() >= MAX_RECORDS {
             self.known.retain(|_, it| now < it.expires_at);
         }
@@ -115,6 +147,40 @@
         Some(StreamRecord { key, version: known.version.clone(), lifetime })
     }
 
+    /// Takes the shards with records that may be missing in the store, of those that `is_kept` here.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{RequestId, StreamKey, StreamRecord, StreamVersions};
+    /// use bulrushusher_time::Millis;
+    /// let key = StreamKey::of(&RequestId::from("r-1"));
+    /// let record = StreamRecord { key, version: "v2".into(), lifetime: Millis(14_000) };
+    /// let mut streams = StreamVersions::default();
+    /// streams.record(record.clone(), Millis(0));
+    /// assert!(streams.take_unsaved(|_| false).is_empty());
+    /// assert_eq!(streams.take_unsaved(|_| true), [key.shard()]);
+    /// assert_eq!(streams.of_shard(key.shard(), Millis(0)), [record]);
+    /// assert!(streams.take_unsaved(|_| true).is_empty());
+    /// ```
+    pub fn take_unsaved(&mut self, is_kept: impl Fn(StreamShard) -> bool) -> Vec<StreamShard> {
+        let taken: Vec<StreamShard> =
+            self.unsaved.iter().copied().filter(|shard| is_kept(*shard)).collect();
+        self.unsaved.retain(|shard| !taken.contains(shard));
+        taken
+    }
+
+    /// Marks a shard whose records could not be saved.
+    pub fn mark_unsaved(&mut self, shard: StreamShard) {
+        self.unsaved.insert(shard);
+    }
+
+    /// All records of a shard, those that last longest first.
+    pub fn of_shard(&self, shard: StreamShard, now: Millis) -> Vec<StreamRecord> {
+        let keys = self.known.keys().filter(|key| key.shard() == shard);
+        let mut records: Vec<StreamRecord> = keys.filter_map(|key| self.find(*key, now)).collect();
+        records.sort_unstable_by_key(|it| (std::cmp::Reverse(it.lifetime), it.key));
+        records
+    }
+
     /// Records that one of the gateways that keep an own record has it.
     pub fn confirm(&mut self, key: StreamKey) {
         let Some(unconfirmed) = self.unconfirmed.get_mut(&key) else { return };
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::store::orders::StageKeeper;
 use crate::store::quarantine::QuarantineKeeper;
 use crate::store::renewing::LeaseKeeper;
+use crate::store::streams::StreamSaver;
 use crate::store::versions::VersionKeeper;
 
 /// Length of the accept queue; large enough for a burst, as a full queue delays callers by a
@@ -79,6 +80,7 @@
     tasks.spawn(async move { shared.watch_versions().await });
     tasks.spawn(components.quarantine_keeper(&store).run());
     tasks.spawn(components.version_keeper(&store).run());
+    tasks.spawn(components.stream_saver(&store).run());
     tasks.spawn(components.stage_keeper(store).run());
     let server = Arc::new(Server::new(components.front.clone(), clock));
     let sweeper = server.clone();
@@ -161,6 +163,10 @@
         VersionKeeper { store: store.clone(), shared, metrics }
     }
 
+    fn stream_saver<S: PlatformStore>(&self, store: &S) -> StreamSaver<S> {
+        StreamSaver::new(store.clone(), self.shared.clone(), self.metrics.clone())
+    }
+
     fn announcer<S: PlatformStore>(&self, store: &S, address: SocketAddr) -> Arc<Announcer<S>> {
         let (shared, lifecycle) = (self.shared.clone(), self.lifecycle.clone());
         Arc::new(Announcer::new(store.clone(), shared, lifecycle, address))
--- a/crates/bulrushusher_gateway/src/peers/stream_records.rs
+++ b/crates/bulrushusher_gateway/src/peers/stream_records.rs
@@ -24,12 +24,13 @@
             let (records, asked) = self.shared.take_stream_messages();
             let now = self.shared.now();
             for record in records {
-                let key = record.key.to_hex();
-                let to = self.announcer.directory.lock().first_for(&key, KEEPERS, now);
+                let shard = record.key.shard().to_string();
+                let to = self.announcer.directory.lock().first_for(&shard, KEEPERS, now);
                 self.send_message(socket, Message::KeepStream(record), &to).await;
             }
             for key in asked {
-                let to = self.announcer.directory.lock().first_for(&key.to_hex(), ASKED, now);
+                let shard = key.shard().to_string();
+                let to = self.announcer.directory.lock().first_for(&shard, ASKED, now);
                 self.send_message(socket, Message::FindStream(key), &to).await;
             }
         }
--- a/crates/bulrushusher_gateway/src/runs/returns.rs
+++ b/crates/bulrushusher_gateway/src/runs/returns.rs
@@ -29,7 +29,7 @@
 enum VersionSource {
     /// A record at this gateway.
     Own,
-    /// The record of another gateway.
+    /// The record of another gateway, or of the store.
     Peer,
     /// The store's record has no other version.
     OneVersion,
@@ -98,6 +98,7 @@
             return Some((version, VersionSource::OneVersion));
         }
         let key = key?;
+        shared.look_up_stream(key);
         for longest in [LOOKUP_RESEND, LOOKUP_TIMEOUT.since(LOOKUP_RESEND)] {
             shared.ask_for_stream(key);
             if let Some(record) = shared.wait_for_stream(key, longest).await {
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -4,10 +4,11 @@
 //! Lock order where two locks are held at once: `runners`, `retry_budgets`, `queues`, `timings`,
 //! `runs`, `prefill_ends`, `relays`, `relayed`, `health`, `pauses`, `revisions`, `confirmations`,
 //! `switching`, `crashes`, `pressure`, `distances`, `quotas`, `lease`, `speeds`, `calls`,
-//! `unknown_places`. `demand`, `evacuated_at`, `known_gateways`, `streams`, and `asked_streams` are held by
+//! `unknown_places`. `demand`, `evacuated_at`, `known_gateways`, `streams`,
+//! `asked_streams`, `wanted_shards` and `recorded_versions` are held by
 //! themselves. `versions` is taken after `runners`. No lock is held across an await point.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 
@@ -18,8 +19,9 @@
     DemandMeter, EngineSpec, HealthConfig, KnownGateways, PeersConfig, PlaceScope, PlaceView,
     PrefillEnds, PrefillEndsConfig, PrefillQueue, PrefillSelection, QueueRank, RegionDistances,
     RelayView, Route, RoutingConfig, Runner, RunnerDirectory, RunnerHealth, RunnerLoads,
-    RunnerSpeeds, Runs, SelectionContext, StreamKey, StreamVersions, TimingConfig, TimingModel,
-    TypicalPatience, UnreadablePart, VersionLedger, WaitQueue, pick_for_call, pick_for_prefill,
+    RunnerSpeeds, Runs, SelectionContext, ServiceVersion, StreamKey, StreamShard, StreamVersions,
+    TimingConfig, TimingModel, TypicalPatience, UnreadablePart, VersionLedger, WaitQueue,
+    pick_for_call, pick_for_prefill,
 };
 use bulrushusher_routing::{Quarantine, RetryBudget};
 use bulrushusher_time::{Clock, Millis};
@@ -165,6 +167,12 @@
     asked_streams: Mutex<Vec<StreamKey>>,
     /// Notified when records of streams are due, or questions for them.
     pub stream_records_due: Notify,
+    /// Shards of streams to read from the store.
+    wanted_shards: Mutex<BTreeSet<StreamShard>>,
+    /// Notified when there are some.
+    pub shards_wanted: Notify,
+    /// Versions in the store's record, as this gateway last read or wrote it.
+    recorded_versions: Mutex<Vec<ServiceVersion>>,
     /// Notified when another gateway has told the version of a stream.
     stream_found: Notify,
     /// Software versions that are listed, and those that are in the store's record.
@@ -243,6 +251,9 @@
             streams: Mutex::default(),
             asked_streams: Mutex::default(),
             stream_records_due: Notify::new(),
+            wanted_shards: Mutex::default(),
+            shards_wanted: Notify::new(),
+            recorded_versions: Mutex::default(),
             stream_found: Notify::new(),
             versions: Mutex::default(),
             version_reads: watch::Sender::default(),
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -1,8 +1,11 @@
 //! Which software version began each stream, at this gateway and at those that keep its records.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 
-use bulrushusher_forward::{Runner, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord};
+use bulrushusher_forward::{
+    Runner, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, StreamShard,
+};
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
 
@@ -58,6 +61,59 @@
         self.stream_records_due.notify_one();
     }
 
+    /// Has the record of a stream looked up in the store; it arrives by
+    /// [`SharedState::learn_streams`].
+    pub(crate) fn look_up_stream(&self, key: StreamKey) {
+        self.wanted_shards.lock().insert(key.shard());
+        self.shards_wanted.notify_one();
+    }
+
+    /// Takes the shards to read from the store.
+    pub(crate) fn take_wanted_shards(&self) -> BTreeSet<StreamShard> {
+        std::mem::take(&mut *self.wanted_shards.lock())
+    }
+
+    /// Records what the store has of streams.
+    pub(crate) fn learn_streams(&self, records: Vec<StreamRecord>) {
+        let now = self.now();
+        let mut streams = self.streams.lock();
+        records.into_iter().for_each(|record| {
+            streams.learn(record, now);
+        });
+        drop(streams);
+        self.stream_found.notify_waiters();
+    }
+
+    /// Takes the shards that this gateway has to save: those of which it is the first keeper, while
+    /// several versions can have begun streams.
+    pub(crate) fn take_unsaved_shards(&self) -> Vec<StreamShard> {
+        if !self.has_several_versions() {
+            return Vec::new();
+        }
+        let own = self.cfg().name.to_string();
+        let known = self.known_gateways.lock().clone();
+        let is_kept = |shard: StreamShard| known.is_among_first(1, &shard.to_string(), &own);
+        self.streams.lock().take_unsaved(is_kept)
+    }
+
+    /// Marks a shard whose records could not be saved.
+    pub(crate) fn mark_unsaved(&self, shard: StreamShard) {
+        self.streams.lock().mark_unsaved(shard);
+    }
+
+    /// All records of a shard that are known here.
+    pub(crate) fn streams_of(&self, shard: StreamShard) -> Vec<StreamRecord> {
+        self.streams.lock().of_shard(shard, self.now())
+    }
+
+    /// True if the store's record of versions has several of some service.
+    fn has_several_versions(&self) -> bool {
+        let recorded = self.recorded_versions.lock();
+        let mut services: Vec<&ServiceName> = recorded.iter().map(|it| &it.service).collect();
+        services.sort_unstable();
+        services.windows(2).any(|pair| pair[0] == pair[1])
+    }
+
     /// Waits up to `longest` until a stream is known here.
     pub(crate) async fn wait_for_stream(
         &self,
@@ -129,6 +185,7 @@
     /// Applies the content of the record.
     pub(crate) fn set_recorded_versions(&self, recorded: &[ServiceVersion]) {
         let now = self.now();
+        *self.recorded_versions.lock() = recorded.to_vec();
         self.versions.lock().set_recorded(recorded.iter().cloned(), now);
         self.apply_serving_versions();
     }
--- a/crates/bulrushusher_gateway/src/store/mod.rs
+++ b/crates/bulrushusher_gateway/src/store/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod orders;
 pub(crate) mod quarantine;
 pub(crate) mod renewing;
+pub(crate) mod streams;
 pub(crate) mod versions;
 
 use bulrushusher_time::Millis;
