Answers: a status that promises no run does not reach the caller of a run

A runner's own 503, 429 or 408 without the mark that it did not run the request reached the caller of a call that had run; callers repeat it, and it runs twice.

Change: such a status counts as a failed run: a call that may be repeated goes to another runner, any other gets 502, outcome unknown. The one function that forwards runners' answers checks it once more.

--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -213,13 +213,33 @@
     }
 }
 
-/// Forwards a runner's complete response.
-pub(crate) fn forward_response(head: response::Parts, body: Bytes) -> Response<ReplyBody> {
+/// True for a status that promises that the request has not run and will not.
+pub(crate) fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// Forwards a runner's complete response to a request that has run.
+///
+/// # Errors
+/// [`Refusal::OutcomeUnknown`] in place of a status that promises the opposite.
+pub(crate) fn forward_response(
+    head: response::Parts,
+    body: Bytes,
+) -> Result<Response<ReplyBody>, Refusal> {
+    if promises_not_run(head.status) {
+        return Err(Refusal::OutcomeUnknown("the runner has run the request and refused it"));
+    }
     let mut reply = Response::new(ReplyBody::whole(body));
     *reply.status_mut() = head.status;
     *reply.headers_mut() = head.headers;
     strip_hop_by_hop(reply.headers_mut());
-    reply
+    Ok(reply)
 }
 
 /// Forwards a runner's stream as it arrives.
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -9,7 +9,7 @@
 use hyper::Response;
 use hyper::http::response;
 
-use crate::answers::answer::{BACK_PRESSURE, Refusal, forward_response};
+use crate::answers::answer::{BACK_PRESSURE, Refusal, forward_response, promises_not_run};
 use crate::answers::body::ReplyBody;
 use crate::dialect::{Dialect, Step};
 use crate::runners::answer_memory::MAX_ANSWER_BYTES;
@@ -114,7 +114,7 @@
             false => attempt(cx, fwd, &runner, &trace, remaining).await,
         };
         let (end, failed, cause) = match ended {
-            AttemptResult::Answer(head, body) => return Ok(forward_response(head, body)),
+            AttemptResult::Answer(head, body) => return forward_response(head, body),
             AttemptResult::RunFailed(head, body) => {
                 (AttemptEnd::RunFailed, Some((head, body)), String::new())
             }
@@ -125,7 +125,7 @@
             NextStep::Retry => {}
             NextStep::ForwardError => {
                 if let Some((head, body)) = failed {
-                    return Ok(forward_response(head, body));
+                    return forward_response(head, body);
                 }
                 return Err(Refusal::OutcomeUnknown("the runner failed"));
             }
@@ -363,7 +363,7 @@
         let cause = "the response has no seal of its runner".to_owned();
         return Ok(AttemptResult::NoAnswer(AttemptEnd::Unknown, cause));
     }
-    Ok(match head.status.is_server_error() {
+    Ok(match head.status.is_server_error() || promises_not_run(head.status) {
         true => AttemptResult::RunFailed(head, body),
         false => AttemptResult::Answer(head, body),
     })
--- a/crates/bulrushusher_gateway/src/runs/generation.rs
+++ b/crates/bulrushusher_gateway/src/runs/generation.rs
@@ -57,7 +57,7 @@
                 let Some((head, body)) = failed else {
                     return Err(Refusal::OutcomeUnknown(reason));
                 };
-                return Ok(forward_response(head, body));
+                return forward_response(head, body);
             }
             NextStep::Finish(end) => {
                 return Err(Refusal::after_attempts(end, reason, cx.retry_after(fwd)));
