Directory: whether a runner's version serves is kept with its entry

Each selection built a key and looked it up for each runner of the service; it is computed when an entry or the set of versions changes now.

--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -62,6 +62,8 @@
     listing: Listing,
     /// When it was last applied with another content.
     changed_at: Millis,
+    /// True if its version gets new work.
+    is_serving: bool,
 }
 
 /// The latest change of a runner's entry that was applied.
@@ -361,7 +363,8 @@
                 runner.leaving |= self.has_drain_notice(&runner.id, runner.born);
                 let known = self.known.get(&runner.id).filter(|known| known.runner == runner);
                 let changed_at = known.map_or(now, |known| known.changed_at);
-                let entry = Entry { runner, listing: Listing::Listed, changed_at };
+                let is_serving = is_serving(self.serving.as_ref(), &runner);
+                let entry = Entry { runner, listing: Listing::Listed, changed_at, is_serving };
                 self.known.insert(entry.runner.id.clone(), entry);
             }
         }
@@ -491,22 +494,45 @@
         self.known
             .values()
             .filter(move |known| known.is_usable(now) && known.runner.service == *service)
+            .filter(|known| known.is_serving)
             .map(|known| &known.runner)
-            .filter(|runner| !runner.leaving && self.serves(runner))
+            .filter(|runner| !runner.leaving)
     }
 
     /// Sets the versions of which model runners get new work.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{Runner, RunnerDirectory, RunnerDirectoryConfig, Stage};
+    /// use bulrushusher_forward::ServiceVersion;
+    /// use bulrushusher_time::Millis;
+    /// let runner = Runner {
+    ///     id: "i-1".try_into().unwrap(),
+    ///     born: None,
+    ///     service: "llm".try_into().unwrap(),
+    ///     address: "10.0.0.1:80".parse().unwrap(),
+    ///     data_centre: "ba-a".try_into().unwrap(),
+    ///     slots: 1,
+    ///     stage: Some(Stage::Decode),
+    ///     leaving: false,
+    ///     cold_for: Millis(0),
+    ///     revision: 1,
+    ///     version: "v1".into(),
+    /// };
+    /// let mut runners = RunnerDirectory::new(RunnerDirectoryConfig::default());
+    /// runners.set_serving([].into());
+    /// runners.put(runner.clone(), Millis(0));
+    /// assert_eq!(runners.usable(&runner.service, Millis(0)).count(), 0);
+    /// let v1 = ServiceVersion { service: runner.service.clone(), version: "v1".into() };
+    /// runners.set_serving([v1].into());
+    /// assert_eq!(runners.usable(&runner.service, Millis(0)).count(), 1);
+    /// ```
     pub fn set_serving(&mut self, versions: HashSet<ServiceVersion>) {
+        if self.serving.as_ref() == Some(&versions) {
+            return;
+        }
         self.serving = Some(versions);
-    }
-
-    /// True if the version of the runner gets new work.
-    fn serves(&self, runner: &Runner) -> bool {
-        let Some(serving) = self.serving.as_ref().filter(|_| runner.stage.is_some()) else {
-            return true;
-        };
-        let (service, version) = (runner.service.clone(), runner.version.clone());
-        serving.contains(&ServiceVersion { service, version })
+        let serving = self.serving.as_ref();
+        self.known.values_mut().for_each(|it| it.is_serving = is_serving(serving, &it.runner));
     }
 
     /// True while the runner's data centre must get no new work. The runner stays known, and its runs
@@ -560,6 +586,12 @@
     }
 }
 
+/// True if the version of the runner gets new work, where model runners of the versions `serving` do.
+fn is_serving(serving: Option<&HashSet<ServiceVersion>>, runner: &Runner) -> bool {
+    let Some(serving) = serving.filter(|_| runner.stage.is_some()) else { return true };
+    serving.contains(&ServiceVersion::of(runner))
+}
+
 impl Entry {
     fn is_usable(&self, now: Millis) -> bool {
         match self.listing {
--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
-use crate::{RequestId, SoftwareVersion};
+use crate::{RequestId, Runner, SoftwareVersion};
 
 /// Maximum number of records; at 300 bytes each they take 20 MB. Beyond it only expired ones make
 /// room.
@@ -242,6 +242,13 @@
     pub version: SoftwareVersion,
 }
 
+impl ServiceVersion {
+    /// The version of a runner.
+    pub fn of(runner: &Runner) -> ServiceVersion {
+        ServiceVersion { service: runner.service.clone(), version: runner.version.clone() }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct VersionState {
     /// When a runner of it was first and last listed here.
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -1,6 +1,6 @@
 //! Which software version began each stream, at this gateway and at those that keep its records.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::atomic::Ordering;
 
 use bulrushusher_forward::{
@@ -235,9 +235,16 @@
         if runner.stage.is_none() {
             return;
         }
-        let (service, version) = (runner.service.clone(), runner.version.clone());
+        self.observe_versions([ServiceVersion::of(runner)]);
+    }
+
+    fn observe_versions(&self, listed: impl IntoIterator<Item = ServiceVersion>) {
         let now = self.now();
-        if self.versions.lock().observe(&ServiceVersion { service, version }, now) {
+        let mut versions = self.versions.lock();
+        let unrecorded =
+            listed.into_iter().filter(|version| versions.observe(version, now)).count();
+        drop(versions);
+        if unrecorded > 0 {
             self.versions_changed.notify_one();
         }
     }
@@ -257,10 +264,11 @@
         self.apply_serving_versions();
         loop {
             tokio::time::sleep(OBSERVE_INTERVAL.duration()).await;
-            let listed: Vec<Runner> = self.with_runners(|runners, now| {
-                runners.directory.all(now).filter(|it| it.stage.is_some()).cloned().collect()
+            let listed: HashSet<ServiceVersion> = self.with_runners(|runners, now| {
+                let models = runners.directory.all(now).filter(|it| it.stage.is_some());
+                models.map(ServiceVersion::of).collect()
             });
-            listed.iter().for_each(|runner| self.observe_version(runner));
+            self.observe_versions(listed);
             let now = self.now();
             self.versions.lock().forget_before(now.since(MAX_STREAM_LIFETIME));
             self.apply_serving_versions();
