Streams: peers are asked for a stream while the record of versions is read

A return that another gateway knew waited for the store first, up to 250 ms while it did not answer.

Evidence: the tests of versions pass (15); not measured by itself.

--- a/crates/bulrushusher_gateway/src/runs/returns.rs
+++ b/crates/bulrushusher_gateway/src/runs/returns.rs
@@ -1,5 +1,7 @@
 //! Callers that return to continue a stream: which software version began it.
 
+use std::pin::pin;
+
 use bulrushusher_forward::{RouteKind, SoftwareVersion, StreamKey};
 use bulrushusher_time::Millis;
 use bulrushusher_world::RunnerId;
@@ -94,8 +96,26 @@
         if let Some(record) = key.and_then(|key| shared.find_stream(key)) {
             return Some((record.version, VersionSource::Own));
         }
-        if let Some(version) = shared.sole_version(&fwd.service, RECORD_TIMEOUT).await {
-            return Some((version, VersionSource::OneVersion));
+        // Other gateways answer while the store does not.
+        if let Some(key) = key {
+            shared.ask_for_stream(key);
+        }
+        let of_peer = async {
+            let found = shared.wait_for_stream(key?, RECORD_TIMEOUT).await;
+            found.map(|record| (record.version, VersionSource::Peer))
+        };
+        let sole = async {
+            let version = shared.sole_version(&fwd.service, RECORD_TIMEOUT).await;
+            version.map(|version| (version, VersionSource::OneVersion))
+        };
+        let (mut of_peer, mut sole) = (pin!(of_peer), pin!(sole));
+        let found = tokio::select! {
+            biased;
+            Some(found) = &mut of_peer => Some(found),
+            found = &mut sole => found,
+        };
+        if found.is_some() {
+            return found;
         }
         let key = key?;
         shared.look_up_stream(key);
