--- a/crates/bulrushusher_gateway/src/callers/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -217,13 +217,12 @@
     connection: Arc<CallerConnection>,
     mut closing: watch::Receiver<bool>,
 ) {
-    let shared = &front.router.shared;
+    let max_head = front.router.shared.routing().map(|routing| routing.limits.header_bytes);
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).half_close(false).header_read_timeout(None);
-    // The stream applies the limit in force to each head.
-    builder.max_buf_size(shared.max_head_bytes().max(HEAD_BUFFER_BYTES));
+    builder.max_buf_size(max_head.unwrap_or(DEFAULT_MAX_HEAD_BYTES).max(MIN_MAX_HEAD_BYTES));
     let socket = Arc::new(stream);
-    let io = TokioIo::new(CallerStream::new(socket.clone(), connection.clone(), shared.clone()));
+    let io = TokioIo::new(CallerStream::new(socket.clone(), connection.clone()));
     let service = {
         let (front, connection) = (front.clone(), connection.clone());
         service_fn(move |req| front.clone().serve(req, connection.clone()))
@@ -258,9 +257,6 @@
             }
         }
     };
-    if connection.is_head_too_large() {
-        socket.try_write(HEAD_TOO_LARGE).ok();
-    }
     if let Err(e) = ended {
         log::debug!("server: connection ended early cause=\"{e}\"");
     }
@@ -270,10 +266,6 @@
 const REQUEST_TIMEOUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
-/// The response to a head that is larger than allowed.
-const HEAD_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
-                                Connection: close\r\nContent-Length: 0\r\n\r\n";
-
 /// Logs and counts a connection that the gateway closes.
 fn log_closed<D: Dialect>(front: &Front<D>, connection: &CallerConnection, reason: CloseReason) {
     let shared = &front.router.shared;
@@ -291,5 +283,8 @@
     closing.wait_for(|closing| *closing).await.ok();
 }
 
-/// Buffer of the HTTP library for a request head, in bytes. It grows as far as a head is read.
-const HEAD_BUFFER_BYTES: usize = 1 << 20;
+/// Largest request head before a configuration is loaded, in bytes.
+const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// Smallest buffer that the HTTP library accepts, in bytes.
+const MIN_MAX_HEAD_BYTES: usize = 8 << 10;
--- a/crates/bulrushusher_gateway/src/connection.rs
+++ b/crates/bulrushusher_gateway/src/connection.rs
@@ -12,7 +12,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-use crate::shared::SharedState;
 use crate::socket::SharedStream;
 
 /// One connection, shared by the server, the stream and the response bodies.
@@ -31,10 +30,6 @@
     bytes_read: u64,
     /// Requests whose head was read so far.
     requests: u64,
-    /// Bytes read of the head that is not complete.
-    head_bytes: usize,
-    /// True once a head was larger than allowed.
-    is_head_too_large: bool,
     /// The limits by which the sweep found the connection due.
     due_by: Option<ConnectionLimits>,
 }
@@ -43,14 +38,7 @@
     pub(crate) fn new(clock: Clock) -> CallerConnection {
         let opened = clock.now();
         let state = ConnectionState::new(opened);
-        let state = Tracked {
-            state,
-            bytes_read: 0,
-            requests: 0,
-            head_bytes: 0,
-            is_head_too_large: false,
-            due_by: None,
-        };
+        let state = Tracked { state, bytes_read: 0, requests: 0, due_by: None };
         CallerConnection { clock, opened, state: Mutex::new(state), close: Notify::new() }
     }
 
@@ -58,7 +46,6 @@
     pub(crate) fn start_request(self: &Arc<Self>) -> RequestGuard {
         let mut tracked = self.state.lock();
         tracked.requests += 1;
-        tracked.head_bytes = 0;
         tracked.state.begin_request();
         RequestGuard { connection: self.clone() }
     }
@@ -66,36 +53,9 @@
     fn record_bytes(&self, count: usize) {
         let mut tracked = self.state.lock();
         tracked.bytes_read += count as u64;
-        if !tracked.state.is_serving() {
-            tracked.head_bytes += count;
-        }
         tracked.state.record_bytes(self.clock.now());
     }
 
-    /// Number of bytes that may be read at once, where a head may have `max_head` bytes. The limit in force
-    /// applies to each head, also on a connection that was opened under another one.
-    ///
-    /// # Errors
-    /// The head that is being read is larger.
-    fn readable(&self, max_head: usize) -> io::Result<usize> {
-        let mut tracked = self.state.lock();
-        if tracked.state.is_serving() {
-            return Ok(MAX_READ_BYTES);
-        }
-        match max_head.saturating_sub(tracked.head_bytes) {
-            0 => {
-                tracked.is_head_too_large = true;
-                Err(io::Error::other("the request head is larger than allowed"))
-            }
-            left => Ok(left.min(MAX_READ_BYTES)),
-        }
-    }
-
-    /// True once a head was larger than allowed, after which nothing more is read.
-    pub(crate) fn is_head_too_large(&self) -> bool {
-        self.state.lock().is_head_too_large
-    }
-
     /// The connection's state, for the log.
     pub(crate) fn describe(&self) -> String {
         let (now, tracked) = (self.clock.now(), self.state.lock());
@@ -159,19 +119,11 @@
 pub(crate) struct CallerStream {
     stream: SharedStream,
     connection: Arc<CallerConnection>,
-    shared: Arc<SharedState>,
 }
 
-/// Maximum number of bytes that are read at once.
-const MAX_READ_BYTES: usize = 16 << 10;
-
 impl CallerStream {
-    pub(crate) fn new(
-        socket: Arc<TcpStream>,
-        connection: Arc<CallerConnection>,
-        shared: Arc<SharedState>,
-    ) -> CallerStream {
-        CallerStream { stream: socket.into(), connection, shared }
+    pub(crate) fn new(socket: Arc<TcpStream>, connection: Arc<CallerConnection>) -> CallerStream {
+        CallerStream { stream: socket.into(), connection }
     }
 }
 
@@ -181,12 +133,9 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let readable = self.connection.readable(self.shared.max_head_bytes())?;
-        let readable = readable.min(buf.remaining());
-        let mut part = ReadBuf::new(buf.initialize_unfilled_to(readable));
-        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
-        let count = part.filled().len();
-        buf.advance(count);
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let count = buf.filled().len() - before;
         if count > 0 {
             self.connection.record_bytes(count);
         }
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -68,12 +68,6 @@
 /// Maximum number of log lines about unreadable parts of one version of the configuration.
 const MAX_LOGGED_PARTS: usize = 8;
 
-/// Largest request head before a configuration is loaded, in bytes.
-const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
-
-/// Smallest limit on request heads, in bytes: no caller is expected to stay below it.
-const MIN_MAX_HEAD_BYTES: usize = 8 << 10;
-
 /// The runner directory, and the load that this gateway has placed on each runner.
 #[derive(Debug)]
 pub(crate) struct Runners {
@@ -312,13 +306,6 @@
         self.routing.load_full()
     }
 
-    /// Maximum size of a request head in bytes, by the configuration in force.
-    pub(crate) fn max_head_bytes(&self) -> usize {
-        let routing = self.routing.load();
-        let max = routing.as_ref().map_or(DEFAULT_MAX_HEAD_BYTES, |it| it.limits.header_bytes);
-        max.max(MIN_MAX_HEAD_BYTES)
-    }
-
     /// Time since the configuration in force was applied.
     pub(crate) fn routing_age(&self) -> Millis {
         self.now().since(*self.routing_applied_at.lock())
