--- a/crates/bulrushusher_accounts/src/table.rs
+++ b/crates/bulrushusher_accounts/src/table.rs
@@ -85,14 +85,11 @@
     /// # Errors
     /// [`TableError`] names the first two accounts in conflict.
     pub fn new(accounts: Vec<Account>) -> Result<AccountTable, TableError> {
-        let mut table = AccountTable::default();
-        for account in accounts {
-            if table.by_name.contains_key(&account.name) {
-                return Err(TableError::DuplicateName { account: account.name });
-            }
-            table.insert(Arc::new(account))?;
+        let (table, conflicts) = AccountTable::with_unreadable(accounts, &[]);
+        match conflicts.into_iter().next() {
+            Some(first) => Err(first),
+            None => Ok(table),
         }
-        Ok(table)
     }
 
     /// Indexes accounts next to others that cannot be read. Accounts in conflict count as
@@ -151,17 +148,6 @@
         self.withheld.get(&key.prefix()).is_some_and(|keys| keys.contains(&key))
     }
 
-    fn insert(&mut self, account: Arc<Account>) -> Result<(), TableError> {
-        for key in &account.keys {
-            if let Some(owner) = self.find_by_key(*key) {
-                let (first, second) = (owner.name.clone(), account.name.clone());
-                return Err(TableError::DuplicateKey { first, second });
-            }
-        }
-        self.add(account);
-        Ok(())
-    }
-
     fn add(&mut self, account: Arc<Account>) {
         for key in &account.keys {
             if self.find_by_key(*key).is_none() {
