Versions: the ledger tells which versions serve

The gateway put the set together from two lists and looked each version up again, and is_settled, which each request asks, did so too.

--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -3,7 +3,7 @@
 //! A stream continues only at the version that began it. The gateway that begins a stream keeps its
 //! version and sends it to a few others, which answer for it when the caller returns elsewhere.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
@@ -257,6 +257,12 @@
     is_recorded: bool,
 }
 
+impl VersionState {
+    fn may_serve(&self, now: Millis) -> bool {
+        self.is_recorded || now.since(self.first_listed) >= UNRECORDED_GRACE
+    }
+}
+
 /// The software versions that runners are listed with, and which of them the store's record has.
 ///
 /// A version serves only once it is in the record, so the record has every version that can have
@@ -268,10 +274,10 @@
 /// let v1 = ServiceVersion { service: "llm".try_into().unwrap(), version: "v1".into() };
 /// let mut ledger = VersionLedger::default();
 /// ledger.observe(&v1, Millis(0));
-/// assert!(!ledger.may_serve(&v1, Millis(100)));
+/// assert!(!ledger.serving(Millis(100)).contains(&v1));
 /// assert_eq!(ledger.unrecorded(), [v1.clone()]);
 /// ledger.set_recorded([v1.clone()], Millis(100));
-/// assert!(ledger.may_serve(&v1, Millis(100)));
+/// assert!(ledger.serving(Millis(100)).contains(&v1));
 /// assert!(ledger.unrecorded().is_empty());
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -305,16 +311,15 @@
         }
     }
 
-    /// True if runners of the version may begin streams.
-    pub fn may_serve(&self, version: &ServiceVersion, now: Millis) -> bool {
-        self.versions.get(version).is_some_and(|state| {
-            state.is_recorded || now.since(state.first_listed) >= UNRECORDED_GRACE
-        })
+    /// The versions of which runners may begin streams.
+    pub fn serving(&self, now: Millis) -> HashSet<ServiceVersion> {
+        let serving = self.versions.iter().filter(|(_, state)| state.may_serve(now));
+        serving.map(|(version, _)| version.clone()).collect()
     }
 
     /// True if runners of some version may begin streams, or if none has a version.
     pub fn is_settled(&self, now: Millis) -> bool {
-        self.versions.is_empty() || self.versions.keys().any(|version| self.may_serve(version, now))
+        self.versions.is_empty() || self.versions.values().any(|state| state.may_serve(now))
     }
 
     /// The listed versions that are not known to be in the record.
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -252,10 +252,7 @@
     /// Lets runners of the versions serve that are recorded.
     fn apply_serving_versions(&self) {
         self.with_runners(|runners, now| {
-            let versions = self.versions.lock();
-            let all = versions.recorded().into_iter().chain(versions.unrecorded());
-            let serving = all.filter(|it| versions.may_serve(it, now)).collect();
-            runners.directory.set_serving(serving);
+            runners.directory.set_serving(self.versions.lock().serving(now));
         });
     }
 
