Streams: a run that sends no event is logged and counted

Change: EventReader reads the bytes of a run beside the splitter. The first that is not the next event of the stream gives a log line with the id that came, the id that was due and the size, and counts in invalid_events_total{reason}. Nothing that is forwarded changes.

--- a/crates/bulrushusher_forward/src/events.rs
+++ b/crates/bulrushusher_forward/src/events.rs
@@ -13,7 +13,7 @@
 
 /// Complete events and the id of the last one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct CompleteEvents {
+pub struct SplitEvents {
     /// The bytes of the events, unchanged.
     pub bytes: Bytes,
     /// The last event id among them.
@@ -42,18 +42,18 @@
     ///
     /// # Errors
     /// [`EventTooLong`] if the event that is not complete is too large to be kept.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, EventTooLong> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<SplitEvents, EventTooLong> {
         let overlap = self.partial.len().saturating_sub(3);
         self.partial.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.partial[overlap..]) else {
-            return self.check_partial(CompleteEvents::default());
+            return self.check_partial(SplitEvents::default());
         };
         let whole = self.partial.split_to(overlap + end).freeze();
         let last_id = last_id(&whole);
-        self.check_partial(CompleteEvents { bytes: whole, last_id })
+        self.check_partial(SplitEvents { bytes: whole, last_id })
     }
 
-    fn check_partial(&self, events: CompleteEvents) -> Result<CompleteEvents, EventTooLong> {
+    fn check_partial(&self, events: SplitEvents) -> Result<SplitEvents, EventTooLong> {
         match self.partial.len() <= MAX_EVENT_BYTES {
             true => Ok(events),
             false => Err(EventTooLong),
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -23,6 +23,7 @@
 mod caller_connection;
 mod configuration_copy;
 mod demand;
+mod event_reader;
 mod events;
 mod far_reports;
 mod forecast;
@@ -84,7 +85,8 @@
 pub use caller_connection::{CloseReason, ConnectionLimits, ConnectionState, LimitHistory};
 pub use configuration_copy::{ConfigurationCopy, StoredConfiguration};
 pub use demand::DemandMeter;
-pub use events::{CompleteEvents, EventSplitter, EventTooLong};
+pub use event_reader::{CompleteEvents, EventReader, InvalidEvent};
+pub use events::{EventSplitter, EventTooLong, SplitEvents};
 pub use far_reports::FarReports;
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
 pub use gateway_directory::{
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{CompleteEvents, EventSplitter, LongGaps, PaceMeter, Runner};
+use bulrushusher_forward::{
+    EventReader, EventSplitter, InvalidEvent, LongGaps, PaceMeter, Runner, SplitEvents,
+};
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -139,7 +141,7 @@
 /// Result of waiting for the next part of a stream.
 enum StreamEvent {
     /// Complete events, or bytes of a response that is no event stream.
-    Events(CompleteEvents),
+    Events(SplitEvents),
     /// Bytes that complete no event, a frame without data, or progress of a migration.
     Nothing,
     /// The end of the body.
@@ -177,6 +179,9 @@
     pace: PaceMeter,
     /// Splits an event stream; `None` for another response, which is forwarded as it arrives.
     splitter: Option<EventSplitter>,
+    /// Reads the same bytes to report what is no event of the stream.
+    reader: EventReader,
+    invalid: Option<InvalidEvent>,
     /// An event that arrived while a replacement of the run was prepared.
     pending: Option<StreamEvent>,
     /// Silence after which the stream counts as silent, once more if it did before.
@@ -198,6 +203,7 @@
         fwd: &'a ForwardedRequest,
         run: Run<D>,
         tx: &'a Sender<StreamPart>,
+        last_event: Option<u64>,
     ) -> RunStream<'a, D> {
         let Run { runner, reply, started, held, migrate_after, watch, _load } = run;
         let Reply { head, body, connection, .. } = reply;
@@ -215,6 +221,8 @@
             tokens_per_event: cx.shared.tokens_per_event(&fwd.service),
             pace: PaceMeter::new(fwd.route.gap_target),
             splitter,
+            reader: EventReader::after(last_event),
+            invalid: None,
             pending: None,
             next_silence: silence_timeout(fwd),
             was_silent: false,
@@ -389,9 +397,14 @@
     /// Splits received bytes into events. Bytes without an event are no sign of life: they leave the
     /// time of silence as it is.
     fn split(&mut self, bytes: Bytes) -> StreamEvent {
-        let Some(splitter) = &mut self.splitter else {
-            return StreamEvent::Events(CompleteEvents { bytes, last_id: None });
-        };
+        if self.splitter.is_none() {
+            return StreamEvent::Events(SplitEvents { bytes, last_id: None });
+        }
+        if self.invalid.is_none() {
+            self.invalid = self.reader.push(&bytes).1;
+            self.invalid.iter().for_each(|it| self.record_invalid(*it));
+        }
+        let Some(splitter) = &mut self.splitter else { return StreamEvent::Nothing };
         match splitter.push(&bytes) {
             Err(e) => StreamEvent::Broken(e.to_string()),
             Ok(events) if !events.bytes.is_empty() => StreamEvent::Events(events),
@@ -406,12 +419,18 @@
         }
     }
 
+    /// Logs and counts bytes of the run that are no event of the stream.
+    fn record_invalid(&self, invalid: InvalidEvent) {
+        self.cx.metrics.record_invalid_event(invalid.label());
+        log::info!(
+            "stream: run sends no event id={} runner={} cause=\"{invalid}\"",
+            self.fwd.request.id,
+            self.origin.runner.id,
+        );
+    }
+
     /// Forwards events to the caller; returns false when the caller has disconnected.
-    async fn forward_events(
-        &mut self,
-        events: CompleteEvents,
-        progress: &mut StreamProgress,
-    ) -> bool {
+    async fn forward_events(&mut self, events: SplitEvents, progress: &mut StreamProgress) -> bool {
         let cx = self.cx;
         self.is_stalled = false;
         let arrived = cx.now();
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -133,7 +133,8 @@
     fn stream_of(&mut self, run: Run<D>) -> RunStream<'a, D> {
         self.history.excluded_decodes.push(run.runner.id.clone());
         let migrate_after = if self.may_migrate { run.migrate_after } else { Millis::MAX };
-        RunStream::new(self.cx, self.fwd, Run { migrate_after, ..run }, self.tx)
+        let run = Run { migrate_after, ..run };
+        RunStream::new(self.cx, self.fwd, run, self.tx, self.progress.last_event)
     }
 
     /// Forwards the stream of one run until it ends or another run has taken it over.
@@ -258,7 +259,8 @@
     /// begun. Returns `None` if it went on, or if no other one has begun.
     async fn take_over(&mut self, stream: &mut RunStream<'a, D>) -> Option<RunStream<'a, D>> {
         let after = self.plan.takeover(|| self.fwd.arrivals.reserve(1))?;
-        self.history.resume_after = self.progress.last_event;
+        let last_event = self.progress.last_event;
+        self.history.resume_after = last_event;
         self.history.is_takeover = true;
         let until = placement_deadline(self.fwd, self.cx.now());
         let retries = self.fwd.arrivals.retries();
@@ -269,7 +271,8 @@
             history.excluded_decodes.push(run.runner.id.clone());
             let migrate_after = if may_migrate { run.migrate_after } else { Millis::MAX };
             let max_wait = TAKEOVER_TIMEOUT.since(cx.now().since(run.started));
-            let mut next = RunStream::new(cx, fwd, Run { migrate_after, ..run }, tx);
+            let run = Run { migrate_after, ..run };
+            let mut next = RunStream::new(cx, fwd, run, tx, last_event);
             match next.has_begun_within(max_wait).await {
                 true => Ok(next),
                 false => Err(RunError::Ended(AttemptEnd::Unknown, "the other run has not begun")),
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -26,6 +26,7 @@
     turned_away: Counter<u64>,
     connections_closed: Counter<u64>,
     aborted_streams: Counter<u64>,
+    invalid_events: Counter<u64>,
     quarantine: Gauge<u64>,
     /// Keys that the gauge shows with a time.
     quarantines_shown: Mutex<BTreeSet<String>>,
@@ -138,6 +139,10 @@
                 "bulrush_gateway_aborted_streams",
                 "Streams that ended incomplete for their caller, by reason",
             ),
+            invalid_events: counter(
+                "bulrush_gateway_invalid_events",
+                "Runs that sent something else than the next event of their stream, by reason",
+            ),
             quarantine: meter
                 .u64_gauge("bulrush_gateway_quarantine_ms")
                 .with_description("Time until a quarantine ends, by its keys, in ms")
@@ -327,6 +332,17 @@
         self.aborted_streams.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a run that sent something else than the next event of its stream.
+    ///
+    /// ```
+    /// let metrics = bulrushusher_report::GatewayMetrics::new("front-1");
+    /// metrics.record_invalid_event("no_id");
+    /// assert!(metrics.render().contains("bulrush_gateway_invalid_events_total"));
+    /// ```
+    pub fn record_invalid_event(&self, reason: &'static str) {
+        self.invalid_events.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Sets the keys in quarantine, with the time until the quarantine of each ends, in ms. Former ones
     /// are set to 0.
     pub fn set_quarantines(&self, entries: impl IntoIterator<Item = (String, u64)>) {
