Streams: only the events that are due reach the caller

The last number found behind 'id:' became the progress of the stream, so that it could go back, and the first success of any type was forwarded as the stream. No place compared what came with what the caller had.

Change: EventReader decides it in one place. An event has exactly one numeric id, the one after the last that was forwarded, data, and nothing but fields. Comments and fields for the reader alone are dropped; the rest ends the run as broken, its connection is closed, the runner counts as failing, and the stream is resumed after the last sound event or visibly cut. Progress, pace, sign of life, the beginning of a run, takeover, migration and the crash window follow from such events only. The head of each run, also a resumed, migrated or taken-over one, is checked in run_at: success, seal, request, one Content-Type of an event stream, no encoding. A new stream that ends without an event is not whole, however its end is marked.

The properties of fuzz.rs keep their checks; that each complete event is forwarded is checked directly now, as the reader has no rest().

--- a/crates/bulrushusher_forward/src/event_reader.rs
+++ b/crates/bulrushusher_forward/src/event_reader.rs
@@ -160,6 +160,11 @@
         (CompleteEvents { bytes: events.freeze(), last_id }, self.error)
     }
 
+    /// What the run has sent in place of an event; nothing is read after it.
+    pub fn error(&self) -> Option<InvalidEvent> {
+        self.error
+    }
+
     /// True if the stream so far ends inside an event, or with bytes that are none.
     pub fn is_inside_event(&self) -> bool {
         self.error.is_some() || !self.partial.is_empty()
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -24,7 +24,6 @@
 mod configuration_copy;
 mod demand;
 mod event_reader;
-mod events;
 mod far_reports;
 mod forecast;
 mod gateway_directory;
@@ -86,7 +85,6 @@
 pub use configuration_copy::{ConfigurationCopy, StoredConfiguration};
 pub use demand::DemandMeter;
 pub use event_reader::{CompleteEvents, EventReader, InvalidEvent};
-pub use events::{EventSplitter, EventTooLong, SplitEvents};
 pub use far_reports::FarReports;
 pub use forecast::{ForecastConfig, LengthModel, MemoryForecast, MemoryNeed, RunShape};
 pub use gateway_directory::{
--- a/crates/bulrushusher_forward/tests/fuzz.rs
+++ b/crates/bulrushusher_forward/tests/fuzz.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bulrushusher_forward::{
-    AttemptEnd, AttemptPlan, CallSelection, EventSplitter, FinalAnswer, NextStep, PlaceView,
+    AttemptEnd, AttemptPlan, CallSelection, EventReader, FinalAnswer, NextStep, PlaceView,
     RouteKind, Runner, RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, RunnerRemoval,
     Shutdown, ShutdownConfig, pick_for_call,
 };
@@ -327,11 +327,12 @@
         let text: String = (1..=last).map(|n| format!("id: {n}\ndata: {n}\n\n")).collect();
         let whole = text.len().saturating_sub(broken);
         let bytes = &text.as_bytes()[..whole];
-        let mut splitter = EventSplitter::default();
+        let mut reader = EventReader::after(None);
         let (mut forwarded, mut last_id, mut at) = (Vec::new(), None, 0);
         for cut in cuts.iter().cycle() {
             let end = (at + cut).min(whole);
-            let events = splitter.push(&bytes[at..end]).unwrap();
+            let (events, error) = reader.push(&bytes[at..end]);
+            prop_assert_eq!(error, None);
             forwarded.extend_from_slice(&events.bytes);
             last_id = events.last_id.or(last_id);
             at = end;
@@ -349,7 +350,9 @@
             .collect();
         prop_assert_eq!(ids.last().copied(), last_id);
         prop_assert_eq!(ids.len() as u64, last_id.unwrap_or(0));
-        prop_assert_eq!(forwarded.len() + splitter.rest().len(), whole);
+        let complete = text[..whole].rfind("\n\n").map_or(0, |at| at + 2);
+        prop_assert_eq!(forwarded.len(), complete);
+        prop_assert_eq!(complete < whole, reader.is_inside_event());
     }
 
     /// Guards against memory that is filled by bytes without an event, and against a limit on what
@@ -358,14 +361,15 @@
     fn only_an_event_without_an_end_is_too_long(
         chunk in 1_usize..70_000, event in 1_usize..40_000, events in 1_usize..12,
     ) {
-        let text = format!("id: 1\ndata: {}\n\n", "x".repeat(event)).repeat(events);
-        let mut splitter = EventSplitter::default();
+        let data = "x".repeat(event);
+        let text: String = (1..=events).map(|id| format!("id: {id}\ndata: {data}\n\n")).collect();
+        let mut reader = EventReader::after(None);
         for bytes in text.as_bytes().chunks(chunk) {
-            prop_assert!(splitter.push(bytes).is_ok());
+            prop_assert_eq!(reader.push(bytes).1, None);
         }
         let endless = vec![b'x'; chunk];
-        let pushed = (0..=200_000 / chunk).map(|_| splitter.push(&endless));
-        prop_assert!(pushed.into_iter().any(|pushed| pushed.is_err()));
+        let pushed = (0..=200_000 / chunk).map(|_| reader.push(&endless));
+        prop_assert!(pushed.into_iter().any(|(_, error)| error.is_some()));
     }
 
     #[test]
--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -4,7 +4,8 @@
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use hyper::header::{
-    CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+    CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
+    WWW_AUTHENTICATE,
 };
 use hyper::http::response;
 use hyper::{Response, StatusCode};
@@ -224,6 +225,23 @@
     )
 }
 
+/// True for the body of a generation. A header that is repeated may be read in several ways.
+pub(crate) fn is_event_stream(headers: &HeaderMap) -> bool {
+    let mut kinds = headers.get_all(CONTENT_TYPE).iter();
+    let (Some(kind), None) = (kinds.next(), kinds.next()) else { return false };
+    let essence = kind.to_str().ok().and_then(|kind| kind.split(';').next());
+    essence.is_some_and(|it| it.trim().eq_ignore_ascii_case("text/event-stream"))
+}
+
+/// True for a body that is encoded in a way that no caller has asked for, so that it is not the
+/// runner's.
+pub(crate) fn is_encoded(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(CONTENT_ENCODING)
+        .iter()
+        .any(|it| !it.as_bytes().eq_ignore_ascii_case(b"identity"))
+}
+
 /// Forwards a runner's complete response to a request that has run.
 ///
 /// # Errors
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -6,7 +6,7 @@
 use bulrushusher_forward::{AttemptEnd, CallResult, Runner};
 use bulrushusher_time::Millis;
 
-use crate::answers::answer::{BACK_PRESSURE, Withheld};
+use crate::answers::answer::{BACK_PRESSURE, Withheld, is_encoded, is_event_stream};
 use crate::dialect::{Dialect, Step};
 use crate::placement::attempts::{AttemptHistory, RunError};
 use crate::placement::holds::{KvCacheGuard, MemoryHold};
@@ -195,7 +195,7 @@
         held.mark_sent();
     }
     let error = match sent {
-        Ok(reply) if reply.head.status.is_success() && reply.info.sealed => {
+        Ok(reply) if reply.head.status.is_success() && unusable_stream(&reply).is_none() => {
             if let Some(held) = &mut held {
                 held.mark_used();
             }
@@ -270,6 +270,13 @@
     if info.wrong_runner {
         cx.remove_runner(&runner.id, "another runner has its address");
     }
+    if reply.head.status.is_success()
+        && !info.not_run
+        && let Some(cause) = unusable_stream(&reply)
+    {
+        // Its body is not read, as it may be without end.
+        return RunError::Ended(AttemptEnd::Unknown, cause);
+    }
     let framing = BodyFraming::of_reply_to(&fwd.method, &reply.head);
     let timeout = fwd.remaining(cx.now());
     let whole = cx.exchanger.read_whole(runner, reply, MAX_ANSWER_BYTES, timeout).await;
@@ -299,3 +306,12 @@
 fn step_label(prefills: bool) -> &'static str {
     if prefills { "read_and_generate" } else { "generate" }
 }
+
+/// Why a success is no answer to a generation; `None` if its body is the stream of the run.
+fn unusable_stream(reply: &Reply) -> Option<&'static str> {
+    if !reply.info.sealed {
+        return Some("the response has no seal of its runner");
+    }
+    let headers = &reply.head.headers;
+    (!is_event_stream(headers) || is_encoded(headers)).then_some("the response is no event stream")
+}
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    EventReader, EventSplitter, InvalidEvent, LongGaps, PaceMeter, Runner, SplitEvents,
+    CompleteEvents, EventReader, InvalidEvent, LongGaps, PaceMeter, Runner,
 };
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::http::response;
 use tokio::sync::mpsc::Sender;
 
@@ -140,8 +139,8 @@
 
 /// Result of waiting for the next part of a stream.
 enum StreamEvent {
-    /// Complete events, or bytes of a response that is no event stream.
-    Events(SplitEvents),
+    /// Complete events.
+    Events(CompleteEvents),
     /// Bytes that complete no event, a frame without data, or progress of a migration.
     Nothing,
     /// The end of the body.
@@ -177,11 +176,8 @@
     migration: Migration<D>,
     tokens_per_event: u64,
     pace: PaceMeter,
-    /// Splits an event stream; `None` for another response, which is forwarded as it arrives.
-    splitter: Option<EventSplitter>,
-    /// Reads the same bytes to report what is no event of the stream.
+    /// Decides which bytes of the run are events of the caller's stream.
     reader: EventReader,
-    invalid: Option<InvalidEvent>,
     /// An event that arrived while a replacement of the run was prepared.
     pending: Option<StreamEvent>,
     /// Silence after which the stream counts as silent, once more if it did before.
@@ -207,7 +203,6 @@
     ) -> RunStream<'a, D> {
         let Run { runner, reply, started, held, migrate_after, watch, _load } = run;
         let Reply { head, body, connection, .. } = reply;
-        let splitter = is_event_stream(&head.headers).then(EventSplitter::default);
         RunStream {
             cx,
             fwd,
@@ -220,9 +215,7 @@
             migration: Migration::not_before(migrate_after),
             tokens_per_event: cx.shared.tokens_per_event(&fwd.service),
             pace: PaceMeter::new(fwd.route.gap_target),
-            splitter,
             reader: EventReader::after(last_event),
-            invalid: None,
             pending: None,
             next_silence: silence_timeout(fwd),
             was_silent: false,
@@ -336,16 +329,18 @@
 
     /// Ends a stream whose body has ended.
     async fn finish(&mut self, progress: &StreamProgress) -> RunEnd<D> {
-        let cause = match (self.origin.framing, progress.began) {
+        let cause = match (self.reader.is_inside_event(), progress.began) {
             // A runner that crashed before its first event closes the connection too.
-            (BodyFraming::Close, None) => "it ended before its first event",
+            (false, None) => "it ended before its first event",
             _ => "it ended inside an event",
         };
-        let is_empty = self.origin.framing == BodyFraming::Close
-            && progress.began.is_none()
-            && !progress.may_be_whole;
-        let rest = self.splitter.as_ref().map_or(&[][..], EventSplitter::rest);
-        let is_complete = !is_empty && rest.is_empty();
+        let is_empty = progress.began.is_none()
+            && match self.origin.framing {
+                BodyFraming::Close => !progress.may_be_whole,
+                // A run that goes on after the last event has nothing left to send.
+                BodyFraming::Marked => progress.last_event.is_none(),
+            };
+        let is_complete = !is_empty && !self.reader.is_inside_event();
         let end = self.finish_interrupted(cause.to_owned()).await;
         let may_be_complete = match &end {
             RunEnd::Broken(_) => true,
@@ -364,6 +359,9 @@
 
     /// Waits for the next part of the stream.
     async fn next_event(&mut self) -> StreamEvent {
+        if let Some(invalid) = self.reader.error() {
+            return StreamEvent::Broken(invalid.to_string());
+        }
         let now = self.cx.now();
         let remaining = self.fwd.remaining(now);
         let silence = now.since(self.silent_since);
@@ -387,35 +385,31 @@
             Ok(None) => StreamEvent::End,
             Ok(Some(Err(e))) => StreamEvent::Broken(e.to_string()),
             Ok(Some(Ok(frame))) => match frame.into_data() {
-                Ok(bytes) => self.split(bytes),
+                Ok(bytes) => self.read_events(&bytes),
                 // Trailers carry nothing that the caller needs.
                 Err(_) => StreamEvent::Nothing,
             },
         }
     }
 
-    /// Splits received bytes into events. Bytes without an event are no sign of life: they leave the
-    /// time of silence as it is.
-    fn split(&mut self, bytes: Bytes) -> StreamEvent {
-        if self.splitter.is_none() {
-            return StreamEvent::Events(SplitEvents { bytes, last_id: None });
+    /// Reads events from received bytes. Bytes without an event are no sign of life: they leave the time
+    /// of silence as it is.
+    fn read_events(&mut self, bytes: &Bytes) -> StreamEvent {
+        let (events, invalid) = self.reader.push(bytes);
+        if let Some(invalid) = invalid {
+            self.record_invalid(invalid);
         }
-        if self.invalid.is_none() {
-            self.invalid = self.reader.push(&bytes).1;
-            self.invalid.iter().for_each(|it| self.record_invalid(*it));
+        if !events.bytes.is_empty() {
+            return StreamEvent::Events(events);
         }
-        let Some(splitter) = &mut self.splitter else { return StreamEvent::Nothing };
-        match splitter.push(&bytes) {
-            Err(e) => StreamEvent::Broken(e.to_string()),
-            Ok(events) if !events.bytes.is_empty() => StreamEvent::Events(events),
-            Ok(_) => {
-                let now = self.cx.now();
-                let remaining = self.fwd.remaining(now);
-                match remaining == Millis(0) || now.since(self.silent_since) >= self.next_silence {
-                    true => StreamEvent::Silence { at_deadline: remaining == Millis(0) },
-                    false => StreamEvent::Nothing,
-                }
-            }
+        if let Some(invalid) = invalid {
+            return StreamEvent::Broken(invalid.to_string());
+        }
+        let now = self.cx.now();
+        let remaining = self.fwd.remaining(now);
+        match remaining == Millis(0) || now.since(self.silent_since) >= self.next_silence {
+            true => StreamEvent::Silence { at_deadline: remaining == Millis(0) },
+            false => StreamEvent::Nothing,
         }
     }
 
@@ -430,7 +424,11 @@
     }
 
     /// Forwards events to the caller; returns false when the caller has disconnected.
-    async fn forward_events(&mut self, events: SplitEvents, progress: &mut StreamProgress) -> bool {
+    async fn forward_events(
+        &mut self,
+        events: CompleteEvents,
+        progress: &mut StreamProgress,
+    ) -> bool {
         let cx = self.cx;
         self.is_stalled = false;
         let arrived = cx.now();
@@ -485,9 +483,3 @@
 fn stall_timeout(gap_target: Millis) -> Millis {
     gap_target.share(STALL_SHARE).max(MIN_STALL_TIMEOUT)
 }
-
-/// Only event streams are split at event boundaries; other bodies are forwarded as they arrive.
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    let kind = headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
-    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
-}
