Callers: a changed limit on request heads applies on open connections

What callers saw: after a configuration raised max_header_bytes, the first head on each connection opened before that only the new version allows got 431, which is not repeated; after one that lowered it, heads beyond it still passed.

Cause: the HTTP library takes its limit when it begins to serve a connection, and its limit on the buffer lets a larger head pass that arrives in one read.

Change: a task that serves a connection follows changes of the limit. Between two requests, when all responses have been written, it takes the connection back from the library, with what was read and not processed, and serves it anew under the new limit. max_header_size bounds a head however it arrives.

--- a/crates/bulrushusher_gateway/src/callers/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -3,9 +3,11 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
+use std::task::Poll;
 
 use bulrushusher_forward::{AcceptGate, AcceptGateConfig, CloseReason, LimitHistory};
 use bulrushusher_time::{Clock, Millis};
+use bytes::Bytes;
 use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -211,54 +213,98 @@
     }
 }
 
+/// Serves a connection until it is closed. The HTTP library takes its limit on request heads when it
+/// begins to serve a connection, so it begins anew, between two requests, when the limit has changed.
 async fn serve_until_closed<D: Dialect>(
     front: Arc<Front<D>>,
     stream: TcpStream,
     connection: Arc<CallerConnection>,
-    mut closing: watch::Receiver<bool>,
+    closing: watch::Receiver<bool>,
 ) {
-    let max_head = front.router.shared.routing().map(|routing| routing.limits.header_bytes);
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).half_close(false).header_read_timeout(None);
-    builder.max_buf_size(max_head.unwrap_or(DEFAULT_MAX_HEAD_BYTES).max(MIN_MAX_HEAD_BYTES));
-    let socket = Arc::new(stream);
-    let io = TokioIo::new(CallerStream::new(socket.clone(), connection.clone()));
-    let service = {
-        let (front, connection) = (front.clone(), connection.clone());
-        service_fn(move |req| front.clone().serve(req, connection.clone()))
+    let mut served = ServedConnection {
+        front,
+        socket: Arc::new(stream),
+        connection,
+        closing,
+        is_stopping: false,
     };
-    let served = builder.serve_connection(io, service);
-    tokio::pin!(served);
-    let mut is_stopping = false;
-    let ended = loop {
-        tokio::select! {
-            // What has arrived is read before the connection is closed.
-            biased;
-            ended = served.as_mut() => break ended,
-            () = connection.found_due() => {
-                if let Some(reason) = connection.close_if_due(has_unread(&socket)) {
-                    log_closed(&front, &connection, reason);
-                    if reason == CloseReason::SlowHead {
-                        socket.try_write(REQUEST_TIMEOUT).ok();
+    let mut unprocessed = Bytes::new();
+    while let Some(rest) = served.serve(unprocessed).await {
+        unprocessed = rest;
+    }
+}
+
+/// A connection that is being served.
+struct ServedConnection<D> {
+    front: Arc<Front<D>>,
+    socket: Arc<TcpStream>,
+    connection: Arc<CallerConnection>,
+    closing: watch::Receiver<bool>,
+    is_stopping: bool,
+}
+
+impl<D: Dialect> ServedConnection<D> {
+    /// Serves requests, first from `unprocessed`, which was read from the socket before. Returns what was
+    /// read and not processed when the limit on request heads has changed, and `None` once the
+    /// connection is closed.
+    async fn serve(&mut self, unprocessed: Bytes) -> Option<Bytes> {
+        let Self { front, socket, connection, closing, is_stopping } = self;
+        let shared = &front.router.shared;
+        let mut limit_changes = shared.max_head_changes();
+        let max_head = shared.max_head_bytes();
+        let service = {
+            let (front, connection) = (front.clone(), connection.clone());
+            service_fn(move |req| front.clone().serve(req, connection.clone()))
+        };
+        let io = CallerStream::new(socket.clone(), connection.clone(), unprocessed);
+        let mut builder = http1::Builder::new();
+        builder.timer(TokioTimer::new()).half_close(false).header_read_timeout(None);
+        let max_head_bytes = max_head.max(MIN_MAX_HEAD_BYTES);
+        // The limit on the buffer alone lets a larger head pass that arrives at once.
+        builder.max_buf_size(max_head_bytes).max_header_size(max_head_bytes);
+        let mut served = builder.serve_connection(TokioIo::new(io), service);
+        let ended = loop {
+            // Ready only after the library has written what it has.
+            let must_begin_anew = std::future::poll_fn(|_| {
+                match shared.max_head_bytes() != max_head && connection.is_between_requests() {
+                    true => Poll::Ready(()),
+                    false => Poll::Pending,
+                }
+            });
+            tokio::select! {
+                // What has arrived is read before the connection is closed.
+                biased;
+                ended = &mut served => break ended,
+                () = connection.found_due() => {
+                    if let Some(reason) = connection.close_if_due(has_unread(socket)) {
+                        log_closed(front, connection, reason);
+                        if reason == CloseReason::SlowHead {
+                            socket.try_write(REQUEST_TIMEOUT).ok();
+                        }
+                        return None;
                     }
-                    return;
                 }
-            }
-            () = closing_signalled(&mut closing), if !is_stopping => {
-                is_stopping = true;
-                // A head that has arrived in part is served; its response closes the connection.
-                let closed = connection.close_if_idle(has_unread(&socket));
-                if let Some(reason) = closed {
-                    log_closed(&front, &connection, reason);
+                () = closing_signalled(closing), if !*is_stopping => {
+                    *is_stopping = true;
+                    // A head that has arrived in part is served; its response closes the connection.
+                    let closed = connection.close_if_idle(has_unread(socket));
+                    if let Some(reason) = closed {
+                        log_closed(front, connection, reason);
+                    }
+                    if closed.is_some() || connection.is_serving() {
+                        std::pin::Pin::new(&mut served).graceful_shutdown();
+                    }
                 }
-                if closed.is_some() || connection.is_serving() {
-                    served.as_mut().graceful_shutdown();
+                () = must_begin_anew, if !*is_stopping => {
+                    return Some(served.into_parts().read_buf);
                 }
+                _ = limit_changes.changed() => {}
             }
+        };
+        if let Err(e) = ended {
+            log::debug!("server: connection ended early cause=\"{e}\"");
         }
-    };
-    if let Err(e) = ended {
-        log::debug!("server: connection ended early cause=\"{e}\"");
+        None
     }
 }
 
@@ -283,8 +329,5 @@
     closing.wait_for(|closing| *closing).await.ok();
 }
 
-/// Largest request head before a configuration is loaded, in bytes.
-const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
-
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_MAX_HEAD_BYTES: usize = 8 << 10;
--- a/crates/bulrushusher_gateway/src/connection.rs
+++ b/crates/bulrushusher_gateway/src/connection.rs
@@ -7,6 +7,7 @@
 
 use bulrushusher_forward::{CloseReason, ConnectionLimits, ConnectionState};
 use bulrushusher_time::{Clock, Millis};
+use bytes::Bytes;
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -32,13 +33,16 @@
     requests: u64,
     /// The limits by which the sweep found the connection due.
     due_by: Option<ConnectionLimits>,
+    /// True while the socket takes no more of the current response.
+    is_write_blocked: bool,
 }
 
 impl CallerConnection {
     pub(crate) fn new(clock: Clock) -> CallerConnection {
         let opened = clock.now();
         let state = ConnectionState::new(opened);
-        let state = Tracked { state, bytes_read: 0, requests: 0, due_by: None };
+        let state =
+            Tracked { state, bytes_read: 0, requests: 0, due_by: None, is_write_blocked: false };
         CallerConnection { clock, opened, state: Mutex::new(state), close: Notify::new() }
     }
 
@@ -98,6 +102,12 @@
     pub(crate) fn is_serving(&self) -> bool {
         self.state.lock().state.is_serving()
     }
+
+    /// True if all responses have been written, and no request is being served.
+    pub(crate) fn is_between_requests(&self) -> bool {
+        let tracked = self.state.lock();
+        !tracked.state.is_serving() && !tracked.is_write_blocked
+    }
 }
 
 /// Marks its connection as busy with a request until dropped: until the response has ended and the
@@ -119,11 +129,23 @@
 pub(crate) struct CallerStream {
     stream: SharedStream,
     connection: Arc<CallerConnection>,
+    /// Bytes that were read from the socket and not processed.
+    unprocessed: Bytes,
 }
 
 impl CallerStream {
-    pub(crate) fn new(socket: Arc<TcpStream>, connection: Arc<CallerConnection>) -> CallerStream {
-        CallerStream { stream: socket.into(), connection }
+    /// Reads `unprocessed`, which was read from the socket before, and then from the socket.
+    pub(crate) fn new(
+        socket: Arc<TcpStream>,
+        connection: Arc<CallerConnection>,
+        unprocessed: Bytes,
+    ) -> CallerStream {
+        CallerStream { stream: socket.into(), connection, unprocessed }
+    }
+
+    fn record_write<T>(&self, written: Poll<T>) -> Poll<T> {
+        self.connection.state.lock().is_write_blocked = written.is_pending();
+        written
     }
 }
 
@@ -133,6 +155,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.unprocessed.is_empty() {
+            let count = self.unprocessed.len().min(buf.remaining());
+            buf.put_slice(&self.unprocessed.split_to(count));
+            return Poll::Ready(Ok(()));
+        }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         let count = buf.filled().len() - before;
@@ -149,7 +176,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -165,7 +193,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -68,6 +68,9 @@
 /// Maximum number of log lines about unreadable parts of one version of the configuration.
 const MAX_LOGGED_PARTS: usize = 8;
 
+/// Largest request head before a configuration is loaded, in bytes.
+const DEFAULT_MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// The runner directory, and the load that this gateway has placed on each runner.
 #[derive(Debug)]
 pub(crate) struct Runners {
@@ -84,6 +87,8 @@
     routing: ArcSwapOption<RoutingConfig>,
     /// When the configuration in force was applied.
     routing_applied_at: Mutex<Millis>,
+    /// Largest request head of a caller, in bytes.
+    max_head_bytes: watch::Sender<usize>,
     runners: Mutex<Runners>,
     retry_budgets: Mutex<HashMap<ServiceName, RetryBudget>>,
     /// The gateways that share retry budgets with this one.
@@ -207,6 +212,7 @@
             cfg: ArcSwap::from_pointee(cfg),
             routing: ArcSwapOption::empty(),
             routing_applied_at: Mutex::default(),
+            max_head_bytes: watch::Sender::new(DEFAULT_MAX_HEAD_BYTES),
             runners: Mutex::new(runners),
             retry_budgets: Mutex::default(),
             known_gateways: Mutex::default(),
@@ -301,6 +307,16 @@
         self.answer_bytes.fetch_sub(bytes, Ordering::Relaxed);
     }
 
+    /// Largest request head that a caller may send, in bytes.
+    pub(crate) fn max_head_bytes(&self) -> usize {
+        *self.max_head_bytes.borrow()
+    }
+
+    /// Notifies of changes of that limit.
+    pub(crate) fn max_head_changes(&self) -> watch::Receiver<usize> {
+        self.max_head_bytes.subscribe()
+    }
+
     /// The configuration in force.
     pub(crate) fn routing(&self) -> Option<Arc<RoutingConfig>> {
         self.routing.load_full()
@@ -326,7 +342,9 @@
         let accounts = routing.accounts().map(AccountTable::len);
         self.set_quotas(&routing);
         self.log_unknown_regions(&routing);
+        let max_head = routing.limits.header_bytes;
         self.routing.store(Some(Arc::new(routing)));
+        self.max_head_bytes.send_if_modified(|it| std::mem::replace(it, max_head) != max_head);
         *self.routing_applied_at.lock() = self.now();
         self.update_cold_services();
         self.log_unreadable_parts();
