Streams: a run without the event that is due takes nothing over

What callers saw (in a test): a stream that is broken off, though its silent runner went on later and would have completed it.

Cause: a run that is to take over counted as begun when its body ended with a mark, whatever was in it: also inside an event, or without any event of a stream of which the caller has none. The silent run was dropped for it, and the end was rejected only afterwards, when no further run was allowed.

Change: the marked end of such a run counts only after a complete event and if the caller has an event already, as finish() has it. Otherwise the takeover has failed and the silent run is kept.

--- a/crates/bulrushusher_forward/src/event_reader.rs
+++ b/crates/bulrushusher_forward/src/event_reader.rs
@@ -160,6 +160,11 @@
         (CompleteEvents { bytes: events.freeze(), last_id }, self.error)
     }
 
+    /// Id of the last event that the caller has; `None` before the first one.
+    pub fn last_id(&self) -> Option<u64> {
+        (self.last_id > 0).then_some(self.last_id)
+    }
+
     /// What the run has sent in place of an event; nothing is read after it.
     pub fn error(&self) -> Option<InvalidEvent> {
         self.error
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -290,15 +290,20 @@
         }
     }
 
-    /// Waits up to `max_wait` for the run to begin. Returns true once it has sent an event, or the whole of
-    /// a stream that has no further events.
+    /// Waits up to `max_wait` for the run to begin. Returns true once it has sent an event, or the marked
+    /// end of a stream that has no events after the caller's last one.
     pub(crate) async fn has_begun_within(&mut self, max_wait: Millis) -> bool {
         let sign = tokio::time::timeout(max_wait.duration(), self.next_sign()).await;
         self.next_silence = silence_timeout(self.fwd);
         self.pending = sign.ok();
         match &self.pending {
             Some(StreamEvent::Events(_)) => true,
-            Some(StreamEvent::End) => self.origin.framing == BodyFraming::Marked,
+            // Before the first event, or inside one, the end leaves nothing to go on with.
+            Some(StreamEvent::End) => {
+                self.origin.framing == BodyFraming::Marked
+                    && self.reader.last_id().is_some()
+                    && !self.reader.is_inside_event()
+            }
             _ => false,
         }
     }
