Streams: no event after event 0 is no whole stream

What callers saw (in a test): a 200 with an empty body, framed as whole, to a request with 'Last-Event-Id: 0'.

Cause: a marked end without an event counts as whole if the stream has a last event, and a caller's own 0 counted as one, though ids begin with 1.

Change: finish() asks the reader for the last event that the caller has, for which 0 is none.

Failure seen before: a_stream_without_events_after_event_0_is_not_whole got no events where 4 were due.

--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -343,7 +343,7 @@
             && match self.origin.framing {
                 BodyFraming::Close => !progress.may_be_whole,
                 // A run that goes on after the last event has nothing left to send.
-                BodyFraming::Marked => progress.last_event.is_none(),
+                BodyFraming::Marked => self.reader.last_id().is_none(),
             };
         let is_complete = !is_empty && !self.reader.is_inside_event();
         let end = self.finish_interrupted(cause.to_owned()).await;
