Streams: any Last-Event-Id of a caller gets an answer

What callers saw (in a test): a connection that is closed without an answer, after a request with 'Last-Event-Id:'. With a release build the product wraps, and the length of the run is judged by the wrong number.

Cause: the caller's number is multiplied by the tokens of one event in four places (placement, memory of the run, pace, lengths), unchecked.

Change: the products saturate.

Failure seen before: any_last_event_of_a_caller_gets_an_answer, 'attempt to multiply with overflow' in place.rs.

--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -172,7 +172,7 @@
     history: &AttemptHistory,
 ) -> bool {
     let events = history.resume_after.unwrap_or(0);
-    let generated = (events * cx.shared.tokens_per_event(&fwd.service)) as f64;
+    let generated = cx.shared.tokens_of_events(&fwd.service, events) as f64;
     let run = RunShape { generated, ..RunShape::of(fwd.request.size.as_ref()) };
     let remaining = fwd.remaining(cx.now());
     let probability =
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -454,7 +454,7 @@
         let is_sent = self.tx.send(Ok(events.bytes)).await.is_ok();
         self.measure_pace(progress.last_event, arrived);
         if let (true, Some(held), Some(last)) = (is_sent, &self.held, progress.last_event) {
-            held.progress(last * self.tokens_per_event);
+            held.progress(last.saturating_mul(self.tokens_per_event));
             self.migration.start_if_due(cx, self.fwd, held);
         }
         is_sent
@@ -466,7 +466,7 @@
             self.pace.restart();
             return;
         }
-        let generated = last_event.unwrap_or(0) * self.tokens_per_event;
+        let generated = last_event.unwrap_or(0).saturating_mul(self.tokens_per_event);
         if let Some(tokens_per_ms) = self.pace.record(generated, arrived) {
             self.cx.shared.record_pace(&self.origin.runner, tokens_per_ms);
         }
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -249,8 +249,8 @@
         }
         shared.record_run_end(&origin.runner, true);
         let expected = fwd.request.size.map_or(0, |size| size.expected());
-        let generated =
-            self.progress.last_event.unwrap_or(0) * shared.tokens_per_event(&fwd.service);
+        let last_event = self.progress.last_event.unwrap_or(0);
+        let generated = shared.tokens_of_events(&fwd.service, last_event);
         let took = self.cx.now().since(self.first_start);
         shared.with_timing(&fwd.service, |pace| pace.record_generation(took, expected, generated));
     }
--- a/crates/bulrushusher_gateway/src/shared/memory.rs
+++ b/crates/bulrushusher_gateway/src/shared/memory.rs
@@ -263,6 +263,12 @@
         self.engine(service).map_or(1, |engine| engine.tokens_per_event)
     }
 
+    /// Tokens of the events up to one that may be a caller's own `Last-Event-Id`, which can be any
+    /// number.
+    pub(crate) fn tokens_of_events(&self, service: &ServiceName, events: u64) -> u64 {
+        events.saturating_mul(self.tokens_per_event(service))
+    }
+
     /// Load of a decode runner apart from one run of this gateway, over all gateways: prompts that
     /// the runner prefills itself, and other runs.
     pub(crate) fn decode_load(&self, service: &ServiceName, runner: &RunnerId) -> DecodeLoad {
