Streams: the limit of an event does not depend on how it arrives

What callers saw: nothing yet; an event of more than 64 KiB passed in one part of a body and ended the run in several.

Cause: the limit was checked on what had arrived without an event boundary only.

Change: a complete block is held to the same limit.

Failure seen before: the_largest_event_is_the_same_in_any_parts, 65,537 bytes accepted at once and rejected byte by byte. 65,535 and 65,536 bytes pass in any parts, before and after.

--- a/crates/bulrushusher_forward/src/event_reader.rs
+++ b/crates/bulrushusher_forward/src/event_reader.rs
@@ -222,6 +222,9 @@
     /// Adds a block to the events, unless it is empty.
     fn accept(&mut self, block: &[u8], events: &mut BytesMut) -> Result<(), InvalidEvent> {
         let (due, bytes) = (self.due(), block.len());
+        if bytes > MAX_EVENT_BYTES {
+            return Err(InvalidEvent::TooLong { due });
+        }
         let is_at_start = std::mem::take(&mut self.is_at_start);
         let content = match block.strip_prefix(BYTE_ORDER_MARK) {
             Some(content) if is_at_start => content,
--- a/crates/bulrushusher_forward/tests/event_reader.rs
+++ b/crates/bulrushusher_forward/tests/event_reader.rs
@@ -97,6 +97,21 @@
     }
 }
 
+/// Guards against a large event that is forwarded or rejected depending on how it arrives.
+#[test]
+fn the_largest_event_is_the_same_in_any_parts() {
+    let event = |size: usize| format!("id: 1\ndata: {}\n\n", "x".repeat(size - 14));
+    for (size, is_sound) in [((64 << 10) - 1, true), (64 << 10, true), ((64 << 10) + 1, false)] {
+        let text = event(size);
+        assert_eq!(text.len(), size);
+        for cut in [1, 1_000, 65_535, 65_536, usize::MAX] {
+            let read = read(None, text.as_bytes(), &[cut]);
+            assert_eq!(read.error.is_none(), is_sound, "{size} bytes cut every {cut}");
+            assert_eq!(!read.bytes.is_empty(), is_sound, "{size} bytes cut every {cut}");
+        }
+    }
+}
+
 /// Bytes of event streams, sound and not.
 fn any_piece() -> impl Strategy<Value = Vec<u8>> {
     prop_oneof![
