--- a/crates/bulrushusher_forward/src/event_reader.rs
+++ b/crates/bulrushusher_forward/src/event_reader.rs
@@ -160,6 +160,11 @@
         (CompleteEvents { bytes: events.freeze(), last_id }, self.error)
     }
 
+    /// Id of the last event that the caller has; `None` before the first one.
+    pub fn last_id(&self) -> Option<u64> {
+        (self.last_id > 0).then_some(self.last_id)
+    }
+
     /// What the run has sent in place of an event; nothing is read after it.
     pub fn error(&self) -> Option<InvalidEvent> {
         self.error
@@ -217,6 +222,9 @@
     /// Adds a block to the events, unless it is empty.
     fn accept(&mut self, block: &[u8], events: &mut BytesMut) -> Result<(), InvalidEvent> {
         let (due, bytes) = (self.due(), block.len());
+        if bytes > MAX_EVENT_BYTES {
+            return Err(InvalidEvent::TooLong { due });
+        }
         let is_at_start = std::mem::take(&mut self.is_at_start);
         let content = match block.strip_prefix(BYTE_ORDER_MARK) {
             Some(content) if is_at_start => content,
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -290,15 +290,20 @@
         }
     }
 
-    /// Waits up to `max_wait` for the run to begin. Returns true once it has sent an event, or the whole of
-    /// a stream that has no further events.
+    /// Waits up to `max_wait` for the run to begin. Returns true once it has sent an event, or the marked
+    /// end of a stream that has no events after the caller's last one.
     pub(crate) async fn has_begun_within(&mut self, max_wait: Millis) -> bool {
         let sign = tokio::time::timeout(max_wait.duration(), self.next_sign()).await;
         self.next_silence = silence_timeout(self.fwd);
         self.pending = sign.ok();
         match &self.pending {
             Some(StreamEvent::Events(_)) => true,
-            Some(StreamEvent::End) => self.origin.framing == BodyFraming::Marked,
+            // Before the first event, or inside one, the end leaves nothing to go on with.
+            Some(StreamEvent::End) => {
+                self.origin.framing == BodyFraming::Marked
+                    && self.reader.last_id().is_some()
+                    && !self.reader.is_inside_event()
+            }
             _ => false,
         }
     }
@@ -338,7 +343,7 @@
             && match self.origin.framing {
                 BodyFraming::Close => !progress.may_be_whole,
                 // A run that goes on after the last event has nothing left to send.
-                BodyFraming::Marked => progress.last_event.is_none(),
+                BodyFraming::Marked => self.reader.last_id().is_none(),
             };
         let is_complete = !is_empty && !self.reader.is_inside_event();
         let end = self.finish_interrupted(cause.to_owned()).await;
@@ -449,7 +454,7 @@
         let is_sent = self.tx.send(Ok(events.bytes)).await.is_ok();
         self.measure_pace(progress.last_event, arrived);
         if let (true, Some(held), Some(last)) = (is_sent, &self.held, progress.last_event) {
-            held.progress(last * self.tokens_per_event);
+            held.progress(last.saturating_mul(self.tokens_per_event));
             self.migration.start_if_due(cx, self.fwd, held);
         }
         is_sent
@@ -461,7 +466,7 @@
             self.pace.restart();
             return;
         }
-        let generated = last_event.unwrap_or(0) * self.tokens_per_event;
+        let generated = last_event.unwrap_or(0).saturating_mul(self.tokens_per_event);
         if let Some(tokens_per_ms) = self.pace.record(generated, arrived) {
             self.cx.shared.record_pace(&self.origin.runner, tokens_per_ms);
         }
