Streams: a runner with foreign events counts as failing, whatever follows

What callers saw: nothing; by the review's reading, a runner that sent foreign events in a run that moved, or that was only to take over another, was chosen again as if it had not failed, and a caller's own Last-Event-Id shifted the timing of a service.

Cause: the failure was recorded with a broken run alone. The tokens before a caller's own last event were divided by the time of this response.

Change: the failure is recorded with the invalid event, once. A stream that a caller resumed does not enter the timing of whole generations. The log line is called 'invalid event', as 'sends no event' reads like silence.

No test of its own.

--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -160,6 +160,8 @@
     pub started: Millis,
     pub watch: CrashWatch,
     pub framing: BodyFraming,
+    /// True once the run counts against its runner.
+    pub is_failure_recorded: bool,
 }
 
 /// The stream of one run to its caller.
@@ -207,7 +209,13 @@
             cx,
             fwd,
             tx,
-            origin: RunOrigin { runner, started, watch, framing: BodyFraming::of(&head.headers) },
+            origin: RunOrigin {
+                runner,
+                started,
+                watch,
+                framing: BodyFraming::of(&head.headers),
+                is_failure_recorded: false,
+            },
             head,
             body,
             connection: Some(connection),
@@ -418,11 +426,14 @@
         }
     }
 
-    /// Logs and counts bytes of the run that are no event of the stream.
-    fn record_invalid(&self, invalid: InvalidEvent) {
+    /// Logs and counts bytes of the run that are no event of the stream, against its runner too,
+    /// whatever becomes of the run.
+    fn record_invalid(&mut self, invalid: InvalidEvent) {
+        self.origin.is_failure_recorded = true;
+        self.cx.shared.record_run_end(&self.origin.runner, false);
         self.cx.metrics.record_invalid_event(invalid.label());
         log::info!(
-            "stream: run sends no event id={} runner={} cause=\"{invalid}\"",
+            "stream: invalid event id={} runner={} cause=\"{invalid}\"",
             self.fwd.request.id,
             self.origin.runner.id,
         );
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -212,7 +212,9 @@
             RunEnd::DeadlinePassed => StreamStep::GiveUp(GiveUpReason::DeadlinePassed),
             RunEnd::Broken(_) => {
                 origin.watch.connection_lost(self.cx, &origin.runner).await;
-                self.cx.shared.record_run_end(&origin.runner, false);
+                if !origin.is_failure_recorded {
+                    self.cx.shared.record_run_end(&origin.runner, false);
+                }
                 StreamStep::Resume
             }
             RunEnd::RunnerEnded(_) | RunEnd::Unconfirmed(VerdictGap::NoResponse(_)) => {
@@ -248,6 +250,10 @@
             shared.record_sound_run(&fwd.crash_keys);
         }
         shared.record_run_end(&origin.runner, true);
+        // The events before a caller's own `Last-Event-Id` took another response's time, if any.
+        if fwd.request.resume_after.is_some() {
+            return;
+        }
         let expected = fwd.request.size.map_or(0, |size| size.expected());
         let last_event = self.progress.last_event.unwrap_or(0);
         let generated = shared.tokens_of_events(&fwd.service, last_event);
