Calls: an empty success without framing is not whole

What callers saw: status 200 with `Content-Length: 0` where a runner had stopped after its seal and before its framing headers, and an empty line had ended the head.

Cause: without a length or chunks a body ends with its connection, and such an end counted as the whole body if the runner answers a probe, also when nothing had come.

Change: a plain success without a framing header and without a byte has an unknown outcome: 502 for calls that run once, another runner for idempotent ones. A runner that means an empty body can say so by a length, by chunks, or by 204 and 205, which pass as before. A caller cannot repair an empty success that it takes for the answer, and RFC 9112 (section 8) calls a body without framing complete only for want of a better rule; an empty body is where the guess costs most and saves least. With bytes, the end of the connection of a living runner stays the end, as the protocol allows such answers.

--- a/crates/bulrushusher_gateway/src/runners/framing.rs
+++ b/crates/bulrushusher_gateway/src/runners/framing.rs
@@ -20,7 +20,10 @@
     /// The framing of the response to a request. A response that has no body ends with its head.
     pub(crate) fn of_reply_to(method: &Method, head: &Parts) -> BodyFraming {
         let is_head_only = *method == Method::HEAD
-            || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT | StatusCode::NOT_MODIFIED
+            );
         match is_head_only {
             true => BodyFraming::Marked,
             false => BodyFraming::of(&head.headers),
--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -304,7 +304,7 @@
         Ok(reply) => {
             framing = BodyFraming::of_reply_to(&fwd.method, &reply.head);
             let remaining = timeout.since(cx.now().since(started)).plus(Millis(1));
-            read_response(cx, runner, reply, remaining).await
+            read_response(cx, runner, reply, framing, remaining).await
         }
         Err(e) => Err(e),
     };
@@ -343,6 +343,7 @@
     cx: &Router<D>,
     runner: &Runner,
     reply: Reply,
+    framing: BodyFraming,
     timeout: Millis,
 ) -> Result<AttemptResult, ExchangeError> {
     let info = reply.info.clone();
@@ -363,6 +364,11 @@
         let cause = "the response has no seal of its runner".to_owned();
         return Ok(AttemptResult::NoAnswer(AttemptEnd::Unknown, cause));
     }
+    // A head that ends before its framing headers looks the same, also when its runner lives on.
+    if head.status.is_success() && framing == BodyFraming::Close && body.is_empty() {
+        let cause = "the response has neither a body nor a mark of its end".to_owned();
+        return Ok(AttemptResult::NoAnswer(AttemptEnd::Unknown, cause));
+    }
     Ok(match head.status.is_server_error() || promises_not_run(head.status) {
         true => AttemptResult::RunFailed(head, body),
         false => AttemptResult::Answer(head, body),
