Exchanges: a response with ambiguous framing is not used

What callers saw: status 200 with a short or an empty body, framed as whole, and the rest of the body behind it on the connection, where the next response is expected.

Cause: a response with a length and chunks is read by its chunks, and was forwarded with its length. The HTTP library trusts a length that is set beside a known body. A transfer coding besides chunks lost its header on the way, so that its bytes passed as plain, and a body that ends with its connection counted as framed, so that no probe of its runner confirmed its end, and its connection was kept.

Change: a head with both a length and a transfer coding, or with a coding other than `chunked` alone, makes the exchange fail: the outcome is unknown and the connection is closed. RFC 9112 (6.3) asks to handle both as an error. This holds for calls, streams, prefills, holds, copies and reports; a refusal marked as not run needs no body and holds as before. Forwarded bodies have the length of what is sent, also beside 204 and 304.

Seen before: `a_response_with_a_length_and_chunks_is_not_forwarded` got no response (a debug assertion of the library); with the library built as in a release, 200, length 3 and the body "the" of "the body". `a_response_in_another_transfer_coding_is_not_forwarded` got 200. `a_response_with_two_lengths_is_not_forwarded` passed before, and guards it.

--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -4,8 +4,8 @@
 use bulrushusher_time::Millis;
 use bytes::Bytes;
 use hyper::header::{
-    CONTENT_ENCODING, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER,
-    WWW_AUTHENTICATE,
+    CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue,
+    RETRY_AFTER, WWW_AUTHENTICATE,
 };
 use hyper::http::response;
 use hyper::{Response, StatusCode};
@@ -242,6 +242,11 @@
         .any(|it| !it.as_bytes().eq_ignore_ascii_case(b"identity"))
 }
 
+/// True for a status that rules out a body.
+fn has_no_body(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
 /// Forwards a runner's complete response to a request that has run.
 ///
 /// # Errors
@@ -253,10 +258,16 @@
     if promises_not_run(head.status) {
         return Err(Refusal::OutcomeUnknown("the runner has run the request and refused it"));
     }
+    let is_empty = body.is_empty();
     let mut reply = Response::new(ReplyBody::whole(body));
     *reply.status_mut() = head.status;
     *reply.headers_mut() = head.headers;
     strip_hop_by_hop(reply.headers_mut());
+    // The length is that of the body that is sent. Without a body it may state what the body of another
+    // request would be (HEAD).
+    if !is_empty || has_no_body(head.status) {
+        reply.headers_mut().remove(CONTENT_LENGTH);
+    }
     Ok(reply)
 }
 
@@ -268,6 +279,6 @@
     strip_hop_by_hop(reply.headers_mut());
     // The Content-Length of the first run is dropped: another run may continue the stream, which
     // can change its total length.
-    reply.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+    reply.headers_mut().remove(CONTENT_LENGTH);
     reply
 }
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -18,6 +18,7 @@
 
 use crate::dialect::{ControlRequest, Dialect, ResponseInfo};
 use crate::runners::answer_memory::{BodyError, MAX_CONTROL_BYTES, read_body};
+use crate::runners::framing::BodyFraming;
 use crate::runners::permit::Permit;
 use crate::runners::pool::{RunnerConnection, RunnerPool};
 use crate::runners::send_spec::{CallerSend, SendPurpose, SendSpec};
@@ -42,6 +43,9 @@
     /// The response is larger than what is read; this request may have run.
     #[display("the answer cannot be read ({cause})")]
     TooLarge { cause: String },
+    /// The head of the response contradicts itself; this request may have run.
+    #[display("the answer cannot be used ({cause})")]
+    Contradictory { cause: &'static str },
     /// The response belongs to another request; this request may have run.
     #[display("the answer is not to this request")]
     Foreign,
@@ -104,6 +108,7 @@
             ExchangeError::NoAnswer { .. }
             | ExchangeError::ConnectionLost { .. }
             | ExchangeError::TooLarge { .. }
+            | ExchangeError::Contradictory { .. }
             | ExchangeError::Foreign
             | ExchangeError::Unclear => AttemptEnd::Unknown,
         }
@@ -350,6 +355,9 @@
             AnswerOrigin::Foreign => return Err(ExchangeError::Foreign),
             AnswerOrigin::Unclear => return Err(ExchangeError::Unclear),
         }
+        if let Some(cause) = find_contradiction(&head, &info) {
+            return Err(ExchangeError::Contradictory { cause });
+        }
         // Signals in the response of another runner at this address do not apply to this runner.
         if !info.wrong_runner {
             self.shared.record_runner_answer(&runner.id);
@@ -432,6 +440,14 @@
     }
 }
 
+/// Why the head of a response has no clear meaning. A refusal needs no body, so its framing does not
+/// matter.
+fn find_contradiction(head: &response::Parts, info: &ResponseInfo) -> Option<&'static str> {
+    let is_refusal = info.not_run || info.wrong_runner;
+    let is_ambiguous = BodyFraming::is_ambiguous(&head.headers);
+    (is_ambiguous && !is_refusal).then_some("the framing of its body is ambiguous")
+}
+
 fn withdraw_arrival(purpose: SendPurpose<'_>) {
     if let SendPurpose::Request(CallerSend { fwd, .. }) = purpose {
         fwd.arrivals.withdraw();
--- a/crates/bulrushusher_gateway/src/runners/framing.rs
+++ b/crates/bulrushusher_gateway/src/runners/framing.rs
@@ -32,9 +32,20 @@
 
     /// The framing that the headers of a response state.
     pub(crate) fn of(headers: &HeaderMap) -> BodyFraming {
-        match headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING) {
+        let has_length = headers.contains_key(CONTENT_LENGTH);
+        let is_marked = has_length || headers.contains_key(TRANSFER_ENCODING);
+        match is_marked && !BodyFraming::is_ambiguous(headers) {
             true => BodyFraming::Marked,
             false => BodyFraming::Close,
         }
     }
+
+    /// True if the headers state two framings, or a transfer coding besides chunks: readers differ in
+    /// where such a body ends and what it is.
+    pub(crate) fn is_ambiguous(headers: &HeaderMap) -> bool {
+        let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+        let Some(coding) = codings.next() else { return false };
+        let is_chunked = coding.as_bytes().eq_ignore_ascii_case(b"chunked");
+        !is_chunked || codings.next().is_some() || headers.contains_key(CONTENT_LENGTH)
+    }
 }
