Calls: an encoded success is not the runner's body

What callers saw: status 200 with a body in `Content-Encoding: gzip`, which no caller has asked for and which the protocol says is not the runner's body.

Cause: only streams checked the encoding.

Change: such a success of a plain call has an unknown outcome, as without a seal.

Seen before: `an_encoded_response_is_not_forwarded` got 200 with the header and the body.

--- a/crates/bulrushusher_gateway/src/runs/call.rs
+++ b/crates/bulrushusher_gateway/src/runs/call.rs
@@ -9,7 +9,9 @@
 use hyper::Response;
 use hyper::http::response;
 
-use crate::answers::answer::{BACK_PRESSURE, Refusal, forward_response, promises_not_run};
+use crate::answers::answer::{
+    BACK_PRESSURE, Refusal, forward_response, is_encoded, promises_not_run,
+};
 use crate::answers::body::ReplyBody;
 use crate::dialect::{Dialect, Step};
 use crate::runners::answer_memory::MAX_ANSWER_BYTES;
@@ -364,6 +366,10 @@
         let cause = "the response has no seal of its runner".to_owned();
         return Ok(AttemptResult::NoAnswer(AttemptEnd::Unknown, cause));
     }
+    if head.status.is_success() && is_encoded(&head.headers) {
+        let cause = "the response has an encoded body".to_owned();
+        return Ok(AttemptResult::NoAnswer(AttemptEnd::Unknown, cause));
+    }
     // A head that ends before its framing headers looks the same, also when its runner lives on.
     if head.status.is_success() && framing == BodyFraming::Close && body.is_empty() {
         let cause = "the response has neither a body nor a mark of its end".to_owned();
