Exchanges: a switch of protocols is no response

What callers saw: status 101 in answer to a plain call, after which their connection speaks no protocol that either side has agreed on.

Cause: informational responses are passed over by the HTTP library, except for this one.

Change: no request asks for another protocol, so that the exchange fails: the outcome is unknown and the connection is closed.

Seen before: `a_switch_of_protocols_is_not_forwarded` got 101.

--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -12,9 +12,9 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::response;
+use hyper::{Request, StatusCode};
 
 use crate::dialect::{ControlRequest, Dialect, ResponseInfo};
 use crate::runners::answer_memory::{BodyError, MAX_CONTROL_BYTES, read_body};
@@ -444,6 +444,9 @@
 /// matter.
 fn find_contradiction(head: &response::Parts, info: &ResponseInfo) -> Option<&'static str> {
     let is_refusal = info.not_run || info.wrong_runner;
+    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+        return Some("it switches to another protocol");
+    }
     let is_ambiguous = BodyFraming::is_ambiguous(&head.headers);
     (is_ambiguous && !is_refusal).then_some("the framing of its body is ambiguous")
 }
