Exchanges: a success cannot state that it was not run

What callers saw: 503 with the promise "not run" for a call that a runner had answered with a sealed success. By reading, an idempotent call and a stream would have been sent to a second runner.

Cause: the mark of a refusal was believed beside any status. Of two words that contradict each other, that one allows a second run of a request that must run once.

Change: the exchange fails with an unknown outcome. Beside all other statuses the mark holds as before.

Seen before: `a_success_marked_as_not_run_has_an_unknown_outcome` got 503.

Measured: 10 of 10 tests of foreign_answers and answer_origins passed.

--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -447,6 +447,9 @@
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return Some("it switches to another protocol");
     }
+    if info.not_run && head.status.is_success() {
+        return Some("a success states that it was not run");
+    }
     let is_ambiguous = BodyFraming::is_ambiguous(&head.headers);
     (is_ambiguous && !is_refusal).then_some("the framing of its body is ambiguous")
 }
