KV caches: a handle is checked before it is used

What runners saw: `Bulrushusher-Kv-Source: IP:PORT/` with an empty handle; by reading, also handles with slashes, spaces, letters beyond ASCII or of any length, in that header and in the path of the call that frees the cache. A handle with a line end lost the header, so that the decode runner prefilled a prompt that had been prefilled. `..` names another path.

Cause: any JSON string passed as a handle, from answers to prefills and to copies of runs.

Change: `KvHandle` has 1 to 256 characters that RFC 3986 allows in a segment of a path without escapes, and is not `.` or `..`. An answer with another handle has none: the prefill failed, and a run whose copy has none is not stopped.

Seen before: `an_invalid_handle_of_a_kv_cache_is_not_used` found the empty handle in a run, `a_copy_with_an_invalid_handle_moves_no_run` a run that was stopped (with the check of the new type switched off). `a_cut_answer_to_a_copy_moves_no_run` passed before, and guards it.

--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -11,7 +11,7 @@
     PromptParts, PromptSize, RequestId, RunnerSignals, SoftwareVersion, Stage, StartTime,
 };
 use bulrushusher_time::Millis;
-use bulrushusher_world::{ClientAccountName, DataCentreName, RunnerId};
+use bulrushusher_world::{ClientAccountName, DataCentreName, KvHandle, RunnerId};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::Method;
@@ -71,7 +71,7 @@
     /// Software version of that runner; only runners of the same version can read the cache.
     pub version: SoftwareVersion,
     /// Handle of the cache at that runner.
-    pub handle: Arc<str>,
+    pub handle: KvHandle,
 }
 
 impl KvCache {
@@ -204,10 +204,10 @@
 
     /// Parses the handle of the KV cache in a runner's response to [`Step::Prefill`] or to
     /// [`copy_run`](Dialect::copy_run).
-    fn parse_cache_handle(&self, body: &[u8]) -> Option<Arc<str>>;
+    fn parse_cache_handle(&self, body: &[u8]) -> Option<KvHandle>;
 
     /// The request that frees a KV cache.
-    fn free_kv(&self, runner: &RunnerId, handle: &str) -> ControlRequest;
+    fn free_kv(&self, runner: &RunnerId, handle: &KvHandle) -> ControlRequest;
 
     /// The request that holds decode memory for `ttl`.
     fn create_hold(&self, runner: &RunnerId, tokens: u64, ttl: Millis) -> ControlRequest;
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -7,6 +7,7 @@
 
 use bulrushusher_forward::{RunNumber, RunReport, Runner};
 use bulrushusher_time::Millis;
+use bulrushusher_world::KvHandle;
 use tokio::runtime::Handle;
 
 use crate::dialect::{ControlRequest, Dialect, KvCache};
@@ -151,7 +152,7 @@
 impl<D: Dialect> KvCacheGuard<D> {
     pub(crate) fn new(
         runner: Runner,
-        handle: Arc<str>,
+        handle: KvHandle,
         shared: &Arc<SharedState>,
         exchanger: &Exchanger<D>,
         dialect: &D,
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_forward::{CallResult, PrefillSite, Runner};
 use bulrushusher_time::Millis;
-use bulrushusher_world::RunnerId;
+use bulrushusher_world::{KvHandle, RunnerId};
 
 use crate::dialect::{Dialect, Step};
 use crate::placement::attempts::{AttemptHistory, RunError};
@@ -189,7 +189,7 @@
     runner: &Runner,
     timeout: Millis,
     trace: &SendTrace,
-) -> Result<Arc<str>, PrefillFailure> {
+) -> Result<KvHandle, PrefillFailure> {
     let lost = |e: ExchangeError| PrefillFailure {
         result: e.call_result(),
         cause: e.to_string(),
@@ -213,7 +213,7 @@
     }
     let unreadable = || PrefillFailure {
         result: CallResult::Failed,
-        cause: "the response contains no cache handle".to_owned(),
+        cause: "the response contains no valid cache handle".to_owned(),
         // Without a mark of its end it may have been cut off by a crash.
         is_connection_lost: framing == BodyFraming::Close,
     };
--- a/crates/bulrushusher_world/src/name.rs
+++ b/crates/bulrushusher_world/src/name.rs
@@ -10,6 +10,9 @@
 /// Maximum length of an idempotency key, in bytes.
 pub const MAX_KEY_LEN: usize = 128;
 
+/// Maximum length of a handle, in bytes, so that a request that names it stays small.
+pub const MAX_HANDLE_LEN: usize = 256;
+
 /// Why a string is not a valid name.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum NameError {
@@ -86,6 +89,25 @@
     }
 }
 
+/// Checks a handle that another process assigns. It stands in headers and as a segment of a path, so that
+/// it consists of what RFC 3986 allows there without escapes.
+fn check_handle(kind: &'static str, text: &str) -> Result<(), NameError> {
+    if text.is_empty() || text.len() > MAX_HANDLE_LEN {
+        return Err(NameError::Length { kind, len: text.len(), max: MAX_HANDLE_LEN });
+    }
+    let is_allowed = |c: &char| c.is_ascii_alphanumeric() || "-._~!$&'()*+,;=:@".contains(*c);
+    // A segment of one or two dots names another path.
+    let dots = matches!(text, "." | "..").then_some('.');
+    match text.chars().find(|c| !is_allowed(c)).or(dots) {
+        Some(found) => Err(NameError::Character {
+            kind,
+            found,
+            allowed: "ASCII letters, digits and punctuation that paths allow",
+        }),
+        None => Ok(()),
+    }
+}
+
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident, $kind:literal, $check:ident) => {
         $(#[$doc])*
@@ -165,6 +187,16 @@
 name_type!(
     /// Identifies one process lifetime of a runner; a restarted runner has a new one.
     RunnerId, "runner", check_assigned_name);
+name_type!(
+    /// Handle of a KV cache at the runner that has it.
+    ///
+    /// ```
+    /// use bulrushusher_world::KvHandle;
+    /// assert!(KvHandle::try_from("3fa09c41b7d5").is_ok());
+    /// assert!(KvHandle::try_from("a/b").is_err());
+    /// assert!(KvHandle::try_from("..").is_err());
+    /// ```
+    KvHandle, "KV cache", check_handle);
 name_type!(
     /// Name of a route of the gateway.
     RouteName, "route", check_assigned_name);
