Holds: the id of a hold is checked before it is used

What runners saw: a run with a hold id of any shape, here with a space; by reading, also with slashes or of any length, in the header of the run and in the path of the call that releases the hold. An id that cannot stand in a header was left out, so that the run came without its hold.

Cause: any JSON string passed as an id.

Change: `HoldId` follows the rule of `KvHandle`. A hold without such an id counts as refused (`invalid_id` in the log and in metrics) and lapses at the runner.

--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -4,14 +4,13 @@
 //! decisions.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use bulrushusher_accounts::Credentials;
 use bulrushusher_forward::{
     PromptParts, PromptSize, RequestId, RunnerSignals, SoftwareVersion, Stage, StartTime,
 };
 use bulrushusher_time::Millis;
-use bulrushusher_world::{ClientAccountName, DataCentreName, KvHandle, RunnerId};
+use bulrushusher_world::{ClientAccountName, DataCentreName, HoldId, KvHandle, RunnerId};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::Method;
@@ -93,7 +92,7 @@
         /// The KV cache to start from; without one the runner prefills the prompt itself.
         kv: Option<&'a KvCache>,
         /// Id of the hold on decode memory, if there is one.
-        hold: Option<&'a str>,
+        hold: Option<&'a HoldId>,
     },
 }
 
@@ -213,14 +212,14 @@
     fn create_hold(&self, runner: &RunnerId, tokens: u64, ttl: Millis) -> ControlRequest;
 
     /// Parses the id of the hold in a runner's response to [`create_hold`](Dialect::create_hold).
-    fn parse_hold_id(&self, body: &[u8]) -> Option<Arc<str>>;
+    fn parse_hold_id(&self, body: &[u8]) -> Option<HoldId>;
 
     /// The request that copies the memory of a run to another decode runner. The response contains
     /// the handle of the copy in the same form as that of a KV cache.
     fn copy_run(&self, run: &RunCopy<'_>) -> ControlRequest;
 
     /// The request that releases a hold.
-    fn release_hold(&self, runner: &RunnerId, hold: &str) -> ControlRequest;
+    fn release_hold(&self, runner: &RunnerId, hold: &HoldId) -> ControlRequest;
 
     /// The request for a runner's status.
     fn status_request(&self, runner: &RunnerId) -> ControlRequest;
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -7,7 +7,7 @@
 
 use bulrushusher_forward::{RunNumber, RunReport, Runner};
 use bulrushusher_time::Millis;
-use bulrushusher_world::KvHandle;
+use bulrushusher_world::{HoldId, KvHandle};
 use tokio::runtime::Handle;
 
 use crate::dialect::{ControlRequest, Dialect, KvCache};
@@ -20,7 +20,7 @@
 pub(crate) struct MemoryHold<D: Dialect> {
     pub runner: Runner,
     /// Id of the hold at the runner; `None` when the runner has no holds, or after the run used it.
-    pub id: Option<Arc<str>>,
+    pub id: Option<HoldId>,
     run: RunNumber,
     prefills_itself: bool,
     /// True until the run is sent: the permit that was acquired for it is unused.
@@ -45,7 +45,7 @@
 impl<D: Dialect> MemoryHold<D> {
     pub(crate) fn new(
         runner: Runner,
-        id: Option<Arc<str>>,
+        id: Option<HoldId>,
         terms: HoldTerms,
         shared: &Arc<SharedState>,
         exchanger: &Exchanger<D>,
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -338,6 +338,11 @@
     }
     match (status, cx.dialect.parse_hold_id(body)) {
         (StatusCode::OK, Some(id)) => (Some(hold(runner, Some(id))), "held"),
+        // What it holds cannot be named, and lapses by itself.
+        (StatusCode::OK, None) => {
+            cx.shared.with_runners(|r, now| r.loads.record_hold_refusal(&runner.id, now));
+            (None, "invalid_id")
+        }
         // An engine without holds accepts or refuses the generation when it arrives.
         (StatusCode::NOT_FOUND, _) => (Some(hold(runner, None)), "no_holds"),
         (StatusCode::MISDIRECTED_REQUEST, _) => {
--- a/crates/bulrushusher_gateway/src/runs/begin.rs
+++ b/crates/bulrushusher_gateway/src/runs/begin.rs
@@ -121,7 +121,7 @@
     let runner = held.runner.clone();
     let hold = held.id.clone();
     let cache = kv.as_ref().map(|kv| kv.cache.clone());
-    let step = Step::Generate { kv: cache.as_ref(), hold: hold.as_deref() };
+    let step = Step::Generate { kv: cache.as_ref(), hold: hold.as_ref() };
     let spec = AttemptSpec { resume_after: history.resume_after, step, permit: Permit::Acquired };
     let run = run_at(cx, fwd, runner.clone(), Some(held), spec, head_wait(fwd, history)).await;
     match &run {
--- a/crates/bulrushusher_world/src/name.rs
+++ b/crates/bulrushusher_world/src/name.rs
@@ -197,6 +197,9 @@
     /// assert!(KvHandle::try_from("..").is_err());
     /// ```
     KvHandle, "KV cache", check_handle);
+name_type!(
+    /// Id of a hold on memory at the runner that grants it.
+    HoldId, "hold", check_handle);
 name_type!(
     /// Name of a route of the gateway.
     RouteName, "route", check_assigned_name);
