World: the handle of a KV cache is a CacheHandle

`bulrushusher_wire` has a `KvHandle` already, which names an engine and a number. One name for two types would read as one of them in two places. No change of behavior.

--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -10,7 +10,7 @@
     PromptParts, PromptSize, RequestId, RunnerSignals, SoftwareVersion, Stage, StartTime,
 };
 use bulrushusher_time::Millis;
-use bulrushusher_world::{ClientAccountName, DataCentreName, HoldId, KvHandle, RunnerId};
+use bulrushusher_world::{CacheHandle, ClientAccountName, DataCentreName, HoldId, RunnerId};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::Method;
@@ -70,7 +70,7 @@
     /// Software version of that runner; only runners of the same version can read the cache.
     pub version: SoftwareVersion,
     /// Handle of the cache at that runner.
-    pub handle: KvHandle,
+    pub handle: CacheHandle,
 }
 
 impl KvCache {
@@ -203,10 +203,10 @@
 
     /// Parses the handle of the KV cache in a runner's response to [`Step::Prefill`] or to
     /// [`copy_run`](Dialect::copy_run).
-    fn parse_cache_handle(&self, body: &[u8]) -> Option<KvHandle>;
+    fn parse_cache_handle(&self, body: &[u8]) -> Option<CacheHandle>;
 
     /// The request that frees a KV cache.
-    fn free_kv(&self, runner: &RunnerId, handle: &KvHandle) -> ControlRequest;
+    fn free_kv(&self, runner: &RunnerId, handle: &CacheHandle) -> ControlRequest;
 
     /// The request that holds decode memory for `ttl`.
     fn create_hold(&self, runner: &RunnerId, tokens: u64, ttl: Millis) -> ControlRequest;
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -7,7 +7,7 @@
 
 use bulrushusher_forward::{RunNumber, RunReport, Runner};
 use bulrushusher_time::Millis;
-use bulrushusher_world::{HoldId, KvHandle};
+use bulrushusher_world::{CacheHandle, HoldId};
 use tokio::runtime::Handle;
 
 use crate::dialect::{ControlRequest, Dialect, KvCache};
@@ -152,7 +152,7 @@
 impl<D: Dialect> KvCacheGuard<D> {
     pub(crate) fn new(
         runner: Runner,
-        handle: KvHandle,
+        handle: CacheHandle,
         shared: &Arc<SharedState>,
         exchanger: &Exchanger<D>,
         dialect: &D,
--- a/crates/bulrushusher_gateway/src/placement/prefill.rs
+++ b/crates/bulrushusher_gateway/src/placement/prefill.rs
@@ -4,7 +4,7 @@
 
 use bulrushusher_forward::{CallResult, PrefillSite, Runner};
 use bulrushusher_time::Millis;
-use bulrushusher_world::{KvHandle, RunnerId};
+use bulrushusher_world::{CacheHandle, RunnerId};
 
 use crate::dialect::{Dialect, Step};
 use crate::placement::attempts::{AttemptHistory, RunError};
@@ -189,7 +189,7 @@
     runner: &Runner,
     timeout: Millis,
     trace: &SendTrace,
-) -> Result<KvHandle, PrefillFailure> {
+) -> Result<CacheHandle, PrefillFailure> {
     let lost = |e: ExchangeError| PrefillFailure {
         result: e.call_result(),
         cause: e.to_string(),
--- a/crates/bulrushusher_gateway/src/runs/migration.rs
+++ b/crates/bulrushusher_gateway/src/runs/migration.rs
@@ -15,7 +15,7 @@
 
 use bulrushusher_forward::{AttemptEnd, RunReport, Runner, StopOutcome};
 use bulrushusher_time::Millis;
-use bulrushusher_world::KvHandle;
+use bulrushusher_world::CacheHandle;
 use hyper::StatusCode;
 
 use crate::dialect::{Dialect, RunCopy, Step};
@@ -268,7 +268,7 @@
 struct CopyAnswer {
     status: StatusCode,
     /// The handle of the run's memory.
-    handle: Option<KvHandle>,
+    handle: Option<CacheHandle>,
 }
 
 impl CopyAnswer {
--- a/crates/bulrushusher_world/src/lib.rs
+++ b/crates/bulrushusher_world/src/lib.rs
@@ -17,9 +17,9 @@
 pub use endpoint::{Endpoint, Fencing, RawEndpoint, Role};
 pub use link::Link;
 pub use name::{
-    ClassName, ClientAccountName, ClosingName, DataCentreName, EndpointName, EntryName, HoldId,
-    KvHandle, ModelName, NameError, RegionName, RequestKey, RouteName, RunnerId, ServiceName,
-    VmName,
+    CacheHandle, ClassName, ClientAccountName, ClosingName, DataCentreName, EndpointName,
+    EntryName, HoldId, ModelName, NameError, RegionName, RequestKey, RouteName, RunnerId,
+    ServiceName, VmName,
 };
 pub use region::{Residency, Topology, TopologyError};
 
--- a/crates/bulrushusher_world/src/name.rs
+++ b/crates/bulrushusher_world/src/name.rs
@@ -191,12 +191,12 @@
     /// Handle of a KV cache at the runner that has it.
     ///
     /// ```
-    /// use bulrushusher_world::KvHandle;
-    /// assert!(KvHandle::try_from("3fa09c41b7d5").is_ok());
-    /// assert!(KvHandle::try_from("a/b").is_err());
-    /// assert!(KvHandle::try_from("..").is_err());
+    /// use bulrushusher_world::CacheHandle;
+    /// assert!(CacheHandle::try_from("3fa09c41b7d5").is_ok());
+    /// assert!(CacheHandle::try_from("a/b").is_err());
+    /// assert!(CacheHandle::try_from("..").is_err());
     /// ```
-    KvHandle, "KV cache", check_handle);
+    CacheHandle, "KV cache", check_handle);
 name_type!(
     /// Id of a hold on memory at the runner that grants it.
     HoldId, "hold", check_handle);
