Line streams: a raw body is limited like any other

What could be seen: an entry keeps as many bytes in memory as an agent states in front of a service's response, and as come within the idle timeout of each read.

Cause: lines were limited to 1 MiB and whole responses to 16 MiB, raw bytes behind a line not at all.

Change: they have the limit of whole responses, which agents' responses keep already.

--- a/crates/bulrushusher_http/src/client.rs
+++ b/crates/bulrushusher_http/src/client.rs
@@ -21,7 +21,7 @@
 /// Idle timeout between two reads of a stream opened with [`HttpClient::call_stream`].
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_secs(12);
 /// Largest body that is read as a whole. Pages of the platform's store have about a megabyte.
-const MAX_BODY_BYTES: usize = 16 << 20;
+pub(crate) const MAX_BODY_BYTES: usize = 16 << 20;
 const MAX_ERROR_BODY_BYTES: usize = 2 << 20;
 
 /// A complete response.
--- a/crates/bulrushusher_http/src/lines.rs
+++ b/crates/bulrushusher_http/src/lines.rs
@@ -9,6 +9,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::HttpError;
+use crate::client::MAX_BODY_BYTES;
 
 /// Maximum length of a line, in bytes.
 const MAX_LINE_BYTES: usize = 1 << 20;
@@ -67,8 +68,12 @@
     /// Reads exactly `len` raw bytes.
     ///
     /// # Errors
-    /// As [`LineStream::next_line`]; [`HttpError::ConnectionLost`] when the body ends early.
+    /// As [`LineStream::next_line`]; [`HttpError::ConnectionLost`] when the body ends early,
+    /// [`HttpError::Codec`] when it is larger than 16 MiB.
     pub async fn read_bytes(&mut self, len: usize) -> Result<Bytes, HttpError> {
+        if len > MAX_BODY_BYTES {
+            return Err(self.codec_error("a body is larger than 16 MiB"));
+        }
         while self.buf.len() < len {
             if !self.fill().await? {
                 let cause = "the body ended early".to_owned();
