--- a/crates/bulrushusher_gateway/src/dialect/mod.rs
+++ b/crates/bulrushusher_gateway/src/dialect/mod.rs
@@ -4,14 +4,13 @@
 //! decisions.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use bulrushusher_accounts::Credentials;
 use bulrushusher_forward::{
     PromptParts, PromptSize, RequestId, RunnerSignals, SoftwareVersion, Stage, StartTime,
 };
 use bulrushusher_time::Millis;
-use bulrushusher_world::{ClientAccountName, DataCentreName, RunnerId};
+use bulrushusher_world::{CacheHandle, ClientAccountName, DataCentreName, HoldId, RunnerId};
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::Method;
@@ -71,7 +70,7 @@
     /// Software version of that runner; only runners of the same version can read the cache.
     pub version: SoftwareVersion,
     /// Handle of the cache at that runner.
-    pub handle: Arc<str>,
+    pub handle: CacheHandle,
 }
 
 impl KvCache {
@@ -93,7 +92,7 @@
         /// The KV cache to start from; without one the runner prefills the prompt itself.
         kv: Option<&'a KvCache>,
         /// Id of the hold on decode memory, if there is one.
-        hold: Option<&'a str>,
+        hold: Option<&'a HoldId>,
     },
 }
 
@@ -204,23 +203,23 @@
 
     /// Parses the handle of the KV cache in a runner's response to [`Step::Prefill`] or to
     /// [`copy_run`](Dialect::copy_run).
-    fn parse_cache_handle(&self, body: &[u8]) -> Option<Arc<str>>;
+    fn parse_cache_handle(&self, body: &[u8]) -> Option<CacheHandle>;
 
     /// The request that frees a KV cache.
-    fn free_kv(&self, runner: &RunnerId, handle: &str) -> ControlRequest;
+    fn free_kv(&self, runner: &RunnerId, handle: &CacheHandle) -> ControlRequest;
 
     /// The request that holds decode memory for `ttl`.
     fn create_hold(&self, runner: &RunnerId, tokens: u64, ttl: Millis) -> ControlRequest;
 
     /// Parses the id of the hold in a runner's response to [`create_hold`](Dialect::create_hold).
-    fn parse_hold_id(&self, body: &[u8]) -> Option<Arc<str>>;
+    fn parse_hold_id(&self, body: &[u8]) -> Option<HoldId>;
 
     /// The request that copies the memory of a run to another decode runner. The response contains
     /// the handle of the copy in the same form as that of a KV cache.
     fn copy_run(&self, run: &RunCopy<'_>) -> ControlRequest;
 
     /// The request that releases a hold.
-    fn release_hold(&self, runner: &RunnerId, hold: &str) -> ControlRequest;
+    fn release_hold(&self, runner: &RunnerId, hold: &HoldId) -> ControlRequest;
 
     /// The request for a runner's status.
     fn status_request(&self, runner: &RunnerId) -> ControlRequest;
