--- a/crates/bulrushusher_gateway/src/answers/answer.rs
+++ b/crates/bulrushusher_gateway/src/answers/answer.rs
@@ -233,13 +233,10 @@
     essence.is_some_and(|it| it.trim().eq_ignore_ascii_case("text/event-stream"))
 }
 
-/// True for a body that is encoded in a way that no caller has asked for, so that it is not the
+/// True for a body that states an encoding, which no caller has asked for, so that it is not the
 /// runner's.
 pub(crate) fn is_encoded(headers: &HeaderMap) -> bool {
-    headers
-        .get_all(CONTENT_ENCODING)
-        .iter()
-        .any(|it| !it.as_bytes().eq_ignore_ascii_case(b"identity"))
+    headers.contains_key(CONTENT_ENCODING)
 }
 
 /// True for a status that rules out a body.
