Versions: none begins streams beside a record that lacks it

What callers saw: a stream that began at v2 broke, returned to another gateway and went on at v1 (ORDER). It takes a gateway that lists v2 and reads the store but cannot write to it, and a second one that hears nothing of the first.

Cause: a version that could not be recorded for 3 s served all the same (UNRECORDED_GRACE). The record then had v1 alone, so whoever read it took v1 for the only version. The first record of a store was called complete however late it came, although versions had served before it.

Change: while the store has a record, a version that it lacks gets no work. What the record has serves as soon as it was read, also if nothing can be written: so far a new gateway waited for 3 s in that case. Only while reads of the last 3 s found no record at all may any listed version serve after 3 s, and a first record written that late is complete only once all streams from before it have ended (64 s). Readiness now follows what the list of runners lets serve; it came up to 0.5 s too early.

--- a/crates/bulrushusher_forward/src/runner_directory.rs
+++ b/crates/bulrushusher_forward/src/runner_directory.rs
@@ -535,6 +535,11 @@
         self.known.values_mut().for_each(|it| it.is_serving = is_serving(serving, &it.runner));
     }
 
+    /// True if model runners of some version get new work.
+    pub fn serves_some_version(&self) -> bool {
+        self.serving.as_ref().is_none_or(|versions| !versions.is_empty())
+    }
+
     /// True while the runner's data centre must get no new work. The runner stays known, and its runs
     /// continue.
     pub fn is_evacuated(&self, runner: &Runner) -> bool {
--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -229,10 +229,14 @@
 /// of the record for it. Shorter than the time after which another gateway may remove it there.
 const RECORDED_TTL: Millis = Millis(30_000);
 
-/// Time after which a listed version serves although it could not be recorded: new versions appear in
-/// the list only while some gateway reaches the store, which records them within milliseconds.
+/// Time after which a listed version serves although it could not be recorded, while the store has no
+/// record at all: a store that accepts writes has one within milliseconds.
 const UNRECORDED_GRACE: Millis = Millis(3_000);
 
+/// Time after which a read that found no record no longer lets versions serve. A gateway that cannot
+/// write the record reads it several times within it.
+const ABSENCE_TTL: Millis = Millis(3_000);
+
 /// A software version of a service.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServiceVersion {
@@ -257,16 +261,11 @@
     is_recorded: bool,
 }
 
-impl VersionState {
-    fn may_serve(&self, now: Millis) -> bool {
-        self.is_recorded || now.since(self.first_listed) >= UNRECORDED_GRACE
-    }
-}
-
 /// The software versions that runners are listed with, and which of them the store's record has.
 ///
 /// A version serves only once it is in the record, so the record has every version that can have
-/// begun a stream, also for gateways that start after all others have ended.
+/// begun a stream, also for gateways that start after all others have ended. While the store has no
+/// record, nobody can take a version for the only one, and any version serves.
 ///
 /// ```
 /// use bulrushusher_forward::{ServiceVersion, VersionLedger};
@@ -283,6 +282,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct VersionLedger {
     versions: HashMap<ServiceVersion, VersionState>,
+    /// When the last read of the record began, if it found none.
+    absent_at: Option<Millis>,
 }
 
 impl VersionLedger {
@@ -304,6 +305,7 @@
         recorded: impl IntoIterator<Item = ServiceVersion>,
         now: Millis,
     ) {
+        self.absent_at = None;
         for version in recorded {
             if let Some(state) = self.versions.get_mut(&version) {
                 state.is_recorded |= now.since(state.last_listed) < RECORDED_TTL;
@@ -311,15 +313,46 @@
         }
     }
 
+    /// Records that a read which began at `began` found no record.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{ServiceVersion, VersionLedger};
+    /// use bulrushusher_time::Millis;
+    /// let v1 = ServiceVersion { service: "llm".try_into().unwrap(), version: "v1".into() };
+    /// let mut ledger = VersionLedger::default();
+    /// ledger.observe(&v1, Millis(0));
+    /// assert!(ledger.serving(Millis(4_000)).is_empty(), "there may be a record");
+    /// ledger.set_absent(Millis(4_000));
+    /// assert!(ledger.serving(Millis(4_100)).contains(&v1));
+    /// ```
+    pub fn set_absent(&mut self, began: Millis) {
+        self.absent_at = Some(began);
+    }
+
     /// The versions of which runners may begin streams.
     pub fn serving(&self, now: Millis) -> HashSet<ServiceVersion> {
-        let serving = self.versions.iter().filter(|(_, state)| state.may_serve(now));
+        let is_absent = self.absent_at.is_some_and(|at| now.since(at) < ABSENCE_TTL);
+        let may_serve = |state: &VersionState| {
+            state.is_recorded || (is_absent && now.since(state.first_listed) >= UNRECORDED_GRACE)
+        };
+        let serving = self.versions.iter().filter(|(_, state)| may_serve(state));
         serving.map(|(version, _)| version.clone()).collect()
     }
 
-    /// True if runners of some version may begin streams, or if none has a version.
-    pub fn is_settled(&self, now: Millis) -> bool {
-        self.versions.is_empty() || self.versions.values().any(|state| state.may_serve(now))
+    /// True if other gateways that list the same versions may let some serve without a record by now.
+    pub fn is_grace_near(&self, now: Millis) -> bool {
+        let half = UNRECORDED_GRACE.share(0.5);
+        self.versions.values().any(|state| now.since(state.first_listed) >= half)
+    }
+
+    /// Longest time for which versions may still serve without being recorded after there is a record.
+    pub fn max_absence_lag() -> Millis {
+        ABSENCE_TTL
+    }
+
+    /// True if no version is listed.
+    pub fn is_empty(&self) -> bool {
+        self.versions.is_empty()
     }
 
     /// The listed versions that are not known to be in the record.
--- a/crates/bulrushusher_forward/tests/stream_versions.rs
+++ b/crates/bulrushusher_forward/tests/stream_versions.rs
@@ -2,8 +2,9 @@
 
 use bulrushusher_forward::{
     CallSelection, LoadConfig, PlaceView, PrefillQueue, PrefillSelection, RequestId, Runner,
-    RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, SelectionContext, SoftwareVersion, Stage,
-    StreamKey, StreamRecord, StreamVersions, pick_for_call, pick_for_prefill, rank_for_decode,
+    RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, SelectionContext, ServiceVersion,
+    SoftwareVersion, Stage, StreamKey, StreamRecord, StreamVersions, VersionLedger, pick_for_call,
+    pick_for_prefill, rank_for_decode,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, ServiceName};
@@ -61,6 +62,43 @@
     assert_eq!(streams.len(), 1, "expired records make room");
 }
 
+fn version(text: &str) -> ServiceVersion {
+    ServiceVersion { service: service(), version: text.into() }
+}
+
+/// Guards against a version that begins streams although the store's record lacks it.
+#[test]
+fn a_version_that_the_record_lacks_never_serves() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut ledger = VersionLedger::default();
+    for at in (0..120_000).step_by(500).map(Millis) {
+        ledger.observe(&v1, at);
+        ledger.observe(&v2, at);
+        ledger.set_recorded([v1.clone()], at);
+        assert_eq!(ledger.serving(at), [v1.clone()].into());
+    }
+}
+
+/// Guards against a gateway that trusts an old read, after which another one may have written the
+/// first record.
+#[test]
+fn a_version_serves_unrecorded_only_while_reads_find_no_record() {
+    let v1 = version("v1");
+    let mut ledger = VersionLedger::default();
+    ledger.observe(&v1, NOW);
+    ledger.set_absent(NOW);
+    assert!(ledger.serving(NOW.plus(Millis(2_900))).is_empty(), "the record may be on its way");
+    let read_at = NOW.plus(Millis(3_500));
+    ledger.set_absent(read_at);
+    assert!(ledger.serving(read_at).contains(&v1));
+    let lapsed_at = read_at.plus(VersionLedger::max_absence_lag());
+    assert!(ledger.serving(lapsed_at).is_empty());
+    ledger.set_absent(lapsed_at);
+    assert!(ledger.serving(lapsed_at).contains(&v1));
+    ledger.set_recorded([version("v2")], lapsed_at);
+    assert!(ledger.serving(lapsed_at).is_empty(), "there is a record, without it");
+}
+
 fn runner(nth: usize, stage: Stage, version: &str) -> Runner {
     Runner {
         id: format!("i-{nth}").as_str().try_into().unwrap(),
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -359,7 +359,7 @@
         self.routing.load().is_some()
             && self.knows_evacuations()
             && self.runners.lock().directory.has_entries()
-            && self.versions.lock().is_settled(self.now())
+            && self.serves_some_version()
     }
 
     /// True once a configuration is in force, and the evacuations and the full list of runners are
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use bulrushusher_forward::{
-    Runner, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, StreamShard,
+    Runner, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, StreamShard, VersionLedger,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
@@ -190,6 +190,17 @@
         self.apply_serving_versions();
     }
 
+    /// Records that a read of the record which began at `began` found none.
+    pub(crate) fn set_record_absent(&self, began: Millis) {
+        self.versions.lock().set_absent(began);
+        self.apply_serving_versions();
+    }
+
+    /// True if some gateway may let versions serve before the first record is written.
+    pub(crate) fn may_serve_unrecorded(&self) -> bool {
+        self.versions.lock().is_grace_near(self.now())
+    }
+
     /// The listed versions that are not known to be in the record.
     pub(crate) fn unrecorded_versions(&self) -> Vec<ServiceVersion> {
         self.versions.lock().unrecorded()
@@ -200,9 +211,9 @@
         self.versions.lock().recorded()
     }
 
-    /// Longest time from the beginning of a stream to a caller's last return.
-    pub(crate) fn stream_lifetime(&self) -> Millis {
-        MAX_STREAM_LIFETIME
+    /// Time after which all streams have ended that began before a record was complete.
+    pub(crate) fn completion_time(&self) -> Millis {
+        MAX_STREAM_LIFETIME.plus(VersionLedger::max_absence_lag()).plus(OBSERVE_INTERVAL)
     }
 
     /// True if this gateway has run for as long as a stream may last.
@@ -256,6 +267,12 @@
         });
     }
 
+    /// True if runners of some version get work, or if none has a version.
+    pub(super) fn serves_some_version(&self) -> bool {
+        let serves = self.with_runners(|runners, _| runners.directory.serves_some_version());
+        serves || self.versions.lock().is_empty()
+    }
+
     /// Records the listed versions and drops expired records, until the gateway stops.
     pub(crate) async fn watch_versions(&self) {
         self.apply_serving_versions();
--- a/crates/bulrushusher_gateway/src/store/versions.rs
+++ b/crates/bulrushusher_gateway/src/store/versions.rs
@@ -1,8 +1,8 @@
 //! Keeps the store's record of the software versions that can have begun a stream, for gateways that
 //! start after all others have ended: that version may have left the list of runners in between.
 //!
-//! Model runners of a version serve only once the version is in the record, and a version leaves it
-//! only after no stream of it can last. A caller that continues a stream which no gateway knows is
+//! Model runners of a version serve only once the version is in the record, or while there is none, and
+//! a version leaves it only after no stream of it can last. A caller that continues a stream which no gateway knows is
 //! bound to the only version in the record, as read after its request arrived.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -182,7 +182,13 @@
 
     /// Reads the record, and writes it if versions have to be added or removed.
     async fn sync(&self, known: &mut KnownRecord, is_keeper: bool) -> Result<Sync, String> {
+        let began = self.shared.now();
         let read = self.read().await?;
+        // What is recorded serves also while nothing can be written.
+        match read.revision {
+            Some(_) => self.shared.set_recorded_versions(&read.record.all()),
+            None => self.shared.set_record_absent(began),
+        }
         let next = self.update(&read, known, is_keeper);
         if read.revision.is_none() || next != read.record {
             let value = serde_json::to_value(&next).map_err(|e| e.to_string())?;
@@ -214,10 +220,12 @@
     fn update(&self, read: &ReadRecord, known: &KnownRecord, is_keeper: bool) -> VersionRecord {
         let mut next = read.record.clone();
         if read.revision.is_none() || read.record.era != read.era {
-            // Nobody has served a stream before the first record. After a restore or behind a record
+            // Nobody has served a stream before a first record that is written in time. After a restore or behind a record
             // that cannot be read, only a gateway that has run for long knows what is missing.
-            let is_first = read.revision.is_none() && read.era == 0;
-            next.is_complete = is_first || self.shared.outlasts_streams();
+            next.is_complete = match read.revision {
+                None => read.era == 0 && !self.shared.may_serve_unrecorded(),
+                Some(_) => self.shared.outlasts_streams(),
+            };
             next.era = read.era;
             self.shared.recorded_versions().iter().for_each(|it| next.add(it));
         }
@@ -232,8 +240,8 @@
 
     /// True if each stream that began before the record had all versions has ended.
     fn is_complete_by_now(&self, known: &KnownRecord) -> bool {
-        let lifetime = self.shared.stream_lifetime();
-        known.incomplete_since.is_some_and(|at| self.shared.now().since(at) >= lifetime)
+        let needed = self.shared.completion_time();
+        known.incomplete_since.is_some_and(|at| self.shared.now().since(at) >= needed)
     }
 
     async fn read(&self) -> Result<ReadRecord, String> {
