Versions: a gateway that is cut off learns what others have recorded

What callers saw: since versions beside a record serve only once recorded, a gateway that is cut off from the store, and hears of the list from relays, refuses all model work once the old version has drained away.

Cause: only an own read of the record tells a gateway that a version is recorded.

A gateway that stood still for longer answers nothing until it has observed the list again. The datagrams' version is 11.

Failure seen before: a_gateway_that_is_cut_off_serves_a_version_that_another_one_has_recorded failed without the question: no stream at v2 within 20 s, with the record read in vain every 0.85 s. With it the test passes in 1.7 s.

--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -238,7 +238,7 @@
 const ABSENCE_TTL: Millis = Millis(3_000);
 
 /// A software version of a service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServiceVersion {
     /// The service.
     pub service: ServiceName,
@@ -299,7 +299,7 @@
         true
     }
 
-    /// Records the content of the record.
+    /// Records the content of the record, or the part of it that another gateway knows.
     pub fn set_recorded(
         &mut self,
         recorded: impl IntoIterator<Item = ServiceVersion>,
@@ -363,9 +363,12 @@
         unrecorded
     }
 
-    /// Versions that are in the record as far as is known here.
-    pub fn recorded(&self) -> Vec<ServiceVersion> {
-        let recorded = self.versions.iter().filter(|(_, state)| state.is_recorded);
+    /// Versions that are in the record as far as is known here; a gateway that stood still knows none until
+    /// it has observed the list again.
+    pub fn recorded(&self, now: Millis) -> Vec<ServiceVersion> {
+        let is_recorded =
+            |it: &VersionState| it.is_recorded && now.since(it.last_listed) < RECORDED_TTL;
+        let recorded = self.versions.iter().filter(|(_, state)| is_recorded(state));
         recorded.map(|(version, _)| version.clone()).collect()
     }
 
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -6,7 +6,7 @@
 
 use bulrushusher_forward::{
     CallPoolUpdate, DeltaRequest, EvacuationSet, GatewayDelta, GatewayReport, RunnerDelta,
-    SeenRevisions, StreamKey, StreamRecord,
+    SeenRevisions, ServiceVersion, StreamKey, StreamRecord,
 };
 use bulrushusher_routing::CrashUpdate;
 use derive_more::{Display, Error};
@@ -33,7 +33,7 @@
 const MARK: u8 = 0xB5;
 
 /// Incremented with each change to the encoding of [`Datagram`] or of its contents.
-const VERSION: u8 = 10;
+const VERSION: u8 = 11;
 
 /// A datagram between two gateways.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
@@ -73,6 +73,10 @@
     FindStream(StreamKey),
     /// The version of a stream that the receiver asked for.
     StreamFound(StreamRecord),
+    /// Asks which software versions the store has recorded, while the sender cannot read that.
+    FindVersions,
+    /// Listed versions that the sender knows to be recorded.
+    VersionsRecorded(Vec<ServiceVersion>),
 }
 
 /// Why a datagram cannot be decoded.
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -190,6 +190,13 @@
                 }
             }
             Message::StreamFound(record) => self.shared.keep_stream(record),
+            Message::FindVersions => {
+                let recorded = self.shared.recorded_versions();
+                if !recorded.is_empty() {
+                    self.send_message(socket, Message::VersionsRecorded(recorded), &[from]).await;
+                }
+            }
+            Message::VersionsRecorded(recorded) => self.shared.learn_recorded_versions(recorded),
         }
     }
 
--- a/crates/bulrushusher_gateway/src/peers/stream_records.rs
+++ b/crates/bulrushusher_gateway/src/peers/stream_records.rs
@@ -23,6 +23,10 @@
             }
             let (records, asked) = self.shared.take_stream_messages();
             let now = self.shared.now();
+            if self.shared.take_version_question() {
+                let to = self.announcer.directory.lock().first_for("versions", ASKED, now);
+                self.send_message(socket, Message::FindVersions, &to).await;
+            }
             for record in records {
                 let shard = record.key.shard().to_string();
                 let to = self.announcer.directory.lock().first_for(&shard, KEEPERS, now);
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -165,6 +165,8 @@
     streams: Mutex<StreamVersions>,
     /// Streams to ask other gateways for.
     asked_streams: Mutex<Vec<StreamKey>>,
+    /// True if other gateways are to be asked which versions are recorded.
+    are_versions_asked: AtomicBool,
     /// Notified when records of streams are due, or questions for them.
     pub stream_records_due: Notify,
     /// Shards of streams to read from the store.
@@ -250,6 +252,7 @@
             quarantine_due: Notify::new(),
             streams: Mutex::default(),
             asked_streams: Mutex::default(),
+            are_versions_asked: AtomicBool::new(false),
             stream_records_due: Notify::new(),
             wanted_shards: Mutex::default(),
             shards_wanted: Notify::new(),
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -190,6 +190,24 @@
         self.apply_serving_versions();
     }
 
+    /// Asks other gateways which versions are recorded, while the record cannot be read; the answer
+    /// arrives by [`SharedState::learn_recorded_versions`].
+    pub(crate) fn ask_for_recorded_versions(&self) {
+        self.are_versions_asked.store(true, Ordering::Relaxed);
+        self.stream_records_due.notify_one();
+    }
+
+    /// Takes whether to ask other gateways which versions are recorded.
+    pub(crate) fn take_version_question(&self) -> bool {
+        self.are_versions_asked.swap(false, Ordering::Relaxed)
+    }
+
+    /// Applies what another gateway knows to be recorded.
+    pub(crate) fn learn_recorded_versions(&self, recorded: Vec<ServiceVersion>) {
+        self.versions.lock().set_recorded(recorded, self.now());
+        self.apply_serving_versions();
+    }
+
     /// Records that a read of the record which began at `began` found none.
     pub(crate) fn set_record_absent(&self, began: Millis) {
         self.versions.lock().set_absent(began);
@@ -208,7 +226,7 @@
 
     /// Versions that are in the record as far as is known here.
     pub(crate) fn recorded_versions(&self) -> Vec<ServiceVersion> {
-        self.versions.lock().recorded()
+        self.versions.lock().recorded(self.now())
     }
 
     /// Time after which all streams have ended that began before a record was complete.
--- a/crates/bulrushusher_gateway/src/store/versions.rs
+++ b/crates/bulrushusher_gateway/src/store/versions.rs
@@ -173,6 +173,7 @@
                 }
                 Err(cause) => {
                     log::info!("versions: record not written, retrying cause=\"{cause}\"");
+                    self.shared.ask_for_recorded_versions();
                     tokio::time::sleep(RETRY_DELAY.share(0.5).duration()).await;
                     self.shared.versions_changed.notify_one();
                 }
