Versions: only a gateway that saw the list takes a version out of the record

What callers could see: a stream continued at another version (ORDER), as the record lacked one that served elsewhere.

Cause: a keeper of the record took a version out when it had run for a minute and had not seen the version listed for a minute. A gateway that stood still or was cut off saw nothing in that time: as it goes on, it counts its own absence as that of the version, until it looks at the list again.

Change: the ledger records since when the whole list was observed, in a copy that was current, without a gap of 2 s. A version is over only if that covers the lifetime of a stream. The cost: after a standstill a version stays in the record for a minute longer.

Failure seen before: with the former rule moved into the ledger, a_version_is_not_over_because_nobody_looked_at_the_list failed at its first check, 70 s after the last observation. The case was not played with processes: it takes a standstill of a minute.

Measured: the test passes, with the other 8 of stream_versions.rs.

--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -237,6 +237,10 @@
 /// write the record reads it several times within it.
 const ABSENCE_TTL: Millis = Millis(3_000);
 
+/// Longest time between two observations of the list within which no version can have come and gone
+/// unseen. It leaves room for a busy process, which observes every 500 ms.
+const MAX_OBSERVE_GAP: Millis = Millis(2_000);
+
 /// A software version of a service.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServiceVersion {
@@ -284,6 +288,15 @@
     versions: HashMap<ServiceVersion, VersionState>,
     /// When the last read of the record began, if it found none.
     absent_at: Option<Millis>,
+    /// Since when the list has been observed without a gap.
+    observed: Option<Observed>,
+}
+
+/// A time within which the whole list was observed again and again.
+#[derive(Clone, Copy, Debug)]
+struct Observed {
+    since: Millis,
+    until: Millis,
 }
 
 impl VersionLedger {
@@ -372,9 +385,20 @@
         recorded.map(|(version, _)| version.clone()).collect()
     }
 
-    /// True if a runner of the version was listed at `since` or later.
-    pub fn is_listed_since(&self, version: &ServiceVersion, since: Millis) -> bool {
-        self.versions.get(version).is_some_and(|state| state.last_listed >= since)
+    /// Records that all listed versions were observed, in a list that was current.
+    pub fn set_observed(&mut self, now: Millis) {
+        let before = self.observed.filter(|it| now.since(it.until) < MAX_OBSERVE_GAP);
+        let since = before.map_or(now, |it| it.since);
+        self.observed = Some(Observed { since, until: now });
+    }
+
+    /// True if the version was not listed for `span`, so that no stream of it lasts any more. Only a gateway
+    /// that observed the list for all of that time can tell.
+    pub fn is_over(&self, version: &ServiceVersion, span: Millis, now: Millis) -> bool {
+        let from = now.since(span);
+        let is_listed = self.versions.get(version).is_some_and(|state| state.last_listed >= from);
+        let has_observed = |it: Observed| it.since <= from && now.since(it.until) < MAX_OBSERVE_GAP;
+        !is_listed && self.observed.is_some_and(has_observed)
     }
 
     /// Drops versions that were last listed before `since`.
--- a/crates/bulrushusher_forward/tests/stream_versions.rs
+++ b/crates/bulrushusher_forward/tests/stream_versions.rs
@@ -99,6 +99,49 @@
     assert!(ledger.serving(lapsed_at).is_empty(), "there is a record, without it");
 }
 
+const LIFETIME: Millis = Millis(60_000);
+
+/// Observes the list every 500 ms.
+fn observe(ledger: &mut VersionLedger, listed: &[&ServiceVersion], from: u64, until: u64) {
+    for at in (from..until).step_by(500).map(Millis) {
+        listed.iter().for_each(|version| {
+            ledger.observe(version, at);
+        });
+        ledger.set_observed(at);
+    }
+}
+
+#[test]
+fn a_version_is_over_once_the_list_was_without_it_for_a_lifetime() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut ledger = VersionLedger::default();
+    observe(&mut ledger, &[&v1, &v2], 0, 70_000);
+    observe(&mut ledger, &[&v2], 70_000, 131_000);
+    assert!(!ledger.is_over(&v1, LIFETIME, Millis(129_400)));
+    assert!(ledger.is_over(&v1, LIFETIME, Millis(130_900)));
+    assert!(!ledger.is_over(&v2, LIFETIME, Millis(130_900)));
+    let mut started = VersionLedger::default();
+    observe(&mut started, &[&v2], 100_000, 131_000);
+    assert!(!started.is_over(&v1, LIFETIME, Millis(131_000)), "it may have left just before");
+}
+
+/// Guards against a gateway that takes a listed version out of the record after it stood still or was cut
+/// off, as it saw no runner of it meanwhile.
+#[test]
+fn a_version_is_not_over_because_nobody_looked_at_the_list() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut ledger = VersionLedger::default();
+    observe(&mut ledger, &[&v1], 0, 70_000);
+    let thawed_at = 140_000;
+    assert!(!ledger.is_over(&v1, LIFETIME, Millis(thawed_at)), "it may be listed now");
+    // A version came and went in between.
+    observe(&mut ledger, &[&v1], thawed_at, thawed_at + 59_000);
+    assert!(!ledger.is_over(&v2, LIFETIME, Millis(thawed_at + 59_000)));
+    observe(&mut ledger, &[&v1], thawed_at + 59_000, thawed_at + 61_000);
+    assert!(ledger.is_over(&v2, LIFETIME, Millis(thawed_at + 61_000)));
+    assert!(!ledger.is_over(&v1, LIFETIME, Millis(thawed_at + 61_000)));
+}
+
 fn runner(nth: usize, stage: Stage, version: &str) -> Runner {
     Runner {
         id: format!("i-{nth}").as_str().try_into().unwrap(),
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -239,13 +239,11 @@
         self.now().since(self.started_at) >= MAX_STREAM_LIFETIME
     }
 
-    /// True if this gateway has run for as long as a stream may last, and the version was not listed
-    /// meanwhile, so that it can have begun no stream that still lasts.
+    /// True if the version was not listed for as long as a stream may last, so that it can have begun none
+    /// that still lasts.
     pub(crate) fn is_version_over(&self, version: &ServiceVersion) -> bool {
-        let now = self.now();
-        self.outlasts_streams()
-            && self.is_copy_current(Topic::Runners)
-            && !self.versions.lock().is_listed_since(version, now.since(MAX_STREAM_LIFETIME))
+        self.is_copy_current(Topic::Runners)
+            && self.versions.lock().is_over(version, MAX_STREAM_LIFETIME, self.now())
     }
 
     /// True if this gateway is one of those that write the store's record of versions first.
@@ -300,8 +298,12 @@
                 let models = runners.directory.all(now).filter(|it| it.stage.is_some());
                 models.map(ServiceVersion::of).collect()
             });
+            let is_current = self.is_copy_current(Topic::Runners);
             self.observe_versions(listed);
             let now = self.now();
+            if is_current {
+                self.versions.lock().set_observed(now);
+            }
             self.versions.lock().forget_before(now.since(MAX_STREAM_LIFETIME));
             self.apply_serving_versions();
             self.streams.lock().drop_expired(now);
