Versions: what a restore takes out of the record is recorded again

What callers could see: a stream continued at another version (ORDER), some 64 s after a restore of the store.

Cause: a gateway that once read a version in the record believed it there for as long as it listed the version. After a restore only the first writer put back what it knew. If that one did not list the version (cut off until then), the others went on serving it, and the record became complete without it. A write that failed just after a restore was not tried again.

Change: each read of the record replaces what the gateway believes of it, so a version that the record lacks is written again, and serves once it is there. What another gateway tells only adds. A restore counts as handled once the record was read and is as it must be.

--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -312,11 +312,22 @@
         true
     }
 
-    /// Records the content of the record, or the part of it that another gateway knows.
+    /// Records the content of the record. A version that it lacks, as the store was restored, stops
+    /// serving until it is recorded again.
     pub fn set_recorded(
         &mut self,
         recorded: impl IntoIterator<Item = ServiceVersion>,
         now: Millis,
+    ) {
+        self.versions.values_mut().for_each(|state| state.is_recorded = false);
+        self.add_recorded(recorded, now);
+    }
+
+    /// Records that the record has some versions, as another gateway knows.
+    pub fn add_recorded(
+        &mut self,
+        recorded: impl IntoIterator<Item = ServiceVersion>,
+        now: Millis,
     ) {
         self.absent_at = None;
         for version in recorded {
--- a/crates/bulrushusher_forward/tests/stream_versions.rs
+++ b/crates/bulrushusher_forward/tests/stream_versions.rs
@@ -79,6 +79,22 @@
     }
 }
 
+/// Guards against a version that serves although a restore of the store took it out of the record.
+#[test]
+fn a_version_that_the_record_has_lost_stops_serving() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut ledger = VersionLedger::default();
+    ledger.observe(&v1, NOW);
+    ledger.observe(&v2, NOW);
+    ledger.set_recorded([v1.clone(), v2.clone()], NOW);
+    assert_eq!(ledger.serving(NOW).len(), 2);
+    ledger.add_recorded([v1.clone()], NOW);
+    assert_eq!(ledger.serving(NOW).len(), 2, "another gateway knows a part of it");
+    ledger.set_recorded([v1.clone()], NOW);
+    assert_eq!(ledger.serving(NOW), [v1].into());
+    assert_eq!(ledger.unrecorded(), [v2]);
+}
+
 /// Guards against a gateway that trusts an old read, after which another one may have written the
 /// first record.
 #[test]
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -204,7 +204,7 @@
 
     /// Applies what another gateway knows to be recorded.
     pub(crate) fn learn_recorded_versions(&self, recorded: Vec<ServiceVersion>) {
-        self.versions.lock().set_recorded(recorded, self.now());
+        self.versions.lock().add_recorded(recorded, self.now());
         self.apply_serving_versions();
     }
 
--- a/crates/bulrushusher_gateway/src/store/versions.rs
+++ b/crates/bulrushusher_gateway/src/store/versions.rs
@@ -145,12 +145,14 @@
     async fn keep_current(&self) {
         let mut restores = self.shared.store_restores();
         let mut known = KnownRecord::default();
+        // True until the record was read, and written if needed, after the last restore.
+        let mut is_restored = false;
         loop {
-            let is_restored = tokio::select! {
-                () = self.shared.versions_changed.notified() => false,
-                _ = restores.changed() => true,
-                () = tokio::time::sleep(CHECK_INTERVAL.duration()) => false,
-            };
+            tokio::select! {
+                () = self.shared.versions_changed.notified() => {}
+                _ = restores.changed() => is_restored = true,
+                () = tokio::time::sleep(CHECK_INTERVAL.duration()) => {}
+            }
             let is_keeper = self.shared.keeps_version_record();
             let is_missing = !self.shared.unrecorded_versions().is_empty();
             let is_change_due = is_keeper
@@ -165,7 +167,7 @@
                 tokio::time::sleep(READER_DELAY.plus(spread).duration()).await;
             }
             match self.sync(&mut known, is_keeper).await {
-                Ok(Sync::Done) => {}
+                Ok(Sync::Done) => is_restored = false,
                 Ok(Sync::Conflict) => {
                     let delay = CONFLICT_DELAY.share(self.shared.draw());
                     tokio::time::sleep(delay.duration()).await;
