Versions: a gateway that did not see the list vouches for no record

What callers could see: a stream continued at another version (ORDER) right after a restore of the store.

Cause: a gateway that had run for a minute called the record of a restored store complete, and so that of a record that cannot be read. If it stood still or was cut off as the lost part of the record got a version, it does not know that one, and takes another for the only one.

Change: a gateway vouches only if it has observed the list for the lifetime of a stream without a gap.

Failure seen before: with uptime alone for the rule a_gateway_that_did_not_look_at_the_list_vouches_for_no_record failed at the check after a standstill of 4.5 s. Not played with processes: the gateway has to have run for a minute.

--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -403,13 +403,18 @@
         self.observed = Some(Observed { since, until: now });
     }
 
+    /// True if the list was observed for all of `span`, so that no version that was listed is missing here.
+    pub fn has_observed_for(&self, span: Millis, now: Millis) -> bool {
+        self.observed
+            .is_some_and(|it| it.since <= now.since(span) && now.since(it.until) < MAX_OBSERVE_GAP)
+    }
+
     /// True if the version was not listed for `span`, so that no stream of it lasts any more. Only a gateway
     /// that observed the list for all of that time can tell.
     pub fn is_over(&self, version: &ServiceVersion, span: Millis, now: Millis) -> bool {
         let from = now.since(span);
         let is_listed = self.versions.get(version).is_some_and(|state| state.last_listed >= from);
-        let has_observed = |it: Observed| it.since <= from && now.since(it.until) < MAX_OBSERVE_GAP;
-        !is_listed && self.observed.is_some_and(has_observed)
+        !is_listed && self.has_observed_for(span, now)
     }
 
     /// Drops versions that were last listed before `since`.
--- a/crates/bulrushusher_forward/tests/stream_versions.rs
+++ b/crates/bulrushusher_forward/tests/stream_versions.rs
@@ -158,6 +158,22 @@
     assert!(!ledger.is_over(&v1, LIFETIME, Millis(thawed_at + 61_000)));
 }
 
+/// Guards against a gateway that calls a restored record complete after it stood still: it does not know which
+/// versions the lost part had.
+#[test]
+fn a_gateway_that_did_not_look_at_the_list_vouches_for_no_record() {
+    let v1 = version("v1");
+    let mut ledger = VersionLedger::default();
+    observe(&mut ledger, &[&v1], 0, 60_500);
+    assert!(ledger.has_observed_for(LIFETIME, Millis(60_500)));
+    let thawed_at = 65_000;
+    assert!(!ledger.has_observed_for(LIFETIME, Millis(thawed_at)));
+    observe(&mut ledger, &[&v1], thawed_at, thawed_at + 59_000);
+    assert!(!ledger.has_observed_for(LIFETIME, Millis(thawed_at + 59_000)));
+    observe(&mut ledger, &[&v1], thawed_at + 59_000, thawed_at + 60_500);
+    assert!(ledger.has_observed_for(LIFETIME, Millis(thawed_at + 60_500)));
+}
+
 fn runner(nth: usize, stage: Stage, version: &str) -> Runner {
     Runner {
         id: format!("i-{nth}").as_str().try_into().unwrap(),
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -234,9 +234,9 @@
         MAX_STREAM_LIFETIME.plus(VersionLedger::max_absence_lag()).plus(OBSERVE_INTERVAL)
     }
 
-    /// True if this gateway has run for as long as a stream may last.
-    pub(crate) fn outlasts_streams(&self) -> bool {
-        self.now().since(self.started_at) >= MAX_STREAM_LIFETIME
+    /// True if this gateway knows all versions that were listed for as long as a stream may last.
+    pub(crate) fn knows_listed_versions(&self) -> bool {
+        self.versions.lock().has_observed_for(MAX_STREAM_LIFETIME, self.now())
     }
 
     /// True if the version was not listed for as long as a stream may last, so that it can have begun none
--- a/crates/bulrushusher_gateway/src/store/versions.rs
+++ b/crates/bulrushusher_gateway/src/store/versions.rs
@@ -223,11 +223,12 @@
     fn update(&self, read: &ReadRecord, known: &KnownRecord, is_keeper: bool) -> VersionRecord {
         let mut next = read.record.clone();
         if read.revision.is_none() || read.record.era != read.era {
-            // Nobody has served a stream before a first record that is written in time. After a restore or behind a record
-            // that cannot be read, only a gateway that has run for long knows what is missing.
+            // Nobody has served a stream before a first record that is written in time. After a restore
+            // or behind a record that cannot be read, only a gateway that saw the list for long knows
+            // what is missing.
             next.is_complete = match read.revision {
                 None => read.era == 0 && !self.shared.may_serve_unrecorded(),
-                Some(_) => self.shared.outlasts_streams(),
+                Some(_) => self.shared.knows_listed_versions(),
             };
             next.era = read.era;
             self.shared.recorded_versions().iter().for_each(|it| next.add(it));
