--- a/crates/bulrushusher_forward/src/stream_versions.rs
+++ b/crates/bulrushusher_forward/src/stream_versions.rs
@@ -229,12 +229,20 @@
 /// of the record for it. Shorter than the time after which another gateway may remove it there.
 const RECORDED_TTL: Millis = Millis(30_000);
 
-/// Time after which a listed version serves although it could not be recorded: new versions appear in
-/// the list only while some gateway reaches the store, which records them within milliseconds.
+/// Time after which a listed version serves although it could not be recorded, while the store has no
+/// record at all: a store that accepts writes has one within milliseconds.
 const UNRECORDED_GRACE: Millis = Millis(3_000);
 
+/// Time after which a read that found no record no longer lets versions serve. A gateway that cannot
+/// write the record reads it several times within it.
+const ABSENCE_TTL: Millis = Millis(3_000);
+
+/// Longest time between two observations of the list within which no version can have come and gone
+/// unseen. It leaves room for a busy process, which observes every 500 ms.
+const MAX_OBSERVE_GAP: Millis = Millis(2_000);
+
 /// A software version of a service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServiceVersion {
     /// The service.
     pub service: ServiceName,
@@ -257,16 +265,11 @@
     is_recorded: bool,
 }
 
-impl VersionState {
-    fn may_serve(&self, now: Millis) -> bool {
-        self.is_recorded || now.since(self.first_listed) >= UNRECORDED_GRACE
-    }
-}
-
 /// The software versions that runners are listed with, and which of them the store's record has.
 ///
 /// A version serves only once it is in the record, so the record has every version that can have
-/// begun a stream, also for gateways that start after all others have ended.
+/// begun a stream, also for gateways that start after all others have ended. While the store has no
+/// record, nobody can take a version for the only one, and any version serves.
 ///
 /// ```
 /// use bulrushusher_forward::{ServiceVersion, VersionLedger};
@@ -283,6 +286,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct VersionLedger {
     versions: HashMap<ServiceVersion, VersionState>,
+    /// When the last read of the record began, if it found none.
+    absent_at: Option<Millis>,
+    /// Since when the list has been observed without a gap.
+    observed: Option<Observed>,
+}
+
+/// A time within which the whole list was observed again and again.
+#[derive(Clone, Copy, Debug)]
+struct Observed {
+    since: Millis,
+    until: Millis,
 }
 
 impl VersionLedger {
@@ -298,12 +312,24 @@
         true
     }
 
-    /// Records the content of the record.
+    /// Records the content of the record. A version that it lacks, as the store was restored, stops
+    /// serving until it is recorded again.
     pub fn set_recorded(
         &mut self,
         recorded: impl IntoIterator<Item = ServiceVersion>,
         now: Millis,
     ) {
+        self.versions.values_mut().for_each(|state| state.is_recorded = false);
+        self.add_recorded(recorded, now);
+    }
+
+    /// Records that the record has some versions, as another gateway knows.
+    pub fn add_recorded(
+        &mut self,
+        recorded: impl IntoIterator<Item = ServiceVersion>,
+        now: Millis,
+    ) {
+        self.absent_at = None;
         for version in recorded {
             if let Some(state) = self.versions.get_mut(&version) {
                 state.is_recorded |= now.since(state.last_listed) < RECORDED_TTL;
@@ -311,15 +337,46 @@
         }
     }
 
+    /// Records that a read which began at `began` found no record.
+    ///
+    /// ```
+    /// use bulrushusher_forward::{ServiceVersion, VersionLedger};
+    /// use bulrushusher_time::Millis;
+    /// let v1 = ServiceVersion { service: "llm".try_into().unwrap(), version: "v1".into() };
+    /// let mut ledger = VersionLedger::default();
+    /// ledger.observe(&v1, Millis(0));
+    /// assert!(ledger.serving(Millis(4_000)).is_empty(), "there may be a record");
+    /// ledger.set_absent(Millis(4_000));
+    /// assert!(ledger.serving(Millis(4_100)).contains(&v1));
+    /// ```
+    pub fn set_absent(&mut self, began: Millis) {
+        self.absent_at = Some(began);
+    }
+
     /// The versions of which runners may begin streams.
     pub fn serving(&self, now: Millis) -> HashSet<ServiceVersion> {
-        let serving = self.versions.iter().filter(|(_, state)| state.may_serve(now));
+        let is_absent = self.absent_at.is_some_and(|at| now.since(at) < ABSENCE_TTL);
+        let may_serve = |state: &VersionState| {
+            state.is_recorded || (is_absent && now.since(state.first_listed) >= UNRECORDED_GRACE)
+        };
+        let serving = self.versions.iter().filter(|(_, state)| may_serve(state));
         serving.map(|(version, _)| version.clone()).collect()
     }
 
-    /// True if runners of some version may begin streams, or if none has a version.
-    pub fn is_settled(&self, now: Millis) -> bool {
-        self.versions.is_empty() || self.versions.values().any(|state| state.may_serve(now))
+    /// True if other gateways that list the same versions may let some serve without a record by now.
+    pub fn is_grace_near(&self, now: Millis) -> bool {
+        let half = UNRECORDED_GRACE.share(0.5);
+        self.versions.values().any(|state| now.since(state.first_listed) >= half)
+    }
+
+    /// Longest time for which versions may still serve without being recorded after there is a record.
+    pub fn max_absence_lag() -> Millis {
+        ABSENCE_TTL
+    }
+
+    /// True if no version is listed.
+    pub fn is_empty(&self) -> bool {
+        self.versions.is_empty()
     }
 
     /// The listed versions that are not known to be in the record.
@@ -330,15 +387,34 @@
         unrecorded
     }
 
-    /// Versions that are in the record as far as is known here.
-    pub fn recorded(&self) -> Vec<ServiceVersion> {
-        let recorded = self.versions.iter().filter(|(_, state)| state.is_recorded);
+    /// Versions that are in the record as far as is known here; a gateway that stood still knows none until
+    /// it has observed the list again.
+    pub fn recorded(&self, now: Millis) -> Vec<ServiceVersion> {
+        let is_recorded =
+            |it: &VersionState| it.is_recorded && now.since(it.last_listed) < RECORDED_TTL;
+        let recorded = self.versions.iter().filter(|(_, state)| is_recorded(state));
         recorded.map(|(version, _)| version.clone()).collect()
     }
 
-    /// True if a runner of the version was listed at `since` or later.
-    pub fn is_listed_since(&self, version: &ServiceVersion, since: Millis) -> bool {
-        self.versions.get(version).is_some_and(|state| state.last_listed >= since)
+    /// Records that all listed versions were observed, in a list that was current.
+    pub fn set_observed(&mut self, now: Millis) {
+        let before = self.observed.filter(|it| now.since(it.until) < MAX_OBSERVE_GAP);
+        let since = before.map_or(now, |it| it.since);
+        self.observed = Some(Observed { since, until: now });
+    }
+
+    /// True if the list was observed for all of `span`, so that no version that was listed is missing here.
+    pub fn has_observed_for(&self, span: Millis, now: Millis) -> bool {
+        self.observed
+            .is_some_and(|it| it.since <= now.since(span) && now.since(it.until) < MAX_OBSERVE_GAP)
+    }
+
+    /// True if the version was not listed for `span`, so that no stream of it lasts any more. Only a gateway
+    /// that observed the list for all of that time can tell.
+    pub fn is_over(&self, version: &ServiceVersion, span: Millis, now: Millis) -> bool {
+        let from = now.since(span);
+        let is_listed = self.versions.get(version).is_some_and(|state| state.last_listed >= from);
+        !is_listed && self.has_observed_for(span, now)
     }
 
     /// Drops versions that were last listed before `since`.
--- a/crates/bulrushusher_forward/tests/stream_versions.rs
+++ b/crates/bulrushusher_forward/tests/stream_versions.rs
@@ -2,8 +2,9 @@
 
 use bulrushusher_forward::{
     CallSelection, LoadConfig, PlaceView, PrefillQueue, PrefillSelection, RequestId, Runner,
-    RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, SelectionContext, SoftwareVersion, Stage,
-    StreamKey, StreamRecord, StreamVersions, pick_for_call, pick_for_prefill, rank_for_decode,
+    RunnerDirectory, RunnerDirectoryConfig, RunnerLoads, SelectionContext, ServiceVersion,
+    SoftwareVersion, Stage, StreamKey, StreamRecord, StreamVersions, VersionLedger, pick_for_call,
+    pick_for_prefill, rank_for_decode,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, ServiceName};
@@ -61,6 +62,118 @@
     assert_eq!(streams.len(), 1, "expired records make room");
 }
 
+fn version(text: &str) -> ServiceVersion {
+    ServiceVersion { service: service(), version: text.into() }
+}
+
+/// Guards against a version that begins streams although the store's record lacks it.
+#[test]
+fn a_version_that_the_record_lacks_never_serves() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut ledger = VersionLedger::default();
+    for at in (0..120_000).step_by(500).map(Millis) {
+        ledger.observe(&v1, at);
+        ledger.observe(&v2, at);
+        ledger.set_recorded([v1.clone()], at);
+        assert_eq!(ledger.serving(at), [v1.clone()].into());
+    }
+}
+
+/// Guards against a version that serves although a restore of the store took it out of the record.
+#[test]
+fn a_version_that_the_record_has_lost_stops_serving() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut ledger = VersionLedger::default();
+    ledger.observe(&v1, NOW);
+    ledger.observe(&v2, NOW);
+    ledger.set_recorded([v1.clone(), v2.clone()], NOW);
+    assert_eq!(ledger.serving(NOW).len(), 2);
+    ledger.add_recorded([v1.clone()], NOW);
+    assert_eq!(ledger.serving(NOW).len(), 2, "another gateway knows a part of it");
+    ledger.set_recorded([v1.clone()], NOW);
+    assert_eq!(ledger.serving(NOW), [v1].into());
+    assert_eq!(ledger.unrecorded(), [v2]);
+}
+
+/// Guards against a gateway that trusts an old read, after which another one may have written the
+/// first record.
+#[test]
+fn a_version_serves_unrecorded_only_while_reads_find_no_record() {
+    let v1 = version("v1");
+    let mut ledger = VersionLedger::default();
+    ledger.observe(&v1, NOW);
+    ledger.set_absent(NOW);
+    assert!(ledger.serving(NOW.plus(Millis(2_900))).is_empty(), "the record may be on its way");
+    let read_at = NOW.plus(Millis(3_500));
+    ledger.set_absent(read_at);
+    assert!(ledger.serving(read_at).contains(&v1));
+    let lapsed_at = read_at.plus(VersionLedger::max_absence_lag());
+    assert!(ledger.serving(lapsed_at).is_empty());
+    ledger.set_absent(lapsed_at);
+    assert!(ledger.serving(lapsed_at).contains(&v1));
+    ledger.set_recorded([version("v2")], lapsed_at);
+    assert!(ledger.serving(lapsed_at).is_empty(), "there is a record, without it");
+}
+
+const LIFETIME: Millis = Millis(60_000);
+
+/// Observes the list every 500 ms.
+fn observe(ledger: &mut VersionLedger, listed: &[&ServiceVersion], from: u64, until: u64) {
+    for at in (from..until).step_by(500).map(Millis) {
+        listed.iter().for_each(|version| {
+            ledger.observe(version, at);
+        });
+        ledger.set_observed(at);
+    }
+}
+
+#[test]
+fn a_version_is_over_once_the_list_was_without_it_for_a_lifetime() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut ledger = VersionLedger::default();
+    observe(&mut ledger, &[&v1, &v2], 0, 70_000);
+    observe(&mut ledger, &[&v2], 70_000, 131_000);
+    assert!(!ledger.is_over(&v1, LIFETIME, Millis(129_400)));
+    assert!(ledger.is_over(&v1, LIFETIME, Millis(130_900)));
+    assert!(!ledger.is_over(&v2, LIFETIME, Millis(130_900)));
+    let mut started = VersionLedger::default();
+    observe(&mut started, &[&v2], 100_000, 131_000);
+    assert!(!started.is_over(&v1, LIFETIME, Millis(131_000)), "it may have left just before");
+}
+
+/// Guards against a gateway that takes a listed version out of the record after it stood still or was cut
+/// off, as it saw no runner of it meanwhile.
+#[test]
+fn a_version_is_not_over_because_nobody_looked_at_the_list() {
+    let (v1, v2) = (version("v1"), version("v2"));
+    let mut ledger = VersionLedger::default();
+    observe(&mut ledger, &[&v1], 0, 70_000);
+    let thawed_at = 140_000;
+    assert!(!ledger.is_over(&v1, LIFETIME, Millis(thawed_at)), "it may be listed now");
+    // A version came and went in between.
+    observe(&mut ledger, &[&v1], thawed_at, thawed_at + 59_000);
+    assert!(!ledger.is_over(&v2, LIFETIME, Millis(thawed_at + 59_000)));
+    observe(&mut ledger, &[&v1], thawed_at + 59_000, thawed_at + 61_000);
+    assert!(ledger.is_over(&v2, LIFETIME, Millis(thawed_at + 61_000)));
+    assert!(!ledger.is_over(&v1, LIFETIME, Millis(thawed_at + 61_000)));
+}
+
+/// Guards against a gateway that calls a restored record complete after it stood still: it does not know which
+/// versions the lost part had.
+#[test]
+fn a_gateway_that_did_not_look_at_the_list_vouches_for_no_record() {
+    let v1 = version("v1");
+    let mut ledger = VersionLedger::default();
+    observe(&mut ledger, &[&v1], 0, 60_500);
+    assert!(ledger.has_observed_for(LIFETIME, Millis(60_500)));
+    let thawed_at = 65_000;
+    assert!(!ledger.has_observed_for(LIFETIME, Millis(thawed_at)));
+    observe(&mut ledger, &[&v1], thawed_at, thawed_at + 59_000);
+    assert!(!ledger.has_observed_for(LIFETIME, Millis(thawed_at + 59_000)));
+    observe(&mut ledger, &[&v1], thawed_at + 59_000, thawed_at + 60_500);
+    assert!(ledger.has_observed_for(LIFETIME, Millis(thawed_at + 60_500)));
+}
+
 fn runner(nth: usize, stage: Stage, version: &str) -> Runner {
     Runner {
         id: format!("i-{nth}").as_str().try_into().unwrap(),
--- a/crates/bulrushusher_gateway/src/shared/mod.rs
+++ b/crates/bulrushusher_gateway/src/shared/mod.rs
@@ -170,6 +170,8 @@
     streams: Mutex<StreamVersions>,
     /// Streams to ask other gateways for.
     asked_streams: Mutex<Vec<StreamKey>>,
+    /// True if other gateways are to be asked which versions are recorded.
+    are_versions_asked: AtomicBool,
     /// Notified when records of streams are due, or questions for them.
     pub stream_records_due: Notify,
     /// Shards of streams to read from the store.
@@ -256,6 +258,7 @@
             quarantine_due: Notify::new(),
             streams: Mutex::default(),
             asked_streams: Mutex::default(),
+            are_versions_asked: AtomicBool::new(false),
             stream_records_due: Notify::new(),
             wanted_shards: Mutex::default(),
             shards_wanted: Notify::new(),
@@ -377,7 +380,7 @@
         self.routing.load().is_some()
             && self.knows_evacuations()
             && self.runners.lock().directory.has_entries()
-            && self.versions.lock().is_settled(self.now())
+            && self.serves_some_version()
     }
 
     /// True once a configuration is in force, and the evacuations and the full list of runners are
--- a/crates/bulrushusher_gateway/src/shared/streams.rs
+++ b/crates/bulrushusher_gateway/src/shared/streams.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use bulrushusher_forward::{
-    Runner, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, StreamShard,
+    Runner, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, StreamShard, VersionLedger,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
@@ -190,6 +190,35 @@
         self.apply_serving_versions();
     }
 
+    /// Asks other gateways which versions are recorded, while the record cannot be read; the answer
+    /// arrives by [`SharedState::learn_recorded_versions`].
+    pub(crate) fn ask_for_recorded_versions(&self) {
+        self.are_versions_asked.store(true, Ordering::Relaxed);
+        self.stream_records_due.notify_one();
+    }
+
+    /// Takes whether to ask other gateways which versions are recorded.
+    pub(crate) fn take_version_question(&self) -> bool {
+        self.are_versions_asked.swap(false, Ordering::Relaxed)
+    }
+
+    /// Applies what another gateway knows to be recorded.
+    pub(crate) fn learn_recorded_versions(&self, recorded: Vec<ServiceVersion>) {
+        self.versions.lock().add_recorded(recorded, self.now());
+        self.apply_serving_versions();
+    }
+
+    /// Records that a read of the record which began at `began` found none.
+    pub(crate) fn set_record_absent(&self, began: Millis) {
+        self.versions.lock().set_absent(began);
+        self.apply_serving_versions();
+    }
+
+    /// True if some gateway may let versions serve before the first record is written.
+    pub(crate) fn may_serve_unrecorded(&self) -> bool {
+        self.versions.lock().is_grace_near(self.now())
+    }
+
     /// The listed versions that are not known to be in the record.
     pub(crate) fn unrecorded_versions(&self) -> Vec<ServiceVersion> {
         self.versions.lock().unrecorded()
@@ -197,26 +226,24 @@
 
     /// Versions that are in the record as far as is known here.
     pub(crate) fn recorded_versions(&self) -> Vec<ServiceVersion> {
-        self.versions.lock().recorded()
+        self.versions.lock().recorded(self.now())
     }
 
-    /// Longest time from the beginning of a stream to a caller's last return.
-    pub(crate) fn stream_lifetime(&self) -> Millis {
-        MAX_STREAM_LIFETIME
+    /// Time after which all streams have ended that began before a record was complete.
+    pub(crate) fn completion_time(&self) -> Millis {
+        MAX_STREAM_LIFETIME.plus(VersionLedger::max_absence_lag()).plus(OBSERVE_INTERVAL)
     }
 
-    /// True if this gateway has run for as long as a stream may last.
-    pub(crate) fn outlasts_streams(&self) -> bool {
-        self.now().since(self.started_at) >= MAX_STREAM_LIFETIME
+    /// True if this gateway knows all versions that were listed for as long as a stream may last.
+    pub(crate) fn knows_listed_versions(&self) -> bool {
+        self.versions.lock().has_observed_for(MAX_STREAM_LIFETIME, self.now())
     }
 
-    /// True if this gateway has run for as long as a stream may last, and the version was not listed
-    /// meanwhile, so that it can have begun no stream that still lasts.
+    /// True if the version was not listed for as long as a stream may last, so that it can have begun none
+    /// that still lasts.
     pub(crate) fn is_version_over(&self, version: &ServiceVersion) -> bool {
-        let now = self.now();
-        self.outlasts_streams()
-            && self.is_copy_current(Topic::Runners)
-            && !self.versions.lock().is_listed_since(version, now.since(MAX_STREAM_LIFETIME))
+        self.is_copy_current(Topic::Runners)
+            && self.versions.lock().is_over(version, MAX_STREAM_LIFETIME, self.now())
     }
 
     /// True if this gateway is one of those that write the store's record of versions first.
@@ -256,6 +283,12 @@
         });
     }
 
+    /// True if runners of some version get work, or if none has a version.
+    pub(super) fn serves_some_version(&self) -> bool {
+        let serves = self.with_runners(|runners, _| runners.directory.serves_some_version());
+        serves || self.versions.lock().is_empty()
+    }
+
     /// Records the listed versions and drops expired records, until the gateway stops.
     pub(crate) async fn watch_versions(&self) {
         self.apply_serving_versions();
@@ -265,8 +298,12 @@
                 let models = runners.directory.all(now).filter(|it| it.stage.is_some());
                 models.map(ServiceVersion::of).collect()
             });
+            let is_current = self.is_copy_current(Topic::Runners);
             self.observe_versions(listed);
             let now = self.now();
+            if is_current {
+                self.versions.lock().set_observed(now);
+            }
             self.versions.lock().forget_before(now.since(MAX_STREAM_LIFETIME));
             self.apply_serving_versions();
             self.streams.lock().drop_expired(now);
