--- a/crates/bulrushusher_http/src/client.rs
+++ b/crates/bulrushusher_http/src/client.rs
@@ -115,6 +115,19 @@
         self.send(peer, parts_request(peer, parts)?, timeout).await
     }
 
+    /// Builds a request from its parts and returns the response once its head has arrived, without a
+    /// timeout; whoever reads the body also gets what came of one that breaks off.
+    ///
+    /// # Errors
+    /// As [`HttpClient::call`], without a timeout.
+    pub async fn call_head(
+        &self,
+        peer: SocketAddr,
+        parts: RequestParts<'_>,
+    ) -> Result<Response<Incoming>, HttpError> {
+        self.send_head(peer, parts_request(peer, parts)?).await
+    }
+
     /// Posts `message` as JSON and reads a JSON response within `timeout`.
     ///
     /// # Errors
