Shutdown: memory at runners is released before the process exits

What runners saw: memory that a stopped gateway had reserved stayed held until it expired, or a KV cache kept until it lapsed, although its caller had been refused.

Cause: after SIGTERM the process ended with its last caller's connection. Releases run in tasks of their own, and a hold whose answer comes after 200 ms is released by such a task once it comes; the end of the process cut them off.

Change: the exchanger counts requests for holds and releases in progress; the shutdown waits for them after the last connection, up to the kill.

--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -93,7 +93,8 @@
     components.shared.resign_as_relay();
     log::info!("gateway: stopping connections={}", server.connections());
     tasks.spawn(async move { announcer.retract().await });
-    drain(&components.shared, &server, stop, || accepting.abort()).await;
+    let exchanger = &components.front.router.exchanger;
+    drain(&components.shared, &server, exchanger, stop, || accepting.abort()).await;
     log::info!("gateway: stopped connections={}", server.connections());
     Ok(())
 }
@@ -268,10 +269,12 @@
     }
 }
 
-/// Accepts requests until the load balancer has removed this gateway, then waits for the open ones.
+/// Accepts requests until the load balancer has removed this gateway, then waits for the open ones, and
+/// until the memory that they leave at runners is released.
 async fn drain<D: Dialect>(
     shared: &SharedState,
     server: &Server<D>,
+    exchanger: &Exchanger<D>,
     stop: Shutdown,
     stop_accepting: impl FnOnce(),
 ) {
@@ -286,6 +289,11 @@
             server.connections()
         );
     }
+    // Memory that is held or kept for them at runners would otherwise stay so until it lapses.
+    let remaining = stop.kill().since(shared.now()).since(EXIT_MARGIN);
+    if tokio::time::timeout(remaining.duration(), exchanger.finish_releases()).await.is_err() {
+        log::warn!("gateway: memory at runners is not released before the kill, it lapses");
+    }
 }
 
 /// Interval of the check for the end of the time in which requests are accepted.
--- a/crates/bulrushusher_gateway/src/placement/holds.rs
+++ b/crates/bulrushusher_gateway/src/placement/holds.rs
@@ -202,7 +202,9 @@
 ) {
     let Ok(runtime) = Handle::try_current() else { return };
     let (exchanger, runner) = (exchanger.clone(), runner.clone());
+    let release = exchanger.begin_release();
     runtime.spawn(async move {
+        let _release = release;
         let freed =
             exchanger.control_request(&runner, request, Permit::Cleanup, CONTROL_TIMEOUT).await;
         let id = &runner.id;
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -287,7 +287,9 @@
     let request = cx.dialect.create_hold(&runner.id, tokens, terms.ttl);
     let (cx, fwd, runner, ttl) = (cx.clone(), fwd.clone(), runner.clone(), terms.ttl);
     let started = cx.now();
+    let release = cx.exchanger.begin_release();
     let exchange = tokio::spawn(async move {
+        let _release = release;
         let timeout = ttl.max(CONTROL_TIMEOUT);
         let purpose = SendPurpose::Control(CallerSend { fwd: &fwd, other: None });
         let answer = cx
--- a/crates/bulrushusher_gateway/src/runners/exchange.rs
+++ b/crates/bulrushusher_gateway/src/runners/exchange.rs
@@ -15,6 +15,7 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::http::response;
+use tokio::sync::watch;
 
 use crate::dialect::{ControlRequest, Dialect, ResponseInfo};
 use crate::runners::answer_memory::{BodyError, MAX_CONTROL_BYTES, read_body};
@@ -142,6 +143,8 @@
     pool: Arc<RunnerPool>,
     shared: Arc<SharedState>,
     metrics: Arc<GatewayMetrics>,
+    /// Has a receiver for each exchange after which memory at a runner is released.
+    releases: Arc<watch::Sender<()>>,
 }
 
 impl<D: Dialect> Exchanger<D> {
@@ -151,7 +154,17 @@
         shared: Arc<SharedState>,
         metrics: Arc<GatewayMetrics>,
     ) -> Exchanger<D> {
-        Exchanger { dialect, pool, shared, metrics }
+        Exchanger { dialect, pool, shared, metrics, releases: Arc::default() }
+    }
+
+    /// While it exists, memory at a runner may have to be released by this process.
+    pub(crate) fn begin_release(&self) -> watch::Receiver<()> {
+        self.releases.subscribe()
+    }
+
+    /// Waits until no memory at a runner remains to be released.
+    pub(crate) async fn finish_releases(&self) {
+        self.releases.closed().await;
     }
 
     pub(crate) fn pool(&self) -> &RunnerPool {
