Tests: the linter passes over the check of the last event's id

clippy's int_plus_one rejects `len + first - 1 >= first`, so the workspace did not pass with -D warnings. `!blocks.is_empty()` says the same: there is a last id if and only if there is a block.

--- a/crates/bulrushusher_forward/tests/event_reader.rs
+++ b/crates/bulrushusher_forward/tests/event_reader.rs
@@ -139,7 +139,7 @@
             prop_assert_eq!(ids.len(), 1, "{:?}", block);
             prop_assert_eq!(ids[0].trim_start().parse::<u64>().ok(), Some(due));
         }
-        prop_assert_eq!(cut.ids.last().copied(), (blocks.len() as u64 + first - 1 >= first)
-            .then_some(blocks.len() as u64 + first - 1));
+        let last = (!blocks.is_empty()).then(|| first + blocks.len() as u64 - 1);
+        prop_assert_eq!(cut.ids.last().copied(), last);
     }
 }
