Call pools: the slots of all runners are added up without an overflow

Callers of a plain service got no response: with a debug build each call panicked and its connection was closed, while another writer's entry with `slots` was in the list. A release build judged the pool by a sum that had wrapped.

Cause: slots were decoded as any u32 above zero and added as u32, in CallPool::load, CallPool::is_busy and SharedState::pool_size.

Change: sums of slots are u64 (slots_of).

The test without network does not compile before it, as the sums have another type.

--- a/crates/bulrushusher_forward/src/call_pool.rs
+++ b/crates/bulrushusher_forward/src/call_pool.rs
@@ -160,7 +160,7 @@
     /// Calls that wait, over all gateways.
     pub waiting: u32,
     /// Slots of all runners.
-    pub slots: u32,
+    pub slots: u64,
     /// Mean service time in ms; 0 before any answer is known.
     pub service_ms: f64,
     /// Peers whose calls are known.
@@ -175,7 +175,7 @@
 
     /// Calls that the pool answers within `time`.
     fn answered_in(&self, time: Millis) -> f64 {
-        f64::from(self.slots) / self.service_ms * time.0 as f64
+        self.slots as f64 / self.service_ms * time.0 as f64
     }
 }
 
@@ -240,9 +240,9 @@
 
     /// True where so many gateways share so few slots that none of them knows the load from its
     /// own calls. `gateways` includes this one.
-    pub fn is_scarce(&self, slots: u32, gateways: usize) -> bool {
+    pub fn is_scarce(&self, slots: u64, gateways: usize) -> bool {
         self.may_share(gateways)
-            && f64::from(slots) < self.cfg.max_slots_per_gateway * gateways as f64
+            && (slots as f64) < self.cfg.max_slots_per_gateway * gateways as f64
     }
 
     /// True if so few gateways may share their calls. `gateways` includes this one.
@@ -384,8 +384,8 @@
     /// True if more than half of the pool's slots are in use.
     pub fn is_busy(&self, pool: &[&Runner], now: Millis) -> bool {
         let in_flight = |r: &&Runner| self.in_flight(&r.id, r.slots, now);
-        let slots: u32 = pool.iter().map(|runner| runner.slots).sum();
-        pool.iter().map(in_flight).sum::<f64>() > self.cfg.busy_share * f64::from(slots)
+        let slots = slots_of(pool.iter().copied());
+        pool.iter().map(in_flight).sum::<f64>() > self.cfg.busy_share * slots as f64
     }
 
     /// Merges the full report of a peer. `incarnation` is the peer's start; the totals of its first
@@ -503,7 +503,7 @@
     fn retry_after(&self, load: &CallPoolLoad, call: &CallToPlace<'_>) -> Millis {
         let limit = load.answered_in(call.left) * self.cfg.max_waiting_share;
         let excess = (f64::from(load.waiting) - limit).max(0.0);
-        let wait = excess * load.service_ms / f64::from(load.slots.max(1));
+        let wait = excess * load.service_ms / load.slots.max(1) as f64;
         let spread = 1.0 + self.cfg.retry_spread * call.draw;
         let wait = Millis((wait.max(self.cfg.min_retry_after.0 as f64) * spread) as u64);
         wait.min(call.left.share(self.cfg.max_retry_share))
@@ -518,7 +518,7 @@
             expected_ms: best.unwrap_or(0.0),
             in_flight: levels.iter().map(|level| level.in_flight).sum(),
             waiting: self.waiting + if peers > 0 { self.peers.waiting() } else { 0 },
-            slots: pool.iter().map(|runner| runner.slots).sum(),
+            slots: slots_of(pool.iter().copied()),
             service_ms: self.mean_service_ms(pool, now).unwrap_or(0.0),
             peers,
         }
@@ -560,6 +560,11 @@
     }
 }
 
+/// Slots of some runners together.
+pub fn slots_of<'a>(runners: impl Iterator<Item = &'a Runner>) -> u64 {
+    runners.map(|runner| u64::from(runner.slots)).sum()
+}
+
 fn slots(slots: u32) -> f64 {
     f64::from(slots.max(1))
 }
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -79,7 +79,9 @@
     BackPressure, BackPressureConfig, BackPressureCounts, BackPressureError, BackPressureView,
     LimitReport,
 };
-pub use call_pool::{Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace};
+pub use call_pool::{
+    Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace, slots_of,
+};
 pub use call_report::{CallPoolReport, CallPoolUpdate, RunnerCalls};
 pub use caller_connection::{CloseReason, ConnectionLimits, ConnectionState, LimitHistory};
 pub use configuration_copy::{ConfigurationCopy, StoredConfiguration};
--- a/crates/bulrushusher_forward/src/sharing_need.rs
+++ b/crates/bulrushusher_forward/src/sharing_need.rs
@@ -47,7 +47,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PoolSize {
     /// Slots of all runners.
-    pub slots: u32,
+    pub slots: u64,
     /// Gateways including this one; they are assumed to have as many calls each.
     pub gateways: usize,
 }
@@ -119,7 +119,7 @@
             self.seen_at = None;
             return false;
         }
-        let utilization = self.mean * size.gateways as f64 / f64::from(size.slots.max(1));
+        let utilization = self.mean * size.gateways as f64 / size.slots.max(1) as f64;
         let window = self.cfg.refusal_window;
         let refusals = self.refused_at.iter().filter(|at| now.since(**at) < window).count();
         let is_seen = match self.seen_at {
@@ -137,7 +137,6 @@
 impl SharingNeedConfig {
     /// True if gateways may share the calls of such a pool when that is needed.
     pub fn applies_to(&self, size: PoolSize) -> bool {
-        size.gateways > 1
-            && f64::from(size.slots) < self.max_slots_per_gateway * size.gateways as f64
+        size.gateways > 1 && (size.slots as f64) < self.max_slots_per_gateway * size.gateways as f64
     }
 }
--- a/crates/bulrushusher_forward/tests/call_load/mod.rs
+++ b/crates/bulrushusher_forward/tests/call_load/mod.rs
@@ -438,7 +438,7 @@
         };
         let now = self.ms();
         let Size { gateways, runners, .. } = self.load.size;
-        let size = PoolSize { slots: SLOTS * runners as u32, gateways };
+        let size = PoolSize { slots: u64::from(SLOTS) * runners as u64, gateways };
         let state = &mut self.gateways[gateway];
         let shares = state.need.is_needed(size, now) || self.now < state.peer_needs_until;
         if shares && !state.shares {
@@ -824,7 +824,7 @@
         let shares = self.update_sharing(gateway);
         let now = self.ms();
         let Size { gateways, runners, .. } = self.load.size;
-        let size = PoolSize { slots: SLOTS * runners as u32, gateways };
+        let size = PoolSize { slots: u64::from(SLOTS) * runners as u64, gateways };
         let state = &mut self.gateways[gateway];
         if self.now < state.due_at {
             return;
--- a/crates/bulrushusher_forward/tests/call_pool.rs
+++ b/crates/bulrushusher_forward/tests/call_pool.rs
@@ -168,7 +168,7 @@
     match pool.admit(&members, call, NOW) {
         Admission::Refuse { retry_after, load } => {
             assert!((100..=825).contains(&retry_after.0), "{retry_after:?}");
-            assert_eq!((load.slots, load.peers), (2 * SLOTS, GATEWAYS - 1));
+            assert_eq!((load.slots, load.peers), (u64::from(2 * SLOTS), GATEWAYS - 1));
         }
         other => panic!("{other:?}"),
     }
@@ -279,3 +279,17 @@
     println!("{bytes} bytes per second and gateway");
     bytes
 }
+
+/// Guards against one entry that overflows the sum of the pool's slots: every call ended in a panic, or
+/// the pool was judged by a wrong sum.
+#[test]
+fn runners_with_the_most_slots_are_added_up() {
+    let runners: Vec<Runner> =
+        (1..4).map(|n| Runner { slots: u32::MAX, ..runner(n) }).chain([runner(4)]).collect();
+    let members: Vec<&Runner> = runners.iter().collect();
+    let pool = pool_with_peers(3, 3, NOW);
+    let load = pool.load(&members, NOW);
+    assert_eq!(load.slots, 3 * u64::from(u32::MAX) + u64::from(SLOTS));
+    assert!(!pool.is_busy(&members, NOW));
+    assert!(!pool.is_scarce(load.slots, GATEWAYS));
+}
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -109,7 +109,7 @@
         let figures = CallPoolMetrics {
             in_flight: load.in_flight.round() as u64,
             waiting: u64::from(load.waiting),
-            slots: u64::from(load.slots),
+            slots: load.slots,
             service_time_ms: load.service_ms.round() as u64,
             refused,
         };
--- a/crates/bulrushusher_gateway/src/shared/calls.rs
+++ b/crates/bulrushusher_gateway/src/shared/calls.rs
@@ -6,7 +6,7 @@
 
 use bulrushusher_forward::{
     Admission, BackPressureView, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace,
-    PlaceView, PoolSize, Runner, SharingNeed, SharingNeedConfig, candidates_for_call,
+    PlaceView, PoolSize, Runner, SharingNeed, SharingNeedConfig, candidates_for_call, slots_of,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::{DataCentreName, RunnerId, ServiceName};
@@ -135,9 +135,8 @@
 
     pub(super) fn pool_size(&self, service: &ServiceName) -> PoolSize {
         let gateways = self.runs.lock().peer_count(self.now()) + 1;
-        let slots = self.with_runners(|runners, now| {
-            runners.directory.usable(service, now).map(|runner| runner.slots).sum()
-        });
+        let slots =
+            self.with_runners(|runners, now| slots_of(runners.directory.usable(service, now)));
         PoolSize { slots, gateways }
     }
 
