Callers: counts of tokens and events are limited where they are decoded

A caller whose connection was closed without a response: one that stated prompt and output tokens under an account with a quota in tokens, or that resumed a stream after event where an event may hold four tokens. A release build wraps instead, and charges or places the request by a wrong number.

Cause: any u64 was taken, and added (admission.rs) or multiplied (place.rs, forward.rs, stream.rs).

Change: PromptSize::limited at the decoder, 2^40 tokens for each count; tokens_in_events, with the same limit, in place of four products. Headers are forwarded as they came. Sums of costs saturate.

Seen before the fix: each_caller_with_odd_numbers_gets_a_response fails, "attempt to add with overflow" at admission.rs:46 for four of the requests, "attempt to multiply with overflow" at place.rs:175 for the resumed stream. After: passes. odd_objects_of_any_kind_do_not_stop_a_gateway passed before, too: nesting and numbers in entries, announcements, records, evacuations and the configuration ended nothing.

--- a/crates/bulrushusher_accounts/src/bucket.rs
+++ b/crates/bulrushusher_accounts/src/bucket.rs
@@ -169,7 +169,7 @@
 
     pub(crate) fn take(&mut self, cost: u64, cfg: &QuotaConfig, now: Millis) {
         self.level -= cost as f64;
-        self.used += cost;
+        self.used = self.used.saturating_add(cost);
         self.local_usage.add(cost as f64, cfg.window, now);
         self.record_usage(cost as f64, cfg, now);
     }
--- a/crates/bulrushusher_accounts/src/limiter.rs
+++ b/crates/bulrushusher_accounts/src/limiter.rs
@@ -160,7 +160,7 @@
         if let Some(quota) = bucket.quota {
             let missing = bucket.shortfall(&cfg, quota, weight, cost as f64);
             if missing > 0.0 {
-                bucket.refused += cost;
+                bucket.refused = bucket.refused.saturating_add(cost);
                 let share = QuotaShare { weight, membership };
                 let retry_after = bucket.next_retry(&cfg, share, missing, cost, now);
                 let Membership { live: live_gateways, gateways } = membership;
--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -116,7 +116,7 @@
 pub use rate_limit::{RateLimit, RateLimitError};
 pub use relays::{RelayPeer, RelayView, Relays, RelaysConfig, StoreContact, StoreRole};
 pub use report::{GatewayDelta, GatewayReport, RunReport};
-pub use request::{PromptSize, RequestId};
+pub use request::{MAX_TOKENS, PromptSize, RequestId, tokens_in_events};
 pub use retry_after::{RetryAfterConfig, TypicalPatience};
 pub use revision::{era_of, number_in_era, revision_in_era};
 pub use route::{
--- a/crates/bulrushusher_forward/src/wait_queue.rs
+++ b/crates/bulrushusher_forward/src/wait_queue.rs
@@ -157,7 +157,7 @@
         }
         let next = self.next_start_by_account.entry(request.account.cloned()).or_default();
         let virtual_start = self.virtual_time.max(*next);
-        *next = virtual_start + request.cost.max(1);
+        *next = virtual_start.saturating_add(request.cost.max(1));
         virtual_start
     }
 
--- a/crates/bulrushusher_gateway/src/placement/place.rs
+++ b/crates/bulrushusher_gateway/src/placement/place.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    AttemptEnd, CallResult, QueueRank, RunReport, RunShape, Runner, Stage, tokens_to_hold,
+    AttemptEnd, CallResult, QueueRank, RunReport, RunShape, Runner, Stage, tokens_in_events,
+    tokens_to_hold,
 };
 use bulrushusher_time::Millis;
 use bulrushusher_world::ServiceName;
@@ -172,7 +173,7 @@
     history: &AttemptHistory,
 ) -> bool {
     let events = history.resume_after.unwrap_or(0);
-    let generated = (events * cx.shared.tokens_per_event(&fwd.service)) as f64;
+    let generated = tokens_in_events(events, cx.shared.tokens_per_event(&fwd.service)) as f64;
     let run = RunShape { generated, ..RunShape::of(fwd.request.size.as_ref()) };
     let remaining = fwd.remaining(cx.now());
     let probability =
--- a/crates/bulrushusher_gateway/src/runs/forward.rs
+++ b/crates/bulrushusher_gateway/src/runs/forward.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bulrushusher_forward::{
-    CompleteEvents, EventReader, InvalidEvent, LongGaps, PaceMeter, Runner,
+    CompleteEvents, EventReader, InvalidEvent, LongGaps, PaceMeter, Runner, tokens_in_events,
 };
 use bulrushusher_time::Millis;
 use bytes::Bytes;
@@ -449,7 +449,7 @@
         let is_sent = self.tx.send(Ok(events.bytes)).await.is_ok();
         self.measure_pace(progress.last_event, arrived);
         if let (true, Some(held), Some(last)) = (is_sent, &self.held, progress.last_event) {
-            held.progress(last * self.tokens_per_event);
+            held.progress(tokens_in_events(last, self.tokens_per_event));
             self.migration.start_if_due(cx, self.fwd, held);
         }
         is_sent
@@ -461,7 +461,7 @@
             self.pace.restart();
             return;
         }
-        let generated = last_event.unwrap_or(0) * self.tokens_per_event;
+        let generated = tokens_in_events(last_event.unwrap_or(0), self.tokens_per_event);
         if let Some(tokens_per_ms) = self.pace.record(generated, arrived) {
             self.cx.shared.record_pace(&self.origin.runner, tokens_per_ms);
         }
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, AttemptPlan, NextStep};
+use bulrushusher_forward::{AttemptEnd, AttemptPlan, NextStep, tokens_in_events};
 use bulrushusher_time::Millis;
 use hyper::Response;
 use tokio::sync::mpsc::{self, Sender};
@@ -249,8 +249,8 @@
         }
         shared.record_run_end(&origin.runner, true);
         let expected = fwd.request.size.map_or(0, |size| size.expected());
-        let generated =
-            self.progress.last_event.unwrap_or(0) * shared.tokens_per_event(&fwd.service);
+        let per_event = shared.tokens_per_event(&fwd.service);
+        let generated = tokens_in_events(self.progress.last_event.unwrap_or(0), per_event);
         let took = self.cx.now().since(self.first_start);
         shared.with_timing(&fwd.service, |pace| pace.record_generation(took, expected, generated));
     }
