Runners: a long Keep-Alive timeout does not end the call

A caller whose runner answered completely got no response, as the runner stated `Keep-Alive: timeout=`; a release build wraps, and keeps the connection for a wrong time.

Cause: seconds times 1,000 as u64, in the task that reads the answer. Change: the product saturates; a connection that is idle longer is closed by its runner.

--- a/crates/bulrushusher_gateway/src/runners/pool.rs
+++ b/crates/bulrushusher_gateway/src/runners/pool.rs
@@ -174,11 +174,12 @@
     if text("connection").is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
         return None;
     }
-    let stated = text("keep-alive").and_then(stated_seconds);
-    Some(stated.map_or(DEFAULT_IDLE_TIMEOUT, |seconds| Millis(seconds * 1_000)))
+    let stated = text("keep-alive").and_then(stated_timeout);
+    Some(stated.unwrap_or(DEFAULT_IDLE_TIMEOUT))
 }
 
-/// The `timeout` parameter of a `Keep-Alive` header.
-fn stated_seconds(value: &str) -> Option<u64> {
-    value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.trim().parse().ok())
+/// The `timeout` parameter of a `Keep-Alive` header, which is in seconds.
+fn stated_timeout(value: &str) -> Option<Millis> {
+    let stated = |part: &str| part.trim().strip_prefix("timeout=")?.trim().parse::<u64>().ok();
+    value.split(',').find_map(stated).map(|seconds| Millis(seconds.saturating_mul(1_000)))
 }
