--- a/crates/bulrushusher_gateway/src/runs/run.rs
+++ b/crates/bulrushusher_gateway/src/runs/run.rs
@@ -33,5 +33,6 @@
 
 /// Silence after which a run that may be resumed elsewhere is given up.
 pub(crate) fn silence_timeout(fwd: &ForwardedRequest) -> Millis {
-    Millis(fwd.route.gap_target.0 * SILENCE_TIMEOUT_GAPS).max(MIN_SILENCE_TIMEOUT)
+    let timeout = fwd.route.gap_target.0.saturating_mul(SILENCE_TIMEOUT_GAPS);
+    Millis(timeout).max(MIN_SILENCE_TIMEOUT)
 }
