Peers: sums over reports have room for any report

Not seen from outside: a report of a peer with counts near the limits of their types would end each call at its receiver in a panic, or be judged by a sum that has wrapped. Sequence numbers, revisions and counts of crashes near the limit had the same fault.

In-flight and waiting calls, u32 in a report, are added up as u64; totals and sequence numbers saturate.

--- a/crates/bulrushusher_forward/src/call_peers.rs
+++ b/crates/bulrushusher_forward/src/call_peers.rs
@@ -33,8 +33,8 @@
     /// Peers whose calls no longer count. Their next update still builds on their last full report:
     /// without it a burst after a quiet time would be seen a round trip later.
     silent: BTreeMap<Arc<str>, PeerCalls>,
-    in_flight: BTreeMap<RunnerId, u32>,
-    waiting: u32,
+    in_flight: BTreeMap<RunnerId, u64>,
+    waiting: u64,
     /// Sum of the times of the reports, in ms.
     times: u64,
     latest: Millis,
@@ -105,9 +105,9 @@
         let before = self.remove(peer);
         self.silent.remove(peer);
         for (runner, calls) in &calls.runners {
-            *self.in_flight.entry(runner.clone()).or_default() += calls.in_flight;
+            *self.in_flight.entry(runner.clone()).or_default() += u64::from(calls.in_flight);
         }
-        self.waiting += calls.waiting;
+        self.waiting += u64::from(calls.waiting);
         self.times += calls.at.0;
         self.latest = self.latest.max(calls.at);
         self.peers.insert(peer.into(), calls);
@@ -118,10 +118,10 @@
         let calls = self.peers.remove(peer)?;
         for (runner, calls) in &calls.runners {
             if let Some(sum) = self.in_flight.get_mut(runner) {
-                *sum = sum.saturating_sub(calls.in_flight);
+                *sum = sum.saturating_sub(calls.in_flight.into());
             }
         }
-        self.waiting = self.waiting.saturating_sub(calls.waiting);
+        self.waiting = self.waiting.saturating_sub(calls.waiting.into());
         self.times = self.times.saturating_sub(calls.at.0);
         Some(calls)
     }
@@ -158,12 +158,12 @@
     }
 
     /// Calls in flight at a runner when the peers reported.
-    pub(crate) fn in_flight(&self, runner: &RunnerId) -> u32 {
+    pub(crate) fn in_flight(&self, runner: &RunnerId) -> u64 {
         self.in_flight.get(runner).copied().unwrap_or(0)
     }
 
     /// Calls that waited at the peers when they reported.
-    pub(crate) fn waiting(&self) -> u32 {
+    pub(crate) fn waiting(&self) -> u64 {
         self.waiting
     }
 
--- a/crates/bulrushusher_forward/src/call_pool.rs
+++ b/crates/bulrushusher_forward/src/call_pool.rs
@@ -158,7 +158,7 @@
     /// Calls in flight, over all gateways.
     pub in_flight: f64,
     /// Calls that wait, over all gateways.
-    pub waiting: u32,
+    pub waiting: u64,
     /// Slots of all runners.
     pub slots: u64,
     /// Mean service time in ms; 0 before any answer is known.
@@ -445,7 +445,7 @@
         if self.peers.count(self.peer_lifetime(), now) == 0 {
             return own;
         }
-        let in_flight = own + f64::from(self.peers.in_flight(runner));
+        let in_flight = own + self.peers.in_flight(runner) as f64;
         let Some(stats) = self.stats.get(runner) else { return in_flight };
         let age = self.peers.mean_age_ms(now) + self.cfg.report_delay.0 as f64;
         project_in_flight(in_flight, stats, slots(runner_slots), age, now)
@@ -468,7 +468,7 @@
             return self.choose(pool, call, now).map_or(Admission::NoRunner, Admission::Send);
         }
         let may_join = call.waited > Millis(0)
-            || f64::from(load.waiting) < load.answered_in(call.left) * self.cfg.max_waiting_share;
+            || (load.waiting as f64) < load.answered_in(call.left) * self.cfg.max_waiting_share;
         let has_time = load.expected_ms + load.service_ms < call.left.0 as f64;
         match may_join && has_time {
             true => Admission::Wait,
@@ -496,13 +496,13 @@
         let room = load.answered_in(call.target) * share - load.in_flight;
         let interval = self.report_interval(self.peers.known() + 1).0 as f64;
         let decisions = interval / self.cfg.poll_interval.0.max(1) as f64;
-        room / (f64::from(load.waiting.max(1)) * decisions)
+        room / (load.waiting.max(1) as f64 * decisions)
     }
 
     /// Time in which the waiting calls beyond the limit are answered, within the configured bounds.
     fn retry_after(&self, load: &CallPoolLoad, call: &CallToPlace<'_>) -> Millis {
         let limit = load.answered_in(call.left) * self.cfg.max_waiting_share;
-        let excess = (f64::from(load.waiting) - limit).max(0.0);
+        let excess = (load.waiting as f64 - limit).max(0.0);
         let wait = excess * load.service_ms / load.slots.max(1) as f64;
         let spread = 1.0 + self.cfg.retry_spread * call.draw;
         let wait = Millis((wait.max(self.cfg.min_retry_after.0 as f64) * spread) as u64);
@@ -517,7 +517,7 @@
         CallPoolLoad {
             expected_ms: best.unwrap_or(0.0),
             in_flight: levels.iter().map(|level| level.in_flight).sum(),
-            waiting: self.waiting + if peers > 0 { self.peers.waiting() } else { 0 },
+            waiting: u64::from(self.waiting) + if peers > 0 { self.peers.waiting() } else { 0 },
             slots: slots_of(pool.iter().copied()),
             service_ms: self.mean_service_ms(pool, now).unwrap_or(0.0),
             peers,
--- a/crates/bulrushusher_forward/src/call_report.rs
+++ b/crates/bulrushusher_forward/src/call_report.rs
@@ -87,9 +87,9 @@
         RunnerCalls {
             runner: base.runner.clone(),
             in_flight: self.in_flight,
-            started: base.started + u64::from(self.started),
-            answered: base.answered + u64::from(self.answered),
-            service_ms: base.service_ms + u64::from(self.service_ms),
+            started: base.started.saturating_add(self.started.into()),
+            answered: base.answered.saturating_add(self.answered.into()),
+            service_ms: base.service_ms.saturating_add(self.service_ms.into()),
         }
     }
 }
--- a/crates/bulrushusher_forward/src/peer_state.rs
+++ b/crates/bulrushusher_forward/src/peer_state.rs
@@ -46,7 +46,7 @@
     /// Number of peers with text generations that wait for decode memory, including generations
     /// that can no longer meet their target.
     pub fn peers_with_waiting(&self, now: Millis) -> usize {
-        let waits = |report: &GatewayReport| report.waiting + report.waiting_late > 0;
+        let waits = |report: &GatewayReport| report.waiting > 0 || report.waiting_late > 0;
         self.live_peers(now).filter(|peer| waits(&peer.report)).count()
     }
 
--- a/crates/bulrushusher_forward/src/prefill_ends.rs
+++ b/crates/bulrushusher_forward/src/prefill_ends.rs
@@ -218,7 +218,7 @@
         let later = sent.plus(self.cfg.later_margin);
         let mut progress = PrefillProgress::default();
         for ends in recent.filter(|ends| ends.after >= sent) {
-            progress.ended += ends.count;
+            progress.ended = progress.ended.saturating_add(ends.count);
             progress.last_end_ago = Some(now.since(ends.at));
             if ends.sent_after.is_some_and(|at| at >= later) {
                 progress.passed_ago = progress.passed_ago.max(Some(now.since(ends.at)));
--- a/crates/bulrushusher_forward/src/report.rs
+++ b/crates/bulrushusher_forward/src/report.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    CallPoolReport, DrainReport, LimitReport, RunCounts, RunShape, SeenRevisions, SpeedReport,
-    StartTime, StartTimes, StoreContact,
+    CallPoolReport, DrainReport, LimitReport, MAX_TOKENS, RunCounts, RunShape, SeenRevisions,
+    SpeedReport, StartTime, StartTimes, StoreContact,
 };
 
 /// One run in a report.
@@ -52,6 +52,14 @@
         }
     }
 
+    /// Limits each count of tokens to [`MAX_TOKENS`], so that counts can be added up.
+    fn limit_counts(&mut self) {
+        let RunReport { prompt, generated, generated_at_join, expected, max_output, .. } = self;
+        for count in [prompt, generated, generated_at_join, expected, max_output] {
+            *count = MAX_TOKENS.min(*count);
+        }
+    }
+
     /// Memory shape of the run.
     pub fn shape(&self) -> RunShape {
         self.shape_after(0.0)
@@ -167,6 +175,14 @@
         (changed, known.into_values().collect())
     }
 
+    /// Limits the counts of a report of a peer, so that they can be added to those of other gateways.
+    pub fn limit_counts(&mut self) {
+        self.runs.iter_mut().for_each(RunReport::limit_counts);
+        for (_, tokens) in &mut self.prefill_tokens {
+            *tokens = MAX_TOKENS.min(*tokens);
+        }
+    }
+
     /// Removes the runners for which `matches` returns true.
     pub(crate) fn remove_runners(&mut self, matches: impl Fn(&RunnerId) -> bool) {
         self.runs.retain(|run| !matches(&run.runner));
@@ -213,7 +229,7 @@
         let (changed, ended) = now.diff(before);
         let runs = changed.into_iter().cloned().collect();
         let ended = ended.into_iter().map(|run| run.number).collect();
-        let skipped = now.sequence.saturating_sub(before.sequence + 1);
+        let skipped = now.sequence.saturating_sub(before.sequence.saturating_add(1));
         GatewayDelta { report: GatewayReport { runs, ..now.clone() }, ended, skipped }
     }
 
--- a/crates/bulrushusher_forward/src/runner_changes.rs
+++ b/crates/bulrushusher_forward/src/runner_changes.rs
@@ -176,7 +176,7 @@
             self.restart(revision, last_change);
             return;
         }
-        if revision > from + 1 {
+        if revision > from.saturating_add(1) {
             self.coverage.add_gap(ListGap { from, to: revision });
         }
         self.record(from, revision, last_change, changes);
--- a/crates/bulrushusher_gateway/src/peers/report_codec.rs
+++ b/crates/bulrushusher_gateway/src/peers/report_codec.rs
@@ -108,8 +108,21 @@
 /// The reason why it cannot be decoded.
 pub(crate) fn decode(bytes: &[u8]) -> Result<Datagram, CodecError> {
     match bytes {
-        [MARK, VERSION, rest @ ..] => postcard::from_bytes(rest).map_err(|_| CodecError::Broken),
+        [MARK, VERSION, rest @ ..] => {
+            let datagram = postcard::from_bytes(rest).map_err(|_| CodecError::Broken)?;
+            Ok(with_limited_counts(datagram))
+        }
         [MARK, version, ..] => Err(CodecError::OtherVersion { version: *version }),
         _ => Err(CodecError::Foreign),
     }
 }
+
+/// The datagram with counts that can be added to those of other gateways.
+fn with_limited_counts(mut datagram: Datagram) -> Datagram {
+    match &mut datagram.message {
+        Message::Full(report) => report.limit_counts(),
+        Message::Delta(delta) => delta.report.limit_counts(),
+        _ => {}
+    }
+    datagram
+}
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -108,7 +108,7 @@
     for (service, load, refused) in shared.call_pools() {
         let figures = CallPoolMetrics {
             in_flight: load.in_flight.round() as u64,
-            waiting: u64::from(load.waiting),
+            waiting: load.waiting,
             slots: load.slots,
             service_time_ms: load.service_ms.round() as u64,
             refused,
--- a/crates/bulrushusher_routing/src/quarantine/sound.rs
+++ b/crates/bulrushusher_routing/src/quarantine/sound.rs
@@ -27,7 +27,7 @@
 impl SoundParts {
     /// Records a run of this gateway with the key, in a table of at most `max_entries`.
     pub(super) fn record(&mut self, key: CrashKey, max_entries: usize, now: Millis) {
-        let count = self.get(key).unwrap_or_default().count + 1;
+        let count = self.get(key).unwrap_or_default().count.saturating_add(1);
         self.insert(key, SoundRuns { count, last_at: now }, max_entries);
     }
 
