Callers: a request that panics gets a response, and the panic is counted

A caller whose request panicked in the gateway had its connection closed without a response. No line of the log told of it, as panics went to standard error, and no counter.

The forwarding of a request catches its panic and answers 502, outcome unknown, as a runner may have got it. catch_unwind and not a task with its JoinHandle: a request must end with its connection, which is what gives back what it holds, and without a panic it costs nothing.

Seen before: a_caller_whose_request_panics_gets_a_response_without_a_promise fails, connection lost. After: passes, before and after the request is sent; the next call is answered, two panics are counted and logged.

--- a/crates/bulrushusher_gateway/src/callers/front.rs
+++ b/crates/bulrushusher_gateway/src/callers/front.rs
@@ -1,6 +1,7 @@
 //! Handles callers' requests: checks, routes and forwards each, and builds the response.
 
 use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -8,6 +9,7 @@
 use bulrushusher_routing::{RequestDigest, RequestKeys};
 use bulrushusher_time::Millis;
 use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{
@@ -149,7 +151,13 @@
                     .into_response(HeaderMap::new());
             }
         };
-        let (kind, outcome) = self.forward(&head, &request, body, received).await;
+        // Not a task of its own: it ends with its connection, which gives back what it holds.
+        let forwarded = AssertUnwindSafe(self.forward(&head, &request, body, received));
+        let (kind, outcome) = forwarded.catch_unwind().await.unwrap_or_else(|_| {
+            // A runner may have got the request before the panic.
+            let reason = "the gateway failed while it forwarded the request";
+            ("unknown", Err(Refusal::OutcomeUnknown(reason)))
+        });
         let took = self.router.now().since(received);
         let result = match &outcome {
             Ok(_) => "answered",
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::callers::server::Server;
 use crate::dialect::{Dialect, PlatformStore, Topic};
 use crate::lifecycle::Lifecycle;
+use crate::panics::report_panics;
 use crate::peers::announcing::Announcer;
 use crate::peers::reporting::PeerMessenger;
 use crate::probes::{self, Probe};
@@ -67,6 +68,7 @@
         cfg.store
     );
     let components = Components::new(cfg.clone(), dialect, clock.clone());
+    report_panics(components.metrics.clone());
     let callers = listen(cfg.callers)?;
     let mut tasks = JoinSet::new();
     components.spawn_probes(&cfg, &mut tasks)?;
--- a/crates/bulrushusher_gateway/src/lib.rs
+++ b/crates/bulrushusher_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod dialect;
 mod gateway;
 mod lifecycle;
+mod panics;
 mod peers;
 mod placement;
 mod probes;
--- a/crates/bulrushusher_report/src/gateway.rs
+++ b/crates/bulrushusher_report/src/gateway.rs
@@ -27,6 +27,7 @@
     connections_closed: Counter<u64>,
     aborted_streams: Counter<u64>,
     invalid_events: Counter<u64>,
+    panics: Counter<u64>,
     quarantine: Gauge<u64>,
     /// Keys that the gauge shows with a time.
     quarantines_shown: Mutex<BTreeSet<String>>,
@@ -143,6 +144,10 @@
                 "bulrush_gateway_invalid_events",
                 "Runs that sent something else than the next event of their stream, by reason",
             ),
+            panics: counter(
+                "bulrush_gateway_panics",
+                "Panics, which are faults of the gateway; the log has the place of each",
+            ),
             quarantine: meter
                 .u64_gauge("bulrush_gateway_quarantine_ms")
                 .with_description("Time until a quarantine ends, by its keys, in ms")
@@ -343,6 +348,17 @@
         self.invalid_events.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a panic.
+    ///
+    /// ```
+    /// let metrics = bulrushusher_report::GatewayMetrics::new("front-1");
+    /// metrics.record_panic();
+    /// assert!(metrics.render().contains("bulrush_gateway_panics_total"));
+    /// ```
+    pub fn record_panic(&self) {
+        self.panics.add(1, &[]);
+    }
+
     /// Sets the keys in quarantine, with the time until the quarantine of each ends, in ms. Former ones
     /// are set to 0.
     pub fn set_quarantines(&self, entries: impl IntoIterator<Item = (String, u64)>) {
