Streams: a stream whose task panics is not complete

The caller of a stream got 200, two of four events and the end of a whole response, when the task that forwards the stream panicked.

Cause: the end of the channel was the end of the body, and a panic drops the sender as the end does.

Change: the task marks the end. A channel that closes without the mark, also when the task is dropped, breaks the connection.

--- a/crates/bulrushusher_gateway/src/answers/body.rs
+++ b/crates/bulrushusher_gateway/src/answers/body.rs
@@ -2,6 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -20,13 +21,29 @@
 )]
 pub struct ResponseAborted;
 
+/// Tells whether a stream was forwarded to its end. The task of a stream that ends without this mark has
+/// panicked, and the stream must not look complete.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StreamEnd(Arc<AtomicBool>);
+
+impl StreamEnd {
+    /// Marks that the task of the stream returned.
+    pub(crate) fn mark(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    fn is_marked(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
 /// A part of a stream on its way to the caller.
 pub(crate) type StreamPart = Result<Bytes, ResponseAborted>;
 
 #[derive(Debug)]
 enum Source {
     Whole(Full<Bytes>),
-    Stream(mpsc::Receiver<StreamPart>),
+    Stream { rx: mpsc::Receiver<StreamPart>, end: StreamEnd },
 }
 
 /// A response body, which keeps its connection marked as busy until it is dropped.
@@ -41,8 +58,9 @@
         ReplyBody { source: Source::Whole(Full::new(bytes)), _request: None }
     }
 
-    pub(crate) fn stream(rx: mpsc::Receiver<StreamPart>) -> ReplyBody {
-        ReplyBody { source: Source::Stream(rx), _request: None }
+    /// A body of the parts that are received. Their sender marks the end before it is dropped.
+    pub(crate) fn stream(rx: mpsc::Receiver<StreamPart>, end: StreamEnd) -> ReplyBody {
+        ReplyBody { source: Source::Stream { rx, end }, _request: None }
     }
 
     /// Attaches the request's guard: the connection counts as busy until this body is dropped.
@@ -62,21 +80,24 @@
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
         match &mut self.source {
             Source::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
-            Source::Stream(rx) => rx.poll_recv(cx).map(|part| part.map(|p| p.map(Frame::data))),
+            Source::Stream { rx, end } => rx.poll_recv(cx).map(|part| match part {
+                None if !end.is_marked() => Some(Err(ResponseAborted)),
+                part => part.map(|part| part.map(Frame::data)),
+            }),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match &self.source {
             Source::Whole(full) => full.is_end_stream(),
-            Source::Stream(_) => false,
+            Source::Stream { .. } => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
             Source::Whole(full) => full.size_hint(),
-            Source::Stream(_) => SizeHint::default(),
+            Source::Stream { .. } => SizeHint::default(),
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc::{self, Sender};
 
 use crate::answers::answer::forward_stream;
-use crate::answers::body::{ReplyBody, ResponseAborted, StreamPart};
+use crate::answers::body::{ReplyBody, ResponseAborted, StreamEnd, StreamPart};
 use crate::dialect::Dialect;
 use crate::placement::attempts::{AttemptHistory, RunError};
 use crate::runners::crashes::{JudgedResponse, RunnerVerdict, VerdictGap};
@@ -66,6 +66,8 @@
 ) -> Response<ReplyBody> {
     let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
     let head = run.reply.head.clone();
+    let end = StreamEnd::default();
+    let mark = end.clone();
     tokio::spawn(async move {
         let progress = StreamProgress::new(fwd.request.resume_after);
         let task = StreamTask {
@@ -79,8 +81,9 @@
             may_migrate: true,
         };
         task.forward(run).await;
+        mark.mark();
     });
-    forward_stream(head, ReplyBody::stream(rx))
+    forward_stream(head, ReplyBody::stream(rx, end))
 }
 
 /// A stream on its way to its caller, over one run or several in turn.
