Gateway: a task that panics is begun again

A gateway whose watch of the runners panicked never followed the list again: a runner that joined got no call in 20 s. It said that it was ready, and logged nothing. The same held for each task that runs for as long as the process, as nobody joins them: the other topics, lease, records, stages, peers, probes, the sweeper and the acceptor.

Change: keep_running begins such a task again, 500 ms after its panic. Tasks of a moment (crash verdicts, hold calls, status requests, notes of pauses) stay as they are: whoever waits for one has a timeout, and handles its end.

A task that panics at each start goes on to do so; the counter and the log show it.

--- a/crates/bulrushusher_gateway/src/callers/server.rs
+++ b/crates/bulrushusher_gateway/src/callers/server.rs
@@ -77,12 +77,12 @@
 
     /// Accepts up to `max_connections` at once, until dropped; fewer while the process is late. A
     /// connection that is turned away is closed unread, so that its caller may try another gateway.
-    pub(crate) async fn accept(&self, listener: TcpListener, max_connections: usize) {
+    pub(crate) async fn accept(&self, listener: &TcpListener, max_connections: usize) {
         let mut first = None;
         loop {
             let began = self.clock.now();
-            if self.take_turn(&listener, first.take(), max_connections) {
-                first = self.accept_first(&listener).await;
+            if self.take_turn(listener, first.take(), max_connections) {
+                first = self.accept_first(listener).await;
                 continue;
             }
             tokio::task::yield_now().await;
--- a/crates/bulrushusher_gateway/src/gateway.rs
+++ b/crates/bulrushusher_gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 use crate::callers::server::Server;
 use crate::dialect::{Dialect, PlatformStore, Topic};
 use crate::lifecycle::Lifecycle;
-use crate::panics::report_panics;
+use crate::panics::{keep_running, report_panics};
 use crate::peers::announcing::Announcer;
 use crate::peers::reporting::PeerMessenger;
 use crate::probes::{self, Probe};
@@ -67,7 +67,7 @@
         cfg.callers,
         cfg.store
     );
-    let components = Components::new(cfg.clone(), dialect, clock.clone());
+    let components = Arc::new(Components::new(cfg.clone(), dialect, clock.clone()));
     report_panics(components.metrics.clone());
     let callers = listen(cfg.callers)?;
     let mut tasks = JoinSet::new();
@@ -75,21 +75,20 @@
     components.spawn_feeds(&store, &mut tasks);
     let announcer = components.announcer(&store, cfg.peers);
     components.spawn_peers(&cfg, announcer.clone(), &mut tasks).await?;
-    tasks.spawn(components.lease_keeper(&store).run());
-    let shared = components.shared.clone();
-    tasks.spawn(async move { shared.watch_cold_runners().await });
-    let shared = components.shared.clone();
-    tasks.spawn(async move { shared.watch_versions().await });
-    tasks.spawn(components.quarantine_keeper(&store).run());
-    tasks.spawn(components.version_keeper(&store).run());
-    tasks.spawn(components.stream_saver(&store).run());
-    tasks.spawn(components.stage_keeper(store).run());
+    spawn_keepers(&components, &store, &mut tasks);
     let server = Arc::new(Server::new(components.front.clone(), clock));
     let sweeper = server.clone();
-    tasks.spawn(async move { sweeper.sweep().await });
+    tasks.spawn(keep_running("sweeper", move || {
+        let sweeper = sweeper.clone();
+        async move { sweeper.sweep().await }
+    }));
     let acceptor = server.clone();
     let max_connections = cfg.max_connections;
-    let accepting = tokio::spawn(async move { acceptor.accept(callers, max_connections).await });
+    let callers = Arc::new(callers);
+    let accepting = tokio::spawn(keep_running("acceptor", move || {
+        let (acceptor, callers) = (acceptor.clone(), callers.clone());
+        async move { acceptor.accept(&callers, max_connections).await }
+    }));
     wait_for_stop_signal(&components.shared, read_settings).await?;
     let stop = components.lifecycle.stop(components.shared.cfg().shutdown, components.shared.now());
     components.shared.resign_as_relay();
@@ -100,6 +99,34 @@
     Ok(())
 }
 
+/// Spawns the tasks that keep the gateway's records in the store, and watch what it knows.
+fn spawn_keepers<D: Dialect, S: PlatformStore>(
+    components: &Arc<Components<D>>,
+    store: &S,
+    tasks: &mut JoinSet<()>,
+) {
+    let shared = components.shared.clone();
+    tasks.spawn(keep_running("cold runners", move || {
+        let shared = shared.clone();
+        async move { shared.watch_cold_runners().await }
+    }));
+    let shared = components.shared.clone();
+    tasks.spawn(keep_running("versions", move || {
+        let shared = shared.clone();
+        async move { shared.watch_versions().await }
+    }));
+    let (cx, at) = (components.clone(), store.clone());
+    tasks.spawn(keep_running("lease", move || cx.lease_keeper(&at).run()));
+    let (cx, at) = (components.clone(), store.clone());
+    tasks.spawn(keep_running("quarantine", move || cx.quarantine_keeper(&at).run()));
+    let (cx, at) = (components.clone(), store.clone());
+    tasks.spawn(keep_running("version records", move || cx.version_keeper(&at).run()));
+    let (cx, at) = (components.clone(), store.clone());
+    tasks.spawn(keep_running("stream records", move || cx.stream_saver(&at).run()));
+    let (cx, at) = (components.clone(), store.clone());
+    tasks.spawn(keep_running("stages", move || cx.stage_keeper(at.clone()).run()));
+}
+
 /// The components that the tasks share.
 struct Components<D> {
     shared: Arc<SharedState>,
@@ -132,9 +159,13 @@
 
     fn spawn_probes(&self, cfg: &GatewayConfig, tasks: &mut JoinSet<()>) -> io::Result<()> {
         let ready = Probe::Ready(self.shared.clone(), self.lifecycle.clone());
-        tasks.spawn(probes::serve(listen(cfg.ready)?, ready));
         let metrics = Probe::Metrics(self.shared.clone(), self.metrics.clone());
-        tasks.spawn(probes::serve(listen(cfg.metrics)?, metrics));
+        for (address, probe) in [(cfg.ready, ready), (cfg.metrics, metrics)] {
+            let listener = Arc::new(listen(address)?);
+            tasks.spawn(keep_running("probe", move || {
+                probes::serve(listener.clone(), probe.clone())
+            }));
+        }
         Ok(())
     }
 
@@ -180,36 +211,37 @@
         announcer: Arc<Announcer<S>>,
         tasks: &mut JoinSet<()>,
     ) -> io::Result<()> {
-        let socket = UdpSocket::bind(cfg.peers).await?;
+        let socket = Arc::new(UdpSocket::bind(cfg.peers).await?);
         let (shared, intake) = (self.shared.clone(), self.intake.clone());
-        let (sent, names, far_peers, far_due, forwarded_revision) = Default::default();
         let metrics = self.metrics.clone();
-        let peers = PeerMessenger {
-            announcer,
-            shared,
-            intake,
-            sent,
-            names,
-            far_peers,
-            far_due,
-            metrics,
-            forwarded_revision,
-        };
-        tasks.spawn(peers.run(socket));
+        tasks.spawn(keep_running("peers", move || {
+            let (sent, names, far_peers, far_due, forwarded_revision) = Default::default();
+            let peers = PeerMessenger {
+                announcer: announcer.clone(),
+                shared: shared.clone(),
+                intake: intake.clone(),
+                sent,
+                names,
+                far_peers,
+                far_due,
+                metrics: metrics.clone(),
+                forwarded_revision,
+            };
+            peers.run(socket.clone())
+        }));
         Ok(())
     }
 
     fn spawn_feeds<S: PlatformStore>(&self, store: &S, tasks: &mut JoinSet<()>) {
         let evacuations = self.shared.evacuation_bound().map(|_| Topic::Evacuations);
         for topic in [Topic::Configuration, Topic::Runners].into_iter().chain(evacuations) {
-            let feed = Feed {
-                store: store.clone(),
-                topic,
-                shared: self.shared.clone(),
-                intake: self.intake.clone(),
-                metrics: self.metrics.clone(),
-            };
-            tasks.spawn(feed.follow());
+            let (store, shared) = (store.clone(), self.shared.clone());
+            let (intake, metrics) = (self.intake.clone(), self.metrics.clone());
+            tasks.spawn(keep_running("feed", move || {
+                let (store, shared) = (store.clone(), shared.clone());
+                let (intake, metrics) = (intake.clone(), metrics.clone());
+                Feed { store, topic, shared, intake, metrics }.follow()
+            }));
         }
     }
 }
--- a/crates/bulrushusher_gateway/src/peers/reporting.rs
+++ b/crates/bulrushusher_gateway/src/peers/reporting.rs
@@ -77,7 +77,7 @@
 
 impl<S: PlatformStore> PeerMessenger<S> {
     /// Sends and receives until dropped.
-    pub(crate) async fn run(self, socket: UdpSocket) {
+    pub(crate) async fn run(self, socket: Arc<UdpSocket>) {
         tokio::join!(
             self.discover(&socket),
             self.receive(&socket),
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -138,7 +138,7 @@
 }
 
 /// Serves a probe on a listener until dropped.
-pub(crate) async fn serve(listener: TcpListener, probe: Probe) {
+pub(crate) async fn serve(listener: Arc<TcpListener>, probe: Probe) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(std::time::Duration::from_millis(20)).await;
