--- a/crates/bulrushusher_forward/src/lib.rs
+++ b/crates/bulrushusher_forward/src/lib.rs
@@ -79,7 +79,9 @@
     BackPressure, BackPressureConfig, BackPressureCounts, BackPressureError, BackPressureView,
     LimitReport,
 };
-pub use call_pool::{Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace};
+pub use call_pool::{
+    Admission, CallPool, CallPoolConfig, CallPoolLoad, CallTicket, CallToPlace, slots_of,
+};
 pub use call_report::{CallPoolReport, CallPoolUpdate, RunnerCalls};
 pub use caller_connection::{CloseReason, ConnectionLimits, ConnectionState, LimitHistory};
 pub use configuration_copy::{ConfigurationCopy, StoredConfiguration};
@@ -114,7 +116,7 @@
 pub use rate_limit::{RateLimit, RateLimitError};
 pub use relays::{RelayPeer, RelayView, Relays, RelaysConfig, StoreContact, StoreRole};
 pub use report::{GatewayDelta, GatewayReport, RunReport};
-pub use request::{PromptSize, RequestId};
+pub use request::{MAX_TOKENS, PromptSize, RequestId, tokens_in_events};
 pub use retry_after::{RetryAfterConfig, TypicalPatience};
 pub use revision::{era_of, number_in_era, revision_in_era};
 pub use route::{
--- a/crates/bulrushusher_gateway/src/probes.rs
+++ b/crates/bulrushusher_gateway/src/probes.rs
@@ -108,8 +108,8 @@
     for (service, load, refused) in shared.call_pools() {
         let figures = CallPoolMetrics {
             in_flight: load.in_flight.round() as u64,
-            waiting: u64::from(load.waiting),
-            slots: u64::from(load.slots),
+            waiting: load.waiting,
+            slots: load.slots,
             service_time_ms: load.service_ms.round() as u64,
             refused,
         };
@@ -138,7 +138,7 @@
 }
 
 /// Serves a probe on a listener until dropped.
-pub(crate) async fn serve(listener: TcpListener, probe: Probe) {
+pub(crate) async fn serve(listener: Arc<TcpListener>, probe: Probe) {
     loop {
         let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(std::time::Duration::from_millis(20)).await;
--- a/crates/bulrushusher_gateway/src/runs/stream.rs
+++ b/crates/bulrushusher_gateway/src/runs/stream.rs
@@ -3,13 +3,13 @@
 
 use std::sync::Arc;
 
-use bulrushusher_forward::{AttemptEnd, AttemptPlan, NextStep};
+use bulrushusher_forward::{AttemptEnd, AttemptPlan, NextStep, tokens_in_events};
 use bulrushusher_time::Millis;
 use hyper::Response;
 use tokio::sync::mpsc::{self, Sender};
 
 use crate::answers::answer::forward_stream;
-use crate::answers::body::{ReplyBody, ResponseAborted, StreamPart};
+use crate::answers::body::{ReplyBody, ResponseAborted, StreamEnd, StreamPart};
 use crate::dialect::Dialect;
 use crate::placement::attempts::{AttemptHistory, RunError};
 use crate::runners::crashes::{JudgedResponse, RunnerVerdict, VerdictGap};
@@ -66,6 +66,8 @@
 ) -> Response<ReplyBody> {
     let (tx, rx) = mpsc::channel(CHANNEL_CAPACITY);
     let head = run.reply.head.clone();
+    let end = StreamEnd::default();
+    let mark = end.clone();
     tokio::spawn(async move {
         let progress = StreamProgress::new(fwd.request.resume_after);
         let task = StreamTask {
@@ -79,8 +81,9 @@
             may_migrate: true,
         };
         task.forward(run).await;
+        mark.mark();
     });
-    forward_stream(head, ReplyBody::stream(rx))
+    forward_stream(head, ReplyBody::stream(rx, end))
 }
 
 /// A stream on its way to its caller, over one run or several in turn.
@@ -255,8 +258,8 @@
             return;
         }
         let expected = fwd.request.size.map_or(0, |size| size.expected());
-        let last_event = self.progress.last_event.unwrap_or(0);
-        let generated = shared.tokens_of_events(&fwd.service, last_event);
+        let per_event = shared.tokens_per_event(&fwd.service);
+        let generated = tokens_in_events(self.progress.last_event.unwrap_or(0), per_event);
         let took = self.cx.now().since(self.first_start);
         shared.with_timing(&fwd.service, |pace| pace.record_generation(took, expected, generated));
     }
